--- /dev/null
+++ b/src/anvillug/__init__.py
@@ -0,0 +1,1 @@
+"""anvillug: a load balancer for servers whose load shifts within milliseconds."""
--- /dev/null
+++ b/src/anvillug/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load generator, baselines and measurements on real processes."""
--- /dev/null
+++ b/src/anvillug/clock.py
@@ -0,0 +1,77 @@
+"""Time in milliseconds.
+
+Decision logic never reads the system's time by itself: it is given a `Clock`
+or a reading of one, so that tests control time.
+"""
+
+from __future__ import annotations
+
+import time
+from typing import NewType, Protocol
+
+Milliseconds = NewType('Milliseconds', float)
+
+_MS_PER_SECOND = 1000.0
+_NS_PER_MS = 1_000_000.0
+
+
+class Clock(Protocol):
+    """Source of time in milliseconds."""
+
+    def now(self) -> Milliseconds:
+        """Return monotonic time, for durations within this process."""
+
+    def wall(self) -> Milliseconds:
+        """Return time since the Unix epoch, comparable between hosts."""
+
+
+class SystemClock:
+    """Clock of the operating system."""
+
+    def now(self) -> Milliseconds:
+        """Return monotonic time in milliseconds."""
+        return Milliseconds(time.monotonic_ns() / _NS_PER_MS)
+
+    def wall(self) -> Milliseconds:
+        """Return milliseconds since the Unix epoch."""
+        return Milliseconds(time.time_ns() / _NS_PER_MS)
+
+
+class ManualClock:
+    """Clock that moves only when told to, for tests and embedding.
+
+    Args:
+        start: Initial monotonic reading in milliseconds.
+        wall_start: Initial reading since the Unix epoch in milliseconds.
+    """
+
+    def __init__(self, start: float = 0, wall_start: float = 0) -> None:
+        self._now = start
+        self._wall = wall_start
+
+    def now(self) -> Milliseconds:
+        """Return monotonic time in milliseconds."""
+        return Milliseconds(self._now)
+
+    def wall(self) -> Milliseconds:
+        """Return milliseconds since the Unix epoch."""
+        return Milliseconds(self._wall)
+
+    def advance(self, duration: float) -> None:
+        """Move both readings forward.
+
+        Args:
+            duration: Milliseconds to add; must not be negative.
+
+        Raises:
+            ValueError: If the duration is negative.
+        """
+        if duration < 0:
+            raise ValueError(f'duration must not be negative, got {duration}')
+        self._now += duration
+        self._wall += duration
+
+
+def to_seconds(duration: float) -> float:
+    """Convert milliseconds to seconds for libraries that count in seconds."""
+    return duration / _MS_PER_SECOND
--- /dev/null
+++ b/src/anvillug/connection/__init__.py
@@ -0,0 +1,1 @@
+"""Modules whose state lives for one connection: HTTP, platform log, control."""
--- /dev/null
+++ b/src/anvillug/process/__init__.py
@@ -0,0 +1,1 @@
+"""Modules whose state lives as long as the process."""
--- /dev/null
+++ b/src/anvillug/process/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Subcommands of the program, one module each."""
--- /dev/null
+++ b/src/anvillug/request/call.py
@@ -0,0 +1,128 @@
+"""Properties of a call that entry side, host side and backend server share."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+from anvillug import clock, ids
+
+CALL_HEADER = 'Anvillug-Call'
+SERVICE_HEADER = 'Anvillug-Service'
+INCARNATION_HEADER = 'Anvillug-Incarnation'
+CONFIG_HEADER = 'Anvillug-Config'
+CRITICALITY_HEADER = 'Anvillug-Criticality'
+DEADLINE_HEADER = 'Anvillug-Deadline-Ms'
+REPEATABLE_HEADER = 'Anvillug-Repeatable'
+DEPTH_HEADER = 'Anvillug-Depth'
+RETRIES_HEADER = 'Anvillug-Retries'
+OUTCOME_HEADER = 'Anvillug-Outcome'
+LOAD_HEADER = 'Anvillug-Load'
+KEY_HEADER = 'Idempotency-Key'
+
+MAX_DEPTH = 26
+
+_LOAD_FIELDS = 5
+_US_PER_MS = 1000
+
+
+class Criticality(enum.Enum):
+    """Order in which calls are shed under overload, first `SHEDDABLE`."""
+
+    CRITICAL = 'critical'
+    NORMAL = 'normal'
+    SHEDDABLE = 'sheddable'
+
+
+class Outcome(enum.Enum):
+    """What is known about the execution of a call."""
+
+    FINISHED = 'finished'
+    NOT_RUN = 'not-run'
+    UNKNOWN = 'unknown'
+
+
+class HostState(enum.Enum):
+    """State of a host side as told with its load."""
+
+    SERVING = 'serving'
+    COLD = 'cold'
+    LEAVING = 'leaving'
+    ZONE_OUT = 'zone-out'
+    NO_BACKEND = 'no-backend'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadSample:
+    """Load of a host side at one moment."""
+
+    in_flight: int
+    """Calls running on the backend server."""
+    limit: int
+    """Calls that the host side currently lets run at once."""
+    queued: int
+    """Calls waiting at the host side."""
+    latency_ms: float
+    """Recent latency of the backend server in milliseconds at this in-flight level."""
+    state: HostState
+    """State of the host side."""
+    taken_at: clock.Milliseconds
+    """Monotonic time of the receiver when the sample arrived."""
+
+
+def format_load(sample: LoadSample) -> str:
+    """Return the value of the `Anvillug-Load` header: counts and microseconds."""
+    latency_us = round(sample.latency_ms * _US_PER_MS)
+    return f'{sample.in_flight},{sample.limit},{sample.queued},{latency_us},{sample.state.value}'
+
+
+def parse_load(text: str, taken_at: clock.Milliseconds) -> LoadSample:
+    """Parse the value of the `Anvillug-Load` header.
+
+    Args:
+        text: `in_flight,limit,queued,latency_us,state`.
+        taken_at: Monotonic time of arrival in milliseconds.
+
+    Returns:
+        The sample.
+
+    Raises:
+        ValueError: If the text has another form.
+    """
+    fields = text.split(',')
+    if len(fields) != _LOAD_FIELDS:
+        raise ValueError(f'load {text!r} does not have {_LOAD_FIELDS} fields')
+    return LoadSample(
+        in_flight=int(fields[0]),
+        limit=int(fields[1]),
+        queued=int(fields[2]),
+        latency_ms=int(fields[3]) / _US_PER_MS,
+        state=HostState(fields[4]),
+        taken_at=taken_at,
+    )
+
+
+def is_repeatable_method(method: str) -> bool:
+    """Tell whether an HTTP method is safe to send again (RFC 9110, section 9.2.1)."""
+    return method in _SAFE_METHODS
+
+
+_SAFE_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS'))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallProperties:
+    """Properties of a call that decide its treatment at the host side."""
+
+    call_id: ids.CallId
+    """Id given by the entry side."""
+    service: ids.ServiceName
+    """Service that the caller named."""
+    criticality: Criticality
+    """Order of shedding under overload."""
+    repeatable: bool
+    """Whether the call may run more than once."""
+    deadline: clock.Milliseconds
+    """Monotonic time of this process after which the answer is of no use."""
+    depth: int = 0
+    """How many calls led to this one."""
--- /dev/null
+++ b/src/anvillug/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems around anvillug, with injectable faults."""
--- /dev/null
+++ b/src/anvillug/version/__init__.py
@@ -0,0 +1,1 @@
+"""Modules about versions: of the configuration and of backend servers."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of anvillug."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Programs that build or generate files of this repository."""
