Add settings, the configuration document, its fold and the log client

The node needs validated settings, one agreed configuration and access to the platform log. The fold keeps treq out of its imports: the record types stand in connection/log_record.py. Refusing patches in the publisher was ruled out, since publishers race; only the fold's order decides.

--- /dev/null
+++ b/src/anvillug/connection/log_client.py
@@ -0,0 +1,159 @@
+"""Client of the platform log over HTTP (treq)."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+from urllib import parse
+
+import treq
+from treq import client as treq_client
+from twisted.internet import defer, error, interfaces
+from twisted.web import client as web_client
+
+from anvillug import clock, ids
+from anvillug.connection import log_record
+
+CONFIGURATION_STREAM = 'configuration'
+
+_CONNECT_TIMEOUT_MS = 1000
+_ANSWER_TIMEOUT_MS = 5000
+_MAX_CONNECTIONS = 4
+_OK_STATUSES = frozenset((200, 201))
+_TOO_MANY_REQUESTS = 429
+_FIRST_SERVER_ERROR = 500
+_NEVER_SENT = (
+    error.ConnectError,
+    error.ConnectingCancelledError,
+    error.DNSLookupError,
+    web_client.RequestNotSent,
+)
+
+
+class HttpLogClient:
+    """Log client that keeps its connections open.
+
+    Args:
+        reactor: Reactor that owns the sockets and timers.
+        address: IP:port of the log.
+        answer_timeout_ms: Time for an answer, on top of the wait of a long poll.
+    """
+
+    def __init__(
+        self,
+        reactor: interfaces.IReactorTCP,
+        address: str,
+        answer_timeout_ms: int = _ANSWER_TIMEOUT_MS,
+    ) -> None:
+        self._pool = web_client.HTTPConnectionPool(reactor)
+        self._pool.maxPersistentPerHost = _MAX_CONNECTIONS
+        agent = web_client.Agent(
+            reactor,
+            connectTimeout=clock.to_seconds(_CONNECT_TIMEOUT_MS),
+            pool=self._pool,
+        )
+        self._reactor: Any = reactor
+        self._http = treq_client.HTTPClient(agent)
+        self._base = f'http://{address}/streams'
+        self._answer_timeout_ms = answer_timeout_ms
+
+    def append(self, stream: str, data: object) -> defer.Deferred[ids.LogOffset]:
+        """Append a record; see `log_record.LogClient`."""
+        return defer.Deferred.fromCoroutine(self._append(stream, data))
+
+    def read(
+        self,
+        stream: str,
+        offset: ids.LogOffset,
+        limit: int,
+        wait_ms: int,
+    ) -> defer.Deferred[log_record.ReadResult]:
+        """Read records by long poll; see `log_record.LogClient`."""
+        query = parse.urlencode({'from': offset, 'limit': limit, 'wait_ms': wait_ms})
+        return defer.Deferred.fromCoroutine(self._read(f'{self._url(stream)}?{query}', wait_ms))
+
+    def close(self) -> defer.Deferred[None]:
+        """Close idle connections."""
+        return self._pool.closeCachedConnections()
+
+    def _url(self, stream: str) -> str:
+        return f'{self._base}/{parse.quote(stream, safe="")}/records'
+
+    async def _append(self, stream: str, data: object) -> ids.LogOffset:
+        body = json.dumps({'data': data}).encode()
+        try:
+            status, answer = await self._within(
+                self._http.post(
+                    self._url(stream),
+                    data=body,
+                    headers={'Content-Type': 'application/json'},
+                ),
+                0,
+            )
+        except _NEVER_SENT as failure:
+            raise log_record.LogUnavailable(f'log not reached: {failure}') from failure
+        except Exception as failure:
+            _raise_cancelled(failure)
+            raise log_record.LogAnswerLost(f'no answer to append: {failure!r}') from failure
+        return _parse_append(status, answer)
+
+    async def _read(self, url: str, wait_ms: int) -> log_record.ReadResult:
+        try:
+            status, answer = await self._within(self._http.get(url), wait_ms)
+        except Exception as failure:
+            _raise_cancelled(failure)
+            raise log_record.LogUnavailable(f'no answer to read: {failure!r}') from failure
+        _check_status(status)
+        try:
+            return _parse_read(json.loads(answer))
+        except (ValueError, KeyError, TypeError) as failure:
+            raise log_record.LogUnavailable('answer to read is not readable') from failure
+
+    def _within(self, request: defer.Deferred[Any], wait_ms: int) -> defer.Deferred[Any]:
+        request.addCallback(_with_body)
+        return request.addTimeout(
+            clock.to_seconds(self._answer_timeout_ms + wait_ms),
+            self._reactor,
+        )
+
+
+def _with_body(response: Any) -> defer.Deferred[tuple[int, bytes]]:
+    return treq.content(response).addCallback(lambda body: (response.code, body))
+
+
+def _raise_cancelled(failure: Exception) -> None:
+    if isinstance(failure, defer.CancelledError):
+        raise failure
+
+
+def _parse_append(status: int, answer: bytes) -> ids.LogOffset:
+    if status >= _FIRST_SERVER_ERROR:
+        # The status may come from a relay after the append took effect.
+        raise log_record.LogAnswerLost(f'append answered with status {status}')
+    _check_status(status)
+    try:
+        return ids.LogOffset(int(json.loads(answer)['offset']))
+    except (ValueError, KeyError, TypeError) as failure:
+        raise log_record.LogAnswerLost('answer to append is not readable') from failure
+
+
+def _check_status(status: int) -> None:
+    if status == _TOO_MANY_REQUESTS:
+        raise log_record.RateLimited('log is above its rate limit')
+    if status not in _OK_STATUSES:
+        raise log_record.LogUnavailable(f'log answered with status {status}')
+
+
+def _parse_read(answer: Any) -> log_record.ReadResult:
+    return log_record.ReadResult(
+        first=ids.LogOffset(int(answer['first'])),
+        next=ids.LogOffset(int(answer['next'])),
+        records=tuple(
+            log_record.LogRecord(
+                ids.LogOffset(int(record['offset'])),
+                clock.Milliseconds(record['time_ms']),
+                record['data'],
+            )
+            for record in answer['records']
+        ),
+    )
--- /dev/null
+++ b/src/anvillug/connection/log_record.py
@@ -0,0 +1,84 @@
+"""Records of the platform log and the interface of its clients."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Any, Protocol
+
+from twisted.internet import defer
+
+from anvillug import clock, ids
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LogRecord:
+    """One record of a stream."""
+
+    offset: ids.LogOffset
+    """Position in the stream; offsets have no holes."""
+    time_ms: clock.Milliseconds
+    """Wall time of the log at the append."""
+    data: Any
+    """Parsed JSON."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadResult:
+    """Answer to a read."""
+
+    first: ids.LogOffset
+    """Lowest offset still retained."""
+    next: ids.LogOffset
+    """Offset of the next record to be written."""
+    records: tuple[LogRecord, ...]
+    """Records in offset order; none when the wait ended without one."""
+
+
+class LogError(Exception):
+    """A request to the log failed."""
+
+
+class LogUnavailable(LogError):  # noqa: N818 - named in the design
+    """The log can't be reached or rejected the request; an append did not take effect."""
+
+
+class LogAnswerLost(LogError):  # noqa: N818 - named in the design
+    """An append was sent but its answer is missing; it may have taken effect."""
+
+
+class RateLimited(LogError):  # noqa: N818 - named in the design
+    """The log rejected an append above its rate limit; it did not take effect."""
+
+
+class LogClient(Protocol):
+    """Access to the platform log."""
+
+    def append(self, stream: str, data: object) -> defer.Deferred[ids.LogOffset]:
+        """Append a record.
+
+        Args:
+            stream: Name of the stream.
+            data: JSON value.
+
+        Returns:
+            The record's offset; fails with `LogUnavailable`, `LogAnswerLost` or `RateLimited`.
+        """
+
+    def read(
+        self,
+        stream: str,
+        offset: ids.LogOffset,
+        limit: int,
+        wait_ms: int,
+    ) -> defer.Deferred[ReadResult]:
+        """Read records by long poll.
+
+        Args:
+            stream: Name of the stream.
+            offset: First offset wanted; below the first retained one, reading starts there.
+            limit: Most records to return.
+            wait_ms: Longest time to wait for a record.
+
+        Returns:
+            The records; fails with `LogUnavailable` or `RateLimited`.
+        """
--- /dev/null
+++ b/src/anvillug/process/settings.py
@@ -0,0 +1,155 @@
+"""Settings of a node: JSON with comments, read once at start."""
+
+from __future__ import annotations
+
+import pathlib
+import re
+from collections.abc import Iterator
+from typing import Annotated, Any
+
+import expression
+import pydantic
+import pyjson5
+
+from anvillug import findings, ids, validation
+
+_Name = Annotated[str, pydantic.Field(pattern=r'^[A-Za-z0-9][A-Za-z0-9._-]*$', max_length=64)]
+_PositiveInt = Annotated[int, pydantic.Field(gt=0)]
+
+
+class Limits(validation.Model):
+    """Bounds on what a node keeps in memory."""
+
+    max_header_bytes: _PositiveInt = 64 * 1024
+    """Longest head of a request or response in bytes; a longer one is rejected."""
+    kept_answer_bytes: _PositiveInt = 8 * 1024 * 1024
+    """Bytes of finished responses that the host side retains in total to settle calls."""
+    call_table_entries: _PositiveInt = 32768
+    """Calls that the host side remembers; 140 calls/s retained for 120 s need 16,800."""
+
+
+class Timeouts(validation.Model):
+    """Times in milliseconds after which a peer is given up."""
+
+    silence_ms: _PositiveInt = 30_000
+    """Time without a byte after which a call is resolved on a new connection."""
+    connect_ms: _PositiveInt = 1000
+    """Time to open a connection."""
+    sample_ms: _PositiveInt = 250
+    """Time for the response to a load sample."""
+
+
+class Settings(validation.Model):
+    """Settings of one node."""
+
+    host_id: Annotated[ids.HostId, pydantic.Field(pattern=r'^[A-Za-z0-9][A-Za-z0-9._-]*$')]
+    """Name of this host, unique among all hosts."""
+    region: ids.RegionName
+    """Region of this host."""
+    zone: ids.ZoneName
+    """Availability zone of this host, as named in the configuration document."""
+    caller_address: validation.Address
+    """Listener for callers, as IP:port."""
+    peer_address: validation.Address
+    """Listener for calls from other nodes, as IP:port."""
+    control_address: validation.Address
+    """Listener for control between nodes, as IP:port."""
+    operator_address: validation.Address
+    """Listener for operators and for the backend server beside this node, as IP:port."""
+    log_address: validation.Address
+    """Address of the platform log, as IP:port."""
+    seeds: tuple[validation.Address, ...] = pydantic.Field(default=(), strict=False)
+    """Control addresses of nodes to ask for members and configuration at start."""
+    limits: Limits = Limits()
+    """Bounds on what the node keeps in memory."""
+    timeouts: Timeouts = Timeouts()
+    """Times after which a peer is given up."""
+
+    @pydantic.model_validator(mode='after')
+    def _listeners_differ(self) -> Settings:
+        listeners = (
+            self.caller_address,
+            self.peer_address,
+            self.control_address,
+            self.operator_address,
+        )
+        if len(set(listeners)) < len(listeners):
+            raise ValueError('the four listeners must have different addresses')
+        return self
+
+
+def load(path: pathlib.Path) -> expression.Result[Settings, findings.Findings]:
+    """Read and validate a settings file.
+
+    Args:
+        path: File of JSON with comments.
+
+    Returns:
+        The settings, or all findings with the file and the key they belong to.
+    """
+    return read_json(path).bind(lambda data: parse(data, str(path)))
+
+
+def parse(data: object, place: str) -> expression.Result[Settings, findings.Findings]:
+    """Validate settings that were already parsed from JSON.
+
+    Args:
+        data: Parsed JSON.
+        place: Name of the input, such as its file.
+
+    Returns:
+        The settings, or all findings.
+    """
+    try:
+        return expression.Ok(Settings.model_validate(data))
+    except pydantic.ValidationError as error:
+        return expression.Error(validation.findings_of(error, place))
+
+
+def read_json(path: pathlib.Path) -> expression.Result[Any, findings.Findings]:
+    """Read a file of JSON with comments.
+
+    Args:
+        path: File to read.
+
+    Returns:
+        The parsed value, or a finding with the line of the fault.
+    """
+    try:
+        text = path.read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        return expression.Error(findings.one(str(path), f'cannot be read: {error}'))
+    try:
+        return expression.Ok(pyjson5.decode(text))
+    except pyjson5.Json5DecoderException as error:
+        place = f'{path}:{_line_of(str(error), text)}'
+        return expression.Error(findings.one(place, f'is not JSON: {error.args[0]}'))
+
+
+def _line_of(message: str, text: str) -> int:
+    position = re.search(r'near (\d+)', message)
+    end = int(position.group(1)) if position else len(text)
+    return text.count('\n', 0, max(end - 1, 0)) + 1
+
+
+def reference() -> str:
+    """Return a Markdown table of all settings, generated from the model."""
+    lines = ['| setting | default | meaning |', '|---|---|---|']
+    lines.extend(
+        f'| `{name}` | {default} | {meaning} |' for name, default, meaning in _rows(Settings, '')
+    )
+    return '\n'.join((*lines, ''))
+
+
+def _rows(model: type[pydantic.BaseModel], prefix: str) -> Iterator[tuple[str, str, str]]:
+    for name, field in model.model_fields.items():
+        path = f'{prefix}{name}'
+        if isinstance(field.annotation, type) and issubclass(field.annotation, validation.Model):
+            yield from _rows(field.annotation, f'{path}.')
+            continue
+        default = 'required' if field.is_required() else f'`{_default_text(field.default)}`'
+        yield path, default, field.description or ''
+
+
+def _default_text(default: object) -> str:
+    return '[]' if isinstance(default, tuple) else str(default)
--- /dev/null
+++ b/src/anvillug/version/config_state.py
@@ -0,0 +1,154 @@
+"""State of the configuration after a prefix of its stream, and its JSON form."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+from collections.abc import Mapping
+from typing import Any
+
+import expression
+
+from anvillug import clock, findings, ids
+from anvillug.version import document
+
+
+class MoveState(enum.Enum):
+    """State of a rollout; it only goes forward in this order."""
+
+    PLANNED = 'planned'
+    DONE = 'done'
+    TAKEN_BACK = 'taken-back'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PatchResult:
+    """What the fold decided about a patch."""
+
+    accepted: bool
+    """Whether the patch is in effect."""
+    number: ids.ConfigNumber
+    """Number made by the patch when accepted, else the number current at its offset."""
+    reason: str = ''
+    """Why it was refused."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MoveStatus:
+    """A rollout of the document and what became of it."""
+
+    number: ids.ConfigNumber
+    """Configuration number that planned the rollout; identifies it in records."""
+    from_version: ids.VersionName
+    """Version in service before."""
+    to_version: ids.VersionName
+    """Version to move to."""
+    start_ms: int
+    """Start in milliseconds since the epoch."""
+    deadline_ms: int
+    """Deadline in milliseconds since the epoch."""
+    state: MoveState = MoveState.PLANNED
+    """How far the rollout is."""
+    evidence: str = ''
+    """Evidence or reason given by the record that set the state."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ZoneChange:
+    """Last change of a zone's state."""
+
+    state: document.ZoneState
+    """State since the change."""
+    changed_at: clock.Milliseconds
+    """Wall time of the log record that changed it."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigState:
+    """Result of folding the configuration stream up to an offset."""
+
+    number: ids.ConfigNumber
+    """Patches accepted so far."""
+    document: document.Document
+    """Document in effect."""
+    next_offset: ids.LogOffset
+    """Offset of the next record to apply."""
+    results_by_patch_id: Mapping[str, PatchResult]
+    """Results of recent patches, oldest first."""
+    moves_by_service: Mapping[ids.ServiceName, MoveStatus]
+    """Rollouts of the document in effect."""
+    zone_changes_by_name: Mapping[ids.ZoneName, ZoneChange]
+    """Last change of each zone that was ever out."""
+
+
+def empty() -> ConfigState:
+    """Return the state before the first record."""
+    return ConfigState(
+        number=ids.ConfigNumber(0),
+        document=document.Document(),
+        next_offset=ids.LogOffset(0),
+        results_by_patch_id={},
+        moves_by_service={},
+        zone_changes_by_name={},
+    )
+
+
+def to_json(state: ConfigState) -> dict[str, Any]:
+    """Return a state as plain JSON."""
+    return {
+        'number': state.number,
+        'document': document.to_json(state.document),
+        'next_offset': state.next_offset,
+        'results': [
+            {'id': patch_id, **dataclasses.asdict(result)}
+            for patch_id, result in state.results_by_patch_id.items()
+        ],
+        'moves': {
+            name: {**dataclasses.asdict(move), 'state': move.state.value}
+            for name, move in state.moves_by_service.items()
+        },
+        'zone_changes': {
+            name: {'state': change.state.value, 'changed_at': change.changed_at}
+            for name, change in state.zone_changes_by_name.items()
+        },
+    }
+
+
+def from_json(data: Any, place: str) -> expression.Result[ConfigState, findings.Findings]:
+    """Read a state from plain JSON.
+
+    Args:
+        data: Value made by `to_json`, perhaps by another version of this program.
+        place: Name of the input.
+
+    Returns:
+        The state, or findings when it is not readable.
+    """
+    if not isinstance(data, dict):
+        return expression.Error(findings.one(place, 'is not a JSON object'))
+    try:
+        return document.parse(data['document'], place).map(
+            lambda config: _with_document(data, config),
+        )
+    except (LookupError, TypeError, ValueError) as error:
+        return expression.Error(findings.one(place, f'is not a configuration state: {error!r}'))
+
+
+def _with_document(data: Any, config: document.Document) -> ConfigState:
+    return ConfigState(
+        number=ids.ConfigNumber(int(data['number'])),
+        document=config,
+        next_offset=ids.LogOffset(int(data['next_offset'])),
+        results_by_patch_id={
+            entry['id']: PatchResult(entry['accepted'], entry['number'], entry['reason'])
+            for entry in data['results']
+        },
+        moves_by_service={
+            name: MoveStatus(**{**entry, 'state': MoveState(entry['state'])})
+            for name, entry in data['moves'].items()
+        },
+        zone_changes_by_name={
+            name: ZoneChange(document.ZoneState(entry['state']), entry['changed_at'])
+            for name, entry in data['zone_changes'].items()
+        },
+    )
--- /dev/null
+++ b/src/anvillug/version/fold.py
@@ -0,0 +1,364 @@
+"""Pure fold of the configuration stream.
+
+Every node folds the same records in offset order, so all nodes agree on which
+patches are accepted without talking to each other.
+
+Records are JSON objects with a `kind`:
+
+- `patch`: `id`, `base`, `patch` (JSON merge patch), `author`;
+- `verdict`: `service`, `version`, `move`, `evidence`: the version is bad;
+- `move_result`: `service`, `move`, `result` (`done` or `taken-back`), `reason`;
+- `snapshot`: `covers` (last offset folded), `state`.
+
+`move` is the configuration number that planned the rollout.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+from collections.abc import Iterable, Mapping, Sequence
+from typing import Any
+
+import expression
+
+from anvillug import clock, findings, ids
+from anvillug.connection import log_record
+from anvillug.version import config_state, document
+
+ConfigState = config_state.ConfigState
+
+# At 28,000 changes per day, 512 results reach back 26 minutes; a publisher
+# settles a lost answer within one minute.
+MAX_PATCH_RESULTS = 512
+_MAX_REASON_CHARS = 500
+# The document nests 7 levels deep. Deeper patches are refused before any
+# recursion, whose limit would depend on the reader's stack.
+_MAX_PATCH_DEPTH = 32
+
+_FORWARD = {
+    config_state.MoveState.PLANNED: 0,
+    config_state.MoveState.DONE: 1,
+    config_state.MoveState.TAKEN_BACK: 2,
+}
+
+
+_ENDINGS = {
+    ending.value: ending
+    for ending in (config_state.MoveState.DONE, config_state.MoveState.TAKEN_BACK)
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Gap:
+    """Records that are needed but no longer retained."""
+
+    start: ids.LogOffset
+    """First missing offset."""
+    end: ids.LogOffset
+    """Offset after the last missing one."""
+
+    def __str__(self) -> str:
+        return f'configuration records {self.start} to {self.end - 1} are missing'
+
+
+class GapError(ValueError):
+    """A record was applied to a state that has not seen its predecessors."""
+
+
+def empty() -> ConfigState:
+    """Return the state before the first record."""
+    return config_state.empty()
+
+
+def apply(state: ConfigState, record: log_record.LogRecord) -> ConfigState:
+    """Apply the next record of the stream.
+
+    A record that the state already covers changes nothing. Unreadable records
+    and snapshots only advance the offset: a reader without a gap covers more
+    than any snapshot it meets.
+
+    Args:
+        state: State before the record.
+        record: The record.
+
+    Returns:
+        State after the record.
+
+    Raises:
+        GapError: If records between the state and this one were skipped.
+    """
+    if record.offset < state.next_offset:
+        return state
+    if record.offset > state.next_offset:
+        raise GapError(str(Gap(state.next_offset, record.offset)))
+    data = record.data if isinstance(record.data, dict) else {}
+    handler = _HANDLERS.get(str(data.get('kind')), _ignore)
+    changed = handler(state, data, record.time_ms)
+    return dataclasses.replace(changed, next_offset=ids.LogOffset(record.offset + 1))
+
+
+def advance(
+    state: ConfigState,
+    first_offset: ids.LogOffset,
+    records: Sequence[log_record.LogRecord],
+) -> expression.Result[ConfigState, Gap]:
+    """Apply the records of a read, using a snapshot when some were lost.
+
+    Args:
+        state: State of the reader.
+        first_offset: First offset that the log retains.
+        records: Consecutive records of the read, in offset order.
+
+    Returns:
+        The state after the records, or the gap when neither the state nor a
+        snapshot among the records reaches the first usable record.
+    """
+    start = records[0].offset if records else first_offset
+    if state.next_offset < start:
+        best = _best_snapshot(start, records)
+        if best is None or best.next_offset < state.next_offset:
+            return expression.Error(Gap(state.next_offset, start))
+        state = best
+    return expression.Ok(functools.reduce(apply, records, state))
+
+
+def from_records(
+    first_offset: ids.LogOffset,
+    records: Sequence[log_record.LogRecord],
+) -> expression.Result[ConfigState, Gap]:
+    """Fold all retained records as a fresh reader.
+
+    Args:
+        first_offset: First offset that the log retains.
+        records: All records from there, in offset order.
+
+    Returns:
+        The state, or the gap between the best snapshot and the first record.
+    """
+    return advance(empty(), first_offset, records)
+
+
+def snapshot_record(state: ConfigState) -> dict[str, Any]:
+    """Return the data of a snapshot record for a state."""
+    return {
+        'kind': 'snapshot',
+        'covers': state.next_offset - 1,
+        'state': config_state.to_json(state),
+    }
+
+
+def patch_record(patch_id: str, base: int, patch: object, author: str) -> dict[str, Any]:
+    """Return the data of a patch record.
+
+    Args:
+        patch_id: Unique id, by which a lost answer is settled.
+        base: Configuration number that the patch was written against.
+        patch: JSON merge patch of the document.
+        author: Who submits it.
+
+    Returns:
+        JSON object.
+    """
+    return {'kind': 'patch', 'id': patch_id, 'base': base, 'patch': patch, 'author': author}
+
+
+def verdict_record(
+    service: ids.ServiceName,
+    move: config_state.MoveStatus,
+    evidence: str,
+) -> dict[str, Any]:
+    """Return the data of a record that says a move's new version is bad."""
+    return {
+        'kind': 'verdict',
+        'service': service,
+        'version': move.to_version,
+        'move': move.number,
+        'evidence': evidence,
+    }
+
+
+def move_result_record(
+    service: ids.ServiceName,
+    move: config_state.MoveStatus,
+    result: config_state.MoveState,
+    reason: str,
+) -> dict[str, Any]:
+    """Return the data of a record that says how a move ended."""
+    return {
+        'kind': 'move_result',
+        'service': service,
+        'move': move.number,
+        'result': result.value,
+        'reason': reason,
+    }
+
+
+def _best_snapshot(
+    start: ids.LogOffset,
+    records: Iterable[log_record.LogRecord],
+) -> ConfigState | None:
+    usable = [
+        state
+        for state in map(_snapshot_state, records)
+        if state is not None and state.next_offset >= start
+    ]
+    return max(usable, key=lambda state: (state.number, state.next_offset), default=None)
+
+
+def _snapshot_state(record: log_record.LogRecord) -> ConfigState | None:
+    data = record.data
+    if not isinstance(data, dict) or data.get('kind') != 'snapshot':
+        return None
+    parsed = config_state.from_json(data.get('state'), f'snapshot at {record.offset}')
+    if parsed.is_error():
+        return None
+    state = parsed.ok
+    consistent = data.get('covers') == state.next_offset - 1
+    # A snapshot is written after the records it covers.
+    return state if consistent and state.next_offset <= record.offset else None
+
+
+def _ignore(state: ConfigState, data: Mapping[str, Any], wall: float) -> ConfigState:
+    return state
+
+
+def _apply_patch(state: ConfigState, data: Mapping[str, Any], wall: float) -> ConfigState:
+    patch_id = data.get('id')
+    if not isinstance(patch_id, str) or patch_id in state.results_by_patch_id:
+        return state
+    refusal, config = _judge_patch(state, data)
+    if config is None:
+        refused = config_state.PatchResult(
+            accepted=False,
+            number=state.number,
+            reason=refusal[:_MAX_REASON_CHARS],
+        )
+        return _remember(state, patch_id, refused)
+    number = ids.ConfigNumber(state.number + 1)
+    accepted = dataclasses.replace(
+        state,
+        number=number,
+        document=config,
+        moves_by_service=_moves_after(state, config, number),
+        zone_changes_by_name=_zones_after(state, config, clock.Milliseconds(wall)),
+    )
+    return _remember(accepted, patch_id, config_state.PatchResult(accepted=True, number=number))
+
+
+def _judge_patch(
+    state: ConfigState,
+    data: Mapping[str, Any],
+) -> tuple[str, document.Document | None]:
+    base = data.get('base')
+    if base != state.number or isinstance(base, bool):
+        return f'base {base} is not the current number {state.number}', None
+    if not isinstance(data.get('patch'), dict):
+        return 'patch is not a JSON object', None
+    if document.depth_exceeds(data['patch'], _MAX_PATCH_DEPTH):
+        return f'patch nests deeper than {_MAX_PATCH_DEPTH} levels', None
+    merged = document.merge_patch(document.to_json(state.document), data['patch'])
+    parsed = document.parse(merged, 'document')
+    if parsed.is_error():
+        return findings.report(parsed.error), None
+    return '', parsed.ok
+
+
+def _remember(state: ConfigState, patch_id: str, result: config_state.PatchResult) -> ConfigState:
+    entries = [*state.results_by_patch_id.items(), (patch_id, result)]
+    return dataclasses.replace(state, results_by_patch_id=dict(entries[-MAX_PATCH_RESULTS:]))
+
+
+def _moves_after(
+    state: ConfigState,
+    config: document.Document,
+    number: ids.ConfigNumber,
+) -> dict[ids.ServiceName, config_state.MoveStatus]:
+    moves = {}
+    for name, service in config.services.items():
+        if service.move is None:
+            continue
+        planned = config_state.MoveStatus(
+            number=number,
+            from_version=service.version,
+            to_version=service.move.to,
+            start_ms=service.move.start_ms,
+            deadline_ms=service.move.deadline_ms,
+        )
+        known = state.moves_by_service.get(name)
+        moves[name] = known if known is not None and _is_same_move(known, planned) else planned
+    return moves
+
+
+def _is_same_move(known: config_state.MoveStatus, planned: config_state.MoveStatus) -> bool:
+    return planned == dataclasses.replace(
+        known,
+        number=planned.number,
+        state=planned.state,
+        evidence=planned.evidence,
+    )
+
+
+def _zones_after(
+    state: ConfigState,
+    config: document.Document,
+    wall: clock.Milliseconds,
+) -> dict[ids.ZoneName, config_state.ZoneChange]:
+    changes = dict(state.zone_changes_by_name)
+    for name in {**state.document.zones, **config.zones}:
+        before = _zone_state(state.document, name)
+        after = _zone_state(config, name)
+        if before is not after:
+            changes[name] = config_state.ZoneChange(after, wall)
+    return changes
+
+
+def _zone_state(config: document.Document, name: ids.ZoneName) -> document.ZoneState:
+    zone = config.zones.get(name)
+    return document.ZoneState.IN if zone is None else zone.state
+
+
+def _apply_verdict(state: ConfigState, data: Mapping[str, Any], wall: float) -> ConfigState:
+    move = _current_move(state, data)
+    if move is None or data.get('version') != move.to_version:
+        return state
+    return _move_on(
+        state,
+        data['service'],
+        config_state.MoveState.TAKEN_BACK,
+        data.get('evidence'),
+    )
+
+
+def _apply_move_result(state: ConfigState, data: Mapping[str, Any], wall: float) -> ConfigState:
+    ending = _ENDINGS.get(str(data.get('result')))
+    if ending is None or _current_move(state, data) is None:
+        return state
+    return _move_on(state, data['service'], ending, data.get('reason'))
+
+
+def _current_move(state: ConfigState, data: Mapping[str, Any]) -> config_state.MoveStatus | None:
+    name = data.get('service')
+    move = state.moves_by_service.get(ids.ServiceName(name)) if isinstance(name, str) else None
+    return move if move is not None and data.get('move') == move.number else None
+
+
+def _move_on(
+    state: ConfigState,
+    name: ids.ServiceName,
+    target: config_state.MoveState,
+    evidence: object,
+) -> ConfigState:
+    move = state.moves_by_service[name]
+    if _FORWARD[target] <= _FORWARD[move.state]:
+        return state
+    text = evidence[:_MAX_REASON_CHARS] if isinstance(evidence, str) else ''
+    ended = dataclasses.replace(move, state=target, evidence=text)
+    return dataclasses.replace(state, moves_by_service={**state.moves_by_service, name: ended})
+
+
+_HANDLERS = {
+    'patch': _apply_patch,
+    'verdict': _apply_verdict,
+    'move_result': _apply_move_result,
+}
--- /dev/null
+++ b/src/anvillug/version/targets.py
@@ -0,0 +1,176 @@
+"""Decision numbers derived from a service's targets, and targets that conflict.
+
+| number | derived from | rule |
+|---|---|---|
+| `queue_bound_ms` | latency | 40% of the 99th percentile, from 2 to 1000 ms |
+| `hedge_delay_ms` | latency | 50% of the 99th percentile, at least 4 ms |
+| `hedge_ratio` | cost, `hedge` | a quarter of the spare share, at most 5%; else 0 |
+| `hot_threshold` | cost | 1 less the spare share, at least 0.5 of a host's limit |
+| `canary_share` | safety | strict 1%, balanced 5%, fast 10% |
+| `judge_threshold` | safety | strict 2, balanced 3, fast 4 standard deviations |
+| `probe_budget` | `probe_budget_percent` | that share of slot time, as a fraction |
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Iterator
+
+from anvillug import findings
+from anvillug.version import document
+
+_PERCENT = 100.0
+_QUEUE_PART = 0.4
+_MIN_QUEUE_MS = 2.0
+_MAX_QUEUE_MS = 1000.0
+_HEDGE_PART = 0.5
+# A round trip between zones takes 3 ms and the nodes add 0.91 ms.
+_MIN_HEDGE_DELAY_MS = 4.0
+_HEDGE_PART_OF_SPARE = 0.25
+_MAX_HEDGE_RATIO = 0.05
+_MIN_HOT_THRESHOLD = 0.5
+_MS_PER_SECOND = 1000
+
+_CANARY_SHARE = {
+    document.Safety.STRICT: 0.01,
+    document.Safety.BALANCED: 0.05,
+    document.Safety.FAST: 0.1,
+}
+_JUDGE_THRESHOLD = {
+    document.Safety.STRICT: 2.0,
+    document.Safety.BALANCED: 3.0,
+    document.Safety.FAST: 4.0,
+}
+# Shortest rollout that leaves time for evidence at the canary share.
+_MIN_MOVE_MS = {
+    document.Safety.STRICT: 300_000,
+    document.Safety.BALANCED: 60_000,
+    document.Safety.FAST: 20_000,
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Decisions:
+    """Numbers that the decision logic uses for one service."""
+
+    queue_bound_ms: float
+    """Longest time a call waits at the host side."""
+    hedge_delay_ms: float
+    """Time after which a repeatable call may be sent to a second host."""
+    hedge_ratio: float
+    """Share of calls that may be hedged."""
+    hot_threshold: float
+    """Share of a host's limit above which load, not latency, decides the choice."""
+    canary_share: float
+    """First traffic share of a new version."""
+    judge_threshold: float
+    """Standard deviations worse than the old version at which a new one is bad."""
+    probe_budget: float
+    """Share of slot time that probes may use."""
+
+
+def decide(service: document.Service) -> Decisions:
+    """Derive the decision numbers of a service.
+
+    Args:
+        service: The service with its targets.
+
+    Returns:
+        The numbers, by the table of this module.
+    """
+    wanted = service.targets
+    spare = wanted.spare_percent / _PERCENT
+    hedge_ratio = min(_MAX_HEDGE_RATIO, spare * _HEDGE_PART_OF_SPARE) if service.hedge else 0
+    return Decisions(
+        queue_bound_ms=min(_MAX_QUEUE_MS, max(_MIN_QUEUE_MS, wanted.latency_p99_ms * _QUEUE_PART)),
+        hedge_delay_ms=max(_MIN_HEDGE_DELAY_MS, wanted.latency_p99_ms * _HEDGE_PART),
+        hedge_ratio=hedge_ratio,
+        hot_threshold=max(_MIN_HOT_THRESHOLD, 1 - spare),
+        canary_share=_CANARY_SHARE[wanted.safety],
+        judge_threshold=_JUDGE_THRESHOLD[wanted.safety],
+        probe_budget=service.probe_budget_percent / _PERCENT,
+    )
+
+
+def explain(config: document.Document, place: str) -> findings.Findings:
+    """Explain targets of a valid document that can't be met together.
+
+    Args:
+        config: The document.
+        place: Name of the input, such as its file.
+
+    Returns:
+        One finding per conflict.
+    """
+    conflicts = [
+        findings.Finding(f'{place}: services.{name}.{key}', message)
+        for name, service in config.services.items()
+        for key, message in _conflicts(service)
+    ]
+    zones = config.zones.values()
+    if zones and all(zone.state is document.ZoneState.OUT for zone in zones):
+        conflicts.append(
+            findings.Finding(f'{place}: zones', 'every zone is out, so no listed host admits work'),
+        )
+    return tuple(conflicts)
+
+
+def _conflicts(service: document.Service) -> Iterator[tuple[str, str]]:
+    yield from _latency_conflicts(service)
+    yield from _cost_conflicts(service)
+    if service.move is not None:
+        yield from _move_conflicts(service, service.move)
+
+
+def _latency_conflicts(service: document.Service) -> Iterator[tuple[str, str]]:
+    wanted = service.targets.latency_p99_ms
+    if service.hedge and wanted * _HEDGE_PART < _MIN_HEDGE_DELAY_MS:
+        yield (
+            'targets.latency_p99_ms',
+            f'{wanted:g} ms leaves no time for hedging: the earliest second attempt starts '
+            f'after {_MIN_HEDGE_DELAY_MS:g} ms and needs as long again; '
+            f'raise it to {_MIN_HEDGE_DELAY_MS / _HEDGE_PART:g} ms or set hedge to false',
+        )
+    if wanted <= _MIN_QUEUE_MS:
+        yield (
+            'targets.latency_p99_ms',
+            f'{wanted:g} ms is no more than the shortest queue time bound of {_MIN_QUEUE_MS:g} ms',
+        )
+
+
+def _cost_conflicts(service: document.Service) -> Iterator[tuple[str, str]]:
+    spare = service.targets.spare_percent
+    if service.hedge and spare == 0:
+        yield (
+            'targets.spare_percent',
+            '0% spare leaves a hedge budget of 0; raise it or set hedge to false',
+        )
+    if service.probe_budget_percent > spare:
+        yield (
+            'probe_budget_percent',
+            f'{service.probe_budget_percent:g}% of slot time for probes exceeds '
+            f'the spare capacity of {spare:g}%',
+        )
+
+
+def _move_conflicts(
+    service: document.Service,
+    move: document.Move,
+) -> Iterator[tuple[str, str]]:
+    safety = service.targets.safety
+    spare = service.targets.spare_percent
+    canary = _CANARY_SHARE[safety] * _PERCENT
+    if spare < canary:
+        yield (
+            'targets.spare_percent',
+            f'{spare:g}% spare with {safety.value} safety and a move: the old version must be '
+            f'able to take back the first {canary:g}% of traffic that the new version gets; '
+            f'raise it to {canary:g}%',
+        )
+    shortest = _MIN_MOVE_MS[safety]
+    if move.deadline_ms - move.start_ms < shortest:
+        yield (
+            'move.deadline_ms',
+            f'a move with {safety.value} safety needs at least {shortest // _MS_PER_SECOND} s '
+            f'from start to deadline to gather evidence',
+        )
