--- /dev/null
+++ b/src/anvillug/bench/baselines.py
@@ -0,0 +1,194 @@
+"""Baseline choosers with the interface of `choice.Candidates`, for comparisons by the bench."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable, Collection, Mapping, Sequence
+from random import Random
+from typing import Protocol
+
+from anvillug import clock, ids
+from anvillug.request import call, choice
+
+
+class Chooser(Protocol):
+    """Interface of a chooser; see `choice.Candidates`."""
+
+    def record_sample(self, host_id: ids.HostId, sample: call.LoadSample) -> None:
+        """Take in a load sample."""
+
+    def call_started(self, host_id: ids.HostId) -> None:
+        """Count a call sent to the host."""
+
+    def call_ended(
+        self,
+        host_id: ids.HostId,
+        latency_ms: float | None = None,
+        now: clock.Milliseconds | None = None,
+    ) -> None:
+        """Count the end of a call."""
+
+    def call_refused(self, host_id: ids.HostId, now: clock.Milliseconds) -> None:
+        """Take in a refusal."""
+
+    def forget(self, host_id: ids.HostId) -> None:
+        """Drop what is known of a host."""
+
+    def choose(
+        self,
+        eligible: Sequence[ids.HostId],
+        excluded: Collection[ids.HostId],
+        now: clock.Milliseconds,
+        rng: Random,
+        weights: Mapping[ids.HostId, float] | None = None,
+    ) -> ids.HostId | None:
+        """Choose a host."""
+
+    def hosts_to_sample(
+        self,
+        eligible: Sequence[ids.HostId],
+        now: clock.Milliseconds,
+    ) -> list[ids.HostId]:
+        """Return the hosts to ask for a sample now."""
+
+
+class RandomChooser:
+    """Chooses a host at random; weights of hosts are honoured by all baselines."""
+
+    def __init__(self) -> None:
+        self._outstanding: collections.Counter[ids.HostId] = collections.Counter()
+
+    def record_sample(self, host_id: ids.HostId, sample: call.LoadSample) -> None:
+        """Ignore the sample."""
+
+    def call_started(self, host_id: ids.HostId) -> None:
+        """Count a call sent to the host."""
+        self._outstanding[host_id] += 1
+
+    def call_ended(
+        self,
+        host_id: ids.HostId,
+        latency_ms: float | None = None,
+        now: clock.Milliseconds | None = None,
+    ) -> None:
+        """Count the end of a call."""
+        self._outstanding[host_id] -= 1
+
+    def call_refused(self, host_id: ids.HostId, now: clock.Milliseconds) -> None:
+        """Ignore the refusal."""
+
+    def forget(self, host_id: ids.HostId) -> None:
+        """Drop what is known of a host."""
+        self._outstanding.pop(host_id, None)
+
+    def choose(
+        self,
+        eligible: Sequence[ids.HostId],
+        excluded: Collection[ids.HostId],
+        now: clock.Milliseconds,
+        rng: Random,
+        weights: Mapping[ids.HostId, float] | None = None,
+    ) -> ids.HostId | None:
+        """Choose a host; None if all are excluded."""
+        usable = [host_id for host_id in eligible if host_id not in excluded]
+        if weights is not None:
+            usable = [host_id for host_id in usable if rng.random() < weights.get(host_id, 1.0)]
+        return self._pick(usable, rng) if usable else None
+
+    def hosts_to_sample(
+        self,
+        eligible: Sequence[ids.HostId],
+        now: clock.Milliseconds,
+    ) -> list[ids.HostId]:
+        """Return no hosts."""
+        return []
+
+    def _pick(self, usable: list[ids.HostId], rng: Random) -> ids.HostId:
+        return rng.choice(usable)
+
+
+class RoundRobinChooser(RandomChooser):
+    """Chooses the hosts in turn."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._turn = 0
+
+    def _pick(self, usable: list[ids.HostId], rng: Random) -> ids.HostId:
+        self._turn += 1
+        return usable[self._turn % len(usable)]
+
+
+class LeastInFlightChooser(RandomChooser):
+    """Chooses the host with the fewest calls in flight from this node, ties at random."""
+
+    def _pick(self, usable: list[ids.HostId], rng: Random) -> ids.HostId:
+        least = min(self._outstanding[host_id] for host_id in usable)
+        return rng.choice([host for host in usable if self._outstanding[host] == least])
+
+
+class TwoChoicesChooser(RandomChooser):
+    """Draws two hosts and chooses the one with the lower reported load over limit."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._samples_by_host_id: dict[ids.HostId, call.LoadSample] = {}
+
+    def record_sample(self, host_id: ids.HostId, sample: call.LoadSample) -> None:
+        """Keep the newest sample."""
+        self._samples_by_host_id[host_id] = sample
+
+    def forget(self, host_id: ids.HostId) -> None:
+        """Drop what is known of a host."""
+        super().forget(host_id)
+        self._samples_by_host_id.pop(host_id, None)
+
+    def hosts_to_sample(
+        self,
+        eligible: Sequence[ids.HostId],
+        now: clock.Milliseconds,
+    ) -> list[ids.HostId]:
+        """Return the hosts whose sample is old."""
+        due_before = now - choice.SAMPLE_AGE_MS
+        return [host_id for host_id in eligible if self._taken_at(host_id) < due_before]
+
+    def _taken_at(self, host_id: ids.HostId) -> float:
+        sample = self._samples_by_host_id.get(host_id)
+        return float('-inf') if sample is None else sample.taken_at
+
+    def _pick(self, usable: list[ids.HostId], rng: Random) -> ids.HostId:
+        return min(rng.sample(usable, min(2, len(usable))), key=self._reported_load)
+
+    def _reported_load(self, host_id: ids.HostId) -> float:
+        sample = self._samples_by_host_id.get(host_id)
+        if sample is None:
+            return 0
+        return (sample.in_flight + sample.queued) / max(1, sample.limit)
+
+
+_CHOOSERS_BY_NAME: dict[str, Callable[[], Chooser]] = {
+    'anvillug': choice.Candidates,
+    'random': RandomChooser,
+    'round-robin': RoundRobinChooser,
+    'least-in-flight': LeastInFlightChooser,
+    'two-choices': TwoChoicesChooser,
+}
+NAMES = tuple(_CHOOSERS_BY_NAME)
+
+
+def make_chooser(name: str) -> Chooser:
+    """Return a chooser by its name.
+
+    Args:
+        name: One of `NAMES`.
+
+    Returns:
+        A new chooser.
+
+    Raises:
+        ValueError: If there is no chooser of that name.
+    """
+    maker = _CHOOSERS_BY_NAME.get(name)
+    if maker is None:
+        raise ValueError(f'chooser {name!r} is not one of {", ".join(NAMES)}')
+    return maker()
--- /dev/null
+++ b/src/anvillug/request/budget.py
@@ -0,0 +1,180 @@
+"""Budgets and rules of retries and hedges.
+
+Each level of nested calls retries within its own budget and marks an answer that it gives up on
+as exhausted. Levels above do not retry such an answer, so that a failing lowest level sees its
+calls grow by the ratio of one budget instead of by the product over all levels.
+"""
+
+from __future__ import annotations
+
+import math
+
+from anvillug import clock
+from anvillug.request import call
+
+MAX_ATTEMPTS = 3
+RETRY_RATIO = 0.1
+RETRY_FLOOR_PER_SECOND = 1.0
+RETRY_CAP = 100.0
+
+MAX_HEDGE_RATIO = 0.05
+_HEDGE_SPARE_SHARE = 0.25
+"""Hedges may use at most this share of the spare capacity that the cost target leaves."""
+_MIN_HEDGE_DELAY_MS = 1.0
+_MIN_LATENCIES = 20
+_HEDGE_QUANTILE = 0.95
+_QUANTILE_STEP = 0.1
+_MS_PER_SECOND = 1000.0
+
+
+class TokenBudget:
+    """Token bucket that earns with each call, plus a small floor with time.
+
+    Args:
+        ratio: Tokens earned per call.
+        floor_per_second: Tokens earned per second, so that rare calls can be repeated too.
+        cap: Most tokens kept.
+    """
+
+    def __init__(self, ratio: float, floor_per_second: float, cap: float) -> None:
+        self.ratio = ratio
+        """Tokens earned per call; may change with the configuration."""
+        self._floor_per_ms = floor_per_second / _MS_PER_SECOND
+        self._cap = cap
+        self._tokens = min(cap, floor_per_second)
+        self._refilled_at: float | None = None
+
+    def earn(self, now: clock.Milliseconds) -> None:
+        """Count a call that is not itself a repetition."""
+        self._refill(now, self.ratio)
+
+    def spend(self, now: clock.Milliseconds) -> bool:
+        """Take one token.
+
+        Args:
+            now: Monotonic time.
+
+        Returns:
+            Whether there was one.
+        """
+        self._refill(now, 0)
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+    def _refill(self, now: float, earned: float) -> None:
+        if self._refilled_at is not None and now > self._refilled_at:
+            earned += (now - self._refilled_at) * self._floor_per_ms
+        if self._refilled_at is None or now > self._refilled_at:
+            self._refilled_at = now
+        self._tokens = min(self._cap, self._tokens + earned)
+
+
+def retry_budget() -> TokenBudget:
+    """Return a retry budget of one service with the default bounds."""
+    return TokenBudget(RETRY_RATIO, RETRY_FLOOR_PER_SECOND, RETRY_CAP)
+
+
+def hedge_budget(spare_percent: float) -> TokenBudget:
+    """Return a hedge budget bounded by the cost target.
+
+    Args:
+        spare_percent: Spare capacity of the cost target; at 0 nothing is hedged.
+    """
+    ratio = min(MAX_HEDGE_RATIO, spare_percent / 100 * _HEDGE_SPARE_SHARE)
+    return TokenBudget(ratio, floor_per_second=0, cap=RETRY_CAP * ratio)
+
+
+def may_retry(
+    outcome: call.Outcome,
+    repeatable: bool,
+    attempt: int,
+    answer_exhausted: bool,
+    deadline: clock.Milliseconds,
+    now: clock.Milliseconds,
+) -> bool:
+    """Tell whether a call may be sent again, given a token of the retry budget.
+
+    Args:
+        outcome: Outcome of the last attempt.
+        repeatable: Whether the call may run more than once.
+        attempt: Number of the last attempt, from 1.
+        answer_exhausted: Whether the answer is marked `Anvillug-Retries: exhausted`.
+        deadline: Deadline of the call.
+        now: Monotonic time.
+    """
+    if answer_exhausted or attempt >= MAX_ATTEMPTS or now >= deadline:
+        return False
+    if outcome is call.Outcome.UNKNOWN:
+        return repeatable
+    return outcome is call.Outcome.NOT_RUN
+
+
+def marks_exhausted(outcome: call.Outcome) -> bool:
+    """Tell whether an entry side marks the answer that it gives up on as exhausted.
+
+    This holds also when the budget allowed no retry: a retry further up would cost as much.
+    """
+    return outcome is not call.Outcome.FINISHED
+
+
+class HedgeRule:
+    """Decides when a second copy of a call is sent, per service.
+
+    The delay is an estimate of the 95th percentile latency: each latency moves the estimate up
+    or down by steps whose ratio balances at that percentile. This costs well under a microsecond
+    per call where a histogram would have to be searched.
+
+    Args:
+        budget: Bounds the hedges in all.
+    """
+
+    def __init__(self, budget: TokenBudget) -> None:
+        self._budget = budget
+        self._log_estimate: float = 0
+        self._latencies = 0
+
+    def record(self, latency_ms: float) -> None:
+        """Take in the latency of a finished call that was not hedged, or of its first copy."""
+        value = math.log(max(latency_ms, 1e-3))
+        self._latencies += 1
+        if self._latencies == 1:
+            self._log_estimate = value
+        elif value > self._log_estimate:
+            self._log_estimate += _QUANTILE_STEP * _HEDGE_QUANTILE
+        else:
+            self._log_estimate -= _QUANTILE_STEP * (1 - _HEDGE_QUANTILE)
+
+    def delay_ms(self) -> float | None:
+        """Return how long to wait before a hedge; None while too few latencies are known."""
+        if self._latencies < _MIN_LATENCIES:
+            return None
+        return max(_MIN_HEDGE_DELAY_MS, math.exp(self._log_estimate))
+
+    def call_started(self, now: clock.Milliseconds) -> None:
+        """Count a call that is not itself a hedge."""
+        self._budget.earn(now)
+
+    def may_hedge(
+        self,
+        repeatable: bool,
+        waited_ms: float,
+        deadline: clock.Milliseconds,
+        now: clock.Milliseconds,
+    ) -> bool:
+        """Decide whether to send a second copy now; spends the budget if so.
+
+        Args:
+            repeatable: Whether the call may run more than once.
+            waited_ms: Time since the first copy was sent.
+            deadline: Deadline of the call.
+            now: Monotonic time.
+
+        Returns:
+            Whether to send the second copy.
+        """
+        delay = self.delay_ms()
+        if not repeatable or delay is None or waited_ms < delay or now >= deadline:
+            return False
+        return self._budget.spend(now)
--- /dev/null
+++ b/src/anvillug/request/limit.py
@@ -0,0 +1,262 @@
+"""Adaptive concurrency limit of a backend server, with cold start.
+
+The limit compares latency with a baseline that may rise only on evidence from low concurrency.
+Constant overload produces no such evidence, so the baseline does not drift upward with it. When
+the work itself has become slower, the limit shrinks until calls run at low concurrency, and the
+baseline follows.
+"""
+
+from __future__ import annotations
+
+import enum
+import statistics
+
+from anvillug import clock
+
+START_LIMIT = 1
+
+_SLOW_MULTIPLE = 2.0
+"""Latency over baseline from which a call counts as slow."""
+_COLD_MULTIPLE = 4.0
+"""Latency over baseline that is a sign of a cold backend server."""
+_SLOW_FLOOR_SHARE = 0.1
+"""Latencies under this share of the target are never slow: noise of small latencies is harmless."""
+_WINDOW_CALLS = 16
+_FIRST_WINDOW_CALLS = 4
+_WINDOW_MS = 25.0
+_LATENCY_SHRINK = 0.9
+_SHED_SHRINK = 0.75
+_SHRINK_PAUSE_MS = 20.0
+"""Calls shed by one overload arrive together, so they shrink the limit once."""
+_GROWTH_PAUSE_MS = 200.0
+_MIN_GROWTH_CALLS = 4
+_COLD_GROWTH_FACTOR = 2
+_FAILURES_IN_ROW = 3
+_WINDOW_FAILURE_SHARE = 0.3
+_COLD_CALLS_IN_ROW = 4
+_COLD_SPAN_MS = 50.0
+"""Signs of a cold backend server must last this long; bursts of a noisy neighbour are shorter."""
+_LOW_CONCURRENCY_SHARE = 4
+_BASELINE_DOUBLING_MS = 2000.0
+_MAX_RISE_STEP_MS = 500.0
+_BASELINE_FALL_GAIN = 0.3
+_LATENCY_GAIN = 0.2
+
+
+class CallResult(enum.Enum):
+    """How a backend server ended a call."""
+
+    OK = 'ok'
+    SHED = 'shed'
+    FAILED = 'failed'
+
+
+class ConcurrencyLimit:
+    """Concurrency limit of one backend server.
+
+    Args:
+        slots: Most calls that the backend server runs at once by its own announcement.
+        target_latency_ms: 99th percentile latency target of the service.
+    """
+
+    def __init__(self, slots: int, target_latency_ms: float = 50) -> None:
+        self.limit = START_LIMIT
+        """Calls that may run at once now, from 1 to `slots`."""
+        self.cold = True
+        """Whether the limit is still in its cold start."""
+        self.latency_ms: float = 0
+        """Moving average latency of recent finished calls."""
+        self.baseline_ms: float | None = None
+        """Median latency at good times; None before the first calls."""
+        self._slots = max(1, slots)
+        self._slow_floor_ms = target_latency_ms * _SLOW_FLOOR_SHARE
+        self._low_concurrency = max(1, self._slots // _LOW_CONCURRENCY_SHARE)
+        self._growth_from = float('-inf')
+        self._shrunk_at = float('-inf')
+        self._baseline_at: float | None = None
+        self._reset_streaks()
+        self._window = _Window(float('-inf'))
+        self._slow_windows = 0
+
+    def restarted(self, now: clock.Milliseconds) -> None:
+        """Start over for a new backend incarnation, which may also be a new version."""
+        self.baseline_ms = None
+        self._baseline_at = None
+        self._turn_cold(now)
+
+    def resize(self, slots: int) -> None:
+        """Take over the number of slots from a newer announcement."""
+        self._slots = max(1, slots)
+        self._low_concurrency = max(1, self._slots // _LOW_CONCURRENCY_SHARE)
+        self.limit = min(self.limit, self._slots)
+
+    def is_slow(self, latency_ms: float) -> bool:
+        """Tell whether a latency is well above the baseline."""
+        baseline = self.baseline_ms
+        if baseline is None:
+            return False
+        return latency_ms >= max(baseline * _SLOW_MULTIPLE, self._slow_floor_ms)
+
+    def record(
+        self,
+        latency_ms: float,
+        in_flight: int,
+        result: CallResult,
+        now: clock.Milliseconds,
+    ) -> None:
+        """Take in the end of a call.
+
+        Args:
+            latency_ms: Time from the complete request to the head of the response, so that slow
+                uploads do not count as a slow backend server.
+            in_flight: Highest number of calls running that the call shared, itself included.
+            result: How the call ended.
+            now: Monotonic time.
+        """
+        if result is CallResult.OK:
+            self._record_finished(latency_ms, in_flight, now)
+        else:
+            self._record_refusal(in_flight, result, now)
+        if self._window.is_complete(now, self.baseline_ms is None):
+            self._close_window(now)
+
+    def _record_finished(self, latency_ms: float, in_flight: int, now: float) -> None:
+        self._refusals_in_row = 0
+        self.latency_ms += (latency_ms - self.latency_ms) * (
+            _LATENCY_GAIN if self.latency_ms else 1
+        )
+        self._window.add(latency_ms, in_flight, now)
+        if not self.is_slow(latency_ms):
+            self._very_slow_in_row = 0
+            self._grow(in_flight, now)
+        elif latency_ms >= (self.baseline_ms or 0) * _COLD_MULTIPLE:
+            self._record_very_slow(in_flight, now)
+
+    def _record_very_slow(self, in_flight: int, now: float) -> None:
+        if not self._very_slow_in_row:
+            self._very_slow_since = now
+        self._very_slow_in_row += 1
+        needed = _COLD_CALLS_IN_ROW
+        if in_flight > self._low_concurrency:
+            # At high concurrency overload explains some slow calls, so twice a full round is
+            # needed.
+            needed = max(needed, self.limit * 2)
+        lasted_ms = now - self._very_slow_since
+        if self._very_slow_in_row >= needed and lasted_ms >= _COLD_SPAN_MS and not self.cold:
+            self._turn_cold(now)
+
+    def _record_refusal(self, in_flight: int, result: CallResult, now: float) -> None:
+        self._good_calls = 0
+        self._refusals_in_row += 1
+        self._window.add_refusal(in_flight, now)
+        if self._refusals_in_row >= max(_FAILURES_IN_ROW, self.limit):
+            # A full round of refusals means that the backend server can do next to nothing.
+            if self.limit > START_LIMIT:
+                self._turn_cold(now)
+            self._growth_from = now + _GROWTH_PAUSE_MS
+        elif result is CallResult.SHED or self._refusals_in_row >= _FAILURES_IN_ROW:
+            self._shrink_for_refusal(in_flight, now)
+
+    def _shrink_for_refusal(self, in_flight: int, now: float) -> None:
+        if now - self._shrunk_at < _SHRINK_PAUSE_MS:
+            return
+        level = self.limit
+        if in_flight * 2 >= level:
+            level = min(level, in_flight)
+        self._shrink(level * _SHED_SHRINK, now)
+        self._growth_from = now + _GROWTH_PAUSE_MS
+
+    def _shrink(self, level: float, now: float) -> None:
+        self.limit = max(START_LIMIT, min(int(level), self.limit))
+        self._good_calls = 0
+        self._shrunk_at = now
+
+    def _grow(self, in_flight: int, now: float) -> None:
+        # Calls that leave half of the limit unused don't show that more would go well.
+        if self.limit >= self._slots or in_flight * 2 < self.limit or now < self._growth_from:
+            return
+        self._good_calls += 1
+        needed = self.limit
+        if self.cold:
+            needed = max(_MIN_GROWTH_CALLS, needed * _COLD_GROWTH_FACTOR)
+        if self._good_calls >= needed and self.baseline_ms is not None:
+            self._good_calls = 0
+            self.limit += 1
+            if self.limit >= max(2, self._slots // 2):
+                self.cold = False
+
+    def _close_window(self, now: float) -> None:
+        window = self._window
+        self._window = _Window(now)
+        if window.refusals >= window.calls * _WINDOW_FAILURE_SHARE:
+            self._shrink_for_refusal(self.limit, now)
+        if not window.latencies:
+            return
+        median = statistics.median(window.latencies)
+        if self.is_slow(median):
+            self._slow_windows += 1
+            # One slow window may be a noisy neighbour's burst.
+            if self._slow_windows > 1:
+                self._shrink(self.limit * _LATENCY_SHRINK, now)
+        else:
+            self._slow_windows = 0
+        self._update_baseline(median, window.max_in_flight <= self._low_concurrency, now)
+
+    def _update_baseline(self, median: float, at_low_concurrency: bool, now: float) -> None:
+        since = now if self._baseline_at is None else self._baseline_at
+        self._baseline_at = now
+        if self.baseline_ms is None:
+            self.baseline_ms = median
+        elif median < self.baseline_ms:
+            self.baseline_ms += (median - self.baseline_ms) * _BASELINE_FALL_GAIN
+        elif at_low_concurrency:
+            elapsed_ms = min(now - since, _MAX_RISE_STEP_MS)
+            highest = self.baseline_ms * 2 ** (elapsed_ms / _BASELINE_DOUBLING_MS)
+            self.baseline_ms = min(median, highest)
+
+    def _turn_cold(self, now: float) -> None:
+        self.limit = START_LIMIT
+        self.cold = True
+        self._shrunk_at = now
+        self._growth_from = now
+        self._slow_windows = 0
+        self._window = _Window(now)
+        self._reset_streaks()
+
+    def _reset_streaks(self) -> None:
+        self._good_calls = 0
+        self._refusals_in_row = 0
+        self._very_slow_in_row = 0
+        self._very_slow_since: float = 0
+
+
+class _Window:
+    """Calls that ended since a moment."""
+
+    __slots__ = ('calls', 'latencies', 'max_in_flight', 'refusals', 'started_at')
+
+    def __init__(self, started_at: float) -> None:
+        self.started_at = started_at
+        self.calls = 0
+        self.refusals = 0
+        self.max_in_flight = 0
+        self.latencies: list[float] = []
+
+    def add(self, latency_ms: float, in_flight: int, now: float) -> None:
+        self.latencies.append(latency_ms)
+        self._count(in_flight, now)
+
+    def add_refusal(self, in_flight: int, now: float) -> None:
+        self.refusals += 1
+        self._count(in_flight, now)
+
+    def is_complete(self, now: float, first: bool) -> bool:
+        if first:
+            return len(self.latencies) >= _FIRST_WINDOW_CALLS
+        return self.calls >= _WINDOW_CALLS and now - self.started_at >= _WINDOW_MS
+
+    def _count(self, in_flight: int, now: float) -> None:
+        if not self.calls and self.started_at == float('-inf'):
+            self.started_at = now
+        self.calls += 1
+        self.max_in_flight = max(self.max_in_flight, in_flight)
