Add the platform log and backend server stand-ins

Cause: nodes need a log and backend servers with injectable faults before they can be run or measured. Ruled out: klein for the backend server, whose cost per call would dominate short service times. Change: log over klein with retention, rate limit, long poll and lost answers; backend server on Twisted and httptools around a model free of sockets; the commands that run both.

--- /dev/null
+++ b/src/anvillug/process/commands/standin.py
@@ -0,0 +1,144 @@
+"""Subcommands that run the stand-in processes until SIGTERM."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Sequence
+
+from absl import logging
+from twisted.internet import interfaces, protocol, reactor
+
+from anvillug import clock, event_log
+from anvillug.standin import backend_model, http_api, log_model
+from anvillug.standin import backend_server as standin_backend_server
+from anvillug.standin import log as standin_log
+
+LISTEN_BACKLOG = 1024
+
+
+def backend_server(  # noqa: WPS211 each setting is an option of the command line
+    *,
+    address: str = '127.0.0.1:0',
+    announce_address: str = '',
+    service: str = 'service',
+    version: str = 'v1',
+    backend_id: str = '',
+    slots: int = 10,
+    connections: int = 250,
+    queue_limit: int = 50,
+    connect_cost_ms: float = 1.0,
+    probe_cost_ms: float = 6.0,
+    service_ms: float = 5.0,
+    service_sigma: float = 0.3,
+    route_ms: Sequence[str] = (),
+    start_cold: bool = False,
+    cold_calls: int = 50,
+    cold_factor: float = 8.0,
+    cold_max_in_flight: int = 2,
+    report_lag_ms: float = 1000.0,
+    drain_notice_ms: float = 3000.0,
+    drain_bound_ms: float = 60_000.0,
+    seed: int = 1,
+) -> None:
+    """Run a backend server.
+
+    Args:
+        address: Address to listen on; port 0 takes a free one.
+        announce_address: Operator address of the node beside it; empty announces nothing.
+        service: Service that it offers.
+        version: Version that it runs.
+        backend_id: Name in its responses; empty takes the process id.
+        slots: Calls that run at once.
+        connections: Connections that may be open at once.
+        queue_limit: Calls that wait for a slot; further ones are shed.
+        connect_cost_ms: Slot time of a new connection.
+        probe_cost_ms: Slot time of /health and /load.
+        service_ms: Median service time.
+        service_sigma: Spread of the log-normal service time.
+        route_ms: Median service times of routes, each <path prefix>=<ms>.
+        start_cold: Start cold.
+        cold_calls: Finished calls until a cold server is warm.
+        cold_factor: Multiple of the service time when cold.
+        cold_max_in_flight: Calls that a cold server can run at once.
+        report_lag_ms: Age that the values of /load may reach.
+        drain_notice_ms: Time between announcing to leave and refusing work on SIGTERM.
+        drain_bound_ms: Longest wait for running calls on SIGTERM.
+        seed: Seed of service times and random failures.
+    """
+    settings = backend_model.BackendSettings(
+        service=service,
+        version=version,
+        backend_id=backend_id or f'backend-{os.getpid()}',
+        slots=slots,
+        connections=connections,
+        queue_limit=queue_limit,
+        connect_cost_ms=connect_cost_ms,
+        probe_cost_ms=probe_cost_ms,
+        service_ms=service_ms,
+        service_sigma=service_sigma,
+        service_ms_by_prefix=tuple(_route_time(text) for text in route_ms),
+        start_cold=start_cold,
+        cold_calls=cold_calls,
+        cold_factor=cold_factor,
+        cold_max_in_flight=cold_max_in_flight,
+        report_lag_ms=report_lag_ms,
+        seed=seed,
+    )
+    system_clock = clock.SystemClock()
+    model = backend_model.BackendModel(settings)
+    factory = standin_backend_server.BackendFactory(model, reactor, system_clock)
+    port = _listen(address, factory)
+    if announce_address:
+        incarnation = int(system_clock.wall())
+        announcer = standin_backend_server.Announcer(
+            factory, http_api.bound_address(port), announce_address, incarnation
+        )
+        reactor.callWhenRunning(announcer.start)
+    reactor.addSystemEventTrigger(
+        'before',
+        'shutdown',
+        standin_backend_server.drain,
+        factory,
+        port,
+        drain_notice_ms,
+        drain_bound_ms,
+    )
+    _run('backend_server', port)
+
+
+def log(
+    *,
+    address: str = '127.0.0.1:0',
+    retention_ms: float = 600_000.0,
+    append_limit_per_second: int = 400,
+) -> None:
+    """Run the platform log.
+
+    Args:
+        address: Address to listen on; port 0 takes a free one.
+        retention_ms: How long a record is kept.
+        append_limit_per_second: Appends accepted in any second; further ones get 429.
+    """
+    settings = log_model.LogSettings(retention_ms, append_limit_per_second)
+    model = log_model.LogModel(settings, clock.SystemClock())
+    _run('log', _listen(address, standin_log.LogServer(model, reactor).site()))
+
+
+def _listen(address: str, factory: protocol.Factory) -> interfaces.IListeningPort:
+    host, port = http_api.split_address(address)
+    return reactor.listenTCP(port, factory, backlog=LISTEN_BACKLOG, interface=host)
+
+
+def _run(kind: str, port: interfaces.IListeningPort, **fields: object) -> None:
+    logging.set_verbosity(logging.INFO)
+    reactor.callWhenRunning(
+        event_log.emit, 'listening', kind=kind, address=http_api.bound_address(port), **fields
+    )
+    reactor.run()
+
+
+def _route_time(text: str) -> tuple[str, float]:
+    prefix, equals, milliseconds = text.rpartition('=')
+    if not equals:
+        raise ValueError(f'route time {text!r} is not <path prefix>=<ms>')
+    return prefix, float(milliseconds)
--- /dev/null
+++ b/tests/test_standin_backend.py
@@ -0,0 +1,171 @@
+"""Tests of the backend server stand-in."""
+
+from __future__ import annotations
+
+import dataclasses
+import hashlib
+import json
+
+from twisted.internet import task, testing
+
+from anvillug.standin import backend_model, backend_server
+
+SETTINGS = backend_model.BackendSettings(slots=4, queue_limit=1, service_ms=10, service_sigma=0)
+
+
+def start_call(model: backend_model.BackendModel) -> backend_model.Work:
+    """Put a call into a free slot."""
+    work = backend_model.Work(backend_model.Kind.CALL, '/x')
+    assert model.offer(work) is backend_model.Admission.START
+    return work
+
+
+class TestBackendModel:
+    """Guards against a stand-in whose cold start or queue is no test for a limit."""
+
+    def test_cold_server_is_slow_and_fails_under_load(self):
+        cold = dataclasses.replace(SETTINGS, start_cold=True, cold_calls=2, cold_factor=5)
+        model = backend_model.BackendModel(cold)
+        executions = [model.execute(start_call(model)) for _ in range(3)]
+        assert [execution.failed for execution in executions] == [False, False, True]
+        assert executions[0].duration_ms == 50
+
+    def test_finished_calls_warm_up(self):
+        cold = dataclasses.replace(SETTINGS, start_cold=True, cold_calls=2)
+        model = backend_model.BackendModel(cold)
+        for failed in (False, True, False):
+            assert model.cold
+            model.finish(start_call(model), failed=failed)
+        assert model.execute(start_call(model)).duration_ms == 10
+        model.change_faults(backend_model.BackendFaults(cold=True))
+        assert model.cold
+
+    def test_sheds_when_queue_is_full(self):
+        model = backend_model.BackendModel(SETTINGS)
+        first = [start_call(model) for _ in range(4)][0]
+        queued = backend_model.Work(backend_model.Kind.CALL)
+        assert model.offer(queued) is backend_model.Admission.QUEUE
+        shed = model.offer(backend_model.Work(backend_model.Kind.CALL))
+        assert shed is backend_model.Admission.SHED
+        assert model.finish(first, failed=False) == [queued]
+
+
+class ReactorClock:
+    """Clock that follows a test reactor."""
+
+    def __init__(self, reactor: task.Clock):
+        self.reactor = reactor
+
+    def now(self) -> float:
+        return self.reactor.seconds() * 1000
+
+    def wall(self) -> float:
+        return self.now()
+
+
+class Harness:
+    """A server with in-memory connections."""
+
+    def __init__(self, **changes):
+        self.reactor = task.Clock()
+        self.model = backend_model.BackendModel(dataclasses.replace(SETTINGS, **changes))
+        time_source = ReactorClock(self.reactor)
+        self.factory = backend_server.BackendFactory(self.model, self.reactor, time_source)
+
+    def connect(self) -> tuple:
+        connection = self.factory.buildProtocol(None)
+        transport = testing.StringTransportWithDisconnection()
+        transport.setTcpNoDelay = lambda enabled: None
+        transport.protocol = connection
+        connection.makeConnection(transport)
+        return connection, transport
+
+    def advance(self, milliseconds: float) -> None:
+        for _ in range(round(milliseconds)):
+            self.reactor.advance(0.001)
+
+
+def post(path: str, body: bytes = b'', headers: tuple[str, ...] = ()) -> bytes:
+    """Encode a request."""
+    lines = [f'POST {path} HTTP/1.1', f'Content-Length: {len(body)}', *headers, '', '']
+    return '\r\n'.join(lines).encode() + body
+
+
+def body_of(transport) -> dict:
+    """Decode the body of the only response."""
+    return json.loads(transport.value().partition(b'\r\n\r\n')[2])
+
+
+class TestBackendConnection:
+    """Guards against answers that hide what the server ran."""
+
+    def test_echoes_and_counts_runs(self):
+        harness = Harness()
+        connection, transport = harness.connect()
+        request = post('/x?ms=3', b'scan', ('Idempotency-Key: k', 'Anvillug-Call: a.1.2'))
+        for byte in request:
+            connection.dataReceived(bytes([byte]))
+        harness.advance(10)
+        answer = body_of(transport)
+        assert (answer['path'], answer['key'], answer['call']) == ('/x', 'k', 'a.1.2')
+        assert answer['body_sha256'] == hashlib.sha256(b'scan').hexdigest()
+        connection.dataReceived(request)
+        harness.advance(10)
+        assert harness.model.runs.by_key == {'k': 2}
+        assert harness.model.runs.by_call == {'a.1.2': 2}
+
+    def test_connection_costs_slot_time(self):
+        harness = Harness(slots=1, connect_cost_ms=5)
+        connection, transport = harness.connect()
+        connection.dataReceived(post('/x?ms=1'))
+        harness.advance(4)
+        assert harness.model.runs.by_call == {}
+        assert harness.model.in_flight == 1
+        harness.advance(4)
+        assert transport.value().startswith(b'HTTP/1.1 200')
+
+    def test_closed_connection_cancels(self):
+        harness = Harness(slots=1)
+        connections = [harness.connect()[0] for _ in range(2)]
+        harness.advance(5)
+        for connection in connections:
+            connection.dataReceived(post('/x'))
+        assert (harness.model.in_flight, harness.model.queued) == (1, 1)
+        connections[0].transport.loseConnection()
+        assert (harness.model.in_flight, harness.model.queued) == (1, 0)
+        assert harness.model.counts['started'] == 2
+
+    def test_queued_call_past_its_deadline_is_not_run(self):
+        harness = Harness(slots=1)
+        (first, _), (second, transport) = harness.connect(), harness.connect()
+        harness.advance(5)
+        first.dataReceived(post('/x'))
+        second.dataReceived(post('/x', b'', ('Anvillug-Deadline-Ms: 5', 'Idempotency-Key: k')))
+        harness.advance(15)
+        assert b'503' in transport.value()
+        assert b'Anvillug-Outcome: not-run' in transport.value()
+        assert 'k' not in harness.model.runs.by_key
+
+    def test_malformed_request_is_answered_after_earlier_ones(self):
+        harness = Harness()
+        connection, transport = harness.connect()
+        connection.dataReceived(b''.join((post('/x'), b'\x00 no HTTP\r\n\r\n')))
+        harness.advance(20)
+        assert transport.value().startswith(b'HTTP/1.1 200')
+        assert transport.value().count(b'HTTP/1.1 400') == 1
+        assert not transport.connected
+
+    def test_silent_connection_never_answers(self):
+        harness = Harness()
+        connection, transport = harness.connect()
+        control, _ = harness.connect()
+        harness.advance(2)
+        connection.dataReceived(post('/x'))
+        control.dataReceived(post('/control/faults', b'{"silent": true}'))
+        harness.advance(20)
+        fresh, fresh_transport = harness.connect()
+        fresh.dataReceived(post('/x'))
+        harness.advance(20)
+        assert transport.value() == b''
+        assert transport.connected
+        assert fresh_transport.value().startswith(b'HTTP/1.1 200')
--- /dev/null
+++ b/tests/test_standin_log.py
@@ -0,0 +1,96 @@
+"""Tests of the platform log stand-in."""
+
+from __future__ import annotations
+
+import pytest
+import treq
+from twisted.internet import defer, reactor
+from twisted.trial import unittest
+from twisted.web import client
+
+from anvillug import clock
+from anvillug.standin import http_api, log_model
+from anvillug.standin import log as standin_log
+
+
+class TestLogModel:
+    """Guards against a log that is kinder to its clients than the platform's."""
+
+    def test_drops_old_records(self):
+        time_source = clock.ManualClock(wall_start=1_000_000)
+        model = log_model.LogModel(log_model.LogSettings(retention_ms=100), time_source)
+        model.append('s', 'old')
+        time_source.advance(60)
+        model.append('s', 'new')
+        time_source.advance(60)
+        answer = model.read('s', 0, 10)
+        assert (answer['first'], answer['next']) == (1, 2)
+        assert [record['data'] for record in answer['records']] == ['new']
+        time_source.advance(60)
+        assert model.read('s', 0, 10) == {'first': 2, 'next': 2, 'records': []}
+        assert model.append('s', 'later') == 2
+
+    def test_limits_appends_in_any_second(self):
+        time_source = clock.ManualClock()
+        model = log_model.LogModel(log_model.LogSettings(append_limit_per_second=3), time_source)
+        accepted = 0
+        for _ in range(40):
+            accepted += model.append('s', 0) is not None
+            time_source.advance(50)
+        assert accepted == 6
+
+
+class TestLogServer(unittest.TestCase):
+    """Guards against lost or waiting answers that differ from the published interface."""
+
+    def setUp(self):
+        model = log_model.LogModel(log_model.LogSettings(), clock.SystemClock())
+        server = standin_log.LogServer(model, reactor)
+        self.port = reactor.listenTCP(0, server.site(), interface='127.0.0.1')
+        self.addCleanup(self.port.stopListening)
+        pool = client.HTTPConnectionPool(reactor, persistent=False)
+        self.treq = treq.client.HTTPClient(client.Agent(reactor, pool=pool))
+
+    def url(self, path: str) -> str:
+        return f'http://{http_api.bound_address(self.port)}{path}'
+
+    async def post(self, path: str, data: object) -> object:
+        response = await self.treq.post(self.url(path), json=data)
+        return await response.json()
+
+    async def read(self, query: str) -> object:
+        response = await self.treq.get(self.url(f'/streams/s/records?{query}'))
+        return await response.json()
+
+    def test_lost_answer_took_effect(self):
+        return defer.ensureDeferred(self.check_lost_answer())
+
+    async def check_lost_answer(self):
+        await self.post('/control/faults', {'lose_answers': 1})
+        with pytest.raises(client.ResponseNeverReceived):
+            await self.post('/streams/s/records', {'data': 1})
+        assert await self.post('/streams/s/records', {'data': 2}) == {'offset': 1}
+        answer = await self.read('from=0')
+        assert [record['data'] for record in answer['records']] == [1, 2]
+
+    def test_read_waits_for_append(self):
+        return defer.ensureDeferred(self.check_read_waits())
+
+    async def check_read_waits(self):
+        assert (await self.read('from=0&wait_ms=20'))['records'] == []
+        waiting = defer.ensureDeferred(self.read('from=1&wait_ms=30000'))
+        await self.post('/streams/s/records', {'data': 'before'})
+        assert not waiting.called
+        await self.post('/streams/s/records', {'data': 'awaited'})
+        assert [record['data'] for record in (await waiting)['records']] == ['awaited']
+
+    def test_outage_ends_waiting_reads(self):
+        return defer.ensureDeferred(self.check_outage())
+
+    async def check_outage(self):
+        waiting = defer.ensureDeferred(self.read('from=0&wait_ms=30000'))
+        await self.post('/control/faults', {'outage': True})
+        assert await waiting == {'error': 'log unavailable'}
+        assert await self.post('/streams/s/records', {'data': 1}) == {'error': 'log unavailable'}
+        await self.post('/control/faults', {'outage': False})
+        assert await self.post('/streams/s/records', {'data': 1}) == {'offset': 0}
