Add the control server and client between nodes

Cause: nodes exchange members, verdicts, quarantine entries and configuration without a coordinator.

Ruled out: grpc.aio, which needs an asyncio reactor; the node runs on epoll.

Messages are typed values with bounds on both sides.

Conclusion: tested over loopback with refusing, silent, stuck and failing peers.

--- /dev/null
+++ b/src/anvillug/connection/control_messages.py
@@ -0,0 +1,278 @@
+"""Messages of the control protocol as values, and their bounded wire form.
+
+Received messages are checked here: whatever is too large or malformed is
+dropped or refused before it reaches a state owner.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+from collections.abc import Iterable, Sequence
+from typing import Any, TypeVar
+
+from anvillug import ids
+from anvillug.connection import _control_pb2 as wire
+from anvillug.process import membership
+
+MAX_MESSAGE_BYTES = 4_194_304
+MAX_MEMBERS = 2_000  # about 220 KB; a new node of 6,300 needs four pulls
+MAX_VERDICTS = 256
+MAX_QUARANTINE = 256
+MAX_EVIDENCE = 64
+MAX_EVIDENCE_BYTES = 16_384
+MAX_CONFIG_BYTES = 3_145_728
+MAX_TEXT = 512
+
+ItemT = TypeVar('ItemT')
+
+_STATES = tuple(membership.MemberState)
+_STATE_NUMBERS = {state: number for number, state in enumerate(_STATES)}
+
+
+class MalformedError(ValueError):
+    """A message from a peer that can't be used."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class VerdictNotice:
+    """A version found bad during a move; once true, always true."""
+
+    service: ids.ServiceName
+    """Service of the version."""
+    version: ids.VersionName
+    """The version that is bad."""
+    move: int
+    """Identifies the move, so that a later move to the same version starts anew."""
+    evidence: str
+    """What was observed, for operators."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuarantineNotice:
+    """A fingerprint of calls that crash backend servers."""
+
+    fingerprint: ids.Fingerprint
+    """Identifies the calls."""
+    crashes: int
+    """Crashes seen with this fingerprint."""
+    remaining_ms: int
+    """Time left; hosts' clocks differ, so no end time is sent."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class News:
+    """What either side of an exchange tells."""
+
+    sender: ids.HostId
+    """Host of the sender."""
+    incarnation: ids.Incarnation
+    """Incarnation of the sender."""
+    config_number: ids.ConfigNumber
+    """Configuration number in effect at the sender."""
+    digest: int
+    """Digest of the sender's member table."""
+    members: tuple[membership.Member, ...] = ()
+    """Changed or pulled records."""
+    verdicts: tuple[VerdictNotice, ...] = ()
+    """Bad versions."""
+    quarantine: tuple[QuarantineNotice, ...] = ()
+    """Quarantined fingerprints."""
+    evidence: tuple[bytes, ...] = ()
+    """Serialized evidence summaries."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """Request of an exchange."""
+
+    news: News
+    """What the caller tells."""
+    wants_config: bool = False
+    """Whether the caller takes the configuration state if it is behind."""
+    bucket_digests: tuple[int, ...] | None = None
+    """Asks for a pull of the members in differing buckets when set."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """Reply of an exchange."""
+
+    news: News
+    """What the called node tells."""
+    config_state: bytes | None = None
+    """Configuration state as JSON."""
+    pull_incomplete: bool = False
+    """Whether the pull left out members."""
+
+
+def request_to_wire(request: Request) -> wire.ExchangeRequest:
+    """Return the wire form of a request, cut to its bounds."""
+    pull = None
+    if request.bucket_digests is not None:
+        pull = wire.FullPull(bucket_digests=request.bucket_digests)
+    return wire.ExchangeRequest(
+        news=_news_to_wire(request.news), wants_config=request.wants_config, full_pull=pull
+    )
+
+
+def request_from_wire(message: wire.ExchangeRequest) -> Request:
+    """Parse a request.
+
+    Raises:
+        MalformedError: If it exceeds a bound or lacks its sender.
+    """
+    digests = None
+    if message.HasField('full_pull'):
+        digests = tuple(message.full_pull.bucket_digests)
+        if len(digests) != membership.BUCKET_COUNT:
+            raise MalformedError(f'full pull has {len(digests)} bucket digests')
+    return Request(_news_from_wire(message.news), message.wants_config, digests)
+
+
+def reply_to_wire(reply: Reply) -> wire.ExchangeReply:
+    """Return the wire form of a reply, cut to its bounds."""
+    state = reply.config_state or b''
+    if len(state) > MAX_CONFIG_BYTES:
+        state = b''
+    return wire.ExchangeReply(
+        news=_news_to_wire(reply.news), config_state=state, pull_incomplete=reply.pull_incomplete
+    )
+
+
+def reply_from_wire(message: wire.ExchangeReply) -> Reply:
+    """Parse a reply.
+
+    Raises:
+        MalformedError: If it exceeds a bound or lacks its sender.
+    """
+    if len(message.config_state) > MAX_CONFIG_BYTES:
+        raise MalformedError(f'configuration state has {len(message.config_state)} bytes')
+    news = _news_from_wire(message.news)
+    return Reply(news, message.config_state or None, message.pull_incomplete)
+
+
+def member_to_wire(member: membership.Member) -> wire.Member:
+    """Return the wire form of a member record."""
+    return wire.Member(
+        host_id=member.host_id,
+        zone=member.zone,
+        region=member.region,
+        incarnation=member.incarnation,
+        sequence=member.sequence,
+        service=member.service,
+        version=member.version,
+        peer_address=member.peer_address,
+        control_address=member.control_address,
+        state=_STATE_NUMBERS[member.state],
+    )
+
+
+def member_from_wire(message: wire.Member) -> membership.Member:
+    """Parse a member record.
+
+    Raises:
+        MalformedError: If the state is unknown, or a text is missing or too long.
+    """
+    if message.state >= len(_STATES):
+        raise MalformedError(f'member {message.host_id!r} has unknown state {message.state}')
+    if not message.host_id or message.ByteSize() > MAX_TEXT:
+        raise MalformedError(f'member record has {message.ByteSize()} bytes')
+    return membership.Member(
+        host_id=ids.HostId(message.host_id),
+        zone=ids.ZoneName(message.zone),
+        region=ids.RegionName(message.region),
+        incarnation=ids.Incarnation(message.incarnation),
+        sequence=message.sequence,
+        service=ids.ServiceName(message.service),
+        version=ids.VersionName(message.version),
+        peer_address=message.peer_address,
+        control_address=message.control_address,
+        state=_STATES[message.state],
+    )
+
+
+def _news_to_wire(news: News) -> wire.News:
+    evidence = [entry for entry in news.evidence if len(entry) <= MAX_EVIDENCE_BYTES]
+    return wire.News(
+        sender=wire.Sender(host_id=news.sender, incarnation=news.incarnation),
+        config_number=news.config_number,
+        digest=news.digest,
+        members=[member_to_wire(member) for member in news.members[:MAX_MEMBERS]],
+        verdicts=[_verdict_to_wire(entry) for entry in news.verdicts[:MAX_VERDICTS]],
+        quarantine=[_quarantine_to_wire(entry) for entry in news.quarantine[:MAX_QUARANTINE]],
+        evidence=evidence[:MAX_EVIDENCE],
+    )
+
+
+def _news_from_wire(message: wire.News) -> News:
+    if not message.sender.host_id or len(message.sender.host_id) > MAX_TEXT:
+        raise MalformedError('message has no usable sender')
+    _check_sizes(message)
+    return News(
+        sender=ids.HostId(message.sender.host_id),
+        incarnation=ids.Incarnation(message.sender.incarnation),
+        config_number=ids.ConfigNumber(message.config_number),
+        digest=message.digest,
+        members=_usable_members(message.members),
+        verdicts=tuple(_verdict_from_wire(entry) for entry in message.verdicts),
+        quarantine=tuple(_quarantine_from_wire(entry) for entry in message.quarantine),
+        evidence=tuple(message.evidence),
+    )
+
+
+def _check_sizes(message: wire.News) -> None:
+    _check_count('members', message.members, MAX_MEMBERS)
+    _check_count('verdicts', message.verdicts, MAX_VERDICTS)
+    _check_count('quarantine entries', message.quarantine, MAX_QUARANTINE)
+    _check_count('evidence summaries', message.evidence, MAX_EVIDENCE)
+    if any(len(entry) > MAX_EVIDENCE_BYTES for entry in message.evidence):
+        raise MalformedError('an evidence summary is too large')
+
+
+def _check_count(name: str, entries: Sequence[Any], limit: int) -> None:
+    if len(entries) > limit:
+        raise MalformedError(f'message has {len(entries)} {name}, more than {limit}')
+
+
+def _usable_members(messages: Iterable[wire.Member]) -> tuple[membership.Member, ...]:
+    """Parse members; one bad record must not keep the others from spreading."""
+    members = []
+    for message in messages:
+        with contextlib.suppress(MalformedError):
+            members.append(member_from_wire(message))
+    return tuple(members)
+
+
+def _verdict_to_wire(notice: VerdictNotice) -> wire.Verdict:
+    return wire.Verdict(
+        service=notice.service,
+        version=notice.version,
+        move=notice.move,
+        evidence=notice.evidence[:MAX_TEXT],
+    )
+
+
+def _verdict_from_wire(message: wire.Verdict) -> VerdictNotice:
+    return VerdictNotice(
+        service=ids.ServiceName(message.service[:MAX_TEXT]),
+        version=ids.VersionName(message.version[:MAX_TEXT]),
+        move=message.move,
+        evidence=message.evidence[:MAX_TEXT],
+    )
+
+
+def _quarantine_to_wire(notice: QuarantineNotice) -> wire.QuarantineEntry:
+    return wire.QuarantineEntry(
+        fingerprint=notice.fingerprint,
+        crashes=notice.crashes,
+        remaining_ms=max(0, notice.remaining_ms),
+    )
+
+
+def _quarantine_from_wire(message: wire.QuarantineEntry) -> QuarantineNotice:
+    return QuarantineNotice(
+        fingerprint=ids.Fingerprint(message.fingerprint[:MAX_TEXT]),
+        crashes=message.crashes,
+        remaining_ms=message.remaining_ms,
+    )
--- /dev/null
+++ b/src/anvillug/connection/control_server.py
@@ -0,0 +1,122 @@
+"""gRPC server of the control protocol.
+
+gRPC threads hold no state: each request is handed to the reactor thread and
+its thread waits for the reply for a bounded time.
+"""
+
+from __future__ import annotations
+
+import importlib
+from collections.abc import Callable
+from concurrent import futures
+from typing import Any, Protocol
+
+from twisted.internet import defer
+
+from anvillug.connection import control_messages
+
+THREADS = 2  # a node gets about one exchange per second
+MAX_CONCURRENT = 16
+ANSWER_TIMEOUT_MS = 900.0  # just below the caller's deadline of 1 s
+_MS_PER_SECOND = 1000.0
+
+Handler = Callable[[control_messages.Request], Any]
+"""Called in the reactor thread; returns a `Reply` or a Deferred of one."""
+
+
+class ReactorThreads(Protocol):
+    """The part of the reactor that takes calls from other threads."""
+
+    def callFromThread(self, call: Callable[..., Any], *args: Any) -> None:  # noqa: N802
+        """Run a call in the reactor thread."""
+
+
+class ControlServer:
+    """Serves exchanges with other nodes.
+
+    Args:
+        reactor: Runs the handler.
+        handler: Answers each request in the reactor thread.
+        answer_timeout_ms: How long a gRPC thread waits for the handler.
+    """
+
+    def __init__(
+        self,
+        reactor: ReactorThreads,
+        handler: Handler,
+        answer_timeout_ms: float = ANSWER_TIMEOUT_MS,
+    ) -> None:
+        self._reactor = reactor
+        self._handler = handler
+        self._timeout_seconds = answer_timeout_ms / _MS_PER_SECOND
+        self._server: Any = None
+        self.timeouts = 0
+        """Requests that the handler did not answer in time."""
+
+    def start(self, address: str) -> int:
+        """Listen for exchanges.
+
+        Args:
+            address: `ip:port`; port 0 picks a free one.
+
+        Returns:
+            The port.
+
+        Raises:
+            RuntimeError: If the address can't be bound.
+        """
+        # Imported here so that programs that embed only the logic do not load gRPC (9 MB).
+        grpc = importlib.import_module('grpc')
+        stubs = importlib.import_module('anvillug.connection._control_pb2_grpc')
+        options = (
+            ('grpc.max_receive_message_length', control_messages.MAX_MESSAGE_BYTES),
+            ('grpc.so_reuseport', 0),
+        )
+        self._server = grpc.server(
+            futures.ThreadPoolExecutor(THREADS, 'control'),
+            options=options,
+            maximum_concurrent_rpcs=MAX_CONCURRENT,
+        )
+        stubs.add_ControlServicer_to_server(self, self._server)
+        port = self._server.add_insecure_port(address)
+        if not port:
+            raise RuntimeError(f'control address {address} could not be bound')
+        self._server.start()
+        return port
+
+    def stop(self, grace_ms: float = 0) -> None:
+        """Stop listening; exchanges still running are cut after the grace time."""
+        if self._server is not None:
+            self._server.stop(grace_ms / _MS_PER_SECOND)
+            self._server = None
+
+    def Exchange(self, message: Any, context: Any) -> Any:  # noqa: N802
+        """Answer one exchange; called by gRPC in one of its threads."""
+        grpc = importlib.import_module('grpc')
+        try:
+            request = control_messages.request_from_wire(message)
+        except control_messages.MalformedError as error:
+            return context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error))
+        answered: futures.Future = futures.Future()
+        self._reactor.callFromThread(self._answer, request, answered)
+        try:
+            reply = answered.result(self._timeout_seconds)
+        except futures.TimeoutError:
+            # Cancelled, so that a request that still waits for the reactor is dropped.
+            answered.cancel()
+            self._reactor.callFromThread(self._count_timeout)
+            return context.abort(grpc.StatusCode.UNAVAILABLE, 'no answer in time')
+        except Exception as error:
+            return context.abort(grpc.StatusCode.INTERNAL, type(error).__name__)
+        return control_messages.reply_to_wire(reply)
+
+    def _answer(self, request: control_messages.Request, answered: futures.Future) -> None:
+        if not answered.set_running_or_notify_cancel():
+            return
+        result = defer.maybeDeferred(self._handler, request)
+        result.addCallbacks(
+            answered.set_result, lambda failure: answered.set_exception(failure.value)
+        )
+
+    def _count_timeout(self) -> None:
+        self.timeouts += 1
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,167 @@
+"""Tests of the control protocol between nodes, over real connections."""
+
+from __future__ import annotations
+
+import dataclasses
+import queue
+import socket
+import time
+
+import pytest
+from twisted.internet import defer
+
+from anvillug import ids
+from anvillug.connection import control_client, control_messages, control_server
+from anvillug.process import membership
+from tests import test_membership
+
+NEWS = control_messages.News(
+    sender=ids.HostId('host-1'),
+    incarnation=ids.Incarnation(1_700_000_000_000),
+    config_number=ids.ConfigNumber(7),
+    digest=2**64 - 1,
+    members=tuple(test_membership.make_member(index) for index in range(3)),
+    verdicts=(control_messages.VerdictNotice(test_membership.SERVICE, 'v2', 3, 'failures'),),
+    quarantine=(control_messages.QuarantineNotice(ids.Fingerprint('f'), 2, 5_000),),
+    evidence=(b'summary',),
+)
+REQUEST = control_messages.Request(NEWS, True, tuple(range(membership.BUCKET_COUNT)))
+REPLY = control_messages.Reply(NEWS, b'{}', True)
+
+
+def answer(request):
+    """Answer any request with `REPLY`."""
+    return REPLY
+
+
+def failing(request):
+    """Fail as a faulty handler does."""
+    raise ArithmeticError('handler fault')
+
+
+class FakeReactor:
+    """Runs calls from other threads when the test asks for it."""
+
+    def __init__(self):
+        self.calls = queue.Queue()
+
+    def callFromThread(self, call, *args):  # noqa: N802
+        """Queue a call."""
+        self.calls.put((call, args))
+
+    def run_until(self, result: defer.Deferred):
+        """Run queued calls until the result is there, and return it."""
+        results = []
+        result.addBoth(results.append)
+        end = time.monotonic() + 10
+        while not results and time.monotonic() < end:
+            try:
+                call, args = self.calls.get(timeout=0.1)
+            except queue.Empty:
+                continue
+            call(*args)
+        return results[0]
+
+
+@pytest.fixture
+def reactor():
+    """Reactor of both sides."""
+    return FakeReactor()
+
+
+@pytest.fixture
+def client(reactor):
+    """Client with a short deadline."""
+    found = control_client.ControlClient(reactor, deadline_ms=500, max_channels=2)
+    yield found
+    found.close()
+
+
+@pytest.fixture
+def start(reactor):
+    """Start servers that are stopped at the end."""
+    servers = []
+
+    def start_server(handler, timeout_ms: float = 400) -> str:
+        server = control_server.ControlServer(reactor, handler, timeout_ms)
+        servers.append(server)
+        return f'127.0.0.1:{server.start("127.0.0.1:0")}'
+
+    yield start_server
+    for server in servers:
+        server.stop()
+
+
+class TestExchange:
+    """Guards against messages that change on their way or arrive in another thread."""
+
+    def test_round_trip(self, reactor, client, start):
+        received = []
+
+        def handler(request):
+            received.append(request)
+            return defer.succeed(REPLY)
+
+        result = client.exchange(start(handler), REQUEST)
+        assert reactor.run_until(result) == REPLY
+        assert received == [REQUEST]
+        assert client.bytes_sent > 2_000
+        assert client.bytes_received > 100
+
+    def test_peer_that_refuses(self, reactor, client):
+        with socket.create_server(('127.0.0.1', 0)) as listener:
+            address = f'127.0.0.1:{listener.getsockname()[1]}'
+        failure = reactor.run_until(client.exchange(address, REQUEST))
+        assert failure.value.reason == 'unavailable'
+
+    def test_silent_peer_fails_by_the_deadline_on_a_new_channel(self, reactor, client):
+        with socket.create_server(('127.0.0.1', 0)) as listener:
+            address = f'127.0.0.1:{listener.getsockname()[1]}'
+            failure = reactor.run_until(client.exchange(address, REQUEST))
+        assert isinstance(failure.value, control_client.ExchangeError)
+        assert not client.open_channels()
+
+    @pytest.mark.parametrize('handler', [lambda _: defer.Deferred(), failing])
+    def test_handler_without_reply_fails_the_exchange(self, reactor, client, start, handler):
+        failure = reactor.run_until(client.exchange(start(handler), REQUEST))
+        assert failure.value.reason in {'unavailable', 'internal'}
+
+    def test_malformed_request_is_refused(self, reactor, client, start):
+        address = start(answer)
+        short = dataclasses.replace(REQUEST, bucket_digests=(1, 2))
+        failure = reactor.run_until(client.exchange(address, short))
+        assert failure.value.reason == 'invalid_argument'
+
+
+class TestBounds:
+    """Guards against memory that grows with peers or their messages."""
+
+    def test_channels(self, reactor, client, start):
+        for _ in range(4):
+            assert reactor.run_until(client.exchange(start(answer), REQUEST)) == REPLY
+        assert client.open_channels() == 2
+
+    def test_busy_channel_is_closed_after_its_reply(self, reactor, client, start):
+        addresses = [start(answer) for _ in range(4)]
+        results = [client.exchange(address, REQUEST) for address in addresses]
+        assert [reactor.run_until(result) for result in results] == [REPLY for _ in addresses]
+
+    def test_messages_are_cut(self):
+        many = tuple(test_membership.make_member(0) for _ in range(3_000))
+        news = dataclasses.replace(NEWS, members=many, evidence=(bytes(20_000), b'x'))
+        message = control_messages.request_to_wire(control_messages.Request(news))
+        parsed = control_messages.request_from_wire(message).news
+        assert len(parsed.members) == control_messages.MAX_MEMBERS
+        assert parsed.evidence == (b'x',)
+
+    def test_too_large_messages_are_refused(self):
+        message = control_messages.request_to_wire(REQUEST)
+        message.news.evidence.extend(b'x' for _ in range(100))
+        with pytest.raises(control_messages.MalformedError, match='evidence'):
+            control_messages.request_from_wire(message)
+
+    def test_one_bad_member_does_not_stop_the_others(self):
+        message = control_messages.request_to_wire(REQUEST)
+        message.news.members[0].state = 9
+        message.news.members[1].service = 'x' * 600
+        assert len(control_messages.request_from_wire(message).news.members) == 1
