Add the network link stand-in

Cause: delays between zones, cuts and connections that go silent need a place to be injected between processes. Ruled out: a delay per chunk by its own timer, since timers due at the same time may fire in any order.

--- a/src/anvillug/process/commands/standin.py
+++ b/src/anvillug/process/commands/standin.py
@@ -11,6 +11,7 @@
 from anvillug import clock, event_log
 from anvillug.standin import backend_model, http_api, log_model
 from anvillug.standin import backend_server as standin_backend_server
+from anvillug.standin import link as standin_link
 from anvillug.standin import log as standin_log
 
 LISTEN_BACKLOG = 1024
@@ -103,7 +104,7 @@
         drain_notice_ms,
         drain_bound_ms,
     )
-    _run('backend_server', port)
+    _run('backend_server', http_api.bound_address(port))
 
 
 def log(
@@ -121,7 +122,29 @@
     """
     settings = log_model.LogSettings(retention_ms, append_limit_per_second)
     model = log_model.LogModel(settings, clock.SystemClock())
-    _run('log', _listen(address, standin_log.LogServer(model, reactor).site()))
+    port = _listen(address, standin_log.LogServer(model, reactor).site())
+    _run('log', http_api.bound_address(port))
+
+
+def link(
+    *,
+    target: str,
+    address: str = '127.0.0.1:0',
+    control_address: str = '127.0.0.1:0',
+    delay_ms: float = 0,
+) -> None:
+    """Run a network link: a TCP relay with delay and faults.
+
+    Args:
+        target: Address to connect to.
+        address: Address to listen on; port 0 takes a free one.
+        control_address: Address of the control endpoint; port 0 takes a free one.
+        delay_ms: One-way delay.
+    """
+    relay = standin_link.Link(reactor, target, delay_ms)
+    bound = relay.listen(address)
+    control = http_api.bound_address(_listen(control_address, relay.site()))
+    _run('link', bound, control_address=control)
 
 
 def _listen(address: str, factory: protocol.Factory) -> interfaces.IListeningPort:
@@ -129,11 +152,9 @@
     return reactor.listenTCP(port, factory, backlog=LISTEN_BACKLOG, interface=host)
 
 
-def _run(kind: str, port: interfaces.IListeningPort, **fields: object) -> None:
+def _run(kind: str, address: str, **fields: object) -> None:
     logging.set_verbosity(logging.INFO)
-    reactor.callWhenRunning(
-        event_log.emit, 'listening', kind=kind, address=http_api.bound_address(port), **fields
-    )
+    reactor.callWhenRunning(event_log.emit, 'listening', kind=kind, address=address, **fields)
     reactor.run()
 
 
--- /dev/null
+++ b/tests/test_standin_link.py
@@ -0,0 +1,114 @@
+"""Tests of the network link stand-in."""
+
+from __future__ import annotations
+
+import pytest
+import treq
+from twisted.internet import defer, endpoints, error, protocol, reactor, task
+from twisted.trial import unittest
+from twisted.web import client
+
+from anvillug.standin import http_api, link
+
+
+class Echo(protocol.Protocol):
+    """Sends back what it receives."""
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802 Twisted's name
+        self.transport.write(data)
+
+
+class Recorder(protocol.Protocol):
+    """Collects what it receives."""
+
+    def __init__(self):
+        self.received = b''
+        self.closed = defer.Deferred()
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802 Twisted's name
+        self.received += data
+
+    def connectionLost(self, reason=protocol.connectionDone) -> None:  # noqa: N802 Twisted's name
+        self.closed.callback(reason.type)
+
+    async def wait_for(self, expected: bytes) -> None:
+        while self.received != expected:
+            await task.deferLater(reactor, 0.002)
+
+
+class TestLink(unittest.TestCase):
+    """Guards against faults that break connections in another way than a network does."""
+
+    timeout = 10
+
+    def setUp(self):
+        echo = reactor.listenTCP(0, protocol.Factory.forProtocol(Echo), interface='127.0.0.1')
+        self.addCleanup(echo.stopListening)
+        self.link = link.Link(reactor, http_api.bound_address(echo), delay_ms=20)
+        self.address = self.link.listen('127.0.0.1:0')
+        self.addCleanup(self.link.stop)
+        control = reactor.listenTCP(0, self.link.site(), interface='127.0.0.1')
+        self.addCleanup(control.stopListening)
+        self.control_url = f'http://{http_api.bound_address(control)}/control/faults'
+        pool = client.HTTPConnectionPool(reactor, persistent=False)
+        self.treq = treq.client.HTTPClient(client.Agent(reactor, pool=pool))
+
+    def tearDown(self):
+        # Lets the reset connections be lost before trial looks for open sockets.
+        self.link.stop()
+        return task.deferLater(reactor, 0.05)
+
+    async def connect(self) -> Recorder:
+        host, port = http_api.split_address(self.address)
+        endpoint = endpoints.TCP4ClientEndpoint(reactor, host, port)
+        return await endpoints.connectProtocol(endpoint, Recorder())
+
+    async def set_faults(self, **faults: object) -> None:
+        response = await self.treq.post(self.control_url, json=faults)
+        assert response.code == 200
+        await response.content()
+
+    def test_delays_each_way(self):
+        return defer.ensureDeferred(self.check_delay())
+
+    async def check_delay(self):
+        caller = await self.connect()
+        caller.transport.write(b'a')
+        await caller.wait_for(b'a')
+        start = reactor.seconds()
+        caller.transport.write(b'b')
+        await caller.wait_for(b'ab')
+        assert round((reactor.seconds() - start) * 1000) >= 40
+        caller.transport.loseConnection()
+        await caller.closed
+
+    def test_cut_resets_and_refuses(self):
+        return defer.ensureDeferred(self.check_cut())
+
+    async def check_cut(self):
+        caller = await self.connect()
+        caller.transport.write(b'a')
+        await caller.wait_for(b'a')
+        await self.set_faults(cut=True)
+        assert await caller.closed is error.ConnectionLost
+        with pytest.raises(error.ConnectionRefusedError):
+            await self.connect()
+        await self.set_faults(cut=False)
+        again = await self.connect()
+        again.transport.write(b'b')
+        await again.wait_for(b'b')
+
+    def test_silence_spares_new_connections(self):
+        return defer.ensureDeferred(self.check_silence())
+
+    async def check_silence(self):
+        old = await self.connect()
+        old.transport.write(b'a')
+        await old.wait_for(b'a')
+        await self.set_faults(silent=True)
+        old.transport.write(b'lost')
+        new = await self.connect()
+        new.transport.write(b'b')
+        await new.wait_for(b'b')
+        assert old.received == b'a'
+        assert not old.closed.called
