--- /dev/null
+++ b/src/anvillug/connection/http_server.py
@@ -0,0 +1,399 @@
+"""HTTP/1.1 server connection with streaming bodies and backpressure.
+
+A connection answers one request at a time. Pipelined requests are held back
+until the answer before them is complete.
+"""
+
+from __future__ import annotations
+
+import collections
+import traceback
+from collections.abc import Callable
+from typing import Protocol as Interface
+
+import httptools
+from twisted.internet import interfaces, protocol
+from zope.interface import implementer
+
+from anvillug import event_log
+from anvillug.connection import http_head
+
+MAX_HEAD_BYTES = 64 * 1024
+
+_STATUS_BAD_REQUEST = 400
+_STATUS_HEAD_TOO_LARGE = 431
+_STATUS_SERVER_ERROR = 500
+
+
+class RequestHandler(Interface):
+    """Receives the body of one request and signals about its connection."""
+
+    def body_received(self, data: bytes) -> None:
+        """Take a piece of the request body."""
+
+    def request_ended(self) -> None:
+        """Note that the request is complete."""
+
+    def request_aborted(self) -> None:
+        """Note that the connection is gone before the answer was complete."""
+
+    def response_writes_paused(self, paused: bool) -> None:
+        """Note that the sender of the answer should pause or resume."""
+
+
+class ServerExchange:
+    """One request and the means to answer it.
+
+    Args:
+        connection: Connection that the request arrived on.
+        head: Head of the request.
+    """
+
+    __slots__ = ('_chunked', '_connection', '_continued', 'ended', 'handler', 'head', 'head_sent')
+
+    def __init__(self, connection: ServerConnection, head: http_head.RequestHead) -> None:
+        self.head = head
+        self.handler: RequestHandler | None = None
+        self.head_sent = False
+        self.ended = False
+        self._connection = connection
+        self._chunked = False
+        self._continued = False
+
+    def accept_body(self) -> None:
+        """Let a sender that waits for status 100 go on with the body."""
+        if self.head.expects_continue and not self._continued:
+            self._continued = True
+            self.send_continue()
+
+    def send_continue(self) -> None:
+        """Send the interim status 100."""
+        if not self.ended and not self.head_sent:
+            self._connection.send(http_head.CONTINUE)
+
+    def send_head(self, head: http_head.ResponseHead) -> None:
+        """Send the head of the answer.
+
+        Args:
+            head: Head with end-to-end headers only; when it has no
+                `Content-Length`, the body is sent in chunks.
+        """
+        if self.ended:
+            return
+        framing = head.framing(self.head.method)
+        if framing in _CHUNKED_FRAMINGS:
+            head.headers.append((b'Transfer-Encoding', b'chunked'))
+            self._chunked = True
+        if not self.head.keep_alive:
+            head.headers.append((b'Connection', b'close'))
+        self.head_sent = True
+        self._connection.send(http_head.serialize_response(head))
+
+    def send_body(self, data: bytes) -> None:
+        """Send a piece of the body."""
+        if self.ended or not data:
+            return
+        self._connection.send(http_head.chunk(data) if self._chunked else data)
+
+    def finish(self) -> None:
+        """Complete the answer."""
+        if self.ended:
+            return
+        self.ended = True
+        if self._chunked:
+            self._connection.send(http_head.LAST_CHUNK)
+        self._connection.exchange_ended(self)
+
+    def respond(
+        self,
+        status: int,
+        body: bytes = b'',
+        headers: tuple[http_head.Header, ...] = (),
+    ) -> None:
+        """Send a whole answer.
+
+        Args:
+            status: HTTP status.
+            body: Body of the answer.
+            headers: Further headers.
+        """
+        if self.ended:
+            return
+        all_headers = [(b'Content-Length', b'%d' % len(body)), *headers]
+        self.send_head(http_head.ResponseHead(status, all_headers))
+        if self.head.method != b'HEAD':
+            self.send_body(body)
+        self.finish()
+
+    def abort(self) -> None:
+        """Close the connection at once, so that a cut answer is not taken for whole."""
+        if not self.ended:
+            self.ended = True
+            self._connection.abort()
+
+    def pause_request(self, paused: bool) -> None:
+        """Stop or go on reading the body of the request."""
+        if not self.ended:
+            self._connection.pause_reading(paused)
+
+
+_CHUNKED_FRAMINGS = frozenset((http_head.Framing.CHUNKED, http_head.Framing.UNTIL_CLOSE))
+
+RequestStarted = Callable[[ServerExchange], None]
+
+
+@implementer(interfaces.IPushProducer)
+class ServerConnection(protocol.Protocol):
+    """Server side of one HTTP/1.1 connection.
+
+    Args:
+        on_request: Called with each request; sets the exchange's handler.
+        max_head_bytes: Largest request head that is accepted.
+        open_connections: Set that the connection is in while it is open.
+    """
+
+    def __init__(
+        self,
+        on_request: RequestStarted,
+        max_head_bytes: int,
+        open_connections: set[ServerConnection],
+    ) -> None:
+        self._on_request = on_request
+        self._max_head_bytes = max_head_bytes
+        self._open_connections = open_connections
+        self._parser = httptools.HttpRequestParser(self)
+        self._target = b''
+        self._headers: list[http_head.Header] = []
+        self._head_bytes = 0
+        self._in_head = True
+        self._exchange: ServerExchange | None = None
+        self._request_complete = True
+        self._pending: collections.deque[Callable[[], None]] = collections.deque()
+        self._lost = False
+        self._closing = False
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Register for write backpressure; see Twisted."""
+        self._open_connections.add(self)
+        self.transport.setTcpNoDelay(True)
+        self.transport.registerProducer(self, True)  # noqa: FBT003
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Parse bytes; see Twisted."""
+        if self._closing:
+            return
+        if self._in_head:
+            self._head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserCallbackError as error:
+            cause = error.__context__ or error
+            trace = ''.join(traceback.format_exception(cause))
+            event_log.warn('request_handler_failed', error=repr(cause), trace=trace)
+            self._reject(_STATUS_SERVER_ERROR, 'internal error')
+        except httptools.HttpParserUpgrade:
+            self._reject(_STATUS_BAD_REQUEST, 'protocol upgrades are not supported')
+        except httptools.HttpParserError as error:
+            self._reject(_STATUS_BAD_REQUEST, f'malformed HTTP request: {error}')
+        if self._in_head and self._head_bytes > self._max_head_bytes:
+            self._reject(
+                _STATUS_HEAD_TOO_LARGE,
+                f'request head exceeds {self._max_head_bytes} bytes',
+            )
+
+    def connectionLost(self, reason: object = None) -> None:  # noqa: N802
+        """Tell the handler of an unfinished request; see Twisted."""
+        self._lost = True
+        self._open_connections.discard(self)
+        self._pending.clear()
+        exchange = self._exchange
+        self._exchange = None
+        if exchange is not None and not exchange.ended:
+            exchange.ended = True
+            if exchange.handler is not None:
+                exchange.handler.request_aborted()
+
+    # Parser callbacks
+
+    def on_message_begin(self) -> None:
+        """Start a request; see httptools."""
+        self._target = b''
+        self._headers = []
+        self._in_head = True
+
+    def on_url(self, url: bytes) -> None:
+        """Take a piece of the target; see httptools."""
+        self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header; see httptools."""
+        self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Start the exchange; see httptools."""
+        head = http_head.RequestHead(
+            self._parser.get_method(),
+            self._target,
+            self._headers,
+            self._parser.should_keep_alive(),
+        )
+        self._in_head = False
+        self._head_bytes = 0
+        self._later_or_now(lambda: self._start(head))
+
+    def on_body(self, data: bytes) -> None:
+        """Pass on a piece of the body; see httptools."""
+        self._later_or_now(lambda: self._body(data))
+
+    def on_message_complete(self) -> None:
+        """End the request; see httptools."""
+        self._in_head = True
+        self._later_or_now(self._end)
+
+    # Write backpressure
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Note that the write buffer is full; see Twisted."""
+        self._writes_paused(paused=True)
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Note that the write buffer has drained; see Twisted."""
+        self._writes_paused(paused=False)
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Do nothing: `connectionLost` follows; see Twisted."""
+
+    # Calls from exchanges
+
+    def send(self, data: bytes) -> None:
+        """Write bytes to the connection."""
+        if not self._lost:
+            self.transport.write(data)
+
+    def abort(self) -> None:
+        """Close the connection with a reset."""
+        if not self._lost:
+            self.transport.abortConnection()
+
+    def pause_reading(self, paused: bool) -> None:
+        """Stop or go on reading."""
+        if self._lost:
+            return
+        if paused:
+            self.transport.pauseProducing()
+        elif not self._pending:
+            self.transport.resumeProducing()
+
+    def close_when_idle(self) -> None:
+        """Close the connection now, or after the current answer."""
+        self._closing_after_answer()
+        if self._exchange is None:
+            self._close()
+
+    def exchange_ended(self, exchange: ServerExchange) -> None:
+        """Go on with the next request, or close where the request was cut short."""
+        if exchange is not self._exchange:
+            return
+        self._exchange = None
+        if self._closing or not exchange.head.keep_alive or not self._request_complete:
+            self._close()
+            return
+        self._run_pending()
+
+    # Private
+
+    def _closing_after_answer(self) -> None:
+        if self._exchange is not None:
+            self._exchange.head.keep_alive = False
+
+    def _later_or_now(self, step: Callable[[], None]) -> None:
+        if self._closing:
+            return
+        if self._pending or (self._exchange is not None and self._request_complete):
+            self._pending.append(step)
+            self.transport.pauseProducing()
+            return
+        step()
+
+    def _run_pending(self) -> None:
+        while self._pending and not self._blocked():
+            self._pending.popleft()()
+        if not self._pending and not self._lost:
+            self.transport.resumeProducing()
+
+    def _blocked(self) -> bool:
+        return self._exchange is not None and self._request_complete
+
+    def _start(self, head: http_head.RequestHead) -> None:
+        self._request_complete = False
+        exchange = ServerExchange(self, head)
+        self._exchange = exchange
+        self._on_request(exchange)
+
+    def _body(self, data: bytes) -> None:
+        exchange = self._exchange
+        if exchange is not None and exchange.handler is not None:
+            exchange.handler.body_received(data)
+
+    def _end(self) -> None:
+        self._request_complete = True
+        exchange = self._exchange
+        if exchange is not None and exchange.handler is not None:
+            exchange.handler.request_ended()
+
+    def _writes_paused(self, *, paused: bool) -> None:
+        exchange = self._exchange
+        if exchange is not None and exchange.handler is not None:
+            exchange.handler.response_writes_paused(paused)
+
+    def _reject(self, status: int, message: str) -> None:
+        if self._closing:
+            return
+        event_log.warn('request_rejected', status=status, reason=message)
+        exchange = self._exchange
+        if exchange is None:
+            body = message.encode() + b'\n'
+            head = http_head.ResponseHead(
+                status,
+                [(b'Content-Length', b'%d' % len(body)), (b'Connection', b'close')],
+            )
+            self.send(http_head.serialize_response(head) + body)
+        elif exchange.handler is not None:
+            exchange.handler.request_aborted()
+            exchange.ended = True
+        self._close()
+
+    def _close(self) -> None:
+        self._closing = True
+        if not self._lost:
+            self.transport.unregisterProducer()
+            self.transport.loseConnection()
+
+
+class ServerFactory(protocol.Factory):
+    """Builds server connections and knows the open ones.
+
+    Args:
+        on_request: Called with each request of each connection.
+        max_head_bytes: Largest request head that is accepted.
+    """
+
+    noisy = False
+
+    def __init__(self, on_request: RequestStarted, max_head_bytes: int = MAX_HEAD_BYTES) -> None:
+        self._on_request = on_request
+        self._max_head_bytes = max_head_bytes
+        self._open_connections: set[ServerConnection] = set()
+
+    def buildProtocol(self, addr: object) -> ServerConnection:  # noqa: N802
+        """Return the protocol of a new connection; see Twisted."""
+        return ServerConnection(
+            self._on_request,
+            self._max_head_bytes,
+            self._open_connections,
+        )
+
+    def close_when_idle(self) -> None:
+        """Close each connection after the answer that it carries."""
+        for connection in tuple(self._open_connections):
+            connection.close_when_idle()
--- a/src/anvillug/event_log.py
+++ b/src/anvillug/event_log.py
@@ -3,13 +3,33 @@
 from __future__ import annotations
 
 import json
+import logging as python_logging
 import re
 
-from absl import logging
+from absl import flags, logging
 
+_MS_PER_SECOND = 1000
 _PLAIN_VALUE = re.compile(r'[^\s="\\]+')
 
 
+def set_up() -> None:
+    """Send log lines of level INFO and above to standard error, without a prefix."""
+    # The command line is defopt's; absl warns until its own flags are parsed.
+    flags.FLAGS.mark_as_parsed()
+    logging.set_verbosity(logging.INFO)
+    logging.use_absl_handler()
+    handler = logging.get_absl_handler()
+    handler.setFormatter(_LineFormatter())
+
+
+class _LineFormatter(python_logging.Formatter):
+    """Prefixes each line with time and level as key=value pairs."""
+
+    def format(self, record: python_logging.LogRecord) -> str:
+        level = record.levelname.lower()
+        return f'time_ms={record.created * _MS_PER_SECOND:.0f} level={level} {record.getMessage()}'
+
+
 def emit(event: str, **fields: object) -> None:
     """Log an event at level INFO.
 
--- /dev/null
+++ b/src/anvillug/process/commands/node.py
@@ -0,0 +1,45 @@
+"""Subcommand `node`: the process beside a backend server."""
+
+from __future__ import annotations
+
+import pathlib
+import sys
+
+import expression
+
+from anvillug import clock, findings
+from anvillug.process import settings
+
+_EXIT_BAD_INPUT = 2
+
+
+def node(settings_file: pathlib.Path, /) -> int:
+    """Run a node until SIGTERM, which stops it gracefully.
+
+    Args:
+        settings_file: Settings in JSON with comments.
+
+    Returns:
+        Exit code: 0 after a graceful stop, 2 for invalid settings.
+    """
+    loaded = settings.load(settings_file)
+    if isinstance(loaded, expression.Result) and loaded.is_error():
+        sys.stderr.write(f'{findings.report(loaded.error)}\n')
+        return _EXIT_BAD_INPUT
+    # Importing the reactor installs it, and the node pulls in most of the program.
+    from twisted.internet import error, reactor  # noqa: PLC0415
+
+    from anvillug.process import error_reports  # noqa: PLC0415
+    from anvillug.process import node as node_process  # noqa: PLC0415
+
+    error_reports.set_up()
+
+    process = node_process.Node(reactor, loaded.ok, clock.SystemClock())
+    try:
+        process.start()
+    except error.CannotListenError as problem:
+        place = f'{settings_file}: {problem.interface}:{problem.port}'
+        sys.stderr.write(f'{place}: can not listen: {problem.socketError}\n')
+        return _EXIT_BAD_INPUT
+    reactor.run(installSignalHandlers=False)
+    return 0
--- /dev/null
+++ b/src/anvillug/process/commands/state.py
@@ -0,0 +1,61 @@
+"""Subcommands `state` and `drain`: look at a node, or stop it gracefully."""
+
+from __future__ import annotations
+
+import sys
+from typing import Any
+
+import treq
+from twisted.internet import defer, error
+from twisted.web import client as web_client
+
+from anvillug.process.commands import _reactor
+
+_TIMEOUT_S = 5
+_EXIT_UNREACHABLE = 1
+_OK_STATUSES = frozenset((200, 202))
+_FAILURES = (
+    error.ConnectError,
+    error.TimeoutError,
+    defer.CancelledError,
+    web_client.ResponseFailed,
+)
+
+
+def state(node: str, /) -> int:
+    """Print the state dump of a node as JSON.
+
+    Args:
+        node: Operator address of the node, IP:port.
+
+    Returns:
+        Exit code: 0, or 1 if the node can't be reached.
+    """
+    return _ask(node, 'GET', 'state')
+
+
+def drain(node: str, /) -> int:
+    """Stop a node gracefully: no new work, and no request is cut.
+
+    Args:
+        node: Operator address of the node, IP:port.
+
+    Returns:
+        Exit code: 0 when the node has begun to leave, 1 if it can't be reached.
+    """
+    return _ask(node, 'POST', 'drain')
+
+
+def _ask(node: str, method: str, path: str) -> int:
+    async def main(reactor: Any) -> int:
+        url = f'http://{node}/{path}'
+        try:
+            answer = await treq.request(method, url, reactor=reactor, timeout=_TIMEOUT_S)
+            text = await answer.text()
+        except _FAILURES as problem:
+            sys.stderr.write(f'{node}: {problem or type(problem).__name__}\n')
+            return _EXIT_UNREACHABLE
+        sys.stdout.write(text)
+        return 0 if answer.code in _OK_STATUSES else _EXIT_UNREACHABLE
+
+    return _reactor.run(main)
--- /dev/null
+++ b/src/anvillug/process/entry_side.py
@@ -0,0 +1,296 @@
+"""Entry side of a node: owner of the calls that callers bring here."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+from collections.abc import Callable
+
+from twisted.internet import interfaces
+
+from anvillug import clock, event_log, ids
+from anvillug.connection import http_server
+from anvillug.process import load_sampler, membership, peer_pools, service_desk, service_view
+from anvillug.request import attempt as attempts
+from anvillug.request import budget, call, entry_call, entry_request
+from anvillug.version import config_state
+
+_STATUS_BAD_REQUEST = 400
+_STATUS_NOT_FOUND = 404
+_SAMPLE_INTERVAL_S = 0.05
+_VIEW_AGE_MS = 500
+_SILENCE_FLOOR_MS = 500.0
+_SILENCE_FACTOR = 4.0
+
+
+@dataclasses.dataclass(slots=True)
+class EntryCounters:
+    """Calls of the entry side since the start of the process."""
+
+    calls: int = 0
+    """Calls received."""
+    answered: int = 0
+    """Calls with an answer of a backend server."""
+    not_run: int = 0
+    """Calls answered as not run."""
+    unknown: int = 0
+    """Calls whose outcome is unknown, or whose caller left."""
+    attempts: int = 0
+    """Requests sent to hosts."""
+    resolves: int = 0
+    """Resolutions sent to hosts."""
+    hedges: int = 0
+    """Second copies sent."""
+
+
+class EntrySide:
+    """Routes the calls of callers to hosts.
+
+    Args:
+        reactor: Twisted reactor.
+        time: Clock.
+        members: Known members.
+        pools: Connections to other nodes.
+        config: Returns the configuration in effect.
+        is_bad: Tells whether a rollout's new version is known to be bad.
+        observer: Told about each ended call.
+        rng: Source of draws.
+        sample_timeout_ms: Time limit of a load sample.
+    """
+
+    def __init__(  # noqa: WPS211 - the assembly names each argument
+        self,
+        reactor: interfaces.IReactorTime,
+        time: clock.Clock,
+        members: membership.MemberTable,
+        pools: peer_pools.PeerPools,
+        config: Callable[[], config_state.ConfigState],
+        is_bad: Callable[[ids.ServiceName, config_state.MoveStatus], bool],
+        observer: service_desk.CallObserver,
+        rng: random.Random,
+        sample_timeout_ms: float,
+    ) -> None:
+        self.reactor = reactor
+        self.clock = time
+        self.counters = EntryCounters()
+        self.in_progress: set[entry_call.EntryCall] = set()
+        self._members = members
+        self._pools = pools
+        self._config = config
+        self._is_bad = is_bad
+        self._observer = observer
+        self._rng = rng
+        self._sample_timeout_s = clock.to_seconds(sample_timeout_ms)
+        self._desks_by_service: dict[ids.ServiceName, service_desk.ServiceDesk] = {}
+        self._sequence = 0
+        self._sample()
+
+    def request_received(self, exchange: http_server.ServerExchange) -> None:
+        """Start a call."""
+        now = self.clock.now()
+        try:
+            request = entry_request.parse(exchange.head, now)
+        except entry_request.BadRequestError as error:
+            event_log.warn('caller_request_rejected', reason=error)
+            exchange.respond(_STATUS_BAD_REQUEST, f'{error}\n'.encode())
+            return
+        desk = self._desk(request.service, now)
+        if desk is None:
+            text = f'service {request.service!r} is not in the configuration\n'
+            exchange.respond(_STATUS_NOT_FOUND, text.encode())
+            return
+        self._sequence += 1
+        self.counters.calls += 1
+        own = self._members.own
+        call_id = ids.CallId(own.host_id, own.incarnation, self._sequence)
+        route = desk.route_of(request.head)
+        properties = call.CallProperties(
+            call_id=call_id,
+            service=request.service,
+            criticality=route.criticality,
+            repeatable=route.repeatable,
+            deadline=request.deadline,
+            depth=request.depth + 1,
+        )
+        started = entry_call.EntryCall(self, exchange, request, properties)
+        started.route = route.name
+        self.in_progress.add(started)
+        desk.call_started(now)
+        started.receive()
+
+    # Calls from `EntryCall`
+
+    def start_attempt(
+        self,
+        call_of: entry_call.EntryCall,
+        kind: attempts.AttemptKind,
+        host: tuple[ids.HostId, ids.Incarnation] | None,
+    ) -> attempts.Attempt | None:
+        """Begin an attempt; see `entry_call.EntryContext`."""
+        now = self.clock.now()
+        desk = self._desk(call_of.request.service, now)
+        if desk is None:
+            return None
+        if host is None:
+            host = self._choose(desk, call_of, now)
+        pool = None if host is None else self._pools.get(host[0])
+        if host is None or pool is None:
+            return None
+        attempt = attempts.Attempt(call_of, desk, *host, call_of.call_id, kind, now)
+        call_of.attempt_started(attempt)
+        if kind is attempts.AttemptKind.SEND:
+            self.counters.attempts += 1
+            attempt.load_level = desk.candidates.load_level(attempt.host_id, now)
+            desk.candidates.call_started(attempt.host_id)
+        else:
+            self.counters.resolves += 1
+        attempt.begin(pool)
+        return attempt
+
+    def attempt_over(self, call_of: entry_call.EntryCall, attempt: attempts.Attempt) -> None:
+        """Count an attempt as over; see `entry_call.EntryContext`."""
+        now = self.clock.now()
+        desk = self._desks_by_service.get(call_of.request.service)
+        if desk is not None:
+            desk.attempt_over(attempt, call_of.route, now)
+        if attempt.connect_failed or attempt.answered:
+            self._members.observe(attempt.host_id, attempt.answered, now)
+
+    def connection_silent(self, host_id: ids.HostId) -> None:
+        """Drop idle connections; see `entry_call.EntryContext`."""
+        self._pools.drop_idle(host_id)
+
+    def config_number(self) -> ids.ConfigNumber:
+        """Return the number in effect; see `entry_call.EntryContext`."""
+        return self._config().number
+
+    def may_retry(self, call_of: entry_call.EntryCall, outcome: call.Outcome) -> bool:
+        """Ask the retry budget; see `entry_call.EntryContext`."""
+        now = self.clock.now()
+        desk = self._desk(call_of.request.service, now)
+        if desk is None:
+            return False
+        allowed = budget.may_retry(
+            outcome,
+            call_of.properties.repeatable,
+            call_of.attempt_count,
+            call_of.answer_exhausted,
+            call_of.properties.deadline,
+            now,
+        )
+        return allowed and desk.retries.spend(now)
+
+    def hedge_delay_ms(self, call_of: entry_call.EntryCall) -> float | None:
+        """Return when to hedge; see `entry_call.EntryContext`."""
+        if not call_of.properties.repeatable or not call_of.request.small_body:
+            return None
+        desk = self._desk(call_of.request.service, self.clock.now())
+        return None if desk is None else desk.hedge_delay_ms()
+
+    def may_hedge(self, call_of: entry_call.EntryCall) -> bool:
+        """Ask the hedge budget; see `entry_call.EntryContext`."""
+        now = self.clock.now()
+        desk = self._desk(call_of.request.service, now)
+        if desk is None:
+            return False
+        waited_ms = now - call_of.started_at
+        properties = call_of.properties
+        allowed = desk.hedges.may_hedge(
+            properties.repeatable,
+            waited_ms,
+            properties.deadline,
+            now,
+        )
+        self.counters.hedges += allowed
+        return allowed
+
+    def silence_ms(self, call_of: entry_call.EntryCall) -> float:
+        """Return when to ask for the outcome; see `entry_call.EntryContext`."""
+        desk = self._desk(call_of.request.service, self.clock.now())
+        usual = None if desk is None else desk.hedges.delay_ms()
+        return max(_SILENCE_FLOOR_MS, _SILENCE_FACTOR * (usual or 0))
+
+    def call_over(self, ended: entry_call.EntryCall, status: int, outcome: call.Outcome) -> None:
+        """Record a result; see `entry_call.EntryContext`."""
+        self.in_progress.discard(ended)
+        if outcome is call.Outcome.FINISHED:
+            self.counters.answered += 1
+        elif outcome is call.Outcome.NOT_RUN:
+            self.counters.not_run += 1
+        else:
+            self.counters.unknown += 1
+        desk = self._desks_by_service.get(ended.request.service)
+        if desk is not None:
+            desk.call_over(ended, status, outcome, self.clock.now())
+
+    def dump(self) -> dict[str, object]:
+        """Return what operators see of the entry side."""
+        return {
+            'counters': dataclasses.asdict(self.counters),
+            'in_progress': len(self.in_progress),
+            'connections_by_host_id': self._pools.counts(),
+            'services': {name: desk.dump() for name, desk in self._desks_by_service.items()},
+        }
+
+    def refresh(self) -> None:
+        """Rebuild the views of all services: configuration or members have changed."""
+        for desk in self._desks_by_service.values():
+            desk.view_age_limit = 0
+
+    # Private
+
+    def _desk(
+        self,
+        name: ids.ServiceName,
+        now: clock.Milliseconds,
+    ) -> service_desk.ServiceDesk | None:
+        desk = self._desks_by_service.get(name)
+        if desk is not None and now - desk.viewed_at < desk.view_age_limit:
+            return desk
+        config = self._config()
+        view = service_view.build(
+            config,
+            self._members,
+            name,
+            self._members.own,
+            self.clock.wall(),
+            self._is_bad,
+        )
+        if view is None:
+            self._desks_by_service.pop(name, None)
+            return None
+        if desk is None:
+            desk = service_desk.ServiceDesk(name, view, self.clock, self._observer)
+            self._desks_by_service[name] = desk
+        desk.take_view(view, now, _VIEW_AGE_MS)
+        return desk
+
+    def _choose(
+        self,
+        desk: service_desk.ServiceDesk,
+        call_of: entry_call.EntryCall,
+        now: clock.Milliseconds,
+    ) -> tuple[ids.HostId, ids.Incarnation] | None:
+        host_id = desk.choose(call_of.tried, now, self._rng)
+        member = None if host_id is None else self._members.get(host_id)
+        if member is None or host_id is None:
+            return None
+        return (host_id, member.incarnation)
+
+    def _sample(self) -> None:
+        now = self.clock.now()
+        for desk in self._desks_by_service.values():
+            for host_id in desk.hosts_to_sample(now):
+                self._sample_host(desk, host_id)
+        self.reactor.callLater(_SAMPLE_INTERVAL_S, self._sample)
+
+    def _sample_host(self, desk: service_desk.ServiceDesk, host_id: ids.HostId) -> None:
+        pool = self._pools.get(host_id)
+        if pool is not None:
+            load_sampler.SampleRequest(
+                self.reactor,
+                host_id,
+                self._sample_timeout_s,
+                desk.load_received,
+                self._pools.drop_idle,
+            ).start(pool)
--- /dev/null
+++ b/src/anvillug/process/error_reports.py
@@ -0,0 +1,28 @@
+"""Reports errors that Twisted catches as events of our log."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from twisted import logger
+
+from anvillug import event_log
+
+
+def set_up() -> None:
+    """Send failures that Twisted logs to the event log."""
+    logger.globalLogBeginner.beginLoggingTo(
+        [_report],
+        redirectStandardIO=False,
+        discardBuffer=True,
+    )
+
+
+def _report(event: dict[str, Any]) -> None:
+    failure = event.get('log_failure')
+    if failure is not None:
+        event_log.warn(
+            'unhandled_error',
+            error=failure.getErrorMessage(),
+            trace=failure.getTraceback(),
+        )
--- /dev/null
+++ b/src/anvillug/process/host_side.py
@@ -0,0 +1,351 @@
+"""Host side of a node: owner of the calls that run on the backend server beside it."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Callable
+
+from twisted.internet import interfaces
+
+from anvillug import clock, event_log, ids
+from anvillug.connection import http_client, http_head, http_server
+from anvillug.process import backend_watch
+from anvillug.request import (
+    admission,
+    call,
+    call_table,
+    host_call,
+    host_request,
+    limit,
+    quarantine,
+    resolution,
+)
+
+_STATUS_NO_CONTENT = 204
+_STATUS_BAD_REQUEST = 400
+_EXPIRY_INTERVAL_S = 1.0
+_SPARE_CONNECTIONS = 2
+_MS_PER_SECOND = 1000.0
+
+
+@dataclasses.dataclass(slots=True)
+class HostCounters:
+    """Calls of the host side since the start of the process."""
+
+    admitted: int = 0
+    """Calls that got a slot or a place in the queue."""
+    refused: int = 0
+    """Calls refused as not run."""
+    finished: int = 0
+    """Calls with an answer of the backend server."""
+    failed: int = 0
+    """Calls whose outcome is unknown."""
+    resolved: int = 0
+    """Resolutions answered."""
+
+
+class HostSide:
+    """Admits calls to the backend server beside this node and keeps their outcomes.
+
+    Args:
+        reactor: Twisted reactor.
+        time: Clock.
+        incarnation: Incarnation of this node.
+        table: Outcomes of calls.
+        suspects: Suspect and quarantined fingerprints.
+        kept_answer_bytes: Largest answer that is kept.
+        config_number: Returns the configuration number in effect.
+        catch_up: Asks for a newer configuration, given its number.
+        crashed: Told about new quarantine entries, to spread them.
+    """
+
+    def __init__(  # noqa: WPS211 - the assembly names each argument
+        self,
+        reactor: interfaces.IReactorTime,
+        time: clock.Clock,
+        incarnation: ids.Incarnation,
+        table: call_table.CallTable,
+        suspects: quarantine.Quarantine,
+        kept_answer_bytes: int,
+        config_number: Callable[[], ids.ConfigNumber],
+        catch_up: Callable[[ids.ConfigNumber], None],
+        crashed: Callable[[list[quarantine.QuarantineEntry]], None],
+    ) -> None:
+        self.reactor = reactor
+        self.clock = time
+        self.kept_answer_bytes = kept_answer_bytes
+        self.counters = HostCounters()
+        self.concurrency = limit.ConcurrencyLimit(slots=1)
+        self.admission = admission.Admission(self.concurrency)
+        self.admission.has_backend = False
+        self._incarnation = incarnation
+        self._table = table
+        self._suspects = suspects
+        self._config_number = config_number
+        self._catch_up = catch_up
+        self._crashed = crashed
+        self._backend: backend_watch.Backend | None = None
+        self._pool: http_client.Pool | None = None
+        self._calls_by_id: dict[ids.CallId, host_call.HostCall] = {}
+        self._queue_timer: interfaces.IDelayedCall | None = None
+        self._expire_regularly()
+
+    @property
+    def calls_in_progress(self) -> int:
+        """Calls that are queued or running."""
+        return len(self._calls_by_id)
+
+    def dump(self) -> dict[str, object]:
+        """Return what operators see of the host side."""
+        now = self.clock.now()
+        pool = self._pool
+        return {
+            'counters': dataclasses.asdict(self.counters),
+            'load': call.format_load(self.admission.sample(now)),
+            'calls_in_progress': self.calls_in_progress,
+            'cold': self.concurrency.cold,
+            'connections': 0 if pool is None else pool.open_count,
+            'call_table_entries': len(self._table),
+            'kept_answer_bytes': self._table.answer_bytes,
+            'quarantined': len(self._suspects),
+        }
+
+    # Backend server
+
+    def backend_changed(self, backend: backend_watch.Backend | None) -> None:
+        """Take the announced state of the backend server.
+
+        Args:
+            backend: What it announced, or None when it is gone.
+        """
+        known = self._backend
+        self._backend = backend
+        if backend is None:
+            self.admission.has_backend = False
+            self._replace_pool(None)
+            return
+        self.concurrency.resize(backend.slots)
+        if known is None or known.incarnation != backend.incarnation:
+            self.concurrency.restarted(self.clock.now())
+            self._replace_pool(
+                http_client.Pool(
+                    self.reactor,
+                    *backend.host_and_port,
+                    max_connections=backend.connections,
+                ),
+            )
+        self.admission.has_backend = True
+        self._start(self.admission.start_queued(self.clock.now()))
+
+    # Requests of entry sides
+
+    def request_received(self, exchange: http_server.ServerExchange) -> None:
+        """Answer a sample or a resolution, or start a call."""
+        path = exchange.head.path
+        try:
+            if path == b'/-/load':
+                exchange.respond(_STATUS_NO_CONTENT, b'', (self._load_header(),))
+            elif path == b'/-/resolve':
+                self._resolve(exchange)
+            else:
+                self._start_call(exchange)
+        except host_request.BadHostRequestError as error:
+            event_log.warn('peer_request_rejected', reason=error)
+            exchange.respond(_STATUS_BAD_REQUEST, f'{error}\n'.encode())
+
+    # Calls from `HostCall`
+
+    def admit(self, started: host_call.HostCall) -> str | None:
+        """Ask for a slot; see `host_call.HostContext`."""
+        request = started.request
+        now = self.clock.now()
+        if request.config_number > self._config_number():
+            self._catch_up(request.config_number)
+        call_id = request.properties.call_id
+        result = self._table.admit(call_id, request.incarnation, now)
+        if result is not call_table.AdmitResult.ADMITTED:
+            self.counters.refused += 1
+            return result.value
+        reason = self._check_quarantine(started, now)
+        if reason is None:
+            reason = self._offer(started, now)
+        if reason is not None:
+            self._table.refuse(call_id, now)
+            self._suspects.end_suspect(call_id)
+            self.counters.refused += 1
+        return reason
+
+    def dispatched(self, started: host_call.HostCall) -> None:
+        """Record the dispatch; see `host_call.HostContext`."""
+        self._table.dispatch(started.request.properties.call_id)
+        pool = self._pool
+        if pool is not None and pool.idle_count < _SPARE_CONNECTIONS:
+            self.reactor.callLater(0, pool.open_ahead)
+
+    def backend_unreachable(self) -> None:
+        """Refuse calls until the next announcement; see `host_call.HostContext`."""
+        self.admission.has_backend = False
+
+    def pool(self) -> http_client.Pool | None:
+        """Return connections to the backend server; see `host_call.HostContext`."""
+        return self._pool
+
+    def refused(self, ended: host_call.HostCall) -> None:
+        """Record a call that has not been run; see `host_call.HostContext`."""
+        call_id = ended.request.properties.call_id
+        now = self.clock.now()
+        self.counters.refused += 1
+        self._table.refuse(call_id, now)
+        result = limit.CallResult.SHED if ended.dispatched_at else None
+        self._release(ended, result, now)
+
+    def finished(
+        self,
+        ended: host_call.HostCall,
+        kept: call_table.KeptAnswer | None,
+        result: limit.CallResult,
+    ) -> None:
+        """Record an answer; see `host_call.HostContext`."""
+        now = self.clock.now()
+        self.counters.finished += 1
+        self._table.finish(ended.request.properties.call_id, kept, now)
+        self._release(ended, result, now)
+
+    def failed(self, ended: host_call.HostCall, *, crashed: bool) -> None:
+        """Record an unknown outcome; see `host_call.HostContext`."""
+        now = self.clock.now()
+        self.counters.failed += 1
+        self._table.fail(ended.request.properties.call_id, now)
+        if crashed:
+            self._connection_lost(ended)
+        self._release(ended, limit.CallResult.FAILED if crashed else None, now)
+
+    def answer_headers(
+        self,
+        call_id: ids.CallId,
+        outcome: call.Outcome,
+    ) -> list[http_head.Header]:
+        """Return headers for the entry side; see `host_call.HostContext`."""
+        return [
+            (b'Anvillug-Call', str(call_id).encode()),
+            (b'Anvillug-Outcome', outcome.value.encode()),
+            (b'Anvillug-Config', b'%d' % self._config_number()),
+            self._load_header(),
+        ]
+
+    # Private
+
+    def _start_call(self, exchange: http_server.ServerExchange) -> None:
+        request = host_request.parse(exchange.head, self.clock.now())
+        host_call.HostCall(self, exchange, request).receive()
+
+    def _resolve(self, exchange: http_server.ServerExchange) -> None:
+        call_id, incarnation = host_request.parse_resolve(exchange.head)
+        self.counters.resolved += 1
+        resolver = resolution.Resolver(self, self._table, exchange, call_id)
+        resolver.start(self._table.resolve(call_id, incarnation, self.clock.now()))
+
+    def _load_header(self) -> http_head.Header:
+        text = call.format_load(self.admission.sample(self.clock.now()))
+        return (b'Anvillug-Load', text.encode())
+
+    def _check_quarantine(self, started: host_call.HostCall, now: clock.Milliseconds) -> str | None:
+        if started.fingerprint is None:
+            return None
+        state = self._suspects.check(started.fingerprint, now)
+        if state is quarantine.QuarantineState.QUARANTINED:
+            return 'quarantined: this request has crashed backend servers'
+        if state is quarantine.QuarantineState.SUSPECT:
+            if not self._suspects.start_suspect(started.request.properties.call_id):
+                return 'suspect: another such request runs'
+        return None
+
+    def _offer(self, started: host_call.HostCall, now: clock.Milliseconds) -> str | None:
+        properties = started.request.properties
+        decision = self.admission.offer(properties, now)
+        if decision.kind is admission.DecisionKind.REFUSE:
+            return decision.reason.value if decision.reason else 'refused'
+        self.counters.admitted += 1
+        self._calls_by_id[properties.call_id] = started
+        if decision.kind is admission.DecisionKind.ADMIT:
+            started.start()
+            return None
+        started.queue()
+        if decision.evicted is not None:
+            self._refuse_queued(decision.evicted, 'evicted by a more critical call', now)
+        self._set_queue_timer(now)
+        return None
+
+    def _refuse_queued(self, call_id: ids.CallId, reason: str, now: clock.Milliseconds) -> None:
+        queued = self._calls_by_id.pop(call_id)
+        self.counters.refused += 1
+        self._table.refuse(call_id, now)
+        self._suspects.end_suspect(call_id)
+        queued.refuse(reason)
+
+    def _release(
+        self,
+        ended: host_call.HostCall,
+        result: limit.CallResult | None,
+        now: clock.Milliseconds,
+    ) -> None:
+        call_id = ended.request.properties.call_id
+        self._calls_by_id.pop(call_id, None)
+        self._suspects.end_suspect(call_id)
+        if result is None:
+            started = self.admission.cancel(call_id, now)
+        else:
+            latency_ms = ended.latency_ms(now)
+            started = self.admission.finished(call_id, latency_ms, result, now)
+        self._start(started)
+
+    def _start(self, call_ids: list[ids.CallId]) -> None:
+        for call_id in call_ids:
+            self._calls_by_id[call_id].start()
+
+    def _set_queue_timer(self, now: clock.Milliseconds) -> None:
+        if self._queue_timer is not None and self._queue_timer.active():
+            return
+        expiry = self.admission.next_expiry()
+        if expiry is not None:
+            delay = max(0.0, clock.to_seconds(expiry - now))
+            self._queue_timer = self.reactor.callLater(delay, self._expire_queue)
+
+    def _expire_queue(self) -> None:
+        now = self.clock.now()
+        for call_id in self.admission.expire(now):
+            self._refuse_queued(call_id, 'waited too long', now)
+        self._queue_timer = None
+        self._set_queue_timer(now)
+
+    def _connection_lost(self, ended: host_call.HostCall) -> None:
+        backend = self._backend
+        if backend is None or backend.leaving or ended.fingerprint is None:
+            return
+        running = [
+            other.fingerprint
+            for other in self._calls_by_id.values()
+            if other.fingerprint is not None and other.is_running
+        ]
+        backend_watch.confirm_crash(
+            self.reactor,
+            backend,
+            lambda: self._backend,
+            lambda: self._note_crash([ended.fingerprint, *running]),
+        )
+
+    def _note_crash(self, fingerprints: list[ids.Fingerprint]) -> None:
+        entries = self._suspects.crashed(fingerprints, self.clock.now())
+        event_log.warn('backend_server_crashed', calls=len(fingerprints))
+        self._crashed(entries)
+
+    def _replace_pool(self, pool: http_client.Pool | None) -> None:
+        if self._pool is not None:
+            self._pool.close()
+        self._pool = pool
+
+    def _expire_regularly(self) -> None:
+        now = self.clock.now()
+        self._table.expire(now)
+        self._suspects.expire(now)
+        self.reactor.callLater(_EXPIRY_INTERVAL_S, self._expire_regularly)
--- /dev/null
+++ b/src/anvillug/process/node.py
@@ -0,0 +1,297 @@
+"""A node: assembly of its tasks, and its start and stop."""
+
+from __future__ import annotations
+
+import dataclasses
+import gc
+import random
+import signal
+from typing import Any
+
+from twisted.internet import interfaces
+
+from anvillug import clock, event_log, ids
+from anvillug.connection import http_server, log_client
+from anvillug.process import (
+    backend_watch,
+    config_follower,
+    entry_side,
+    host_side,
+    life_cycle,
+    membership,
+    membership_log,
+    operator_api,
+    peer_pools,
+    service_desk,
+    settings,
+)
+from anvillug.request import call_table, quarantine
+from anvillug.version import config_state, document, targets
+
+_WITHDRAW_GRACE_S = 1.0
+_LISTENER_GRACE_S = 2.0
+_DRAIN_CHECK_S = 0.1
+_NO_SERVICE = ids.ServiceName('')
+_NO_VERSION = ids.VersionName('')
+
+
+class Node:
+    """One process beside one backend server.
+
+    Args:
+        reactor: Twisted reactor.
+        config: Settings.
+        time: Clock.
+    """
+
+    def __init__(self, reactor: Any, config: settings.Settings, time: clock.Clock) -> None:
+        self._reactor = reactor
+        self._settings = config
+        self._clock = time
+        self._rng = random.Random()
+        self._cycle = life_cycle.LifeCycle(self)
+        self._incarnation = ids.Incarnation(int(time.wall()))
+        self.members = membership.MemberTable(self._own_member(), time.now())
+        self._log = log_client.HttpLogClient(reactor, config.log_address)
+        self.config = config_follower.ConfigFollower(self._log, reactor, time)
+        self.config.add_listener(self._config_changed)
+        self._membership_log = membership_log.MembershipLog(
+            self._log,
+            self.members,
+            reactor,
+            time,
+            self._rng,
+        )
+        self.suspects = quarantine.Quarantine(f'{config.host_id}.{self._incarnation}')
+        self.host = self._build_host_side()
+        self.entry = self._build_entry_side()
+        self.backend = backend_watch.BackendWatch(reactor, time, self._backend_changed)
+        self._caller_factory = http_server.ServerFactory(
+            self.entry.request_received,
+            config.limits.max_header_bytes,
+        )
+        self._peer_factory = http_server.ServerFactory(
+            self.host.request_received,
+            config.limits.max_header_bytes,
+        )
+        self._ports: list[interfaces.IListeningPort] = []
+
+    def start(self) -> None:
+        """Open the listeners and stop gracefully on SIGTERM and SIGINT."""
+        self._cycle.start()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self._signalled)
+
+    # Steps of the life cycle
+
+    def listen(self) -> None:
+        """Open the listeners and start the tasks; see `life_cycle.Steps`."""
+        config = self._settings
+        site = operator_api.OperatorApi(self).site()
+        self._listen(config.peer_address, self._peer_factory)
+        self._listen(config.caller_address, self._caller_factory)
+        self._listen(config.operator_address, site)
+        self.config.start()
+        self._membership_log.start()
+        # Collections of long-lived objects would show as latency.
+        gc.collect()
+        gc.freeze()
+        event_log.emit(
+            'node_started',
+            host=config.host_id,
+            zone=config.zone,
+            caller_address=config.caller_address,
+            operator_address=config.operator_address,
+        )
+
+    def withdraw(self) -> None:
+        """Tell the others first, then refuse, then wait; see `life_cycle.Steps`."""
+        event_log.emit('node_leaving', calls=self._calls_in_progress())
+        self._update_own()
+        self._reactor.callLater(_WITHDRAW_GRACE_S, self._refuse_new_work)
+        self._reactor.callLater(_LISTENER_GRACE_S, self._close_listeners)
+
+    def shut_down(self) -> None:
+        """End the process; see `life_cycle.Steps`."""
+        self._update_own()
+        event_log.emit('node_stopped')
+        self._reactor.callLater(_DRAIN_CHECK_S, self._reactor.stop)
+
+    # View for operators
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state of the process; see `operator_api.NodeView`."""
+        backend = self.backend.backend
+        state = self.config.state
+        return {
+            'host_id': self._settings.host_id,
+            'zone': self._settings.zone,
+            'incarnation': self._incarnation,
+            'state': self._cycle.state.value,
+            'config': self.config.dump(),
+            'backend_server': None if backend is None else dataclasses.asdict(backend),
+            'host': self.host.dump(),
+            'entry': self.entry.dump(),
+            'members': {
+                'count': len(self.members),
+                'by_liveness': self.members.count_by_liveness(),
+                'services': {
+                    name: len(self.members.members_of(name)) for name in self.members.services()
+                },
+                'log': self._membership_log.dump(),
+            },
+            'moves_by_service': {
+                name: {'to': move.to_version, 'state': move.state.value, 'evidence': move.evidence}
+                for name, move in state.moves_by_service.items()
+            },
+        }
+
+    def config_number(self) -> ids.ConfigNumber:
+        """Return the number in effect; see `operator_api.NodeView`."""
+        return self.config.state.number
+
+    def is_serving(self) -> bool:
+        """Tell whether the node takes new work; see `operator_api.NodeView`."""
+        return self._cycle.state is life_cycle.NodeState.SERVING
+
+    def drain(self) -> None:
+        """Start a graceful stop; see `operator_api.NodeView`."""
+        self._cycle.leave()
+
+    def announced(self, backend: backend_watch.Backend) -> None:
+        """Take an announcement; see `operator_api.NodeView`."""
+        self.backend.announced(backend)
+
+    # Private
+
+    def _own_member(self) -> membership.Member:
+        config = self._settings
+        return membership.Member(
+            host_id=config.host_id,
+            zone=config.zone,
+            region=config.region,
+            incarnation=self._incarnation,
+            sequence=0,
+            service=_NO_SERVICE,
+            version=_NO_VERSION,
+            peer_address=config.peer_address,
+            control_address=config.control_address,
+            state=membership.MemberState.STARTING,
+        )
+
+    def _build_host_side(self) -> host_side.HostSide:
+        limits = self._settings.limits
+        return host_side.HostSide(
+            self._reactor,
+            self._clock,
+            self._incarnation,
+            call_table.CallTable(
+                self._incarnation,
+                call_table.Bounds(entries=limits.call_table_entries),
+            ),
+            self.suspects,
+            limits.kept_answer_bytes,
+            self.config_number,
+            lambda number: None,
+            lambda entries: None,
+        )
+
+    def _build_entry_side(self) -> entry_side.EntrySide:
+        timeouts = self._settings.timeouts
+        pools = peer_pools.PeerPools(
+            self._reactor,
+            self.members,
+            clock.to_seconds(timeouts.connect_ms),
+        )
+        return entry_side.EntrySide(
+            self._reactor,
+            self._clock,
+            self.members,
+            pools,
+            lambda: self.config.state,
+            self._is_bad,
+            self,
+            self._rng,
+            timeouts.sample_ms,
+        )
+
+    def _is_bad(self, service: ids.ServiceName, move: config_state.MoveStatus) -> bool:
+        return False
+
+    def call_ended(self, ended: service_desk.EndedCall) -> None:
+        """Take the facts of an ended call; see `service_desk.CallObserver`."""
+
+    def _listen(self, address: str, factory: Any) -> None:
+        host, _, port = address.rpartition(':')
+        self._ports.append(
+            self._reactor.listenTCP(int(port), factory, backlog=1024, interface=host),
+        )
+
+    def _signalled(self, number: int, frame: object) -> None:
+        self._reactor.callFromThread(self._cycle.leave)
+
+    def _backend_changed(self, backend: backend_watch.Backend | None) -> None:
+        self.host.backend_changed(backend)
+        self._apply_service_config()
+        self._update_own()
+
+    def _config_changed(self, state: config_state.ConfigState) -> None:
+        self._apply_service_config()
+        self.entry.refresh()
+
+    def _apply_service_config(self) -> None:
+        state = self.config.state
+        zone = state.document.zones.get(self._settings.zone)
+        self.host.admission.zone_out = zone is not None and zone.state is document.ZoneState.OUT
+        backend = self.backend.backend
+        service = None if backend is None else state.document.services.get(backend.service)
+        if service is not None:
+            decisions = targets.decide(service)
+            self.host.admission.wait_bound_ms = decisions.queue_bound_ms
+
+    def _update_own(self) -> None:
+        backend = self.backend.backend
+        own = self.members.own
+        state = self._member_state(backend)
+        service = own.service if backend is None else backend.service
+        version = own.version if backend is None else backend.version
+        if (own.state, own.service, own.version) == (state, service, version):
+            return
+        self.members.update_own(self._clock.now(), state=state, service=service, version=version)
+        self.entry.refresh()
+        self._membership_log.publish()
+        if state is membership.MemberState.LEAVING:
+            self._reactor.callLater(_WITHDRAW_GRACE_S, self._refuse_new_work)
+        else:
+            self.host.admission.leaving = False
+
+    def _member_state(self, backend: backend_watch.Backend | None) -> membership.MemberState:
+        cycle = self._cycle.state
+        if cycle is life_cycle.NodeState.STOPPED:
+            return membership.MemberState.LEFT
+        if cycle is life_cycle.NodeState.LEAVING:
+            return membership.MemberState.LEAVING
+        if backend is None:
+            return membership.MemberState.STARTING
+        if backend.leaving:
+            return membership.MemberState.LEAVING
+        return membership.MemberState.SERVING
+
+    def _refuse_new_work(self) -> None:
+        if self.members.own.state is membership.MemberState.LEAVING:
+            self.host.admission.leaving = True
+
+    def _close_listeners(self) -> None:
+        for port in self._ports[:2]:
+            port.stopListening()
+        self._caller_factory.close_when_idle()
+        self._check_drained()
+
+    def _calls_in_progress(self) -> int:
+        return self.host.calls_in_progress + len(self.entry.in_progress)
+
+    def _check_drained(self) -> None:
+        if self._calls_in_progress():
+            self._reactor.callLater(_DRAIN_CHECK_S, self._check_drained)
+        else:
+            self._cycle.drained()
--- /dev/null
+++ b/src/anvillug/process/service_desk.py
@@ -0,0 +1,223 @@
+"""Routing state that the entry side keeps for one service."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+from collections.abc import Collection
+from typing import Protocol as Interface
+
+from anvillug import clock, event_log, ids
+from anvillug.connection import http_head
+from anvillug.process import service_view
+from anvillug.request import attempt as attempts
+from anvillug.request import budget, call, choice, entry_call
+from anvillug.version import targets
+
+_DEFAULT_ROUTE = ids.RouteName('default')
+_STATUS_SERVER_ERROR = 500
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouteTreatment:
+    """How the calls of a route are treated."""
+
+    name: ids.RouteName
+    """Name used in evidence."""
+    repeatable: bool
+    """Whether a call may run more than once."""
+    criticality: call.Criticality
+    """Order of shedding under overload."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndedCall:
+    """Facts of an ended call, for the comparison of versions."""
+
+    service: ids.ServiceName
+    """Service of the call."""
+    version: ids.VersionName
+    """Version of the backend server that the last attempt went to."""
+    route: ids.RouteName
+    """Route of the call."""
+    load_level: float
+    """In-flight calls over the limit of the host when the call was sent."""
+    failed: bool
+    """Whether the backend server answered with a server error, or not at all."""
+    latency_ms: float
+    """Time from the send to the end of the answer."""
+
+
+class CallObserver(Interface):
+    """Receives facts of ended calls."""
+
+    def call_ended(self, ended: EndedCall) -> None:
+        """Take the facts of an ended call."""
+
+
+class ServiceDesk:
+    """Samples, budgets and view of one service.
+
+    Args:
+        name: Name of the service.
+        view: Hosts and configuration.
+        time: Clock.
+        observer: Told about ended calls.
+    """
+
+    def __init__(
+        self,
+        name: ids.ServiceName,
+        view: service_view.ServiceView,
+        time: clock.Clock,
+        observer: CallObserver,
+    ) -> None:
+        self.name = name
+        self.view = view
+        self.viewed_at = clock.Milliseconds(0)
+        self.view_age_limit = 0.0
+        self.decisions = targets.decide(view.service)
+        self.candidates = choice.Candidates(self.decisions.hot_threshold)
+        self.retries = budget.retry_budget()
+        self.hedges = budget.HedgeRule(budget.hedge_budget(view.service.targets.spare_percent))
+        self._clock = time
+        self._observer = observer
+        self._version_by_host_id: dict[ids.HostId, ids.VersionName] = {}
+        self._all_hosts: tuple[ids.HostId, ...] = ()
+
+    def take_view(
+        self,
+        view: service_view.ServiceView,
+        now: clock.Milliseconds,
+        age_limit: float,
+    ) -> None:
+        """Replace the view.
+
+        Args:
+            view: Hosts and configuration.
+            now: Monotonic time in milliseconds.
+            age_limit: Milliseconds after which the view is built again.
+        """
+        self.view = view
+        self.viewed_at = now
+        self.view_age_limit = age_limit
+        self.decisions = targets.decide(view.service)
+        self._version_by_host_id = {
+            host_id: version
+            for version, host_ids in view.hosts_by_version.items()
+            for host_id in host_ids
+        }
+        self._all_hosts = tuple(self._version_by_host_id)
+
+    def route_of(self, head: http_head.RequestHead) -> RouteTreatment:
+        """Return the treatment of a request: the first route that matches."""
+        method = head.method.decode('latin-1')
+        path = head.path.decode('latin-1')
+        service = self.view.service
+        safe = call.is_repeatable_method(method)
+        for route in service.routes:
+            if path.startswith(route.prefix) and (not route.methods or method in route.methods):
+                return RouteTreatment(
+                    route.name,
+                    safe if route.repeatable is None else route.repeatable,
+                    route.criticality or service.criticality,
+                )
+        return RouteTreatment(_DEFAULT_ROUTE, safe, service.criticality)
+
+    def choose(
+        self,
+        tried: Collection[ids.HostId],
+        now: clock.Milliseconds,
+        rng: random.Random,
+    ) -> ids.HostId | None:
+        """Choose a host of the version that the plan asks for.
+
+        Args:
+            tried: Hosts that the call has been sent to.
+            now: Monotonic time in milliseconds.
+            rng: Source of draws.
+
+        Returns:
+            The host, or None if none is left.
+        """
+        view = self.view
+        version = view.pick_version(rng, self._clock.wall())
+        hosts = view.hosts_by_version.get(version, ())
+        return self.candidates.choose(hosts, tried, now, rng, view.weights)
+
+    def call_started(self, now: clock.Milliseconds) -> None:
+        """Count a call towards the budgets."""
+        self.retries.earn(now)
+        self.hedges.call_started(now)
+
+    def hedge_delay_ms(self) -> float | None:
+        """Return when a second copy may be sent, None for never."""
+        if not self.view.service.hedge:
+            return None
+        delay = self.hedges.delay_ms()
+        return None if delay is None else max(delay, self.decisions.hedge_delay_ms)
+
+    def load_received(self, host_id: ids.HostId, text: bytes) -> None:
+        """Take the load that a host told."""
+        try:
+            sample = call.parse_load(text.decode('latin-1'), self._clock.now())
+        except ValueError as error:
+            event_log.warn('load_header_rejected', host=host_id, reason=error)
+            return
+        self.candidates.record_sample(host_id, sample)
+
+    def hosts_to_sample(self, now: clock.Milliseconds) -> list[ids.HostId]:
+        """Return the hosts whose load is due to be asked for."""
+        return self.candidates.hosts_to_sample(self._all_hosts, now)
+
+    def attempt_over(
+        self,
+        attempt: attempts.Attempt,
+        route: ids.RouteName,
+        now: clock.Milliseconds,
+    ) -> None:
+        """Count an attempt as over and tell the observer of one that ran."""
+        if attempt.kind is not attempts.AttemptKind.SEND:
+            return
+        if attempt.refused:
+            self.candidates.call_refused(attempt.host_id, now)
+        latency_ms = now - attempt.started_at if attempt.answered else None
+        self.candidates.call_ended(attempt.host_id, latency_ms, now)
+        version = self._version_by_host_id.get(attempt.host_id)
+        if version is not None and (attempt.answered or attempt.failed):
+            server_error = attempt.status >= _STATUS_SERVER_ERROR
+            self._observer.call_ended(
+                EndedCall(
+                    service=self.name,
+                    version=version,
+                    route=route,
+                    load_level=attempt.load_level,
+                    failed=attempt.failed or server_error,
+                    latency_ms=now - attempt.started_at,
+                ),
+            )
+
+    def call_over(
+        self,
+        ended: entry_call.EntryCall,
+        status: int,
+        outcome: call.Outcome,
+        now: clock.Milliseconds,
+    ) -> None:
+        """Learn the latency of a call."""
+        if outcome is call.Outcome.FINISHED:
+            self.hedges.record(now - ended.started_at)
+
+    def dump(self) -> dict[str, object]:
+        """Return what operators see of the service."""
+        move = self.view.move
+        return {
+            'hosts_by_version': {
+                version: list(hosts) for version, hosts in self.view.hosts_by_version.items()
+            },
+            'weights_by_host_id': dict(self.view.weights or {}),
+            'decisions': dataclasses.asdict(self.decisions),
+            'hedge_delay_ms': self.hedge_delay_ms(),
+            'move': None if move is None else move.state.value,
+            'sample_error': self.candidates.sample_error,
+        }
--- a/src/anvillug/request/call.py
+++ b/src/anvillug/request/call.py
@@ -18,6 +18,7 @@
 RETRIES_HEADER = 'Anvillug-Retries'
 OUTCOME_HEADER = 'Anvillug-Outcome'
 LOAD_HEADER = 'Anvillug-Load'
+REASON_HEADER = 'Anvillug-Reason'
 KEY_HEADER = 'Idempotency-Key'
 
 MAX_DEPTH = 26
--- a/src/anvillug/request/choice.py
+++ b/src/anvillug/request/choice.py
@@ -164,6 +164,11 @@
             host.refusal_hold_ms = hold
         host.refused_until = now + host.refusal_hold_ms
 
+    def load_level(self, host_id: ids.HostId, now: clock.Milliseconds) -> float:
+        """Return the estimated load over the limit of a host; 0.0 without a sample."""
+        host = self._by_host_id.get(host_id)
+        return 0.0 if host is None else host.estimate(now) / host.limit
+
     def forget(self, host_id: ids.HostId) -> None:
         """Drop what is known of a host that left."""
         self._by_host_id.pop(host_id, None)
@@ -349,10 +354,10 @@
     Returns:
         The chosen members, those of the own zone first.
     """
-    seed = xxhash.xxh3_64_intdigest(own_host_id)
+    seed = xxhash.xxh3_64_intdigest(own_host_id.encode())
     ranked = sorted(
         members,
-        key=lambda member: (xxhash.xxh3_64_intdigest(member.host_id, seed), member.host_id),
+        key=lambda member: (xxhash.xxh3_64_intdigest(member.host_id.encode(), seed), member.host_id),
     )
     own = [member for member in ranked if member.zone == own_zone]
     foreign = [member for member in ranked if member.zone != own_zone]
--- /dev/null
+++ b/src/anvillug/request/entry_call.py
@@ -0,0 +1,433 @@
+"""Life of one call on the entry side.
+
+A call is sent to one host at a time, except for hedges of repeatable calls.
+Each attempt ends in one of four ways: a whole answer, a true "not run", an
+unknown outcome, or a broken connection, which is resolved on a new one.
+"""
+
+from __future__ import annotations
+
+import enum
+from typing import Protocol as Interface
+
+from twisted.internet import interfaces
+
+from anvillug import clock, ids
+from anvillug.connection import http_head, http_server
+from anvillug.request import attempt as attempts
+from anvillug.request import call, entry_request
+
+MAX_ATTEMPTS = 3
+_MAX_UNANSWERED_RESOLVES = 3
+_RESOLVE_PAUSE_S = 0.2
+_STATUS_BAD_GATEWAY = 502
+_STATUS_UNAVAILABLE = 503
+_STATUS_GATEWAY_TIMEOUT = 504
+
+
+class EntryState(enum.Enum):
+    """Progress of a call on the entry side."""
+
+    RECEIVING = 'receiving'
+    WAITING = 'waiting'
+    SENT = 'sent'
+    ANSWERING = 'answering'
+    DONE = 'done'
+
+
+class EntryContext(Interface):
+    """What a call needs from the entry side that carries it."""
+
+    reactor: interfaces.IReactorTime
+    """Timers."""
+    clock: clock.Clock
+    """Time."""
+
+    def start_attempt(
+        self,
+        entry_call: EntryCall,
+        kind: attempts.AttemptKind,
+        host: tuple[ids.HostId, ids.Incarnation] | None,
+    ) -> attempts.Attempt | None:
+        """Choose a host where none is given and begin an attempt; None without a host."""
+
+    def attempt_over(self, entry_call: EntryCall, attempt: attempts.Attempt) -> None:
+        """Count an attempt as no longer outstanding."""
+
+    def connection_silent(self, host_id: ids.HostId) -> None:
+        """Drop idle connections to a host, one of which has gone silent."""
+
+    def config_number(self) -> ids.ConfigNumber:
+        """Return the configuration number in effect."""
+
+    def may_retry(self, entry_call: EntryCall, outcome: call.Outcome) -> bool:
+        """Tell whether the retry budget allows another attempt, and spend it."""
+
+    def hedge_delay_ms(self, entry_call: EntryCall) -> float | None:
+        """Return when to send a hedge, or None for never."""
+
+    def may_hedge(self, entry_call: EntryCall) -> bool:
+        """Tell whether the hedge budget allows a second attempt, and spend it."""
+
+    def silence_ms(self, entry_call: EntryCall) -> float:
+        """Return after how long without an answer the outcome is asked for."""
+
+    def call_over(self, entry_call: EntryCall, status: int, outcome: call.Outcome) -> None:
+        """Record the result of a call."""
+
+
+class EntryCall:
+    """A caller's request and the attempts to have it answered.
+
+    Args:
+        context: Entry side.
+        exchange: Exchange with the caller.
+        request: What the caller asked for.
+        properties: Properties of the call.
+    """
+
+    def __init__(
+        self,
+        context: EntryContext,
+        exchange: http_server.ServerExchange,
+        request: entry_request.EntryRequest,
+        properties: call.CallProperties,
+    ) -> None:
+        self.request = request
+        self.properties = properties
+        self.call_id = str(properties.call_id).encode()
+        self.started_at = context.clock.now()
+        self.tried: set[ids.HostId] = set()
+        self.attempt_count = 0
+        self.answer_exhausted = False
+        self.route = ids.RouteName('')
+        self.state = EntryState.RECEIVING
+        self._context = context
+        self._exchange = exchange
+        self._body: list[bytes] = []
+        self._body_complete = False
+        self._active: list[attempts.Attempt] = []
+        self._streaming_to: attempts.Attempt | None = None
+        self._winner: attempts.Attempt | None = None
+        self._timers: list[interfaces.IDelayedCall] = []
+        self._resolver: attempts.Attempt | None = None
+        self._resolver_attached = False
+        self._unanswered_resolves = 0
+
+    # From the caller
+
+    def receive(self) -> None:
+        """Start: small bodies are received whole before a host is chosen."""
+        self._exchange.handler = self
+        if self.request.small_body:
+            self._exchange.accept_body()
+        else:
+            self.send()
+
+    def body_received(self, data: bytes) -> None:
+        """Take a piece of the request body."""
+        target = self._streaming_to
+        if target is None:
+            self._body.append(data)
+            if not self.request.small_body:
+                self._exchange.pause_request(paused=True)
+        elif not target.done and target.connection is not None:
+            target.connection.send_body(data)
+
+    def request_ended(self) -> None:
+        """Note the end of the request body."""
+        self._body_complete = True
+        if self.request.small_body:
+            self.send()
+        elif self._streaming_to is not None and self._streaming_to.connection is not None:
+            self._streaming_to.connection.end_request()
+
+    def request_aborted(self) -> None:
+        """Cancel what runs: the caller is gone."""
+        self._end(0, call.Outcome.UNKNOWN)
+
+    def response_writes_paused(self, paused: bool) -> None:
+        """Pass backpressure of the caller on to the host."""
+        if self._winner is not None and self._winner.connection is not None:
+            self._winner.connection.pause_response(paused)
+
+    def request_writes_paused(self, paused: bool) -> None:
+        """Pass backpressure of the host on to the caller."""
+        self._exchange.pause_request(paused)
+
+    # Attempts
+
+    def send(self) -> None:
+        """Send the call to a host."""
+        if self.state is EntryState.DONE:
+            return
+        self.state = EntryState.WAITING
+        attempt = self._context.start_attempt(self, attempts.AttemptKind.SEND, None)
+        if attempt is None:
+            self.refuse('no host can take the call')
+
+    def attempt_started(self, attempt: attempts.Attempt) -> None:
+        """Note an attempt that was begun by the entry side."""
+        self._active.append(attempt)
+        if attempt.kind is attempts.AttemptKind.SEND:
+            self.attempt_count += 1
+            self.tried.add(attempt.host_id)
+
+    def attempt_connected(self, attempt: attempts.Attempt) -> None:
+        """Write the request; see `attempt.AttemptOwner`."""
+        connection = attempt.connection
+        if connection is None or self.state is EntryState.DONE:
+            attempt.cancel()
+            return
+        if attempt.kind is attempts.AttemptKind.RESOLVE:
+            head = entry_request.resolve_head(self.properties, attempt.incarnation)
+            connection.request(head, attempt)
+            connection.end_request()
+            return
+        self.state = EntryState.SENT
+        now = self._context.clock.now()
+        head = entry_request.host_head(
+            self.request,
+            self.properties,
+            attempt.incarnation,
+            self._context.config_number(),
+            now,
+        )
+        connection.request(head, attempt)
+        if self.request.small_body:
+            for data in self._body:
+                connection.send_body(data)
+            connection.end_request()
+        self._start_timers(attempt)
+
+    def attempt_continue(self, attempt: attempts.Attempt) -> None:
+        """Stream the body: the host has admitted the call.
+
+        For a resolution it tells that the host is alive and runs the call.
+        """
+        if attempt is self._resolver:
+            self._unanswered_resolves = 0
+            self._resolver_attached = True
+            return
+        connection = attempt.connection
+        if connection is None or self.request.small_body or self._streaming_to is not None:
+            return
+        self._streaming_to = attempt
+        for data in self._body:
+            connection.send_body(data)
+        self._body.clear()
+        self._exchange.accept_body()
+        if self._body_complete:
+            connection.end_request()
+        else:
+            self._exchange.pause_request(paused=False)
+
+    def attempt_answered(
+        self,
+        attempt: attempts.Attempt,
+        head: http_head.ResponseHead,
+    ) -> None:
+        """Pass on the first answer and drop the other attempts."""
+        if self._winner is not None or self.state is EntryState.DONE:
+            attempt.cancel()
+            return
+        self._winner = attempt
+        self.state = EntryState.ANSWERING
+        self._cancel_timers()
+        if attempt.kind is attempts.AttemptKind.RESOLVE and self._active[0] is not attempt:
+            self._context.connection_silent(attempt.host_id)
+        for other in tuple(self._active):
+            if other is not attempt:
+                self._drop(other)
+        headers = [
+            header
+            for header in http_head.end_to_end(head.headers)
+            if header[0].lower() not in _INTERNAL_HEADERS
+        ]
+        self._exchange.send_head(http_head.ResponseHead(head.status, headers, head.reason))
+
+    def attempt_body(self, attempt: attempts.Attempt, data: bytes) -> None:
+        """Pass on a piece of the answer."""
+        if attempt is self._winner:
+            self._exchange.send_body(data)
+
+    def attempt_ended(self, attempt: attempts.Attempt) -> None:
+        """Complete the answer."""
+        self._forget(attempt)
+        if attempt is self._winner:
+            self._exchange.finish()
+            self._end(200, call.Outcome.FINISHED)  # noqa: WPS432
+
+    def attempt_not_run(self, attempt: attempts.Attempt, reason: str) -> None:
+        """Try another host within the budget, or refuse."""
+        original_refused = attempt.kind is attempts.AttemptKind.RESOLVE
+        self.answer_exhausted = self.answer_exhausted or attempt.exhausted
+        self._forget(attempt)
+        if original_refused:
+            # The id is fenced now: the first attempt can't run any more.
+            self._drop_host(attempt.host_id)
+        if self._active or self.state is EntryState.DONE:
+            return
+        if self._streaming_to is not None and self._body_was_used():
+            self.refuse(reason)
+        elif self._context.may_retry(self, call.Outcome.NOT_RUN):
+            self.send()
+        else:
+            self.refuse(reason)
+
+    def attempt_unknown(self, attempt: attempts.Attempt, reason: str) -> None:
+        """Retry a repeatable call within the budget, or say that nothing is known."""
+        self._forget(attempt)
+        if attempt.kind is attempts.AttemptKind.RESOLVE:
+            self._drop_host(attempt.host_id)
+        self._after_unknown(reason)
+
+    def attempt_broken(self, attempt: attempts.Attempt) -> None:
+        """Resolve the outcome on a new connection, or cut the caller's answer."""
+        self._forget(attempt)
+        if attempt is self._winner:
+            self._exchange.abort()
+            self._end(_STATUS_BAD_GATEWAY, call.Outcome.UNKNOWN)
+            return
+        if self.state is EntryState.DONE:
+            return
+        resolving = attempt.kind is attempts.AttemptKind.RESOLVE
+        if self._active and not resolving:
+            return
+        self._context.connection_silent(attempt.host_id)
+        if resolving:
+            self._unanswered_resolves += 1
+        pause = _RESOLVE_PAUSE_S * self._unanswered_resolves
+        host = (attempt.host_id, attempt.incarnation)
+        self._timers.append(self._context.reactor.callLater(pause, self._resolve, host))
+
+    # Private
+
+    def _start_timers(self, attempt: attempts.Attempt) -> None:
+        if self._timers:
+            return
+        later = self._context.reactor.callLater
+        silence_ms = self._context.silence_ms(self)
+        host = (attempt.host_id, attempt.incarnation)
+        self._timers.append(
+            later(clock.to_seconds(silence_ms), self._probe_silence, host, silence_ms),
+        )
+        hedge_ms = self._context.hedge_delay_ms(self)
+        if hedge_ms is not None:
+            self._timers.append(later(clock.to_seconds(hedge_ms), self._hedge))
+        left = self.properties.deadline - self._context.clock.now()
+        if left < _LONGEST_TIMER_MS:
+            self._timers.append(later(max(0, clock.to_seconds(left)), self._deadline_passed))
+
+    def _hedge(self) -> None:
+        if self.state is EntryState.SENT and self._context.may_hedge(self):
+            self._context.start_attempt(self, attempts.AttemptKind.SEND, None)
+
+    def _probe_silence(
+        self,
+        host: tuple[ids.HostId, ids.Incarnation],
+        silence_ms: float,
+    ) -> None:
+        if self.state is not EntryState.SENT:
+            return
+        if self._resolver is not None and not self._resolver_attached:
+            self._unanswered_resolves += 1
+        self._resolve(host)
+        if self.state is not EntryState.SENT:
+            return
+        next_ms = min(2 * silence_ms, _LONGEST_SILENCE_MS)
+        self._timers.append(
+            self._context.reactor.callLater(
+                clock.to_seconds(next_ms),
+                self._probe_silence,
+                host,
+                next_ms,
+            ),
+        )
+
+    def _resolve(self, host: tuple[ids.HostId, ids.Incarnation]) -> None:
+        """Ask a host for the outcome; a new resolution replaces the one before."""
+        if self.state is EntryState.DONE:
+            return
+        if self._unanswered_resolves >= _MAX_UNANSWERED_RESOLVES:
+            self._drop_host(host[0])
+            self._after_unknown('the host does not answer')
+            return
+        replaced = self._resolver
+        self._resolver_attached = False
+        self._resolver = self._context.start_attempt(self, attempts.AttemptKind.RESOLVE, host)
+        if replaced is not None:
+            self._drop(replaced)
+        if self._resolver is None and not self._active:
+            self._after_unknown('the host is gone')
+
+    def _deadline_passed(self) -> None:
+        if self.state in (EntryState.ANSWERING, EntryState.DONE):
+            return
+        sent = self.state is EntryState.SENT
+        outcome = call.Outcome.UNKNOWN if sent else call.Outcome.NOT_RUN
+        self._answer(_STATUS_GATEWAY_TIMEOUT, outcome, 'deadline passed')
+
+    def _after_unknown(self, reason: str) -> None:
+        if self._active or self.state is EntryState.DONE:
+            return
+        if self._body_was_used() or not self._context.may_retry(self, call.Outcome.UNKNOWN):
+            self._answer(_STATUS_BAD_GATEWAY, call.Outcome.UNKNOWN, reason)
+        else:
+            self.send()
+
+    def refuse(self, reason: str) -> None:
+        """Answer that the call has not been run."""
+        self._answer(_STATUS_UNAVAILABLE, call.Outcome.NOT_RUN, reason)
+
+    def _answer(self, status: int, outcome: call.Outcome, reason: str) -> None:
+        headers = [
+            (b'Content-Type', b'text/plain; charset=utf-8'),
+            (b'Anvillug-Call', self.call_id),
+            (b'Anvillug-Outcome', outcome.value.encode()),
+            (b'Anvillug-Reason', reason.encode('latin-1', 'replace')),
+        ]
+        if outcome is call.Outcome.NOT_RUN:
+            headers.append((b'Retry-After', b'1'))
+        if self.attempt_count > 1:
+            headers.append((b'Anvillug-Retries', b'exhausted'))
+        text = f'{outcome.value}: {reason}\n'.encode()
+        self._exchange.respond(status, text, tuple(headers))
+        self._end(status, outcome)
+
+    def _body_was_used(self) -> bool:
+        return self._streaming_to is not None
+
+    def _drop_host(self, host_id: ids.HostId) -> None:
+        for other in tuple(self._active):
+            if other.host_id == host_id:
+                self._drop(other)
+
+    def _drop(self, attempt: attempts.Attempt) -> None:
+        attempt.cancel()
+        self._forget(attempt)
+
+    def _forget(self, attempt: attempts.Attempt) -> None:
+        if attempt in self._active:
+            self._active.remove(attempt)
+            self._context.attempt_over(self, attempt)
+
+    def _cancel_timers(self) -> None:
+        for timer in self._timers:
+            if timer.active():
+                timer.cancel()
+        self._timers.clear()
+
+    def _end(self, status: int, outcome: call.Outcome) -> None:
+        if self.state is EntryState.DONE:
+            return
+        self.state = EntryState.DONE
+        self._cancel_timers()
+        for attempt in tuple(self._active):
+            self._drop(attempt)
+        self._context.call_over(self, status, outcome)
+
+
+_INTERNAL_HEADERS = frozenset((b'anvillug-load', b'anvillug-config'))
+_LONGEST_TIMER_MS = 3_600_000
+_LONGEST_SILENCE_MS = 8000
--- /dev/null
+++ b/src/anvillug/request/entry_request.py
@@ -0,0 +1,150 @@
+"""What a caller asked for, and the head that carries it to a host."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+
+from anvillug import clock, ids
+from anvillug.connection import http_head
+from anvillug.request import call
+
+SMALL_BODY_BYTES = 64 * 1024
+"""Bodies up to this size are held whole, so that they can be sent again."""
+
+_OWN_PREFIX = b'anvillug-'
+_DEADLINE = call.DEADLINE_HEADER.lower().encode()
+_DEPTH = call.DEPTH_HEADER.lower().encode()
+_KEY = call.KEY_HEADER.lower().encode()
+
+
+class BadRequestError(Exception):
+    """A request that can't be forwarded; the message says why."""
+
+
+@dataclasses.dataclass(slots=True)
+class EntryRequest:
+    """A caller's request with what its headers say about treatment."""
+
+    head: http_head.RequestHead
+    """Head as it arrived."""
+    service: ids.ServiceName
+    """First label of the `Host` header."""
+    deadline: clock.Milliseconds
+    """Monotonic time in milliseconds, infinite where the caller gave none."""
+    depth: int
+    """How many calls led to this one."""
+    key: ids.IdempotencyKey | None
+    """Value of `Idempotency-Key`."""
+
+    @property
+    def small_body(self) -> bool:
+        """Whether the body is small enough to be held whole."""
+        framing = self.head.framing
+        if framing is http_head.Framing.NONE:
+            return True
+        if framing is not http_head.Framing.LENGTH:
+            return False
+        return self.head.content_length <= SMALL_BODY_BYTES
+
+
+def parse(head: http_head.RequestHead, now: clock.Milliseconds) -> EntryRequest:
+    """Read the headers that decide the treatment of a call.
+
+    Args:
+        head: Head as it arrived.
+        now: Monotonic time in milliseconds.
+
+    Returns:
+        The request.
+
+    Raises:
+        BadRequestError: If a header is missing or malformed.
+    """
+    host = head.get(b'host')
+    if not host:
+        raise BadRequestError('header Host: missing; its first label names the service')
+    label = host.partition(b':')[0].partition(b'.')[0].decode('latin-1').lower()
+    deadline_ms = _number(head, _DEADLINE)
+    depth = int(_number(head, _DEPTH) or 0)
+    if depth > call.MAX_DEPTH:
+        raise BadRequestError(f'header {call.DEPTH_HEADER}: {depth} exceeds {call.MAX_DEPTH}')
+    deadline = math.inf if deadline_ms is None else now + deadline_ms
+    key = head.get(_KEY)
+    return EntryRequest(
+        head=head,
+        service=ids.ServiceName(label),
+        deadline=clock.Milliseconds(deadline),
+        depth=depth,
+        key=None if key is None else ids.IdempotencyKey(key.decode('latin-1')),
+    )
+
+
+def host_head(  # noqa: WPS211 - each argument becomes a header
+    request: EntryRequest,
+    properties: call.CallProperties,
+    incarnation: ids.Incarnation,
+    config_number: ids.ConfigNumber,
+    now: clock.Milliseconds,
+) -> http_head.RequestHead:
+    """Build the head of the request to a host side.
+
+    Args:
+        request: What the caller asked for.
+        properties: Properties of the call.
+        incarnation: Incarnation of the host side that is addressed.
+        config_number: Configuration number in effect here.
+        now: Monotonic time in milliseconds.
+
+    Returns:
+        Head with the caller's end-to-end headers, less `Anvillug-*` headers,
+        and those for the host side.
+    """
+    arrived = request.head
+    headers = [
+        header
+        for header in http_head.end_to_end(arrived.headers)
+        if not header[0].lower().startswith(_OWN_PREFIX)
+    ]
+    headers.extend(
+        (
+            (b'Anvillug-Call', str(properties.call_id).encode()),
+            (b'Anvillug-Service', properties.service.encode()),
+            (b'Anvillug-Incarnation', b'%d' % incarnation),
+            (b'Anvillug-Config', b'%d' % config_number),
+            (b'Anvillug-Criticality', properties.criticality.value.encode()),
+            (b'Anvillug-Repeatable', b'1' if properties.repeatable else b'0'),
+            (b'Anvillug-Depth', b'%d' % (properties.depth)),
+        ),
+    )
+    if properties.deadline < math.inf:
+        left = max(0, int(properties.deadline - now))
+        headers.append((b'Anvillug-Deadline-Ms', b'%d' % left))
+    if arrived.framing is http_head.Framing.CHUNKED:
+        headers.append((b'Transfer-Encoding', b'chunked'))
+    if not request.small_body:
+        headers.append((b'Expect', b'100-continue'))
+    return http_head.RequestHead(arrived.method, arrived.target, headers)
+
+
+def resolve_head(
+    properties: call.CallProperties,
+    incarnation: ids.Incarnation,
+) -> http_head.RequestHead:
+    """Build the head of a request that resolves a call's outcome."""
+    headers = [
+        (b'Host', properties.service.encode()),
+        (b'Content-Length', b'0'),
+        (b'Anvillug-Call', str(properties.call_id).encode()),
+        (b'Anvillug-Incarnation', b'%d' % incarnation),
+    ]
+    return http_head.RequestHead(b'POST', b'/-/resolve', headers)
+
+
+def _number(head: http_head.RequestHead, name: bytes) -> float | None:
+    text = head.get(name)
+    if text is None:
+        return None
+    if not text.isdigit():
+        raise BadRequestError(f'header {name.decode()}: {text!r} is not a whole number')
+    return float(text)
--- a/src/anvillug/version/share.py
+++ b/src/anvillug/version/share.py
@@ -6,8 +6,7 @@
 
 from __future__ import annotations
 
-import enum
-from typing import Protocol
+from anvillug.version import config_state, document
 
 CANARY_PORTION = 0.25
 """Portion of the time up to full share that is spent at the canary share."""
@@ -15,37 +14,15 @@
 """Portion of the move's time that is kept between full share and the deadline."""
 
 
-class Safety(enum.Enum):
-    """Safety target of a service."""
-
-    STRICT = 'strict'
-    BALANCED = 'balanced'
-    FAST = 'fast'
-
-
-CANARY_SHARES = {Safety.STRICT: 0.01, Safety.BALANCED: 0.05, Safety.FAST: 0.1}
+CANARY_SHARES = {
+    document.Safety.STRICT: 0.01,
+    document.Safety.BALANCED: 0.05,
+    document.Safety.FAST: 0.1,
+}
 """Share of a new version before the ramp, by safety target."""
 
 
-class Move(Protocol):
-    """The fields of a move on which the share depends."""
-
-    start_ms: float
-    """Start in milliseconds since the epoch."""
-    deadline_ms: float
-    """Time by which all traffic goes to the new version."""
-
-
-class ZoneChange(Protocol):
-    """The fields of a zone change on which the share depends."""
-
-    state: str
-    """`in` or `out`."""
-    accepted_ms: float
-    """When the fold accepted the change, in milliseconds since the epoch."""
-
-
-def planned_share(move: Move, safety: Safety | str, wall: float) -> float:
+def planned_share(move: config_state.MoveStatus, safety: document.Safety, wall: float) -> float:
     """Return the share of traffic that goes to the new version.
 
     Args:
@@ -62,20 +39,20 @@
     full_at = move.start_ms + duration * (1 - MARGIN_PORTION)
     if wall >= full_at:
         return 1.0
-    canary = CANARY_SHARES[Safety(safety)]
+    canary = CANARY_SHARES[safety]
     ramp_at = canary_end(move)
     if wall < ramp_at:
         return canary
     return canary + (1 - canary) * (wall - ramp_at) / (full_at - ramp_at)
 
 
-def canary_end(move: Move) -> float:
+def canary_end(move: config_state.MoveStatus) -> float:
     """Return when the ramp starts, in milliseconds since the epoch."""
     duration = move.deadline_ms - move.start_ms
     return move.start_ms + duration * (1 - MARGIN_PORTION) * CANARY_PORTION
 
 
-def zone_share(zone_change: ZoneChange, ramp_ms: float, wall: float) -> float:
+def zone_share(zone_change: config_state.ZoneChange, ramp_ms: float, wall: float) -> float:
     """Return the share of its usual traffic that a zone gets.
 
     Args:
@@ -86,8 +63,8 @@
     Returns:
         0.0 when the zone is out, else a ramp from 0.0 to 1.0.
     """
-    if zone_change.state != 'in':
+    if zone_change.state is document.ZoneState.OUT:
         return 0
     if ramp_ms <= 0:
         return 1.0
-    return min(1.0, max(0, (wall - zone_change.accepted_ms) / ramp_ms))
+    return min(1.0, max(0, (wall - zone_change.changed_at) / ramp_ms))
