--- a/src/anvillug/connection/log_client.py
+++ b/src/anvillug/connection/log_client.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import io
 import json
 from typing import Any
-from urllib import parse
+from urllib import parse as url_parse
 
 import treq
 from treq import client as treq_client
-from twisted.internet import defer, error, interfaces
+from twisted.internet import defer, error, interfaces, task
 from twisted.web import client as web_client
 
 from anvillug import clock, ids
@@ -37,6 +38,7 @@
         reactor: Reactor that owns the sockets and timers.
         address: IP:port of the log.
         answer_timeout_ms: Time for an answer, on top of the wait of a long poll.
+        agent: Replaces the agent that opens connections.
     """
 
     def __init__(
@@ -44,16 +46,20 @@
         reactor: interfaces.IReactorTCP,
         address: str,
         answer_timeout_ms: int = _ANSWER_TIMEOUT_MS,
+        agent: Any = None,
     ) -> None:
         self._pool = web_client.HTTPConnectionPool(reactor)
         self._pool.maxPersistentPerHost = _MAX_CONNECTIONS
-        agent = web_client.Agent(
+        pooled = web_client.Agent(
             reactor,
             connectTimeout=clock.to_seconds(_CONNECT_TIMEOUT_MS),
             pool=self._pool,
         )
         self._reactor: Any = reactor
-        self._http = treq_client.HTTPClient(agent)
+        self._http = treq_client.HTTPClient(pooled if agent is None else agent)
+        self._cooperator = task.Cooperator(
+            scheduler=lambda step: self._reactor.callLater(0, step),
+        )
         self._base = f'http://{address}/streams'
         self._answer_timeout_ms = answer_timeout_ms
 
@@ -69,7 +75,7 @@
         wait_ms: int,
     ) -> defer.Deferred[log_record.ReadResult]:
         """Read records by long poll; see `log_record.LogClient`."""
-        query = parse.urlencode({'from': offset, 'limit': limit, 'wait_ms': wait_ms})
+        query = url_parse.urlencode({'from': offset, 'limit': limit, 'wait_ms': wait_ms})
         return defer.Deferred.fromCoroutine(self._read(f'{self._url(stream)}?{query}', wait_ms))
 
     def close(self) -> defer.Deferred[None]:
@@ -77,10 +83,13 @@
         return self._pool.closeCachedConnections()
 
     def _url(self, stream: str) -> str:
-        return f'{self._base}/{parse.quote(stream, safe="")}/records'
+        return f'{self._base}/{url_parse.quote(stream, safe="")}/records'
 
     async def _append(self, stream: str, data: object) -> ids.LogOffset:
-        body = json.dumps({'data': data}).encode()
+        body = web_client.FileBodyProducer(
+            io.BytesIO(json.dumps({'data': data}).encode()),
+            cooperator=self._cooperator,
+        )
         try:
             status, answer = await self._within(
                 self._http.post(
--- /dev/null
+++ b/src/anvillug/process/commands/check.py
@@ -0,0 +1,41 @@
+"""Subcommand `check`: validates a settings file or a configuration document."""
+
+from __future__ import annotations
+
+import pathlib
+from typing import Any
+
+from anvillug import findings
+from anvillug.process import settings
+from anvillug.version import document, targets
+
+_EXIT_FINDINGS = 2
+_DOCUMENT_KEYS = frozenset(('services', 'zones'))
+
+
+def check(file: pathlib.Path) -> int:
+    """Check a settings file or a configuration document and print all findings.
+
+    For a document, targets that can't be met together are explained too.
+
+    Args:
+        file: JSON with comments; a document has the keys services or zones.
+
+    Returns:
+        0 without findings, 2 with findings.
+    """
+    found = settings.read_json(file).map(lambda data: _check(data, str(file)))
+    faults = found.default_with(lambda unreadable: unreadable)
+    print(findings.report(faults) if faults else f'{file}: no findings')
+    return _EXIT_FINDINGS if faults else 0
+
+
+def _check(data: Any, place: str) -> findings.Findings:
+    if isinstance(data, dict) and (not data or _DOCUMENT_KEYS & data.keys()):
+        parsed = document.parse(data, place)
+        return parsed.map(lambda config: targets.explain(config, place)).default_with(_same)
+    return settings.parse(data, place).map(lambda _: ()).default_with(_same)
+
+
+def _same(faults: findings.Findings) -> findings.Findings:
+    return faults
--- a/src/anvillug/version/fold.py
+++ b/src/anvillug/version/fold.py
@@ -116,8 +116,8 @@
     """
     start = records[0].offset if records else first_offset
     if state.next_offset < start:
-        best = _best_snapshot(start, records)
-        if best is None or best.next_offset < state.next_offset:
+        best = best_snapshot(start, records)
+        if best is None:
             return expression.Error(Gap(state.next_offset, start))
         state = best
     return expression.Ok(functools.reduce(apply, records, state))
@@ -136,7 +136,29 @@
     Returns:
         The state, or the gap between the best snapshot and the first record.
     """
-    return advance(empty(), first_offset, records)
+    best = best_snapshot(first_offset, records)
+    return advance(empty() if best is None else best, first_offset, records)
+
+
+def best_snapshot(
+    start: ids.LogOffset,
+    records: Iterable[log_record.LogRecord],
+) -> ConfigState | None:
+    """Return the state of the snapshot with the highest number that reaches an offset.
+
+    Args:
+        start: First offset from which all records are available.
+        records: Records among which snapshots are sought.
+
+    Returns:
+        The state, or None without a usable snapshot.
+    """
+    usable = [
+        state
+        for state in map(_snapshot_state, records)
+        if state is not None and state.next_offset >= start
+    ]
+    return max(usable, key=lambda state: (state.number, state.next_offset), default=None)
 
 
 def snapshot_record(state: ConfigState) -> dict[str, Any]:
@@ -194,18 +216,6 @@
     }
 
 
-def _best_snapshot(
-    start: ids.LogOffset,
-    records: Iterable[log_record.LogRecord],
-) -> ConfigState | None:
-    usable = [
-        state
-        for state in map(_snapshot_state, records)
-        if state is not None and state.next_offset >= start
-    ]
-    return max(usable, key=lambda state: (state.number, state.next_offset), default=None)
-
-
 def _snapshot_state(record: log_record.LogRecord) -> ConfigState | None:
     data = record.data
     if not isinstance(data, dict) or data.get('kind') != 'snapshot':
@@ -305,7 +315,7 @@
     wall: clock.Milliseconds,
 ) -> dict[ids.ZoneName, config_state.ZoneChange]:
     changes = dict(state.zone_changes_by_name)
-    for name in {**state.document.zones, **config.zones}:
+    for name in sorted({*state.document.zones, *config.zones}):
         before = _zone_state(state.document, name)
         after = _zone_state(config, name)
         if before is not after:
