--- /dev/null
+++ b/src/anvillug/bench/traffic.py
@@ -0,0 +1,245 @@
+"""What a load generator sends and what it counted."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import hashlib
+import json
+import random
+from typing import Any
+
+from hdrh import histogram
+
+from anvillug.request import call
+from anvillug.standin import backend_exchange
+
+MIN_LATENCY_US = 1
+MAX_LATENCY_US = 600_000_000
+SIGNIFICANT_DIGITS = 3
+US_PER_MS = 1000
+
+_OK = 200
+_NO_OUTCOME = 'none'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestKind:
+    """One kind of request in a mix."""
+
+    name: str
+    """Name in the results."""
+    service: str
+    """First label of the `Host` header."""
+    method: str = 'GET'
+    """HTTP method."""
+    path: str = '/'
+    """Path, with a query if wanted."""
+    body_bytes: int = 0
+    """Length of the body."""
+    weight: float = 1
+    """Share of the mix, relative to the other kinds."""
+    headers: tuple[tuple[str, str], ...] = ()
+    """Further headers."""
+    keyed: bool = False
+    """Whether each request carries an `Idempotency-Key` of its own."""
+
+    def __post_init__(self) -> None:
+        if self.method == 'HEAD':
+            raise ValueError('HEAD is not supported: its responses have no body to compare')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadPlan:
+    """Settings of one run."""
+
+    addresses: tuple[str, ...]
+    """Entry addresses; each request takes one at random."""
+    kinds: tuple[RequestKind, ...]
+    """The mix."""
+    rate_per_second: float
+    """Mean rate of the Poisson arrivals."""
+    duration_ms: float
+    """Time during which requests are sent."""
+    seed: int = 1
+    """Seed of arrivals, kinds, addresses and keys."""
+    max_connections: int = 200
+    """Connections to each address; further requests wait."""
+    timeout_ms: float = 10_000
+    """Time from the intended send until a request counts as timed out."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlannedRequest:
+    """One request with its own key and body."""
+
+    kind: RequestKind
+    """What it is an instance of."""
+    address: str
+    """Entry address that it goes to."""
+    tag: str
+    """Unique text that the backend server echoes."""
+    key: str
+    """Its `Idempotency-Key`, or empty."""
+    body: bytes
+    """Its body; differs between requests of the same kind."""
+
+    def encode(self) -> bytes:
+        """Return the request as sent."""
+        kind = self.kind
+        lines = [
+            f'{kind.method} {kind.path} HTTP/1.1',
+            f'Host: {kind.service}.local',
+            f'{backend_exchange.TAG_HEADER}: {self.tag}',
+            *(f'{name}: {header}' for name, header in kind.headers),
+        ]
+        if self.key:
+            lines.append(f'{call.KEY_HEADER}: {self.key}')
+        if self.body or kind.method != 'GET':
+            lines.append(f'Content-Length: {len(self.body)}')
+        return b''.join(('\r\n'.join([*lines, '', '']).encode('latin-1'), self.body))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Response:
+    """A complete response."""
+
+    status: int
+    """Status code."""
+    headers: dict[str, str]
+    """Headers by lower-case name."""
+    body: bytes
+    """Start of the body, up to the bound of the client."""
+    body_bytes: int
+    """Length of the body as received."""
+
+
+def planned_request(plan: LoadPlan, rng: random.Random, sequence: int) -> PlannedRequest:
+    """Draw a request.
+
+    Args:
+        plan: The run.
+        rng: Source of random numbers.
+        sequence: Number of the request in this run.
+
+    Returns:
+        A request whose key and body no other request of the run has.
+    """
+    kind = rng.choices(plan.kinds, [kind.weight for kind in plan.kinds])[0]
+    tag = f'{kind.name}-{plan.seed}-{rng.getrandbits(64):016x}-{sequence}'
+    key = tag if kind.keyed else ''
+    pattern = f'{plan.seed}:{sequence};'.encode()
+    repeats = kind.body_bytes // len(pattern) + 1
+    body = (pattern * repeats)[: kind.body_bytes]
+    return PlannedRequest(kind, rng.choice(plan.addresses), tag, key, body)
+
+
+def fault_of(request: PlannedRequest, response: Response) -> str | None:
+    """Compare a response with status 200 with the request that it answers.
+
+    Args:
+        request: What was sent.
+        response: The complete response.
+
+    Returns:
+        Name of the first difference, or None when the response belongs to the request.
+    """
+    if response.status != _OK:
+        return None
+    try:
+        echoed = json.loads(response.body)
+    except ValueError:
+        return 'body_not_json'
+    if not isinstance(echoed, dict):
+        return 'body_not_object'
+    expected = {
+        'method': request.kind.method,
+        'path': request.kind.path.partition('?')[0],
+        'key': request.key,
+        'tag': request.tag,
+        'body_bytes': len(request.body),
+        'body_sha256': hashlib.sha256(request.body).hexdigest(),
+    }
+    for name, wanted in expected.items():
+        if echoed.get(name) != wanted:
+            return f'wrong_{name}'
+    return None
+
+
+def _new_histogram() -> histogram.HdrHistogram:
+    return histogram.HdrHistogram(MIN_LATENCY_US, MAX_LATENCY_US, SIGNIFICANT_DIGITS)
+
+
+@dataclasses.dataclass(slots=True)
+class LoadResult:
+    """Counts and latencies of one run or of several merged ones."""
+
+    sent: int = 0
+    """Requests whose intended send time came."""
+    by_status: collections.Counter[str] = dataclasses.field(default_factory=collections.Counter)
+    """Complete responses by status code."""
+    by_outcome: collections.Counter[str] = dataclasses.field(default_factory=collections.Counter)
+    """Complete responses by `Anvillug-Outcome`, `none` without it."""
+    by_kind: collections.Counter[str] = dataclasses.field(default_factory=collections.Counter)
+    """Complete responses with status 200 by kind."""
+    errors: collections.Counter[str] = dataclasses.field(default_factory=collections.Counter)
+    """Requests without a complete response, by reason."""
+    wrong: collections.Counter[str] = dataclasses.field(default_factory=collections.Counter)
+    """Responses that don't belong to their request, by difference."""
+    keys: dict[str, str] = dataclasses.field(default_factory=dict)
+    """Result by `Idempotency-Key`: status and outcome, or the error."""
+    latency_us: histogram.HdrHistogram = dataclasses.field(default_factory=_new_histogram)
+    """Latency of responses with status 200 from the intended send time."""
+
+    def add_response(self, request: PlannedRequest, response: Response, latency_ms: float) -> None:
+        """Count a complete response."""
+        outcome = response.headers.get(call.OUTCOME_HEADER.lower(), _NO_OUTCOME)
+        self.by_status[str(response.status)] += 1
+        self.by_outcome[outcome] += 1
+        if request.key:
+            self.keys[request.key] = f'{response.status} {outcome}'
+        fault = fault_of(request, response)
+        if fault is not None:
+            self.wrong[fault] += 1
+        if response.status == _OK:
+            self.by_kind[request.kind.name] += 1
+            self.latency_us.record_value(max(round(latency_ms * US_PER_MS), MIN_LATENCY_US))
+
+    def add_error(self, request: PlannedRequest, reason: str) -> None:
+        """Count a request without a complete response."""
+        self.errors[reason] += 1
+        if request.key:
+            self.keys[request.key] = reason
+
+    def percentile_ms(self, percentile: float) -> float:
+        """Return a percentile of the latency in milliseconds."""
+        return self.latency_us.get_value_at_percentile(percentile) / US_PER_MS
+
+    def completed(self) -> int:
+        """Return the number of complete responses of any status."""
+        return sum(self.by_status.values())
+
+    def merge(self, other: LoadResult) -> None:
+        """Add the counts and latencies of another run."""
+        self.sent += other.sent
+        for name in _COUNTERS:
+            getattr(self, name).update(getattr(other, name))
+        self.keys.update(other.keys)
+        self.latency_us.add(other.latency_us)
+
+    def to_json(self) -> dict[str, Any]:
+        """Return a JSON value that `from_json` reads, for runs in other processes."""
+        counters = {name: dict(getattr(self, name)) for name in _COUNTERS}
+        encoded = self.latency_us.encode().decode('ascii')
+        return {'sent': self.sent, **counters, 'keys': self.keys, 'latency_us': encoded}
+
+
+_COUNTERS = ('by_status', 'by_outcome', 'by_kind', 'errors', 'wrong')
+
+
+def from_json(data: dict[str, Any]) -> LoadResult:
+    """Read the value of `LoadResult.to_json`."""
+    counters = {name: collections.Counter(data[name]) for name in _COUNTERS}
+    latencies = _new_histogram()
+    latencies.decode_and_add(data['latency_us'])
+    return LoadResult(sent=data['sent'], keys=dict(data['keys']), latency_us=latencies, **counters)
--- a/src/anvillug/standin/backend_exchange.py
+++ b/src/anvillug/standin/backend_exchange.py
@@ -10,6 +10,7 @@
 
 from anvillug.request import call
 
+TAG_HEADER = 'Load-Tag'  # echoed, so that the load generator knows its responses
 CHUNK_BYTES = 65_536
 MAX_KEPT_BODY_BYTES = 65_536
 
@@ -86,6 +87,7 @@
                 'path': self.path,
                 'call': self.call_id,
                 'key': self.key,
+                'tag': self.headers.get(TAG_HEADER.lower(), ''),
                 'body_bytes': self.body_bytes,
                 'body_sha256': self._digest.hexdigest(),
             }
