Flush the last answers before the backend server stand-in stops

Ruled out: the announcements and the freeze fault; the loss did not recur with either of them alone. Change: a connection counts as busy until it has closed after its last answer. The load generator can poll before each arrival, since epoll rounds waits up to whole milliseconds. Conclusion: a planned stop cuts off no answer in these tests.

--- a/src/anvillug/bench/load.py
+++ b/src/anvillug/bench/load.py
@@ -289,7 +289,8 @@
             self._send(self._next_s)
             self._draw_next()
         if self._next_s < self._end_s:
-            self.reactor.callLater(max(self._next_s - self.reactor.seconds(), 0), self._send_due)
+            wait_s = self._next_s - self.reactor.seconds() - clock.to_seconds(self.plan.spin_ms)
+            self.reactor.callLater(max(wait_s, 0), self._send_due)
         else:
             self._arrivals_ended = True
             self._check_finished()
--- a/src/anvillug/bench/traffic.py
+++ b/src/anvillug/bench/traffic.py
@@ -67,6 +67,8 @@
     """Connections to each address; further requests wait."""
     timeout_ms: float = 10_000
     """Time from the intended send until a request counts as timed out."""
+    spin_ms: float = 0
+    """Time before each arrival spent polling; epoll rounds waits up to whole milliseconds."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/anvillug/standin/backend_connection.py
+++ b/src/anvillug/standin/backend_connection.py
@@ -93,8 +93,8 @@
 
     @property
     def busy(self) -> bool:
-        """Whether a request is being read, run or answered."""
-        return bool(self._exchanges) and not self._silent
+        """Whether a request is being read, run or answered, or an answer is not flushed yet."""
+        return (bool(self._exchanges) or self._broken) and not self._silent
 
     def connectionMade(self) -> None:  # noqa: N802 the name is Twisted's
         """Take the slot time of the connection set-up, or refuse the connection."""
--- a/tests/test_standin_backend.py
+++ b/tests/test_standin_backend.py
@@ -155,6 +155,33 @@
         assert transport.value().count(b'HTTP/1.1 400') == 1
         assert not transport.connected
 
+    def test_drain_waits_until_answer_is_flushed(self):
+        harness = Harness()
+        connection = harness.factory.buildProtocol(None)
+        transport = testing.StringTransport()
+        transport.setTcpNoDelay = lambda enabled: None
+        connection.makeConnection(transport)
+        connection.dataReceived(post('/x'))
+        harness.factory.closing = True
+        harness.advance(20)
+        assert transport.disconnecting
+        assert not harness.factory.drained()
+        connection.connectionLost()
+        assert harness.factory.drained()
+
+    def test_drain_finishes_upload_that_began_before(self):
+        harness = Harness()
+        connection, transport = harness.connect()
+        upload = post('/scan', b'scan')
+        connection.dataReceived(upload[:-1])
+        harness.factory.closing = True
+        harness.advance(5)
+        assert not harness.factory.drained()
+        connection.dataReceived(upload[-1:])
+        harness.advance(20)
+        assert transport.value().startswith(b'HTTP/1.1 200')
+        assert harness.factory.drained()
+
     def test_silent_connection_never_answers(self):
         harness = Harness()
         connection, transport = harness.connect()
