--- a/src/anvillug/request/choice.py
+++ b/src/anvillug/request/choice.py
@@ -349,10 +349,13 @@
     Returns:
         The chosen members, those of the own zone first.
     """
-    seed = xxhash.xxh3_64_intdigest(own_host_id)
+    seed = xxhash.xxh3_64_intdigest(own_host_id.encode())
     ranked = sorted(
         members,
-        key=lambda member: (xxhash.xxh3_64_intdigest(member.host_id, seed), member.host_id),
+        key=lambda member: (
+            xxhash.xxh3_64_intdigest(member.host_id.encode(), seed),
+            member.host_id,
+        ),
     )
     own = [member for member in ranked if member.zone == own_zone]
     foreign = [member for member in ranked if member.zone != own_zone]
@@ -362,5 +365,6 @@
     if not chosen_own and len({member.zone for member in chosen_foreign}) == 1:
         zone = chosen_foreign[0].zone
         others = [member for member in foreign if member.zone != zone]
-        chosen_foreign = chosen_foreign[: size - 1] + others[:1]
+        if others:
+            chosen_foreign[-1] = others[0]
     return (*chosen_own, *chosen_foreign)
--- /dev/null
+++ b/tests/test_choice.py
@@ -0,0 +1,304 @@
+"""Tests of the choice of a host, of subsetting and of the baseline choosers."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import heapq
+import random
+import statistics
+
+import pytest
+from hypothesis import given, strategies
+
+from anvillug.bench import baselines
+from anvillug.request import call, choice
+
+SERVING = call.HostState.SERVING
+HOSTS = [f'host-{number}' for number in range(12)]
+PAIR = HOSTS[:2]
+FIRST, SECOND = PAIR
+
+
+def make_sample(in_flight=0, limit=10, latency_ms=10, taken_at=0, state=SERVING):
+    """Return a sample of an idle host by default."""
+    return call.LoadSample(in_flight, limit, 0, latency_ms, state, taken_at)
+
+
+def count_choices(candidates, hosts, now=1, rounds=3000, **options):
+    """Count how often each host is chosen."""
+    rng = random.Random(1)
+    return collections.Counter(
+        candidates.choose(hosts, options.get('excluded', ()), now, rng, options.get('weights'))
+        for _ in range(rounds)
+    )
+
+
+class TestChoose:
+    """Guards against calls sent to hot, refusing or excluded hosts."""
+
+    def test_ties_are_broken_at_random(self):
+        candidates = choice.Candidates()
+        for host in HOSTS:
+            candidates.record_sample(host, make_sample())
+        counts = count_choices(candidates, HOSTS)
+        assert min(counts.values()) > 3000 / 12 * 0.7
+        assert max(counts.values()) < 3000 / 12 * 1.3
+
+    def test_own_calls_since_the_sample_count(self):
+        candidates = choice.Candidates()
+        candidates.record_sample(FIRST, make_sample(latency_ms=1))
+        candidates.record_sample(SECOND, make_sample(latency_ms=9))
+        assert set(count_choices(candidates, PAIR)) == {FIRST}
+        for _ in range(8):
+            candidates.call_started(FIRST)
+        assert set(count_choices(candidates, PAIR)) == {SECOND}
+
+    def test_calls_in_transit_are_not_forgotten_by_a_sample(self):
+        candidates = choice.Candidates()
+        for _ in range(9):
+            candidates.call_started(FIRST)
+        candidates.record_sample(FIRST, make_sample(in_flight=0, latency_ms=1))
+        candidates.record_sample(SECOND, make_sample(latency_ms=9))
+        assert set(count_choices(candidates, PAIR)) == {SECOND}
+
+    def test_a_host_without_a_sample_gets_one_call_at_a_time(self):
+        candidates = choice.Candidates()
+        candidates.record_sample(SECOND, make_sample())
+        assert FIRST in count_choices(candidates, PAIR)
+        candidates.call_started(FIRST)
+        assert set(count_choices(candidates, PAIR)) == {SECOND}
+
+    def test_refusing_host_is_avoided_for_a_few_ms(self):
+        candidates = choice.Candidates()
+        candidates.record_sample(FIRST, make_sample(latency_ms=1))
+        candidates.record_sample(SECOND, make_sample(latency_ms=9))
+        candidates.call_refused(FIRST, 10)
+        assert set(count_choices(candidates, PAIR, now=14)) == {SECOND}
+        assert set(count_choices(candidates, PAIR, now=16)) == {FIRST}
+
+    @pytest.mark.parametrize(
+        'state',
+        [call.HostState.LEAVING, call.HostState.ZONE_OUT, call.HostState.NO_BACKEND],
+    )
+    def test_state_in_the_sample_counts(self, state):
+        candidates = choice.Candidates()
+        candidates.record_sample(FIRST, make_sample(latency_ms=1, state=state))
+        candidates.record_sample(SECOND, make_sample(in_flight=30))
+        assert set(count_choices(candidates, PAIR)) == {SECOND}
+
+    def test_older_sample_does_not_replace_a_newer_one(self):
+        candidates = choice.Candidates()
+        candidates.record_sample(SECOND, make_sample(taken_at=5))
+        candidates.record_sample(FIRST, make_sample(in_flight=20, taken_at=5))
+        candidates.record_sample(FIRST, make_sample(in_flight=0, latency_ms=1, taken_at=4))
+        assert set(count_choices(candidates, PAIR, now=6)) == {SECOND}
+
+    @given(
+        strategies.integers(1, 12),
+        strategies.sets(strategies.sampled_from(HOSTS)),
+        strategies.dictionaries(
+            strategies.sampled_from(HOSTS),
+            strategies.sampled_from([0, 0.001, 0.5, 1]),
+        ),
+        strategies.randoms(use_true_random=False),
+    )
+    def test_excluded_and_weight_zero_are_never_chosen(self, count, excluded, weights, rng):
+        hosts = HOSTS[:count]
+        chosen = choice.Candidates().choose(hosts, excluded, 1, rng, weights)
+        usable = {host for host in hosts if host not in excluded and weights.get(host, 1)}
+        assert chosen in usable or (chosen is None and not usable)
+
+    @pytest.mark.parametrize('count', [3, 12])
+    def test_weights_scale_the_share(self, count):
+        weights = {HOSTS[0]: 0.1}
+        counts = count_choices(choice.Candidates(), HOSTS[:count], rounds=20_000, weights=weights)
+        full = statistics.mean(counts[host] for host in HOSTS[1:count])
+        assert counts[HOSTS[0]] == pytest.approx(full * 0.1, rel=0.6)
+
+
+class TestSampling:
+    """Guards against sampling that costs more than its budget or never happens (R1)."""
+
+    def test_only_old_samples_while_calls_arrive(self):
+        candidates = choice.Candidates()
+        candidates.record_sample(HOSTS[0], make_sample(taken_at=450))
+        candidates.record_sample(HOSTS[1], make_sample(taken_at=350))
+        assert candidates.hosts_to_sample(PAIR, 500) == []
+        candidates.choose(PAIR, (), 500, random.Random(1))
+        assert candidates.hosts_to_sample(PAIR, 500) == [HOSTS[1]]
+        assert candidates.hosts_to_sample(PAIR, 510) == []
+        assert candidates.hosts_to_sample(PAIR, 1600) == []
+
+    def test_rate_is_bounded_when_no_host_answers(self):
+        candidates = choice.Candidates(samples_per_second=40)
+        asked = collections.Counter()
+        for now in range(10_000):
+            candidates.choose(HOSTS, (), now, random.Random(1))
+            asked.update(candidates.hosts_to_sample(HOSTS, now))
+        assert 300 < asked.total() <= 440
+        assert min(asked.values()) > 0
+
+
+class Service:
+    """Fake service whose hosts refuse above twice their slots and slow down above their slots."""
+
+    def __init__(self, chooser, lie):
+        self.chooser = chooser
+        self.lie = lie
+        self.refusals = 0
+        self.latencies = []
+        self._in_flight = collections.Counter()
+        self._ends = []
+        self._rng = random.Random(7)
+        self._base_ms = {host: 100 if number < 4 else 10 for number, host in enumerate(HOSTS)}
+
+    def run(self, calls_per_ms, duration):
+        now = 0
+        while now < duration:
+            now += self._rng.expovariate(calls_per_ms)
+            self._end_calls(now)
+            host = self.chooser.choose(HOSTS, (), now, self._rng)
+            self.chooser.call_started(host)
+            if self._in_flight[host] >= 20:
+                self.refusals += 1
+                self.chooser.call_refused(host, now)
+                self._answer(host, now, None)
+                continue
+            self._in_flight[host] += 1
+            latency = self._base_ms[host] * max(1, self._in_flight[host] / 10)
+            heapq.heappush(self._ends, (now + latency, host, latency))
+
+    def _end_calls(self, until):
+        while self._ends and self._ends[0][0] <= until:
+            now, host, latency = heapq.heappop(self._ends)
+            self._in_flight[host] -= 1
+            self.latencies.append(latency)
+            self._answer(host, now, latency)
+
+    def _answer(self, host, now, latency):
+        truth = make_sample(self._in_flight[host], 10, self._base_ms[host], now)
+        self.chooser.record_sample(host, self.lie(truth))
+        self.chooser.call_ended(host, latency, now)
+
+
+def tell_truth(sample):
+    """Return the sample as it is."""
+    return sample
+
+
+def invert_load(sample):
+    """Show full hosts as idle and idle ones as full."""
+    return dataclasses.replace(sample, in_flight=max(0, 20 - sample.in_flight))
+
+
+def invert_everything(sample):
+    """Show slow and full hosts as fast and idle, and the reverse."""
+    return dataclasses.replace(invert_load(sample), latency_ms=110 - sample.latency_ms)
+
+
+def always_idle(sample):
+    """Show every host as fast and idle."""
+    return dataclasses.replace(sample, in_flight=0, latency_ms=1)
+
+
+class TestMisleadingSamples:
+    """Guards against a choice that is worse than random when every sample misleads."""
+
+    @pytest.mark.parametrize('lie', [invert_load, invert_everything, always_idle])
+    @pytest.mark.parametrize('calls_per_ms', [1, 4, 8])
+    def test_not_worse_than_random(self, lie, calls_per_ms):
+        informed = Service(choice.Candidates(), lie)
+        blind = Service(baselines.make_chooser('random'), lie)
+        for service in (informed, blind):
+            service.run(calls_per_ms, 6000)
+        assert informed.refusals <= blind.refusals * 1.02 + 10
+        informed_mean = statistics.mean(informed.latencies)
+        assert informed_mean <= statistics.mean(blind.latencies) * 1.05
+
+    @pytest.mark.parametrize('name', ['random', 'round-robin', 'least-in-flight', 'two-choices'])
+    def test_true_samples_beat_the_baselines(self, name):
+        informed = Service(choice.Candidates(), tell_truth)
+        baseline = Service(baselines.make_chooser(name), tell_truth)
+        for service in (informed, baseline):
+            service.run(3, 6000)
+        assert informed.refusals <= baseline.refusals
+        assert statistics.mean(informed.latencies) < statistics.mean(baseline.latencies)
+
+
+@dataclasses.dataclass(frozen=True)
+class Member:
+    """Member with the attributes that subsetting reads."""
+
+    host_id: str
+    zone: str
+
+
+def make_members(counts_by_zone):
+    """Return as many members per zone."""
+    return [
+        Member(f'{zone}-{number}', zone)
+        for zone, count in counts_by_zone.items()
+        for number in range(count)
+    ]
+
+
+class TestSubset:
+    """Guards against subsets in one zone, uneven subsets and ones that change needlessly."""
+
+    @given(
+        strategies.dictionaries(
+            strategies.sampled_from('abcd'), strategies.integers(0, 40), min_size=1
+        ),
+        strategies.sampled_from('abcde'),
+        strategies.integers(2, 16),
+        strategies.integers(0, 100),
+    )
+    def test_size_and_zones(self, counts_by_zone, own_zone, size, own):
+        members = make_members(counts_by_zone)
+        chosen = choice.subset(members, f'entry-{own}', own_zone, size)
+        assert len(chosen) == len(set(chosen)) == min(size, len(members))
+        zones = {member.zone for member in members}
+        assert len({member.zone for member in chosen}) >= min(2, len(zones))
+        assert choice.subset(tuple(reversed(members)), f'entry-{own}', own_zone, size) == chosen
+
+    def test_prefers_the_own_zone(self):
+        members = make_members({'a': 30, 'b': 30, 'c': 30})
+        chosen = choice.subset(members, 'entry', 'a')
+        assert sum(member.zone == 'a' for member in chosen) == 12
+
+    @given(strategies.integers(0, 59), strategies.integers(0, 1000))
+    def test_losing_a_member_changes_one_place(self, lost, own):
+        members = make_members({'a': 30, 'b': 30})
+        before = set(choice.subset(members, f'entry-{own}', 'a'))
+        after = set(choice.subset(members[:lost] + members[lost + 1 :], f'entry-{own}', 'a'))
+        assert len(before - after) == (members[lost] in before)
+
+    def test_members_are_in_similarly_many_subsets(self):
+        members = make_members({'a': 30, 'b': 30})
+        counts = collections.Counter(
+            member.host_id
+            for own in range(600)
+            for member in choice.subset(members, f'entry-{own}', 'ab'[own % 2])
+        )
+        assert min(counts.values()) > 160 * 0.7
+        assert max(counts.values()) < 160 * 1.3
+
+
+class TestBaselines:
+    """Guards against baselines that the bench can't use in place of `Candidates`."""
+
+    @pytest.mark.parametrize('name', baselines.NAMES)
+    def test_chooses_and_honours_exclusion(self, name):
+        chooser = baselines.make_chooser(name)
+        rng = random.Random(1)
+        for host in HOSTS:
+            chooser.record_sample(host, make_sample())
+        for _ in range(50):
+            chosen = chooser.choose(HOSTS, HOSTS[2:], 1, rng, {HOSTS[0]: 0})
+            assert chosen in {HOSTS[1], None}
+        assert chooser.choose(HOSTS, HOSTS, 1, rng) is None
+
+    def test_unknown_name(self):
+        with pytest.raises(ValueError, match='not one of'):
+            baselines.make_chooser('best')
