--- a/src/anvillug/connection/http_server.py
+++ b/src/anvillug/connection/http_server.py
@@ -352,12 +352,13 @@
         event_log.warn('request_rejected', status=status, reason=message)
         exchange = self._exchange
         if exchange is None:
-            body = message.encode() + b'\n'
+            body = f'{message}\n'.encode()
             head = http_head.ResponseHead(
                 status,
                 [(b'Content-Length', b'%d' % len(body)), (b'Connection', b'close')],
             )
-            self.send(http_head.serialize_response(head) + body)
+            self.send(http_head.serialize_response(head))
+            self.send(body)
         elif exchange.handler is not None:
             exchange.handler.request_aborted()
             exchange.ended = True
--- a/src/anvillug/process/host_side.py
+++ b/src/anvillug/process/host_side.py
@@ -255,9 +255,10 @@
         state = self._suspects.check(started.fingerprint, now)
         if state is quarantine.QuarantineState.QUARANTINED:
             return 'quarantined: this request has crashed backend servers'
-        if state is quarantine.QuarantineState.SUSPECT:
-            if not self._suspects.start_suspect(started.request.properties.call_id):
-                return 'suspect: another such request runs'
+        call_id = started.request.properties.call_id
+        suspect = state is quarantine.QuarantineState.SUSPECT
+        if suspect and not self._suspects.start_suspect(call_id):
+            return 'suspect: another such request runs'
         return None
 
     def _offer(self, started: host_call.HostCall, now: clock.Milliseconds) -> str | None:
--- a/src/anvillug/process/operator_api.py
+++ b/src/anvillug/process/operator_api.py
@@ -101,13 +101,13 @@
     @app.route('/announce', methods=['POST'])
     def announce(self, request: Any) -> bytes:
         """Take an announcement; 400 with all findings where it is invalid."""
-        body = request.content.read(_MAX_ANNOUNCEMENT_BYTES + 1)
+        body = request.content.read(_MAX_ANNOUNCEMENT_BYTES)
         try:
             told = Announcement.model_validate_json(body)
         except pydantic.ValidationError as error:
             request.setResponseCode(_STATUS_BAD_REQUEST)
             event_log.warn('announcement_rejected', faults=error.error_count())
-            found = [str(finding) for finding in validation.findings_of(error, 'announcement')]
+            found = [str(each) for each in validation.findings_of(error, 'announcement')]
             return _json(request, {'findings': found})
         self._node.announced(
             backend_watch.Backend(
@@ -125,4 +125,5 @@
 
 def _json(request: Any, data: object) -> bytes:
     request.setHeader('Content-Type', 'application/json')
-    return json.dumps(data, indent=1, default=str).encode() + b'\n'
+    text = json.dumps(data, indent=1, default=str)
+    return f'{text}\n'.encode()
--- a/src/anvillug/process/service_view.py
+++ b/src/anvillug/process/service_view.py
@@ -86,12 +86,18 @@
         if weight < 1:
             weights[member.host_id] = weight
     hosts_by_version = {
-        version: tuple(member.host_id for member in choice.subset(found, own.host_id, own.zone))
-        for version, found in members_by_version.items()
+        version: _subset_ids(found, own) for version, found in members_by_version.items()
     }
     return ServiceView(service, hosts_by_version, weights or None, move)
 
 
+def _subset_ids(
+    found: list[membership.Member],
+    own: membership.Member,
+) -> tuple[ids.HostId, ...]:
+    return tuple(member.host_id for member in choice.subset(found, own.host_id, own.zone))
+
+
 def _zone_weight(
     config: config_state.ConfigState,
     zone: ids.ZoneName,
--- a/src/anvillug/request/choice.py
+++ b/src/anvillug/request/choice.py
@@ -165,9 +165,9 @@
         host.refused_until = now + host.refusal_hold_ms
 
     def load_level(self, host_id: ids.HostId, now: clock.Milliseconds) -> float:
-        """Return the estimated load over the limit of a host; 0.0 without a sample."""
+        """Return the estimated load over the limit of a host; 0 without a sample."""
         host = self._by_host_id.get(host_id)
-        return 0.0 if host is None else host.estimate(now) / host.limit
+        return 0 if host is None else host.estimate(now) / host.limit
 
     def forget(self, host_id: ids.HostId) -> None:
         """Drop what is known of a host that left."""
@@ -357,7 +357,10 @@
     seed = xxhash.xxh3_64_intdigest(own_host_id.encode())
     ranked = sorted(
         members,
-        key=lambda member: (xxhash.xxh3_64_intdigest(member.host_id.encode(), seed), member.host_id),
+        key=lambda member: (
+            xxhash.xxh3_64_intdigest(member.host_id.encode(), seed),
+            member.host_id,
+        ),
     )
     own = [member for member in ranked if member.zone == own_zone]
     foreign = [member for member in ranked if member.zone != own_zone]
@@ -367,5 +370,6 @@
     if not chosen_own and len({member.zone for member in chosen_foreign}) == 1:
         zone = chosen_foreign[0].zone
         others = [member for member in foreign if member.zone != zone]
-        chosen_foreign = chosen_foreign[: size - 1] + others[:1]
+        if others:
+            chosen_foreign[-1] = others[0]
     return (*chosen_own, *chosen_foreign)
--- a/src/anvillug/request/resolution.py
+++ b/src/anvillug/request/resolution.py
@@ -44,13 +44,14 @@
 
     def start(self, known: call_table.Resolution) -> None:
         """Answer what is known, or attach to the running call."""
-        if known.kind is not call_table.ResolutionKind.RUNNING:
-            self._answer(known)
-        elif self._table.attach(self._call_id, self._answer):
+        running = known.kind is call_table.ResolutionKind.RUNNING
+        if running and self._table.attach(self._call_id, self._answer):
             # Tells the entry side that the call runs and that this host is alive.
             self._exchange.send_continue()
-        else:
+        elif running:
             self._answer(call_table.Resolution(call_table.ResolutionKind.UNKNOWN))
+        else:
+            self._answer(known)
 
     def body_received(self, data: bytes) -> None:
         """Ignore a body: a resolution has none."""
