--- a/src/anvillug/process/service_view.py
+++ b/src/anvillug/process/service_view.py
@@ -9,7 +9,7 @@
 from anvillug import clock, ids
 from anvillug.process import membership
 from anvillug.request import choice
-from anvillug.version import config_state, document, share
+from anvillug.version import config_state, document, share, targets
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -24,6 +24,8 @@
     """Weight of hosts in zones that ramp up; None when every weight is 1."""
     move: config_state.MoveStatus | None
     """Rollout in progress."""
+    canary_share: float
+    """First share of a new version."""
 
     def pick_version(self, rng: random.Random, wall: clock.Milliseconds) -> ids.VersionName:
         """Choose the version that a call goes to by the planned share.
@@ -41,7 +43,7 @@
             return stable
         new_share = 1.0
         if move.state is config_state.MoveState.PLANNED:
-            new_share = share.planned_share(move, self.service.targets.safety, wall)
+            new_share = share.planned_share(move, self.canary_share, wall)
         wanted, other = stable, move.to_version
         if rng.random() < new_share:
             wanted, other = other, wanted
@@ -88,7 +90,8 @@
     hosts_by_version = {
         version: _subset_ids(found, own) for version, found in members_by_version.items()
     }
-    return ServiceView(service, hosts_by_version, weights or None, move)
+    canary_share = targets.decide(service).canary_share
+    return ServiceView(service, hosts_by_version, weights or None, move, canary_share)
 
 
 def _subset_ids(
--- a/src/anvillug/version/share.py
+++ b/src/anvillug/version/share.py
@@ -14,20 +14,12 @@
 """Portion of the move's time that is kept between full share and the deadline."""
 
 
-CANARY_SHARES = {
-    document.Safety.STRICT: 0.01,
-    document.Safety.BALANCED: 0.05,
-    document.Safety.FAST: 0.1,
-}
-"""Share of a new version before the ramp, by safety target."""
-
-
-def planned_share(move: config_state.MoveStatus, safety: document.Safety, wall: float) -> float:
+def planned_share(move: config_state.MoveStatus, canary_share: float, wall: float) -> float:
     """Return the share of traffic that goes to the new version.
 
     Args:
         move: Start and deadline of the rollout.
-        safety: Safety target of the service.
+        canary_share: First share, from the safety target.
         wall: Milliseconds since the epoch.
 
     Returns:
@@ -39,11 +31,10 @@
     full_at = move.start_ms + duration * (1 - MARGIN_PORTION)
     if wall >= full_at:
         return 1.0
-    canary = CANARY_SHARES[safety]
     ramp_at = canary_end(move)
     if wall < ramp_at:
-        return canary
-    return canary + (1 - canary) * (wall - ramp_at) / (full_at - ramp_at)
+        return canary_share
+    return canary_share + (1 - canary_share) * (wall - ramp_at) / (full_at - ramp_at)
 
 
 def canary_end(move: config_state.MoveStatus) -> float:
