Validate faults by type and let health reports lag

Cause: a fault of a wrong type was accepted and failed later in a timer; changing other faults during a drain took back the announced leaving; health was never stale. Change: pydantic validates the faults of all stand-ins; a drain and the leave fault are separate; health is part of the lagging report. Conclusion: control requests either take effect whole or get 400.

--- a/src/anvillug/standin/backend_connection.py
+++ b/src/anvillug/standin/backend_connection.py
@@ -32,9 +32,12 @@
     reactor: interfaces.IReactorTime
     clock: clock.Clock
     open_connections: set[BackendConnection]
-    leaving: bool
     closing: bool
 
+    @property
+    def leaving(self) -> bool:
+        """Whether the server announces that it is leaving."""
+
     def has_room(self) -> bool:
         """Tell whether one more connection is within the limit."""
 
@@ -286,9 +289,9 @@
             following.on_start(following)
 
     def _answer_probe(self, path: str) -> None:
-        data = self._model.report(self._server.clock.now())
-        if path == '/health':
-            data = {'status': 'leaving' if self._server.leaving else 'serving'}
+        report = self._model.report(self._server.clock.now(), leaving=self._server.leaving)
+        status = report.pop('status')
+        data = {'status': status} if path == '/health' else report
         self._answer(HTTPStatus.OK, {}, json.dumps(data).encode())
 
     def _answer_call(self, *, failed: bool) -> None:
--- a/src/anvillug/standin/backend_model.py
+++ b/src/anvillug/standin/backend_model.py
@@ -19,7 +19,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BackendSettings:
-    """Size and speed of a backend server."""
+    """Size and speed of a backend server.
+
+    The server's timers round times up to whole milliseconds, as epoll does.
+    """
 
     service: str = 'service'
     """Service that it offers."""
@@ -274,18 +277,24 @@
             started.append(following)
         return started
 
-    def report(self, now: float) -> dict[str, object]:
+    def report(self, now: float, *, leaving: bool = False) -> dict[str, object]:
         """Return the load report, which is up to `report_lag_ms` old.
 
         Args:
             now: Monotonic time in milliseconds.
+            leaving: Whether the server is leaving.
 
         Returns:
-            The values of `/load`.
+            The values of `/load` and the status of `/health`.
         """
         if now - self._report_time >= self.settings.report_lag_ms:
             load = (self.in_flight + self.queued) / self.settings.slots
-            self._report = {'load': load, 'in_flight': self.in_flight, 'queued': self.queued}
+            self._report = {
+                'load': load,
+                'in_flight': self.in_flight,
+                'queued': self.queued,
+                'status': 'leaving' if leaving else 'serving',
+            }
             self._report_time = now
         if self.faults.mislead_load is not None:
             return {**self._report, 'load': self.faults.mislead_load}
--- a/src/anvillug/standin/backend_server.py
+++ b/src/anvillug/standin/backend_server.py
@@ -40,7 +40,7 @@
         self.reactor = reactor
         self.clock = time_source
         self.open_connections: set[backend_connection.BackendConnection] = set()
-        self.leaving = False
+        self.draining = False
         self.closing = False
 
     def buildProtocol(  # noqa: N802 the name is Twisted's
@@ -49,6 +49,11 @@
         """Return the protocol of a new connection."""
         return backend_connection.BackendConnection(self)
 
+    @property
+    def leaving(self) -> bool:
+        """Whether the server announces that it is leaving."""
+        return self.draining or self.model.faults.leave
+
     def has_room(self) -> bool:
         """Tell whether one more connection is within the limit."""
         return len(self.open_connections) < self.model.settings.connections
@@ -113,7 +118,6 @@
         if faults.silent:
             for connection in self.open_connections:
                 connection.silence()
-        self.leaving = faults.leave
         # These two act once, so that a later change of other faults doesn't repeat them.
         self.model.change_faults(dataclasses.replace(faults, freeze_ms=0, silent=False))
         return HTTPStatus.OK, dataclasses.asdict(self.model.faults)
@@ -192,7 +196,7 @@
         notice_ms: Time between the announcement and the refusal of new work.
         bound_ms: Longest time to wait for calls that run.
     """
-    factory.leaving = True
+    factory.draining = True
     yield task.deferLater(factory.reactor, clock.to_seconds(notice_ms))
     factory.closing = True
     yield port.stopListening()
--- a/src/anvillug/standin/http_api.py
+++ b/src/anvillug/standin/http_api.py
@@ -6,6 +6,7 @@
 import json
 from typing import Any, TypeVar
 
+import pydantic
 from twisted.internet import interfaces
 from twisted.web import http, iweb
 
@@ -35,7 +36,7 @@
         The new faults.
 
     Raises:
-        ValueError: If the body is no JSON object or names an unknown fault.
+        ValueError: If the body is no JSON object, names an unknown fault or has a wrong type.
     """
     changes = json.loads(body)
     if not isinstance(changes, dict):
@@ -44,7 +45,8 @@
     unknown = sorted(set(changes) - known)
     if unknown:
         raise ValueError(f'unknown faults {unknown}, known are {sorted(known)}')
-    return dataclasses.replace(faults, **changes)  # type: ignore[type-var]
+    adapter = pydantic.TypeAdapter(type(faults))
+    return adapter.validate_python({**dataclasses.asdict(faults), **changes})
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/tests/test_standin_backend.py
+++ b/tests/test_standin_backend.py
@@ -5,7 +5,9 @@
 import dataclasses
 import hashlib
 import json
+import re
 
+import pytest
 from twisted.internet import task, testing
 
 from anvillug.standin import backend_model, backend_server
@@ -49,6 +51,15 @@
         assert shed is backend_model.Admission.SHED
         assert model.finish(first, failed=False) == [queued]
 
+    def test_load_report_lags_and_misleads(self):
+        model = backend_model.BackendModel(SETTINGS)
+        assert model.report(0)['in_flight'] == 0
+        start_call(model)
+        assert model.report(SETTINGS.report_lag_ms - 1)['in_flight'] == 0
+        assert model.report(SETTINGS.report_lag_ms)['in_flight'] == 1
+        model.change_faults(backend_model.BackendFaults(mislead_load=99))
+        assert model.report(SETTINGS.report_lag_ms)['load'] == 99
+
 
 class ReactorClock:
     """Clock that follows a test reactor."""
@@ -182,6 +193,27 @@
         assert transport.value().startswith(b'HTTP/1.1 200')
         assert harness.factory.drained()
 
+    @pytest.mark.parametrize('body', [b'{"slow": 2}', b'{"slow_factor": "x"}', b'[]', b'{'])
+    def test_wrong_faults_are_rejected(self, body: bytes):
+        harness = Harness()
+        connection, transport = harness.connect()
+        connection.dataReceived(post('/control/faults', body))
+        harness.advance(5)
+        assert transport.value().startswith(b'HTTP/1.1 400')
+        assert harness.model.faults == backend_model.BackendFaults()
+
+    def test_fail_routes_fail_only_there(self):
+        harness = Harness()
+        connection, transport = harness.connect()
+        faults = b'{"fail_routes": ["/bad"]}'
+        connection.dataReceived(post('/control/faults', faults))
+        harness.advance(5)
+        transport.clear()
+        connection.dataReceived(b''.join((post('/bad/1'), post('/good'))))
+        harness.advance(30)
+        statuses = re.findall(rb'HTTP/1.1 (\d+)', transport.value())
+        assert statuses == [b'500', b'200']
+
     def test_silent_connection_never_answers(self):
         harness = Harness()
         connection, transport = harness.connect()
