Distrust samples sooner, and until they are right again

Each entry side alone gathers evidence slowly, and around the bound it trusted the samples in turns. Ruled out: a share of random choices as a control group; it sends calls to slow hosts in good times too, which costs tail latency. Change: gain 1/12 instead of 1/32, distrust from an error of 0.3, trust again below 0.1.

--- a/src/anvillug/request/choice.py
+++ b/src/anvillug/request/choice.py
@@ -26,8 +26,11 @@
 _STALE_AFTER_MS = 1000.0
 _REFUSAL_HOLD_MS = 5.0
 _MAX_REFUSAL_HOLD_MS = 40.0
-_ERROR_GAIN = 1 / 32
-_DISTRUST_ERROR = 0.4
+_ERROR_GAIN = 1 / 12
+"""With 1/32, eight entry sides at 1 call/ms were led to the slowest hosts for over 3 s."""
+_DISTRUST_ERROR = 0.3
+_TRUST_ERROR = 0.1
+"""Between the two bounds the state stays, else samples that mislead are trusted in turns."""
 _MS_PER_SECOND = 1000.0
 # Rank bands: a host of a lower band always wins over a host of a higher one.
 _HOT_BAND = 1e9
@@ -68,28 +71,23 @@
         self.refusal_hold_ms: float = 0
         self.asked_at = float('-inf')
 
-    def estimate(self, now: float) -> int:
-        """Return the number of calls believed to be at the host."""
-        if now - self.taken_at > _STALE_AFTER_MS:
-            return self.outstanding
-        # Calls in transit are in neither the sample nor `since_sample`; `outstanding` bounds them.
-        return max(self.in_flight + self.since_sample, self.outstanding)
-
     def rank(self, now: float, hot_threshold: float, trusted: bool) -> float:
         """Return the order of preference of the host; lower is better."""
+        rank: float = self.outstanding
         if trusted:
-            estimate = self.estimate(now)
-            load = estimate / self.limit
-            if load < hot_threshold:
-                rank = self.latency_ms
-                if now - self.observed_at < _STALE_AFTER_MS and self.observed_ms > rank:
-                    rank = self.observed_ms
+            # Calls in transit are in neither the sample nor `since_sample`; `outstanding` bounds
+            # them. An old sample tells nothing about the load.
+            if now - self.taken_at <= _STALE_AFTER_MS:
+                rank = max(rank, self.in_flight + self.since_sample)
+            rank /= self.limit
+            if rank >= hot_threshold:
+                rank += _HOT_BAND
+            elif self.observed_ms > self.latency_ms and now - self.observed_at < _STALE_AFTER_MS:
+                rank = self.observed_ms
             else:
-                rank = _HOT_BAND + load
-        else:
-            rank = float(self.outstanding)
-        if now < self.refused_until or self.unusable:
-            rank += _AVOIDED_BAND
+                rank = self.latency_ms
+        if self.unusable or now < self.refused_until:
+            return rank + _AVOIDED_BAND
         return rank
 
 
@@ -105,6 +103,8 @@
     def __init__(self, hot_threshold: float = 0.7, samples_per_second: float = 40) -> None:
         self.sample_error: float = 0
         """Share of recent calls whose acceptance contradicted the sample, 0.0 to 1.0."""
+        self.samples_trusted = True
+        """Whether samples are used; if not, only own outstanding calls are compared."""
         self._hot_threshold = hot_threshold
         self._samples_per_second = samples_per_second
         self._sample_allowance = samples_per_second
@@ -193,13 +193,12 @@
         drawn = _draw(eligible, excluded, rng, weights)
         if len(drawn) < 2:
             return drawn[0] if drawn else None
-        trusted = self.sample_error < _DISTRUST_ERROR
         best_rank = float('inf')
         best = drawn[0]
         # Draws are in random order, so that the first of equals is a random one.
         for host_id in drawn:
             host = self._by_host_id.get(host_id)
-            rank = 0 if host is None else host.rank(now, self._hot_threshold, trusted)
+            rank = 0 if host is None else host.rank(now, self._hot_threshold, self.samples_trusted)
             if rank < best_rank:
                 best_rank = rank
                 best = host_id
@@ -259,6 +258,8 @@
         else:
             return
         self.sample_error += (misled - self.sample_error) * _ERROR_GAIN
+        bound = _DISTRUST_ERROR if self.samples_trusted else _TRUST_ERROR
+        self.samples_trusted = self.sample_error < bound
 
     def _host(self, host_id: ids.HostId) -> _Host:
         host = self._by_host_id.get(host_id)
