Add the call table and the quarantine of crashing calls

Ruled out: keeping each ended call for the whole keep time, which limits the rate of calls to entries / keep time; a full table forgets the oldest ended calls early and raises the forgotten mark instead. Change: CallTable with bounds, fences, forgotten marks and waiters; Quarantine with crash ids that nodes merge by union, so an exchange never lengthens it.

--- /dev/null
+++ b/src/anvillug/request/call_table.py
@@ -0,0 +1,378 @@
+"""Outcome of each call at the host side.
+
+The table answers one question for an entry side whose connection broke: did
+the call run? It never answers "not run" for a call that ran or may still run.
+Every operation takes constant time, amortised over the calls.
+
+Entry sides send a call id as a call at most once to a host; a retry carries a
+new sequence. A call that arrives with a forgotten id is therefore rejected
+before it ran, while a resolve of a forgotten id gives `UNKNOWN`.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import enum
+from collections.abc import Callable
+
+from anvillug import clock, ids
+
+HeaderPairs = tuple[tuple[bytes, bytes], ...]
+
+
+class CallState(enum.Enum):
+    """State of a call in the table."""
+
+    ADMITTED = 'admitted'
+    DISPATCHED = 'dispatched'
+    FINISHED = 'finished'
+    FAILED = 'failed'
+    FENCED = 'fenced'
+
+
+class AdmitResult(enum.Enum):
+    """Answer to a call that arrives. All but `ADMITTED` and `DUPLICATE` mean not run."""
+
+    ADMITTED = 'admitted'
+    DUPLICATE = 'duplicate'
+    """The id is already in the table; this arrival says nothing about the first one."""
+    FENCED = 'fenced'
+    WRONG_INCARNATION = 'wrong-incarnation'
+    FULL = 'full'
+    STALE = 'stale'
+
+
+class ResolutionKind(enum.Enum):
+    """What the table knows about a call that an entry side asks for."""
+
+    FINISHED = 'finished'
+    RUNNING = 'running'
+    FENCED = 'fenced'
+    """The call did not run and never will: "not run" is true."""
+    UNKNOWN = 'unknown'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeptAnswer:
+    """Response retained for an entry side whose connection broke."""
+
+    status: int
+    """HTTP status."""
+    headers: HeaderPairs
+    """Header names and values in their order."""
+    body: bytes
+    """Complete body."""
+
+    def size(self) -> int:
+        """Return the bytes that count towards the bound of the table."""
+        return len(self.body) + sum(len(name) + len(value) for name, value in self.headers)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Resolution:
+    """Answer to a resolve."""
+
+    kind: ResolutionKind
+    """What is known."""
+    answer: KeptAnswer | None = None
+    """Response of a finished call; `None` when it was not retained."""
+
+
+Waiter = Callable[[Resolution], None]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bounds:
+    """Bounds of a call table."""
+
+    entries: int = 20_000
+    """Calls in the table; 140 calls/s per node over the keep time are 16,800."""
+    answer_bytes: int = 8_000_000
+    """Bytes of all retained responses, a quarter of the 32 MB control overhead."""
+    one_answer_bytes: int = 1_000_000
+    """Bytes of one retained response; larger ones are not retained."""
+    keep_ms: float = 120_000
+    """Time after its end for which a call is remembered."""
+    marks: int = 16_384
+    """Entry hosts with a forgotten mark; over twice the 6,300 nodes of the target."""
+    waiters: int = 16
+    """Attached entry sides per call."""
+
+
+_DEFAULT_BOUNDS = Bounds()
+_ENDED = frozenset((CallState.FINISHED, CallState.FAILED, CallState.FENCED))
+_KIND_BY_STATE = {
+    CallState.ADMITTED: ResolutionKind.RUNNING,
+    CallState.DISPATCHED: ResolutionKind.RUNNING,
+    CallState.FINISHED: ResolutionKind.FINISHED,
+    CallState.FAILED: ResolutionKind.UNKNOWN,
+    CallState.FENCED: ResolutionKind.FENCED,
+}
+_UNKNOWN = Resolution(ResolutionKind.UNKNOWN)
+
+
+@dataclasses.dataclass(slots=True)
+class _Entry:
+    state: CallState
+    ended_at: float = 0
+    answer: KeptAnswer | None = None
+    waiters: list[Waiter] | None = None
+
+    def resolution(self) -> Resolution:
+        return Resolution(_KIND_BY_STATE[self.state], self.answer)
+
+
+class _Marks:
+    """Forgotten mark of each entry host: the highest (incarnation, sequence) dropped.
+
+    Ids at or below the mark may have been in the table. When marks are dropped
+    for space, the floor covers the incarnations that lost theirs.
+    """
+
+    def __init__(self, bound: int) -> None:
+        self._bound = bound
+        self._by_host_id: collections.OrderedDict[ids.HostId, tuple[int, int]] = (
+            collections.OrderedDict()
+        )
+        self._floor = -1
+
+    def __len__(self) -> int:
+        return len(self._by_host_id)
+
+    def covers(self, call_id: ids.CallId) -> bool:
+        mark = self._by_host_id.get(call_id.host_id)
+        if mark is None:
+            return call_id.incarnation <= self._floor
+        return (call_id.incarnation, call_id.sequence) <= mark
+
+    def add(self, call_id: ids.CallId) -> None:
+        host_id = call_id.host_id
+        dropped = (call_id.incarnation, call_id.sequence)
+        mark = self._by_host_id.get(host_id)
+        if mark is None or dropped > mark:
+            self._by_host_id[host_id] = dropped
+        self._by_host_id.move_to_end(host_id)
+        if len(self._by_host_id) > self._bound:
+            _, oldest = self._by_host_id.popitem(last=False)
+            self._floor = max(self._floor, oldest[0])
+
+
+class CallTable:
+    """Calls of one host side incarnation and their outcomes.
+
+    Args:
+        incarnation: Incarnation of this host side.
+        bounds: Bounds on entries, bytes and time.
+    """
+
+    def __init__(self, incarnation: ids.Incarnation, bounds: Bounds = _DEFAULT_BOUNDS) -> None:
+        self._incarnation = incarnation
+        self._bounds = bounds
+        self._by_call_id: dict[ids.CallId, _Entry] = {}
+        self._ended: collections.deque[ids.CallId] = collections.deque()
+        self._answered: collections.deque[ids.CallId] = collections.deque()
+        self._answer_bytes = 0
+        self._marks = _Marks(bounds.marks)
+
+    def __len__(self) -> int:
+        return len(self._by_call_id)
+
+    @property
+    def answer_bytes(self) -> int:
+        """Bytes of all retained responses."""
+        return self._answer_bytes
+
+    @property
+    def running(self) -> int:
+        """Calls admitted or dispatched."""
+        return len(self._by_call_id) - len(self._ended)
+
+    def state_of(self, call_id: ids.CallId) -> CallState | None:
+        """Return the state of a call, or `None` when it is not in the table."""
+        entry = self._by_call_id.get(call_id)
+        return None if entry is None else entry.state
+
+    def admit(
+        self, call_id: ids.CallId, addressed_incarnation: ids.Incarnation, now: clock.Milliseconds
+    ) -> AdmitResult:
+        """Enter a call that arrives.
+
+        Args:
+            call_id: Id of the call.
+            addressed_incarnation: Host side incarnation that the entry side addressed.
+            now: Monotonic time.
+
+        Returns:
+            `ADMITTED` when the call may run, else the reason why it may not.
+        """
+        if addressed_incarnation != self._incarnation:
+            return AdmitResult.WRONG_INCARNATION
+        entry = self._by_call_id.get(call_id)
+        if entry is not None:
+            is_fenced = entry.state is CallState.FENCED
+            return AdmitResult.FENCED if is_fenced else AdmitResult.DUPLICATE
+        if self._marks.covers(call_id):
+            return AdmitResult.STALE
+        if not self._make_room(now):
+            return AdmitResult.FULL
+        self._by_call_id[call_id] = _Entry(CallState.ADMITTED)
+        return AdmitResult.ADMITTED
+
+    def dispatch(self, call_id: ids.CallId) -> None:
+        """Note that bytes of the call may reach the backend server from now on.
+
+        Args:
+            call_id: Id of an admitted call.
+
+        Raises:
+            ValueError: If the call is not in state `ADMITTED`.
+        """
+        entry = self._running_entry(call_id)
+        if entry.state is not CallState.ADMITTED:
+            raise ValueError(f'call {call_id} is already dispatched')
+        entry.state = CallState.DISPATCHED
+
+    def finish(
+        self, call_id: ids.CallId, kept_answer: KeptAnswer | None, now: clock.Milliseconds
+    ) -> None:
+        """End a call with its complete response.
+
+        Args:
+            call_id: Id of a running call.
+            kept_answer: Response to retain, or `None` when it is too large.
+            now: Monotonic time.
+
+        Raises:
+            ValueError: If the call is not running.
+        """
+        entry = self._running_entry(call_id)
+        if kept_answer is not None and kept_answer.size() <= self._answer_limit():
+            entry.answer = kept_answer
+            self._answer_bytes += kept_answer.size()
+            self._answered.append(call_id)
+        self._end(call_id, entry, CallState.FINISHED, now)
+        self._trim_answers()
+
+    def fail(self, call_id: ids.CallId, now: clock.Milliseconds) -> None:
+        """End a call that may have run but has no response.
+
+        Raises:
+            ValueError: If the call is not running.
+        """
+        self._end(call_id, self._running_entry(call_id), CallState.FAILED, now)
+
+    def refuse(self, call_id: ids.CallId, now: clock.Milliseconds) -> None:
+        """End a call that provably did not run.
+
+        Raises:
+            ValueError: If the call is not running.
+        """
+        self._end(call_id, self._running_entry(call_id), CallState.FENCED, now)
+
+    def resolve(
+        self, call_id: ids.CallId, addressed_incarnation: ids.Incarnation, now: clock.Milliseconds
+    ) -> Resolution:
+        """Settle a call whose connection broke; fences an id never seen.
+
+        Args:
+            call_id: Id of the call.
+            addressed_incarnation: Host side incarnation that the call addressed.
+            now: Monotonic time.
+
+        Returns:
+            What is known. After `FENCED` the call never runs here.
+        """
+        if addressed_incarnation != self._incarnation:
+            return _UNKNOWN
+        entry = self._by_call_id.get(call_id)
+        if entry is not None:
+            return entry.resolution()
+        if self._marks.covers(call_id) or not self._make_room(now):
+            return _UNKNOWN
+        entry = _Entry(CallState.ADMITTED)
+        self._by_call_id[call_id] = entry
+        self._end(call_id, entry, CallState.FENCED, now)
+        return entry.resolution()
+
+    def attach(self, call_id: ids.CallId, waiter: Waiter) -> bool:
+        """Ask to be told when a running call ends.
+
+        Args:
+            call_id: Id of a running call.
+            waiter: Called once with the resolution; must not raise.
+
+        Returns:
+            Whether the waiter was attached; not so for a call that is not running
+            or has too many waiters.
+        """
+        entry = self._by_call_id.get(call_id)
+        if entry is None or entry.state in _ENDED:
+            return False
+        if entry.waiters is None:
+            entry.waiters = []
+        if len(entry.waiters) >= self._bounds.waiters:
+            return False
+        entry.waiters.append(waiter)
+        return True
+
+    def detach(self, call_id: ids.CallId, waiter: Waiter) -> None:
+        """Withdraw a waiter whose own connection broke."""
+        entry = self._by_call_id.get(call_id)
+        if entry is not None and entry.waiters and waiter in entry.waiters:
+            entry.waiters.remove(waiter)
+
+    def expire(self, now: clock.Milliseconds) -> None:
+        """Forget the calls that ended longer ago than the keep time."""
+        oldest_kept = now - self._bounds.keep_ms
+        while self._ended and self._by_call_id[self._ended[0]].ended_at <= oldest_kept:
+            self._forget_oldest()
+
+    def _running_entry(self, call_id: ids.CallId) -> _Entry:
+        entry = self._by_call_id.get(call_id)
+        if entry is None or entry.state in _ENDED:
+            raise ValueError(f'call {call_id} is not running')
+        return entry
+
+    def _end(
+        self, call_id: ids.CallId, entry: _Entry, state: CallState, now: clock.Milliseconds
+    ) -> None:
+        entry.state = state
+        entry.ended_at = now
+        self._ended.append(call_id)
+        waiters = entry.waiters
+        if waiters:
+            entry.waiters = None
+            resolution = entry.resolution()
+            for waiter in waiters:
+                waiter(resolution)
+
+    def _make_room(self, now: clock.Milliseconds) -> bool:
+        # A full table forgets ended calls before their time; otherwise the keep
+        # time would limit the rate of calls to entries / keep time.
+        self.expire(now)
+        if len(self._by_call_id) < self._bounds.entries:
+            return True
+        if not self._ended:
+            return False
+        self._forget_oldest()
+        return True
+
+    def _forget_oldest(self) -> None:
+        call_id = self._ended.popleft()
+        entry = self._by_call_id.pop(call_id)
+        self._marks.add(call_id)
+        if entry.answer is not None:
+            # Responses are retained in the order in which calls end.
+            self._answered.popleft()
+            self._answer_bytes -= entry.answer.size()
+
+    def _answer_limit(self) -> int:
+        return min(self._bounds.one_answer_bytes, self._bounds.answer_bytes)
+
+    def _trim_answers(self) -> None:
+        while self._answer_bytes > self._bounds.answer_bytes:
+            entry = self._by_call_id[self._answered.popleft()]
+            if entry.answer is not None:
+                self._answer_bytes -= entry.answer.size()
+                entry.answer = None
--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,136 @@
+"""Tests of the quarantine of calls that crash backend servers."""
+
+from __future__ import annotations
+
+import itertools
+
+import pytest
+
+from anvillug import ids
+from anvillug.request import quarantine
+
+MARK = quarantine.fingerprint('drawbook', 'POST', '/sheets/1', b'x')
+OTHER = quarantine.fingerprint('drawbook', 'POST', '/sheets/2', b'x')
+PERIODS = quarantine.Periods(suspect_ms=100, quarantine_ms=1000, entries=4)
+CLEAR, SUSPECT, QUARANTINED = quarantine.QuarantineState
+
+
+def _new(origin='a.1'):
+    return quarantine.Quarantine(origin, PERIODS)
+
+
+class TestFingerprint:
+    """Guards against different calls sharing a quarantine."""
+
+    def test_parts_are_kept_apart(self):
+        parts = [('ab', 'c', 'd', b''), ('a', 'bc', 'd', b''), ('a', 'b', 'cd', b'')]
+        parts += [('a', 'b', 'c', b'd'), ('a', 'b', 'c', b'')]
+        assert len({quarantine.fingerprint(*each) for each in parts}) == len(parts)
+
+    def test_long_bodies_share_a_prefix(self):
+        body = b'x' * quarantine.BODY_PREFIX_BYTES
+        marks = {quarantine.fingerprint('a', 'b', 'c', each) for each in (body, body * 2)}
+        assert len(marks) == 1
+
+
+class TestCrashes:
+    """Guards against a resent call that crashes one backend server after the other."""
+
+    def test_second_crash_quarantines(self):
+        table = _new()
+        table.crashed([MARK], 0)
+        assert table.check(MARK, 99) is SUSPECT
+        table.crashed([MARK], 99)
+        assert table.check(MARK, 1098) is QUARANTINED
+        assert table.check(MARK, 1100) is SUSPECT
+        assert table.check(MARK, 1200) is CLEAR
+
+    def test_crash_after_the_window_is_a_first_one(self):
+        table = _new()
+        table.crashed([MARK], 0)
+        table.crashed([MARK], 100)
+        assert table.check(MARK, 101) is SUSPECT
+
+    def test_crash_is_put_to_the_suspect_alone(self):
+        table = _new()
+        table.crashed([MARK], 0)
+        table.crashed([MARK, OTHER], 1)
+        assert table.check(MARK, 2) is QUARANTINED
+        assert table.check(OTHER, 2) is CLEAR
+
+    def test_two_calls_with_one_fingerprint_crash_once(self):
+        table = _new()
+        table.crashed([MARK, MARK], 0)
+        assert table.check(MARK, 1) is SUSPECT
+
+    @pytest.mark.parametrize('cause', [quarantine.LossCause.LEFT, quarantine.LossCause.CUT])
+    def test_other_losses_create_no_suspicion(self, cause):
+        table = _new()
+        assert not table.crashed([MARK], 0, cause)
+        assert table.check(MARK, 0) is CLEAR
+
+    @pytest.mark.parametrize(
+        ('leaving', 'restarted', 'refused', 'cause'),
+        [
+            (True, True, True, quarantine.LossCause.LEFT),
+            (False, True, False, quarantine.LossCause.CRASHED),
+            (False, False, True, quarantine.LossCause.CRASHED),
+            (False, False, False, quarantine.LossCause.CUT),
+        ],
+    )
+    def test_cause(self, leaving, restarted, refused, cause):
+        found = quarantine.loss_cause(
+            was_leaving=leaving, new_incarnation=restarted, connect_refused=refused
+        )
+        assert found is cause
+
+    def test_suspects_run_one_at_a_time(self):
+        table = _new()
+        first, second = (ids.CallId(ids.HostId('e'), ids.Incarnation(1), seq) for seq in (1, 2))
+        assert table.start_suspect(first)
+        assert not table.start_suspect(second)
+        table.end_suspect(second)
+        assert not table.start_suspect(second)
+        table.end_suspect(first)
+        assert table.start_suspect(second)
+
+
+class TestMerge:
+    """Guards against nodes that disagree about a fingerprint or keep it alive for ever."""
+
+    def test_crashes_on_two_nodes_quarantine_in_any_order(self):
+        one, two = _new('a.1'), _new('b.1')
+        entries = one.crashed([MARK], 0) + two.crashed([MARK], 0)
+        for order in itertools.permutations(entries + entries):
+            reader = _new('c.1')
+            reader.merge(order, 1)
+            assert reader.check(MARK, 2) is QUARANTINED
+
+    def test_one_crash_told_twice_stays_suspect(self):
+        entries = _new('b.1').crashed([MARK], 0)
+        table = _new()
+        table.merge(entries * 2, 1)
+        assert table.check(MARK, 2) is SUSPECT
+
+    def test_exchange_does_not_lengthen(self):
+        one, two = _new('a.1'), _new('b.1')
+        one.crashed([MARK], 0)
+        one.crashed([MARK], 0)
+        for now in range(0, 1300, 10):
+            two.merge(one.entries(now), now)
+            one.merge(two.entries(now), now)
+        assert one.check(MARK, 1300) is CLEAR
+        assert two.check(MARK, 1300) is CLEAR
+
+    def test_table_is_bounded(self):
+        table = _new()
+        for seq in range(20):
+            table.crashed([ids.Fingerprint(str(seq))], 0)
+        assert len(table) == PERIODS.entries
+        assert table.check(ids.Fingerprint('19'), 0) is SUSPECT
+
+    def test_expire_drops_clear_entries(self):
+        table = _new()
+        table.crashed([MARK], 0)
+        table.expire(100)
+        assert not len(table)
