Join the nodes by gossip and catch up on newer configurations

Cause: nodes learned of each other through the log only, and a host side with an older configuration than the sender admitted its calls. Change: gossip, control server and client are part of the node; a call with a newer configuration number waits up to 0.5 s for it, then is refused as not run. Quarantine entries travel with the ids of their crashes, so that one crash told by two nodes counts once.

--- a/src/anvillug/connection/control_messages.py
+++ b/src/anvillug/connection/control_messages.py
@@ -14,11 +14,13 @@
 from anvillug import ids
 from anvillug.connection import _control_pb2 as wire
 from anvillug.process import membership
+from anvillug.request import quarantine
 from anvillug.version import verdict_set
 
 MAX_MESSAGE_BYTES = 4_194_304
 MAX_MEMBERS = 2_000  # about 220 KB; a new node of 6,300 needs four pulls
 MAX_VERDICTS = 256
+MAX_CRASH_IDS = 8
 MAX_QUARANTINE = 256
 MAX_EVIDENCE = 64
 MAX_EVIDENCE_BYTES = 16_384
@@ -35,18 +37,6 @@
     """A message from a peer that can't be used."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class QuarantineNotice:
-    """A fingerprint of calls that crash backend servers."""
-
-    fingerprint: ids.Fingerprint
-    """Identifies the calls."""
-    crashes: int
-    """Crashes seen with this fingerprint."""
-    remaining_ms: int
-    """Time left; hosts' clocks differ, so no end time is sent."""
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class News:
     """What either side of an exchange tells."""
@@ -63,7 +53,7 @@
     """Changed or pulled records."""
     verdicts: tuple[verdict_set.VerdictNotice, ...] = ()
     """Bad versions."""
-    quarantine: tuple[QuarantineNotice, ...] = ()
+    quarantine: tuple[quarantine.QuarantineEntry, ...] = ()
     """Quarantined fingerprints."""
     evidence: tuple[bytes, ...] = ()
     """Serialized evidence summaries."""
@@ -249,17 +239,19 @@
     )
 
 
-def _quarantine_to_wire(notice: QuarantineNotice) -> wire.QuarantineEntry:
+def _quarantine_to_wire(entry: quarantine.QuarantineEntry) -> wire.QuarantineEntry:
     return wire.QuarantineEntry(
-        fingerprint=notice.fingerprint,
-        crashes=notice.crashes,
-        remaining_ms=max(0, notice.remaining_ms),
+        fingerprint=entry.fingerprint,
+        crash_ids=entry.crash_ids,
+        quarantine_ms=max(0, round(entry.quarantine_ms)),
+        suspect_ms=max(0, round(entry.suspect_ms)),
     )
 
 
-def _quarantine_from_wire(message: wire.QuarantineEntry) -> QuarantineNotice:
-    return QuarantineNotice(
+def _quarantine_from_wire(message: wire.QuarantineEntry) -> quarantine.QuarantineEntry:
+    return quarantine.QuarantineEntry(
         fingerprint=ids.Fingerprint(message.fingerprint[:MAX_TEXT]),
-        crashes=message.crashes,
-        remaining_ms=message.remaining_ms,
+        crash_ids=tuple(each[:MAX_TEXT] for each in message.crash_ids[:MAX_CRASH_IDS]),
+        quarantine_ms=message.quarantine_ms,
+        suspect_ms=message.suspect_ms,
     )
--- a/src/anvillug/process/config_follower.py
+++ b/src/anvillug/process/config_follower.py
@@ -70,6 +70,11 @@
         """Return the state in effect."""
         return self._reader.state
 
+    @property
+    def log_reachable(self) -> bool:
+        """Whether the last read of the log succeeded."""
+        return not self._failure
+
     def add_listener(self, listener: Listener) -> None:
         """Call a function with each state whose configuration differs from the one before."""
         self._listeners.append(listener)
--- a/src/anvillug/process/gossip.py
+++ b/src/anvillug/process/gossip.py
@@ -17,6 +17,7 @@
 from anvillug import clock, event_log, ids
 from anvillug.connection import control_client, control_messages
 from anvillug.process import _hot_items, membership
+from anvillug.request import quarantine
 from anvillug.version import verdict_set
 
 INTERVAL_SECONDS = 1.0
@@ -67,12 +68,12 @@
 class Quarantine(Protocol):
     """What gossip needs of the quarantine."""
 
-    def notices(self, now: clock.Milliseconds) -> Sequence[control_messages.QuarantineNotice]:
+    def notices(self, now: clock.Milliseconds) -> Sequence[quarantine.QuarantineEntry]:
         """Return all entries in force."""
 
     def merge(
-        self, notices: Iterable[control_messages.QuarantineNotice], now: clock.Milliseconds
-    ) -> Sequence[control_messages.QuarantineNotice]:
+        self, notices: Iterable[quarantine.QuarantineEntry], now: clock.Milliseconds
+    ) -> Sequence[quarantine.QuarantineEntry]:
         """Add entries and return the new ones."""
 
 
@@ -211,11 +212,17 @@
                 self.counters.urgent += 1
                 self._exchange(peer)
 
+    def ask(self, host_id: ids.HostId) -> None:
+        """Exchange with a host at once, unless too many such exchanges were started."""
+        if self._urgent_left:
+            self._urgent_left -= 1
+            self._exchange(host_id)
+
     def spread_verdicts(self, notices: Iterable[verdict_set.VerdictNotice]) -> None:
         """Pass on verdicts that this node has found."""
         self._spread(notices, ())
 
-    def spread_quarantine(self, notices: Iterable[control_messages.QuarantineNotice]) -> None:
+    def spread_quarantine(self, notices: Iterable[quarantine.QuarantineEntry]) -> None:
         """Pass on quarantine entries that this node has made."""
         self._spread((), notices)
 
@@ -330,9 +337,9 @@
             self._sources.quarantine.merge(news.quarantine, now),
         )
 
-    def _spread(self, verdicts: Iterable[Any], quarantine: Iterable[Any]) -> None:
+    def _spread(self, verdicts: Iterable[Any], entries: Iterable[Any]) -> None:
         now = self._time.now()
-        added = self._verdicts_hot.add(verdicts, now) + self._quarantine_hot.add(quarantine, now)
+        added = self._verdicts_hot.add(verdicts, now) + self._quarantine_hot.add(entries, now)
         if added:
             self.spread_now()
 
@@ -389,5 +396,6 @@
     return (notice.service, notice.move)
 
 
-def _quarantine_key(notice: control_messages.QuarantineNotice) -> str:
-    return notice.fingerprint
+def _quarantine_key(entry: quarantine.QuarantineEntry) -> tuple[str, tuple[str, ...]]:
+    # A further crash of the same fingerprint is news again.
+    return (entry.fingerprint, entry.crash_ids)
--- a/src/anvillug/process/host_side.py
+++ b/src/anvillug/process/host_side.py
@@ -25,7 +25,8 @@
 _STATUS_BAD_REQUEST = 400
 _EXPIRY_INTERVAL_S = 1.0
 _SPARE_CONNECTIONS = 2
-_MS_PER_SECOND = 1000.0
+_CATCH_UP_S = 0.5
+_MAX_BEHIND = 1000
 
 
 @dataclasses.dataclass(slots=True)
@@ -55,7 +56,7 @@
         suspects: Suspect and quarantined fingerprints.
         kept_answer_bytes: Largest answer that is kept.
         config_number: Returns the configuration number in effect.
-        catch_up: Asks for a newer configuration, given its number.
+        catch_up: Asks a host for its newer configuration, given its number.
         crashed: Told about new quarantine entries, to spread them.
     """
 
@@ -68,7 +69,7 @@
         suspects: quarantine.Quarantine,
         kept_answer_bytes: int,
         config_number: Callable[[], ids.ConfigNumber],
-        catch_up: Callable[[ids.ConfigNumber], None],
+        catch_up: Callable[[ids.HostId, ids.ConfigNumber], None],
         crashed: Callable[[list[quarantine.QuarantineEntry]], None],
     ) -> None:
         self.reactor = reactor
@@ -87,6 +88,7 @@
         self._backend: backend_watch.Backend | None = None
         self._pool: http_client.Pool | None = None
         self._calls_by_id: dict[ids.CallId, host_call.HostCall] = {}
+        self._behind: list[host_call.HostCall] = []
         self._queue_timer: interfaces.IDelayedCall | None = None
         self._expire_regularly()
 
@@ -153,14 +155,29 @@
             event_log.warn('peer_request_rejected', reason=error)
             exchange.respond(_STATUS_BAD_REQUEST, f'{error}\n'.encode())
 
+    def config_changed(self) -> None:
+        """Go on with the calls that waited for a configuration."""
+        waiting = tuple(self._behind)
+        self._behind.clear()
+        for started in waiting:
+            started.admit()
+
     # Calls from `HostCall`
 
+    def is_behind(self, started: host_call.HostCall) -> bool:
+        """Hold a call whose sender has a newer configuration; see `host_call.HostContext`."""
+        number = started.request.config_number
+        if number <= self._config_number() or len(self._behind) >= _MAX_BEHIND:
+            return False
+        self._behind.append(started)
+        self._catch_up(started.request.properties.call_id.host_id, number)
+        self.reactor.callLater(_CATCH_UP_S, self._give_up_waiting, started)
+        return True
+
     def admit(self, started: host_call.HostCall) -> str | None:
         """Ask for a slot; see `host_call.HostContext`."""
         request = started.request
         now = self.clock.now()
-        if request.config_number > self._config_number():
-            self._catch_up(request.config_number)
         call_id = request.properties.call_id
         result = self._table.admit(call_id, request.incarnation, now)
         if result is not call_table.AdmitResult.ADMITTED:
@@ -239,6 +256,12 @@
         request = host_request.parse(exchange.head, self.clock.now())
         host_call.HostCall(self, exchange, request).receive()
 
+    def _give_up_waiting(self, started: host_call.HostCall) -> None:
+        if started in self._behind:
+            self._behind.remove(started)
+            self.counters.refused += 1
+            started.refuse('this host does not have the configuration of the sender yet')
+
     def _resolve(self, exchange: http_server.ServerExchange) -> None:
         call_id, incarnation = host_request.parse_resolve(exchange.head)
         self.counters.resolved += 1
--- a/src/anvillug/process/node.py
+++ b/src/anvillug/process/node.py
@@ -11,11 +11,14 @@
 from twisted.internet import interfaces
 
 from anvillug import clock, event_log, ids
-from anvillug.connection import http_server, log_client
+from anvillug.connection import control_client, control_server, http_server, log_client
 from anvillug.process import (
     backend_watch,
     config_follower,
     entry_side,
+    evidence_pool,
+    gossip,
+    gossip_sources,
     host_side,
     life_cycle,
     membership,
@@ -26,11 +29,13 @@
     settings,
 )
 from anvillug.request import call_table, quarantine
-from anvillug.version import config_state, document, targets
+from anvillug.version import config_state, document, targets, verdict_set
 
 _WITHDRAW_GRACE_S = 1.0
 _LISTENER_GRACE_S = 2.0
 _DRAIN_CHECK_S = 0.1
+# The log is given this long to bring a configuration before a peer is asked.
+_ASK_PEER_S = 0.12
 _NO_SERVICE = ids.ServiceName('')
 _NO_VERSION = ids.VersionName('')
 
@@ -63,6 +68,11 @@
             self._rng,
         )
         self.suspects = quarantine.Quarantine(f'{config.host_id}.{self._incarnation}')
+        self.verdicts = verdict_set.VerdictSet()
+        self.evidence = evidence_pool.EvidencePool()
+        self._config_source = gossip_sources.ConfigSource(self.config, time)
+        self.gossip_task = self._build_gossip()
+        self._control = control_server.ControlServer(reactor, self.gossip_task.handle)
         self.host = self._build_host_side()
         self.entry = self._build_entry_side()
         self.backend = backend_watch.BackendWatch(reactor, time, self._backend_changed)
@@ -91,8 +101,10 @@
         self._listen(config.peer_address, self._peer_factory)
         self._listen(config.caller_address, self._caller_factory)
         self._listen(config.operator_address, site)
+        self._control.start(config.control_address)
         self.config.start()
         self._membership_log.start()
+        self.gossip_task.start()
         # Collections of long-lived objects would show as latency.
         gc.collect()
         gc.freeze()
@@ -114,6 +126,8 @@
     def shut_down(self) -> None:
         """End the process; see `life_cycle.Steps`."""
         self._update_own()
+        self.gossip_task.stop()
+        self._control.stop()
         event_log.emit('node_stopped')
         self._reactor.callLater(_DRAIN_CHECK_S, self._reactor.stop)
 
@@ -132,6 +146,8 @@
             'backend_server': None if backend is None else dataclasses.asdict(backend),
             'host': self.host.dump(),
             'entry': self.entry.dump(),
+            'gossip': self.gossip_task.dump(),
+            'verdicts': [dataclasses.asdict(notice) for notice in self.verdicts.notices()],
             'members': {
                 'count': len(self.members),
                 'by_liveness': self.members.count_by_liveness(),
@@ -192,8 +208,26 @@
             self.suspects,
             limits.kept_answer_bytes,
             self.config_number,
-            lambda number: None,
-            lambda entries: None,
+            self._catch_up,
+            self.gossip_task.spread_quarantine,
+        )
+
+    def _build_gossip(self) -> gossip.Gossip:
+        sources = gossip.Sources(
+            self.members,
+            self._config_source,
+            self.verdicts,
+            gossip_sources.QuarantineSource(self.suspects),
+            self.evidence,
+        )
+        client = control_client.ControlClient(self._reactor)
+        return gossip.Gossip(
+            sources,
+            client,
+            self._settings.seeds,
+            self._clock,
+            self._reactor,
+            self._rng,
         )
 
     def _build_entry_side(self) -> entry_side.EntrySide:
@@ -216,7 +250,17 @@
         )
 
     def _is_bad(self, service: ids.ServiceName, move: config_state.MoveStatus) -> bool:
-        return False
+        return self.verdicts.is_bad(service, move.to_version, move.number)
+
+    def _catch_up(self, host_id: ids.HostId, number: ids.ConfigNumber) -> None:
+        if self._config_source.number() >= number:
+            return
+        self._config_source.peer_has(number)
+        self._reactor.callLater(_ASK_PEER_S, self._ask_if_behind, host_id, number)
+
+    def _ask_if_behind(self, host_id: ids.HostId, number: ids.ConfigNumber) -> None:
+        if self.config_number() < number:
+            self.gossip_task.ask(host_id)
 
     def call_ended(self, ended: service_desk.EndedCall) -> None:
         """Take the facts of an ended call; see `service_desk.CallObserver`."""
@@ -237,6 +281,7 @@
 
     def _config_changed(self, state: config_state.ConfigState) -> None:
         self._apply_service_config()
+        self.host.config_changed()
         self.entry.refresh()
 
     def _apply_service_config(self) -> None:
@@ -260,6 +305,7 @@
         self.members.update_own(self._clock.now(), state=state, service=service, version=version)
         self.entry.refresh()
         self._membership_log.publish()
+        self.gossip_task.spread_now()
         if state is membership.MemberState.LEAVING:
             self._reactor.callLater(_WITHDRAW_GRACE_S, self._refuse_new_work)
         else:
--- a/src/anvillug/request/host_call.py
+++ b/src/anvillug/request/host_call.py
@@ -43,6 +43,12 @@
     kept_answer_bytes: int
     """Largest answer that is kept for a resolution."""
 
+    def is_behind(self, host_call: HostCall) -> bool:
+        """Tell whether the call has to wait for a newer configuration.
+
+        The context then calls `admit` of the call when it is there, or `refuse`.
+        """
+
     def admit(self, host_call: HostCall) -> str | None:
         """Ask for a slot; returns why the call is refused, or None."""
 
@@ -173,6 +179,14 @@
 
     # From the host side
 
+    def admit(self) -> None:
+        """Ask for a slot, with the configuration of the sender in effect here."""
+        if self.state is HostCallState.DONE:
+            return
+        reason = self._context.admit(self)
+        if reason is not None:
+            self._answer_refusal(reason)
+
     def start(self) -> None:
         """Run the call: it has a slot."""
         pool = self._context.pool()
@@ -264,9 +278,8 @@
             self.request.head.path.decode('latin-1'),
             b''.join(self._body),
         )
-        reason = self._context.admit(self)
-        if reason is not None:
-            self._answer_refusal(reason)
+        if not self._context.is_behind(self):
+            self.admit()
 
     def _connected(self, connection: http_client.ClientConnection) -> None:
         if self.state is HostCallState.DONE:
--- a/src/anvillug/request/quarantine.py
+++ b/src/anvillug/request/quarantine.py
@@ -206,7 +206,9 @@
         self._trim()
         return [self._entry(mark, case, now) for mark, case in cases]
 
-    def merge(self, entries: Iterable[QuarantineEntry], now: clock.Milliseconds) -> None:
+    def merge(
+        self, entries: Iterable[QuarantineEntry], now: clock.Milliseconds
+    ) -> list[QuarantineEntry]:
         """Take over entries of other nodes.
 
         An entry without a crash unknown here changes nothing, so an exchange
@@ -215,14 +217,20 @@
         Args:
             entries: Entries received.
             now: Monotonic time.
+
+        Returns:
+            The entries that told of a crash unknown here, to be passed on.
         """
+        accepted = []
         for entry in entries:
             case = self._by_fingerprint.get(entry.fingerprint)
             known = case.crash_ids if case else ()
             unknown = tuple(each for each in entry.crash_ids if each not in known)
             if unknown and entry.suspect_ms > 0:
                 self._merge_crashes(entry, unknown, now)
+                accepted.append(entry)
         self._trim()
+        return accepted
 
     def entries(self, now: clock.Milliseconds) -> list[QuarantineEntry]:
         """Return all current entries, for a node that asks for them."""
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -13,6 +13,7 @@
 from anvillug import ids
 from anvillug.connection import control_client, control_messages, control_server
 from anvillug.process import membership
+from anvillug.request import quarantine
 from anvillug.version import verdict_set
 from tests import test_membership
 
@@ -23,7 +24,7 @@
     digest=2**64 - 1,
     members=tuple(test_membership.make_member(index) for index in range(3)),
     verdicts=(verdict_set.VerdictNotice(test_membership.SERVICE, 'v2', 3, 'failures'),),
-    quarantine=(control_messages.QuarantineNotice(ids.Fingerprint('f'), 2, 5_000),),
+    quarantine=(quarantine.QuarantineEntry(ids.Fingerprint('f'), ('a.1', 'b.1'), 5_000, 6_000),),
     evidence=(b'summary',),
 )
 REQUEST = control_messages.Request(NEWS, True, tuple(range(membership.BUCKET_COUNT)))
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -10,11 +10,12 @@
 from anvillug import clock, ids
 from anvillug.connection import control_client, control_messages
 from anvillug.process import gossip, membership
+from anvillug.request import quarantine
 from anvillug.version import verdict_set
 from tests import test_membership
 
 VERDICT = verdict_set.VerdictNotice(test_membership.SERVICE, ids.VersionName('v2'), 3, 'failures')
-ENTRY = control_messages.QuarantineNotice(ids.Fingerprint('f'), 2, 60_000)
+ENTRY = quarantine.QuarantineEntry(ids.Fingerprint('f'), ('a.1', 'b.1'), 60_000, 70_000)
 
 
 class FakeConfig:
