Add the demonstration: three nodes, calls, a zone move and a graceful stop

Cause: users need one command that shows the whole path on real processes. Change: bench/mesh starts log, nodes and backend servers; bench/demo runs the steps and exits non-zero when one did not hold. The load level of a host is part of the evidence of a call.

--- /dev/null
+++ b/src/anvillug/bench/demo.py
@@ -0,0 +1,187 @@
+"""Demonstration: three nodes, calls, a configuration change, a zone move, a graceful stop."""
+
+from __future__ import annotations
+
+import dataclasses
+import sys
+from typing import Any
+
+from anvillug.bench import load, mesh, processes, traffic
+from anvillug.version import publisher
+
+ZONES = ('kochi-1', 'kochi-2', 'kochi-3')
+MOVED_ZONE = 'kochi-3'
+SERVICE = 'drawbook'
+_RATE_PER_SECOND = 100
+_WARM_UP_PER_SECOND = 40
+_DURATION_MS = 2000
+_SETTLE_S = 2.0
+_SEED = 7
+
+CONFIGURATION = {
+    'services': {
+        SERVICE: {
+            'version': 'v1',
+            'routes': [
+                {
+                    'name': 'revisions',
+                    'prefix': '/revisions',
+                    'methods': ['POST'],
+                    'repeatable': False,
+                    'criticality': 'critical',
+                },
+            ],
+        },
+    },
+    'zones': {zone: {'state': 'in', 'ramp_ms': 2000} for zone in ZONES},
+}
+
+
+class Demo:
+    """Runs the steps and notes which of them held.
+
+    Args:
+        started: Mesh without processes.
+    """
+
+    def __init__(self, started: mesh.Mesh) -> None:
+        self._mesh = started
+        self._failures = 0
+
+    async def run(self) -> int:
+        """Run all steps.
+
+        Returns:
+            Exit code: 0 if every step held, else 1.
+        """
+        await self._start()
+        await self._warm_up()
+        await self._calls('calls from callers in each zone')
+        await self._stale_patch()
+        await self._zone_out_and_in()
+        await self._graceful_stop()
+        sys.stdout.write(f'{"some steps failed" if self._failures else "all steps held"}\n')
+        return 1 if self._failures else 0
+
+    async def _start(self) -> None:
+        started = self._mesh
+        started.start_log()
+        started.add_hosts(
+            [
+                mesh.HostPlan(f'host-{number}', zone, SERVICE)
+                for number, zone in enumerate(ZONES, start=1)
+            ],
+        )
+        accepted = await started.patch(0, CONFIGURATION)
+        self._tell('patch against number 0 is accepted', accepted, _is_accepted(accepted))
+        waited_ms = await started.wait_config(1)
+        self._tell('configuration 1 is in effect on 3 nodes', f'{waited_ms:.0f} ms', held=True)
+        await started.wait_serving(len(ZONES))
+        self._tell('each node knows 3 serving hosts', 'state dumps agree', held=True)
+
+    async def _warm_up(self) -> None:
+        plan = dataclasses.replace(self._plan(), rate_per_second=_WARM_UP_PER_SECOND)
+        result = await load.run(plan, self._mesh.reactor)
+        answered = result.by_status['200'] + result.by_outcome['not-run']
+        step = 'cold backend servers: calls are answered or refused as not run'
+        self._tell(step, f'{dict(result.by_status)}', held=answered == result.sent)
+
+    async def _calls(self, step: str) -> traffic.LoadResult:
+        result = await load.run(self._plan(), self._mesh.reactor)
+        whole = result.by_status['200']
+        held = whole == result.sent and not result.wrong and not result.errors
+        percentile = result.percentile_ms(99)
+        self._tell(step, f'{whole} of {result.sent} whole, p99 {percentile:.1f} ms', held)
+        return result
+
+    def _plan(self) -> traffic.LoadPlan:
+        return traffic.LoadPlan(
+            addresses=tuple(
+                host.caller_address for host in self._mesh.by_id.values() if host.node.running
+            ),
+            kinds=(
+                traffic.RequestKind('sheet', SERVICE, path='/sheets/12', weight=4),
+                traffic.RequestKind(
+                    'revision',
+                    SERVICE,
+                    method='POST',
+                    path='/revisions/12',
+                    body_bytes=512,
+                    keyed=True,
+                ),
+                traffic.RequestKind(
+                    'scan',
+                    SERVICE,
+                    method='POST',
+                    path='/scans',
+                    body_bytes=200_000,
+                    weight=0.2,
+                ),
+            ),
+            rate_per_second=_RATE_PER_SECOND,
+            duration_ms=_DURATION_MS,
+            seed=_SEED,
+        )
+
+    async def _stale_patch(self) -> None:
+        refused = await self._mesh.patch(0, {'zones': {ZONES[0]: {'state': 'out'}}})
+        held = isinstance(refused, publisher.Refused)
+        self._tell('patch against the stale number 0 is refused', refused, held)
+
+    async def _zone_out_and_in(self) -> None:
+        await self._set_zone(1, 'out')
+        before = await self._admitted('host-3')
+        await self._calls(f'calls while {MOVED_ZONE} is out')
+        after = await self._admitted('host-3')
+        self._tell(f'no new work in {MOVED_ZONE}', f'{after - before} calls', after == before)
+        await self._set_zone(2, 'in')
+        await self._mesh.sleep(_SETTLE_S)
+        await self._calls(f'calls after {MOVED_ZONE} is back')
+        returned = await self._admitted('host-3')
+        self._tell(f'{MOVED_ZONE} has work again', f'{returned - after} calls', returned > after)
+
+    async def _set_zone(self, base: int, state: str) -> None:
+        accepted = await self._mesh.patch(base, {'zones': {MOVED_ZONE: {'state': state}}})
+        self._tell(f'patch sets {MOVED_ZONE} to "{state}"', accepted, _is_accepted(accepted))
+        await self._mesh.wait_config(base + 1)
+
+    async def _graceful_stop(self) -> None:
+        host = self._mesh.by_id['host-2']
+        generator = load.run(self._plan(), self._mesh.reactor)
+        await self._mesh.sleep(_SETTLE_S / 4)
+        await self._mesh.post(host.operator_address, '/drain', {})
+        result = await generator
+        not_lost = result.by_status['200'] + result.errors['refused']
+        cut = result.sent - not_lost
+        self._tell('a node drains while calls run', f'{cut} of {result.sent} cut', cut == 0)
+
+        async def ended() -> bool:
+            return not host.node.running
+
+        waited_ms = await self._mesh.wait_until('the node ends', ended)
+        self._tell('the drained node ends by itself', f'{waited_ms:.0f} ms later', held=True)
+
+    async def _admitted(self, host_id: str) -> int:
+        state = await self._mesh.state(host_id)
+        return int(state['host']['counters']['admitted'])
+
+    def _tell(self, step: str, seen: object, held: bool) -> None:  # noqa: FBT001
+        self._failures += not held
+        sys.stdout.write(f'{"ok  " if held else "FAIL"} {step}: {seen}\n')
+
+
+def _is_accepted(result: publisher.Publication) -> bool:
+    return isinstance(result, publisher.Accepted)
+
+
+async def run(reactor: Any) -> int:
+    """Run the demonstration on processes of its own.
+
+    Args:
+        reactor: Twisted reactor.
+
+    Returns:
+        Exit code: 0 if every step held.
+    """
+    with processes.group() as group:
+        return await Demo(mesh.Mesh(reactor, group)).run()
--- a/src/anvillug/process/entry_side.py
+++ b/src/anvillug/process/entry_side.py
@@ -140,7 +140,7 @@
         call_of.attempt_started(attempt)
         if kind is attempts.AttemptKind.SEND:
             self.counters.attempts += 1
-            attempt.load_level = desk.candidates.load_level(attempt.host_id, now)
+            attempt.load_level = desk.candidates.load_level(attempt.host_id)
             desk.candidates.call_started(attempt.host_id)
         else:
             self.counters.resolves += 1
--- a/src/anvillug/process/node.py
+++ b/src/anvillug/process/node.py
@@ -190,7 +190,7 @@
             sequence=0,
             service=_NO_SERVICE,
             version=_NO_VERSION,
-            peer_address=config.peer_address,
+            peer_address=config.advertised_peer_address or config.peer_address,
             control_address=config.control_address,
             state=membership.MemberState.STARTING,
         )
--- a/src/anvillug/process/settings.py
+++ b/src/anvillug/process/settings.py
@@ -52,6 +52,8 @@
     """Listener for callers, as IP:port."""
     peer_address: validation.Address
     """Listener for calls from other nodes, as IP:port."""
+    advertised_peer_address: validation.Address | None = None
+    """Address that other nodes connect to, where it differs from `peer_address`."""
     control_address: validation.Address
     """Listener for control between nodes, as IP:port."""
     operator_address: validation.Address
--- a/src/anvillug/request/choice.py
+++ b/src/anvillug/request/choice.py
@@ -164,10 +164,12 @@
             host.refusal_hold_ms = hold
         host.refused_until = now + host.refusal_hold_ms
 
-    def load_level(self, host_id: ids.HostId, now: clock.Milliseconds) -> float:
+    def load_level(self, host_id: ids.HostId) -> float:
         """Return the estimated load over the limit of a host; 0 without a sample."""
         host = self._by_host_id.get(host_id)
-        return 0 if host is None else host.estimate(now) / host.limit
+        if host is None:
+            return 0
+        return max(host.outstanding, host.in_flight + host.since_sample) / host.limit
 
     def forget(self, host_id: ids.HostId) -> None:
         """Drop what is known of a host that left."""
