Let the latency baseline catch up before the limit grows

Cause: calls between 2 and 4 times the baseline did not end a row of very slow calls, so ordinary overload was taken for a cold start; a mutation check of the tests showed it. With that fixed, work that had become 3.5 times slower left the limit swinging between 5 and 10 of 10 slots: the baseline stopped at half the latency, where half of the windows are slow. Ruled out: letting the baseline rise at any concurrency; it then follows constant overload. Change: slow calls end the row; growth waits at low concurrency until the baseline is near the latency; windows are shorter at a low limit. Baselines fall back to any host of weight above zero and ask for a sample once. Conclusion: overload, cold start and slower work are told apart in the tested cases.

--- a/src/anvillug/bench/baselines.py
+++ b/src/anvillug/bench/baselines.py
@@ -92,7 +92,9 @@
         """Choose a host; None if all are excluded."""
         usable = [host_id for host_id in eligible if host_id not in excluded]
         if weights is not None:
-            usable = [host_id for host_id in usable if rng.random() < weights.get(host_id, 1.0)]
+            usable = [host_id for host_id in usable if weights.get(host_id, 1)]
+            drawn = [host_id for host_id in usable if rng.random() < weights.get(host_id, 1)]
+            usable = drawn or usable
         return self._pick(usable, rng) if usable else None
 
     def hosts_to_sample(
@@ -133,6 +135,7 @@
     def __init__(self) -> None:
         super().__init__()
         self._samples_by_host_id: dict[ids.HostId, call.LoadSample] = {}
+        self._asked_at_by_host_id: dict[ids.HostId, float] = {}
 
     def record_sample(self, host_id: ids.HostId, sample: call.LoadSample) -> None:
         """Keep the newest sample."""
@@ -148,13 +151,17 @@
         eligible: Sequence[ids.HostId],
         now: clock.Milliseconds,
     ) -> list[ids.HostId]:
-        """Return the hosts whose sample is old."""
+        """Return the hosts whose sample is old and that were not asked for one lately."""
         due_before = now - choice.SAMPLE_AGE_MS
-        return [host_id for host_id in eligible if self._taken_at(host_id) < due_before]
+        due = [host_id for host_id in eligible if self._known_at(host_id) < due_before]
+        for host_id in due:
+            self._asked_at_by_host_id[host_id] = now
+        return due
 
-    def _taken_at(self, host_id: ids.HostId) -> float:
+    def _known_at(self, host_id: ids.HostId) -> float:
+        asked_at = self._asked_at_by_host_id.get(host_id, float('-inf'))
         sample = self._samples_by_host_id.get(host_id)
-        return float('-inf') if sample is None else sample.taken_at
+        return asked_at if sample is None else max(asked_at, sample.taken_at)
 
     def _pick(self, usable: list[ids.HostId], rng: Random) -> ids.HostId:
         return min(rng.sample(usable, min(2, len(usable))), key=self._reported_load)
--- a/src/anvillug/request/limit.py
+++ b/src/anvillug/request/limit.py
@@ -21,8 +21,8 @@
 """Latency over baseline that is a sign of a cold backend server."""
 _SLOW_FLOOR_SHARE = 0.1
 """Latencies under this share of the target are never slow: noise of small latencies is harmless."""
-_WINDOW_CALLS = 16
-_FIRST_WINDOW_CALLS = 4
+_MAX_WINDOW_CALLS = 16
+_MIN_WINDOW_CALLS = 4
 _WINDOW_MS = 25.0
 _LATENCY_SHRINK = 0.9
 _SHED_SHRINK = 0.75
@@ -40,6 +40,7 @@
 _BASELINE_DOUBLING_MS = 2000.0
 _MAX_RISE_STEP_MS = 500.0
 _BASELINE_FALL_GAIN = 0.3
+_NEAR_BASELINE = 1.3
 _LATENCY_GAIN = 0.2
 
 
@@ -74,6 +75,7 @@
         self._growth_from = float('-inf')
         self._shrunk_at = float('-inf')
         self._baseline_at: float | None = None
+        self._baseline_behind = False
         self._reset_streaks()
         self._window = _Window(float('-inf'))
         self._slow_windows = 0
@@ -82,6 +84,7 @@
         """Start over for a new backend incarnation, which may also be a new version."""
         self.baseline_ms = None
         self._baseline_at = None
+        self._baseline_behind = False
         self._turn_cold(now)
 
     def resize(self, slots: int) -> None:
@@ -117,7 +120,7 @@
             self._record_finished(latency_ms, in_flight, now)
         else:
             self._record_refusal(in_flight, result, now)
-        if self._window.is_complete(now, self.baseline_ms is None):
+        if self._is_window_complete(now):
             self._close_window(now)
 
     def _record_finished(self, latency_ms: float, in_flight: int, now: float) -> None:
@@ -126,11 +129,13 @@
             _LATENCY_GAIN if self.latency_ms else 1
         )
         self._window.add(latency_ms, in_flight, now)
-        if not self.is_slow(latency_ms):
-            self._very_slow_in_row = 0
-            self._grow(in_flight, now)
-        elif latency_ms >= (self.baseline_ms or 0) * _COLD_MULTIPLE:
+        slow = self.is_slow(latency_ms)
+        if slow and latency_ms >= (self.baseline_ms or 0) * _COLD_MULTIPLE:
             self._record_very_slow(in_flight, now)
+            return
+        self._very_slow_in_row = 0
+        if not slow:
+            self._grow(in_flight, now)
 
     def _record_very_slow(self, in_flight: int, now: float) -> None:
         if not self._very_slow_in_row:
@@ -179,12 +184,21 @@
         needed = self.limit
         if self.cold:
             needed = max(_MIN_GROWTH_CALLS, needed * _COLD_GROWTH_FACTOR)
-        if self._good_calls >= needed and self.baseline_ms is not None:
+        is_known = self.baseline_ms is not None and not self._baseline_behind
+        if self._good_calls >= needed and is_known:
             self._good_calls = 0
             self.limit += 1
             if self.limit >= max(2, self._slots // 2):
                 self.cold = False
 
+    def _is_window_complete(self, now: float) -> bool:
+        window = self._window
+        if self.baseline_ms is None:
+            return len(window.latencies) >= _MIN_WINDOW_CALLS
+        # At a low limit calls are few, and windows of many calls would take seconds.
+        needed = max(_MIN_WINDOW_CALLS, min(self.limit * 2, _MAX_WINDOW_CALLS))
+        return window.calls >= needed and now - window.started_at >= _WINDOW_MS
+
     def _close_window(self, now: float) -> None:
         window = self._window
         self._window = _Window(now)
@@ -203,6 +217,7 @@
         self._update_baseline(median, window.max_in_flight <= self._low_concurrency, now)
 
     def _update_baseline(self, median: float, at_low_concurrency: bool, now: float) -> None:
+        self._baseline_behind = False
         since = now if self._baseline_at is None else self._baseline_at
         self._baseline_at = now
         if self.baseline_ms is None:
@@ -213,6 +228,8 @@
             elapsed_ms = min(now - since, _MAX_RISE_STEP_MS)
             highest = self.baseline_ms * 2 ** (elapsed_ms / _BASELINE_DOUBLING_MS)
             self.baseline_ms = min(median, highest)
+            # The baseline rises only at low concurrency, so growth waits for it there.
+            self._baseline_behind = median > self.baseline_ms * _NEAR_BASELINE
 
     def _turn_cold(self, now: float) -> None:
         self.limit = START_LIMIT
@@ -250,11 +267,6 @@
         self.refusals += 1
         self._count(in_flight, now)
 
-    def is_complete(self, now: float, first: bool) -> bool:
-        if first:
-            return len(self.latencies) >= _FIRST_WINDOW_CALLS
-        return self.calls >= _WINDOW_CALLS and now - self.started_at >= _WINDOW_MS
-
     def _count(self, in_flight: int, now: float) -> None:
         if not self.calls and self.started_at == float('-inf'):
             self.started_at = now
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -313,9 +313,16 @@
             chooser.record_sample(host, make_sample())
         for _ in range(50):
             chosen = chooser.choose(HOSTS, HOSTS[2:], 1, rng, {HOSTS[0]: 0})
-            assert chosen in {HOSTS[1], None}
+            assert chosen == HOSTS[1]
         assert chooser.choose(HOSTS, HOSTS, 1, rng) is None
 
+    def test_two_choices_asks_for_old_samples_once(self):
+        chooser = baselines.make_chooser('two-choices')
+        assert chooser.hosts_to_sample(PAIR, 200) == PAIR
+        assert chooser.hosts_to_sample(PAIR, 250) == []
+        chooser.record_sample(FIRST, make_sample(taken_at=260))
+        assert chooser.hosts_to_sample(PAIR, 301) == [SECOND]
+
     def test_unknown_name(self):
         with pytest.raises(ValueError, match='not one of'):
             baselines.make_chooser('best')
--- a/tests/test_limit.py
+++ b/tests/test_limit.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+import itertools
 import random
 
 from hypothesis import given, strategies
@@ -112,8 +113,8 @@
         assert max(server.limits) <= 4
 
     def test_new_incarnation_starts_over(self):
-        concurrency = make_limit()
-        server = warm(concurrency)
+        server = warm(make_limit())
+        concurrency = server.concurrency
         concurrency.restarted(server.now)
         assert concurrency.limit == 1
         assert concurrency.cold
@@ -133,23 +134,23 @@
         assert concurrency.cold
 
     def test_slow_calls_at_full_concurrency(self):
-        concurrency = make_limit()
-        server = warm(concurrency)
+        server = warm(make_limit())
+        concurrency = server.concurrency
         server.answer = lambda in_flight, at: (20 * in_flight, OK)
         server.run(1000)
         assert concurrency.limit <= 2
         assert min(server.limits) == 1
 
     def test_sheds_at_full_concurrency_end_soon(self):
-        concurrency = make_limit()
-        server = warm(concurrency)
+        server = warm(make_limit())
+        concurrency = server.concurrency
         server.answer = lambda in_flight, at: (10, OK) if in_flight <= 1 else (1, SHED)
         server.run(100)
         assert concurrency.limit <= 2
 
     def test_recovers(self):
-        concurrency = make_limit()
-        server = warm(concurrency)
+        server = warm(make_limit())
+        concurrency = server.concurrency
         server.answer = lambda in_flight, at: (20 * in_flight, OK)
         server.run(1000)
         server.answer = lambda in_flight, at: (10, OK)
@@ -167,9 +168,26 @@
         assert concurrency.baseline_ms < 15
         assert max(server.limits[-1000:]) <= 12
 
-    def test_slower_work_is_accepted_in_the_end(self):
+    def test_limit_shrinks_when_a_warm_server_slows_down_with_load(self):
+        server = warm(make_limit())
+        concurrency = server.concurrency
+        server.answer = lambda in_flight, at: (10 * max(1, in_flight / 3), OK)
+        server.run(3000)
+        assert max(server.limits[-200:]) <= 8
+        assert min(server.limits) >= 3
+        assert concurrency.baseline_ms < 15
+
+    def test_baseline_falls_when_a_cold_server_warms_up(self):
         concurrency = make_limit()
-        server = warm(concurrency)
+        server = BackendServer(concurrency, lambda in_flight, at: (50, OK))
+        server.run(500)
+        server.answer = lambda in_flight, at: (10, OK)
+        server.run(2000)
+        assert concurrency.baseline_ms < 13
+
+    def test_slower_work_is_accepted_in_the_end(self):
+        server = warm(make_limit())
+        concurrency = server.concurrency
         server.answer = lambda in_flight, at: (35, OK)
         server.run(15_000)
         assert concurrency.limit == 10
@@ -179,12 +197,25 @@
     """Guards against a limit that collapses on short bursts of latency."""
 
     def test_short_bursts(self):
-        concurrency = make_limit()
-        server = warm(concurrency)
+        server = warm(make_limit())
         server.answer = lambda in_flight, at: (60 if at % 1000 < 40 else 10, OK)
         server.run(10_000)
         assert min(server.limits) >= 7
 
+    def test_one_slow_window_costs_nothing(self):
+        concurrency = make_limit()
+        now = warm(concurrency).now
+        for step in range(60):
+            concurrency.record(30 if 10 <= step < 36 else 10, 10, OK, now + step)
+            assert concurrency.limit == 10
+
+    def test_slow_calls_of_one_burst_are_no_cold_start(self):
+        concurrency = make_limit()
+        now = warm(concurrency).now
+        for step in range(8):
+            concurrency.record(60, 2, OK, now + step)
+        assert concurrency.limit == 10
+
     def test_one_slow_route_among_fast_ones(self):
         concurrency = make_limit()
         rng = random.Random(3)
@@ -200,8 +231,8 @@
     """Guards against a server that fails fast and so looks fast."""
 
     def test_fast_failures_do_not_lower_the_baseline(self):
-        concurrency = make_limit()
-        server = warm(concurrency)
+        server = warm(make_limit())
+        concurrency = server.concurrency
         baseline = concurrency.baseline_ms
         latency = concurrency.latency_ms
         server.answer = lambda in_flight, at: (0.2, FAILED)
@@ -210,9 +241,23 @@
         assert concurrency.baseline_ms == baseline
         assert concurrency.latency_ms >= latency / 2
 
-    def test_a_rare_failure_costs_nothing(self):
+    def test_a_full_round_of_failures_starts_over(self):
         concurrency = make_limit()
-        server = warm(concurrency)
+        now = warm(concurrency).now
+        for _ in range(10):
+            concurrency.record(1, 10, FAILED, now)
+        assert concurrency.limit == 1
+        assert concurrency.cold
+
+    def test_many_failures_among_good_calls_shrink_the_limit(self):
+        server = warm(make_limit())
+        results = itertools.cycle((OK, FAILED))
+        server.answer = lambda in_flight, at: (10, next(results))
+        server.run(1000)
+        assert max(server.limits[-50:]) <= 4
+
+    def test_a_rare_failure_costs_nothing(self):
+        server = warm(make_limit())
         rng = random.Random(2)
         server.answer = lambda in_flight, at: (10, rng.choices((FAILED, OK), (1, 99))[0])
         server.run(5000)
