Let the limit grow only at latency under 1.5 times the baseline

Cause: a backend server whose capacity rose from 1 to 10 within 4 s and that slowed down instead of shedding was given up to twice its capacity. Ruled out: the stricter rule only while cold; the cold start ends at half of the slots, and the limit then overshot as before. Conclusion: a cold server that slows down still runs somewhat above its capacity, at latency under twice the baseline; one that sheds does not.

--- a/src/anvillug/request/limit.py
+++ b/src/anvillug/request/limit.py
@@ -31,6 +31,9 @@
 _GROWTH_PAUSE_MS = 200.0
 _MIN_GROWTH_CALLS = 4
 _COLD_GROWTH_FACTOR = 2
+_GROWTH_MULTIPLE = 1.5
+"""Growth needs better latency than keeping the limit: with 2.0, a server whose capacity rose
+within 4 s was given up to twice its capacity."""
 _FAILURES_IN_ROW = 3
 _WINDOW_FAILURE_SHARE = 0.3
 _COLD_CALLS_IN_ROW = 4
@@ -95,10 +98,7 @@
 
     def is_slow(self, latency_ms: float) -> bool:
         """Tell whether a latency is well above the baseline."""
-        baseline = self.baseline_ms
-        if baseline is None:
-            return False
-        return latency_ms >= max(baseline * _SLOW_MULTIPLE, self._slow_floor_ms)
+        return self._exceeds(latency_ms, _SLOW_MULTIPLE)
 
     def record(
         self,
@@ -134,9 +134,17 @@
             self._record_very_slow(in_flight, now)
             return
         self._very_slow_in_row = 0
-        if not slow:
+        if slow or self._exceeds(latency_ms, _GROWTH_MULTIPLE):
+            self._good_calls = max(0, self._good_calls - 1)
+        else:
             self._grow(in_flight, now)
 
+    def _exceeds(self, latency_ms: float, multiple: float) -> bool:
+        baseline = self.baseline_ms
+        if baseline is None:
+            return False
+        return latency_ms >= max(baseline * multiple, self._slow_floor_ms)
+
     def _record_very_slow(self, in_flight: int, now: float) -> None:
         if not self._very_slow_in_row:
             self._very_slow_since = now
--- a/tests/test_limit.py
+++ b/tests/test_limit.py
@@ -6,6 +6,7 @@
 import itertools
 import random
 
+import pytest
 from hypothesis import given, strategies
 
 from anvillug.request import limit
@@ -112,6 +113,16 @@
         server.run(5000)
         assert max(server.limits) <= 4
 
+    @pytest.mark.parametrize('seed', range(3))
+    def test_limit_follows_a_slowly_rising_capacity(self, seed):
+        server = BackendServer(make_limit(), lambda in_flight, at: (10, OK), seed=seed)
+        server.answer = lambda in_flight, at: (10 * max(1, in_flight / (1 + at / 500)) ** 1.5, OK)
+        while server.now < 4000:
+            server.run(100)
+            assert server.concurrency.limit <= 1 + 1.6 * (1 + server.now / 500)
+        server.run(2000)
+        assert server.concurrency.limit == 10
+
     def test_new_incarnation_starts_over(self):
         server = warm(make_limit())
         concurrency = server.concurrency
