--- /dev/null
+++ b/tests/test_claim.py
@@ -0,0 +1,181 @@
+"""Tests of the fold of claims and of the desk that settles them through a log."""
+
+from __future__ import annotations
+
+import types
+
+import pytest
+from twisted.internet import defer, task
+
+from anvillug import clock, ids
+from anvillug.process import claim_desk
+from anvillug.request import claim
+
+KIND = claim.VerdictKind
+LIFETIME = 1000
+
+
+def _claim(sequence, key='drawbook/k', host='h'):
+    call_id = ids.CallId(ids.HostId('e'), ids.Incarnation(1), sequence)
+    return claim.Claim(ids.IdempotencyKey(key), call_id, ids.HostId(host), ids.Incarnation(7))
+
+
+FIRST, SECOND = _claim(1), _claim(2, host='g')
+
+
+def _kinds(decided):
+    return [each.verdict.kind for each in decided]
+
+
+class TestFold:
+    """Guards against two calls that both hold one key."""
+
+    def test_lowest_offset_wins(self):
+        fold = claim.ClaimFold(LIFETIME)
+        decided = fold.apply(0, 0, [claim.claim_entry(FIRST), claim.claim_entry(SECOND)])
+        assert _kinds(decided) == [KIND.WON, KIND.LOST]
+        assert decided[1].verdict.winner == FIRST
+
+    def test_claim_appended_twice_wins_once(self):
+        fold = claim.ClaimFold(LIFETIME)
+        entry = claim.claim_entry(FIRST)
+        assert _kinds(fold.apply(0, 0, [entry])) == [KIND.WON]
+        assert _kinds(fold.apply(1, 5, [entry])) == [KIND.WON]
+        assert not fold.apply(1, 5, [entry])
+
+    def test_key_is_free_after_its_lifetime(self):
+        fold = claim.ClaimFold(LIFETIME)
+        fold.apply(0, 0, [claim.claim_entry(FIRST)])
+        assert _kinds(fold.apply(1, 999, [claim.claim_entry(SECOND)])) == [KIND.LOST]
+        assert _kinds(fold.apply(2, 1000, [claim.claim_entry(SECOND)])) == [KIND.WON]
+        assert len(fold) == 1
+
+    def test_release_frees_the_key_for_others_only(self):
+        fold = claim.ClaimFold(LIFETIME)
+        fold.apply(0, 0, [claim.claim_entry(FIRST)])
+        fold.apply(1, 0, [claim.release_entry(FIRST.key, SECOND.call_id)])
+        assert _kinds(fold.apply(2, 0, [claim.claim_entry(_claim(3))])) == [KIND.LOST]
+        fold.apply(3, 0, [claim.release_entry(FIRST.key, FIRST.call_id)])
+        assert _kinds(fold.apply(4, 0, [claim.claim_entry(FIRST)])) == [KIND.EXPIRED]
+        assert _kinds(fold.apply(5, 0, [claim.claim_entry(_claim(3))])) == [KIND.WON]
+
+    @pytest.mark.parametrize('entries', [None, 3, [None], [{'claim': 'k'}], [{'call': 'x'}], ['a']])
+    def test_malformed_entries_are_ignored(self, entries):
+        fold = claim.ClaimFold(LIFETIME)
+        assert not fold.apply(0, 0, entries)
+        assert fold.next_offset == 1
+
+    def test_verdict_needs_the_whole_history(self):
+        fold = claim.ClaimFold(LIFETIME)
+        fold.apply(0, 0, [claim.claim_entry(FIRST)])
+        fold.reached_end(2)
+        assert fold.verdict(FIRST, 0).kind is KIND.TOO_EARLY
+        fold.reached_end(1)
+        assert fold.verdict(FIRST, 999).kind is KIND.WON
+        assert fold.verdict(FIRST, 1000).kind is KIND.EXPIRED
+        assert fold.verdict(SECOND, 0) == claim.Verdict(KIND.LOST, FIRST)
+
+
+class FakeLog:
+    """Log in memory; its faults are switched by the tests."""
+
+    def __init__(self, time):
+        self.time = time
+        self.records = []
+        self.appends = 0
+        self.is_out = False
+        self.loses_answers = False
+
+    def append(self, stream, data):
+        self.appends += 1
+        if not self.is_out or self.loses_answers:
+            self.records.append(
+                types.SimpleNamespace(
+                    offset=len(self.records), time_ms=self.time.wall(), data=data, stream=stream
+                )
+            )
+        if self.is_out or self.loses_answers:
+            return defer.fail(ConnectionError('append'))
+        return defer.succeed(len(self.records) - 1)
+
+    def read(self, stream, offset, limit, wait_ms):
+        if self.is_out:
+            return defer.fail(ConnectionError('read'))
+        found = tuple(self.records[offset : offset + limit])
+        return defer.succeed(types.SimpleNamespace(first=0, next=len(self.records), records=found))
+
+
+class Bench:
+    """Desks that share a fake log with one stream."""
+
+    def __init__(self):
+        self.reactor = task.Clock()
+        self.time = clock.ManualClock()
+        self.log = FakeLog(self.time)
+
+    def desk(self):
+        settings = claim_desk.DeskSettings(lifetime_ms=LIFETIME, partitions=1, give_up_ms=200)
+        return claim_desk.ClaimDesk(self.log, self.reactor, self.time, settings)
+
+    def run(self, duration):
+        for _ in range(duration // 5):
+            self.time.advance(5)
+            self.reactor.advance(0.005)
+
+
+class TestDesk:
+    """Guards against a call that runs without its key, or waits for ever for it."""
+
+    def test_claims_of_two_nodes(self):
+        bench = Bench()
+        results = [bench.desk().claim(each) for each in (FIRST, SECOND)]
+        bench.run(100)
+        assert [result.result.kind for result in results] == [KIND.WON, KIND.LOST]
+        assert results[1].result.winner == FIRST
+
+    def test_claims_are_batched(self):
+        bench = Bench()
+        desk = bench.desk()
+        results = [desk.claim(_claim(seq, key=f'k{seq}')) for seq in range(50)]
+        bench.run(100)
+        assert all(result.result.kind is KIND.WON for result in results)
+        assert bench.log.appends == 1
+
+    def test_lost_answer_is_settled_by_reading(self):
+        bench = Bench()
+        bench.log.loses_answers = True
+        found = bench.desk().claim(FIRST)
+        bench.run(100)
+        assert found.result.kind is KIND.WON
+
+    def test_log_out_fails_as_not_run(self):
+        bench = Bench()
+        bench.log.is_out = True
+        found = bench.desk().claim(FIRST)
+        bench.run(195)
+        assert not found.called
+        bench.run(10)
+        found.addErrback(lambda failure: failure.trap(claim_desk.ClaimUnavailableError))
+        assert found.result is claim_desk.ClaimUnavailableError
+
+    def test_late_win_is_released(self):
+        bench = Bench()
+        bench.log.is_out = True
+        bench.log.loses_answers = True
+        found = bench.desk().claim(FIRST)
+        found.addErrback(lambda failure: None)
+        bench.run(300)
+        bench.log.is_out = False
+        bench.log.loses_answers = False
+        bench.run(300)
+        second = bench.desk().claim(SECOND)
+        bench.run(100)
+        assert second.result.kind is KIND.WON
+
+    def test_verdict_read_after_the_lifetime(self):
+        bench = Bench()
+        found = bench.desk().claim(FIRST)
+        bench.time.advance(LIFETIME)
+        bench.log.time = clock.ManualClock()
+        bench.run(100)
+        assert found.result.kind is KIND.EXPIRED
