Add evidence on new versions and its judgement

Cause: a bad version must be found at its canary share; a good one must not be taken back because of a noisy neighbour.

Summaries of nodes are added. At the deadline with too little traffic the safety target decides.

Good versions called bad: at most 1 of 100 in the test.

--- /dev/null
+++ b/src/anvillug/version/tally.py
@@ -0,0 +1,103 @@
+"""Sums that compare a new version with the old one, for one kind of event.
+
+The expected count of the new version comes from the calls of both versions in
+the same window (Mantel-Haenszel), so that load and noise that change with time
+do not count against the version whose share grows meanwhile. All fields are
+sums, so tallies of windows, cells and nodes are added.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+
+
+@dataclasses.dataclass(slots=True)
+class Tally:
+    """Comparison of one kind of event, such as failures."""
+
+    new_calls: float = 0
+    """Calls of the new version."""
+    observed: float = 0
+    """Events among them."""
+    expected: float = 0
+    """Events expected among them if both versions were alike."""
+    variance: float = 0
+    """Variance of `observed` if calls were independent."""
+    weight: float = 0
+    """Harmonic mean of the calls of both versions; scales the difference per call."""
+    dispersion: float = 0
+    """Excess of the spread between hosts of the old version over that of independent calls."""
+    dispersion_weight: float = 0
+    """Calls per host behind `dispersion`; their ratio is the correlation of a host's calls."""
+
+    def add_window(self, new: tuple[int, int], old: tuple[int, int]) -> None:
+        """Add one window.
+
+        Args:
+            new: Calls and events of the new version.
+            old: Calls and events of the old version.
+        """
+        new_calls, new_events = new
+        old_calls, old_events = old
+        if not new_calls or not old_calls:
+            return
+        calls = new_calls + old_calls
+        rate = (new_events + old_events) / calls
+        weight = new_calls * old_calls / calls
+        self.new_calls += new_calls
+        self.observed += new_events
+        self.expected += new_calls * rate
+        self.weight += weight
+        self.variance += weight * rate * (1 - rate) * calls / max(1, calls - 1)
+
+    def add(self, other: Tally) -> None:
+        """Add another tally."""
+        for field in _FIELDS:
+            setattr(self, field, getattr(self, field) + getattr(other, field))
+
+    def excess_rate(self) -> float:
+        """Return how many more events per call the new version has."""
+        return (self.observed - self.expected) / max(1, self.weight)
+
+    def exceeds(self, alpha: float, new_hosts: int) -> bool:
+        """Tell whether the new version has significantly more events.
+
+        Uses the normal mixture boundary of Robbins, which holds at all times
+        together: looking after every call does not raise the error above alpha.
+
+        Args:
+            alpha: Probability of a wrong answer over all looks.
+            new_hosts: Hosts that ran the new version; calls of one host are correlated.
+
+        Returns:
+            Whether the excess is beyond the boundary.
+        """
+        correlation = max(0, self.dispersion) / max(1, self.dispersion_weight)
+        inflation = 1 + correlation * self.new_calls / max(1, new_hosts)
+        total = self.variance * inflation + _PRIOR_VARIANCE
+        log_term = math.log(total / _PRIOR_VARIANCE) + 2 * math.log(1 / (2 * alpha))
+        return self.observed - self.expected > math.sqrt(total * max(0, log_term))
+
+    def to_list(self) -> list[float]:
+        """Return the fields in order, rounded for the wire."""
+        return [round(float(getattr(self, field)), 3) for field in _FIELDS]
+
+
+_FIELDS = tuple(field.name for field in dataclasses.fields(Tally))
+
+# Makes the boundary about 6 events when few are expected, where the normal
+# approximation would be too lax; larger values delay finding rare failures.
+_PRIOR_VARIANCE = 2.0
+
+
+def from_list(values: list[float]) -> Tally:
+    """Return the tally of a list made by `to_list`.
+
+    Raises:
+        ValueError: If the list has another length or holds no finite numbers.
+    """
+    numbers = [float(value) for value in values]
+    if len(numbers) != len(_FIELDS) or not all(map(math.isfinite, numbers)):
+        raise ValueError(f'a tally needs {len(_FIELDS)} finite numbers')
+    return Tally(*numbers)
--- /dev/null
+++ b/tests/test_judge.py
@@ -0,0 +1,243 @@
+"""Tests of the judgement of new versions, with seeded trials."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+
+import pytest
+
+from anvillug import ids
+from anvillug.version import evidence, judge, share, verdict_set
+
+SERVICE = ids.ServiceName('drawbook')
+OLD, NEW = ids.VersionName('v1'), ids.VersionName('v2')
+COMPARISON = evidence.Comparison(SERVICE, OLD, NEW, 3)
+ROUTES = {'sheets': 8, 'revisions': 20, 'search': 40}  # median latency in ms
+HOSTS = 10
+CALLS_PER_SECOND = 10
+SECONDS = 600
+
+
+@dataclasses.dataclass(frozen=True)
+class Move:
+    """A rollout of 10 minutes."""
+
+    start_ms: float = 0
+    deadline_ms: float = SECONDS * 1_000
+
+
+@dataclasses.dataclass(frozen=True)
+class Fault:
+    """How the new version differs from the old one."""
+
+    failure_rate: float = 0
+    slowdown: float = 1
+    after_seconds: float = 0
+    route: str = ''
+    load_level: int = 0
+
+    def applies(self, second: float, route: str, level: int) -> bool:
+        """Tell whether a call of the new version is affected."""
+        here = self.route in {'', route}
+        return second >= self.after_seconds and here and level >= self.load_level
+
+
+@dataclasses.dataclass(frozen=True)
+class Found:
+    """Result of a trial: calls of the new version that the fault could affect, and the time."""
+
+    calls: int
+    second: float
+    reason: str
+
+
+class Trial:
+    """Calls of both versions with noisy neighbours; one of the hosts starts with the new one.
+
+    A host is noisy for 20 to 60 s about every 5 minutes: 3 times the latency, 1% failures.
+    """
+
+    def __init__(self, seed, fault):
+        self._rng = random.Random(seed)
+        self._fault = fault
+        self._noisy_until = [0 for _ in range(HOSTS)]
+        self.evidence = evidence.Evidence()
+        self.evidence.start(COMPARISON, 0)
+        self.affected = 0
+
+    def run(self, safety=share.Safety.BALANCED):
+        """Return when the version is found bad, or nothing."""
+        for second in range(SECONDS):
+            self._change_noise(second)
+            planned = share.planned_share(Move(), safety, second * 1_000)
+            for _ in range(CALLS_PER_SECOND):
+                self._call(second, planned)
+            if second % 5:
+                continue
+            summary = self.evidence.summary(SERVICE, second * 1_000)
+            found = judge.judge(summary, Move(), judge.THRESHOLDS[safety], second * 1_000)
+            if found.state is judge.VerdictState.BAD:
+                return Found(self.affected, second, found.evidence)
+        return None
+
+    def _change_noise(self, second):
+        for host in range(HOSTS):
+            if self._noisy_until[host] <= second and self._rng.random() < 1 / 300:
+                self._noisy_until[host] = second + self._rng.uniform(20, 60)
+
+    def _call(self, second, planned):
+        rng = self._rng
+        is_new = rng.random() < planned
+        new_hosts = max(1, int(planned * HOSTS))
+        host = rng.randrange(new_hosts) if is_new else rng.randrange(min(new_hosts, 9), HOSTS)
+        route = rng.choice(tuple(ROUTES))
+        level = int(second / 60) % 3
+        noisy = self._noisy_until[host] > second
+        latency = ROUTES[route] * rng.lognormvariate(0, 0.5) * (1 + level / 2)
+        latency *= 3 if noisy else 1
+        failed = rng.random() < (0.01 if noisy else 0.002)
+        if is_new and self._fault.applies(second, route, level):
+            self.affected += 1
+            latency *= self._fault.slowdown
+            failed = failed or rng.random() < self._fault.failure_rate
+        version, name = (NEW if is_new else OLD), ids.HostId(f'host-{host}')
+        wall = second * 1_000
+        self.evidence.record(SERVICE, version, name, route, level, failed, latency, wall)
+
+
+def run_trials(count, fault):
+    """Run trials with seeds from 1 and return what was found in each."""
+    return [Trial(seed, fault).run() for seed in range(1, count + 1)]
+
+
+def make_summary(calls, failures, origin_hosts=1):
+    """Return a summary with failures of the new version spread over time."""
+    found = evidence.Evidence()
+    found.start(COMPARISON, 0)
+    for call in range(calls):
+        for version in (OLD, NEW):
+            host = ids.HostId(f'{version}-{call % origin_hosts}')
+            failed = version == NEW and call < failures
+            found.record(SERVICE, version, host, ids.RouteName('r'), 0, failed, 5, call * 1_000)
+    return found.summary(SERVICE, calls * 1_000)
+
+
+def judged(summary, wall=0):
+    """Return the judgement with balanced thresholds."""
+    return judge.judge(summary, Move(), judge.THRESHOLDS[share.Safety.BALANCED], wall)
+
+
+class TestGoodVersions:
+    """Guards against good versions that are taken back because of noisy neighbours."""
+
+    def test_at_most_one_of_hundred_is_called_bad(self):
+        found = [result for result in run_trials(100, Fault()) if result is not None]
+        assert len(found) <= 1
+
+
+class TestBadVersions:
+    """Guards against bad versions that reach more callers than the canary share."""
+
+    @pytest.mark.parametrize(
+        ('fault', 'calls', 'seconds'),
+        [
+            (Fault(failure_rate=1), 30, 60),
+            (Fault(failure_rate=0.2), 150, 300),
+            (Fault(failure_rate=0.3, after_seconds=400), 100, 450),
+            (Fault(failure_rate=0.5, route='search'), 60, 200),
+            (Fault(failure_rate=0.5, load_level=2), 60, 200),
+            (Fault(slowdown=3), 600, 300),
+            (Fault(slowdown=3, after_seconds=300), 2_000, 500),
+            (Fault(slowdown=4, load_level=2), 600, 599),
+        ],
+    )
+    def test_found_within_a_few_hundred_calls(self, fault: Fault, calls: int, seconds: int):
+        found = run_trials(5, fault)
+        assert None not in found
+        assert max(result.calls for result in found) <= calls
+        assert max(result.second for result in found) <= seconds
+
+
+class TestJudge:
+    """Guards against verdicts on too little evidence, and against none at the deadline."""
+
+    def test_one_crash_is_not_a_bad_version(self):
+        found = evidence.Evidence()
+        found.start(COMPARISON, 0)
+        for call in range(200):
+            for version in (OLD, NEW):
+                host = ids.HostId(version)
+                failed = version == NEW and call in range(100, 130)
+                found.record(SERVICE, version, host, ids.RouteName('r'), 0, failed, 5, 1_000)
+        assert judged(found.summary(SERVICE, 2_000)).state is judge.VerdictState.PENDING
+
+    def test_good_at_the_deadline(self):
+        summary = make_summary(judge.MIN_CALLS, 0)
+        assert judged(summary).state is judge.VerdictState.PENDING
+        assert judged(summary, Move().deadline_ms).state is judge.VerdictState.GOOD
+
+    @pytest.mark.parametrize(
+        ('safety', 'decision'),
+        [
+            ('strict', judge.Decision.ROLL_BACK),
+            ('balanced', judge.Decision.FINISH),
+            ('fast', judge.Decision.FINISH),
+        ],
+    )
+    def test_safety_decides_with_little_traffic(self, safety: str, decision: judge.Decision):
+        summary = make_summary(20, 0)
+        found, reason = judge.decide_at_deadline(summary, judged(summary), safety)
+        assert found is decision
+        assert '20 of 300' in reason
+        assert judge.decide_at_deadline(None, judged(summary), safety)[0] is decision
+
+    def test_bad_is_rolled_back_by_any_safety(self):
+        summary = make_summary(100, 50)
+        found = judged(summary)
+        assert found.state is judge.VerdictState.BAD
+        assert '50 failures in 100 calls' in found.evidence
+        decided, _ = judge.decide_at_deadline(summary, found, 'fast')
+        assert decided is judge.Decision.ROLL_BACK
+
+
+class TestMerge:
+    """Guards against evidence that is lost or doubled between nodes."""
+
+    def test_two_nodes_show_what_one_does_not(self):
+        one, other = make_summary(40, 10), make_summary(40, 10)
+        assert judged(one).state is judge.VerdictState.PENDING
+        one.add(evidence.parse(evidence.serialize(other)))
+        assert one.new_calls() == 80
+        one.add(make_summary(40, 10))
+        assert judged(one).state is judge.VerdictState.BAD
+
+    def test_round_trip_is_small(self):
+        summary = make_summary(400, 3)
+        data = evidence.serialize(summary)
+        assert evidence.serialize(evidence.parse(data)) == data
+        assert len(data) < 600
+
+    @pytest.mark.parametrize('data', [b'', b'[]', b'[1,2,3,4]', b'[["a","b","c",1],0,[[1]],[]]'])
+    def test_malformed_data_is_refused(self, data: bytes):
+        with pytest.raises(ValueError, match='malformed'):
+            evidence.parse(data)
+
+
+class TestVerdictSet:
+    """Guards against bad versions that are forgotten or differ between nodes."""
+
+    def test_only_grows_in_any_order(self):
+        notices = [verdict_set.VerdictNotice(SERVICE, NEW, move, 'x') for move in range(1, 5)]
+        first, second = verdict_set.VerdictSet(), verdict_set.VerdictSet()
+        assert first.merge(notices) == notices
+        second.merge(reversed(notices))
+        assert not first.merge(notices)
+        assert set(first.notices()) == set(second.notices())
+        asked = [(NEW, 3), (OLD, 3), (NEW, 9)]
+        assert [first.is_bad(SERVICE, *key) for key in asked] == [True, False, False]
+
+    def test_keeps_the_newest_moves(self):
+        found = verdict_set.VerdictSet()
+        found.merge(verdict_set.VerdictNotice(SERVICE, NEW, move, 'x') for move in range(50))
+        assert sorted(notice.move for notice in found.notices()) == [46, 47, 48, 49]
