--- a/Makefile
+++ b/Makefile
@@ -37,3 +37,4 @@
 
 generate: setup
 	$(BIN)/python tools/generate_control.py
+	$(BIN)/python tools/generate_settings_page.py
--- a/src/anvillug/version/judge.py
+++ b/src/anvillug/version/judge.py
@@ -6,7 +6,7 @@
 import enum
 from collections.abc import Iterable
 
-from anvillug.version import evidence, share, tally
+from anvillug.version import config_state, document, evidence, tally
 
 MIN_CALLS = 300
 """Compared calls of the new version without which the safety target decides."""
@@ -44,9 +44,9 @@
 
 
 THRESHOLDS = {
-    share.Safety.STRICT: Thresholds(alpha=0.005, failure_excess=0.005, slow_excess=0.05),
-    share.Safety.BALANCED: Thresholds(alpha=0.002, failure_excess=0.01, slow_excess=0.1),
-    share.Safety.FAST: Thresholds(alpha=0.001, failure_excess=0.02, slow_excess=0.15),
+    document.Safety.STRICT: Thresholds(alpha=0.005, failure_excess=0.005, slow_excess=0.05),
+    document.Safety.BALANCED: Thresholds(alpha=0.002, failure_excess=0.01, slow_excess=0.1),
+    document.Safety.FAST: Thresholds(alpha=0.001, failure_excess=0.02, slow_excess=0.15),
 }
 """Thresholds by safety target."""
 
@@ -62,7 +62,7 @@
 
 
 def judge(
-    summary: evidence.Summary, move: share.Move, thresholds: Thresholds, wall: float
+    summary: evidence.Summary, move: config_state.MoveStatus, thresholds: Thresholds, wall: float
 ) -> Verdict:
     """Judge the new version of a move.
 
@@ -85,7 +85,7 @@
 
 
 def decide_at_deadline(
-    summary: evidence.Summary | None, verdict: Verdict, safety: share.Safety | str
+    summary: evidence.Summary | None, verdict: Verdict, safety: document.Safety
 ) -> tuple[Decision, str]:
     """Decide how a move ends.
 
@@ -102,9 +102,9 @@
     calls = 0 if summary is None else round(summary.new_calls())
     if calls >= MIN_CALLS:
         return Decision.FINISH, verdict.evidence
-    target = share.Safety(safety)
+    target = safety
     reason = f'only {calls} of {MIN_CALLS} calls compared; decided by safety {target.value}'
-    if target is share.Safety.STRICT:
+    if target is document.Safety.STRICT:
         return Decision.ROLL_BACK, reason
     return Decision.FINISH, reason
 
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -8,7 +8,7 @@
 import pytest
 
 from anvillug import ids
-from anvillug.version import evidence, judge, share, verdict_set
+from anvillug.version import document, evidence, judge, share, verdict_set
 
 SERVICE = ids.ServiceName('drawbook')
 OLD, NEW = ids.VersionName('v1'), ids.VersionName('v2')
@@ -17,6 +17,7 @@
 HOSTS = 10
 CALLS_PER_SECOND = 10
 SECONDS = 600
+CANARY_SHARES = {document.Safety.BALANCED: 0.05}
 
 
 @dataclasses.dataclass(frozen=True)
@@ -66,11 +67,12 @@
         self.evidence.start(COMPARISON, 0)
         self.affected = 0
 
-    def run(self, safety=share.Safety.BALANCED):
+    def run(self, safety=document.Safety.BALANCED):
         """Return when the version is found bad, or nothing."""
         for second in range(SECONDS):
             self._change_noise(second)
-            planned = share.planned_share(Move(), safety, second * 1_000)
+            canary = CANARY_SHARES[safety]
+            planned = share.planned_share(Move(), canary, second * 1_000)
             for _ in range(CALLS_PER_SECOND):
                 self._call(second, planned)
             if second % 5:
@@ -125,7 +127,7 @@
 
 def judged(summary, wall=0):
     """Return the judgement with balanced thresholds."""
-    return judge.judge(summary, Move(), judge.THRESHOLDS[share.Safety.BALANCED], wall)
+    return judge.judge(summary, Move(), judge.THRESHOLDS[document.Safety.BALANCED], wall)
 
 
 class TestGoodVersions:
@@ -180,12 +182,14 @@
     @pytest.mark.parametrize(
         ('safety', 'decision'),
         [
-            ('strict', judge.Decision.ROLL_BACK),
-            ('balanced', judge.Decision.FINISH),
-            ('fast', judge.Decision.FINISH),
+            (document.Safety.STRICT, judge.Decision.ROLL_BACK),
+            (document.Safety.BALANCED, judge.Decision.FINISH),
+            (document.Safety.FAST, judge.Decision.FINISH),
         ],
     )
-    def test_safety_decides_with_little_traffic(self, safety: str, decision: judge.Decision):
+    def test_safety_decides_with_little_traffic(
+        self, safety: document.Safety, decision: judge.Decision
+    ):
         summary = make_summary(20, 0)
         found, reason = judge.decide_at_deadline(summary, judged(summary), safety)
         assert found is decision
@@ -197,7 +201,7 @@
         found = judged(summary)
         assert found.state is judge.VerdictState.BAD
         assert '50 failures in 100 calls' in found.evidence
-        decided, _ = judge.decide_at_deadline(summary, found, 'fast')
+        decided, _ = judge.decide_at_deadline(summary, found, document.Safety.FAST)
         assert decided is judge.Decision.ROLL_BACK
 
 
