Add the specifications of call outcome and configuration fold

Change: minicheck specifications with planted faults; every step of every state of the call outcome is also taken by CallTable and ClaimFold and compared.

--- /dev/null
+++ b/specs/__init__.py
@@ -0,0 +1,1 @@
+"""Specifications of the core protocols, checked with minicheck."""
--- /dev/null
+++ b/tests/test_specs.py
@@ -0,0 +1,176 @@
+"""Checks of the specifications, and of the code against them."""
+
+from __future__ import annotations
+
+import functools
+
+import minicheck
+import pytest
+
+from anvillug import ids
+from anvillug.request import call_table, claim
+from specs import call_outcome, config_fold
+
+OUTCOME = call_outcome.Mutation
+CONFIG = config_fold.Mutation
+KIND = call_table.ResolutionKind
+KEY = ids.IdempotencyKey('k')
+OWN = ids.Incarnation(1)
+
+_KIND_BY_TOLD = {
+    'not-run': KIND.FENCED,
+    'unknown': KIND.UNKNOWN,
+    'answer': KIND.FINISHED,
+    '': KIND.RUNNING,
+}
+_REJECTED = frozenset(
+    (
+        call_table.AdmitResult.WRONG_INCARNATION,
+        call_table.AdmitResult.FENCED,
+        call_table.AdmitResult.STALE,
+    )
+)
+
+
+class TestSpecifications:
+    """Guards against a protocol that breaks a requirement in some order of events."""
+
+    @pytest.mark.parametrize('spec', [call_outcome, config_fold])
+    def test_invariants_hold_in_every_state(self, spec):
+        found = minicheck.check_safety(spec.protocol(), max_states=spec.MAX_STATES)
+        print(spec.__name__, 'states:', found['reachable_states'])  # shown by pytest -s
+        assert found['exhaustive'], found['incomplete_reason']
+        assert len(found['properties']) == len(spec.INVARIANTS)
+        for name, outcome in found['properties'].items():
+            assert outcome['holds'] is True, (name, outcome['counterexample'])
+
+    @pytest.mark.parametrize(
+        ('spec', 'mutation', 'invariant'),
+        [
+            (call_outcome, OUTCOME.CLAIM_IGNORED, 'at_most_once'),
+            (call_outcome, OUTCOME.NO_FENCE, 'not_run_is_true'),
+            (call_outcome, OUTCOME.NO_FORGOTTEN_MARK, 'not_run_is_true'),
+            (call_outcome, OUTCOME.UNMATCHED_ANSWERS, 'answer_belongs'),
+            (config_fold, CONFIG.ANY_SNAPSHOT, 'never_reverts'),
+            (config_fold, CONFIG.SNAPSHOT_OFFSET, 'readers_agree'),
+        ],
+    )
+    def test_planted_fault_gives_a_counterexample(self, spec, mutation, invariant):
+        found = minicheck.check_safety(spec.protocol(mutation), max_states=spec.MAX_STATES)
+        outcome = found['properties'][invariant]
+        labels = [step['label'] for step in outcome['counterexample'] or ()]
+        print(mutation.value, 'breaks', invariant, 'by', labels)
+        assert outcome['holds'] is False
+
+
+class Driver:
+    """Takes the steps of the call outcome specification with the code."""
+
+    def __init__(self):
+        self.now = 0
+        self.tables = [call_table.CallTable(OWN) for _ in call_outcome.CALLS]
+        self.fold = claim.ClaimFold(1000)
+        self.call_ids = [ids.CallId(ids.HostId('e'), OWN, 1 + number) for number in (0, 1)]
+
+    def take(self, label, after):
+        """Take one step and compare its outcome with the specification's next state."""
+        name, _, tail = label.rpartition('-')
+        method = getattr(self, f'take_{name}', None)
+        if method:
+            method(int(tail), after)
+
+    def compare(self, state):
+        """Compare the whole state."""
+        for number, spec_call in enumerate(state.calls):
+            held = self.tables[number].state_of(self.call_ids[number])
+            expected = spec_call.table
+            if expected in {'absent', 'forgotten'}:
+                assert held is None
+            else:
+                assert held is call_table.CallState(expected)
+        holder = call_outcome.holder(state.log)
+        self.fold.reached_end(len(state.log))
+        for number in call_outcome.CALLS:
+            has_won = self.fold.verdict(self._claim(number), 0).kind is claim.VerdictKind.WON
+            assert has_won == (holder == number)
+
+    def take_arrive(self, number, after):
+        result = self.tables[number].admit(self.call_ids[number], OWN, self.now)
+        if after.calls[number].table == 'admitted':
+            assert result is call_table.AdmitResult.ADMITTED
+        else:
+            assert result in _REJECTED
+
+    def take_resolve(self, number, after):
+        found = self.tables[number].resolve(self.call_ids[number], OWN, self.now)
+        assert found.kind is _KIND_BY_TOLD[after.calls[number].told]
+        if found.kind is KIND.FINISHED:
+            assert found.answer == self._answer(number)
+
+    def take_dispatch(self, number, after):
+        self.tables[number].dispatch(self.call_ids[number])
+
+    def take_finish(self, number, after):
+        self.tables[number].finish(self.call_ids[number], self._answer(number), self.now)
+
+    def take_fail(self, number, after):
+        self.tables[number].fail(self.call_ids[number], self.now)
+
+    def take_refuse(self, number, after):
+        self.tables[number].refuse(self.call_ids[number], self.now)
+
+    def take_forget(self, number, after):
+        self.now += call_table.Bounds().keep_ms
+        self.tables[number].expire(self.now)
+
+    def take_restart(self, number, after):
+        self.tables[number] = call_table.CallTable(ids.Incarnation(OWN + 1))
+
+    def take_claim(self, number, after):
+        entry = claim.claim_entry(self._claim(number))
+        self.fold.apply(len(after.log) - 1, 0, [entry])
+
+    def take_release(self, number, after):
+        entry = claim.release_entry(KEY, self.call_ids[number])
+        self.fold.apply(len(after.log) - 1, 0, [entry])
+
+    def _claim(self, number):
+        return claim.Claim(KEY, self.call_ids[number], ids.HostId(f'h{number}'), OWN)
+
+    def _answer(self, number):
+        return call_table.KeptAnswer(200, (), str(number).encode())
+
+
+@functools.cache
+def _path_by_state():
+    """Return a shortest path of (label, state) to every reachable state."""
+    initial = call_outcome.State()
+    paths = {initial: ()}
+    queue = [initial]
+    for state in queue:
+        for label, after in call_outcome.steps(state):
+            if after not in paths:
+                paths[after] = (*paths[state], (label, after))
+                queue.append(after)
+    return paths
+
+
+class TestCodeAgainstSpecification:
+    """Guards against code that answers otherwise than the protocol that was checked."""
+
+    def test_every_step_of_every_state(self):
+        taken = set()
+        for state, path in _path_by_state().items():
+            for label, after in call_outcome.steps(state):
+                driver = Driver()
+                for step in (*path, (label, after)):
+                    driver.take(*step)
+                driver.compare(after)
+                taken.add(label)
+        print('steps taken:', sorted(taken))
+        methods = {name for name in dir(Driver) if name.startswith('take_')}
+        assert methods == {
+            f'take_{label.rpartition("-")[0]}'
+            for label in taken
+            if not label.startswith(('send', 'reply', 'with'))
+        }
