Keep the floor of dropped marks when a host gets a mark again

Cause: with more entry hosts than marks, a host whose mark was dropped got a new mark from an older incarnation, and a forgotten id above it was admitted again. The state machine found it; a unit test reproduces it on the old code. Ruled out: checking the floor for hosts with a mark, which would reject the calls of long-lived entry hosts that have one. Change: a new mark starts at the floor. Result: the new test fails before and passes after.

--- a/src/anvillug/request/call_table.py
+++ b/src/anvillug/request/call_table.py
@@ -149,9 +149,9 @@
     def add(self, call_id: ids.CallId) -> None:
         host_id = call_id.host_id
         dropped = (call_id.incarnation, call_id.sequence)
-        mark = self._by_host_id.get(host_id)
-        if mark is None or dropped > mark:
-            self._by_host_id[host_id] = dropped
+        # A host without a mark may have lost one at any sequence of the floor.
+        mark = self._by_host_id.get(host_id, (self._floor + 1, 0))
+        self._by_host_id[host_id] = max(mark, dropped)
         self._by_host_id.move_to_end(host_id)
         if len(self._by_host_id) > self._bound:
             _, oldest = self._by_host_id.popitem(last=False)
--- a/tests/test_call_table.py
+++ b/tests/test_call_table.py
@@ -134,6 +134,16 @@
             call_id = _call(1, host=f'e{number}', incarnation=number)
             assert table.resolve(call_id, OWN, 50).kind is KIND.UNKNOWN
 
+    def test_new_mark_starts_at_the_floor(self):
+        table = _new()
+        table.admit(_call(1, host='e', incarnation=1), OWN, 0)
+        for host in 'efg':
+            _run(table, _call(2, host=host, incarnation=2))
+        table.expire(50)  # the mark of e is dropped
+        table.fail(_call(1, host='e', incarnation=1), 50)
+        table.expire(100)  # e has a mark again, of its older incarnation
+        assert table.resolve(_call(2, host='e', incarnation=2), OWN, 100).kind is KIND.UNKNOWN
+
     def test_oldest_answers_go_first(self):
         table = _new()
         for seq in range(3):
