--- a/src/anvillug/process/membership.py
+++ b/src/anvillug/process/membership.py
@@ -84,10 +84,11 @@
 class _Row:
     """A record with local observations; slots keep it small."""
 
-    __slots__ = ('failures', 'liveness', 'member', 'since', 'tried_at')
+    __slots__ = ('bucket', 'failures', 'liveness', 'member', 'since', 'tried_at')
 
     def __init__(self, member: Member, now: float) -> None:
         self.member = member
+        self.bucket = _bucket_of(member.host_id)  # hashing all hosts for a pull took 3 ms
         self.liveness = Liveness.LIVE
         self.failures = 0
         self.since = now  # of the first failure, or of the state LEFT
@@ -232,15 +233,13 @@
             for index, (ours, other) in enumerate(zip(self._buckets, theirs, strict=False))
             if ours != other
         }
-        matching = [
-            (_bucket_of(host_id), row.member)
-            for host_id, row in self._rows.items()
-            if _bucket_of(host_id) in differing
-        ]
+        if not differing:
+            return [], False
+        matching = [row for row in self._rows.values() if row.bucket in differing]
         # Whole buckets first: each incomplete pull leaves fewer buckets for the next one.
-        matching.sort(key=operator.itemgetter(0))
-        found = [member for _, member in matching]
-        return found[:limit], len(found) > limit
+        matching.sort(key=operator.attrgetter('bucket'))
+        found = [row.member for row in matching[:limit]]
+        return found, len(matching) > limit
 
     def observe(self, host_id: ids.HostId, ok: bool, now: clock.Milliseconds) -> Liveness:
         """Record the result of an exchange or call.
@@ -335,13 +334,15 @@
         return member
 
     def _remove(self, host_id: ids.HostId) -> None:
-        member = self._rows.pop(host_id).member
+        member = self._rows[host_id].member
+        if member.state is not MemberState.LEFT:
+            self._toggle_digest(member)
+        self._rows.pop(host_id)
         self._marks.pop(host_id)
         self._doubtful.pop(host_id, None)
         if member.state is MemberState.LEFT:
             self._left.pop(host_id)
             return
-        self._toggle_digest(member)
         self._usable_by_service.pop(member.service, None)
         hosts = self._hosts_by_service[member.service]
         hosts.pop(host_id)
@@ -357,7 +358,7 @@
         text = f'{member.host_id} {member.incarnation} {member.sequence}'
         mark = xxhash.xxh3_64_intdigest(text.encode(errors='replace'))
         self._digest ^= mark
-        self._buckets[_bucket_of(member.host_id)] ^= mark
+        self._buckets[self._rows[member.host_id].bucket] ^= mark
 
     def _set_liveness(self, row: _Row, liveness: Liveness) -> None:
         host_id = row.member.host_id
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 import queue
 import socket
@@ -63,6 +64,14 @@
             call(*args)
         return results[0]
 
+    def run_for(self, seconds: float):
+        """Run queued calls for a while."""
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            with contextlib.suppress(queue.Empty):
+                call, args = self.calls.get(timeout=0.1)
+                call(*args)
+
 
 @pytest.fixture
 def reactor():
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -8,10 +8,10 @@
 from twisted.internet import defer, task
 
 from anvillug import clock, ids
-from anvillug.connection import control_client, control_messages
+from anvillug.connection import control_client, control_messages, control_server
 from anvillug.process import gossip, membership
 from anvillug.version import verdict_set
-from tests import test_membership
+from tests import test_control, test_membership
 
 VERDICT = verdict_set.VerdictNotice(test_membership.SERVICE, ids.VersionName('v2'), 3, 'failures')
 ENTRY = control_messages.QuarantineNotice(ids.Fingerprint('f'), 2, 60_000)
@@ -255,6 +255,34 @@
         assert reader.sources.config.value == 1
 
 
+class TestOverGrpc:
+    """Guards against parts that fit only the network in memory."""
+
+    def test_new_node_learns_the_table_and_verdicts(self):
+        network = Network(40, acquainted=True)
+        seed = first(network)
+        reactor = test_control.FakeReactor()
+        server = control_server.ControlServer(reactor, seed.gossip.handle)
+        client = control_client.ControlClient(reactor)
+        seed.sources.verdicts.add(VERDICT)
+        fresh = Node(network, test_membership.make_member(50), ())
+        joining = gossip.Gossip(
+            fresh.sources,
+            client,
+            [f'127.0.0.1:{server.start("127.0.0.1:0")}'],
+            network,
+            network.reactor,
+            random.Random(1),
+        )
+        joining.tick()
+        reactor.run_for(2)
+        client.close()
+        server.stop()
+        assert len(fresh.sources.table) == 41
+        assert fresh.sources.verdicts.notices() == (VERDICT,)
+        assert 2_000 < server.bytes_received <= client.bytes_sent
+
+
 class TestCost:
     """Guards against control traffic above 14 KB/s per node and against far peers."""
 
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -8,7 +8,7 @@
 import pytest
 
 from anvillug import ids
-from anvillug.version import evidence, judge, share, verdict_set
+from anvillug.version import evidence, evidence_pool, judge, share, verdict_set
 
 SERVICE = ids.ServiceName('drawbook')
 OLD, NEW = ids.VersionName('v1'), ids.VersionName('v2')
@@ -241,3 +241,37 @@
         found = verdict_set.VerdictSet()
         found.merge(verdict_set.VerdictNotice(SERVICE, NEW, move, 'x') for move in range(50))
         assert sorted(notice.move for notice in found.notices()) == [46, 47, 48, 49]
+
+
+class TestEvidencePool:
+    """Guards against evidence that is counted twice or fills the exchanges."""
+
+    def test_newest_summary_of_each_node_counts_once(self):
+        own, peer = (evidence_pool.EvidencePool(ids.HostId(name)) for name in ('a', 'b'))
+        peer.put_own(make_summary(40, 1), 1)
+        early = peer.summaries(8)
+        peer.put_own(make_summary(60, 1), 2)
+        own.put_own(make_summary(40, 1), 1)
+        for packed in (
+            peer.summaries(8),
+            early,
+            peer.summaries(8),
+            own.summaries(8),
+            [b'x', b'1\n'],
+        ):
+            own.merge(packed)
+        assert own.combined(COMPARISON).new_calls() == 100
+        assert not own.combined(COMPARISON._replace(move=4)).new_calls()
+        own.drop(SERVICE)
+        assert not own.summaries(8)
+
+    def test_all_summaries_take_turns_within_the_bounds(self):
+        pool = evidence_pool.EvidencePool(ids.HostId('own'))
+        pool.put_own(make_summary(40, 1), 1)
+        for index in range(300):
+            peer = evidence_pool.EvidencePool(ids.HostId(f'host-{index}'))
+            peer.put_own(make_summary(1, 0), 1)
+            pool.merge(peer.summaries(8))
+        sent = [pool.summaries(4) for _ in range(100)]
+        assert max(sum(map(len, packed)) for packed in sent) <= evidence_pool.SEND_BYTES
+        assert len({each for packed in sent for each in packed}) == 1 + evidence_pool.MAX_SUMMARIES
