Judge version rollouts on the nodes

Cause: shares of a rollout moved by the plan alone; nothing took a bad version back. Change: process/move_judge collects evidence of ended calls, merges that of peers, adds verdicts to the set that gossip spreads, and proposes the end of a rollout to the log. Hosts of the service propose in turn, so that one record suffices.

--- a/src/anvillug/process/node.py
+++ b/src/anvillug/process/node.py
@@ -16,20 +16,19 @@
     backend_watch,
     config_follower,
     entry_side,
-    evidence_pool,
     gossip,
     gossip_sources,
     host_side,
     life_cycle,
     membership,
     membership_log,
+    move_judge,
     operator_api,
     peer_pools,
-    service_desk,
     settings,
 )
 from anvillug.request import call_table, quarantine
-from anvillug.version import config_state, document, targets, verdict_set
+from anvillug.version import config_state, document, evidence_pool, targets, verdict_set
 
 _WITHDRAW_GRACE_S = 1.0
 _LISTENER_GRACE_S = 2.0
@@ -69,10 +68,21 @@
         )
         self.suspects = quarantine.Quarantine(f'{config.host_id}.{self._incarnation}')
         self.verdicts = verdict_set.VerdictSet()
-        self.evidence = evidence_pool.EvidencePool()
+        self.evidence = evidence_pool.EvidencePool(config.host_id)
         self._config_source = gossip_sources.ConfigSource(self.config, time)
         self.gossip_task = self._build_gossip()
         self._control = control_server.ControlServer(reactor, self.gossip_task.handle)
+        self.judge = move_judge.MoveJudge(
+            reactor,
+            time,
+            self.members,
+            self._log,
+            lambda: self.config.state,
+            self.verdicts,
+            self.evidence,
+            self.gossip_task.spread_verdicts,
+            self._rng,
+        )
         self.host = self._build_host_side()
         self.entry = self._build_entry_side()
         self.backend = backend_watch.BackendWatch(reactor, time, self._backend_changed)
@@ -105,6 +115,7 @@
         self.config.start()
         self._membership_log.start()
         self.gossip_task.start()
+        self.judge.start()
         # Collections of long-lived objects would show as latency.
         gc.collect()
         gc.freeze()
@@ -147,6 +158,7 @@
             'host': self.host.dump(),
             'entry': self.entry.dump(),
             'gossip': self.gossip_task.dump(),
+            'rollouts': self.judge.dump(),
             'verdicts': [dataclasses.asdict(notice) for notice in self.verdicts.notices()],
             'members': {
                 'count': len(self.members),
@@ -243,15 +255,12 @@
             self.members,
             pools,
             lambda: self.config.state,
-            self._is_bad,
-            self,
+            self.judge.is_bad,
+            self.judge,
             self._rng,
             timeouts.sample_ms,
         )
 
-    def _is_bad(self, service: ids.ServiceName, move: config_state.MoveStatus) -> bool:
-        return self.verdicts.is_bad(service, move.to_version, move.number)
-
     def _catch_up(self, host_id: ids.HostId, number: ids.ConfigNumber) -> None:
         if self._config_source.number() >= number:
             return
@@ -262,9 +271,6 @@
         if self.config_number() < number:
             self.gossip_task.ask(host_id)
 
-    def call_ended(self, ended: service_desk.EndedCall) -> None:
-        """Take the facts of an ended call; see `service_desk.CallObserver`."""
-
     def _listen(self, address: str, factory: Any) -> None:
         host, _, port = address.rpartition(':')
         self._ports.append(
--- a/src/anvillug/process/service_desk.py
+++ b/src/anvillug/process/service_desk.py
@@ -37,7 +37,9 @@
     service: ids.ServiceName
     """Service of the call."""
     version: ids.VersionName
-    """Version of the backend server that the last attempt went to."""
+    """Version of the backend server that ran it."""
+    host_id: ids.HostId
+    """Host that ran it."""
     route: ids.RouteName
     """Route of the call."""
     load_level: float
@@ -190,6 +192,7 @@
                 EndedCall(
                     service=self.name,
                     version=version,
+                    host_id=attempt.host_id,
                     route=route,
                     load_level=attempt.load_level,
                     failed=attempt.failed or server_error,
