Demand longer slowness before a strict or fast rollout is taken back

Ruled out: 0.85 of the windows for all safety targets.

Change: the portion of slow windows is a threshold by safety target. The test of good versions covers 60 "fast" trials with new seeds beside 40 "balanced" ones; it fails with 0.75 for "fast".

--- a/src/anvillug/version/judge.py
+++ b/src/anvillug/version/judge.py
@@ -13,7 +13,6 @@
 
 MIN_FAILURE_MOMENTS = 4  # a crash ends many calls at once; one crash is not a bad version
 MIN_BLOCKS = 6  # a noisy neighbour slows one host for up to about a minute
-SLOW_BLOCK_PORTION = 0.75
 
 
 class VerdictState(enum.Enum):
@@ -41,12 +40,16 @@
     """Additional failures per call below which a difference does not matter."""
     slow_excess: float
     """Additional slow calls per call below which a difference does not matter."""
+    slow_portion: float
+    """Portion of recent windows that must be slow; tells slowness from a noisy neighbour."""
 
 
+# With a slow portion of 0.75, 4 of 150 good versions were called bad under "fast" and 2 of
+# 200 under "strict"; under "balanced" none of 200 were, and 0.85 finds slowness later.
 THRESHOLDS = {
-    share.Safety.STRICT: Thresholds(alpha=0.005, failure_excess=0.005, slow_excess=0.05),
-    share.Safety.BALANCED: Thresholds(alpha=0.002, failure_excess=0.01, slow_excess=0.1),
-    share.Safety.FAST: Thresholds(alpha=0.001, failure_excess=0.02, slow_excess=0.15),
+    share.Safety.STRICT: Thresholds(0.005, 0.005, 0.05, slow_portion=0.85),
+    share.Safety.BALANCED: Thresholds(0.002, 0.01, 0.1, slow_portion=0.75),
+    share.Safety.FAST: Thresholds(0.001, 0.02, 0.15, slow_portion=0.85),
 }
 """Thresholds by safety target."""
 
@@ -128,7 +131,7 @@
         ):
             return _describe('failures', cell.failed, place)
         slow_lasts = (
-            cell.blocks >= MIN_BLOCKS and cell.slow_blocks >= cell.blocks * SLOW_BLOCK_PORTION
+            cell.blocks >= MIN_BLOCKS and cell.slow_blocks >= cell.blocks * thresholds.slow_portion
         )
         if slow_lasts and _is_beyond(cell.slow, thresholds.slow_excess, alpha, cell.new_hosts):
             return _describe('slow calls', cell.slow, place)
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -132,7 +132,9 @@
     """Guards against good versions that are taken back because of noisy neighbours."""
 
     def test_at_most_one_of_hundred_is_called_bad(self):
-        found = [result for result in run_trials(100, Fault()) if result is not None]
+        # The greater canary share of "fast" gives a single noisy host more weight.
+        fast = [Trial(seed, Fault()).run(share.Safety.FAST) for seed in range(1001, 1061)]
+        found = [result for result in fast + run_trials(40, Fault()) if result is not None]
         assert len(found) <= 1
 
 
