Run a call with an idempotency key only after its key has won a claim

Cause: a resend with the same Idempotency-Key ran again on another node. A call with a key goes on when its caller leaves after the whole request was received. The key of a call that was not run is released. A resend whose key is known to be held needs no log. Ruled out: claiming on the host side, since a refused call moves to another host and the claim would name the wrong one; asking the host of the first call, since only its entry side knows which host answered.

--- a/src/anvillug/bench/mesh.py
+++ b/src/anvillug/bench/mesh.py
@@ -18,6 +18,7 @@
 from anvillug.version import publisher
 
 REGION = 'bench'
+LOG_RETENTION_MS = 600_000
 _POLL_S = 0.05
 _REQUEST_TIMEOUT_S = 5
 
@@ -231,6 +232,8 @@
             'control_address': control,
             'operator_address': operator,
             'log_address': self.log_address,
+            'log_retention_ms': LOG_RETENTION_MS,
+            'claim_lifetime_ms': LOG_RETENTION_MS // 2,
         }
         link_control = ''
         if plan.link_delay_ms is not None:
--- a/src/anvillug/process/claim_desk.py
+++ b/src/anvillug/process/claim_desk.py
@@ -134,6 +134,11 @@
             may run only on `WON`.
         """
         stream = self._stream(wanted.key)
+        holder = stream.fold.holder(wanted.key, self._time.wall())
+        if holder is not None:
+            # Nothing in the log can make this claim win, so that the log is not needed.
+            lost = claim.Verdict(claim.VerdictKind.LOST, holder)
+            return defer.succeed(lost)
         pending = _Pending(wanted, defer.Deferred())
         stream.pending_by_call_id[wanted.call_id] = pending
         pending.timer = self._later(self._settings.give_up_ms, self._give_up, stream, pending)
--- a/src/anvillug/process/entry_side.py
+++ b/src/anvillug/process/entry_side.py
@@ -10,7 +10,14 @@
 
 from anvillug import clock, event_log, ids
 from anvillug.connection import http_server
-from anvillug.process import load_sampler, membership, peer_pools, service_desk, service_view
+from anvillug.process import (
+    keyed_calls,
+    load_sampler,
+    membership,
+    peer_pools,
+    service_desk,
+    service_view,
+)
 from anvillug.request import attempt as attempts
 from anvillug.request import budget, call, entry_call, entry_request
 from anvillug.version import config_state
@@ -54,6 +61,7 @@
         config: Returns the configuration in effect.
         is_bad: Tells whether a rollout's new version is known to be bad.
         observer: Told about each ended call.
+        keyed: Claims idempotency keys.
         rng: Source of draws.
         sample_timeout_ms: Time limit of a load sample.
     """
@@ -67,6 +75,7 @@
         config: Callable[[], config_state.ConfigState],
         is_bad: Callable[[ids.ServiceName, config_state.MoveStatus], bool],
         observer: service_desk.CallObserver,
+        keyed: keyed_calls.KeyedCalls,
         rng: random.Random,
         sample_timeout_ms: float,
     ) -> None:
@@ -79,6 +88,7 @@
         self._config = config
         self._is_bad = is_bad
         self._observer = observer
+        self._keyed = keyed
         self._rng = rng
         self._sample_timeout_s = clock.to_seconds(sample_timeout_ms)
         self._desks_by_service: dict[ids.ServiceName, service_desk.ServiceDesk] = {}
@@ -160,6 +170,10 @@
         """Drop idle connections; see `entry_call.EntryContext`."""
         self._pools.drop_idle(host_id)
 
+    def claim(self, call_of: entry_call.EntryCall) -> None:
+        """Claim the key of a call; see `entry_call.EntryContext`."""
+        self._keyed.claim(call_of)
+
     def config_number(self) -> ids.ConfigNumber:
         """Return the number in effect; see `entry_call.EntryContext`."""
         return self._config().number
@@ -213,6 +227,8 @@
     def call_over(self, ended: entry_call.EntryCall, status: int, outcome: call.Outcome) -> None:
         """Record a result; see `entry_call.EntryContext`."""
         self.in_progress.discard(ended)
+        if ended.keyed:
+            self._keyed.call_over(ended.properties.call_id, outcome, ended.kept_answer)
         if outcome is call.Outcome.FINISHED:
             self.counters.answered += 1
         elif outcome is call.Outcome.NOT_RUN:
@@ -228,6 +244,7 @@
         return {
             'counters': dataclasses.asdict(self.counters),
             'in_progress': len(self.in_progress),
+            'keyed': self._keyed.dump(),
             'connections_by_host_id': self._pools.counts(),
             'services': {name: desk.dump() for name, desk in self._desks_by_service.items()},
         }
--- a/src/anvillug/process/host_side.py
+++ b/src/anvillug/process/host_side.py
@@ -58,6 +58,7 @@
         config_number: Returns the configuration number in effect.
         catch_up: Asks a host for its newer configuration, given its number.
         crashed: Told about new quarantine entries, to spread them.
+        resolve_keyed: Answers for calls with keys of this node's entry side.
     """
 
     def __init__(  # noqa: WPS211 - the assembly names each argument
@@ -71,6 +72,7 @@
         config_number: Callable[[], ids.ConfigNumber],
         catch_up: Callable[[ids.HostId, ids.ConfigNumber], None],
         crashed: Callable[[list[quarantine.QuarantineEntry]], None],
+        resolve_keyed: Callable[[http_server.ServerExchange], None],
     ) -> None:
         self.reactor = reactor
         self.clock = time
@@ -85,6 +87,7 @@
         self._config_number = config_number
         self._catch_up = catch_up
         self._crashed = crashed
+        self._resolve_keyed = resolve_keyed
         self._backend: backend_watch.Backend | None = None
         self._pool: http_client.Pool | None = None
         self._calls_by_id: dict[ids.CallId, host_call.HostCall] = {}
@@ -149,6 +152,8 @@
                 exchange.respond(_STATUS_NO_CONTENT, b'', (self._load_header(),))
             elif path == b'/-/resolve':
                 self._resolve(exchange)
+            elif path == b'/-/keyed':
+                self._resolve_keyed(exchange)
             else:
                 self._start_call(exchange)
         except host_request.BadHostRequestError as error:
--- a/src/anvillug/process/node.py
+++ b/src/anvillug/process/node.py
@@ -8,17 +8,20 @@
 import signal
 from typing import Any
 
+import xxhash
 from twisted.internet import interfaces
 
 from anvillug import clock, event_log, ids
 from anvillug.connection import control_client, control_server, http_server, log_client
 from anvillug.process import (
     backend_watch,
+    claim_desk,
     config_follower,
     entry_side,
     gossip,
     gossip_sources,
     host_side,
+    keyed_calls,
     life_cycle,
     membership,
     membership_log,
@@ -35,6 +38,7 @@
 _DRAIN_CHECK_S = 0.1
 # The log is given this long to bring a configuration before a peer is asked.
 _ASK_PEER_S = 0.12
+_SNAPSHOT_HOSTS = 2
 _NO_SERVICE = ids.ServiceName('')
 _NO_VERSION = ids.VersionName('')
 
@@ -57,7 +61,16 @@
         self._incarnation = ids.Incarnation(int(time.wall()))
         self.members = membership.MemberTable(self._own_member(), time.now())
         self._log = log_client.HttpLogClient(reactor, config.log_address)
-        self.config = config_follower.ConfigFollower(self._log, reactor, time)
+        self.config = config_follower.ConfigFollower(
+            self._log,
+            reactor,
+            time,
+            config_follower.Options(
+                should_snapshot=self._should_snapshot,
+                retention_ms=config.log_retention_ms,
+                rng=self._rng,
+            ),
+        )
         self.config.add_listener(self._config_changed)
         self._membership_log = membership_log.MembershipLog(
             self._log,
@@ -83,6 +96,24 @@
             self.gossip_task.spread_verdicts,
             self._rng,
         )
+        self._pools = peer_pools.PeerPools(
+            reactor,
+            self.members,
+            clock.to_seconds(config.timeouts.connect_ms),
+        )
+        self.keyed = keyed_calls.KeyedCalls(
+            reactor,
+            time,
+            config.host_id,
+            self._incarnation,
+            claim_desk.ClaimDesk(
+                self._log,
+                reactor,
+                time,
+                claim_desk.DeskSettings(lifetime_ms=config.claim_lifetime_ms),
+            ),
+            self._pools.get,
+        )
         self.host = self._build_host_side()
         self.entry = self._build_entry_side()
         self.backend = backend_watch.BackendWatch(reactor, time, self._backend_changed)
@@ -222,6 +253,7 @@
             self.config_number,
             self._catch_up,
             self.gossip_task.spread_quarantine,
+            self.keyed.resolve,
         )
 
     def _build_gossip(self) -> gossip.Gossip:
@@ -243,24 +275,31 @@
         )
 
     def _build_entry_side(self) -> entry_side.EntrySide:
-        timeouts = self._settings.timeouts
-        pools = peer_pools.PeerPools(
-            self._reactor,
-            self.members,
-            clock.to_seconds(timeouts.connect_ms),
-        )
         return entry_side.EntrySide(
             self._reactor,
             self._clock,
             self.members,
-            pools,
+            self._pools,
             lambda: self.config.state,
             self.judge.is_bad,
             self.judge,
+            self.keyed,
             self._rng,
-            timeouts.sample_ms,
+            self._settings.timeouts.sample_ms,
         )
 
+    def _should_snapshot(self, state: config_state.ConfigState) -> bool:
+        """Let the first few hosts in the order of hashes write snapshots."""
+        hosts = sorted(self._members_by_hash())
+        return self.members.own.host_id in {host_id for _, host_id in hosts[:_SNAPSHOT_HOSTS]}
+
+    def _members_by_hash(self) -> list[tuple[int, ids.HostId]]:
+        return [
+            (xxhash.xxh3_64_intdigest(host_id.encode()), host_id)
+            for zone in self.members.zones()
+            for host_id in self.members.hosts_in(zone)
+        ]
+
     def _catch_up(self, host_id: ids.HostId, number: ids.ConfigNumber) -> None:
         if self._config_source.number() >= number:
             return
--- a/src/anvillug/process/settings.py
+++ b/src/anvillug/process/settings.py
@@ -60,6 +60,10 @@
     """Listener for operators and for the backend server beside this node, as IP:port."""
     log_address: validation.Address
     """Address of the platform log, as IP:port."""
+    log_retention_ms: _PositiveInt = 24 * 3_600_000
+    """How long the log retains records; snapshots are appended well within this time."""
+    claim_lifetime_ms: _PositiveInt = 3_600_000
+    """How long an idempotency key is held; below half of `log_retention_ms`."""
     seeds: tuple[validation.Address, ...] = pydantic.Field(default=(), strict=False)
     """Control addresses of nodes to ask for members and configuration at start."""
     limits: Limits = Limits()
@@ -67,6 +71,12 @@
     timeouts: Timeouts = Timeouts()
     """Times after which a peer is given up."""
 
+    @pydantic.model_validator(mode='after')
+    def _claims_outlive_no_record(self) -> Settings:
+        if 2 * self.claim_lifetime_ms > self.log_retention_ms:
+            raise ValueError('claim_lifetime_ms must be at most half of log_retention_ms')
+        return self
+
     @pydantic.model_validator(mode='after')
     def _listeners_differ(self) -> Settings:
         listeners = (
--- /dev/null
+++ b/src/anvillug/request/answer_keeper.py
@@ -0,0 +1,46 @@
+"""Keeps an answer while it streams by, as long as it is small."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from anvillug.connection import http_head
+from anvillug.request import call_table
+
+DEFAULT_BYTES = 64 * 1024
+
+
+class AnswerKeeper:
+    """Head and body of one answer.
+
+    Args:
+        max_bytes: Largest body that is kept.
+    """
+
+    __slots__ = ('_body', '_headers', '_max_bytes', '_size', '_status')
+
+    def __init__(self, max_bytes: int = DEFAULT_BYTES) -> None:
+        self._max_bytes = max_bytes
+        self._status = 0
+        self._headers: tuple[http_head.Header, ...] = ()
+        self._body: list[bytes] = []
+        self._size = 0
+
+    def start(self, status: int, headers: Iterable[http_head.Header]) -> None:
+        """Take the head: status and end-to-end headers."""
+        self._status = status
+        self._headers = tuple(headers)
+
+    def add(self, data: bytes) -> None:
+        """Take a piece of the body; what is too large is dropped as a whole."""
+        self._size += len(data)
+        if self._size <= self._max_bytes:
+            self._body.append(data)
+        else:
+            self._body.clear()
+
+    def answer(self) -> call_table.KeptAnswer | None:
+        """Return the whole answer, None when it was too large or has no head."""
+        if not self._status or self._size > self._max_bytes:
+            return None
+        return call_table.KeptAnswer(self._status, self._headers, b''.join(self._body))
--- a/src/anvillug/request/claim.py
+++ b/src/anvillug/request/claim.py
@@ -171,6 +171,18 @@
             return Verdict(VerdictKind.EXPIRED)
         return Verdict(VerdictKind.WON)
 
+    def holder(self, key: ids.IdempotencyKey, wall: clock.Milliseconds) -> Claim | None:
+        """Return the claim that holds a key by the records folded so far.
+
+        Args:
+            key: Key within the service.
+            wall: Present time since the epoch.
+        """
+        held = self._held_by_key.get(key)
+        if held is None or self.is_over(held.time_ms, wall):
+            return None
+        return held.claim
+
     def is_over(self, time_ms: float, wall: clock.Milliseconds) -> bool:
         """Tell whether a claim of that time may have lost its key by now."""
         return max(wall, self._log_time) >= time_ms + self._lifetime_ms
--- a/src/anvillug/request/entry_call.py
+++ b/src/anvillug/request/entry_call.py
@@ -14,12 +14,13 @@
 
 from anvillug import clock, ids
 from anvillug.connection import http_head, http_server
+from anvillug.request import answer_keeper, call, call_table, entry_request
 from anvillug.request import attempt as attempts
-from anvillug.request import call, entry_request
 
 MAX_ATTEMPTS = 3
 _MAX_UNANSWERED_RESOLVES = 3
 _RESOLVE_PAUSE_S = 0.2
+_STATUS_REPLAYED = 409
 _STATUS_BAD_GATEWAY = 502
 _STATUS_UNAVAILABLE = 503
 _STATUS_GATEWAY_TIMEOUT = 504
@@ -57,6 +58,9 @@
     def connection_silent(self, host_id: ids.HostId) -> None:
         """Drop idle connections to a host, one of which has gone silent."""
 
+    def claim(self, entry_call: EntryCall) -> None:
+        """Claim the key of a call; answers by `claim_won`, `refuse` or `hand_over`."""
+
     def config_number(self) -> ids.ConfigNumber:
         """Return the configuration number in effect."""
 
@@ -101,6 +105,7 @@
         self.attempt_count = 0
         self.answer_exhausted = False
         self.route = ids.RouteName('')
+        self.keyed = request.key is not None and not properties.repeatable
         self.state = EntryState.RECEIVING
         self._context = context
         self._exchange = exchange
@@ -113,6 +118,13 @@
         self._resolver: attempts.Attempt | None = None
         self._resolver_attached = False
         self._unanswered_resolves = 0
+        self._claimed = False
+        self._kept = answer_keeper.AnswerKeeper() if self.keyed else None
+
+    @property
+    def kept_answer(self) -> call_table.KeptAnswer | None:
+        """Whole answer of a call with a key, if it was small."""
+        return None if self._kept is None else self._kept.answer()
 
     # From the caller
 
@@ -143,8 +155,13 @@
             self._streaming_to.connection.end_request()
 
     def request_aborted(self) -> None:
-        """Cancel what runs: the caller is gone."""
-        self._end(0, call.Outcome.UNKNOWN)
+        """Cancel what runs: the caller is gone.
+
+        A call with a key that has been sent whole goes on, so that its answer
+        can be given to a resend.
+        """
+        if not self.keyed or not self._body_complete:
+            self._end(0, call.Outcome.UNKNOWN)
 
     def response_writes_paused(self, paused: bool) -> None:
         """Pass backpressure of the caller on to the host."""
@@ -162,10 +179,25 @@
         if self.state is EntryState.DONE:
             return
         self.state = EntryState.WAITING
+        if self.keyed and not self._claimed:
+            self._context.claim(self)
+            return
         attempt = self._context.start_attempt(self, attempts.AttemptKind.SEND, None)
         if attempt is None:
             self.refuse('no host can take the call')
 
+    def claim_won(self) -> None:
+        """Go on: no other call with this key may run."""
+        self._claimed = True
+        self.send()
+
+    def hand_over(self) -> http_server.ServerExchange | None:
+        """Give up the exchange with the caller, None when the call is over already."""
+        if self.state is EntryState.DONE:
+            return None
+        self._end(_STATUS_REPLAYED, call.Outcome.NOT_RUN)
+        return self._exchange
+
     def attempt_started(self, attempt: attempts.Attempt) -> None:
         """Note an attempt that was begun by the entry side."""
         self._active.append(attempt)
@@ -244,12 +276,17 @@
             for header in http_head.end_to_end(head.headers)
             if header[0].lower() not in _INTERNAL_HEADERS
         ]
+        if self._kept is not None:
+            self._kept.start(head.status, headers)
         self._exchange.send_head(http_head.ResponseHead(head.status, headers, head.reason))
 
     def attempt_body(self, attempt: attempts.Attempt, data: bytes) -> None:
         """Pass on a piece of the answer."""
-        if attempt is self._winner:
-            self._exchange.send_body(data)
+        if attempt is not self._winner:
+            return
+        if self._kept is not None:
+            self._kept.add(data)
+        self._exchange.send_body(data)
 
     def attempt_ended(self, attempt: attempts.Attempt) -> None:
         """Complete the answer."""
--- a/src/anvillug/request/host_call.py
+++ b/src/anvillug/request/host_call.py
@@ -13,7 +13,7 @@
 
 from anvillug import clock, ids
 from anvillug.connection import http_client, http_head, http_server
-from anvillug.request import call, call_table, host_request, limit, quarantine
+from anvillug.request import answer_keeper, call, call_table, host_request, limit, quarantine
 
 _STATUS_OK = 200
 _STATUS_BAD_GATEWAY = 502
@@ -105,9 +105,8 @@
         self._body: list[bytes] = []
         self._body_complete = False
         self._entry_gone = False
-        self._answer_head: http_head.ResponseHead | None = None
-        self._kept: list[bytes] | None = []
-        self._kept_bytes = 0
+        self._status = 0
+        self._kept = answer_keeper.AnswerKeeper(context.kept_answer_bytes)
         self._shed = False
         self._progress_timer: interfaces.IDelayedCall | None = None
         self._progressed = False
@@ -216,8 +215,9 @@
             return
         self._progressed = True
         self._answered_at = self._context.clock.now()
-        self._answer_head = head
+        self._status = head.status
         headers = http_head.end_to_end(head.headers, _OWN_HEADERS)
+        self._kept.start(head.status, headers)
         headers.extend(
             self._context.answer_headers(
                 self.request.properties.call_id,
@@ -232,11 +232,7 @@
         self._progressed = True
         if self._shed:
             return
-        if self._kept is not None:
-            self._kept_bytes += len(data)
-            self._kept.append(data)
-            if self._kept_bytes > self._context.kept_answer_bytes:
-                self._kept = None
+        self._kept.add(data)
         if not self._entry_gone:
             self._exchange.send_body(data)
 
@@ -249,19 +245,9 @@
             self._context.refused(self)
             self._answer_refusal('shed by the backend server')
             return
-        head = self._answer_head
-        kept = None
-        failed = False
-        if head is not None:
-            failed = head.status >= _STATUS_SERVER_ERROR
-            if self._kept is not None:
-                kept = call_table.KeptAnswer(
-                    head.status,
-                    tuple(http_head.end_to_end(head.headers, _OWN_HEADERS)),
-                    b''.join(self._kept),
-                )
+        failed = self._status >= _STATUS_SERVER_ERROR
         result = limit.CallResult.FAILED if failed else limit.CallResult.OK
-        self._context.finished(self, kept, result)
+        self._context.finished(self, self._kept.answer(), result)
         self._exchange.finish()
 
     def response_failed(self, reason: http_client.ClientFailure) -> None:
--- a/src/anvillug/request/resolution.py
+++ b/src/anvillug/request/resolution.py
@@ -77,7 +77,9 @@
             self._tell(_STATUS_BAD_GATEWAY, call.Outcome.UNKNOWN, 'nothing is known of the call')
 
     def _replay(self, answer: call_table.KeptAnswer) -> None:
-        headers = [header for header in answer.headers if header[0].lower() not in _FRAMING_HEADERS]
+        headers = [
+            header for header in answer.headers if header[0].lower() not in _REPLACED_HEADERS
+        ]
         headers.extend(self._context.answer_headers(self._call_id, call.Outcome.FINISHED))
         self._exchange.respond(answer.status, answer.body, tuple(headers))
 
@@ -87,4 +89,4 @@
         self._exchange.respond(status, b'', tuple(headers))
 
 
-_FRAMING_HEADERS = frozenset((b'content-length',))
+_REPLACED_HEADERS = frozenset((b'content-length', b'anvillug-call', b'anvillug-outcome'))
