Tell unknown, not "not run", once an attempt may have run; unpause reused connections

Cause: a scenario saw calls answered 503 not-run that had run: an entry call forgot that an earlier attempt ended as unknown, and a later refusal or the deadline said not run. Large responses stalled: a client connection that was paused by a slow reader when its response ended went back to the pool paused, and a late pause reached the next request on it. Change: the call remembers that an attempt may have run; the deadline also covers the time before the first send; a connection resumes when its response ends and ignores pauses without a request. Ruled out: the queue bound and the body buffers (small bodies never failed). Both faults have tests that fail on the old code.

--- a/src/anvillug/connection/http_client.py
+++ b/src/anvillug/connection/http_client.py
@@ -76,6 +76,7 @@
         self._chunked = False
         self._reusable = True
         self._lost = False
+        self._paused = False
         self.served = 0
 
     @property
@@ -128,8 +129,9 @@
 
     def pause_response(self, paused: bool) -> None:
         """Stop or go on reading the answer."""
-        if self._lost:
+        if self._lost or self._handler is None or paused is self._paused:
             return
+        self._paused = paused
         if paused:
             self.transport.pauseProducing()
         else:
@@ -225,6 +227,8 @@
     def _complete(self) -> None:
         if self._response_done:
             return
+        # The next request must not find the connection paused by this one.
+        self.pause_response(paused=False)
         self._response_done = True
         self._parser = None
         handler = self._handler
--- a/src/anvillug/request/entry_call.py
+++ b/src/anvillug/request/entry_call.py
@@ -114,11 +114,13 @@
         self._active: list[attempts.Attempt] = []
         self._streaming_to: attempts.Attempt | None = None
         self._winner: attempts.Attempt | None = None
+        self._deadline_timer: interfaces.IDelayedCall | None = None
         self._timers: list[interfaces.IDelayedCall] = []
         self._resolver: attempts.Attempt | None = None
         self._resolver_attached = False
         self._unanswered_resolves = 0
         self._claimed = False
+        self._may_have_run = False
         self._kept = answer_keeper.AnswerKeeper() if self.keyed else None
 
     @property
@@ -131,6 +133,7 @@
     def receive(self) -> None:
         """Start: small bodies are received whole before a host is chosen."""
         self._exchange.handler = self
+        self._start_deadline()
         if self.request.small_body:
             self._exchange.accept_body()
         else:
@@ -165,8 +168,9 @@
 
     def response_writes_paused(self, paused: bool) -> None:
         """Pass backpressure of the caller on to the host."""
-        if self._winner is not None and self._winner.connection is not None:
-            self._winner.connection.pause_response(paused)
+        winner = self._winner
+        if winner is not None and not winner.done and winner.connection is not None:
+            winner.connection.pause_response(paused)
 
     def request_writes_paused(self, paused: bool) -> None:
         """Pass backpressure of the host on to the caller."""
@@ -340,6 +344,12 @@
 
     # Private
 
+    def _start_deadline(self) -> None:
+        left = self.properties.deadline - self._context.clock.now()
+        if left < _LONGEST_TIMER_MS:
+            delay = max(0, clock.to_seconds(left))
+            self._deadline_timer = self._context.reactor.callLater(delay, self._deadline_passed)
+
     def _start_timers(self, attempt: attempts.Attempt) -> None:
         if self._timers:
             return
@@ -352,9 +362,6 @@
         hedge_ms = self._context.hedge_delay_ms(self)
         if hedge_ms is not None:
             self._timers.append(later(clock.to_seconds(hedge_ms), self._hedge))
-        left = self.properties.deadline - self._context.clock.now()
-        if left < _LONGEST_TIMER_MS:
-            self._timers.append(later(max(0, clock.to_seconds(left)), self._deadline_passed))
 
     def _hedge(self) -> None:
         if self.state is EntryState.SENT and self._context.may_hedge(self):
@@ -401,11 +408,12 @@
     def _deadline_passed(self) -> None:
         if self.state in (EntryState.ANSWERING, EntryState.DONE):
             return
-        sent = self.state is EntryState.SENT
+        sent = self.state is EntryState.SENT or self._may_have_run
         outcome = call.Outcome.UNKNOWN if sent else call.Outcome.NOT_RUN
         self._answer(_STATUS_GATEWAY_TIMEOUT, outcome, 'deadline passed')
 
     def _after_unknown(self, reason: str) -> None:
+        self._may_have_run = True
         if self._active or self.state is EntryState.DONE:
             return
         if self._body_was_used() or not self._context.may_retry(self, call.Outcome.UNKNOWN):
@@ -414,8 +422,11 @@
             self.send()
 
     def refuse(self, reason: str) -> None:
-        """Answer that the call has not been run."""
-        self._answer(_STATUS_UNAVAILABLE, call.Outcome.NOT_RUN, reason)
+        """Answer that the call has not been run, unless an earlier attempt may have run."""
+        if self._may_have_run:
+            self._answer(_STATUS_BAD_GATEWAY, call.Outcome.UNKNOWN, reason)
+        else:
+            self._answer(_STATUS_UNAVAILABLE, call.Outcome.NOT_RUN, reason)
 
     def _answer(self, status: int, outcome: call.Outcome, reason: str) -> None:
         headers = [
@@ -450,8 +461,8 @@
             self._context.attempt_over(self, attempt)
 
     def _cancel_timers(self) -> None:
-        for timer in self._timers:
-            if timer.active():
+        for timer in (*self._timers, self._deadline_timer):
+            if timer is not None and timer.active():
                 timer.cancel()
         self._timers.clear()
 
--- a/src/anvillug/request/host_call.py
+++ b/src/anvillug/request/host_call.py
@@ -169,7 +169,8 @@
 
     def response_writes_paused(self, paused: bool) -> None:
         """Pass backpressure of the entry side on to the backend server."""
-        if self._connection is not None and not self._entry_gone:
+        running = self.is_running and not self._entry_gone
+        if running and self._connection is not None:
             self._connection.pause_response(paused)
 
     def request_writes_paused(self, paused: bool) -> None:
--- /dev/null
+++ b/tests/test_entry_call.py
@@ -0,0 +1,173 @@
+"""Tests of a call on the entry side, with attempts in memory."""
+
+from __future__ import annotations
+
+import pytest
+from twisted.internet import task
+
+from anvillug import clock, ids
+from anvillug.connection import http_head
+from anvillug.request import attempt as attempts
+from anvillug.request import call, entry_call, entry_request
+
+NO_DEADLINE = float('inf')
+HEAD = http_head.RequestHead(b'GET', b'/sheets/1', [(b'Host', b'drawbook')])
+
+
+class FakeExchange:
+    """Exchange with a caller that notes the answer."""
+
+    def __init__(self, head):
+        self.head = head
+        self.handler = None
+        self.answer = None
+        self.aborted = False
+
+    def accept_body(self):
+        """Do nothing."""
+
+    def pause_request(self, paused):
+        """Do nothing."""
+
+    def respond(self, status, body=b'', headers=()):
+        """Note the answer."""
+        self.answer = (status, dict(headers)[b'Anvillug-Outcome'])
+
+    def abort(self):
+        """Note the abort."""
+        self.aborted = True
+
+
+class FakeContext:
+    """Entry side with a list of hosts."""
+
+    def __init__(self, hosts):
+        self.reactor = task.Clock()
+        self.clock = clock.ManualClock()
+        self.hosts = list(hosts)
+        self.started = []
+        self.ended = []
+        self.claims = []
+
+    def start_attempt(self, call_of, kind, host):
+        """Begin an attempt without a connection."""
+        if host is None:
+            if not self.hosts:
+                return None
+            host = (ids.HostId(self.hosts.pop(0)), ids.Incarnation(1))
+        attempt = attempts.Attempt(call_of, self, *host, call_of.call_id, kind, self.clock.now())
+        call_of.attempt_started(attempt)
+        self.started.append(attempt)
+        return attempt
+
+    def may_retry(self, call_of, outcome):
+        """Allow what the rule allows."""
+        return outcome is call.Outcome.NOT_RUN or call_of.properties.repeatable
+
+    def claim(self, call_of):
+        """Note the claim."""
+        self.claims.append(call_of)
+
+    def attempt_over(self, call_of, attempt):
+        """Do nothing."""
+
+    def connection_silent(self, host_id):
+        """Do nothing."""
+
+    def silence_ms(self, call_of):
+        """Return a second."""
+        return 1000
+
+    def hedge_delay_ms(self, call_of):
+        """Hedge never."""
+
+    def call_over(self, call_of, status, outcome):
+        """Note the result."""
+        self.ended.append((status, outcome))
+
+
+def start(context, repeatable=True, deadline=NO_DEADLINE, key=None):
+    """Return a started call and its exchange."""
+    request = entry_request.EntryRequest(HEAD, ids.ServiceName('drawbook'), deadline, 0, key)
+    call_id = ids.CallId(ids.HostId('e'), ids.Incarnation(1), 1)
+    properties = call.CallProperties(
+        call_id, request.service, call.Criticality.NORMAL, repeatable, deadline
+    )
+    exchange = FakeExchange(HEAD)
+    started = entry_call.EntryCall(context, exchange, request, properties)
+    started.receive()
+    started.request_ended()
+    return started, exchange
+
+
+class TestNotRun:
+    """Guards against "not run" for a call that may have run."""
+
+    def test_refusals_alone_are_not_run(self):
+        context = FakeContext(['a'])
+        started, exchange = start(context)
+        started.attempt_not_run(context.started[0], 'full')
+        assert exchange.answer == (503, b'not-run')
+
+    @pytest.mark.parametrize('hosts', [['a'], ['a', 'b']])
+    def test_refusal_after_an_unknown_attempt_is_unknown(self, hosts):
+        # Found by the scenario of whole responses: the second host refused and the
+        # caller was told "not run" although the first may have run the call.
+        context = FakeContext(hosts)
+        started, exchange = start(context)
+        started.attempt_unknown(context.started[0], 'cancelled')
+        for later in context.started[1:]:
+            started.attempt_not_run(later, 'full')
+        assert exchange.answer == (502, b'unknown')
+
+    def test_deadline_after_an_unknown_attempt_is_unknown(self):
+        context = FakeContext(['a', 'b'])
+        started, exchange = start(context, deadline=5_000)
+        started.attempt_unknown(context.started[0], 'cancelled')
+        context.reactor.advance(6)
+        assert exchange.answer == (504, b'unknown')
+
+    def test_deadline_before_a_send_is_not_run(self):
+        context = FakeContext(['a'])
+        _, exchange = start(context, deadline=5_000)
+        context.reactor.advance(6)
+        assert exchange.answer == (504, b'not-run')
+
+
+class TestOnce:
+    """Guards against a second run of a call that is not idempotent."""
+
+    def test_unknown_is_never_sent_again(self):
+        context = FakeContext(['a', 'b'])
+        started, exchange = start(context, repeatable=False)
+        started.attempt_unknown(context.started[0], 'connection lost')
+        assert len(context.started) == 1
+        assert exchange.answer == (502, b'unknown')
+
+    def test_broken_attempt_is_resolved_at_the_same_host(self):
+        context = FakeContext(['a', 'b'])
+        started, exchange = start(context, repeatable=False)
+        started.attempt_broken(context.started[0])
+        context.reactor.advance(1)
+        resolve = context.started[1]
+        assert (resolve.kind, resolve.host_id) == (attempts.AttemptKind.RESOLVE, 'a')
+        started.attempt_not_run(resolve, 'fenced')
+        assert context.started[2].host_id == 'b'
+        assert exchange.answer is None
+
+    def test_host_that_never_answers_is_unknown(self):
+        context = FakeContext(['a', 'b'])
+        started, exchange = start(context, repeatable=False)
+        started.attempt_broken(context.started[0])
+        for _ in range(4):
+            context.reactor.advance(2)
+            started.attempt_broken(context.started[-1])
+        assert exchange.answer == (502, b'unknown')
+        assert {attempt.host_id for attempt in context.started} == {'a'}
+
+    def test_key_is_claimed_before_anything_is_sent(self):
+        context = FakeContext(['a'])
+        started, _ = start(context, repeatable=False, key=ids.IdempotencyKey('k'))
+        assert (context.claims, context.started) == ([started], [])
+        started.claim_won()
+        assert len(context.started) == 1
--- /dev/null
+++ b/tests/test_http_client.py
@@ -0,0 +1,147 @@
+"""Tests of client connections over a transport in memory."""
+
+from __future__ import annotations
+
+import pytest
+from twisted.internet import error
+from twisted.internet import testing as twisted_testing
+from twisted.python import failure
+
+from anvillug.connection import http_client, http_head
+
+
+class Recorder:
+    """Response handler that notes what it is told."""
+
+    def __init__(self):
+        self.events = []
+        self.body = b''
+
+    def response_continue(self):
+        """Note status 100."""
+        self.events.append('continue')
+
+    def response_head(self, head):
+        """Note the status."""
+        self.events.append(head.status)
+
+    def response_body(self, data):
+        """Gather the body."""
+        self.body += data
+
+    def response_ended(self):
+        """Note the end."""
+        self.events.append('ended')
+
+    def response_failed(self, reason):
+        """Note the failure."""
+        self.events.append(reason)
+
+    def request_writes_paused(self, paused):
+        """Note backpressure."""
+        self.events.append(f'paused {paused}')
+
+
+@pytest.fixture
+def pool():
+    """Return a pool that opens no real connections."""
+    return http_client.Pool(twisted_testing.MemoryReactorClock(), '127.0.0.1', 1)
+
+
+def connect(pool):
+    """Return a connection over a transport in memory."""
+    connection = http_client.ClientConnection(pool)
+    transport = twisted_testing.StringTransport()
+    transport.setTcpNoDelay = lambda on: None
+    transport.setTcpKeepAlive = lambda on: None
+    connection.makeConnection(transport)
+    return connection
+
+
+def send(connection, method=b'GET'):
+    """Send a request and return the recorder of its response."""
+    recorder = Recorder()
+    connection.request(http_head.RequestHead(method, b'/', [(b'Host', b'x')]), recorder)
+    connection.end_request()
+    return recorder
+
+
+class TestReuse:
+    """Guards against a connection whose earlier response disturbs the next one."""
+
+    def test_paused_response_leaves_the_connection_reading(self, pool):
+        # A slow caller paused the connection just before its response was complete;
+        # the next call on it then never saw its response.
+        connection = connect(pool)
+        send(connection)
+        connection.dataReceived(b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\na')
+        connection.pause_response(paused=True)
+        connection.dataReceived(b'b')
+        assert connection.transport.producerState == 'producing'
+        assert pool.idle_count == 1
+
+    def test_late_pause_of_an_ended_response_is_ignored(self, pool):
+        connection = connect(pool)
+        send(connection)
+        connection.dataReceived(b'HTTP/1.1 204 No Content\r\n\r\n')
+        connection.pause_response(paused=True)
+        assert connection.transport.producerState == 'producing'
+
+    def test_bytes_without_a_request_close_the_connection(self, pool):
+        connection = connect(pool)
+        send(connection)
+        connection.dataReceived(b'HTTP/1.1 204 No Content\r\n\r\nHTTP/1.1 200 OK\r\n\r\n')
+        assert connection.transport.disconnecting or connection.transport.disconnected
+
+
+class TestWholeness:
+    """Guards against a cut response that is passed on as whole."""
+
+    @pytest.mark.parametrize(
+        'head',
+        [b'Content-Length: 9\r\n', b'Transfer-Encoding: chunked\r\n'],
+    )
+    def test_cut_body_is_a_failure(self, pool, head):
+        connection = connect(pool)
+        recorder = send(connection)
+        connection.dataReceived(b'HTTP/1.1 200 OK\r\n%b\r\n3\r\nabc' % head)
+        connection.connectionLost(failure.Failure(error.ConnectionDone()))
+        assert recorder.events == [200, http_client.ClientFailure.LOST]
+
+    def test_body_until_a_clean_close_is_whole(self, pool):
+        connection = connect(pool)
+        recorder = send(connection)
+        connection.dataReceived(b'HTTP/1.1 200 OK\r\n\r\nabc')
+        connection.connectionLost(failure.Failure(error.ConnectionDone()))
+        assert recorder.events == [200, 'ended']
+        assert recorder.body == b'abc'
+
+    def test_body_until_a_reset_is_a_failure(self, pool):
+        connection = connect(pool)
+        recorder = send(connection)
+        connection.dataReceived(b'HTTP/1.1 200 OK\r\n\r\nabc')
+        connection.connectionLost(failure.Failure(error.ConnectionLost()))
+        assert recorder.events == [200, http_client.ClientFailure.LOST]
+
+    def test_head_response_has_no_body(self, pool):
+        connection = connect(pool)
+        recorder = send(connection, b'HEAD')
+        connection.dataReceived(b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n')
+        assert recorder.events == [200, 'ended']
+
+
+class TestPool:
+    """Guards against requests that wait for a connection that never comes."""
+
+    def test_failed_connect_fails_those_who_wait(self):
+        reactor = twisted_testing.MemoryReactorClock()
+        pool = http_client.Pool(reactor, '127.0.0.1', 1, max_connections=1)
+        failures = []
+
+        def failed():
+            failures.append('failed')
+
+        for _ in range(3):
+            pool.acquire(failures.append, failed)
+        reactor.tcpClients[0][2].clientConnectionFailed(None, None)
+        assert failures == ['failed'] * 3
