Add the node setting `chooser` for comparisons

Change: setting `chooser` (default `samples`) is passed to the service desk, which loads a baseline only when one is named. Ours is now called `samples` among the baselines' names; the tests of the choice use the new name. Ruled out: a field of the configuration document; a comparison rule is not something operators should be able to put in effect everywhere.

--- a/src/anvillug/bench/baselines.py
+++ b/src/anvillug/bench/baselines.py
@@ -51,10 +51,19 @@
     ) -> list[ids.HostId]:
         """Return the hosts to ask for a sample now."""
 
+    def load_level(self, host_id: ids.HostId) -> float:
+        """Return the estimated load over the limit of a host."""
+
+    @property
+    def sample_error(self) -> float:
+        """Share of recent calls whose acceptance contradicted the sample."""
+
 
 class RandomChooser:
     """Chooses a host at random; weights of hosts are honoured by all baselines."""
 
+    sample_error: float = 0
+
     def __init__(self) -> None:
         self._outstanding: collections.Counter[ids.HostId] = collections.Counter()
 
@@ -105,6 +114,10 @@
         """Return no hosts."""
         return []
 
+    def load_level(self, host_id: ids.HostId) -> float:
+        """Return 0: the baselines keep no estimate."""
+        return 0
+
     def _pick(self, usable: list[ids.HostId], rng: Random) -> ids.HostId:
         return rng.choice(usable)
 
@@ -174,7 +187,7 @@
 
 
 _CHOOSERS_BY_NAME: dict[str, Callable[[], Chooser]] = {
-    'anvillug': choice.Candidates,
+    'samples': choice.Candidates,
     'random': RandomChooser,
     'round-robin': RoundRobinChooser,
     'least-in-flight': LeastInFlightChooser,
--- a/src/anvillug/process/entry_side.py
+++ b/src/anvillug/process/entry_side.py
@@ -56,6 +56,7 @@
         observer: Told about each ended call.
         rng: Source of draws.
         sample_timeout_ms: Time limit of a load sample.
+        chooser: Rule by which hosts are chosen; see the setting of this name.
     """
 
     def __init__(  # noqa: WPS211 - the assembly names each argument
@@ -69,6 +70,7 @@
         observer: service_desk.CallObserver,
         rng: random.Random,
         sample_timeout_ms: float,
+        chooser: str = service_desk.SAMPLES,
     ) -> None:
         self.reactor = reactor
         self.clock = time
@@ -80,6 +82,7 @@
         self._is_bad = is_bad
         self._observer = observer
         self._rng = rng
+        self._chooser = chooser
         self._sample_timeout_s = clock.to_seconds(sample_timeout_ms)
         self._desks_by_service: dict[ids.ServiceName, service_desk.ServiceDesk] = {}
         self._sequence = 0
@@ -260,7 +263,13 @@
             self._desks_by_service.pop(name, None)
             return None
         if desk is None:
-            desk = service_desk.ServiceDesk(name, view, self.clock, self._observer)
+            desk = service_desk.ServiceDesk(
+                name,
+                view,
+                self.clock,
+                self._observer,
+                self._chooser,
+            )
             self._desks_by_service[name] = desk
         desk.take_view(view, now, _VIEW_AGE_MS)
         return desk
--- a/src/anvillug/process/node.py
+++ b/src/anvillug/process/node.py
@@ -247,6 +247,7 @@
             self,
             self._rng,
             timeouts.sample_ms,
+            self._settings.chooser,
         )
 
     def _is_bad(self, service: ids.ServiceName, move: config_state.MoveStatus) -> bool:
--- a/src/anvillug/process/service_desk.py
+++ b/src/anvillug/process/service_desk.py
@@ -5,6 +5,7 @@
 import dataclasses
 import random
 from collections.abc import Collection
+from typing import Any
 from typing import Protocol as Interface
 
 from anvillug import clock, event_log, ids
@@ -14,6 +15,9 @@
 from anvillug.request import budget, call, choice, entry_call
 from anvillug.version import targets
 
+SAMPLES = 'samples'
+"""Name of the chooser that is not meant for comparison only."""
+
 _DEFAULT_ROUTE = ids.RouteName('default')
 _STATUS_SERVER_ERROR = 500
 
@@ -63,6 +67,7 @@
         view: Hosts and configuration.
         time: Clock.
         observer: Told about ended calls.
+        chooser: Rule by which hosts are chosen.
     """
 
     def __init__(
@@ -71,13 +76,14 @@
         view: service_view.ServiceView,
         time: clock.Clock,
         observer: CallObserver,
+        chooser: str = SAMPLES,
     ) -> None:
         self.name = name
         self.view = view
         self.viewed_at = clock.Milliseconds(0)
         self.view_age_limit = 0.0
         self.decisions = targets.decide(view.service)
-        self.candidates = choice.Candidates(self.decisions.hot_threshold)
+        self.candidates = _make_chooser(chooser, self.decisions.hot_threshold)
         self.retries = budget.retry_budget()
         self.hedges = budget.HedgeRule(budget.hedge_budget(view.service.targets.spare_percent))
         self._clock = time
@@ -221,3 +227,12 @@
             'move': None if move is None else move.state.value,
             'sample_error': self.candidates.sample_error,
         }
+
+
+def _make_chooser(name: str, hot_threshold: float) -> Any:
+    if name == SAMPLES:
+        return choice.Candidates(hot_threshold)
+    # Baselines belong to the bench and are loaded for comparisons only.
+    from anvillug.bench import baselines  # noqa: PLC0415
+
+    return baselines.make_chooser(name)
--- a/src/anvillug/process/settings.py
+++ b/src/anvillug/process/settings.py
@@ -5,7 +5,7 @@
 import pathlib
 import re
 from collections.abc import Iterator
-from typing import Annotated, Any
+from typing import Annotated, Any, Literal
 
 import expression
 import pydantic
@@ -62,6 +62,10 @@
     """Address of the platform log, as IP:port."""
     seeds: tuple[validation.Address, ...] = pydantic.Field(default=(), strict=False)
     """Control addresses of nodes to ask for members and configuration at start."""
+    chooser: Literal['samples', 'random', 'round-robin', 'least-in-flight', 'two-choices'] = (
+        'samples'
+    )
+    """Rule by which the entry side chooses hosts; all but `samples` are meant for comparison."""
     limits: Limits = Limits()
     """Bounds on what the node keeps in memory."""
     timeouts: Timeouts = Timeouts()
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -217,7 +217,7 @@
     @pytest.mark.parametrize('lie', [invert_load, invert_everything, always_idle])
     @pytest.mark.parametrize('calls_per_ms', [1, 4, 7])
     def test_not_worse_than_random(self, lie, calls_per_ms):
-        informed = Service('anvillug', lie)
+        informed = Service('samples', lie)
         blind = Service('random', lie)
         for service in (informed, blind):
             service.run(calls_per_ms, 3000)
@@ -227,7 +227,7 @@
 
     @pytest.mark.parametrize('name', ['random', 'round-robin', 'least-in-flight', 'two-choices'])
     def test_true_samples_beat_the_baselines(self, name):
-        informed = Service('anvillug', tell_truth)
+        informed = Service('samples', tell_truth)
         baseline = Service(name, tell_truth)
         for service in (informed, baseline):
             service.run(3, 3000)
@@ -235,7 +235,7 @@
         assert statistics.mean(informed.latencies) < statistics.mean(baseline.latencies)
 
     def test_trust_returns_with_true_samples(self):
-        service = Service('anvillug', invert_load, entry_sides=1)
+        service = Service('samples', invert_load, entry_sides=1)
         service.run(1, 1000)
         assert not service.choosers[0].samples_trusted
         service.lie = tell_truth
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -72,7 +72,7 @@
 
     def test_every_row_has_a_meaning(self):
         rows = settings.reference().splitlines()[2:]
-        assert len(rows) == 16
+        assert len(rows) == 17
         assert all(row.split('|')[3].strip() for row in rows)
 
 
