Leave hosts of weight zero out of the last draw

Cause: test_excluded_and_weight_zero_are_never_chosen failed with weights {host-0: 0, host-1: 0.001}: the last draw passed hosts of weight zero to `rng.choices`, and Hypothesis' random source ignores the weights there. Ruled out: a wrong choice with `random.Random`, whose `choices` honours a weight of zero; the fault showed only with the test's random source. Change: such hosts are removed before the draw, for any random source.

--- a/src/anvillug/request/choice.py
+++ b/src/anvillug/request/choice.py
@@ -308,17 +308,16 @@
     usable = [host_id for host_id in eligible if host_id not in excluded]
     if weights is None:
         return rng.sample(usable, min(MAX_DRAWS, len(usable)))
+    usable = [host_id for host_id in usable if weights.get(host_id, 1)]
+    if not usable:
+        return []
     chances = [weights.get(host_id, 1) for host_id in usable]
     drawn = [
-        host_id
-        for host_id, chance in zip(usable, chances, strict=True)
-        if chance and rng.random() < chance
+        host_id for host_id, chance in zip(usable, chances, strict=True) if rng.random() < chance
     ]
     if drawn:
         return rng.sample(drawn, min(MAX_DRAWS, len(drawn)))
-    if any(chances):
-        return rng.choices(usable, chances)
-    return []
+    return rng.choices(usable, chances)
 
 
 class Located(Protocol):
