Measure the cost of the path over two nodes

Cause: the added latency and CPU of the path were not measured on real processes. Change: `anvillug bench tables` runs measures and writes one section each to docs/measurements.md; the first one pairs calls over two nodes with direct calls in one run, sequential and open loop.

--- /dev/null
+++ b/src/anvillug/bench/cpu.py
@@ -0,0 +1,77 @@
+"""CPU time of processes and of the machine, from `/proc`."""
+
+from __future__ import annotations
+
+import dataclasses
+import os
+import pathlib
+import time
+from collections.abc import Iterable, Mapping
+
+_TICKS_PER_SECOND = os.sysconf('SC_CLK_TCK')
+_MS_PER_SECOND = 1000
+_IDLE_FIELDS = (3, 4)  # idle and iowait of the line `cpu`
+_USER_FIELD = 11  # utime, counted after the command's closing parenthesis
+_PERCENT = 100
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Usage:
+    """CPU used between two moments."""
+
+    machine_percent: float
+    """Busy share of all cores, other users of the machine included."""
+    busiest_percent: float
+    """Share of one core used by the busiest of the processes watched."""
+    ms_by_name: Mapping[str, float]
+    """CPU time by name of the process."""
+
+
+class Meter:
+    """Measures CPU time from its construction on.
+
+    Args:
+        pid_by_name: Processes to watch.
+    """
+
+    def __init__(self, pid_by_name: Mapping[str, int]) -> None:
+        self._pid_by_name = dict(pid_by_name)
+        self._started_at = time.monotonic()
+        self._machine = _machine_ticks()
+        self._ticks_by_name = self._process_ticks()
+
+    def read(self) -> Usage:
+        """Return what was used since the start."""
+        elapsed_ms = (time.monotonic() - self._started_at) * _MS_PER_SECOND
+        now = self._process_ticks()
+        ms_by_name = {
+            name: (ticks - self._ticks_by_name[name]) * _MS_PER_SECOND / _TICKS_PER_SECOND
+            for name, ticks in now.items()
+        }
+        idle, total = (new - old for new, old in zip(_machine_ticks(), self._machine, strict=True))
+        busiest = max(ms_by_name.values(), default=0)
+        return Usage(
+            machine_percent=_PERCENT * (1 - idle / max(total, 1)),
+            busiest_percent=_PERCENT * busiest / max(elapsed_ms, 1),
+            ms_by_name=ms_by_name,
+        )
+
+    def _process_ticks(self) -> dict[str, int]:
+        return {name: _ticks(pid) for name, pid in self._pid_by_name.items()}
+
+
+def total_ms(usage: Usage, prefixes: Iterable[str]) -> float:
+    """Return the CPU time of the processes whose names start with one of the prefixes."""
+    wanted = tuple(prefixes)
+    return sum(ms for name, ms in usage.ms_by_name.items() if name.startswith(wanted))
+
+
+def _ticks(pid: int) -> int:
+    fields = pathlib.Path(f'/proc/{pid}/stat').read_text().rpartition(')')[2].split()
+    return int(fields[_USER_FIELD]) + int(fields[_USER_FIELD + 1])
+
+
+def _machine_ticks() -> tuple[int, int]:
+    with pathlib.Path('/proc/stat').open() as lines:
+        fields = [int(field) for field in lines.readline().split()[1:9]]
+    return sum(fields[place] for place in _IDLE_FIELDS), sum(fields)
--- /dev/null
+++ b/src/anvillug/bench/tables.py
@@ -0,0 +1,65 @@
+"""Runs the measures and writes the page of measurements."""
+
+from __future__ import annotations
+
+import dataclasses
+import datetime
+import pathlib
+import sys
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Any
+
+from anvillug.bench import page, path_cost
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Run:
+    """What to measure and where to write it."""
+
+    seed: int
+    """Seed of all measures."""
+    quick: bool
+    """Whether to take small sizes."""
+    measures: Sequence[str]
+    """Names of the measures."""
+    output: pathlib.Path
+    """File of the page."""
+    command: str
+    """Command line for the page."""
+
+
+_Measure = Callable[[Any, Run], Awaitable[page.Section]]
+
+
+def _path_cost(reactor: Any, run: Run) -> Awaitable[page.Section]:
+    options = path_cost.Options(seed=run.seed)
+    if run.quick:
+        options = dataclasses.replace(options, sequential_calls=1500, duration_ms=6000)
+    return path_cost.measure(reactor, options)
+
+
+_MEASURES_BY_NAME: dict[str, _Measure] = {
+    'path': _path_cost,
+}
+NAMES = tuple(_MEASURES_BY_NAME)
+"""Names of all measures, in the order in which they run."""
+
+
+async def write(reactor: Any, run: Run) -> int:
+    """Run measures one after the other and write each section when it is done.
+
+    Args:
+        reactor: Twisted reactor.
+        run: What to measure.
+
+    Returns:
+        Exit code 0.
+    """
+    for name in run.measures:
+        date = datetime.datetime.now(datetime.UTC).strftime('%Y-%m-%d %H:%M UTC')
+        sys.stdout.write(f'{name}: started {date}\n')
+        sys.stdout.flush()
+        section = await _MEASURES_BY_NAME[name](reactor, run)
+        page.write(run.output, section, f'`{run.command}`, seed {run.seed}, {date}.')
+        sys.stdout.write(f'{section.body}\n')
+    return 0
--- a/src/anvillug/process/commands/bench.py
+++ b/src/anvillug/process/commands/bench.py
@@ -2,8 +2,14 @@
 
 from __future__ import annotations
 
+import pathlib
+import sys
+from collections.abc import Sequence
+
 from anvillug.process.commands import _reactor
 
+_PAGE = pathlib.Path('docs/measurements.md')
+
 
 def demo() -> int:
     """Start stand-ins and three nodes, show calls, configuration, a zone move and a stop.
@@ -15,3 +21,41 @@
     from anvillug.bench import demo as bench_demo  # noqa: PLC0415
 
     return _reactor.run(bench_demo.run)
+
+
+def tables(
+    *,
+    quick: bool = False,
+    seed: int = 1,
+    measures: Sequence[str] = (),
+    output: pathlib.Path = _PAGE,
+) -> int:
+    """Run measures on real processes and write their tables to the page of measurements.
+
+    Args:
+        quick: Take small sizes.
+        seed: Seed of arrivals and faults.
+        measures: Measures to run; none for all.
+        output: File of the page.
+
+    Returns:
+        Exit code 0.
+    """
+    # The bench is not part of a node and is imported only here.
+    from anvillug.bench import tables as bench_tables  # noqa: PLC0415
+
+    unknown = set(measures) - set(bench_tables.NAMES)
+    if unknown:
+        sys.exit(f'no such measure: {", ".join(sorted(unknown))}')
+    wanted = tuple(measures) or bench_tables.NAMES
+    options = [f'--seed {seed}', *(['--quick'] if quick else [])]
+    if measures:
+        options.append(f'--measures {" ".join(measures)}')
+    run = bench_tables.Run(
+        seed,
+        quick,
+        wanted,
+        output,
+        f'anvillug bench tables {" ".join(options)}',
+    )
+    return _reactor.run(lambda reactor: bench_tables.write(reactor, run))
