Compare choosers under a noisy neighbour

Cause: the choice was compared with baselines in a model only. Change: the measure `tail` of `anvillug bench tables` runs 10 hosts behind links and lets the choosers take turns on one mesh (`chooser: rotation`). Ruled out: one mesh per chooser.

--- a/src/anvillug/bench/baselines.py
+++ b/src/anvillug/bench/baselines.py
@@ -10,6 +10,11 @@
 from anvillug import clock, ids
 from anvillug.request import call, choice
 
+TURN_MS = 6000
+"""Time for which one chooser of a rotation chooses."""
+
+_HOT_THRESHOLD = 0.7
+
 
 class Chooser(Protocol):
     """Interface of a chooser; see `choice.Candidates`."""
@@ -186,21 +191,114 @@
         return (sample.in_flight + sample.queued) / max(1, sample.limit)
 
 
-_CHOOSERS_BY_NAME: dict[str, Callable[[], Chooser]] = {
-    'samples': choice.Candidates,
+class RotatingChooser:
+    """Lets each chooser choose for one turn, so that one mesh compares all of them.
+
+    All choosers learn from all calls. Turns follow the wall clock, so that the nodes on one
+    machine change the chooser together.
+
+    Args:
+        choosers: The choosers in the order of their turns.
+        time: Clock.
+    """
+
+    def __init__(self, choosers: Sequence[Chooser], time: clock.Clock) -> None:
+        self._choosers = tuple(choosers)
+        self._clock = time
+
+    @property
+    def sample_error(self) -> float:
+        """Share of recent calls whose acceptance contradicted the sample."""
+        return self._choosers[0].sample_error
+
+    def record_sample(self, host_id: ids.HostId, sample: call.LoadSample) -> None:
+        """Take in a load sample."""
+        for chooser in self._choosers:
+            chooser.record_sample(host_id, sample)
+
+    def call_started(self, host_id: ids.HostId) -> None:
+        """Count a call sent to the host."""
+        for chooser in self._choosers:
+            chooser.call_started(host_id)
+
+    def call_ended(
+        self,
+        host_id: ids.HostId,
+        latency_ms: float | None = None,
+        now: clock.Milliseconds | None = None,
+    ) -> None:
+        """Count the end of a call."""
+        for chooser in self._choosers:
+            chooser.call_ended(host_id, latency_ms, now)
+
+    def call_refused(self, host_id: ids.HostId, now: clock.Milliseconds) -> None:
+        """Take in a refusal."""
+        for chooser in self._choosers:
+            chooser.call_refused(host_id, now)
+
+    def forget(self, host_id: ids.HostId) -> None:
+        """Drop what is known of a host."""
+        for chooser in self._choosers:
+            chooser.forget(host_id)
+
+    def choose(
+        self,
+        eligible: Sequence[ids.HostId],
+        excluded: Collection[ids.HostId],
+        now: clock.Milliseconds,
+        rng: Random,
+        weights: Mapping[ids.HostId, float] | None = None,
+    ) -> ids.HostId | None:
+        """Choose a host by the chooser whose turn it is."""
+        return self._current().choose(eligible, excluded, now, rng, weights)
+
+    def hosts_to_sample(
+        self,
+        eligible: Sequence[ids.HostId],
+        now: clock.Milliseconds,
+    ) -> list[ids.HostId]:
+        """Return the hosts that the chooser whose turn it is wants to ask."""
+        return self._current().hosts_to_sample(eligible, now)
+
+    def load_level(self, host_id: ids.HostId) -> float:
+        """Return the estimated load over the limit of a host."""
+        return self._choosers[0].load_level(host_id)
+
+    def _current(self) -> Chooser:
+        return self._choosers[turn_at(self._clock.wall(), len(self._choosers))]
+
+
+def turn_at(wall: float, count: int) -> int:
+    """Return the place of the chooser whose turn it is.
+
+    Args:
+        wall: Milliseconds since the epoch.
+        count: Number of choosers.
+
+    Returns:
+        Its place in the order of turns.
+    """
+    return int(wall // TURN_MS) % count
+
+
+_BASELINES_BY_NAME: dict[str, Callable[[], Chooser]] = {
     'random': RandomChooser,
     'round-robin': RoundRobinChooser,
     'least-in-flight': LeastInFlightChooser,
     'two-choices': TwoChoicesChooser,
 }
-NAMES = tuple(_CHOOSERS_BY_NAME)
+NAMES = ('samples', *_BASELINES_BY_NAME)
+"""Ours and the baselines, in the order of their turns in a rotation."""
+
+ROTATION = 'rotation'
 
 
-def make_chooser(name: str) -> Chooser:
+def make_chooser(name: str, hot_threshold: float = _HOT_THRESHOLD) -> Chooser:
     """Return a chooser by its name.
 
     Args:
-        name: One of `NAMES`.
+        name: One of `NAMES`, or `ROTATION`.
+        hot_threshold: Threshold of our choice; see `choice.Candidates`.
 
     Returns:
         A new chooser.
@@ -208,7 +306,12 @@
     Raises:
         ValueError: If there is no chooser of that name.
     """
-    maker = _CHOOSERS_BY_NAME.get(name)
+    if name == ROTATION:
+        choosers = [make_chooser(each, hot_threshold) for each in NAMES]
+        return RotatingChooser(choosers, clock.SystemClock())
+    if name == NAMES[0]:
+        return choice.Candidates(hot_threshold)
+    maker = _BASELINES_BY_NAME.get(name)
     if maker is None:
         raise ValueError(f'chooser {name!r} is not one of {", ".join(NAMES)}')
     return maker()
--- a/src/anvillug/bench/mesh.py
+++ b/src/anvillug/bench/mesh.py
@@ -42,6 +42,8 @@
     """Further options of `standin backend-server`, by name with dashes."""
     link_delay_ms: float | None = None
     """One-way delay of a link in front of the peer address; None for no link."""
+    node_settings: Mapping[str, object] = dataclasses.field(default_factory=dict)
+    """Further settings of the node."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -216,6 +218,14 @@
 
         return await self.wait_until(f'configuration {number}', in_effect, timeout_ms)
 
+    def pid_by_name(self) -> dict[str, int]:
+        """Return the process ids of nodes and backend servers by their names."""
+        pids = {f'node {name}': host.node.pid for name, host in self.by_id.items()}
+        for name, host in self.by_id.items():
+            if host.backend is not None:
+                pids[f'backend server {name}'] = host.backend.pid
+        return pids
+
     async def sleep(self, seconds: float) -> None:
         """Wait while the reactor runs."""
         await task.deferLater(self.reactor, seconds)
@@ -231,6 +241,7 @@
             'control_address': control,
             'operator_address': operator,
             'log_address': self.log_address,
+            **plan.node_settings,
         }
         link_control = ''
         if plan.link_delay_ms is not None:
--- a/src/anvillug/bench/tables.py
+++ b/src/anvillug/bench/tables.py
@@ -9,7 +9,7 @@
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Any
 
-from anvillug.bench import page, path_cost
+from anvillug.bench import page, path_cost, tail_latency
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -38,8 +38,21 @@
     return path_cost.measure(reactor, options)
 
 
+def _tail_latency(reactor: Any, run: Run) -> Awaitable[page.Section]:
+    options = tail_latency.Options(seeds=(run.seed, run.seed + 1, run.seed + 2))
+    if run.quick:
+        options = dataclasses.replace(
+            options,
+            seeds=(run.seed,),
+            load_shares=(0.7,),
+            misleading=(False,),
+        )
+    return tail_latency.measure(reactor, options)
+
+
 _MEASURES_BY_NAME: dict[str, _Measure] = {
     'path': _path_cost,
+    'tail': _tail_latency,
 }
 NAMES = tuple(_MEASURES_BY_NAME)
 """Names of all measures, in the order in which they run."""
--- /dev/null
+++ b/src/anvillug/bench/tail_latency.py
@@ -0,0 +1,309 @@
+"""Tail latency of our choice against baselines under a noisy neighbour."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+import os
+from collections.abc import Iterator, Sequence
+from typing import Any
+
+from anvillug import clock
+from anvillug.bench import baselines, cpu, load, mesh, neighbour, page, processes, traffic
+
+_SERVICE = 'drawbook'
+_ZONES = ('kochi-1', 'kochi-2', 'kochi-3')
+_HOSTS = 10
+_SLOTS = 10
+_LINK_DELAY_MS = 1.5
+_CONNECT_COST_MS = 1.0
+_SERVICE_SIGMA = 0.3
+_OURS = 'samples'
+_WARM_UP_SHARES = (0.2, 0.4, 0.6)
+_WARM_UP_MS = 3000
+_LEAD_IN_MS = 500
+_LEAD_IN_SEED = 1000
+# The rest of a turn is left for the last calls to end.
+_RUN_MS = 4500
+_TURN_MARGIN_MS = 100
+_IDLE_S = 3
+_TARGET_FACTOR = 4
+_MS_PER_SECOND = 1000
+_PERCENT = 100
+_MS_PER_CORE_PERCENT = 10  # CPU time per second that is 1% of a core
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Options:
+    """Size of the measure."""
+
+    seeds: tuple[int, ...] = (1, 2, 3)
+    """Seeds of arrivals and of the moves of the neighbour."""
+    load_shares: tuple[float, ...] = (0.7, 0.9)
+    """Offered load as a share of the slots' capacity without a neighbour."""
+    misleading: tuple[bool, ...] = (False, True)
+    """Whether the backend servers' own reports mislead."""
+    service_ms: float = 100
+    """Median service time; a shorter one needs more calls/s, and so more CPU, for the same load."""
+    slow_factor: float = 5
+    """Multiple of the service times on the slowed host."""
+    interval_ms: float = 300
+    """Time that the neighbour stays on a host."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Round:
+    """One run of one chooser."""
+
+    chooser: str
+    """Its name."""
+    load_share: float
+    """Offered load."""
+    misleading: bool
+    """Whether reports misled."""
+    result: traffic.LoadResult
+    """Counts and latencies."""
+    usage: cpu.Usage
+    """CPU used during the run."""
+    limit: float
+    """Mean concurrency limit of the hosts before the run."""
+
+
+def capacity_per_second(options: Options) -> float:
+    """Return the calls per second that fill all slots, by the mean service time."""
+    mean_ms = options.service_ms * math.exp(_SERVICE_SIGMA**2 / 2)
+    return _HOSTS * _SLOTS * _MS_PER_SECOND / mean_ms
+
+
+class Comparison:
+    """Runs the choosers in turns on one mesh.
+
+    Args:
+        started: Mesh without processes.
+        options: Size of the measure.
+    """
+
+    def __init__(self, started: mesh.Mesh, options: Options) -> None:
+        self._mesh = started
+        self._options = options
+        self._rounds: list[Round] = []
+        self._idle: cpu.Usage | None = None
+        self._wall = clock.SystemClock().wall
+
+    async def run(self) -> page.Section:
+        """Measure all cells.
+
+        Returns:
+            The section of the page.
+        """
+        await self._start()
+        for seed, share, misleading in self._cells():
+            noise = neighbour.NoisyNeighbour(
+                self._mesh,
+                seed,
+                self._options.slow_factor,
+                self._options.interval_ms,
+                misleading=misleading,
+            )
+            noise.start()
+            for _ in baselines.NAMES:
+                self._rounds.append(await self._round(seed, share, misleading=misleading))
+            await noise.stop()
+            # Skips a turn, so that the next cell begins with another chooser.
+            await self._mesh.sleep(clock.to_seconds(baselines.TURN_MS))
+        body = '\n\n'.join((_latency_table(self._rounds, self._options), self._cpu()))
+        return page.Section('Tail latency with a noisy neighbour', self._introduction(), body)
+
+    def _cells(self) -> Iterator[tuple[int, float, bool]]:
+        options = self._options
+        for seed in options.seeds:
+            for share in options.load_shares:
+                for misleading in options.misleading:
+                    yield seed, share, misleading
+
+    async def _start(self) -> None:
+        options = self._options
+        started = self._mesh
+        started.start_log()
+        started.add_hosts([_plan(number, options) for number in range(_HOSTS)])
+        targets = {'latency_p99_ms': options.service_ms * _TARGET_FACTOR}
+        # Hedging would hide the choice of the first host.
+        service = {'version': 'v1', 'targets': targets, 'hedge': False}
+        await started.patch(0, {'services': {_SERVICE: service}})
+        await started.wait_config(1)
+        await started.wait_serving(_HOSTS, timeout_ms=30_000)
+        idle = cpu.Meter(self._pid_by_name())
+        await started.sleep(_IDLE_S)
+        self._idle = idle.read()
+        for share in _WARM_UP_SHARES:
+            await self._load(share, 0, _WARM_UP_MS)
+
+    def _pid_by_name(self) -> dict[str, int]:
+        return self._mesh.pid_by_name() | {'load generator': os.getpid()}
+
+    async def _load(self, share: float, seed: int, duration_ms: float) -> traffic.LoadResult:
+        plan = traffic.LoadPlan(
+            addresses=tuple(host.caller_address for host in self._mesh.by_id.values()),
+            kinds=(traffic.RequestKind('sheet', _SERVICE, path='/sheets/12'),),
+            rate_per_second=capacity_per_second(self._options) * share,
+            duration_ms=duration_ms,
+            seed=seed,
+        )
+        return await load.run(plan, self._mesh.reactor)
+
+    async def _mean_limit(self) -> float:
+        loads = [(await self._mesh.state(each))['host']['load'] for each in self._mesh.by_id]
+        return sum(int(load_text.split(',')[1]) for load_text in loads) / len(loads)
+
+    async def _round(self, seed: int, share: float, *, misleading: bool) -> Round:
+        turn_left_ms = baselines.TURN_MS - self._wall() % baselines.TURN_MS
+        await self._mesh.sleep(clock.to_seconds(turn_left_ms))
+        turn = baselines.turn_at(self._wall() + _TURN_MARGIN_MS, len(baselines.NAMES))
+        await self._load(share, seed + _LEAD_IN_SEED, _LEAD_IN_MS)
+        limit = await self._mean_limit()
+        meter = cpu.Meter(self._pid_by_name())
+        result = await self._load(share, seed, _RUN_MS)
+        return Round(baselines.NAMES[turn], share, misleading, result, meter.read(), limit)
+
+    def _cpu(self) -> str:
+        table = _cpu_table(self._rounds)
+        if self._idle is None:
+            return table
+        node_ms = cpu.total_ms(self._idle, ('node ',)) / _HOSTS / _IDLE_S
+        idle = (
+            f'Without calls: machine {self._idle.machine_percent:.0f}% busy, other users of the '
+            f'machine included; a node used {node_ms / _MS_PER_CORE_PERCENT:.1f}% of a core.'
+        )
+        return f'{table}\n\n{idle}'
+
+    def _introduction(self) -> str:
+        options = self._options
+        return (
+            f'{_HOSTS} hosts in {len(_ZONES)} zones, {_SLOTS} slots each, {_CONNECT_COST_MS:g} ms '
+            f'of slot time per new connection, median service time {options.service_ms:g} ms '
+            f'(log-normal, sigma {_SERVICE_SIGMA:g}). Every connection between nodes crosses a '
+            f'link of {_LINK_DELAY_MS:g} ms one way, also within a zone. One host at a time is '
+            f'slowed {options.slow_factor:g}-fold for {options.interval_ms:g} ms. The choosers '
+            f'take turns of {baselines.TURN_MS / _MS_PER_SECOND:g} s on one mesh and share '
+            'everything but the choice: admission, limits and retries; hedging is off. '
+            f'{_RUN_MS / _MS_PER_SECOND:g} s of each turn are measured, with '
+            f'seeds {", ".join(map(str, options.seeds))}. Load is the share of '
+            f'{capacity_per_second(options):.0f} calls/s. `two-choices` compares the loads that '
+            'the host sides tell. Misleading: the slowed backend server reports no load and the '
+            'others full load on their own endpoint. No chooser reads that endpoint, so this '
+            'condition shows only that it does no harm. Latencies are those of calls answered '
+            'with 200; the others were refused as not run unless counted as errors.'
+        )
+
+
+def _plan(number: int, options: Options) -> mesh.HostPlan:
+    return mesh.HostPlan(
+        f'host-{number}',
+        _ZONES[number % len(_ZONES)],
+        _SERVICE,
+        backend_options={
+            'slots': _SLOTS,
+            'connect-cost-ms': _CONNECT_COST_MS,
+            'service-ms': options.service_ms,
+            'service-sigma': _SERVICE_SIGMA,
+            'seed': number,
+        },
+        link_delay_ms=_LINK_DELAY_MS,
+        node_settings={'chooser': baselines.ROTATION},
+    )
+
+
+def _latency_table(rounds: Sequence[Round], options: Options) -> str:
+    rows = []
+    for misleading in options.misleading:
+        for share in options.load_shares:
+            cell = [
+                each
+                for each in rounds
+                if each.misleading == misleading and each.load_share == share
+            ]
+            rows.extend(_rows_of_cell(cell, options, share, misleading=misleading))
+    columns = (
+        'reports',
+        'load',
+        'chooser',
+        'calls',
+        'not answered with 200, %',
+        'errors',
+        'p50 ms',
+        'p99 ms',
+        'p99.9 ms',
+        'p99 over ours',
+        'p99.9 over ours',
+        'p99 over ours, by seed',
+        'limit of a host before',
+    )
+    return page.table(columns, rows)
+
+
+def _rows_of_cell(
+    cell: Sequence[Round], options: Options, share: float, *, misleading: bool
+) -> Iterator[Sequence[object]]:
+    results_by_chooser = {
+        chooser: [each.result for each in cell if each.chooser == chooser]
+        for chooser in baselines.NAMES
+    }
+    ours = results_by_chooser[_OURS]
+    reports = 'misleading' if misleading else 'true'
+    for chooser, results in results_by_chooser.items():
+        limits = [each.limit for each in cell if each.chooser == chooser]
+        limit = sum(limits) / len(limits)
+        yield [reports, f'{share:.0%}', chooser, *_figures(results, ours), limit]
+
+
+def _figures(
+    results: Sequence[traffic.LoadResult], ours: Sequence[traffic.LoadResult]
+) -> Iterator[object]:
+    merged = _merged(results)
+    ours_merged = _merged(ours)
+    yield merged.sent
+    yield _PERCENT * (1 - merged.by_status['200'] / merged.sent)
+    yield sum(merged.errors.values()) + sum(merged.wrong.values())
+    for percentile in (50, 99, 99.9):
+        yield merged.percentile_ms(percentile)
+    for tail in (99, 99.9):
+        yield merged.percentile_ms(tail) / ours_merged.percentile_ms(tail)
+    by_seed = [
+        result.percentile_ms(99) / own.percentile_ms(99)
+        for result, own in zip(results, ours, strict=True)
+    ]
+    yield ', '.join(f'{ratio:.2f}' for ratio in by_seed)
+
+
+def _merged(results: Sequence[traffic.LoadResult]) -> traffic.LoadResult:
+    merged = traffic.LoadResult()
+    for result in results:
+        merged.merge(result)
+    return merged
+
+
+def _cpu_table(rounds: Sequence[Round]) -> str:
+    rows = []
+    for share in sorted({each.load_share for each in rounds}):
+        usages = [each.usage for each in rounds if each.load_share == share]
+        machine = [usage.machine_percent for usage in usages]
+        busiest = [usage.busiest_percent for usage in usages]
+        rows.append(
+            (f'{share:.0%}', sum(machine) / len(machine), max(machine), max(busiest)),
+        )
+    columns = ('load', 'machine CPU %, mean', 'machine CPU %, most', 'busiest process, % of a core')
+    return page.table(columns, rows)
+
+
+async def measure(reactor: Any, options: Options) -> page.Section:
+    """Run the measure on processes of its own.
+
+    Args:
+        reactor: Twisted reactor.
+        options: Size of the measure.
+
+    Returns:
+        The section of the page.
+    """
+    with processes.group() as group:
+        return await Comparison(mesh.Mesh(reactor, group), options).run()
--- a/src/anvillug/process/service_desk.py
+++ b/src/anvillug/process/service_desk.py
@@ -235,4 +235,4 @@
     # Baselines belong to the bench and are loaded for comparisons only.
     from anvillug.bench import baselines  # noqa: PLC0415
 
-    return baselines.make_chooser(name)
+    return baselines.make_chooser(name, hot_threshold)
--- a/src/anvillug/process/settings.py
+++ b/src/anvillug/process/settings.py
@@ -62,9 +62,9 @@
     """Address of the platform log, as IP:port."""
     seeds: tuple[validation.Address, ...] = pydantic.Field(default=(), strict=False)
     """Control addresses of nodes to ask for members and configuration at start."""
-    chooser: Literal['samples', 'random', 'round-robin', 'least-in-flight', 'two-choices'] = (
-        'samples'
-    )
+    chooser: Literal[
+        'samples', 'random', 'round-robin', 'least-in-flight', 'two-choices', 'rotation'
+    ] = 'samples'
     """Rule by which the entry side chooses hosts; all but `samples` are meant for comparison."""
     limits: Limits = Limits()
     """Bounds on what the node keeps in memory."""
