Probe the backend server from its own node within the budget

Cause: the probe budget had no prober, so an idle backend server that turned cold showed this only when calls came. Change: the host side GETs /health of its backend server through its pool when the budget of the service allows it. A refused connect marks the server as unreachable until its next announcement; two slow or failed probes in a row without calls return the limit to its start. The body of the answer is ignored: it may lag or mislead. Ruled out: treq, as the pool's connection needs no second set of connections.

--- a/src/anvillug/bench/tables.py
+++ b/src/anvillug/bench/tables.py
@@ -9,7 +9,7 @@
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Any
 
-from anvillug.bench import page, path_cost, tail_latency
+from anvillug.bench import page, path_cost, probe_cost, tail_latency
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,8 +50,16 @@
     return tail_latency.measure(reactor, options)
 
 
+def _probe_cost(reactor: Any, run: Run) -> Awaitable[page.Section]:
+    options = probe_cost.Options(seed=run.seed)
+    if run.quick:
+        options = dataclasses.replace(options, senders=(2, 8), duration_ms=3000)
+    return probe_cost.measure(reactor, options)
+
+
 _MEASURES_BY_NAME: dict[str, _Measure] = {
     'path': _path_cost,
+    'probes': _probe_cost,
     'tail': _tail_latency,
 }
 NAMES = tuple(_MEASURES_BY_NAME)
--- a/src/anvillug/process/entry_side.py
+++ b/src/anvillug/process/entry_side.py
@@ -41,6 +41,8 @@
     """Resolutions sent to hosts."""
     hedges: int = 0
     """Second copies sent."""
+    samples: int = 0
+    """Load samples asked for."""
 
 
 class EntrySide:
@@ -296,6 +298,7 @@
     def _sample_host(self, desk: service_desk.ServiceDesk, host_id: ids.HostId) -> None:
         pool = self._pools.get(host_id)
         if pool is not None:
+            self.counters.samples += 1
             load_sampler.SampleRequest(
                 self.reactor,
                 host_id,
--- a/src/anvillug/process/host_side.py
+++ b/src/anvillug/process/host_side.py
@@ -9,7 +9,7 @@
 
 from anvillug import clock, event_log, ids
 from anvillug.connection import http_client, http_head, http_server
-from anvillug.process import backend_watch
+from anvillug.process import backend_probe, backend_watch
 from anvillug.request import (
     admission,
     call,
@@ -90,6 +90,7 @@
         self._calls_by_id: dict[ids.CallId, host_call.HostCall] = {}
         self._behind: list[host_call.HostCall] = []
         self._queue_timer: interfaces.IDelayedCall | None = None
+        self.probe = backend_probe.BackendProbe(reactor, time, self.pool, self.probed)
         self._expire_regularly()
 
     @property
@@ -110,6 +111,7 @@
             'call_table_entries': len(self._table),
             'kept_answer_bytes': self._table.answer_bytes,
             'quarantined': len(self._suspects),
+            'probes': self.probe.dump(),
         }
 
     # Backend server
@@ -127,6 +129,7 @@
             self._replace_pool(None)
             return
         self.concurrency.resize(backend.slots)
+        self.probe.budget.slots = backend.slots
         if known is None or known.incarnation != backend.incarnation:
             self.concurrency.restarted(self.clock.now())
             self._replace_pool(
@@ -139,6 +142,14 @@
         self.admission.has_backend = True
         self._start(self.admission.start_queued(self.clock.now()))
 
+    def probed(self, result: backend_probe.ProbeResult) -> None:
+        """Take the result of a probe; while calls run, they tell more than it does."""
+        if result.unreachable:
+            self.backend_unreachable()
+        elif not self._calls_by_id:
+            latency_ms = None if result.failed else result.latency_ms
+            self.concurrency.probed(latency_ms, self.clock.now())
+
     # Requests of entry sides
 
     def request_received(self, exchange: http_server.ServerExchange) -> None:
@@ -225,6 +236,7 @@
         """Record an answer; see `host_call.HostContext`."""
         now = self.clock.now()
         self.counters.finished += 1
+        self.probe.budget.call_finished(now)
         self._table.finish(ended.request.properties.call_id, kept, now)
         self._release(ended, result, now)
 
--- a/src/anvillug/process/node.py
+++ b/src/anvillug/process/node.py
@@ -294,6 +294,7 @@
         if service is not None:
             decisions = targets.decide(service)
             self.host.admission.wait_bound_ms = decisions.queue_bound_ms
+            self.host.probe.budget.percent = service.probe_budget_percent
 
     def _update_own(self) -> None:
         backend = self.backend.backend
--- a/src/anvillug/request/limit.py
+++ b/src/anvillug/request/limit.py
@@ -40,6 +40,9 @@
 _COLD_SPAN_MS = 50.0
 """Signs of a cold backend server must last this long; bursts of a noisy neighbour are shorter."""
 _LOW_CONCURRENCY_SHARE = 4
+_SLOW_PROBES_IN_ROW = 2
+"""One slow probe may be a noisy neighbour's burst."""
+_PROBE_GAIN = 0.2
 _BASELINE_DOUBLING_MS = 2000.0
 _MAX_RISE_STEP_MS = 500.0
 _BASELINE_FALL_GAIN = 0.3
@@ -82,12 +85,15 @@
         self._reset_streaks()
         self._window = _Window(float('-inf'))
         self._slow_windows = 0
+        self._probe_baseline_ms: float | None = None
+        self._slow_probes = 0
 
     def restarted(self, now: clock.Milliseconds) -> None:
         """Start over for a new backend incarnation, which may also be a new version."""
         self.baseline_ms = None
         self._baseline_at = None
         self._baseline_behind = False
+        self._probe_baseline_ms = None
         self._turn_cold(now)
 
     def resize(self, slots: int) -> None:
@@ -100,6 +106,25 @@
         """Tell whether a latency is well above the baseline."""
         return self._exceeds(latency_ms, _SLOW_MULTIPLE)
 
+    def probed(self, latency_ms: float | None, now: clock.Milliseconds) -> None:
+        """Take in a probe of an idle backend server.
+
+        Args:
+            latency_ms: Time to the answer; None if the probe failed.
+            now: Monotonic time.
+        """
+        baseline = self._probe_baseline_ms
+        if latency_ms is not None and baseline is None:
+            self._probe_baseline_ms = latency_ms
+            return
+        if latency_ms is None or baseline is None or self._is_probe_slow(latency_ms, baseline):
+            self._slow_probes += 1
+            if self._slow_probes >= _SLOW_PROBES_IN_ROW and not self.cold:
+                self._turn_cold(now)
+            return
+        self._slow_probes = 0
+        self._probe_baseline_ms = baseline + (latency_ms - baseline) * _PROBE_GAIN
+
     def record(
         self,
         latency_ms: float,
@@ -123,6 +148,9 @@
         if self._is_window_complete(now):
             self._close_window(now)
 
+    def _is_probe_slow(self, latency_ms: float, baseline_ms: float) -> bool:
+        return latency_ms >= max(baseline_ms * _COLD_MULTIPLE, self._slow_floor_ms)
+
     def _record_finished(self, latency_ms: float, in_flight: int, now: float) -> None:
         self._refusals_in_row = 0
         self.latency_ms += (latency_ms - self.latency_ms) * (
@@ -252,6 +280,7 @@
         self._good_calls = 0
         self._refusals_in_row = 0
         self._very_slow_in_row = 0
+        self._slow_probes = 0
         self._very_slow_since: float = 0
 
 
--- a/src/anvillug/standin/backend_model.py
+++ b/src/anvillug/standin/backend_model.py
@@ -15,6 +15,7 @@
 
 MAX_RUN_RECORDS = 100_000
 FAST_FAILURE_MS = 0.5
+_US_PER_MS = 1000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -234,7 +235,10 @@
         if work.kind is Kind.CONNECT:
             return Execution(self.settings.connect_cost_ms, failed=False)
         if work.kind is Kind.PROBE:
-            return Execution(self.settings.probe_cost_ms * self.faults.slow_factor, failed=False)
+            duration_ms = self.settings.probe_cost_ms * self.faults.slow_factor
+            self.counts['probes'] += 1
+            self.counts['probe_slot_us'] += round(duration_ms * _US_PER_MS)
+            return Execution(duration_ms, failed=False)
         self.runs.record(work)
         self.counts['started'] += 1
         if self._fails_fast(work):
