--- a/src/anvillug/bench/mesh.py
+++ b/src/anvillug/bench/mesh.py
@@ -43,6 +43,8 @@
     """Further options of `standin backend-server`, by name with dashes."""
     link_delay_ms: float | None = None
     """One-way delay of a link in front of the peer address; None for no link."""
+    node_settings: Mapping[str, object] = dataclasses.field(default_factory=dict)
+    """Further settings of the node."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -217,6 +219,14 @@
 
         return await self.wait_until(f'configuration {number}', in_effect, timeout_ms)
 
+    def pid_by_name(self) -> dict[str, int]:
+        """Return the process ids of nodes and backend servers by their names."""
+        pids = {f'node {name}': host.node.pid for name, host in self.by_id.items()}
+        for name, host in self.by_id.items():
+            if host.backend is not None:
+                pids[f'backend server {name}'] = host.backend.pid
+        return pids
+
     async def sleep(self, seconds: float) -> None:
         """Wait while the reactor runs."""
         await task.deferLater(self.reactor, seconds)
@@ -234,6 +244,7 @@
             'log_address': self.log_address,
             'log_retention_ms': LOG_RETENTION_MS,
             'claim_lifetime_ms': LOG_RETENTION_MS // 2,
+            **plan.node_settings,
         }
         link_control = ''
         if plan.link_delay_ms is not None:
--- a/src/anvillug/process/entry_side.py
+++ b/src/anvillug/process/entry_side.py
@@ -48,6 +48,8 @@
     """Resolutions sent to hosts."""
     hedges: int = 0
     """Second copies sent."""
+    samples: int = 0
+    """Load samples asked for."""
 
 
 class EntrySide:
@@ -64,6 +66,7 @@
         keyed: Claims idempotency keys.
         rng: Source of draws.
         sample_timeout_ms: Time limit of a load sample.
+        chooser: Rule by which hosts are chosen; see the setting of this name.
     """
 
     def __init__(  # noqa: WPS211 - the assembly names each argument
@@ -78,6 +81,7 @@
         keyed: keyed_calls.KeyedCalls,
         rng: random.Random,
         sample_timeout_ms: float,
+        chooser: str = service_desk.SAMPLES,
     ) -> None:
         self.reactor = reactor
         self.clock = time
@@ -90,6 +94,7 @@
         self._observer = observer
         self._keyed = keyed
         self._rng = rng
+        self._chooser = chooser
         self._sample_timeout_s = clock.to_seconds(sample_timeout_ms)
         self._desks_by_service: dict[ids.ServiceName, service_desk.ServiceDesk] = {}
         self._sequence = 0
@@ -277,7 +282,13 @@
             self._desks_by_service.pop(name, None)
             return None
         if desk is None:
-            desk = service_desk.ServiceDesk(name, view, self.clock, self._observer)
+            desk = service_desk.ServiceDesk(
+                name,
+                view,
+                self.clock,
+                self._observer,
+                self._chooser,
+            )
             self._desks_by_service[name] = desk
         desk.take_view(view, now, _VIEW_AGE_MS)
         return desk
@@ -304,6 +315,7 @@
     def _sample_host(self, desk: service_desk.ServiceDesk, host_id: ids.HostId) -> None:
         pool = self._pools.get(host_id)
         if pool is not None:
+            self.counters.samples += 1
             load_sampler.SampleRequest(
                 self.reactor,
                 host_id,
--- a/src/anvillug/process/node.py
+++ b/src/anvillug/process/node.py
@@ -286,6 +286,7 @@
             self.keyed,
             self._rng,
             self._settings.timeouts.sample_ms,
+            self._settings.chooser,
         )
 
     def _should_snapshot(self, state: config_state.ConfigState) -> bool:
@@ -336,6 +337,7 @@
         if service is not None:
             decisions = targets.decide(service)
             self.host.admission.wait_bound_ms = decisions.queue_bound_ms
+            self.host.probe.budget.percent = service.probe_budget_percent
 
     def _update_own(self) -> None:
         backend = self.backend.backend
