--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 export PYTHONPATH := src
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: setup test demo bench binary format lint generate
+.PHONY: setup test demo bench binary check-binary format lint generate
 
 setup: $(VENV)/.ready
 
@@ -26,6 +26,9 @@
 binary: setup
 	$(BIN)/python tools/build_binary.py
 
+check-binary: binary
+	$(BIN)/python tools/check_binary.py
+
 format: setup
 	$(BIN)/ruff format src tests specs tools
 	$(BIN)/ruff check --fix --quiet src tests specs tools
--- a/src/anvillug/bench/processes.py
+++ b/src/anvillug/bench/processes.py
@@ -11,7 +11,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from typing import IO
 
 from anvillug import clock
@@ -19,6 +19,7 @@
 START_TIMEOUT_MS = 15_000
 STOP_TIMEOUT_MS = 15_000
 POLL_S = 0.01
+PROGRAM = (sys.executable, '-m', 'anvillug')
 LISTENING_EVENT = 'listening'
 
 _PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S+)')
@@ -32,14 +33,22 @@
     """One running child process with its output.
 
     Args:
-        arguments: Command line after `python -m anvillug`.
+        arguments: Command line after the program.
+        program: First words of the command line.
+        environment: Environment variables; None for those of this process.
     """
 
-    def __init__(self, arguments: Sequence[str]) -> None:
+    def __init__(
+        self,
+        arguments: Sequence[str],
+        program: Sequence[str] = PROGRAM,
+        environment: Mapping[str, str] | None = None,
+    ) -> None:
         self.arguments = tuple(arguments)
         self._output: IO[bytes] = tempfile.TemporaryFile()  # noqa: SIM115 lives as long as the object
         self._process = subprocess.Popen(  # noqa: S603 the arguments are the bench's own
-            [sys.executable, '-m', 'anvillug', *arguments],
+            [*program, *arguments],
+            env=environment,
             stdin=subprocess.DEVNULL,
             stdout=self._output,
             stderr=subprocess.STDOUT,
--- /dev/null
+++ b/tools/build_binary.py
@@ -0,0 +1,110 @@
+"""Builds dist/anvillug, one file with the program and what it needs at run time.
+
+The packages are copied from the environment that runs this script, so that the
+build needs no network.
+"""
+
+from __future__ import annotations
+
+import pathlib
+import shutil
+import sys
+import tempfile
+from collections.abc import Iterable, Iterator
+from importlib import metadata
+
+from packaging import requirements
+from shiv import cli
+
+_ROOT = pathlib.Path(__file__).resolve().parent.parent
+_SOURCE = _ROOT / 'src' / 'anvillug'
+_TARGET = _ROOT / 'dist' / 'anvillug'
+_PYTHON = '/usr/bin/env python3.11'
+_ENTRY_POINT = 'anvillug.__main__:main'
+_LEFT_OUT_FOLDERS = frozenset(('__pycache__', 'test', 'tests'))
+_BYTES_PER_MB = 1_000_000
+
+
+def main() -> int:
+    """Build the file and print its size.
+
+    Returns:
+        Exit code 0.
+    """
+    _TARGET.parent.mkdir(exist_ok=True)
+    with tempfile.TemporaryDirectory() as folder:
+        staged = pathlib.Path(folder)
+        for name in sorted(_needed_packages(_direct_requirements())):
+            _copy_package(name, staged)
+        shutil.copytree(
+            _SOURCE,
+            staged / _SOURCE.name,
+            ignore=shutil.ignore_patterns('__pycache__'),
+        )
+        _build(staged)
+        unpacked = sum(path.stat().st_size for path in staged.rglob('*') if path.is_file())
+    packed = _TARGET.stat().st_size
+    print(f'{_TARGET.relative_to(_ROOT)}: {_megabytes(packed)}, unpacked {_megabytes(unpacked)}')
+    return 0
+
+
+def _direct_requirements() -> list[requirements.Requirement]:
+    lines = (_ROOT / 'requirements.in').read_text().split()
+    return [requirements.Requirement(line) for line in lines]
+
+
+def _needed_packages(direct: Iterable[requirements.Requirement]) -> set[str]:
+    """Return the names of all packages that requirements lead to in this environment."""
+    names: set[str] = set()
+    seen: set[str] = set()
+    waiting = list(direct)
+    while waiting:
+        wanted = waiting.pop()
+        if str(wanted) not in seen:
+            seen.add(str(wanted))
+            names.add(_installed(wanted.name).name)
+            waiting.extend(_requirements_of(wanted))
+    return names
+
+
+def _requirements_of(wanted: requirements.Requirement) -> Iterator[requirements.Requirement]:
+    for line in _installed(wanted.name).requires or ():
+        needed = requirements.Requirement(line)
+        extras = ('', *wanted.extras)
+        if needed.marker is None or any(needed.marker.evaluate({'extra': one}) for one in extras):
+            yield needed
+
+
+def _installed(name: str) -> metadata.Distribution:
+    return metadata.distribution(name)
+
+
+def _copy_package(name: str, target: pathlib.Path) -> None:
+    """Copy the files of an installed package; scripts outside of its folders are left out."""
+    for file in _installed(name).files or ():
+        left_out = file.is_absolute() or '..' in file.parts
+        if left_out or _LEFT_OUT_FOLDERS.intersection(file.parts):
+            continue
+        copied = target / file
+        copied.parent.mkdir(parents=True, exist_ok=True)
+        shutil.copy2(file.locate(), copied)
+
+
+def _build(staged: pathlib.Path) -> None:
+    options = {
+        '--site-packages': staged,
+        '--entry-point': _ENTRY_POINT,
+        '--python': _PYTHON,
+        '--output-file': _TARGET,
+    }
+    words = [str(word) for option in options.items() for word in option]
+    # Without --compile-pyc: shiv would compile in child processes at the first start.
+    cli.main(['--reproducible', *words], standalone_mode=False)
+
+
+def _megabytes(size: int) -> str:
+    return f'{size / _BYTES_PER_MB:.1f} MB'
+
+
+if __name__ == '__main__':
+    sys.exit(main())
