Name the option in bad use and list subcommands without importing them

Change: arguments have types with parsers that say what is wrong; the list of subcommands takes one line each from a table; stand-ins name an address that they can not listen on and exit with 2. Conclusion: bad use exits with 2 and names the option or the known choices.

--- a/src/anvillug/process/command_line.py
+++ b/src/anvillug/process/command_line.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import importlib
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any
@@ -9,51 +10,83 @@
 import defopt
 
 from anvillug import event_log
+from anvillug.process.commands import arguments as argument_types
+
+PROGRAM = 'anvillug'
+VERSION = '0.1.0'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Command:
+    """Where a subcommand is found."""
+
+    module: str
+    """Module in `anvillug.process.commands`."""
+    summary: str
+    """Line in the list of subcommands, so that listing them imports none of them."""
+    parts: tuple[str, ...] = ()
+    """Functions of a subcommand that has subcommands itself."""
+
 
-_MODULE_BY_COMMAND = {
-    'node': 'node',
-    'check': 'check',
-    'patch': 'patch',
-    'config': 'config',
-    'state': 'state',
-    'drain': 'state',
-    'standin': 'standin',
-    'bench': 'bench',
-}
 _STANDINS = ('backend_server', 'log', 'link')
 _BENCHES = ('demo',)
+_COMMANDS_BY_NAME = {
+    'node': _Command('node', 'Run a node beside a backend server.'),
+    'check': _Command('check', 'Check a settings file or a configuration document.'),
+    'patch': _Command('patch', 'Submit a patch of the configuration document.'),
+    'config': _Command('config', 'Show the configuration number by the log and in force on nodes.'),
+    'state': _Command('state', 'Print the state dump of a node as JSON.'),
+    'drain': _Command('state', 'Stop a node gracefully.'),
+    'standin': _Command('standin', 'Run a stand-in process for benches and tests.', _STANDINS),
+    'bench': _Command('bench', 'Run a demonstration or measurement on real processes.', _BENCHES),
+}
 
 
-def run(arguments: Sequence[str]) -> int:
+def run(words: Sequence[str]) -> int:
     """Run a subcommand.
 
     Args:
-        arguments: Words after the program's name.
+        words: Words after the program's name.
 
     Returns:
         Exit code; 2 for bad use.
     """
     event_log.set_up()
     result = defopt.run(
-        _functions(arguments),
-        argv=list(arguments),
+        _functions(words),
+        argv=list(words),
         short={},
         cli_options='kwonly',
+        parsers=dict(argument_types.PARSERS),
+        version=f'{PROGRAM} {VERSION}',
+        argparse_kwargs={'prog': PROGRAM},
     )
     return int(result or 0)
 
 
-def _functions(arguments: Sequence[str]) -> dict[str, Any]:
+def _functions(words: Sequence[str]) -> dict[str, Any]:
     """Return the functions by name; only the module of the wanted command is imported."""
-    wanted = arguments[0] if arguments else ''
-    names = [wanted] if wanted in _MODULE_BY_COMMAND else list(_MODULE_BY_COMMAND)
-    return {name: _function(name) for name in names}
+    wanted = words[0] if words else ''
+    if wanted in _COMMANDS_BY_NAME:
+        return {wanted: _function(wanted, _COMMANDS_BY_NAME[wanted])}
+    return {name: _listed(command) for name, command in _COMMANDS_BY_NAME.items()}
 
 
-def _function(name: str) -> Callable[..., Any] | Mapping[str, Callable[..., Any]]:
-    module = importlib.import_module(f'anvillug.process.commands.{_MODULE_BY_COMMAND[name]}')
-    if name == 'standin':
-        return {each.replace('_', '-'): getattr(module, each) for each in _STANDINS}
-    if name == 'bench':
-        return {each.replace('_', '-'): getattr(module, each) for each in _BENCHES}
+def _function(
+    name: str,
+    command: _Command,
+) -> Callable[..., Any] | Mapping[str, Callable[..., Any]]:
+    module = importlib.import_module(f'anvillug.process.commands.{command.module}')
+    if command.parts:
+        return {each.replace('_', '-'): getattr(module, each) for each in command.parts}
     return getattr(module, name)
+
+
+def _listed(command: _Command) -> Callable[[], None]:
+    """Return a function that stands for a subcommand in the list of subcommands."""
+
+    def stand_for() -> None:
+        raise AssertionError('only listed, never run')
+
+    stand_for.__doc__ = command.summary
+    return stand_for
--- a/src/anvillug/process/commands/config.py
+++ b/src/anvillug/process/commands/config.py
@@ -12,7 +12,7 @@
 
 from anvillug import ids
 from anvillug.connection import log_client, log_record
-from anvillug.process.commands import _reactor
+from anvillug.process.commands import _reactor, arguments
 from anvillug.version import fold, reader
 
 _EXIT_NOT_REACHED = 1
@@ -25,8 +25,8 @@
 
 def config(
     *,
-    log: str,
-    nodes: Sequence[str] = (),
+    log: arguments.Address,
+    nodes: Sequence[arguments.Address] = (),
     wait: int = 0,
     timeout_s: float = 18,
 ) -> int:
--- a/src/anvillug/process/commands/patch.py
+++ b/src/anvillug/process/commands/patch.py
@@ -10,7 +10,7 @@
 from anvillug import findings, ids
 from anvillug.connection import log_client
 from anvillug.process import settings
-from anvillug.process.commands import _reactor
+from anvillug.process.commands import _reactor, arguments
 from anvillug.version import publisher
 
 _EXIT_REFUSED = 1
@@ -19,7 +19,14 @@
 _MS_PER_SECOND = 1000
 
 
-def patch(file: pathlib.Path, *, base: int, log: str, author: str = '', timeout_s: int = 30) -> int:
+def patch(
+    file: pathlib.Path,
+    *,
+    base: int,
+    log: arguments.Address,
+    author: str = '',
+    timeout_s: int = 30,
+) -> int:
     """Submit a patch against a configuration number and print what became of it.
 
     Args:
--- a/src/anvillug/process/commands/standin.py
+++ b/src/anvillug/process/commands/standin.py
@@ -3,24 +3,28 @@
 from __future__ import annotations
 
 import os
+import sys
 from collections.abc import Sequence
 
 from absl import logging
-from twisted.internet import interfaces, protocol, reactor
+from twisted.internet import error, interfaces, protocol, reactor
 
 from anvillug import clock, event_log
+from anvillug.process.commands import arguments
 from anvillug.standin import backend_model, http_api, log_model
 from anvillug.standin import backend_server as standin_backend_server
 from anvillug.standin import link as standin_link
 from anvillug.standin import log as standin_log
 
 LISTEN_BACKLOG = 1024
+_EXIT_BAD_INPUT = 2
+_ANY_PORT = arguments.ListenAddress('127.0.0.1:0')
 
 
 def backend_server(  # noqa: WPS211 each setting is an option of the command line
     *,
-    address: str = '127.0.0.1:0',
-    announce_address: str = '',
+    address: arguments.ListenAddress = _ANY_PORT,
+    announce_address: arguments.Address | None = None,
     service: str = 'service',
     version: str = 'v1',
     backend_id: str = '',
@@ -31,7 +35,7 @@
     probe_cost_ms: float = 6.0,
     service_ms: float = 5.0,
     service_sigma: float = 0.3,
-    route_ms: Sequence[str] = (),
+    route_ms: Sequence[arguments.RouteTime] = (),
     start_cold: bool = False,
     cold_calls: int = 50,
     cold_factor: float = 8.0,
@@ -45,7 +49,7 @@
 
     Args:
         address: Address to listen on; port 0 takes a free one.
-        announce_address: Operator address of the node beside it; empty announces nothing.
+        announce_address: Operator address of the node beside it; by default it announces nothing.
         service: Service that it offers.
         version: Version that it runs.
         backend_id: Name in its responses; empty takes the process id.
@@ -77,7 +81,7 @@
         probe_cost_ms=probe_cost_ms,
         service_ms=service_ms,
         service_sigma=service_sigma,
-        service_ms_by_prefix=tuple(_route_time(text) for text in route_ms),
+        service_ms_by_prefix=tuple((route.prefix, route.milliseconds) for route in route_ms),
         start_cold=start_cold,
         cold_calls=cold_calls,
         cold_factor=cold_factor,
@@ -109,7 +113,7 @@
 
 def log(
     *,
-    address: str = '127.0.0.1:0',
+    address: arguments.ListenAddress = _ANY_PORT,
     retention_ms: float = 600_000.0,
     append_limit_per_second: int = 400,
 ) -> None:
@@ -128,9 +132,9 @@
 
 def link(
     *,
-    target: str,
-    address: str = '127.0.0.1:0',
-    control_address: str = '127.0.0.1:0',
+    target: arguments.Address,
+    address: arguments.ListenAddress = _ANY_PORT,
+    control_address: arguments.ListenAddress = _ANY_PORT,
     delay_ms: float = 0,
 ) -> None:
     """Run a network link: a TCP relay with delay and faults.
@@ -149,17 +153,14 @@
 
 def _listen(address: str, factory: protocol.Factory) -> interfaces.IListeningPort:
     host, port = http_api.split_address(address)
-    return reactor.listenTCP(port, factory, backlog=LISTEN_BACKLOG, interface=host)
+    try:
+        return reactor.listenTCP(port, factory, backlog=LISTEN_BACKLOG, interface=host)
+    except error.CannotListenError as problem:
+        sys.stderr.write(f'{address}: can not listen: {problem.socketError}\n')
+        sys.exit(_EXIT_BAD_INPUT)
 
 
 def _run(kind: str, address: str, **fields: object) -> None:
     logging.set_verbosity(logging.INFO)
     reactor.callWhenRunning(event_log.emit, 'listening', kind=kind, address=address, **fields)
     reactor.run()
-
-
-def _route_time(text: str) -> tuple[str, float]:
-    prefix, equals, milliseconds = text.rpartition('=')
-    if not equals:
-        raise ValueError(f'route time {text!r} is not <path prefix>=<ms>')
-    return prefix, float(milliseconds)
--- a/src/anvillug/process/commands/state.py
+++ b/src/anvillug/process/commands/state.py
@@ -9,7 +9,7 @@
 from twisted.internet import defer, error
 from twisted.web import client as web_client
 
-from anvillug.process.commands import _reactor
+from anvillug.process.commands import _reactor, arguments
 
 _TIMEOUT_S = 5
 _EXIT_UNREACHABLE = 1
@@ -22,7 +22,7 @@
 )
 
 
-def state(node: str, /) -> int:
+def state(node: arguments.Address, /) -> int:
     """Print the state dump of a node as JSON.
 
     Args:
@@ -34,7 +34,7 @@
     return _ask(node, 'GET', 'state')
 
 
-def drain(node: str, /) -> int:
+def drain(node: arguments.Address, /) -> int:
     """Stop a node gracefully: no new work, and no request is cut.
 
     Args:
--- a/src/anvillug/validation.py
+++ b/src/anvillug/validation.py
@@ -58,7 +58,19 @@
     return f'{place}: {path}'
 
 
-def _check_address(text: str) -> str:
+def check_address(text: str, *, lowest_port: int = 1) -> str:
+    """Return an address if it is an IP number and a port.
+
+    Args:
+        text: IP:port, with brackets around an IPv6 number.
+        lowest_port: 0 where a listener may take a free port.
+
+    Returns:
+        The text.
+
+    Raises:
+        ValueError: If it has another form.
+    """
     host, _, port = text.rpartition(':')
     bracketed = host.startswith('[') and host.endswith(']')
     try:
@@ -67,9 +79,9 @@
         raise ValueError('address must be <IP number>:<port>') from None
     if bracketed != (address.version == 6):
         raise ValueError('address must be <IP number>:<port>, with brackets around IPv6 only')
-    if not (port.isascii() and port.isdigit() and 0 < int(port) <= _MAX_PORT):
-        raise ValueError(f'port must be a number from 1 to {_MAX_PORT}')
+    if not (port.isascii() and port.isdigit() and lowest_port <= int(port) <= _MAX_PORT):
+        raise ValueError(f'port must be a number from {lowest_port} to {_MAX_PORT}')
     return text
 
 
-Address = Annotated[str, pydantic.AfterValidator(_check_address)]
+Address = Annotated[str, pydantic.AfterValidator(check_address)]
