Measure what control costs per node

Ruled out: bytes of the loopback interface, because other programs on the machine sent 600 KB/s over it.

--- /dev/null
+++ b/src/anvillug/bench/capacity_nodes.py
@@ -0,0 +1,313 @@
+"""Measures what control costs per node on real nodes without calls."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import math
+import random
+import re
+import statistics
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any
+
+from anvillug.bench import mesh, processes, usage
+from anvillug.connection import log_client
+from anvillug.version import fold, publisher, reader
+
+ZONES = 7
+REGIONS = 3
+WINDOW_S = 15.0
+CHANGES_PER_DAY = 28_000
+PATCHES_PER_SECOND = 2.0
+RESTARTS_PER_SECOND = 0.5
+
+_START_BATCH = 12  # each start takes about a second of a core
+_START_TIMEOUT_MS = 60_000.0
+_APPENDS_PER_SECOND = 2000
+_KB = 1024
+_PERCENT = 100
+_IN_EFFECT = re.compile(r'time_ms=(\d+) level=\w+ event=config_in_effect number=(\d+)')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Row:
+    """Cost per node in one window; the fields are the columns."""
+
+    nodes: int
+    """Nodes of the mesh."""
+    services: int
+    """Services in the configuration document."""
+    load: str
+    """What happened in the window."""
+    per_second: float
+    """Changes per second that happened."""
+    resident_mb: float
+    """Median resident memory of a node."""
+    private_mb: float
+    """Median memory of a node that no other process shares."""
+    cpu_percent: float
+    """Mean share of a core used by a node."""
+    gossip_kb_s: float
+    """Mean gossip bytes per node and second, both directions, without framing."""
+    log_kb_s: float
+    """Mean bytes of log answers and appends per node and second, without heads."""
+    exchanges_s: float
+    """Gossip exchanges started per node and second."""
+    reads_s: float
+    """Reads of the log per node and second."""
+    spread_p50_ms: float
+    """Median time from the append of a patch until it was in effect on the last node."""
+    spread_max_ms: float
+    """Largest such time."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Reading:
+    at: float
+    cpu_by_pid: dict[int, float]
+    counts_by_pid: dict[int, collections.Counter[str]]
+
+
+class NodeCost:
+    """Measures one mesh.
+
+    Args:
+        reactor: Twisted reactor.
+        group: List of `processes.group`.
+        count: Nodes.
+        services: Services in the document.
+        seed: Seed of the choice of nodes to restart.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        group: list[processes.ChildProcess],
+        count: int,
+        services: int,
+        seed: int,
+    ) -> None:
+        self._mesh = mesh.Mesh(reactor, group)
+        self._count = count
+        self._services = services
+        self._rng = random.Random(seed)
+        self._client: Any = None
+        self._reader: Any = None
+
+    async def rows(self) -> list[Row]:
+        """Start the mesh and measure it idle, while patched and while nodes restart."""
+        await self._start()
+        return [
+            await self._window('idle', self._idle),
+            await self._window('patches', self._patches),
+            await self._window('restarts', self._restarts),
+        ]
+
+    async def _start(self) -> None:
+        started = self._mesh
+        started.start_log(append_limit_per_second=_APPENDS_PER_SECOND)
+        plans = [
+            mesh.HostPlan(
+                f'host-{index:05d}',
+                f'zone-{index % ZONES}',
+                '',
+                region=f'region-{index % ZONES % REGIONS}',
+            )
+            for index in range(self._count)
+        ]
+        for begin in range(0, self._count, _START_BATCH):
+            started.add_hosts(plans[begin : begin + _START_BATCH])
+        self._client = log_client.HttpLogClient(started.reactor, started.log_address)
+        self._reader = reader.ConfigReader(self._client)
+        await self._publish(document_of(self._services))
+        await started.wait_config(1, _START_TIMEOUT_MS)
+        await started.wait_until('all nodes know each other', self._all_known, _START_TIMEOUT_MS)
+
+    async def _all_known(self) -> bool:
+        for host_id in self._mesh.by_id:
+            if (await self._mesh.state(host_id))['members']['count'] < self._count:
+                return False
+        return True
+
+    async def _publish(self, change: object) -> None:
+        state = await self._reader.catch_up()
+        wanted = publisher.Patch(state.number, change, 'bench')
+        result = await publisher.Publisher(self._client, self._mesh.reactor).publish(wanted, state)
+        if not isinstance(result, publisher.Accepted):
+            raise mesh.MeshError(f'patch was not accepted: {result}')
+
+    async def _window(self, load: str, run: Callable[[], Awaitable[int]]) -> Row:
+        before = await self._read_usage()
+        first = (await self._reader.catch_up()).number + 1
+        done = await run()
+        after = await self._read_usage()
+        last = (await self._reader.catch_up()).number
+        duration_s = after.at - before.at
+        # Nodes that were restarted in the window have no difference to tell.
+        kept = before.cpu_by_pid.keys() & after.cpu_by_pid.keys()
+        cpu = [after.cpu_by_pid[pid] - before.cpu_by_pid[pid] for pid in kept]
+        memories = [usage.memory(pid) for pid in kept]
+        total: collections.Counter[str] = collections.Counter()
+        for pid in kept:
+            total.update(after.counts_by_pid[pid])
+            total.subtract(before.counts_by_pid[pid])
+        per_node = {name: count / duration_s / len(kept) for name, count in total.items()}
+        spreads = await self._spreads(range(first, last + 1))
+        return Row(
+            nodes=self._count,
+            services=self._services,
+            load=load,
+            per_second=done / duration_s,
+            resident_mb=statistics.median(each.resident_mb for each in memories),
+            private_mb=statistics.median(each.private_mb for each in memories),
+            cpu_percent=_PERCENT * statistics.fmean(cpu) / duration_s,
+            gossip_kb_s=per_node['gossip_bytes'] / _KB,
+            log_kb_s=per_node['log_bytes'] / _KB,
+            exchanges_s=per_node['exchanges'],
+            reads_s=per_node['log_reads'],
+            spread_p50_ms=statistics.median(spreads) if spreads else 0,
+            spread_max_ms=max(spreads, default=0),
+        )
+
+    async def _read_usage(self) -> _Reading:
+        cpu_by_pid = {}
+        counts_by_pid = {}
+        for host in self._mesh.by_id.values():
+            state = await self._mesh.get(host.operator_address, '/state')
+            cpu_by_pid[host.node.pid] = usage.cpu_seconds(host.node.pid)
+            counts_by_pid[host.node.pid] = _counts(state)
+        return _Reading(self._mesh.reactor.seconds(), cpu_by_pid, counts_by_pid)
+
+    async def _idle(self) -> int:
+        await self._mesh.sleep(WINDOW_S)
+        return 0
+
+    async def _patches(self) -> int:
+        return await self._paced(PATCHES_PER_SECOND, self._patch_one)
+
+    async def _patch_one(self, index: int) -> None:
+        name = f'service-{index % self._services:03d}'
+        change = {'services': {name: {'targets': {'latency_p99_ms': 100 + index}}}}
+        await self._publish(change)
+
+    async def _restarts(self) -> int:
+        return await self._paced(RESTARTS_PER_SECOND, self._restart_one)
+
+    async def _restart_one(self, index: int) -> None:
+        # The first half stays, so that its costs cover the whole window.
+        hosts = list(self._mesh.by_id.values())
+        host = self._rng.choice(hosts[self._count // 2 :])
+        host.node.kill()
+        self._mesh.restart_node(host)
+
+    async def _paced(self, rate: float, step: Callable[[int], Awaitable[None]]) -> int:
+        begin = self._mesh.reactor.seconds()
+        done = 0
+        while done < rate * WINDOW_S:
+            await step(done)
+            done += 1
+            ahead = begin + done / rate - self._mesh.reactor.seconds()
+            await self._mesh.sleep(max(0, ahead))
+        return done
+
+    async def _spreads(self, numbers: range) -> list[float]:
+        """Return how long each number took to be in effect on the last node."""
+        seen = [times_by_number(host.node.output()) for host in self._mesh.by_id.values()]
+        appended = await self._append_times()
+        return [
+            max(time_in_effect(times, number) for times in seen) - appended[number]
+            for number in numbers
+        ]
+
+    async def _append_times(self) -> dict[int, float]:
+        """Return the wall time of the append that made each number."""
+        times: dict[int, float] = {}
+        state = fold.empty()
+        while True:
+            page = await self._client.read(
+                log_client.CONFIGURATION_STREAM,
+                state.next_offset,
+                reader.PAGE_RECORDS,
+                0,
+            )
+            if not page.records:
+                return times
+            for record in page.records:
+                state = fold.apply(state, record)
+                times.setdefault(state.number, record.time_ms)
+
+
+def _counts(state: Mapping[str, Any]) -> collections.Counter[str]:
+    counts: collections.Counter[str] = collections.Counter()
+    for name, side in state['control'].items():
+        kind = 'log' if name == 'log' else 'gossip'
+        counts[f'{kind}_bytes'] += side['bytes_sent'] + side['bytes_received']
+    counts['log_reads'] = state['control']['log']['reads']
+    counts['exchanges'] = state['gossip']['sent']
+    return counts
+
+
+async def run(reactor: Any, counts: list[tuple[int, int]], seed: int) -> list[Row]:
+    """Measure several meshes, one after the other.
+
+    Args:
+        reactor: Twisted reactor.
+        counts: Nodes and services of each mesh.
+        seed: Seed of random choices.
+
+    Returns:
+        Three rows per mesh.
+    """
+    rows = []
+    for count, services in counts:
+        with processes.group() as group:
+            rows.extend(await NodeCost(reactor, group, count, services, seed).rows())
+    return rows
+
+
+def times_by_number(output: str) -> dict[int, float]:
+    """Return when each configuration number was first in effect, from a node's event log."""
+    times: dict[int, float] = {}
+    for time_ms, number in _IN_EFFECT.findall(output):
+        times.setdefault(int(number), float(time_ms))
+    return times
+
+
+def time_in_effect(times: dict[int, float], number: int) -> float:
+    """Return when a number or a later one was in effect.
+
+    A node that folds two patches from one read tells only the later number.
+
+    Args:
+        times: Times by number.
+        number: Number to look for.
+
+    Returns:
+        Wall time in milliseconds; infinite when the number was never in effect.
+    """
+    return min((at for seen, at in times.items() if seen >= number), default=math.inf)
+
+
+def document_of(services: int) -> dict[str, Any]:
+    """Return a configuration document with routes and targets of realistic size."""
+    return {
+        'services': {
+            f'service-{index:03d}': {
+                'version': 'v2026.11.3',
+                'targets': {'latency_p99_ms': 50, 'safety': 'balanced', 'spare_percent': 20},
+                'routes': [
+                    {'name': 'reads', 'prefix': '/read', 'methods': ['GET'], 'repeatable': True},
+                    {
+                        'name': 'writes',
+                        'prefix': '/write',
+                        'methods': ['POST'],
+                        'repeatable': False,
+                        'criticality': 'critical',
+                    },
+                ],
+            }
+            for index in range(services)
+        },
+        'zones': {f'zone-{index}': {'state': 'in', 'ramp_ms': 30_000} for index in range(ZONES)},
+    }
--- a/src/anvillug/bench/mesh.py
+++ b/src/anvillug/bench/mesh.py
@@ -35,13 +35,15 @@
     zone: str
     """Availability zone."""
     service: str
-    """Service of its backend server."""
+    """Service of its backend server; empty for a host without one."""
     version: str = 'v1'
     """Version of its backend server."""
     backend_options: Mapping[str, object] = dataclasses.field(default_factory=dict)
     """Further options of `standin backend-server`, by name with dashes."""
     link_delay_ms: float | None = None
     """One-way delay of a link in front of the peer address; None for no link."""
+    region: str = REGION
+    """Region of the zone."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -98,7 +100,8 @@
         for host in hosts:
             host.node.wait_for_event('node_started')
         for host in hosts:
-            self.start_backend(host)
+            if host.plan.service:
+                self.start_backend(host)
         for host in hosts:
             if host.backend is not None:
                 host.backend_address = host.backend.wait_for_event()['address']
@@ -224,7 +227,7 @@
         caller, peer, control, operator = processes.free_addresses(4)
         data = {
             'host_id': plan.host_id,
-            'region': REGION,
+            'region': plan.region,
             'zone': plan.zone,
             'caller_address': caller,
             'peer_address': peer,
--- a/src/anvillug/connection/control_client.py
+++ b/src/anvillug/connection/control_client.py
@@ -99,6 +99,14 @@
         """Return the number of cached channels, for the state dump."""
         return len(self._channels)
 
+    def dump(self) -> dict[str, int]:
+        """Return counts for the state dump."""
+        return {
+            'bytes_sent': self.bytes_sent,
+            'bytes_received': self.bytes_received,
+            'channels': len(self._channels),
+        }
+
     def _channel_to(self, address: str) -> _Channel:
         found = self._channels.get(address)
         if found is None:
--- a/src/anvillug/connection/control_server.py
+++ b/src/anvillug/connection/control_server.py
@@ -94,6 +94,14 @@
             self._server.stop(grace_ms / _MS_PER_SECOND)
             self._server = None
 
+    def dump(self) -> dict[str, int]:
+        """Return counts for the state dump."""
+        return {
+            'bytes_sent': self.bytes_sent,
+            'bytes_received': self.bytes_received,
+            'timeouts': self.timeouts,
+        }
+
     def Exchange(self, message: Any, context: Any) -> Any:  # noqa: N802
         """Answer one exchange; called by gRPC in one of its threads."""
         grpc = importlib.import_module('grpc')
--- a/src/anvillug/connection/log_client.py
+++ b/src/anvillug/connection/log_client.py
@@ -62,6 +62,7 @@
         )
         self._base = f'http://{address}/streams'
         self._answer_timeout_ms = answer_timeout_ms
+        self._counts = {'appends': 0, 'reads': 0, 'bytes_sent': 0, 'bytes_received': 0}
 
     def append(self, stream: str, data: object) -> defer.Deferred[ids.LogOffset]:
         """Append a record; see `log_record.LogClient`."""
@@ -78,6 +79,10 @@
         query = url_parse.urlencode({'from': offset, 'limit': limit, 'wait_ms': wait_ms})
         return defer.Deferred.fromCoroutine(self._read(f'{self._url(stream)}?{query}', wait_ms))
 
+    def dump(self) -> dict[str, int]:
+        """Return counts for the state dump; bytes are those of bodies, without heads."""
+        return dict(self._counts)
+
     def close(self) -> defer.Deferred[None]:
         """Close idle connections."""
         return self._pool.closeCachedConnections()
@@ -86,8 +91,11 @@
         return f'{self._base}/{url_parse.quote(stream, safe="")}/records'
 
     async def _append(self, stream: str, data: object) -> ids.LogOffset:
+        encoded = json.dumps({'data': data}).encode()
+        self._counts['appends'] += 1
+        self._counts['bytes_sent'] += len(encoded)
         body = web_client.FileBodyProducer(
-            io.BytesIO(json.dumps({'data': data}).encode()),
+            io.BytesIO(encoded),
             cooperator=self._cooperator,
         )
         try:
@@ -107,11 +115,13 @@
         return _parse_append(status, answer)
 
     async def _read(self, url: str, wait_ms: int) -> log_record.ReadResult:
+        self._counts['reads'] += 1
         try:
             status, answer = await self._within(self._http.get(url), wait_ms)
         except Exception as failure:
             _raise_cancelled(failure)
             raise log_record.LogUnavailable(f'no answer to read: {failure!r}') from failure
+        self._counts['bytes_received'] += len(answer)
         _check_status(status)
         try:
             return _parse_read(json.loads(answer))
--- a/src/anvillug/process/node.py
+++ b/src/anvillug/process/node.py
@@ -70,6 +70,7 @@
         self.verdicts = verdict_set.VerdictSet()
         self.evidence = evidence_pool.EvidencePool(config.host_id)
         self._config_source = gossip_sources.ConfigSource(self.config, time)
+        self._control_client = control_client.ControlClient(reactor)
         self.gossip_task = self._build_gossip()
         self._control = control_server.ControlServer(reactor, self.gossip_task.handle)
         self.judge = move_judge.MoveJudge(
@@ -158,6 +159,11 @@
             'host': self.host.dump(),
             'entry': self.entry.dump(),
             'gossip': self.gossip_task.dump(),
+            'control': {
+                'client': self._control_client.dump(),
+                'server': self._control.dump(),
+                'log': self._log.dump(),
+            },
             'rollouts': self.judge.dump(),
             'verdicts': [dataclasses.asdict(notice) for notice in self.verdicts.notices()],
             'members': {
@@ -232,10 +238,9 @@
             gossip_sources.QuarantineSource(self.suspects),
             self.evidence,
         )
-        client = control_client.ControlClient(self._reactor)
         return gossip.Gossip(
             sources,
-            client,
+            self._control_client,
             self._settings.seeds,
             self._clock,
             self._reactor,
