--- a/src/anvillug/bench/mesh.py
+++ b/src/anvillug/bench/mesh.py
@@ -80,6 +80,8 @@
         """Hosts by id."""
         self.log_address = ''
         """Address of the platform log."""
+        self.log: processes.ChildProcess | None = None
+        """The platform log."""
         self._group = group
         self._folder = tempfile.TemporaryDirectory(prefix='anvillug-bench-')
 
@@ -89,8 +91,8 @@
         Args:
             **options: Options of `standin log`, with underscores.
         """
-        started = self._start('log', options)
-        self.log_address = started.wait_for_event()['address']
+        self.log = self._start('log', options)
+        self.log_address = self.log.wait_for_event()['address']
 
     def add_hosts(self, plans: list[HostPlan]) -> None:
         """Start the nodes and backend servers of hosts side by side."""
@@ -161,6 +163,10 @@
         """Switch faults of a backend server."""
         await self.post(self.by_id[host_id].backend_address, '/control/faults', faults)
 
+    async def link_faults(self, host_id: str, **faults: object) -> None:
+        """Switch faults of the link in front of a node."""
+        await self.post(self.by_id[host_id].link_control, '/control/faults', faults)
+
     async def log_faults(self, **faults: object) -> None:
         """Switch faults of the platform log."""
         await self.post(self.log_address, '/control/faults', faults)
--- /dev/null
+++ b/src/anvillug/bench/scenario_actions.py
@@ -0,0 +1,253 @@
+"""Steps of a scenario that change something."""
+
+from __future__ import annotations
+
+import functools
+import signal
+from typing import Any
+
+import treq
+from twisted.internet import defer
+
+from anvillug import clock
+from anvillug.bench import load, mesh, scenario_run, slow_upload, traffic
+from anvillug.bench import scenario_steps as steps
+from anvillug.request import call
+from anvillug.version import publisher
+
+_SERVING_TIMEOUT_MS = 15_000
+_CALL_TIMEOUT_S = 20
+_DONE = scenario_run.Seen(held=True, text='done')
+_PLAN_FIELDS = ('zone', 'service', 'version', 'link_delay_ms')
+_SIGNALS = {'stop': signal.SIGTERM, 'freeze': signal.SIGSTOP, 'thaw': signal.SIGCONT}
+
+
+@functools.singledispatch
+async def perform(step: Any, run: scenario_run.Run) -> scenario_run.Seen:
+    """Carry out a step.
+
+    Args:
+        step: One of the classes of `scenario_steps`.
+        run: The running scenario.
+
+    Returns:
+        What was seen.
+    """
+    raise NotImplementedError(type(step).__name__)
+
+
+@perform.register
+async def _log(step: steps.Log, run: scenario_run.Run) -> scenario_run.Seen:
+    run.mesh.start_log(**step.options)
+    return _DONE
+
+
+@perform.register
+async def _host(step: steps.Host, run: scenario_run.Run) -> scenario_run.Seen:
+    options = dict(step.options)
+    planned = {name: options.pop(name) for name in _PLAN_FIELDS if name in options}
+    dashed = {name.replace('_', '-'): option for name, option in options.items()}
+    run.pending.append(mesh.HostPlan(step.name, **planned, backend_options=dashed))
+    return _DONE
+
+
+@perform.register
+async def _start_hosts(step: steps.StartHosts, run: scenario_run.Run) -> scenario_run.Seen:
+    run.mesh.add_hosts(run.pending)
+    run.pending = []
+    wanted = sum(host.backend is not None for host in run.mesh.by_id.values())
+
+    async def all_known() -> bool:
+        for host in run.counts.reachable_hosts():
+            services = (await run.mesh.state(host.plan.host_id))['members']['services']
+            if sum(found for name, found in services.items() if name) < wanted:
+                return False
+        return True
+
+    waited_ms = await run.mesh.wait_until(f'{wanted} hosts serve', all_known, _SERVING_TIMEOUT_MS)
+    return scenario_run.Seen(held=True, text=f'all known after {waited_ms:.0f} ms')
+
+
+@perform.register
+async def _publish(step: steps.Publish, run: scenario_run.Run) -> scenario_run.Seen:
+    base = run.number if step.against is None else step.against
+    result = await run.mesh.patch(base, _with_times(step.patch))
+    if isinstance(result, publisher.Accepted):
+        run.number = max(run.number, result.number)
+    reason = getattr(result, 'reason', '')
+    held = type(result).__name__.lower() == step.decision and step.reason in reason
+    return scenario_run.Seen(held, str(result))
+
+
+@perform.register
+async def _race(step: steps.Race, run: scenario_run.Run) -> scenario_run.Seen:
+    base = run.number
+    attempts = [run.mesh.patch(base, _with_times(patch)) for patch in step.patches]
+    results = await defer.gatherResults([defer.ensureDeferred(each) for each in attempts])
+    accepted = [result for result in results if isinstance(result, publisher.Accepted)]
+    refused = [result for result in results if isinstance(result, publisher.Refused)]
+    numbers = {result.number for result in (*accepted, *refused)}
+    held = len(accepted) == 1 and len(refused) == len(results) - 1 and numbers == {base + 1}
+    run.number = max([run.number, *(result.number for result in accepted)])
+    return scenario_run.Seen(held, f'{len(accepted)} accepted, {len(refused)} refused')
+
+
+@perform.register
+async def _wait(step: steps.Wait, run: scenario_run.Run) -> scenario_run.Seen:
+    await run.mesh.sleep(clock.to_seconds(step.duration_ms))
+    return _DONE
+
+
+@perform.register
+async def _load(step: steps.Load, run: scenario_run.Run) -> scenario_run.Seen:
+    hosts = [run.mesh.by_id[name] for name in step.via] or run.counts.reachable_hosts()
+    plan = traffic.LoadPlan(
+        addresses=tuple(host.caller_address for host in hosts),
+        kinds=tuple(_kind(kind, run.default_service()) for kind in step.kinds),
+        rate_per_second=step.rate_per_second,
+        duration_ms=step.duration_ms,
+        seed=run.next_seed(),
+        **step.options,
+    )
+    result = await load.run(plan, run.mesh.reactor)
+    run.loads[step.name] = result
+    parts = [f'sent {result.sent}', f'outcomes {dict(result.by_outcome)}']
+    parts.append(f'statuses {dict(result.by_status)}')
+    parts.extend(f'{name} {dict(found)}' for name, found in _faults_of(result).items() if found)
+    parts.append(f'p99 {result.percentile_ms(99):.1f} ms')  # noqa: WPS432
+    return scenario_run.Seen(held=True, text=', '.join(parts))
+
+
+@perform.register
+async def _upload(step: steps.Upload, run: scenario_run.Run) -> scenario_run.Seen:
+    address = run.mesh.by_id[step.via].caller_address
+    service = str(step.options.get('service', run.default_service()))
+    result = await slow_upload.send(
+        run.mesh.reactor,
+        f'http://{address}{step.path}',
+        service,
+        f'{step.name}-{run.seed}',
+        step.body_bytes,
+        step.duration_ms,
+    )
+    run.uploads[step.name] = result
+    return scenario_run.Seen(held=True, text=result)
+
+
+@perform.register
+async def _call(step: steps.Call, run: scenario_run.Run) -> scenario_run.Seen:
+    sent = [defer.ensureDeferred(_call_once(step, run, name)) for name in step.via]
+    results = await defer.gatherResults(sent)
+    held = all(fits for fits, _ in results)
+    return scenario_run.Seen(held, '; '.join(text for _, text in results))
+
+
+@perform.register
+async def _background(step: steps.Background, run: scenario_run.Run) -> scenario_run.Seen:
+    run.begin(step.step.name, perform(step.step, run))
+    return scenario_run.Seen(held=True, text='started')
+
+
+@perform.register
+async def _finish(step: steps.Finish, run: scenario_run.Run) -> scenario_run.Seen:
+    return await run.background.pop(step.name)
+
+
+@perform.register
+async def _fault(step: steps.Fault, run: scenario_run.Run) -> scenario_run.Seen:
+    if step.target == 'log':
+        await run.mesh.log_faults(**step.options)
+    elif step.target == 'link':
+        await run.mesh.link_faults(step.name, **step.options)
+    else:
+        await run.mesh.backend_faults(step.name, **step.options)
+    return _DONE
+
+
+@perform.register
+async def _signal(step: steps.SignalProcess, run: scenario_run.Run) -> scenario_run.Seen:
+    if step.process == 'log':
+        process = run.mesh.log
+    else:
+        process = getattr(run.mesh.by_id[step.name], step.process)
+    if step.verb == 'kill':
+        await run.counts.read()
+        return scenario_run.Seen(held=True, text=f'exit status {process.kill()}')
+    process.send_signal(_SIGNALS[step.verb])
+    if step.verb == 'freeze':
+        run.counts.frozen.add(process.pid)
+    elif step.verb == 'thaw':
+        run.counts.frozen.discard(process.pid)
+    return _DONE
+
+
+@perform.register
+async def _restart(step: steps.Restart, run: scenario_run.Run) -> scenario_run.Seen:
+    host = run.mesh.by_id[step.name]
+    if step.process == 'node':
+        run.mesh.restart_node(host)
+        return _DONE
+    if host.backend is not None and host.backend.running:
+        return scenario_run.Seen(held=False, text='the backend server still runs')
+    run.mesh.start_backend(host, **step.options)
+    host.backend.wait_for_event()
+    return _DONE
+
+
+@perform.register
+async def _drain(step: steps.Drain, run: scenario_run.Run) -> scenario_run.Seen:
+    await run.mesh.post(run.mesh.by_id[step.name].operator_address, '/drain', {})
+    return _DONE
+
+
+@perform.register
+async def _mark(step: steps.Mark, run: scenario_run.Run) -> scenario_run.Seen:
+    run.marks[step.name] = await run.counts.totals()
+    return _DONE
+
+
+def _kind(kind: steps.Kind, service: str) -> traffic.RequestKind:
+    options = {'name': f'{kind.method}-{kind.path}', 'service': service, **kind.options}
+    return traffic.RequestKind(method=kind.method, path=kind.path, **options)
+
+
+def _faults_of(result: traffic.LoadResult) -> dict[str, dict[str, int]]:
+    return {'errors': result.errors, 'wrong': result.wrong}
+
+
+async def _call_once(step: steps.Call, run: scenario_run.Run, host_id: str) -> tuple[bool, str]:
+    headers = {'Host': f'{step.options.get("service", run.default_service())}.local'}
+    if 'key' in step.options:
+        headers[call.KEY_HEADER] = f'{step.options["key"]}-{run.seed}'
+    url = f'http://{run.mesh.by_id[host_id].caller_address}{step.path}'
+    try:
+        answer = await treq.request(
+            step.method,
+            url,
+            headers=headers,
+            data=str(step.options.get('body', '')).encode(),
+            reactor=run.mesh.reactor,
+            timeout=_CALL_TIMEOUT_S,
+            persistent=False,
+        )
+        body = await treq.text_content(answer)
+    except Exception as failure:  # noqa: BLE001 treq raises many types
+        return step.result == 'any', f'{host_id}: {failure!r}'
+    outcome = _header(answer, call.OUTCOME_HEADER)
+    if outcome == call.Outcome.NOT_RUN.value:
+        run.not_run_calls.append(_header(answer, call.CALL_HEADER))
+    fits = step.result in {'any', outcome, str(answer.code)} and step.reason in body
+    return fits, f'{host_id}: {answer.code} {outcome} {body.strip()[:80]}'
+
+
+def _header(answer: Any, name: str) -> str:
+    found = answer.headers.getRawHeaders(name) or ['']
+    return found[0]
+
+
+def _with_times(value: Any) -> Any:
+    if isinstance(value, steps.Moment):
+        return round(clock.SystemClock().wall() + value.offset_ms)
+    if isinstance(value, dict):
+        return {key: _with_times(inner) for key, inner in value.items()}
+    return [_with_times(inner) for inner in value] if isinstance(value, list) else value
--- a/src/anvillug/bench/traffic.py
+++ b/src/anvillug/bench/traffic.py
@@ -190,6 +190,8 @@
     """Responses that don't belong to their request, by difference."""
     keys: dict[str, str] = dataclasses.field(default_factory=dict)
     """Result by `Idempotency-Key`: status and outcome, or the error."""
+    not_run_calls: list[str] = dataclasses.field(default_factory=list)
+    """Call ids of the responses with outcome `not-run`, empty where none is named."""
     latency_us: histogram.HdrHistogram = dataclasses.field(default_factory=_new_histogram)
     """Latency of responses with status 200 from the intended send time."""
 
@@ -198,6 +200,8 @@
         outcome = response.headers.get(call.OUTCOME_HEADER.lower(), _NO_OUTCOME)
         self.by_status[str(response.status)] += 1
         self.by_outcome[outcome] += 1
+        if outcome == call.Outcome.NOT_RUN.value:
+            self.not_run_calls.append(response.headers.get(call.CALL_HEADER.lower(), ''))
         if request.key:
             self.keys[request.key] = f'{response.status} {outcome}'
         fault = fault_of(request, response)
@@ -227,13 +231,20 @@
         for name in _COUNTERS:
             getattr(self, name).update(getattr(other, name))
         self.keys.update(other.keys)
+        self.not_run_calls.extend(other.not_run_calls)
         self.latency_us.add(other.latency_us)
 
     def to_json(self) -> dict[str, Any]:
         """Return a JSON value that `from_json` reads, for runs in other processes."""
         counters = {name: dict(getattr(self, name)) for name in _COUNTERS}
         encoded = self.latency_us.encode().decode('ascii')
-        return {'sent': self.sent, **counters, 'keys': self.keys, 'latency_us': encoded}
+        return {
+            'sent': self.sent,
+            **counters,
+            'keys': self.keys,
+            'not_run_calls': self.not_run_calls,
+            'latency_us': encoded,
+        }
 
 
 _COUNTERS = ('by_status', 'by_outcome', 'by_kind', 'errors', 'wrong')
@@ -244,4 +255,10 @@
     counters = {name: collections.Counter(data[name]) for name in _COUNTERS}
     latencies = _new_histogram()
     latencies.decode_and_add(data['latency_us'])
-    return LoadResult(sent=data['sent'], keys=dict(data['keys']), latency_us=latencies, **counters)
+    return LoadResult(
+        sent=data['sent'],
+        keys=dict(data['keys']),
+        not_run_calls=list(data['not_run_calls']),
+        latency_us=latencies,
+        **counters,
+    )
--- a/src/anvillug/process/commands/bench.py
+++ b/src/anvillug/process/commands/bench.py
@@ -2,8 +2,15 @@
 
 from __future__ import annotations
 
+import functools
+import pathlib
+import sys
+
+from anvillug import findings
 from anvillug.process.commands import _reactor
 
+_BAD_FILE = 2
+
 
 def demo() -> int:
     """Start stand-ins and three nodes, show calls, configuration, a zone move and a stop.
@@ -15,3 +22,22 @@
     from anvillug.bench import demo as bench_demo  # noqa: PLC0415
 
     return _reactor.run(bench_demo.run)
+
+
+def scenario(file: pathlib.Path, *, seed: int = 1) -> int:
+    """Run a scenario on processes of its own and print each step with its outcome.
+
+    Args:
+        file: Scenario file.
+        seed: Seed of all loads.
+
+    Returns:
+        Exit code: 0 if every step held, 1 if one did not, 2 for a bad file.
+    """
+    from anvillug.bench import scenario_language, scenario_runner  # noqa: PLC0415
+
+    parsed = scenario_language.load(file)
+    if parsed.is_error():
+        sys.stderr.write(f'{findings.report(parsed.error)}\n')
+        return _BAD_FILE
+    return _reactor.run(functools.partial(scenario_runner.run, file.name, parsed.ok, seed))
--- a/src/anvillug/standin/backend_model.py
+++ b/src/anvillug/standin/backend_model.py
@@ -234,6 +234,7 @@
         if work.kind is Kind.CONNECT:
             return Execution(self.settings.connect_cost_ms, failed=False)
         if work.kind is Kind.PROBE:
+            self.counts['probes'] += 1
             return Execution(self.settings.probe_cost_ms * self.faults.slow_factor, failed=False)
         self.runs.record(work)
         self.counts['started'] += 1
