--- a/src/anvillug/bench/scenario_language.py
+++ b/src/anvillug/bench/scenario_language.py
@@ -147,7 +147,8 @@
         offset = token.removeprefix('now')
         return steps.Moment(_duration_ms(offset) if offset else 0)
 
-    name = _text
+    def name(self, token: lark.Token) -> str:
+        return _text(token)
 
     def true(self) -> bool:
         return True
