--- a/src/anvillug/process/command_line.py
+++ b/src/anvillug/process/command_line.py
@@ -29,7 +29,7 @@
 
 
 _STANDINS = ('backend_server', 'log', 'link')
-_BENCHES = ('demo', 'tables')
+_BENCHES = ('demo', 'scenario', 'tables')
 _COMMANDS_BY_NAME = {
     'node': _Command('node', 'Run a node beside a backend server.'),
     'check': _Command('check', 'Check a settings file or a configuration document.'),
--- a/src/anvillug/process/commands/bench.py
+++ b/src/anvillug/process/commands/bench.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import functools
 import pathlib
 import sys
 from collections.abc import Sequence
 
+from anvillug import findings
 from anvillug.process.commands import _reactor
 
 _PAGE = pathlib.Path('docs/measurements.md')
+_BAD_FILE = 2
 
 
 def demo() -> int:
@@ -59,3 +62,22 @@
         f'anvillug bench tables {" ".join(options)}',
     )
     return _reactor.run(lambda reactor: bench_tables.write(reactor, run))
+
+
+def scenario(file: pathlib.Path, *, seed: int = 1) -> int:
+    """Run a scenario on processes of its own and print each step with its outcome.
+
+    Args:
+        file: Scenario file.
+        seed: Seed of all loads.
+
+    Returns:
+        Exit code: 0 if every step held, 1 if one did not, 2 for a bad file.
+    """
+    from anvillug.bench import scenario_language, scenario_runner  # noqa: PLC0415
+
+    parsed = scenario_language.load(file)
+    if parsed.is_error():
+        sys.stderr.write(f'{findings.report(parsed.error)}\n')
+        return _BAD_FILE
+    return _reactor.run(functools.partial(scenario_runner.run, file.name, parsed.ok, seed))
