Check the names in a scenario before it starts processes

Cause: a misspelt host, load or mark ended a run in the middle, with exit status 1 as if a step had not held. Change: all findings with file and line before the first step, exit status 2.

--- a/src/anvillug/process/commands/bench.py
+++ b/src/anvillug/process/commands/bench.py
@@ -34,10 +34,15 @@
     Returns:
         Exit code: 0 if every step held, 1 if one did not, 2 for a bad file.
     """
-    from anvillug.bench import scenario_language, scenario_runner  # noqa: PLC0415
+    from anvillug.bench import (  # noqa: PLC0415
+        scenario_language,
+        scenario_names,
+        scenario_runner,
+    )
 
     parsed = scenario_language.load(file)
-    if parsed.is_error():
-        sys.stderr.write(f'{findings.report(parsed.error)}\n')
+    found = parsed.error if parsed.is_error() else scenario_names.check(parsed.ok, str(file))
+    if found:
+        sys.stderr.write(f'{findings.report(found)}\n')
         return _BAD_FILE
     return _reactor.run(functools.partial(scenario_runner.run, file.name, parsed.ok, seed))
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from anvillug.bench import scenario_language, traffic
+from anvillug.bench import scenario_language, scenario_names, traffic
 from anvillug.bench import scenario_steps as steps
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -96,13 +96,30 @@
     def test_early_end(self):
         assert finding('log\nhost').startswith('some.scn:2:1: ends early; wanted: NAME')
 
+    @pytest.mark.parametrize(
+        ('text', 'message'),
+        [
+            ('log\ndrain h1', "some.scn:2: host 'h1' is not declared before this step"),
+            ('host h1 zone=a', "some.scn:1: host 'h1' needs service=..."),
+            ('expect load x whole = 1', "some.scn:1: load 'x' is not declared before this step"),
+            ('kill log', 'some.scn:1: the log can only freeze and thaw'),
+            ('background publish {}', 'some.scn:1: a step in the background needs a name'),
+        ],
+    )
+    def test_names(self, text, message):
+        result = scenario_language.parse(text, 'some.scn')
+        found = scenario_names.check(result.ok, 'some.scn')
+        assert [str(each)[: len(message)] for each in found] == [message]
+
     def test_missing_file(self, tmp_path):
         result = scenario_language.load(tmp_path / 'none.scn')
         assert 'cannot be read' in str(result.error[0])
 
     @pytest.mark.parametrize('path', sorted(FOLDER.glob('*.scn')), ids=lambda path: path.stem)
     def test_every_scenario_parses_and_says_what_it_guards(self, path):
-        assert scenario_language.load(path).is_ok()
+        result = scenario_language.load(path)
+        assert result.is_ok(), result
+        assert scenario_names.check(result.ok, path.name) == ()
         assert path.read_text().startswith('# ')
 
 
