--- a/src/anvillug/bench/demo.py
+++ b/src/anvillug/bench/demo.py
@@ -151,7 +151,7 @@
         await self._mesh.sleep(_SETTLE_S / 4)
         await self._mesh.post(host.operator_address, '/drain', {})
         result = await generator
-        not_lost = result.by_status['200'] + result.errors['refused']
+        not_lost = result.by_status['200'] + result.errors['connect_ConnectionRefusedError']
         cut = result.sent - not_lost
         self._tell('a node drains while calls run', f'{cut} of {result.sent} cut', cut == 0)
 
--- a/src/anvillug/connection/http_client.py
+++ b/src/anvillug/connection/http_client.py
@@ -253,8 +253,6 @@
         if not self._response_done or self._lost:
             return
         if self._reusable and self._request_done:
-            # The receiver of the answer may have paused it and is told of no resumption any more.
-            self.transport.resumeProducing()
             self._pool.release(self)
         elif not self._reusable:
             write_batch.BATCH.flush(self.transport)
--- a/src/anvillug/connection/http_server.py
+++ b/src/anvillug/connection/http_server.py
@@ -19,6 +19,8 @@
 
 MAX_HEAD_BYTES = 64 * 1024
 
+# A request body that goes on after its answer is read and dropped up to this size.
+_MAX_REST_BYTES = 16 * 1024 * 1024
 _STATUS_BAD_REQUEST = 400
 _STATUS_HEAD_TOO_LARGE = 431
 _STATUS_SERVER_ERROR = 500
@@ -59,6 +61,11 @@
         self._chunked = False
         self._continued = False
 
+    @property
+    def sends_body(self) -> bool:
+        """Whether the sender of the request does not wait to be asked for the body."""
+        return self._continued or not self.head.expects_continue
+
     def accept_body(self) -> None:
         """Let a sender that waits for status 100 go on with the body."""
         if self.head.expects_continue and not self._continued:
@@ -168,6 +175,8 @@
         self._exchange: ServerExchange | None = None
         self._request_complete = True
         self._pending: collections.deque[Callable[[], None]] = collections.deque()
+        self._keep_alive_after_rest = True
+        self._rest_bytes = 0
         self._lost = False
         self._closing = False
 
@@ -175,6 +184,7 @@
         """Register for write backpressure; see Twisted."""
         self._open_connections.add(self)
         self.transport.setTcpNoDelay(True)
+        self.transport.setTcpKeepAlive(True)
         self.transport.registerProducer(self, True)  # noqa: FBT003
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
@@ -300,10 +310,15 @@
         if exchange is not self._exchange:
             return
         self._exchange = None
-        if self._closing or not exchange.head.keep_alive or not self._request_complete:
+        if not self._request_complete and not self._closing and exchange.sends_body:
+            # Closing now would reset the connection and could discard the answer.
+            self._keep_alive_after_rest = exchange.head.keep_alive
+            self._rest_bytes = 0
+            self.pause_reading(paused=False)
+        elif self._closing or not exchange.head.keep_alive or not self._request_complete:
             self._close()
-            return
-        self._run_pending()
+        else:
+            self._run_pending()
 
     # Private
 
@@ -337,12 +352,18 @@
 
     def _body(self, data: bytes) -> None:
         exchange = self._exchange
+        if exchange is None:
+            self._rest_bytes += len(data)
+            if self._rest_bytes > _MAX_REST_BYTES:
+                self._close()
         if exchange is not None and exchange.handler is not None:
             exchange.handler.body_received(data)
 
     def _end(self) -> None:
         self._request_complete = True
         exchange = self._exchange
+        if exchange is None and not self._keep_alive_after_rest:
+            self._close()
         if exchange is not None and exchange.handler is not None:
             exchange.handler.request_ended()
 
