Answer malformed requests clearly and HTTP/1.0 callers without chunks

Cause: HTTP/1.0 callers got chunks; malformed bytes after a whole request aborted that request's call; a malformed body, a non-numeric deadline with an early answer and a depth of 400 digits closed the connection without a clear status; many pipelined requests answered at once recursed; trailers counted as headers; the head limit missed a head that ends in one read with its excess; an answer before the end of a body did not announce the close. Ruled out: faults of the operator address, which already names each finding. Change: connection/http_server.py queues the rejection behind the answers that are due, runs queued steps in one loop, refuses upgrades and contradictory framing before a call starts, and resets the connection where an answer has begun. Numbers in headers have at most 15 digits. The peer listener takes heads longer by the headers that entry sides add. Conclusion: bad input gets a status with its place and the node goes on.

--- a/src/anvillug/connection/http_head.py
+++ b/src/anvillug/connection/http_head.py
@@ -66,11 +66,19 @@
     target: bytes
     headers: list[Header]
     keep_alive: bool = True
+    understands_chunks: bool = True
+    """Whether the sender takes a chunked answer and status 100; not so before HTTP/1.1."""
 
     def get(self, name: bytes) -> bytes | None:
         """Return the first value of a header, named in lower case."""
         return _get(self.headers, name)
 
+    @property
+    def has_body(self) -> bool:
+        """Whether a body follows the head."""
+        framing = self.framing
+        return framing is Framing.CHUNKED or self.content_length > 0
+
     @property
     def path(self) -> bytes:
         """Target without the query."""
--- a/src/anvillug/connection/http_server.py
+++ b/src/anvillug/connection/http_server.py
@@ -20,6 +20,8 @@
 
 MAX_HEAD_BYTES = 64 * 1024
 
+_VERSION = '1.1'
+_UPGRADE_REFUSED = 'protocol upgrades are not supported'
 _STATUS_BAD_REQUEST = 400
 _STATUS_HEAD_TOO_LARGE = 431
 _STATUS_SERVER_ERROR = 500
@@ -62,7 +64,7 @@
 
     def accept_body(self) -> None:
         """Let a sender that waits for status 100 go on with the body."""
-        if self.head.expects_continue and not self._continued:
+        if self.head.expects_continue and self.head.understands_chunks and not self._continued:
             self._continued = True
             self.send_continue()
 
@@ -76,15 +78,17 @@
 
         Args:
             head: Head with end-to-end headers only; when it has no
-                `Content-Length`, the body is sent in chunks.
+                `Content-Length`, the body is sent in chunks, and to callers
+                before HTTP/1.1 up to the end of the connection.
         """
         if self.ended:
             return
         framing = head.framing(self.head.method)
-        if framing in _CHUNKED_FRAMINGS:
+        if framing in _CHUNKED_FRAMINGS and self.head.understands_chunks:
             head.headers.append((b'Transfer-Encoding', b'chunked'))
             self._chunked = True
-        if not self.head.keep_alive:
+        if self._connection.closes_after(self):
+            self.head.keep_alive = False
             head.headers.append((b'Connection', b'close'))
         self.head_sent = True
         self._connection.send(http_head.serialize_response(head))
@@ -171,6 +175,9 @@
         self._pending: collections.deque[Callable[[], None]] = collections.deque()
         self._lost = False
         self._closing = False
+        self._malformed = False
+        self._running_pending = False
+        self._paused_by_exchange = False
 
     def connectionMade(self) -> None:  # noqa: N802
         """Register for write backpressure; see Twisted."""
@@ -180,7 +187,7 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parse bytes; see Twisted."""
-        if self._closing:
+        if self._closing or self._malformed:
             return
         if self._in_head:
             self._head_bytes += len(data)
@@ -192,14 +199,11 @@
             event_log.warn('request_handler_failed', error=repr(cause), trace=trace)
             self._reject(_STATUS_SERVER_ERROR, 'internal error')
         except httptools.HttpParserUpgrade:
-            self._reject(_STATUS_BAD_REQUEST, 'protocol upgrades are not supported')
+            self._reject_rest(_STATUS_BAD_REQUEST, _UPGRADE_REFUSED)
         except httptools.HttpParserError as error:
-            self._reject(_STATUS_BAD_REQUEST, f'malformed HTTP request: {error}')
+            self._reject_rest(_STATUS_BAD_REQUEST, f'malformed HTTP request: {error}')
         if self._in_head and self._head_bytes > self._max_head_bytes:
-            self._reject(
-                _STATUS_HEAD_TOO_LARGE,
-                f'request head exceeds {self._max_head_bytes} bytes',
-            )
+            self._reject_rest(_STATUS_HEAD_TOO_LARGE, self._too_large())
 
     def connectionLost(self, reason: object = None) -> None:  # noqa: N802
         """Tell the handler of an unfinished request; see Twisted."""
@@ -227,19 +231,33 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Take a header; see httptools."""
-        self._headers.append((name, value))
+        # Headers after the body are trailers, which are not forwarded.
+        if self._in_head:
+            self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Start the exchange; see httptools."""
+        # Callers before HTTP/1.1 get one answer per connection, since its end may end the body.
+        modern = self._parser.get_http_version() == _VERSION
         head = http_head.RequestHead(
             self._parser.get_method(),
             self._target,
             self._headers,
-            self._parser.should_keep_alive(),
+            modern and self._parser.should_keep_alive(),
+            modern,
         )
+        # The count may include the start of the body.
+        limit = self._max_head_bytes
+        too_large = self._head_bytes > limit and _size_of(head) > limit
         self._in_head = False
         self._head_bytes = 0
-        self._later_or_now(lambda: self._start(head))
+        fault = self._fault_of(head)
+        if too_large:
+            self._reject_rest(_STATUS_HEAD_TOO_LARGE, self._too_large())
+        elif fault:
+            self._reject_rest(_STATUS_BAD_REQUEST, fault)
+        else:
+            self._later_or_now(lambda: self._start(head))
 
     def on_body(self, data: bytes) -> None:
         """Pass on a piece of the body; see httptools."""
@@ -277,7 +295,8 @@
 
     def pause_reading(self, paused: bool) -> None:
         """Stop or go on reading."""
-        if self._lost:
+        self._paused_by_exchange = paused
+        if self._lost or self._closing:
             return
         if paused:
             self.transport.pauseProducing()
@@ -294,11 +313,18 @@
         """Go on with the next request, or close where the request was cut short."""
         if exchange is not self._exchange:
             return
+        closes = self.closes_after(exchange)
         self._exchange = None
-        if self._closing or not exchange.head.keep_alive or not self._request_complete:
+        self._paused_by_exchange = False
+        if closes:
             self._close()
-            return
-        self._run_pending()
+        else:
+            self._run_pending()
+
+    def closes_after(self, exchange: ServerExchange) -> bool:
+        """Tell whether the connection ends with an answer; so where a body was not read whole."""
+        cut_short = not self._request_complete and exchange.head.has_body
+        return self._closing or cut_short or not exchange.head.keep_alive
 
     # Private
 
@@ -307,7 +333,7 @@
             self._exchange.head.keep_alive = False
 
     def _later_or_now(self, step: Callable[[], None]) -> None:
-        if self._closing:
+        if self._closing or self._malformed:
             return
         if self._pending or (self._exchange is not None and self._request_complete):
             self._pending.append(step)
@@ -316,13 +342,33 @@
         step()
 
     def _run_pending(self) -> None:
-        while self._pending and not self._blocked():
-            self._pending.popleft()()
-        if not self._pending and not self._lost:
+        # An exchange that ends within a step comes back here; the outer loop goes on for it.
+        if self._running_pending:
+            return
+        self._running_pending = True
+        try:
+            while self._pending and not self._blocked():
+                self._pending.popleft()()
+        finally:
+            self._running_pending = False
+        if not (self._pending or self._lost or self._closing or self._paused_by_exchange):
             self.transport.resumeProducing()
 
     def _blocked(self) -> bool:
-        return self._exchange is not None and self._request_complete
+        return self._closing or (self._exchange is not None and self._request_complete)
+
+    def _too_large(self) -> str:
+        return f'request head exceeds {self._max_head_bytes} bytes'
+
+    def _fault_of(self, head: http_head.RequestHead) -> str:
+        if self._parser.should_upgrade():
+            return _UPGRADE_REFUSED
+        framing = head.framing
+        if framing is not http_head.Framing.CHUNKED:
+            return ''
+        if head.get(b'content-length') is not None:
+            return 'header Transfer-Encoding: not allowed together with Content-Length'
+        return '' if head.understands_chunks else 'header Transfer-Encoding: not known in HTTP/1.0'
 
     def _start(self, head: http_head.RequestHead) -> None:
         self._request_complete = False
@@ -346,6 +392,11 @@
         if exchange is not None and exchange.handler is not None:
             exchange.handler.response_writes_paused(paused)
 
+    def _reject_rest(self, status: int, message: str) -> None:
+        """Reject what has arrived after the complete requests, once these are answered."""
+        self._later_or_now(lambda: self._reject(status, message))
+        self._malformed = True
+
     def _reject(self, status: int, message: str) -> None:
         if self._closing:
             return
@@ -359,18 +410,34 @@
             )
             self.send(http_head.serialize_response(head))
             self.send(body)
-        elif exchange.handler is not None:
+            self._close()
+            return
+        if exchange.handler is not None:
             exchange.handler.request_aborted()
-            exchange.ended = True
+            exchange.handler = None
+        if exchange.head_sent:
+            # Closing cleanly could pass for the end of the answer.
+            exchange.abort()
+        else:
+            exchange.head.keep_alive = False
+            exchange.respond(status, f'{message}\n'.encode())
         self._close()
 
     def _close(self) -> None:
+        if self._closing:
+            return
         self._closing = True
+        self._pending.clear()
         if not self._lost:
             self.transport.unregisterProducer()
             self.transport.loseConnection()
 
 
+def _size_of(head: http_head.RequestHead) -> int:
+    """Return the size of a head on the wire, without optional blanks."""
+    return len(http_head.serialize_request(head))
+
+
 class ServerFactory(protocol.Factory):
     """Builds server connections and knows the open ones.
 
--- a/src/anvillug/process/node.py
+++ b/src/anvillug/process/node.py
@@ -35,6 +35,8 @@
 _DRAIN_CHECK_S = 0.1
 # The log is given this long to bring a configuration before a peer is asked.
 _ASK_PEER_S = 0.12
+# Entry sides add headers to a head that callers may fill up to the limit.
+_ADDED_HEADER_BYTES = 4096
 _NO_SERVICE = ids.ServiceName('')
 _NO_VERSION = ids.VersionName('')
 
@@ -92,7 +94,7 @@
         )
         self._peer_factory = http_server.ServerFactory(
             self.host.request_received,
-            config.limits.max_header_bytes,
+            config.limits.max_header_bytes + _ADDED_HEADER_BYTES,
         )
         self._ports: list[interfaces.IListeningPort] = []
 
--- a/src/anvillug/request/entry_request.py
+++ b/src/anvillug/request/entry_request.py
@@ -12,6 +12,8 @@
 SMALL_BODY_BYTES = 64 * 1024
 """Bodies up to this size are held whole, so that they can be sent again."""
 
+_MAX_DIGITS = 15  # exact as float, which holds times
+_SHOWN_BYTES = 40
 _OWN_PREFIX = b'anvillug-'
 _DEADLINE = call.DEADLINE_HEADER.lower().encode()
 _DEPTH = call.DEPTH_HEADER.lower().encode()
@@ -145,6 +147,10 @@
     text = head.get(name)
     if text is None:
         return None
-    if not text.isdigit():
-        raise BadRequestError(f'header {name.decode()}: {text!r} is not a whole number')
+    if not text.isdigit() or len(text) > _MAX_DIGITS:
+        shown = text[:_SHOWN_BYTES].decode('latin-1')
+        raise BadRequestError(
+            f'header {name.decode()}: {shown!r} is not a whole number of at most '
+            f'{_MAX_DIGITS} digits',
+        )
     return float(text)
--- /dev/null
+++ b/tests/test_bad_input.py
@@ -0,0 +1,366 @@
+"""Tests of malformed input: on the HTTP server connection and on a running node."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import re
+import socket
+import subprocess
+import time
+from http import client
+
+import pytest
+from hypothesis import given, strategies
+from twisted.internet import testing
+
+from anvillug.bench import processes
+from anvillug.connection import http_head, http_server
+
+_SERVICE = 'drawbook'
+_TIMEOUT_S = 5
+_START_S = 30
+_MAX_HEAD = 65536
+
+
+class _Recorder:
+    """Handler that collects a body and answers with it at the end of the request."""
+
+    def __init__(self, exchange: http_server.ServerExchange, received: list) -> None:
+        self._exchange = exchange
+        self._received = received
+        self._body = b''
+        exchange.handler = self
+
+    def body_received(self, data: bytes) -> None:
+        self._body += data
+
+    def request_ended(self) -> None:
+        self._received.append((self._exchange.head.target, self._body))
+        self._exchange.respond(200, self._body)
+
+    def request_aborted(self) -> None:
+        self._received.append('aborted')
+
+    def response_writes_paused(self, paused: bool) -> None:
+        """Ignore backpressure."""
+
+
+class _Transport(testing.StringTransport):
+    """String transport with the calls of TCP that connections use."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.aborted = False
+
+    def setTcpNoDelay(self, enabled):  # noqa: N802
+        """Ignore the option."""
+
+    def abortConnection(self):  # noqa: N802
+        self.aborted = True
+
+
+def _connection(on_request=None, max_head_bytes: int = _MAX_HEAD):
+    received: list = []
+    started = on_request or (lambda exchange: _Recorder(exchange, received))
+    connection = http_server.ServerConnection(started, max_head_bytes, set())
+    transport = _Transport()
+    connection.makeConnection(transport)
+    return connection, transport, received
+
+
+def _encode(path: str, body: bytes, *, chunked: bool) -> bytes:
+    line = f'POST /{path} HTTP/1.1\r\nHost: a\r\n'.encode()
+    if chunked:
+        data = http_head.chunk(body) if body else b''
+        return b'%bTransfer-Encoding: chunked\r\n\r\n%b0\r\n\r\n' % (line, data)
+    return b'%bContent-Length: %d\r\n\r\n%b' % (line, len(body), body)
+
+
+_REQUESTS = strategies.lists(
+    strategies.tuples(
+        strategies.text('abc', max_size=5), strategies.binary(max_size=60), strategies.booleans()
+    ),
+    min_size=1,
+    max_size=5,
+)
+
+
+class TestServerConnection:
+    """Guards against requests that depend on packet borders, and against escaping exceptions."""
+
+    @given(requests=_REQUESTS, cuts=strategies.lists(strategies.integers(0, 900)))
+    def test_splits_do_not_change_requests(self, requests, cuts):
+        stream = b''.join(_encode(path, body, chunked=mode) for path, body, mode in requests)
+        connection, transport, received = _connection()
+        borders = sorted({0, len(stream), *(cut % len(stream) for cut in cuts)})
+        for start, end in zip(borders, borders[1:], strict=False):
+            connection.dataReceived(stream[start:end])
+        assert received == [(f'/{path}'.encode(), body) for path, body, _mode in requests]
+        assert transport.value().count(b'HTTP/1.1 200 OK') == len(requests)
+
+    @given(
+        pieces=strategies.lists(
+            strategies.one_of(
+                strategies.binary(max_size=80),
+                strategies.sampled_from(
+                    [
+                        b'GET / HTTP/1.1\r\n',
+                        b'POST /a HTTP/1.0\r\n',
+                        b'Content-Length: 3\r\n',
+                        b'Transfer-Encoding: chunked\r\n',
+                        b'Connection: upgrade\r\nUpgrade: x\r\n',
+                        b'\r\n',
+                        b'3\r\nabc\r\n',
+                        b'0\r\n\r\n',
+                        _encode('whole', b'abc', chunked=True),
+                    ],
+                ),
+            ),
+        ),
+    )
+    def test_no_bytes_raise(self, pieces):
+        connection, _transport, _received = _connection()
+        for piece in pieces:
+            connection.dataReceived(piece)
+        connection.connectionLost()
+
+    def test_malformed_rest_does_not_abort_the_request_before_it(self):
+        exchanges = []
+        connection, transport, _received = _connection(exchanges.append)
+        connection.dataReceived(b'GET /one HTTP/1.1\r\nHost: a\r\n\r\n\x00nonsense\r\n\r\n')
+        assert not transport.value()
+        exchanges[0].respond(200, b'whole')
+        answers = transport.value()
+        assert answers.startswith(b'HTTP/1.1 200 OK')
+        assert b'whole' in answers
+        assert b'HTTP/1.1 400 ' in answers
+        assert transport.disconnecting
+
+    def test_malformed_chunk_after_the_answer_began_resets(self):
+        exchanges = []
+        connection, transport, _received = _connection(exchanges.append)
+        connection.dataReceived(b'POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n')
+        exchanges[0].send_head(http_head.ResponseHead(200, []))
+        connection.dataReceived(b'zz\r\n')
+        assert transport.aborted
+        assert not transport.value().endswith(http_head.LAST_CHUNK)
+
+    def test_many_pipelined_requests_do_not_recurse(self):
+        exchanges = []
+
+        def answer_all_but_the_first(exchange):
+            exchanges.append(exchange)
+            if len(exchanges) > 1:
+                exchange.respond(404)
+
+        connection, transport, _received = _connection(answer_all_but_the_first)
+        connection.dataReceived(b'GET / HTTP/1.1\r\nHost: a\r\n\r\n' * 2000)
+        exchanges[0].respond(200)
+        assert len(exchanges) == 2000
+        assert transport.value().count(b'HTTP/1.1 404 ') == 1999
+
+    def test_trailers_are_no_headers(self):
+        exchanges = []
+        connection, _transport, _received = _connection(exchanges.append)
+        connection.dataReceived(
+            b'POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n'
+            b'0\r\nIdempotency-Key: late\r\n\r\n',
+        )
+        assert exchanges[0].head.get(b'idempotency-key') is None
+
+    def test_early_answer_to_an_unread_body_announces_the_close(self):
+        connection, transport, _received = _connection(lambda exchange: exchange.respond(503))
+        connection.dataReceived(b'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nab')
+        assert b'Connection: close' in transport.value()
+        assert transport.disconnecting
+
+    def test_head_bound(self):
+        connection, transport, received = _connection(max_head_bytes=100)
+        connection.dataReceived(b'GET / HTTP/1.1\r\n')
+        connection.dataReceived(b'X: %b' % (b'y' * 100))
+        assert transport.value().startswith(b'HTTP/1.1 431 ')
+        assert not received
+
+    def test_head_bound_where_the_end_arrives_with_the_excess(self):
+        connection, transport, received = _connection(max_head_bytes=100)
+        connection.dataReceived(b'POST / HTTP/1.1\r\nContent-Length: 0\r\n')
+        connection.dataReceived(b'X: %b\r\n\r\n' % (b'y' * 100))
+        assert transport.value().startswith(b'HTTP/1.1 431 ')
+        assert not received
+
+    def test_head_bound_does_not_count_the_body(self):
+        connection, _transport, received = _connection(max_head_bytes=100)
+        connection.dataReceived(_encode('a', b'b' * 200, chunked=False))
+        assert received == [(b'/a', b'b' * 200)]
+
+
+class _Node:
+    """A running node with a log and a backend server."""
+
+    def __init__(self, folder, group: list[processes.ChildProcess]) -> None:
+        log = processes.start(['standin', 'log'], group)
+        log_address = log.wait_for_event()['address']
+        listeners = processes.free_addresses(4)
+        self.caller = listeners[0]
+        self.operator = listeners[3]
+        self.process = _start_node(folder, listeners, log_address, group)
+        patch = {'services': {_SERVICE: {'version': 'v1'}}}
+        (folder / 'patch.json').write_text(json.dumps(patch))
+        words = ['patch', str(folder / 'patch.json'), '--base', '0', '--log', log_address]
+        self.patched = subprocess.run(  # noqa: S603
+            [*processes.PROGRAM, *words],
+            capture_output=True,
+            text=True,
+            timeout=_START_S,
+            check=False,
+        )
+        options = ['--service', _SERVICE, '--announce-address', self.operator]
+        processes.start(['standin', 'backend-server', *options], group)
+        end = time.monotonic() + _START_S
+        while not self.raw(_request('GET /x HTTP/1.1')).startswith(b'HTTP/1.1 200'):
+            assert time.monotonic() < end, 'the backend server does not serve'
+            time.sleep(processes.POLL_S)
+
+    def raw(self, data: bytes) -> bytes:
+        """Send bytes to the caller address and return all until the end of the connection."""
+        host, _, port = self.caller.rpartition(':')
+        with socket.create_connection((host, int(port)), timeout=_TIMEOUT_S) as connection:
+            connection.sendall(data)
+            received = []
+            with contextlib.suppress(ConnectionResetError):
+                while piece := connection.recv(65536):
+                    received.append(piece)
+        return b''.join(received)
+
+    def operate(self, method: str, path: str, body: bytes = b'') -> tuple[int, str]:
+        """Send a request to the operator address."""
+        connection = client.HTTPConnection(self.operator, timeout=_TIMEOUT_S)
+        with contextlib.closing(connection):
+            connection.request(method, path, body)
+            answer = connection.getresponse()
+            return answer.status, answer.read().decode()
+
+
+def _start_node(folder, listeners, log_address: str, group) -> processes.ChildProcess:
+    kinds = ('caller', 'peer', 'control', 'operator')
+    settings = {
+        'host_id': 'host-1',
+        'region': 'south',
+        'zone': 'kochi-1',
+        **{f'{kind}_address': address for kind, address in zip(kinds, listeners, strict=True)},
+        'log_address': log_address,
+    }
+    path = folder / 'settings.json'
+    path.write_text(json.dumps(settings))
+    process = processes.ChildProcess(['node', str(path)])
+    group.append(process)
+    process.wait_for_event('node_started')
+    return process
+
+
+def _request(line: str, *headers: str, body: bytes = b'', host: str = _SERVICE) -> bytes:
+    all_headers = [*([f'Host: {host}'] if host else []), *headers, 'Connection: close']
+    return '\r\n'.join([line, *all_headers, '', '']).encode() + body
+
+
+@pytest.fixture(scope='module')
+def node(tmp_path_factory):
+    """Yield a node that all tests of this module share."""
+    with processes.group() as group:
+        yield _Node(tmp_path_factory.mktemp('node'), group)
+
+
+class TestCallers:
+    """Guards against malformed requests that hang, are answered unclearly or end the node."""
+
+    @pytest.mark.parametrize(
+        ('data', 'status', 'message'),
+        [
+            (b'\x00\x01\x02\r\n\r\n', 400, 'malformed HTTP request'),
+            (_request('GET /x HTTP/1.1', f'X-Long: {"x" * 70_000}'), 431, 'exceeds 65536 bytes'),
+            (_request('GET /x HTTP/1.1', host='nothing.local'), 404, "service 'nothing'"),
+            (_request('GET /x HTTP/1.1', host=''), 400, 'header Host: missing'),
+            (
+                _request('GET /x HTTP/1.1', 'Anvillug-Deadline-Ms: soon'),
+                400,
+                "header anvillug-deadline-ms: 'soon' is not a whole number",
+            ),
+            (
+                _request('GET /x HTTP/1.1', f'Anvillug-Depth: {"9" * 400}'),
+                400,
+                'header anvillug-depth: ',
+            ),
+            (_request('GET /x HTTP/1.1', 'Anvillug-Depth: 27'), 400, '27 exceeds 26'),
+            (_request('POST /x HTTP/1.1', 'Content-Length: many'), 400, 'Content-Length'),
+            (_request('POST /x HTTP/1.1', 'Content-Length: -1'), 400, 'Content-Length'),
+            (
+                _request(
+                    'POST /x HTTP/1.1',
+                    'Content-Length: 3',
+                    'Transfer-Encoding: chunked',
+                    body=b'0\r\n\r\n',
+                ),
+                400,
+                'Content-Length',
+            ),
+            (
+                _request('POST /x HTTP/1.1', 'Transfer-Encoding: chunked', body=b'zz\r\n'),
+                400,
+                'malformed HTTP request',
+            ),
+            (_request('GET /x HTTP/1.1', 'Upgrade: websocket'), 200, 'GET'),
+        ],
+    )
+    def test_status_and_message(self, node, data, status, message):
+        answer = node.raw(data)
+        assert answer.startswith(b'HTTP/1.1 %d ' % status), answer[:300]
+        assert message.encode() in answer
+        assert node.raw(_request('GET /x HTTP/1.1')).startswith(b'HTTP/1.1 200')
+
+    def test_old_caller_gets_no_chunks_and_a_closed_connection(self, node):
+        answer = node.raw(b'GET /x HTTP/1.0\r\nHost: drawbook\r\nConnection: keep-alive\r\n\r\n')
+        head, _, body = answer.partition(b'\r\n\r\n')
+        assert head.startswith(b'HTTP/1.1 200 OK')
+        assert b'transfer-encoding' not in head.lower()
+        assert b'Connection: close' in head
+        assert body
+        assert b'\r\n0\r\n' not in body
+
+    def test_pipelined_requests_are_answered_in_order(self, node):
+        first = b'GET /one HTTP/1.1\r\nHost: drawbook\r\n\r\n'
+        second = b'GET /two HTTP/1.1\r\nHost: nothing\r\n\r\n'
+        answer = node.raw(first + second + first + _request('GET /end HTTP/1.1'))
+        assert re.findall(rb'HTTP/1\.1 (\d+)', answer) == [b'200', b'404', b'200', b'200']
+
+
+class TestOperators:
+    """Guards against announcements and patches with faults that are taken or told unclearly."""
+
+    def test_announcement_with_faults(self, node):
+        status, text = node.operate('POST', '/announce', b'{"service": "", "slots": "ten"}')
+        assert status == 400
+        for place in ('service', 'slots', 'version', 'address'):
+            assert f'announcement: {place}: ' in text
+
+    def test_announcement_without_json(self, node):
+        status, text = node.operate('POST', '/announce', b'\xff nonsense')
+        assert status == 400
+        assert 'announcement: Invalid JSON' in text
+
+    def test_unknown_path_and_method(self, node):
+        assert node.operate('GET', '/stat')[0] == 404
+        assert node.operate('GET', '/drain')[0] == 405
+        assert node.operate('GET', '/health')[0] == 200
+
+    def test_valid_patch_was_accepted(self, node):
+        assert node.patched.stdout == 'accepted number=1\n'
+        assert node.patched.returncode == 0
+
+    def test_unreachable_log_at_start(self, tmp_path):
+        with processes.group() as group:
+            *listeners, nowhere = processes.free_addresses(5)
+            process = _start_node(tmp_path, listeners, nowhere, group)
+            event = process.wait_for_event('config_log_failed')
+            assert 'refused' in event['failure']
+            assert process.running
