--- a/src/anvillug/connection/http_head.py
+++ b/src/anvillug/connection/http_head.py
@@ -68,6 +68,8 @@
     target: bytes
     headers: list[Header]
     keep_alive: bool = True
+    understands_chunks: bool = True
+    """Whether the sender takes a chunked answer and status 100; not so before HTTP/1.1."""
     _by_name: dict[bytes, bytes] | None = dataclasses.field(
         default=None,
         init=False,
@@ -81,6 +83,12 @@
             self._by_name = _index(self.headers)
         return self._by_name.get(name)
 
+    @property
+    def has_body(self) -> bool:
+        """Whether a body follows the head."""
+        framing = self.framing
+        return framing is Framing.CHUNKED or self.content_length > 0
+
     @property
     def path(self) -> bytes:
         """Target without the query."""
--- a/src/anvillug/request/host_call.py
+++ b/src/anvillug/request/host_call.py
@@ -262,7 +262,7 @@
         self.fingerprint = quarantine.fingerprint(
             self.request.properties.service,
             self.request.head.method.decode('latin-1'),
-            self.request.head.path.decode('latin-1'),
+            self.request.head.target.decode('latin-1'),
             b''.join(self._body),
         )
         if not self._context.is_behind(self):
--- a/src/anvillug/request/quarantine.py
+++ b/src/anvillug/request/quarantine.py
@@ -44,6 +44,11 @@
     """Only connections were lost; the backend server goes on."""
 
 
+# Fingerprints remembered as finished; about 400 kB.
+_MAX_FINISHED = 4096
+_CLEARED_MS = 600_000.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class QuarantineEntry:
     """Entry of one fingerprint as exchanged between nodes."""
@@ -143,6 +148,9 @@
             collections.OrderedDict()
         )
         self._running_suspect: ids.CallId | None = None
+        self._finished_at: collections.OrderedDict[ids.Fingerprint, float] = (
+            collections.OrderedDict()
+        )
 
     def __len__(self) -> int:
         return len(self._by_fingerprint)
@@ -176,6 +184,26 @@
         if self._running_suspect == call_id:
             self._running_suspect = None
 
+    def finished(self, mark: ids.Fingerprint, now: clock.Milliseconds) -> None:
+        """Note that a call ran to its end: such calls do not crash backend servers.
+
+        A request that crashes every backend server that runs it never finishes.
+        Without this, two unrelated crashes under a popular call quarantine it.
+
+        Args:
+            mark: Fingerprint of the call.
+            now: Monotonic time.
+        """
+        self._finished_at[mark] = now
+        self._finished_at.move_to_end(mark)
+        self._by_fingerprint.pop(mark, None)
+        if len(self._finished_at) > _MAX_FINISHED:
+            self._finished_at.popitem(last=False)
+
+    def _is_cleared(self, mark: ids.Fingerprint, now: clock.Milliseconds) -> bool:
+        finished_at = self._finished_at.get(mark)
+        return finished_at is not None and now - finished_at < _CLEARED_MS
+
     def crashed(
         self,
         fingerprints: Collection[ids.Fingerprint],
@@ -197,7 +225,7 @@
         """
         if cause is not LossCause.CRASHED:
             return []
-        distinct = sorted(set(fingerprints))
+        distinct = sorted(mark for mark in set(fingerprints) if not self._is_cleared(mark, now))
         suspects = [mark for mark in distinct if self.check(mark, now) is not QuarantineState.CLEAR]
         self._crashes += 1
         crash_id = f'{self._origin}.{self._crashes}'
@@ -226,7 +254,8 @@
             case = self._by_fingerprint.get(entry.fingerprint)
             known = case.crash_ids if case else ()
             unknown = tuple(each for each in entry.crash_ids if each not in known)
-            if unknown and entry.suspect_ms > 0:
+            cleared = self._is_cleared(entry.fingerprint, now)
+            if unknown and entry.suspect_ms > 0 and not cleared:
                 self._merge_crashes(entry, unknown, now)
                 accepted.append(entry)
         self._trim()
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -134,3 +134,32 @@
         table.crashed([MARK], 0)
         table.expire(100)
         assert not len(table)
+
+
+class TestFinished:
+    """Guards against a popular call that is quarantined since it ran beside two crashes."""
+
+    def test_call_that_finished_is_not_blamed(self):
+        table = _new()
+        table.finished(MARK, 0)
+        entries = table.crashed([MARK, OTHER], 1)
+        assert [entry.fingerprint for entry in entries] == [OTHER]
+        assert table.check(MARK, 2) is CLEAR
+
+    def test_suspect_that_finishes_is_clear_and_stays_so(self):
+        table, peer = _new(), _new('b.1')
+        entries = peer.crashed({MARK}, 0)
+        table.merge(entries, 1)
+        assert table.check(MARK, 2) is SUSPECT
+        table.finished(MARK, 3)
+        assert table.check(MARK, 4) is CLEAR
+        assert not table.merge(peer.crashed({MARK}, 5), 6)
+        assert table.check(MARK, 7) is CLEAR
+
+    def test_call_that_never_finishes_is_still_found(self):
+        table = _new()
+        for crash in range(2):
+            table.finished(OTHER, crash * 10)
+            table.crashed([MARK, OTHER], crash * 10 + 1)
+        assert table.check(MARK, 20) is QUARANTINED
+        assert table.check(OTHER, 20) is CLEAR
