Take ports of benches from below the range of outgoing connections

Cause: r04_bad_route failed at its start: the port chosen for a backend server was in use when it listened. Ruled out: port 0 for nodes, which need their addresses in their settings. Change: random ports from 15000 to 31999 for nodes; port 0 for a backend server's first start.

--- a/src/anvillug/bench/mesh.py
+++ b/src/anvillug/bench/mesh.py
@@ -19,6 +19,7 @@
 
 REGION = 'bench'
 _POLL_S = 0.05
+_ANY_PORT = '127.0.0.1:0'
 _REQUEST_TIMEOUT_S = 5
 
 
@@ -118,7 +119,7 @@
             'service': plan.service,
             'version': plan.version,
             'backend-id': plan.host_id,
-            'address': host.backend_address or processes.free_addresses(1)[0],
+            'address': host.backend_address or _ANY_PORT,
             **plan.backend_options,
             **{name.replace('_', '-'): value for name, value in changes.items()},
         }
--- a/src/anvillug/bench/processes.py
+++ b/src/anvillug/bench/processes.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import os
+import random
 import re
 import signal
 import socket
@@ -21,6 +22,10 @@
 POLL_S = 0.01
 LISTENING_EVENT = 'listening'
 
+# Below the ports that the system gives to outgoing connections: one of those took the
+# port of a backend server between the choice and its start.
+_PORT_RANGE = (15_000, 32_000)
+_PORT_RNG = random.SystemRandom()
 _PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S+)')
 
 
@@ -146,9 +151,12 @@
     Prefer port 0 where the process tells its address; another process may take
     a port between this call and its use.
     """
+    addresses: list[str] = []
     with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for opened in sockets:
-            opened.bind(('127.0.0.1', 0))
-        ports = [each.getsockname()[1] for each in sockets]
-    return [f'127.0.0.1:{port}' for port in ports]
+        while len(addresses) < count:
+            opened = stack.enter_context(socket.socket())
+            address = ('127.0.0.1', _PORT_RNG.randrange(*_PORT_RANGE))
+            with contextlib.suppress(OSError):
+                opened.bind(address)
+                addresses.append(f'{address[0]}:{address[1]}')
+    return addresses
