Let a few relays per zone follow the membership stream

Ruled out: rarer renewals, because first contact needs recent records; polls once a minute by all nodes, because the bytes stay the same.

Conclusion: reads of membership no longer grow with the nodes. The configuration stream is still followed by every node (2,042 answers a second).

--- /dev/null
+++ b/tests/test_membership_log.py
@@ -0,0 +1,106 @@
+"""Who follows the membership stream, and how much of it."""
+
+from __future__ import annotations
+
+import random
+
+from twisted.internet import task
+
+from anvillug import clock
+from anvillug.bench import membership_cost
+from anvillug.process import member_record, membership, membership_log
+from tests import fake_log
+
+_NOW = clock.Milliseconds(0)
+_HOSTS = 50
+_ZONE_STRIDE = 21  # `make_member` repeats region and zone after 3 times 7 members
+
+
+def _members(count: int) -> list[membership.Member]:
+    """Return members of one zone."""
+    return [membership_cost.make_member(index * _ZONE_STRIDE) for index in range(count)]
+
+
+def _table(own: membership.Member, members: list[membership.Member]) -> membership.MemberTable:
+    table = membership.MemberTable(own, _NOW)
+    table.merge(members, _NOW)
+    return table
+
+
+def _start(
+    log: fake_log.FakeLog,
+    timer: task.Clock,
+    table: membership.MemberTable,
+) -> membership_log.MembershipLog:
+    started = membership_log.MembershipLog(
+        log,
+        table,
+        timer,
+        clock.ManualClock(),
+        random.Random(3),
+    )
+    started.start()
+    return started
+
+
+class TestRelays:
+    """Choice of the nodes that follow the stream."""
+
+    def test_each_zone_has_few_relays(self) -> None:
+        """Guards against a log that has to answer every node for every record."""
+        members = _members(_HOSTS)
+        relays = [own for own in members if membership_log.is_relay(_table(own, members))]
+        assert len(relays) == membership_log.RELAYS_PER_ZONE
+
+    def test_dead_relays_are_replaced(self) -> None:
+        """Guards against a zone that nobody follows the stream for."""
+        members = _members(_HOSTS)
+        dead = [own for own in members if membership_log.is_relay(_table(own, members))]
+        survivors = [own for own in members if own not in dead]
+        relays = []
+        for own in survivors:
+            table = _table(own, members)
+            for each in dead:
+                for _ in range(membership.DEAD_FAILURES):
+                    table.observe(each.host_id, ok=False, now=_NOW)
+            relays.append(membership_log.is_relay(table))
+        assert sum(relays) == membership_log.RELAYS_PER_ZONE
+
+
+class TestReading:
+    """Reads at start and later."""
+
+    def test_start_reads_only_the_end(self) -> None:
+        """Guards against a start that reads a day of renewals."""
+        timer = task.Clock()
+        log = fake_log.FakeLog(timer)
+        for index in range(3 * membership_log.FIRST_CONTACT_RECORDS):
+            log.write(member_record.to_data(membership_cost.make_member(index % 40 + 1)))
+        started = _start(log, timer, _table(membership_cost.make_member(0), []))
+        timer.advance(1)
+        assert started.dump()['records_read'] <= membership_log.FIRST_CONTACT_RECORDS + 1
+        assert started.dump()['next_offset'] == len(log.records)
+
+    def test_other_nodes_stop_reading(self) -> None:
+        """Guards against 6,300 long polls on the stream."""
+        timer = task.Clock()
+        log = fake_log.FakeLog(timer)
+        members = _members(_HOSTS)
+        own = next(each for each in members if not membership_log.is_relay(_table(each, members)))
+        started = _start(log, timer, _table(own, members))
+        timer.advance(1)
+        read = started.dump()['records_read']
+        log.write(member_record.to_data(membership_cost.make_member(1)))
+        timer.advance(1)
+        assert started.dump()['records_read'] == read
+
+    def test_lone_node_follows(self) -> None:
+        """Guards against a first node that never meets the second one."""
+        timer = task.Clock()
+        log = fake_log.FakeLog(timer)
+        table = _table(membership_cost.make_member(0), [])
+        _start(log, timer, table)
+        timer.advance(1)
+        log.write(member_record.to_data(membership_cost.make_member(1)))
+        timer.pump([0.1, 0.1])
+        assert len(table) == 2
