Write the configuration state faster, and once per state

Cause: writing the state of 310 services for a peer held the reactor for 13 ms, half of it in the deep copies of dataclasses.asdict, and again for each peer.

Change: patch results are written field by field, and the text is kept until the state changes.

--- a/src/anvillug/process/gossip_sources.py
+++ b/src/anvillug/process/gossip_sources.py
@@ -29,6 +29,8 @@
         self._clock = time
         self._highest_seen = ids.ConfigNumber(0)
         self._seen_at = clock.Milliseconds(0)
+        self._written_state: config_state.ConfigState | None = None
+        self._written = b''
 
     def number(self) -> ids.ConfigNumber:
         """Return the number in effect."""
@@ -42,8 +44,12 @@
         return behind and self._clock.now() - self._seen_at > _LOG_GRACE_MS
 
     def state_data(self) -> bytes:
-        """Return the state as JSON."""
-        return json.dumps(config_state.to_json(self._follower.state)).encode()
+        """Return the state as JSON, written once per state as many peers may want it."""
+        state = self._follower.state
+        if self._written_state is not state:
+            self._written = json.dumps(config_state.to_json(state)).encode()
+            self._written_state = state
+        return self._written
 
     def offer_state(self, data: bytes) -> None:
         """Take the state of a peer if it covers more."""
--- a/src/anvillug/version/config_state.py
+++ b/src/anvillug/version/config_state.py
@@ -100,7 +100,13 @@
         'document': document.to_json(state.document),
         'next_offset': state.next_offset,
         'results': [
-            {'id': patch_id, **dataclasses.asdict(result)}
+            # Not `asdict`, which copies deeply: 512 results took 6 ms of the reactor.
+            {
+                'id': patch_id,
+                'accepted': result.accepted,
+                'number': result.number,
+                'reason': result.reason,
+            }
             for patch_id, result in state.results_by_patch_id.items()
         ],
         'moves': {
