Add bench capacity and leave TLS libraries out of a node

Cause: Twisted imports pyOpenSSL where it is installed, though a node opens plain TCP only.

Change: the node keeps the module out before Twisted is imported. 'bench capacity' prints tables of nodes, logic, memory and log with slopes; 'bench footprint' measures the parts of a node in a process of its own. Nodes of a bench may listen on other loopback addresses: with 48 nodes on 127.0.0.1, outgoing connections took a port between its choice and its use.

Ruled out: service_identity and cryptography need no entry of their own; they are only imported by pyOpenSSL.

--- /dev/null
+++ b/src/anvillug/bench/capacity.py
@@ -0,0 +1,145 @@
+"""Tables of what control costs, with slopes, for docs/CAPACITY.md."""
+
+from __future__ import annotations
+
+import dataclasses
+import datetime
+import sys
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Any
+
+from anvillug.bench import (
+    capacity_control,
+    capacity_log,
+    capacity_logic,
+    capacity_nodes,
+    slopes,
+)
+
+TARGET_NODES = 6300
+ZONE_HOSTS = 900
+
+_EXIT_BAD_PART = 2
+_PER_NODE_FIGURES = ('resident_mb', 'private_mb', 'cpu_percent', 'gossip_kb_s', 'spread_p50_ms')
+
+Write = Callable[[str], object]
+Part = Callable[[Any, Any, Write], Awaitable[None]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """What to measure."""
+
+    parts: tuple[str, ...]
+    """Names of `PARTS`."""
+    nodes: tuple[int, ...]
+    """Numbers of nodes of the meshes."""
+    services: tuple[int, ...]
+    """Numbers of services in the document."""
+    seed: int
+    """Seed of random choices."""
+
+
+async def run(plan: Plan, reactor: Any, write: Write = sys.stdout.write) -> int:
+    """Measure and print.
+
+    Args:
+        plan: What to measure.
+        reactor: Twisted reactor.
+        write: Takes the text.
+
+    Returns:
+        Exit code: 0 when everything was measured, 2 for an unknown part.
+    """
+    unknown = [name for name in plan.parts if name not in PARTS]
+    if unknown:
+        write(f'unknown parts: {", ".join(unknown)}; known: {", ".join(PARTS)}\n')
+        return _EXIT_BAD_PART
+    now = datetime.datetime.now(datetime.UTC)
+    write(f'seed {plan.seed}, {now:%Y-%m-%d}\n')
+    for name in sorted(plan.parts, key=list(PARTS).index):
+        await PARTS[name](plan, reactor, write)
+    return 0
+
+
+def markdown(rows: Sequence[Any]) -> str:
+    """Return rows of one dataclass as a Markdown table."""
+    names = [field.name for field in dataclasses.fields(rows[0])]
+    lines = [f'| {" | ".join(names)} |', f'|{"---|" * len(names)}']
+    lines.extend(
+        f'| {" | ".join(_text(value) for value in dataclasses.astuple(row))} |' for row in rows
+    )
+    return '\n'.join(lines)
+
+
+def slope_lines(rows: Sequence[Any], size_name: str, names: Sequence[str], target: int) -> str:
+    """Return one line per figure with its slope and its value at a target size.
+
+    Args:
+        rows: Measured rows.
+        size_name: Column of the sizes.
+        names: Columns of the figures.
+        target: Size to work out.
+    """
+    sizes = [getattr(row, size_name) for row in rows]
+    lines = []
+    for name in names:
+        line = slopes.fit(sizes, [getattr(row, name) for row in rows])
+        lines.append(
+            f'- {name}: {line.base:.3g} + {line.slope:.3g} per unit of {size_name}; '
+            f'{line.at(target):.3g} at {target} (points lie within {line.residual:.2g})',
+        )
+    return '\n'.join(lines)
+
+
+async def _memory(plan: Plan, reactor: Any, write: Write) -> None:
+    parts, costs = capacity_control.measure()
+    _section(write, 'Memory by part', markdown(parts))
+    _section(write, 'Messages', markdown(costs))
+
+
+async def _logic(plan: Plan, reactor: Any, write: Write) -> None:
+    members = capacity_logic.member_rows()
+    names = [field.name for field in dataclasses.fields(members[0])][1:]
+    text = slope_lines(members, 'members', names, TARGET_NODES)
+    _section(write, 'Member table', f'{markdown(members)}\n\n{text}')
+    _section(write, 'Configuration', markdown(capacity_logic.config_rows()))
+    _section(write, 'Service view', markdown(capacity_logic.view_rows()))
+
+
+async def _log(plan: Plan, reactor: Any, write: Write) -> None:
+    _section(write, 'Appends', markdown(capacity_log.append_rows()))
+    _section(write, 'Reads', markdown(capacity_log.read_rows()))
+    returned = await capacity_log.zone_return(reactor, ZONE_HOSTS, plan.seed)
+    _section(write, 'Return of a zone', markdown([returned]))
+
+
+async def _nodes(plan: Plan, reactor: Any, write: Write) -> None:
+    for services in plan.services:
+        rows = []
+        for count in plan.nodes:
+            rows.extend(await capacity_nodes.run(reactor, count, services, plan.seed))
+            sys.stderr.write(f'{count} nodes and {services} services measured\n')
+        _section(write, f'Nodes with {services} services', markdown(rows))
+        for load in dict.fromkeys(row.load for row in rows):
+            chosen = [row for row in rows if row.load == load]
+            if len(chosen) > 1:
+                text = slope_lines(chosen, 'nodes', _PER_NODE_FIGURES, TARGET_NODES)
+                _section(write, f'Slopes, {load}', text)
+
+
+PARTS: dict[str, Part] = {
+    'memory': _memory,
+    'logic': _logic,
+    'log': _log,
+    'nodes': _nodes,
+}
+"""Measurements by name, in the order in which they run."""
+
+
+def _section(write: Write, title: str, text: str) -> None:
+    write(f'\n{title}\n\n{text}\n')
+
+
+def _text(value: object) -> str:
+    return f'{value:.4g}' if isinstance(value, float) else str(value)
--- a/src/anvillug/bench/capacity_logic.py
+++ b/src/anvillug/bench/capacity_logic.py
@@ -98,7 +98,7 @@
 def _config_row(services: int) -> ConfigRow:
     gc.collect()
     tracemalloc.start()
-    state = _state_with(services)
+    state = state_with(services)
     gc.collect()
     allocated, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
@@ -114,7 +114,7 @@
     )
 
 
-def _state_with(services: int) -> config_state.ConfigState:
+def state_with(services: int) -> config_state.ConfigState:
     """Return a state with a full memory of patch results."""
     state = fold.empty()
     first = fold.patch_record('first', 0, capacity_nodes.document_of(services), 'bench')
--- a/src/anvillug/bench/capacity_nodes.py
+++ b/src/anvillug/bench/capacity_nodes.py
@@ -5,6 +5,7 @@
 import collections
 import dataclasses
 import math
+import os
 import random
 import re
 import statistics
@@ -13,6 +14,7 @@
 
 from anvillug.bench import mesh, processes, usage
 from anvillug.connection import log_client
+from anvillug.process import gossip
 from anvillug.version import fold, publisher, reader
 
 ZONES = 7
@@ -26,6 +28,9 @@
 _START_TIMEOUT_MS = 60_000.0
 _APPENDS_PER_SECOND = 2000
 _KB = 1024
+_HOSTS_PER_NET = 250
+_FIRST_NET = 64
+_NETS = 128
 _PERCENT = 100
 _IN_EFFECT = re.compile(r'time_ms=(\d+) level=\w+ event=config_in_effect number=(\d+)')
 
@@ -107,12 +112,14 @@
     async def _start(self) -> None:
         started = self._mesh
         started.start_log(append_limit_per_second=_APPENDS_PER_SECOND)
+        net = _FIRST_NET + os.getpid() % _NETS  # two benches at once rarely share one
         plans = [
             mesh.HostPlan(
                 f'host-{index:05d}',
                 f'zone-{index % ZONES}',
                 '',
                 region=f'region-{index % ZONES % REGIONS}',
+                ip=f'127.{net}.{index // _HOSTS_PER_NET}.{index % _HOSTS_PER_NET + 1}',
             )
             for index in range(self._count)
         ]
@@ -123,6 +130,8 @@
         await self._publish(document_of(self._services))
         await started.wait_config(1, _START_TIMEOUT_MS)
         await started.wait_until('all nodes know each other', self._all_known, _START_TIMEOUT_MS)
+        # The starts are passed on as changes for a while; the idle window comes after.
+        await started.sleep((gossip.CHANGE_WINDOW_TICKS + 2) * gossip.INTERVAL_SECONDS)
 
     async def _all_known(self) -> bool:
         for host_id in self._mesh.by_id:
@@ -248,22 +257,20 @@
     return counts
 
 
-async def run(reactor: Any, counts: list[tuple[int, int]], seed: int) -> list[Row]:
-    """Measure several meshes, one after the other.
+async def run(reactor: Any, count: int, services: int, seed: int) -> list[Row]:
+    """Measure one mesh.
 
     Args:
         reactor: Twisted reactor.
-        counts: Nodes and services of each mesh.
+        count: Nodes.
+        services: Services in the document.
         seed: Seed of random choices.
 
     Returns:
-        Three rows per mesh.
+        One row per window.
     """
-    rows = []
-    for count, services in counts:
-        with processes.group() as group:
-            rows.extend(await NodeCost(reactor, group, count, services, seed).rows())
-    return rows
+    with processes.group() as group:
+        return await NodeCost(reactor, group, count, services, seed).rows()
 
 
 def times_by_number(output: str) -> dict[int, float]:
--- a/src/anvillug/bench/mesh.py
+++ b/src/anvillug/bench/mesh.py
@@ -44,6 +44,8 @@
     """One-way delay of a link in front of the peer address; None for no link."""
     region: str = REGION
     """Region of the zone."""
+    ip: str = '127.0.0.1'
+    """IP number of the listeners of the node."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -224,7 +226,7 @@
         await task.deferLater(self.reactor, seconds)
 
     def _start_node(self, plan: HostPlan) -> Host:
-        caller, peer, control, operator = processes.free_addresses(4)
+        caller, peer, control, operator = processes.free_addresses(4, plan.ip)
         data = {
             'host_id': plan.host_id,
             'region': plan.region,
--- a/src/anvillug/bench/processes.py
+++ b/src/anvillug/bench/processes.py
@@ -140,15 +140,21 @@
     return process
 
 
-def free_addresses(count: int) -> list[str]:
-    """Return addresses on 127.0.0.1 with distinct ports that are free now.
+def free_addresses(count: int, ip: str = '127.0.0.1') -> list[str]:
+    """Return addresses with distinct ports that are free now.
 
     Prefer port 0 where the process tells its address; another process may take
-    a port between this call and its use.
+    a port between this call and its use. On 127.0.0.1, outgoing connections
+    take ports too; with dozens of nodes, use another address of the loopback
+    network for each.
+
+    Args:
+        count: Number of addresses.
+        ip: IP number of the loopback network.
     """
     with contextlib.ExitStack() as stack:
         sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
         for opened in sockets:
-            opened.bind(('127.0.0.1', 0))
+            opened.bind((ip, 0))
         ports = [each.getsockname()[1] for each in sockets]
-    return [f'127.0.0.1:{port}' for port in ports]
+    return [f'{ip}:{port}' for port in ports]
--- a/src/anvillug/process/command_line.py
+++ b/src/anvillug/process/command_line.py
@@ -21,7 +21,7 @@
     'bench': 'bench',
 }
 _STANDINS = ('backend_server', 'log', 'link')
-_BENCHES = ('demo',)
+_BENCHES = ('demo', 'capacity', 'footprint')
 
 
 def run(arguments: Sequence[str]) -> int:
--- a/src/anvillug/process/commands/node.py
+++ b/src/anvillug/process/commands/node.py
@@ -8,7 +8,7 @@
 import expression
 
 from anvillug import clock, findings
-from anvillug.process import settings
+from anvillug.process import plain_tcp, settings
 
 _EXIT_BAD_INPUT = 2
 
@@ -26,6 +26,7 @@
     if isinstance(loaded, expression.Result) and loaded.is_error():
         sys.stderr.write(f'{findings.report(loaded.error)}\n')
         return _EXIT_BAD_INPUT
+    plain_tcp.leave_out_tls()
     # Importing the reactor installs it, and the node pulls in most of the program.
     from twisted.internet import error, reactor  # noqa: PLC0415
 
