Answer 429 when the log stand-in is above its append rate

Cause: twisted.web.http has no TOO_MANY_REQUESTS, so an append above the rate was answered with 500. A client must take that for an append that may have happened, and settle it by reading.

Change: the status comes from the standard library; a test asks over HTTP. The test fails without the change.

--- a/src/anvillug/standin/log.py
+++ b/src/anvillug/standin/log.py
@@ -5,6 +5,7 @@
 import collections
 import dataclasses
 import json
+from http import HTTPStatus
 
 import klein
 from twisted.internet import defer, interfaces, task
@@ -61,7 +62,8 @@
             return _outage(request)
         offset = self.model.append(stream, data)
         if offset is None:
-            return http_api.error_answer(request, http.TOO_MANY_REQUESTS, 'append rate exceeded')
+            status = HTTPStatus.TOO_MANY_REQUESTS
+            return http_api.error_answer(request, status, 'append rate exceeded')
         self._wake(stream)
         if self.faults.lose_answers > 0:
             lost = self.faults.lose_answers - 1
--- a/tests/test_standin_log.py
+++ b/tests/test_standin_log.py
@@ -45,6 +45,7 @@
 
     def setUp(self):
         model = log_model.LogModel(log_model.LogSettings(), clock.SystemClock())
+        self.model = model
         server = standin_log.LogServer(model, reactor)
         self.port = reactor.listenTCP(0, server.site(), interface='127.0.0.1')
         self.addCleanup(self.port.stopListening)
@@ -73,6 +74,16 @@
         answer = await self.read('from=0')
         assert [record['data'] for record in answer['records']] == [1, 2]
 
+    def test_rate_limit_is_told(self):
+        return defer.ensureDeferred(self.check_rate_limit())
+
+    async def check_rate_limit(self):
+        """Guards against a 500, which a client takes for an append that may have happened."""
+        self.model.append = lambda stream, data: None
+        response = await self.treq.post(self.url('/streams/s/records'), json={'data': 1})
+        assert response.code == 429
+        await response.content()
+
     def test_read_waits_for_append(self):
         return defer.ensureDeferred(self.check_read_waits())
 
