--- a/src/anvillug/bench/capacity.py
+++ b/src/anvillug/bench/capacity.py
@@ -109,6 +109,8 @@
 
 async def _log(plan: Plan, reactor: Any, write: Write) -> None:
     _section(write, 'Appends', markdown(capacity_log.append_rows()))
+    claimed = f'{capacity_logic.claim_key_bytes():.0f} bytes per key held\n'
+    _section(write, 'Memory of claims', claimed)
     _section(write, 'Reads', markdown(capacity_log.read_rows()))
     returned = await capacity_log.zone_return(reactor, ZONE_HOSTS, plan.seed)
     _section(write, 'Return of a zone', markdown([returned]))
--- a/src/anvillug/bench/capacity_logic.py
+++ b/src/anvillug/bench/capacity_logic.py
@@ -17,7 +17,7 @@
 from anvillug.bench import capacity_nodes, membership_cost
 from anvillug.connection import log_record
 from anvillug.process import member_record, membership, service_view
-from anvillug.request import choice
+from anvillug.request import choice, claim
 from anvillug.version import config_state, document, fold
 
 MEMBER_SIZES = (100, 400, 1600, 6300)
@@ -27,6 +27,8 @@
 
 _NOW = clock.Milliseconds(0)
 _REPEATS = 5
+_CLAIM_KEYS = 20_000
+_CLAIM_LIFETIME_MS = 3_600_000.0
 _MS_PER_SECOND = 1000
 _RESULTS = fold.MAX_PATCH_RESULTS
 
@@ -171,3 +173,25 @@
         work()
         times.append(time.process_time() - start)
     return min(times) * _MS_PER_SECOND
+
+
+def claim_key_bytes() -> float:
+    """Return the memory that a node needs per key of a claim stream that it reads."""
+    entries = [_claim_entry(index) for index in range(_CLAIM_KEYS)]
+    gc.collect()
+    tracemalloc.start()
+    found = claim.ClaimFold(_CLAIM_LIFETIME_MS)
+    # Parsed per record, as from the log, so that no text is shared with the source.
+    for index, entry in enumerate(entries):
+        found.apply(index, index, json.loads(json.dumps([entry])))
+    allocated, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return allocated / len(found)
+
+
+def _claim_entry(index: int) -> dict[str, object]:
+    host_id = ids.HostId(f'host-{index % MEMBER_SIZES[-1]:05d}')
+    incarnation = ids.Incarnation(1_790_000_000_000 + index)
+    key = claim.scoped_key(ids.ServiceName('service-001'), f'{index:036x}')
+    call_id = ids.CallId(host_id, incarnation, index)
+    return claim.claim_entry(claim.Claim(key, call_id, host_id, incarnation))
