--- a/src/anvillug/bench/mesh.py
+++ b/src/anvillug/bench/mesh.py
@@ -48,6 +48,8 @@
     """Further settings of the node."""
     region: str = REGION
     """Region of the zone."""
+    ip: str = '127.0.0.1'
+    """IP number of the listeners of the node."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -242,7 +244,7 @@
         await task.deferLater(self.reactor, seconds)
 
     def _start_node(self, plan: HostPlan) -> Host:
-        caller, peer, control, operator = processes.free_addresses(4)
+        caller, peer, control, operator = processes.free_addresses(4, plan.ip)
         data = {
             'host_id': plan.host_id,
             'region': plan.region,
--- a/src/anvillug/bench/processes.py
+++ b/src/anvillug/bench/processes.py
@@ -154,17 +154,23 @@
     return process
 
 
-def free_addresses(count: int) -> list[str]:
-    """Return addresses on 127.0.0.1 with distinct ports that are free now.
+def free_addresses(count: int, ip: str = '127.0.0.1') -> list[str]:
+    """Return addresses with distinct ports that are free now.
 
     Prefer port 0 where the process tells its address; another process may take
-    a port between this call and its use.
+    a port between this call and its use. On 127.0.0.1, outgoing connections
+    take ports too; with dozens of nodes, use another address of the loopback
+    network for each.
+
+    Args:
+        count: Number of addresses.
+        ip: IP number of the loopback network.
     """
     addresses: list[str] = []
     with contextlib.ExitStack() as stack:
         while len(addresses) < count:
             opened = stack.enter_context(socket.socket())
-            address = ('127.0.0.1', _PORT_RNG.randrange(*_PORT_RANGE))
+            address = (ip, _PORT_RNG.randrange(*_PORT_RANGE))
             with contextlib.suppress(OSError):
                 opened.bind(address)
                 addresses.append(f'{address[0]}:{address[1]}')
