Measure service while a zone leaves and returns

Cause: the effect of the ramp on callers was not measured. Change: the measure `zone` takes a zone out and back under load, with the ramp and without it, on one mesh.

--- a/src/anvillug/bench/tables.py
+++ b/src/anvillug/bench/tables.py
@@ -9,7 +9,7 @@
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Any
 
-from anvillug.bench import page, path_cost, probe_cost, tail_latency
+from anvillug.bench import page, path_cost, probe_cost, tail_latency, zone_ramp
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -57,10 +57,18 @@
     return probe_cost.measure(reactor, options)
 
 
+def _zone_ramp(reactor: Any, run: Run) -> Awaitable[page.Section]:
+    options = zone_ramp.Options(seed=run.seed)
+    if run.quick:
+        options = dataclasses.replace(options, ramps_ms=(3000, 0), phase_ms=2000)
+    return zone_ramp.measure(reactor, options)
+
+
 _MEASURES_BY_NAME: dict[str, _Measure] = {
     'path': _path_cost,
     'probes': _probe_cost,
     'tail': _tail_latency,
+    'zone': _zone_ramp,
 }
 NAMES = tuple(_MEASURES_BY_NAME)
 """Names of all measures, in the order in which they run."""
--- /dev/null
+++ b/src/anvillug/bench/zone_ramp.py
@@ -0,0 +1,202 @@
+"""Service while an availability zone is taken out and brought back."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Any
+
+from twisted.internet import defer
+
+from anvillug import clock
+from anvillug.bench import cpu, load, mesh, page, processes, traffic
+from anvillug.version import publisher
+
+_ZONES = ('graz', 'leoben', 'murau', 'liezen')
+_MOVED_ZONE = _ZONES[-1]
+_HOSTS_BY_SERVICE = {'catalogue': 8, 'warehouse': 4}
+_SLOTS = 10
+_MS_PER_SECOND = 1000
+_SERVICE_MS = 100.0
+_LINK_DELAY_MS = 1.0
+_LOAD_SHARE = 0.5
+_CAPACITY_PER_HOST = _SLOTS * _MS_PER_SECOND / _SERVICE_MS
+_WARM_UP_PARTS = (0.3, 0.7, 1.0)
+_TARGETS = {'latency_p99_ms': 400}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Options:
+    """Size of the measure."""
+
+    seed: int = 1
+    """Seed of arrivals."""
+    ramps_ms: tuple[int, ...] = (10_000, 0)
+    """Ramps to compare; 0 gives a returning zone its whole share at once."""
+    phase_ms: float = 5000
+    """Length of each phase; the return takes two of them."""
+    restart_cold: bool = True
+    """Whether the backend servers of the zone are cold when it returns."""
+
+
+class ZoneRamp:
+    """Runs the phases once for each ramp on one mesh.
+
+    Args:
+        started: Mesh without processes.
+        options: Size of the measure.
+    """
+
+    def __init__(self, started: mesh.Mesh, options: Options) -> None:
+        self._mesh = started
+        self._options = options
+        self._number = 0
+        self._rows: list[list[object]] = []
+
+    async def run(self) -> page.Section:
+        """Measure all phases.
+
+        Returns:
+            The section of the page.
+        """
+        await self._start()
+        for ramp_ms in self._options.ramps_ms:
+            await self._cycle(ramp_ms)
+        columns = (
+            'ramp ms',
+            'phase',
+            'service',
+            'offered calls/s',
+            'answered calls/s',
+            'not run',
+            'other failures',
+            'p50 ms',
+            'p99 ms',
+            'machine CPU %',
+        )
+        body = page.table(columns, self._rows)
+        title = 'Service while an availability zone leaves and returns'
+        return page.Section(title, self._introduction(), body)
+
+    async def _start(self) -> None:
+        started = self._mesh
+        started.start_log()
+        started.add_hosts(
+            [
+                _plan(service, number)
+                for service, count in _HOSTS_BY_SERVICE.items()
+                for number in range(count)
+            ],
+        )
+        service = {'version': 'v1', 'targets': _TARGETS}
+        await self._patch({'services': dict.fromkeys(_HOSTS_BY_SERVICE, service)})
+        await started.wait_serving(sum(_HOSTS_BY_SERVICE.values()), timeout_ms=30_000)
+        for part in _WARM_UP_PARTS:
+            await self._load(part)
+
+    async def _cycle(self, ramp_ms: int) -> None:
+        await self._patch({'zones': {_MOVED_ZONE: {'state': 'in', 'ramp_ms': ramp_ms}}})
+        await self._load(1)
+        await self._phase(ramp_ms, 'before')
+        await self._take_out(ramp_ms)
+        await self._bring_back(ramp_ms)
+
+    async def _take_out(self, ramp_ms: int) -> None:
+        await self._patch({'zones': {_MOVED_ZONE: {'state': 'out'}}}, wait=False)
+        await self._phase(ramp_ms, 'leaving')
+        await self._phase(ramp_ms, 'out')
+
+    async def _bring_back(self, ramp_ms: int) -> None:
+        if self._options.restart_cold:
+            await self._turn_cold()
+        await self._patch({'zones': {_MOVED_ZONE: {'state': 'in'}}}, wait=False)
+        await self._phase(ramp_ms, 'returning')
+        await self._phase(ramp_ms, 'returning, second part')
+        await self._phase(ramp_ms, 'after')
+
+    async def _turn_cold(self) -> None:
+        for host_id, host in self._mesh.by_id.items():
+            if host.plan.zone == _MOVED_ZONE:
+                await self._mesh.backend_faults(host_id, cold=True)
+
+    async def _patch(self, change: object, *, wait: bool = True) -> None:
+        accepted = await self._mesh.patch(self._number, change)
+        if not isinstance(accepted, publisher.Accepted):
+            raise mesh.MeshError(f'patch against {self._number}: {accepted}')
+        self._number += 1
+        if wait:
+            await self._mesh.wait_config(self._number)
+
+    async def _phase(self, ramp_ms: int, phase: str) -> None:
+        meter = cpu.Meter({})
+        results = await self._load(1)
+        machine_percent = meter.read().machine_percent
+        seconds = clock.to_seconds(self._options.phase_ms)
+        for service, result in zip(_HOSTS_BY_SERVICE, results, strict=True):
+            whole = result.by_status['200']
+            not_run = result.by_outcome['not-run']
+            self._rows.append(
+                [
+                    ramp_ms,
+                    phase,
+                    service,
+                    result.sent / seconds,
+                    whole / seconds,
+                    not_run,
+                    result.sent - whole - not_run,
+                    result.percentile_ms(50),
+                    result.percentile_ms(99),
+                    machine_percent,
+                ],
+            )
+
+    def _load(self, part: float) -> defer.Deferred[list[traffic.LoadResult]]:
+        # Callers stay out of the moved zone, as their entry nodes would leave with it.
+        hosts = [each for each in self._mesh.by_id.values() if each.plan.zone != _MOVED_ZONE]
+        plans = [
+            traffic.LoadPlan(
+                addresses=tuple(host.caller_address for host in hosts),
+                kinds=(traffic.RequestKind('stock', service, path='/stock/7'),),
+                rate_per_second=part * _LOAD_SHARE * _CAPACITY_PER_HOST * count,
+                duration_ms=self._options.phase_ms,
+                seed=self._options.seed,
+            )
+            for service, count in _HOSTS_BY_SERVICE.items()
+        ]
+        return defer.gatherResults([load.run(plan, self._mesh.reactor) for plan in plans])
+
+    def _introduction(self) -> str:
+        sizes = ' and '.join(f'{name} ({count})' for name, count in _HOSTS_BY_SERVICE.items())
+        cold = 'cold' if self._options.restart_cold else 'warm'
+        return (
+            f'Hosts of {sizes} in {len(_ZONES)} zones, {_SLOTS} slots each, median service time '
+            f'{_SERVICE_MS:g} ms, links of {_LINK_DELAY_MS:g} ms one way in front of every node. '
+            f'Offered load is {_LOAD_SHARE:.0%} of the capacity of all zones. Zone '
+            f'{_MOVED_ZONE} is taken out and brought back by patches, published at the start of '
+            f'the phases "leaving" and "returning"; its backend servers are {cold} on return. '
+            f'Each phase lasts {clock.to_seconds(self._options.phase_ms):g} s. Both ramps run on '
+            'one mesh, one after the other.'
+        )
+
+
+def _plan(service: str, number: int) -> mesh.HostPlan:
+    return mesh.HostPlan(
+        f'{service}-{number}',
+        _ZONES[number % len(_ZONES)],
+        service,
+        backend_options={'slots': _SLOTS, 'service-ms': _SERVICE_MS, 'seed': number},
+        link_delay_ms=_LINK_DELAY_MS,
+    )
+
+
+async def measure(reactor: Any, options: Options) -> page.Section:
+    """Run the measure on processes of its own.
+
+    Args:
+        reactor: Twisted reactor.
+        options: Size of the measure.
+
+    Returns:
+        The section of the page.
+    """
+    with processes.group() as group:
+        return await ZoneRamp(mesh.Mesh(reactor, group), options).run()
