--- a/src/anvillug/bench/tables.py
+++ b/src/anvillug/bench/tables.py
@@ -12,6 +12,9 @@
 from anvillug.bench import page, path_cost, probe_cost, tail_latency, zone_ramp
 
 
+_TAIL = 'tail'
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Run:
     """What to measure and where to write it."""
@@ -24,8 +27,20 @@
     """Names of the measures."""
     output: pathlib.Path
     """File of the page."""
-    command: str
-    """Command line for the page."""
+    runs: int = 3
+    """Seeds of the comparison of choosers."""
+    loads: tuple[float, ...] = (0.7, 0.9)
+    """Offered loads of that comparison."""
+
+    def command(self, measure: str) -> str:
+        """Return the command line that repeats one measure."""
+        words = ['anvillug bench tables', f'--seed {self.seed}']
+        if self.quick:
+            words.append('--quick')
+        elif measure == _TAIL:
+            loads = ' '.join(f'{load:g}' for load in self.loads)
+            words.extend((f'--runs {self.runs}', f'--loads {loads}'))
+        return ' '.join((*words, f'--measures {measure}'))
 
 
 _Measure = Callable[[Any, Run], Awaitable[page.Section]]
@@ -39,14 +54,12 @@
 
 
 def _tail_latency(reactor: Any, run: Run) -> Awaitable[page.Section]:
-    options = tail_latency.Options(seeds=(run.seed, run.seed + 1, run.seed + 2))
-    if run.quick:
-        options = dataclasses.replace(
-            options,
-            seeds=(run.seed,),
-            load_shares=(0.7,),
-            misleading=(False,),
-        )
+    options = tail_latency.Options(
+        seeds=tuple(range(run.seed, run.seed + run.runs)),
+        load_shares=run.loads,
+        # Without the misleading condition, which takes as long again, in a quick run.
+        misleading=(False,) if run.quick else (False, True),
+    )
     return tail_latency.measure(reactor, options)
 
 
@@ -67,7 +80,7 @@
 _MEASURES_BY_NAME: dict[str, _Measure] = {
     'path': _path_cost,
     'probes': _probe_cost,
-    'tail': _tail_latency,
+    _TAIL: _tail_latency,
     'zone': _zone_ramp,
 }
 NAMES = tuple(_MEASURES_BY_NAME)
@@ -89,6 +102,6 @@
         sys.stdout.write(f'{name}: started {date}\n')
         sys.stdout.flush()
         section = await _MEASURES_BY_NAME[name](reactor, run)
-        page.write(run.output, section, f'`{run.command}`, seed {run.seed}, {date}.')
+        page.write(run.output, section, f'`{run.command(name)}`, seed {run.seed}, {date}.')
         sys.stdout.write(f'{section.body}\n')
     return 0
--- a/src/anvillug/process/commands/bench.py
+++ b/src/anvillug/process/commands/bench.py
@@ -27,6 +27,8 @@
     *,
     quick: bool = False,
     seed: int = 1,
+    runs: int = 3,
+    loads: Sequence[float] = (0.7, 0.9),
     measures: Sequence[str] = (),
     output: pathlib.Path = _PAGE,
 ) -> int:
@@ -35,6 +37,8 @@
     Args:
         quick: Take small sizes.
         seed: Seed of arrivals and faults.
+        runs: Seeds of the comparison of choosers, from `seed` on; 1 with `quick`.
+        loads: Offered loads of that comparison; 0.7 with `quick`.
         measures: Measures to run; none for all.
         output: File of the page.
 
@@ -47,15 +51,12 @@
     unknown = set(measures) - set(bench_tables.NAMES)
     if unknown:
         sys.exit(f'no such measure: {", ".join(sorted(unknown))}')
-    wanted = tuple(measures) or bench_tables.NAMES
-    options = [f'--seed {seed}', *(['--quick'] if quick else [])]
-    if measures:
-        options.append(f'--measures {" ".join(measures)}')
     run = bench_tables.Run(
-        seed,
-        quick,
-        wanted,
-        output,
-        f'anvillug bench tables {" ".join(options)}',
+        seed=seed,
+        quick=quick,
+        runs=1 if quick else runs,
+        loads=tuple(loads[:1] if quick else loads),
+        measures=tuple(measures) or bench_tables.NAMES,
+        output=output,
     )
     return _reactor.run(lambda reactor: bench_tables.write(reactor, run))
