Test that the rest of an answered upload is read and bounded

Change: the close has to be announced, happens when the rest is there, and comes at once past 16 MB.

--- a/src/anvillug/connection/http_server.py
+++ b/src/anvillug/connection/http_server.py
@@ -20,7 +20,7 @@
 MAX_HEAD_BYTES = 64 * 1024
 
 # A request body that goes on after its answer is read and dropped up to this size.
-_MAX_REST_BYTES = 16 * 1024 * 1024
+MAX_REST_BYTES = 16 * 1024 * 1024
 _VERSION = '1.1'
 _UPGRADE_REFUSED = 'protocol upgrades are not supported'
 _STATUS_BAD_REQUEST = 400
@@ -400,7 +400,7 @@
         exchange = self._exchange
         if exchange is None:
             self._rest_bytes += len(data)
-            if self._rest_bytes > _MAX_REST_BYTES:
+            if self._rest_bytes > MAX_REST_BYTES:
                 self._close()
         if exchange is not None and exchange.handler is not None:
             exchange.handler.body_received(data)
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -176,6 +176,19 @@
         connection, transport, _received = _connection(lambda exchange: exchange.respond(503))
         connection.dataReceived(b'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nab')
         assert b'Connection: close' in transport.value()
+        # Closing with unread bytes would reset the connection and lose the answer.
+        assert not transport.disconnecting
+        connection.dataReceived(b'cde')
+        assert transport.disconnecting
+
+    def test_rest_of_an_answered_body_is_bounded(self):
+        connection, transport, _received = _connection(lambda exchange: exchange.respond(503))
+        length = 2 * http_server.MAX_REST_BYTES
+        head = b'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n' % length
+        connection.dataReceived(head)
+        connection.dataReceived(bytes(http_server.MAX_REST_BYTES))
+        assert not transport.disconnecting
+        connection.dataReceived(b'x')
         assert transport.disconnecting
 
     def test_head_bound(self):
