Start a returning zone's hosts from the lowest limit

Cause: backend servers that turned cold while their zone was out got the load of their warm limit on return. Change: a host whose zone comes back restarts its concurrency limit.

--- a/src/anvillug/process/host_side.py
+++ b/src/anvillug/process/host_side.py
@@ -153,6 +153,16 @@
             latency_ms = None if result.failed else result.latency_ms
             self.concurrency.probed(latency_ms, self.clock.now())
 
+    def set_zone_out(self, zone_out: bool) -> None:
+        """Take whether operators have taken the zone out.
+
+        A backend server may have turned cold while its zone was out, so that
+        it starts from the lowest limit on return.
+        """
+        if self.admission.zone_out and not zone_out:
+            self.concurrency.restarted(self.clock.now())
+        self.admission.zone_out = zone_out
+
     # Requests of entry sides
 
     def request_received(self, exchange: http_server.ServerExchange) -> None:
--- a/src/anvillug/process/node.py
+++ b/src/anvillug/process/node.py
@@ -341,7 +341,7 @@
     def _apply_service_config(self) -> None:
         state = self.config.state
         zone = state.document.zones.get(self._settings.zone)
-        self.host.admission.zone_out = zone is not None and zone.state is document.ZoneState.OUT
+        self.host.set_zone_out(zone is not None and zone.state is document.ZoneState.OUT)
         backend = self.backend.backend
         service = None if backend is None else state.document.services.get(backend.service)
         if service is not None:
