Warm cold hosts with a small share of calls; hedge by the latency target

With one of ten hosts slow, the 95th percentile is that of the slow host, so that hedges after it came too late. Change: 2% of the draws go to a cold host with room; the hedge delay is at most what the latency target asks for and at least 1.5 medians. The bench of tail latency runs with and without hedges. Ruled out: ranking a cold host like a warm one, which gives it its whole limit at several times the latency.

--- a/src/anvillug/bench/tail_latency.py
+++ b/src/anvillug/bench/tail_latency.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import itertools
 import math
 import os
 from collections.abc import Iterator, Sequence
@@ -49,6 +50,8 @@
     """Multiple of the service times on the slowed host."""
     interval_ms: float = 300
     """Time that the neighbour stays on a host."""
+    hedging: tuple[bool, ...] = (False, True)
+    """Whether repeatable calls may be hedged."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,6 +64,8 @@
     """Offered load."""
     misleading: bool
     """Whether reports misled."""
+    hedged: bool
+    """Whether hedges were allowed."""
     result: traffic.LoadResult
     """Counts and latencies."""
     usage: cpu.Usage
@@ -88,6 +93,7 @@
         self._options = options
         self._rounds: list[Round] = []
         self._idle: cpu.Usage | None = None
+        self._number = 0
         self._wall = clock.SystemClock().wall
 
     async def run(self) -> page.Section:
@@ -97,6 +103,19 @@
             The section of the page.
         """
         await self._start()
+        for hedged in self._options.hedging:
+            await self._set_hedging(hedged)
+            await self._run_cells(hedged)
+        body = '\n\n'.join((_latency_table(self._rounds, self._options), self._cpu()))
+        return page.Section('Tail latency with a noisy neighbour', self._introduction(), body)
+
+    async def _set_hedging(self, hedged: bool) -> None:  # noqa: FBT001
+        self._number += 1
+        change = {'services': {_SERVICE: {'hedge': hedged}}}
+        await self._mesh.patch(self._number, change)
+        await self._mesh.wait_config(self._number + 1)
+
+    async def _run_cells(self, hedged: bool) -> None:  # noqa: FBT001
         for seed, share, misleading in self._cells():
             noise = neighbour.NoisyNeighbour(
                 self._mesh,
@@ -109,15 +128,13 @@
             missing = set(baselines.NAMES)
             # A run whose last calls end late misses the turn after it.
             while missing:
-                finished = await self._round(seed, share, misleading=misleading)
+                finished = await self._round(seed, share, misleading=misleading, hedged=hedged)
                 if finished.chooser in missing:
                     missing.remove(finished.chooser)
                     self._rounds.append(finished)
             await noise.stop()
             # Skips a turn, so that the next cell begins with another chooser.
             await self._mesh.sleep(clock.to_seconds(baselines.TURN_MS))
-        body = '\n\n'.join((_latency_table(self._rounds, self._options), self._cpu()))
-        return page.Section('Tail latency with a noisy neighbour', self._introduction(), body)
 
     def _cells(self) -> Iterator[tuple[int, float, bool]]:
         options = self._options
@@ -132,7 +149,6 @@
         started.start_log()
         started.add_hosts([_plan(number, options) for number in range(_HOSTS)])
         targets = {'latency_p99_ms': options.service_ms * _TARGET_FACTOR}
-        # Hedging would hide the choice of the first host.
         service = {'version': 'v1', 'targets': targets, 'hedge': False}
         await started.patch(0, {'services': {_SERVICE: service}})
         await started.wait_config(1)
@@ -160,7 +176,7 @@
         loads = [(await self._mesh.state(each))['host']['load'] for each in self._mesh.by_id]
         return sum(int(load_text.split(',')[1]) for load_text in loads) / len(loads)
 
-    async def _round(self, seed: int, share: float, *, misleading: bool) -> Round:
+    async def _round(self, seed: int, share: float, *, misleading: bool, hedged: bool) -> Round:
         turn_left_ms = baselines.TURN_MS - self._wall() % baselines.TURN_MS
         await self._mesh.sleep(clock.to_seconds(turn_left_ms))
         turn = baselines.turn_at(self._wall() + _TURN_MARGIN_MS, len(baselines.NAMES))
@@ -168,7 +184,7 @@
         limit = await self._mean_limit()
         meter = cpu.Meter(self._pid_by_name())
         result = await self._load(share, seed, _RUN_MS)
-        return Round(baselines.NAMES[turn], share, misleading, result, meter.read(), limit)
+        return Round(baselines.NAMES[turn], share, misleading, hedged, result, meter.read(), limit)
 
     def _cpu(self) -> str:
         table = _cpu_table(self._rounds)
@@ -190,7 +206,7 @@
             f'link of {_LINK_DELAY_MS:g} ms one way, also within a zone. One host at a time is '
             f'slowed {options.slow_factor:g}-fold for {options.interval_ms:g} ms. The choosers '
             f'take turns of {baselines.TURN_MS / _MS_PER_SECOND:g} s on one mesh and share '
-            'everything but the choice: admission, limits and retries; hedging is off. '
+            'everything but the choice: admission, limits, retries and hedges. '
             f'{_RUN_MS / _MS_PER_SECOND:g} s of each turn are measured, with '
             f'seeds {", ".join(map(str, options.seeds))}. Load is the share of '
             f'{capacity_per_second(options):.0f} calls/s. `two-choices` compares the loads that '
@@ -219,16 +235,22 @@
 
 
 def _latency_table(rounds: Sequence[Round], options: Options) -> str:
-    rows = []
-    for misleading in options.misleading:
-        for share in options.load_shares:
-            cell = [
-                each
-                for each in rounds
-                if each.misleading == misleading and each.load_share == share
-            ]
-            rows.extend(_rows_of_cell(cell, options, share, misleading=misleading))
+    rows: list[Sequence[object]] = []
+    cells = itertools.product(options.hedging, options.misleading, options.load_shares)
+    for hedged, misleading, share in cells:
+        cell = [
+            each
+            for each in rounds
+            if (each.hedged, each.misleading, each.load_share) == (hedged, misleading, share)
+        ]
+        labels = (
+            'on' if hedged else 'off',
+            'misleading' if misleading else 'true',
+            f'{share:.0%}',
+        )
+        rows.extend(_rows_of_cell(cell, labels))
     columns = (
+        'hedging',
         'reports',
         'load',
         'chooser',
@@ -246,19 +268,16 @@
     return page.table(columns, rows)
 
 
-def _rows_of_cell(
-    cell: Sequence[Round], options: Options, share: float, *, misleading: bool
-) -> Iterator[Sequence[object]]:
+def _rows_of_cell(cell: Sequence[Round], labels: Sequence[str]) -> Iterator[Sequence[object]]:
     results_by_chooser = {
         chooser: [each.result for each in cell if each.chooser == chooser]
         for chooser in baselines.NAMES
     }
     ours = results_by_chooser[_OURS]
-    reports = 'misleading' if misleading else 'true'
     for chooser, results in results_by_chooser.items():
         limits = [each.limit for each in cell if each.chooser == chooser]
         limit = sum(limits) / len(limits)
-        yield [reports, f'{share:.0%}', chooser, *_figures(results, ours), limit]
+        yield [*labels, chooser, *_figures(results, ours), limit]
 
 
 def _figures(
--- a/src/anvillug/process/service_desk.py
+++ b/src/anvillug/process/service_desk.py
@@ -87,7 +87,10 @@
         self.decisions = targets.decide(view.service)
         self.candidates = _make_chooser(chooser, self.decisions.hot_threshold)
         self.retries = budget.retry_budget()
-        self.hedges = budget.HedgeRule(budget.hedge_budget(view.service.targets.spare_percent))
+        self.hedges = budget.HedgeRule(
+            budget.hedge_budget(view.service.targets.spare_percent),
+            self.decisions.hedge_delay_ms,
+        )
         self._clock = time
         self._observer = observer
         self._version_by_host_id: dict[ids.HostId, ids.VersionName] = {}
@@ -110,6 +113,7 @@
         self.viewed_at = now
         self.view_age_limit = age_limit
         self.decisions = targets.decide(view.service)
+        self.hedges.target_delay_ms = self.decisions.hedge_delay_ms
         self._version_by_host_id = {
             host_id: version
             for version, host_ids in view.hosts_by_version.items()
@@ -162,8 +166,7 @@
         """Return when a second copy may be sent, None for never."""
         if not self.view.service.hedge:
             return None
-        delay = self.hedges.delay_ms()
-        return None if delay is None else max(delay, self.decisions.hedge_delay_ms)
+        return self.hedges.delay_ms()
 
     def load_received(self, host_id: ids.HostId, text: bytes) -> None:
         """Take the load that a host told."""
--- a/src/anvillug/request/budget.py
+++ b/src/anvillug/request/budget.py
@@ -23,6 +23,9 @@
 _MIN_HEDGE_DELAY_MS = 1.0
 _MIN_LATENCIES = 20
 _HEDGE_QUANTILE = 0.95
+_MEDIAN = 0.5
+_LEAST_MEDIANS = 1.5
+_LEAST_VALUE = 1e-3
 _QUANTILE_STEP = 0.1
 _MS_PER_SECOND = 1000.0
 
@@ -119,38 +122,65 @@
     return outcome is not call.Outcome.FINISHED
 
 
+class _Quantile:
+    """Estimate of a quantile that follows the values.
+
+    Each value moves the estimate up or down by steps whose ratio balances at the quantile. This
+    costs well under a microsecond where a histogram would have to be searched.
+    """
+
+    __slots__ = ('_log_estimate', '_quantile', 'count')
+
+    def __init__(self, quantile: float) -> None:
+        self.count = 0
+        self._quantile = quantile
+        self._log_estimate: float = 0
+
+    def add(self, value: float) -> None:
+        log_value = math.log(max(value, _LEAST_VALUE))
+        self.count += 1
+        if self.count == 1:
+            self._log_estimate = log_value
+        elif log_value > self._log_estimate:
+            self._log_estimate += _QUANTILE_STEP * self._quantile
+        else:
+            self._log_estimate -= _QUANTILE_STEP * (1 - self._quantile)
+
+    def estimate(self) -> float:
+        return math.exp(self._log_estimate)
+
+
 class HedgeRule:
     """Decides when a second copy of a call is sent, per service.
 
-    The delay is an estimate of the 95th percentile latency: each latency moves the estimate up
-    or down by steps whose ratio balances at that percentile. This costs well under a microsecond
-    per call where a histogram would have to be searched.
+    The delay is an estimate of the 95th percentile latency, but no longer than the latency
+    target asks for: with one of ten hosts slow, the 95th percentile is that of the slow host,
+    and a hedge after it comes too late. Half above the median is the least, so that a target
+    that can't be met does not hedge ordinary calls.
 
     Args:
         budget: Bounds the hedges in all.
+        target_delay_ms: Delay that the latency target asks for.
     """
 
-    def __init__(self, budget: TokenBudget) -> None:
+    def __init__(self, budget: TokenBudget, target_delay_ms: float = math.inf) -> None:
+        self.target_delay_ms = target_delay_ms
+        """Delay that the latency target asks for; may change with the configuration."""
         self._budget = budget
-        self._log_estimate: float = 0
-        self._latencies = 0
+        self._tail = _Quantile(_HEDGE_QUANTILE)
+        self._median = _Quantile(_MEDIAN)
 
     def record(self, latency_ms: float) -> None:
         """Take in the latency of a finished call that was not hedged, or of its first copy."""
-        value = math.log(max(latency_ms, 1e-3))
-        self._latencies += 1
-        if self._latencies == 1:
-            self._log_estimate = value
-        elif value > self._log_estimate:
-            self._log_estimate += _QUANTILE_STEP * _HEDGE_QUANTILE
-        else:
-            self._log_estimate -= _QUANTILE_STEP * (1 - _HEDGE_QUANTILE)
+        self._tail.add(latency_ms)
+        self._median.add(latency_ms)
 
     def delay_ms(self) -> float | None:
         """Return how long to wait before a hedge; None while too few latencies are known."""
-        if self._latencies < _MIN_LATENCIES:
+        if self._tail.count < _MIN_LATENCIES:
             return None
-        return max(_MIN_HEDGE_DELAY_MS, math.exp(self._log_estimate))
+        asked_for = max(self.target_delay_ms, _LEAST_MEDIANS * self._median.estimate())
+        return max(_MIN_HEDGE_DELAY_MS, min(self._tail.estimate(), asked_for))
 
     def call_started(self, now: clock.Milliseconds) -> None:
         """Count a call that is not itself a hedge."""
--- a/src/anvillug/request/choice.py
+++ b/src/anvillug/request/choice.py
@@ -40,6 +40,13 @@
 )
 
 
+WARM_UP_SHARE = 0.02
+"""Share of draws that go to a cold host with room, if one is drawn.
+
+A cold host is slower than the others, so by latency alone it would get no call and never warm up.
+"""
+
+
 class _Host:
     __slots__ = (
         'asked_at',
@@ -54,6 +61,7 @@
         'since_sample',
         'taken_at',
         'unusable',
+        'warming',
     )
 
     def __init__(self) -> None:
@@ -63,6 +71,7 @@
         self.limit = 1
         self.latency_ms: float = 0
         self.unusable = False
+        self.warming = False
         self.outstanding = 0
         self.since_sample = 0
         self.observed_ms: float = 0
@@ -71,6 +80,13 @@
         self.refusal_hold_ms: float = 0
         self.asked_at = float('-inf')
 
+    def takes_warm_up(self, now: float) -> bool:
+        """Tell whether the host is cold and has room for a call."""
+        load = max(self.outstanding, self.in_flight + self.since_sample)
+        return (
+            self.warming and not self.unusable and now >= self.refused_until and load < self.limit
+        )
+
     def rank(self, now: float, hot_threshold: float, trusted: bool) -> float:
         """Return the order of preference of the host; lower is better."""
         rank: float = self.outstanding
@@ -122,6 +138,7 @@
         host.limit = max(1, sample.limit)
         host.latency_ms = sample.latency_ms
         host.unusable = sample.state in _UNUSABLE_STATES
+        host.warming = sample.state is call.HostState.COLD
         host.since_sample = 0
 
     def call_started(self, host_id: ids.HostId) -> None:
@@ -202,9 +219,12 @@
             return drawn[0] if drawn else None
         best_rank = float('inf')
         best = drawn[0]
+        warms = rng.random() < WARM_UP_SHARE
         # Draws are in random order, so that the first of equals is a random one.
         for host_id in drawn:
             host = self._by_host_id.get(host_id)
+            if warms and host is not None and host.takes_warm_up(now):
+                return host_id
             rank = 0 if host is None else host.rank(now, self._hot_threshold, self.samples_trusted)
             if rank < best_rank:
                 best_rank = rank
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -11,6 +11,7 @@
 import pytest
 from hypothesis import given, strategies
 
+from anvillug import clock, ids
 from anvillug.bench import baselines
 from anvillug.request import call, choice
 
@@ -326,3 +327,29 @@
     def test_unknown_name(self):
         with pytest.raises(ValueError, match='not one of'):
             baselines.make_chooser('best')
+
+
+class TestWarmUp:
+    """Guards against a cold host that never warms up, since others are faster."""
+
+    def test_cold_host_with_room_gets_a_small_share(self):
+        candidates, rng = choice.Candidates(), random.Random(5)
+        now = clock.Milliseconds(0)
+        hosts = [ids.HostId('cold'), ids.HostId('warm')]
+        states = (call.HostState.COLD, call.HostState.SERVING)
+        for host_id, state, latency_ms in zip(hosts, states, (40, 5), strict=True):
+            sample = call.LoadSample(0, 10, 0, latency_ms, state, now)
+            candidates.record_sample(host_id, sample)
+        chosen = [candidates.choose(hosts, (), now, rng) for _ in range(5000)]
+        share = chosen.count('cold') / len(chosen)
+        assert choice.WARM_UP_SHARE / 2 < share < choice.WARM_UP_SHARE * 2
+
+    def test_cold_host_without_room_gets_none(self):
+        candidates, rng = choice.Candidates(), random.Random(5)
+        now = clock.Milliseconds(0)
+        hosts = [ids.HostId('cold'), ids.HostId('warm')]
+        cold = call.LoadSample(1, 1, 0, 40, call.HostState.COLD, now)
+        candidates.record_sample(hosts[0], cold)
+        warm = call.LoadSample(0, 10, 0, 5, call.HostState.SERVING, now)
+        candidates.record_sample(hosts[1], warm)
+        assert {candidates.choose(hosts, (), now, rng) for _ in range(2000)} == {'warm'}
