Settle every host that an entry call was sent to

Cause: an attempt that broke while a hedge was active was never resolved, and a refusal of the hedge then gave "not run" although the broken attempt may have run. The silence timer kept the host of the first attempt: after a refusal the call was retried elsewhere, and a host that went silent there was never asked, so that a call without deadline waited for ever and the node could not stop. Ruled out: resolving each broken hedge; the call would wait for a host that has nothing to add. Change: hosts of broken attempts stay unsettled until a resolution fences the call; the silence timer restarts with each retry and asks a host that is still active; unanswered questions are counted per host. Conclusion: "not run" and the end of a call no longer depend on which attempt breaks first.

--- a/src/anvillug/request/entry_call.py
+++ b/src/anvillug/request/entry_call.py
@@ -118,9 +118,12 @@
         self._timers: list[interfaces.IDelayedCall] = []
         self._resolver: attempts.Attempt | None = None
         self._resolver_attached = False
+        self._asked_host: tuple[ids.HostId, ids.Incarnation] | None = None
         self._unanswered_resolves = 0
         self._claimed = False
         self._may_have_run = False
+        # Hosts of attempts that broke after the call was sent, until a resolution settles them.
+        self._unsettled: set[ids.HostId] = set()
         self._kept = answer_keeper.AnswerKeeper() if self.keyed else None
 
     @property
@@ -234,7 +237,7 @@
             for data in self._body:
                 connection.send_body(data)
             connection.end_request()
-        self._start_timers(attempt)
+        self._start_timers()
 
     def attempt_continue(self, attempt: attempts.Attempt) -> None:
         """Stream the body: the host has admitted the call.
@@ -306,12 +309,13 @@
         self._forget(attempt)
         if original_refused:
             # The id is fenced now: the first attempt can't run any more.
+            self._unsettled.discard(attempt.host_id)
             self._drop_host(attempt.host_id)
         if self._active or self.state is EntryState.DONE:
             return
         if self._streaming_to is not None and self._body_was_used():
             self.refuse(reason)
-        elif self._context.may_retry(self, call.Outcome.NOT_RUN):
+        elif self._context.may_retry(self, self._worst_outcome()):
             self.send()
         else:
             self.refuse(reason)
@@ -332,6 +336,7 @@
             return
         if self.state is EntryState.DONE:
             return
+        self._unsettled.add(attempt.host_id)
         resolving = attempt.kind is attempts.AttemptKind.RESOLVE
         if self._active and not resolving:
             return
@@ -350,15 +355,14 @@
             delay = max(0, clock.to_seconds(left))
             self._deadline_timer = self._context.reactor.callLater(delay, self._deadline_passed)
 
-    def _start_timers(self, attempt: attempts.Attempt) -> None:
-        if self._timers:
+    def _start_timers(self) -> None:
+        if len(self._active) > 1:
+            # A hedge: the timers of the attempt before it go on for both.
             return
+        _cancel(self._timers)
         later = self._context.reactor.callLater
         silence_ms = self._context.silence_ms(self)
-        host = (attempt.host_id, attempt.incarnation)
-        self._timers.append(
-            later(clock.to_seconds(silence_ms), self._probe_silence, host, silence_ms),
-        )
+        self._timers.append(later(clock.to_seconds(silence_ms), self._probe_silence, silence_ms))
         hedge_ms = self._context.hedge_delay_ms(self)
         if hedge_ms is not None:
             self._timers.append(later(clock.to_seconds(hedge_ms), self._hedge))
@@ -367,16 +371,15 @@
         if self.state is EntryState.SENT and self._context.may_hedge(self):
             self._context.start_attempt(self, attempts.AttemptKind.SEND, None)
 
-    def _probe_silence(
-        self,
-        host: tuple[ids.HostId, ids.Incarnation],
-        silence_ms: float,
-    ) -> None:
+    def _probe_silence(self, silence_ms: float) -> None:
         if self.state is not EntryState.SENT:
             return
-        if self._resolver is not None and not self._resolver_attached:
+        if self._resolver in self._active and not self._resolver_attached:
             self._unanswered_resolves += 1
-        self._resolve(host)
+        if self._active:
+            # A resolution goes on at its host; a host that is settled is not active any more.
+            asked = self._resolver if self._resolver in self._active else self._active[0]
+            self._resolve((asked.host_id, asked.incarnation))
         if self.state is not EntryState.SENT:
             return
         next_ms = min(2 * silence_ms, _LONGEST_SILENCE_MS)
@@ -384,7 +387,6 @@
             self._context.reactor.callLater(
                 clock.to_seconds(next_ms),
                 self._probe_silence,
-                host,
                 next_ms,
             ),
         )
@@ -393,6 +395,9 @@
         """Ask a host for the outcome; a new resolution replaces the one before."""
         if self.state is EntryState.DONE:
             return
+        if host != self._asked_host:
+            self._asked_host = host
+            self._unanswered_resolves = 0
         if self._unanswered_resolves >= _MAX_UNANSWERED_RESOLVES:
             self._drop_host(host[0])
             self._after_unknown('the host does not answer')
@@ -408,8 +413,8 @@
     def _deadline_passed(self) -> None:
         if self.state in (EntryState.ANSWERING, EntryState.DONE):
             return
-        sent = self.state is EntryState.SENT or self._may_have_run
-        outcome = call.Outcome.UNKNOWN if sent else call.Outcome.NOT_RUN
+        sent = self.state is EntryState.SENT
+        outcome = call.Outcome.UNKNOWN if sent else self._worst_outcome()
         self._answer(_STATUS_GATEWAY_TIMEOUT, outcome, 'deadline passed')
 
     def _after_unknown(self, reason: str) -> None:
@@ -423,11 +428,16 @@
 
     def refuse(self, reason: str) -> None:
         """Answer that the call has not been run, unless an earlier attempt may have run."""
-        if self._may_have_run:
+        if self._worst_outcome() is call.Outcome.UNKNOWN:
             self._answer(_STATUS_BAD_GATEWAY, call.Outcome.UNKNOWN, reason)
         else:
             self._answer(_STATUS_UNAVAILABLE, call.Outcome.NOT_RUN, reason)
 
+    def _worst_outcome(self) -> call.Outcome:
+        """Return `UNKNOWN` when an attempt that is over may have run."""
+        may_have_run = self._may_have_run or self._unsettled
+        return call.Outcome.UNKNOWN if may_have_run else call.Outcome.NOT_RUN
+
     def _answer(self, status: int, outcome: call.Outcome, reason: str) -> None:
         headers = [
             (b'Content-Type', b'text/plain; charset=utf-8'),
@@ -461,10 +471,9 @@
             self._context.attempt_over(self, attempt)
 
     def _cancel_timers(self) -> None:
-        for timer in (*self._timers, self._deadline_timer):
-            if timer is not None and timer.active():
-                timer.cancel()
-        self._timers.clear()
+        _cancel(self._timers)
+        if self._deadline_timer is not None and self._deadline_timer.active():
+            self._deadline_timer.cancel()
 
     def _end(self, status: int, outcome: call.Outcome) -> None:
         if self.state is EntryState.DONE:
@@ -476,6 +485,13 @@
         self._context.call_over(self, status, outcome)
 
 
+def _cancel(timers: list[interfaces.IDelayedCall]) -> None:
+    for timer in timers:
+        if timer.active():
+            timer.cancel()
+    timers.clear()
+
+
 _INTERNAL_HEADERS = frozenset((b'anvillug-load', b'anvillug-config'))
 _LONGEST_TIMER_MS = 3_600_000
 _LONGEST_SILENCE_MS = 8000
--- a/tests/test_entry_call.py
+++ b/tests/test_entry_call.py
@@ -38,6 +38,22 @@
         self.aborted = True
 
 
+class FakeConnection:
+    """Connection to a host that never answers."""
+
+    def request(self, head, handler):
+        """Do nothing."""
+
+    def send_body(self, data):
+        """Do nothing."""
+
+    def end_request(self):
+        """Do nothing."""
+
+    def cancel(self):
+        """Do nothing."""
+
+
 class FakeContext:
     """Entry side with a list of hosts."""
 
@@ -81,6 +97,10 @@
     def hedge_delay_ms(self, call_of):
         """Hedge never."""
 
+    def config_number(self):
+        """Return a number."""
+        return ids.ConfigNumber(1)
+
     def call_over(self, call_of, status, outcome):
         """Note the result."""
         self.ended.append((status, outcome))
@@ -127,6 +147,32 @@
         context.reactor.advance(6)
         assert exchange.answer == (504, b'unknown')
 
+    def test_refusal_of_the_hedge_of_a_broken_attempt_is_unknown(self):
+        # The broken attempt may have run; it was not resolved because the hedge was active.
+        context = FakeContext(['a', 'b'])
+        started, exchange = start(context)
+        context.start_attempt(started, attempts.AttemptKind.SEND, None)
+        started.attempt_broken(context.started[0])
+        started.attempt_not_run(context.started[1], 'full')
+        assert exchange.answer == (502, b'unknown')
+
+    def test_refusal_of_a_hedge_before_the_resolution_is_unknown(self):
+        context = FakeContext(['a', 'b'])
+        started, exchange = start(context)
+        started.attempt_broken(context.started[0])
+        hedge = context.start_attempt(started, attempts.AttemptKind.SEND, None)
+        started.attempt_not_run(hedge, 'full')
+        assert exchange.answer == (502, b'unknown')
+
+    def test_resolution_as_not_run_settles_a_broken_attempt(self):
+        context = FakeContext(['a', 'b'])
+        started, exchange = start(context)
+        started.attempt_broken(context.started[0])
+        context.reactor.advance(1)
+        started.attempt_not_run(context.started[1], 'fenced')
+        started.attempt_not_run(context.started[2], 'full')
+        assert exchange.answer == (503, b'not-run')
+
     def test_deadline_before_a_send_is_not_run(self):
         context = FakeContext(['a'])
         _, exchange = start(context, deadline=5_000)
@@ -171,3 +217,57 @@
         assert (context.claims, context.started) == ([started], [])
         started.claim_won()
         assert len(context.started) == 1
+
+
+def sent(started, attempt):
+    """Give an attempt a connection, so that the call is sent."""
+    attempt.connection = FakeConnection()
+    started.attempt_connected(attempt)
+
+
+def start_sent(context, repeatable=True):
+    """Return a call that has been sent, its exchange and its attempt."""
+    started, exchange = start(context, repeatable=repeatable)
+    first = context.started[0]
+    sent(started, first)
+    return started, exchange, first
+
+
+class TestSilence:
+    """Guards against a call that waits for ever for a host that went silent."""
+
+    @pytest.mark.parametrize('repeatable', [True, False])
+    def test_silent_host_after_a_retry_is_asked(self, repeatable):
+        # Only the first host was asked for the outcome, also after it had refused the call.
+        context = FakeContext(['a', 'b'])
+        started, _, first = start_sent(context, repeatable)
+        started.attempt_not_run(first, 'full')
+        sent(started, context.started[1])
+        context.reactor.advance(1.1)
+        resolve = context.started[2]
+        assert (resolve.kind, resolve.host_id) == (attempts.AttemptKind.RESOLVE, 'b')
+
+    def test_silent_hedge_is_asked_once_the_first_host_is_settled(self):
+        context = FakeContext(['a', 'b'])
+        started, _, first = start_sent(context)
+        hedge = context.start_attempt(started, attempts.AttemptKind.SEND, None)
+        sent(started, hedge)
+        started.attempt_not_run(first, 'full')
+        context.reactor.advance(1.1)
+        resolve = context.started[-1]
+        assert (resolve.kind, resolve.host_id) == (attempts.AttemptKind.RESOLVE, 'b')
+
+    def test_silent_second_host_gets_as_many_questions_as_the_first(self):
+        context = FakeContext(['a', 'b'])
+        started, exchange, _ = start_sent(context, repeatable=False)
+        context.reactor.advance(1.1)
+        context.reactor.advance(2.1)
+        started.attempt_not_run(context.started[-1], 'fenced')
+        assert context.started[-1].host_id == 'b'
+        sent(started, context.started[-1])
+        context.reactor.advance(1.1)
+        context.reactor.advance(2.1)
+        assert exchange.answer is None
+        context.reactor.advance(4.1)
+        context.reactor.advance(8.1)
+        assert exchange.answer == (502, b'unknown')
