Admit a call only with the configuration of its sender

Cause: a host side that was behind admitted calls once 1,000 waited, and a new configuration admitted all waiting calls even if it was older than their senders'. A host that wakes after a pause could so take work for a zone that had been taken out. A second arrival of a call id was answered as "not run", which says nothing true about the first. Ruled out: an unbounded list of waiting calls. Change: calls beyond the bound are refused as not run; a new configuration admits only calls of senders that are not ahead of it; a duplicate is answered as unknown.

--- a/src/anvillug/process/host_side.py
+++ b/src/anvillug/process/host_side.py
@@ -173,18 +173,23 @@
 
     def config_changed(self) -> None:
         """Go on with the calls that waited for a configuration."""
-        waiting = tuple(self._behind)
-        self._behind.clear()
+        number = self._config_number()
+        waiting = self._behind
+        self._behind = [started for started in waiting if started.request.config_number > number]
         for started in waiting:
-            started.admit()
+            if started.request.config_number <= number:
+                started.admit()
 
     # Calls from `HostCall`
 
     def is_behind(self, started: host_call.HostCall) -> bool:
         """Hold a call whose sender has a newer configuration; see `host_call.HostContext`."""
         number = started.request.config_number
-        if number <= self._config_number() or len(self._behind) >= _MAX_BEHIND:
+        if number <= self._config_number():
             return False
+        if len(self._behind) >= _MAX_BEHIND:
+            self._refuse_behind(started)
+            return True
         self._behind.append(started)
         self._catch_up(started.request.properties.call_id.host_id, number)
         self.reactor.callLater(_CATCH_UP_S, self._give_up_waiting, started)
@@ -196,6 +201,9 @@
         now = self.clock.now()
         call_id = request.properties.call_id
         result = self._table.admit(call_id, request.incarnation, now)
+        if result is call_table.AdmitResult.DUPLICATE:
+            started.answer_unknown('another arrival of this call is known here')
+            return None
         if result is not call_table.AdmitResult.ADMITTED:
             self.counters.refused += 1
             return result.value
@@ -276,8 +284,11 @@
     def _give_up_waiting(self, started: host_call.HostCall) -> None:
         if started in self._behind:
             self._behind.remove(started)
-            self.counters.refused += 1
-            started.refuse('this host does not have the configuration of the sender yet')
+            self._refuse_behind(started)
+
+    def _refuse_behind(self, started: host_call.HostCall) -> None:
+        self.counters.refused += 1
+        started.refuse('this host does not have the configuration of the sender yet')
 
     def _resolve(self, exchange: http_server.ServerExchange) -> None:
         call_id, incarnation = host_request.parse_resolve(exchange.head)
--- a/src/anvillug/request/host_call.py
+++ b/src/anvillug/request/host_call.py
@@ -50,7 +50,7 @@
         """
 
     def admit(self, host_call: HostCall) -> str | None:
-        """Ask for a slot; returns why the call is refused, or None."""
+        """Ask for a slot; returns why the call is refused, None when it is settled otherwise."""
 
     def backend_unreachable(self) -> None:
         """Note that a connect to the backend server failed."""
@@ -204,6 +204,10 @@
         """Answer that the call has not been run; its record is settled already."""
         self._answer_refusal(reason)
 
+    def answer_unknown(self, reason: str) -> None:
+        """Answer that nothing is said about a run of the call; its record stays as it is."""
+        self._answer_without_run(_STATUS_BAD_GATEWAY, call.Outcome.UNKNOWN, reason)
+
     # From the backend server
 
     def response_continue(self) -> None:
@@ -313,13 +317,13 @@
         self._answer_refusal(reason)
 
     def _answer_refusal(self, reason: str) -> None:
+        self._answer_without_run(_STATUS_UNAVAILABLE, call.Outcome.NOT_RUN, reason)
+
+    def _answer_without_run(self, status: int, outcome: call.Outcome, reason: str) -> None:
         self.state = HostCallState.DONE
-        headers = self._context.answer_headers(
-            self.request.properties.call_id,
-            call.Outcome.NOT_RUN,
-        )
+        headers = self._context.answer_headers(self.request.properties.call_id, outcome)
         headers.append((b'Anvillug-Reason', reason.encode('latin-1', 'replace')))
-        self._exchange.respond(_STATUS_UNAVAILABLE, b'', tuple(headers))
+        self._exchange.respond(status, b'', tuple(headers))
 
     def _fail(self, reason: str, *, crashed: bool = False) -> None:
         self._close()
@@ -328,13 +332,8 @@
         self._context.failed(self, crashed=crashed)
         if self._exchange.head_sent:
             self._exchange.abort()
-            return
-        headers = self._context.answer_headers(
-            self.request.properties.call_id,
-            call.Outcome.UNKNOWN,
-        )
-        headers.append((b'Anvillug-Reason', reason.encode('latin-1', 'replace')))
-        self._exchange.respond(_STATUS_BAD_GATEWAY, b'', tuple(headers))
+        else:
+            self.answer_unknown(reason)
 
     def _close(self) -> None:
         self.state = HostCallState.DONE
