Keep a surplus answer away from the next request

Cause: a client connection went back to its pool while the rest of a segment was still parsed. A request that waited for a connection then got the body of a surplus answer in front of its own. A late answer in a segment of its own was passed on as the answer to the next call, and the body of an answer to HEAD stayed on a connection that was reused. Ruled out: matching answers on the host side by order alone. Change: the connection is released after the whole segment is parsed, and not when more than the answer arrived; a host side takes an answer that names another call as unknown and closes the connection. Backend servers that echo no call id are not checked. Conclusion: late and crossed answers of a backend server reach no other caller.

--- a/src/anvillug/connection/http_client.py
+++ b/src/anvillug/connection/http_client.py
@@ -78,6 +78,7 @@
         self._reusable = True
         self._lost = False
         self._paused = False
+        self._parsing = False
         self.served = 0
 
     @property
@@ -147,6 +148,7 @@
             self.transport.abortConnection()
             return
         write_batch.BATCH.begin()
+        self._parsing = True
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as problem:
@@ -156,7 +158,11 @@
                 self._fail(ClientFailure.MALFORMED)
             self._reusable = False
             self.transport.abortConnection()
+        else:
+            self._parsing = False
+            self._finish_if_done()
         finally:
+            self._parsing = False
             write_batch.BATCH.end()
 
     def connectionLost(self, reason: failure.Failure | None = None) -> None:  # noqa: N802
@@ -172,6 +178,8 @@
 
     def on_message_begin(self) -> None:
         """Start an answer; see httptools."""
+        if self._response_done:
+            self._reusable = False
         self._headers = []
         self._reason = b''
 
@@ -185,6 +193,8 @@
 
     def on_headers_complete(self) -> None:
         """Pass on the head; see httptools."""
+        if self._response_done:
+            return
         self._status = self._parser.get_status_code()
         if self._status < _INFORMATIONAL_BELOW or self._handler is None:
             return
@@ -200,7 +210,10 @@
 
     def on_body(self, data: bytes) -> None:
         """Pass on a piece of the body; see httptools."""
-        if self._handler is not None and not self._response_done:
+        if self._response_done:
+            # A body that must not be there; its rest may still be on its way.
+            self._reusable = False
+        elif self._handler is not None:
             self._handler.response_body(data)
 
     def on_message_complete(self) -> None:
@@ -250,7 +263,8 @@
         self._finish_if_done()
 
     def _finish_if_done(self) -> None:
-        if not self._response_done or self._lost:
+        # The rest of a segment must not be taken for the answer to the next request.
+        if not self._response_done or self._lost or self._parsing:
             return
         if self._reusable and self._request_done:
             self._pool.release(self)
--- a/src/anvillug/request/host_call.py
+++ b/src/anvillug/request/host_call.py
@@ -20,6 +20,7 @@
 _STATUS_SERVER_ERROR = 500
 _STATUS_UNAVAILABLE = 503
 _PROGRESS_LIMIT_S = 30.0
+_CALL = call.CALL_HEADER.lower().encode()
 _OUTCOME = call.OUTCOME_HEADER.lower().encode()
 
 
@@ -215,6 +216,11 @@
 
     def response_head(self, head: http_head.ResponseHead) -> None:
         """Pass the head on, or note that the backend server has shed the call."""
+        echoed = head.get(_CALL)
+        if echoed is not None and echoed != str(self.request.properties.call_id).encode():
+            # A late answer to an earlier request on this connection.
+            self._fail(f'the backend server answered call {echoed.decode("latin-1")}')
+            return
         if head.status == _STATUS_UNAVAILABLE and head.get(_OUTCOME) == b'not-run':
             self._shed = True
             return
--- a/tests/test_host_side.py
+++ b/tests/test_host_side.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import pytest
 from twisted.internet import testing as twisted_testing
 
 from anvillug import clock, ids
 from anvillug.connection import http_head
 from anvillug.process import host_side
-from anvillug.request import call_table, quarantine
+from anvillug.request import call_table, host_call, host_request, quarantine
 
 INCARNATION = ids.Incarnation(7)
 
@@ -21,10 +22,15 @@
         self.head_sent = False
         self.reason = None
         self.outcome = None
+        self.passed_on = []
 
     def accept_body(self):
         """Do nothing."""
 
+    def send_head(self, head):
+        """Note the status."""
+        self.passed_on.append(head.status)
+
     def respond(self, status, body=b'', headers=()):
         """Note outcome and reason."""
         found = dict(headers)
@@ -32,6 +38,18 @@
         self.reason = found[b'Anvillug-Reason']
 
 
+def call_headers(sequence, number):
+    """Return the headers of a call whose sender has a configuration number."""
+    return [
+        (b'Anvillug-Call', b'e.1.%d' % sequence),
+        (b'Anvillug-Service', b'drawbook'),
+        (b'Anvillug-Incarnation', b'%d' % INCARNATION),
+        (b'Anvillug-Config', b'%d' % number),
+        (b'Anvillug-Criticality', b'normal'),
+        (b'Anvillug-Repeatable', b'0'),
+    ]
+
+
 class Bench:
     """A host side with a configuration number that the tests set."""
 
@@ -53,15 +71,9 @@
 
     def send(self, sequence, number):
         """Send a call of a sender that has a configuration number."""
-        headers = [
-            (b'Anvillug-Call', b'e.1.%d' % sequence),
-            (b'Anvillug-Service', b'drawbook'),
-            (b'Anvillug-Incarnation', b'%d' % INCARNATION),
-            (b'Anvillug-Config', b'%d' % number),
-            (b'Anvillug-Criticality', b'normal'),
-            (b'Anvillug-Repeatable', b'0'),
-        ]
-        exchange = FakeExchange(http_head.RequestHead(b'POST', b'/revisions', headers))
+        exchange = FakeExchange(
+            http_head.RequestHead(b'POST', b'/revisions', call_headers(sequence, number))
+        )
         self.side.request_received(exchange)
         exchange.handler.request_ended()
         return exchange
@@ -102,3 +114,37 @@
         table.admit(first, INCARNATION, 0)
         table.dispatch(first)
         assert bench.send(1, 5).outcome == b'unknown'
+
+
+class FakeContext:
+    """Host side that notes how a call ends."""
+
+    kept_answer_bytes = 1000
+
+    def __init__(self):
+        self.clock = clock.ManualClock()
+        self.ends = []
+
+    def failed(self, host_call, *, crashed):
+        """Note that the outcome is unknown."""
+        self.ends.append(('failed', crashed))
+
+    def answer_headers(self, call_id, outcome):
+        """Return the outcome alone."""
+        return [(b'Anvillug-Outcome', outcome.value.encode())]
+
+
+class TestCrossedAnswer:
+    """Guards against the answer to another call that is passed on."""
+
+    @pytest.mark.parametrize(
+        ('echoed', 'passed_on', 'ends'),
+        [(b'e.1.1', [200], []), (b'e.1.2', [], [('failed', False)])],
+    )
+    def test_answer_is_matched_by_call_id(self, echoed, passed_on, ends):
+        context = FakeContext()
+        exchange = FakeExchange(http_head.RequestHead(b'GET', b'/x', call_headers(1, 5)))
+        request = host_request.parse(exchange.head, 0)
+        running = host_call.HostCall(context, exchange, request)
+        running.response_head(http_head.ResponseHead(200, [(b'Anvillug-Call', echoed)]))
+        assert (exchange.passed_on, context.ends) == (passed_on, ends)
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -93,6 +93,26 @@
         connection.dataReceived(b'HTTP/1.1 204 No Content\r\n\r\nHTTP/1.1 200 OK\r\n\r\n')
         assert connection.transport.disconnecting or connection.transport.disconnected
 
+    def test_surplus_response_reaches_no_waiting_request(self, pool):
+        # The next request took the connection while the rest of the segment was parsed,
+        # and got the body of the surplus response.
+        connection = connect(pool)
+        later = Recorder()
+        head = http_head.RequestHead(b'GET', b'/2', [(b'Host', b'x')])
+        send(connection)
+        pool._waiting.append((lambda reused: reused.request(head, later), later.events.clear))  # noqa: SLF001 - as if all connections were busy
+        answer = b'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n'
+        connection.dataReceived(b'%babc%bxyz' % (answer, answer))
+        assert (later.events, later.body) == ([], b'')
+        assert connection.transport.disconnecting or connection.transport.disconnected
+
+    def test_body_of_a_head_response_is_not_left_for_the_next_one(self, pool):
+        connection = connect(pool)
+        recorder = send(connection, b'HEAD')
+        connection.dataReceived(b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc')
+        assert recorder.events == [200, 'ended']
+        assert pool.idle_count == 0
+
 
 class TestWholeness:
     """Guards against a cut response that is passed on as whole."""
