Read released idempotency keys back

Cause: a desk read its stream only while a claim waited. A key whose call had been refused stayed held in the desk's own fold, and since a held key is answered without the log, each resend was told "not run" until another key of the same stream happened to be claimed. Releases posted during an outage of the log piled up without bound and went out in one record. Ruled out: sending every resend through the log; a held key must be answered while the log is out. Change: a desk reads up to its own releases, and on after it answered from a held key; waiting entries and the entries of a record are bounded. Conclusion: a resend runs after a "not run", at latest the second one where another node released the key.

--- a/src/anvillug/process/claim_desk.py
+++ b/src/anvillug/process/claim_desk.py
@@ -16,6 +16,11 @@
 from anvillug import clock, event_log, ids
 from anvillug.request import claim
 
+MAX_BATCH = 500
+"""Entries per record, about 50 KB."""
+MAX_OUTBOX = 5000
+"""Entries that wait for an append, as many as calls with keys on an entry side."""
+
 
 class LogRecord(Protocol):
     """Record of a stream."""
@@ -98,6 +103,8 @@
     outbox: list[dict[str, Any]] = dataclasses.field(default_factory=list)
     flushing: bool = False
     reading: bool = False
+    read_to: int = 0
+    """End up to which to read although no claim waits; 0 for no such read."""
 
 
 class ClaimDesk:
@@ -136,7 +143,9 @@
         stream = self._stream(wanted.key)
         holder = stream.fold.holder(wanted.key, self._time.wall())
         if holder is not None:
-            # Nothing in the log can make this claim win, so that the log is not needed.
+            # The answer may be had without the log. It may know of a release, which the
+            # next resend is to find.
+            self._read_up_to(stream, 1)
             lost = claim.Verdict(claim.VerdictKind.LOST, holder)
             return defer.succeed(lost)
         pending = _Pending(wanted, defer.Deferred())
@@ -161,24 +170,34 @@
         return self._reactor.callLater(clock.to_seconds(delay_ms), task, *arguments)
 
     def _post(self, stream: _Stream, entry: dict[str, Any]) -> None:
+        if len(stream.outbox) >= MAX_OUTBOX:
+            # Without its release a key stays held until the end of its lifetime.
+            event_log.warn('claim_entry_dropped', stream=stream.name, call=entry['call'])
+            return
         stream.outbox.append(entry)
         if not stream.flushing:
             stream.flushing = True
             self._later(self._settings.batch_ms, self._flush, stream)
 
     def _flush(self, stream: _Stream) -> None:
-        batch = [entry for entry in stream.outbox if self._is_wanted(stream, entry)]
-        stream.outbox = []
+        wanted = [entry for entry in stream.outbox if self._is_wanted(stream, entry)]
+        batch = wanted[:MAX_BATCH]
+        stream.outbox = wanted[MAX_BATCH:]
         if not batch:
             stream.flushing = False
             return
         appended = defer.maybeDeferred(self._log.append, stream.name, batch)
         appended.addCallbacks(
-            lambda _: self._flushed(stream, [], self._settings.batch_ms),
+            lambda offset: self._appended(stream, batch, offset),
             # The append may have taken effect; a claim or release twice counts once.
             lambda _: self._flushed(stream, batch, self._settings.retry_ms),
         )
 
+    def _appended(self, stream: _Stream, batch: list[dict[str, Any]], offset: int) -> None:
+        if any('release' in entry for entry in batch):
+            self._read_up_to(stream, offset + 1)
+        self._flushed(stream, [], self._settings.batch_ms)
+
     def _flushed(self, stream: _Stream, again: list[dict[str, Any]], delay_ms: float) -> None:
         stream.outbox = again + stream.outbox
         self._later(delay_ms, self._flush, stream)
@@ -188,6 +207,10 @@
             return True
         return ids.parse_call_id(entry['call']) in stream.pending_by_call_id
 
+    def _read_up_to(self, stream: _Stream, end: int) -> None:
+        stream.read_to = max(stream.read_to, end)
+        self._read(stream)
+
     def _read(self, stream: _Stream) -> None:
         if stream.reading or not self._is_watched(stream):
             return
@@ -203,9 +226,14 @@
         found.addCallback(self._fold, stream)
         found.addCallbacks(
             lambda delay_ms: self._later(delay_ms, self._read_again, stream),
-            lambda _: self._later(settings.retry_ms, self._read_again, stream),
+            lambda _: self._read_failed(stream),
         )
 
+    def _read_failed(self, stream: _Stream) -> None:
+        # The next resend asks again; without claims that wait, nothing else needs the log.
+        stream.read_to = 0
+        self._later(self._settings.retry_ms, self._read_again, stream)
+
     def _read_again(self, stream: _Stream) -> None:
         stream.reading = False
         self._read(stream)
@@ -215,13 +243,16 @@
         given_up = stream.given_up_by_call_id
         while given_up and next(iter(given_up.values())) <= oldest:
             given_up.popitem(last=False)
-        return bool(stream.pending_by_call_id or given_up)
+        return bool(stream.pending_by_call_id or given_up or stream.read_to)
 
     def _fold(self, found: ReadResult, stream: _Stream) -> float:
         for record in found.records:
             for decided in stream.fold.apply(record.offset, record.time_ms, record.data):
                 self._settle(stream, decided)
         stream.fold.reached_end(found.next)
+        at_end = not found.records or stream.fold.next_offset >= found.next
+        if at_end and found.next >= stream.read_to:
+            stream.read_to = 0
         # A turn of the reactor between reads keeps a long history from blocking it;
         # the pause bounds the rate when the log answers without waiting.
         return 0 if found.records else self._settings.batch_ms
--- a/tests/test_claim.py
+++ b/tests/test_claim.py
@@ -117,6 +117,9 @@
         settings = claim_desk.DeskSettings(lifetime_ms=LIFETIME, partitions=1, give_up_ms=200)
         return claim_desk.ClaimDesk(self.log, self.reactor, self.time, settings)
 
+    def settle(self):
+        self.run(100)
+
     def run(self, duration):
         for _ in range(duration // 5):
             self.time.advance(5)
@@ -179,3 +182,57 @@
         bench.log.time = clock.ManualClock()
         bench.run(100)
         assert found.result.kind is KIND.EXPIRED
+
+
+class TestRelease:
+    """Guards against a key that stays held by a call that has not been run."""
+
+    def test_released_key_is_free_at_the_same_desk(self):
+        # The desk did not read its own release, so that each resend lost to a call
+        # that had not been run.
+        bench = Bench()
+        desk = bench.desk()
+        desk.claim(FIRST)
+        bench.settle()
+        desk.release(FIRST)
+        bench.settle()
+        second = desk.claim(SECOND)
+        bench.settle()
+        assert second.result.kind is KIND.WON
+
+    def test_key_released_by_another_node_is_free_at_the_next_resend(self):
+        bench = Bench()
+        holder, other = bench.desk(), bench.desk()
+        holder.claim(FIRST)
+        lost = other.claim(SECOND)
+        bench.settle()
+        assert lost.result.kind is KIND.LOST
+        holder.release(FIRST)
+        bench.settle()
+        other.claim(_claim(3))
+        bench.settle()
+        won = other.claim(_claim(4))
+        bench.settle()
+        assert won.result.kind is KIND.WON
+
+    def test_holder_is_known_while_the_log_is_out(self):
+        bench = Bench()
+        desk = bench.desk()
+        desk.claim(FIRST)
+        bench.settle()
+        bench.log.is_out = True
+        assert desk.claim(SECOND).result.winner == FIRST
+
+    def test_releases_of_an_outage_are_bounded(self):
+        # Calls that end before their claim is settled each post a release.
+        bench = Bench()
+        bench.log.is_out = True
+        desk = bench.desk()
+        for sequence in range(3 * claim_desk.MAX_OUTBOX):
+            desk.release(_claim(sequence))
+        bench.settle()
+        bench.log.is_out = False
+        bench.run(30 * claim_desk.MAX_OUTBOX // claim_desk.MAX_BATCH)
+        sizes = [len(record.data) for record in bench.log.records]
+        assert max(sizes) == claim_desk.MAX_BATCH
+        assert sum(sizes) == claim_desk.MAX_OUTBOX
