Send the last answers before a stopping node ends

Cause: a call counts as over once its answer is in the buffers of the process. A node that was stopping ended a tenth of a second later, and what a slow caller or entry side had not taken was cut. Resends that wait for the answer of the first call were not waited for. In that last moment the host side also admitted calls again, because the state LEFT was not LEAVING. Ruled out: waiting for connections to close; entry sides keep theirs open.

--- a/src/anvillug/connection/http_server.py
+++ b/src/anvillug/connection/http_server.py
@@ -187,6 +187,11 @@
         self._running_pending = False
         self._paused_by_exchange = False
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is not answered, or bytes of an answer are not sent yet."""
+        return self._exchange is not None or write_batch.holds_bytes(self.transport)
+
     def connectionMade(self) -> None:  # noqa: N802
         """Register for write backpressure; see Twisted."""
         self._open_connections.add(self)
@@ -488,6 +493,11 @@
             self._open_connections,
         )
 
+    @property
+    def busy_count(self) -> int:
+        """Connections with a request that is not answered, or with unsent bytes."""
+        return sum(connection.is_busy for connection in self._open_connections)
+
     def close_when_idle(self) -> None:
         """Close each connection after the answer that it carries."""
         for connection in tuple(self._open_connections):
--- a/src/anvillug/connection/write_batch.py
+++ b/src/anvillug/connection/write_batch.py
@@ -72,11 +72,23 @@
         transport.write(data[sent:] if sent else data)
 
 
+def holds_bytes(transport: Any) -> bool:
+    """Tell whether a TCP transport holds bytes that it has not sent; False for other ones."""
+    try:
+        return _is_buffering(transport)
+    except AttributeError:
+        return False
+
+
 def _is_idle(transport: Any) -> bool:
-    """Tell whether the transport holds no bytes that would have to go first."""
+    """Tell whether the transport is open and holds no bytes that would have to go first."""
     try:
-        buffered = len(transport.dataBuffer) > transport.offset or transport._tempDataBuffer  # noqa: SLF001
+        buffered = _is_buffering(transport)
         return not buffered and transport.connected and not transport.disconnecting
     except AttributeError:
         # Not a TCP transport, such as one in memory.
         return False
+
+
+def _is_buffering(transport: Any) -> bool:
+    return len(transport.dataBuffer) > transport.offset or bool(transport._tempDataBuffer)  # noqa: SLF001
--- a/src/anvillug/process/node.py
+++ b/src/anvillug/process/node.py
@@ -17,6 +17,7 @@
     backend_watch,
     claim_desk,
     config_follower,
+    drain,
     entry_side,
     gossip,
     gossip_sources,
@@ -35,7 +36,7 @@
 
 _WITHDRAW_GRACE_S = 1.0
 _LISTENER_GRACE_S = 2.0
-_DRAIN_CHECK_S = 0.1
+_LAST_RECORD_S = 0.1  # lets the last record reach peers and log
 # The log is given this long to bring a configuration before a peer is asked.
 _ASK_PEER_S = 0.12
 _SNAPSHOT_HOSTS = 2
@@ -174,7 +175,7 @@
         self.gossip_task.stop()
         self._control.stop()
         event_log.emit('node_stopped')
-        self._reactor.callLater(_DRAIN_CHECK_S, self._reactor.stop)
+        self._reactor.callLater(_LAST_RECORD_S, self._reactor.stop)
 
     # View for operators
 
@@ -360,7 +361,7 @@
         self.gossip_task.spread_now()
         if state is membership.MemberState.LEAVING:
             self._reactor.callLater(_WITHDRAW_GRACE_S, self._refuse_new_work)
-        else:
+        elif state is not membership.MemberState.LEFT:
             self.host.admission.leaving = False
 
     def _member_state(self, backend: backend_watch.Backend | None) -> membership.MemberState:
@@ -384,13 +385,16 @@
         if self._caller_port is not None:
             self._caller_port.stopListening()
         self._caller_factory.close_when_idle()
-        self._check_drained()
+        drain.Drain(
+            self._reactor,
+            self._clock,
+            self._calls_in_progress,
+            self._busy_connections,
+            self._cycle.drained,
+        ).check()
 
     def _calls_in_progress(self) -> int:
         return self.host.calls_in_progress + len(self.entry.in_progress)
 
-    def _check_drained(self) -> None:
-        if self._calls_in_progress():
-            self._reactor.callLater(_DRAIN_CHECK_S, self._check_drained)
-        else:
-            self._cycle.drained()
+    def _busy_connections(self) -> int:
+        return self._caller_factory.busy_count + self._peer_factory.busy_count
