End calls whose caller goes silent before the body is whole

Cause: an entry call that waited for a small body had no limit on progress. A caller whose connection went silent kept the call in progress for ever, and a node with such a call could not stop. A caller that left before its call was sent ended as unknown, which kept the idempotency key held for its lifetime although no host had seen the call. Ruled out: a limit on the whole time; slow uploads are allowed. Change: no byte for 30 s ends the call with status 408 and "not run"; a caller that leaves before the send ends as not run.

--- a/src/anvillug/process/entry_side.py
+++ b/src/anvillug/process/entry_side.py
@@ -39,9 +39,9 @@
     answered: int = 0
     """Calls with an answer of a backend server."""
     not_run: int = 0
-    """Calls answered as not run."""
+    """Calls answered as not run, or whose caller left before the send."""
     unknown: int = 0
-    """Calls whose outcome is unknown, or whose caller left."""
+    """Calls whose outcome is unknown, or whose caller left after the send."""
     attempts: int = 0
     """Requests sent to hosts."""
     resolves: int = 0
--- a/src/anvillug/request/entry_call.py
+++ b/src/anvillug/request/entry_call.py
@@ -20,6 +20,8 @@
 MAX_ATTEMPTS = 3
 _MAX_UNANSWERED_RESOLVES = 3
 _RESOLVE_PAUSE_S = 0.2
+_BODY_PROGRESS_S = 30.0
+_STATUS_TIMEOUT = 408
 _STATUS_REPLAYED = 409
 _STATUS_BAD_GATEWAY = 502
 _STATUS_UNAVAILABLE = 503
@@ -111,6 +113,7 @@
         self._exchange = exchange
         self._body: list[bytes] = []
         self._body_complete = False
+        self._body_progressed = False
         self._active: list[attempts.Attempt] = []
         self._streaming_to: attempts.Attempt | None = None
         self._winner: attempts.Attempt | None = None
@@ -139,11 +142,14 @@
         self._start_deadline()
         if self.request.small_body:
             self._exchange.accept_body()
+            if self.request.head.has_body:
+                self._watch_body()
         else:
             self.send()
 
     def body_received(self, data: bytes) -> None:
         """Take a piece of the request body."""
+        self._body_progressed = True
         target = self._streaming_to
         if target is None:
             self._body.append(data)
@@ -156,6 +162,7 @@
         """Note the end of the request body."""
         self._body_complete = True
         if self.request.small_body:
+            _cancel(self._timers)
             self.send()
         elif self._streaming_to is not None and self._streaming_to.connection is not None:
             self._streaming_to.connection.end_request()
@@ -167,7 +174,7 @@
         can be given to a resend.
         """
         if not self.keyed or not self._body_complete:
-            self._end(0, call.Outcome.UNKNOWN)
+            self._end(0, self._outcome_so_far())
 
     def response_writes_paused(self, paused: bool) -> None:
         """Pass backpressure of the caller on to the host."""
@@ -349,6 +356,18 @@
 
     # Private
 
+    def _watch_body(self) -> None:
+        self._body_progressed = False
+        later = self._context.reactor.callLater
+        self._timers = [later(_BODY_PROGRESS_S, self._check_body)]
+
+    def _check_body(self) -> None:
+        if self._body_progressed:
+            self._watch_body()
+        else:
+            reason = f'no byte of the request for {_BODY_PROGRESS_S:.0f} s'
+            self._answer(_STATUS_TIMEOUT, call.Outcome.NOT_RUN, reason)
+
     def _start_deadline(self) -> None:
         left = self.properties.deadline - self._context.clock.now()
         if left < _LONGEST_TIMER_MS:
@@ -413,9 +432,7 @@
     def _deadline_passed(self) -> None:
         if self.state in (EntryState.ANSWERING, EntryState.DONE):
             return
-        sent = self.state is EntryState.SENT
-        outcome = call.Outcome.UNKNOWN if sent else self._worst_outcome()
-        self._answer(_STATUS_GATEWAY_TIMEOUT, outcome, 'deadline passed')
+        self._answer(_STATUS_GATEWAY_TIMEOUT, self._outcome_so_far(), 'deadline passed')
 
     def _after_unknown(self, reason: str) -> None:
         self._may_have_run = True
@@ -433,6 +450,12 @@
         else:
             self._answer(_STATUS_UNAVAILABLE, call.Outcome.NOT_RUN, reason)
 
+    def _outcome_so_far(self) -> call.Outcome:
+        """Return the outcome of a call that is given up now."""
+        if self.state in (EntryState.SENT, EntryState.ANSWERING):
+            return call.Outcome.UNKNOWN
+        return self._worst_outcome()
+
     def _worst_outcome(self) -> call.Outcome:
         """Return `UNKNOWN` when an attempt that is over may have run."""
         may_have_run = self._may_have_run or self._unsettled
--- a/tests/test_entry_call.py
+++ b/tests/test_entry_call.py
@@ -13,6 +13,8 @@
 NO_DEADLINE = float('inf')
 HEAD = http_head.RequestHead(b'GET', b'/sheets/1', [(b'Host', b'drawbook')])
 
+BODY_HEAD = http_head.RequestHead(b'PUT', b'/sheets/1', [(b'Content-Length', b'2')])
+
 
 class FakeExchange:
     """Exchange with a caller that notes the answer."""
@@ -108,15 +110,21 @@
 
 def start(context, repeatable=True, deadline=NO_DEADLINE, key=None):
     """Return a started call and its exchange."""
-    request = entry_request.EntryRequest(HEAD, ids.ServiceName('drawbook'), deadline, 0, key)
+    received = receive(context, repeatable, deadline, key)
+    received[0].request_ended()
+    return received
+
+
+def receive(context, repeatable=True, deadline=NO_DEADLINE, key=None, head=HEAD):
+    """Return a call whose body is still to come, and its exchange."""
+    request = entry_request.EntryRequest(head, ids.ServiceName('drawbook'), deadline, 0, key)
     call_id = ids.CallId(ids.HostId('e'), ids.Incarnation(1), 1)
     properties = call.CallProperties(
         call_id, request.service, call.Criticality.NORMAL, repeatable, deadline
     )
-    exchange = FakeExchange(HEAD)
+    exchange = FakeExchange(head)
     started = entry_call.EntryCall(context, exchange, request, properties)
     started.receive()
-    started.request_ended()
     return started, exchange
 
 
@@ -271,3 +279,33 @@
         context.reactor.advance(4.1)
         context.reactor.advance(8.1)
         assert exchange.answer == (502, b'unknown')
+
+
+class TestReceiving:
+    """Guards against a call that stays for ever with a caller that went silent."""
+
+    def test_caller_that_sends_no_byte_is_told_not_run(self):
+        # The call was in progress without end, so that the node could not stop.
+        context = FakeContext(['a'])
+        started, caller = receive(context, head=BODY_HEAD)
+        context.reactor.advance(29)
+        started.body_received(b'x')
+        context.reactor.advance(29)
+        assert caller.answer is None
+        context.reactor.advance(32)
+        assert caller.answer == (408, b'not-run')
+        assert context.ended == [(408, call.Outcome.NOT_RUN)]
+
+    def test_whole_body_ends_the_watch(self):
+        context = FakeContext(['a'])
+        started, caller = receive(context, head=BODY_HEAD)
+        started.request_ended()
+        context.reactor.advance(100)
+        assert caller.answer is None
+
+    def test_caller_that_leaves_before_the_send_frees_the_key(self):
+        # The key stayed held for its lifetime by a call that no host had seen.
+        context = FakeContext(['a'])
+        started, _ = receive(context, repeatable=False, key=ids.IdempotencyKey('k'))
+        started.request_aborted()
+        assert context.ended == [(0, call.Outcome.NOT_RUN)]
