Let the first result of a rollout stand

Cause: a rollback decided at the deadline was written as a verdict, and the fold takes a rollout that is done back by a verdict. A node that woke from a pause, or had seen fewer calls, so reversed a result that operators had been told. A verdict after a deadline rollback that had lost the race was also not proposed, as both shared one key. The set of proposals was never cleared. Ruled out: a waiting time after a pause; it does not help nodes that disagree. Change: decisions at the deadline are move_result records, which the fold takes only for a rollout in progress; nodes propose no result once one is known; proposals for former rollouts are forgotten. Conclusion: operators are told one result, changed only by a bad verdict.

--- a/src/anvillug/process/move_judge.py
+++ b/src/anvillug/process/move_judge.py
@@ -73,7 +73,7 @@
         self._spread = spread
         self._rng = rng
         self._evidence = evidence.Evidence()
-        self._proposed: set[tuple[ids.ServiceName, int, config_state.MoveState]] = set()
+        self._proposed: set[tuple[ids.ServiceName, int, str]] = set()
         self._judgements: dict[ids.ServiceName, judge.Verdict] = {}
 
     def start(self) -> None:
@@ -120,6 +120,7 @@
                 self._evidence.stop(name)
                 self._pool.drop(name)
                 self._judgements.pop(name, None)
+        self._proposed = {key for key in self._proposed if _is_current(key, config)}
         self._reactor.callLater(_INTERVAL_S, self._watch)
 
     def _is_watched(self, move: config_state.MoveStatus, wall: float) -> bool:
@@ -147,12 +148,12 @@
             self._add_verdict(name, move, found.evidence)
         known = self._verdicts.find(name, move.number)
         if known is not None:
-            self._propose(name, move, config_state.MoveState.TAKEN_BACK, known.evidence)
+            self._propose(name, move, fold.verdict_record(name, move, known.evidence))
         elif wall >= move.deadline_ms and move.state is config_state.MoveState.PLANNED:
             decision, reason = judge.decide_at_deadline(combined, found, safety)
             finishes = decision is judge.Decision.FINISH
             result = config_state.MoveState.DONE if finishes else config_state.MoveState.TAKEN_BACK
-            self._propose(name, move, result, reason)
+            self._propose(name, move, fold.move_result_record(name, move, result, reason))
 
     def _add_verdict(
         self,
@@ -169,14 +170,13 @@
         self,
         name: ids.ServiceName,
         move: config_state.MoveStatus,
-        result: config_state.MoveState,
-        reason: str,
+        record: dict[str, Any],
     ) -> None:
-        key = (name, move.number, result)
+        key = (name, move.number, record['kind'])
         if key not in self._proposed:
             self._proposed.add(key)
             delay = self._proposal_delay_s(name)
-            self._reactor.callLater(delay, self._append, name, move, result, reason)
+            self._reactor.callLater(delay, self._append, name, move, record)
 
     def _proposal_delay_s(self, name: ids.ServiceName) -> float:
         """Return the turn of this host, so that one record suffices in most cases."""
@@ -194,31 +194,37 @@
         self,
         name: ids.ServiceName,
         move: config_state.MoveStatus,
-        result: config_state.MoveState,
-        reason: str,
+        record: dict[str, Any],
     ) -> None:
         current = self._config().moves_by_service.get(name)
-        outdated = current is None or current.number != move.number
-        if outdated or current.state in (result, config_state.MoveState.TAKEN_BACK):
+        if current is None or current.number != move.number:
+            return
+        is_verdict = record['kind'] == 'verdict'
+        # A result is for a rollout in progress; a verdict also takes back one that is done.
+        if current.state not in (_OPEN_FOR_VERDICT if is_verdict else _OPEN_FOR_RESULT):
             return
-        if result is config_state.MoveState.TAKEN_BACK:
-            record = fold.verdict_record(name, move, reason)
-        else:
-            record = fold.move_result_record(name, move, result, reason)
         appended: defer.Deferred[Any] = self._log.append(log_client.CONFIGURATION_STREAM, record)
         appended.addCallbacks(
             lambda offset: event_log.emit(
                 'move_result_proposed',
                 service=name,
-                result=result.value,
-                evidence=reason,
+                result=record.get('result', config_state.MoveState.TAKEN_BACK.value),
+                evidence=record['evidence' if is_verdict else 'reason'],
             ),
             lambda _failure: self._reactor.callLater(
                 _RANK_DELAY_S,
                 self._append,
                 name,
                 move,
-                result,
-                reason,
+                record,
             ),
         )
+
+
+def _is_current(key: tuple[ids.ServiceName, int, str], config: config_state.ConfigState) -> bool:
+    current = config.moves_by_service.get(key[0])
+    return current is not None and current.number == key[1]
+
+
+_OPEN_FOR_RESULT = frozenset((config_state.MoveState.PLANNED,))
+_OPEN_FOR_VERDICT = frozenset((config_state.MoveState.PLANNED, config_state.MoveState.DONE))
--- a/src/anvillug/version/fold.py
+++ b/src/anvillug/version/fold.py
@@ -284,7 +284,9 @@
 
 def _apply_move_result(state: ConfigState, data: Mapping[str, Any], wall: float) -> ConfigState:
     ending = _ENDINGS.get(str(data.get('result')))
-    if ending is None or _fold_effects.current_move(state, data) is None:
+    move = _fold_effects.current_move(state, data)
+    # The first result stands; only a verdict takes back what is done.
+    if ending is None or move is None or move.state is not config_state.MoveState.PLANNED:
         return state
     return _fold_effects.move_on(state, data['service'], ending, data.get('reason'))
 
--- a/tests/test_config_fold.py
+++ b/tests/test_config_fold.py
@@ -98,6 +98,15 @@
             assert ended.state is config_state.MoveState.TAKEN_BACK
             assert ended.evidence == 'slow'
 
+    def test_first_result_stands(self):
+        # Each node decides at the deadline by the evidence that it has; the result that
+        # operators have read must not be replaced by a later decision of another node.
+        move = self._moved()
+        done = fold.move_result_record('a', move, config_state.MoveState.DONE, 'in time')
+        held = fold.move_result_record('a', move, config_state.MoveState.TAKEN_BACK, 'few calls')
+        assert self._moved(done, held).state is config_state.MoveState.DONE
+        assert self._moved(held, done).state is config_state.MoveState.TAKEN_BACK
+
     def test_verdict_for_another_move_is_ignored(self):
         move = self._moved()
         for change in ({'move': 1}, {'version': 'v3'}, {'service': 'b'}):
