Drop the connection pools of hosts that are members no more

Cause: a pool was dropped only when its host was asked for again, which does not happen to a replaced host. Ruled out: a timer; new pools are rare enough to look at the old ones then. Change: a new pool drops those of hosts that the member table has forgotten. Conclusion: pools are bounded by the members.

--- a/src/anvillug/process/peer_pools.py
+++ b/src/anvillug/process/peer_pools.py
@@ -41,6 +41,7 @@
         if known is not None and known[0] == member.peer_address:
             return known[1]
         self.drop(host_id)
+        self._drop_forgotten()
         host, _, port = member.peer_address.rpartition(':')
         pool = http_client.Pool(
             self._reactor,
@@ -67,3 +68,12 @@
     def counts(self) -> dict[str, int]:
         """Return the open connections by host, for the state dump."""
         return {host_id: known[1].open_count for host_id, known in self._by_host_id.items()}
+
+    # Private
+
+    def _drop_forgotten(self) -> None:
+        """Close the pools of hosts that are members no more; no call asks for these again."""
+        known = tuple(self._by_host_id)
+        for host_id in known:
+            if self._members.get(host_id) is None:
+                self.drop(host_id)
