Look for given up claims until the log has been read again

Cause: a claim given up was looked for during 30 s. In a longer outage its append could have taken effect unseen, and its key then stayed held for its lifetime by a call that had been refused as not run. Failed reads were repeated every 50 ms on each of 16 streams by every node. Ruled out: a longer watch; an outage has no known bound. Change: a claim is dropped from the watch only at the end of the stream, the number of watched claims is bounded, and failed reads are spaced by up to 500 ms. Conclusion: keys are freed after outages of any length, with fewer reads.

--- a/src/anvillug/process/claim_desk.py
+++ b/src/anvillug/process/claim_desk.py
@@ -18,8 +18,14 @@
 
 MAX_BATCH = 500
 """Entries per record, about 50 KB."""
+MAX_RETRY_MS = 500.0
+"""Longest pause after failed reads, half of the time that a claim waits."""
 MAX_OUTBOX = 5000
-"""Entries that wait for an append, as many as calls with keys on an entry side."""
+"""Bound of the entries that wait for an append and of the claims given up that are looked
+for, as many as calls with keys on an entry side."""
+
+
+_MAX_DOUBLINGS = 10
 
 
 class LogRecord(Protocol):
@@ -103,6 +109,7 @@
     outbox: list[dict[str, Any]] = dataclasses.field(default_factory=list)
     flushing: bool = False
     reading: bool = False
+    failed_reads: int = 0
     read_to: int = 0
     """End up to which to read although no claim waits; 0 for no such read."""
 
@@ -232,27 +239,34 @@
     def _read_failed(self, stream: _Stream) -> None:
         # The next resend asks again; without claims that wait, nothing else needs the log.
         stream.read_to = 0
-        self._later(self._settings.retry_ms, self._read_again, stream)
+        delay_ms = min(MAX_RETRY_MS, self._settings.retry_ms * 2**stream.failed_reads)
+        stream.failed_reads = min(stream.failed_reads + 1, _MAX_DOUBLINGS)
+        self._later(delay_ms, self._read_again, stream)
 
     def _read_again(self, stream: _Stream) -> None:
         stream.reading = False
         self._read(stream)
 
     def _is_watched(self, stream: _Stream) -> bool:
+        return bool(stream.pending_by_call_id or stream.given_up_by_call_id or stream.read_to)
+
+    def _drop_watched(self, stream: _Stream) -> None:
+        """Look no more for claims given up long ago; called at the end of the stream."""
         oldest = self._time.now() - self._settings.watch_ms
         given_up = stream.given_up_by_call_id
         while given_up and next(iter(given_up.values())) <= oldest:
             given_up.popitem(last=False)
-        return bool(stream.pending_by_call_id or given_up or stream.read_to)
 
     def _fold(self, found: ReadResult, stream: _Stream) -> float:
         for record in found.records:
             for decided in stream.fold.apply(record.offset, record.time_ms, record.data):
                 self._settle(stream, decided)
         stream.fold.reached_end(found.next)
-        at_end = not found.records or stream.fold.next_offset >= found.next
-        if at_end and found.next >= stream.read_to:
-            stream.read_to = 0
+        stream.failed_reads = 0
+        if not found.records or stream.fold.next_offset >= found.next:
+            self._drop_watched(stream)
+            if found.next >= stream.read_to:
+                stream.read_to = 0
         # A turn of the reactor between reads keeps a long history from blocking it;
         # the pause bounds the rate when the log answers without waiting.
         return 0 if found.records else self._settings.batch_ms
@@ -276,5 +290,7 @@
         call_id = pending.claim.call_id
         stream.pending_by_call_id.pop(call_id)
         stream.given_up_by_call_id[call_id] = self._time.now()
+        if len(stream.given_up_by_call_id) > MAX_OUTBOX:
+            stream.given_up_by_call_id.popitem(last=False)
         event_log.emit('claim_unavailable', stream=stream.name, call=call_id)
         pending.result.errback(ClaimUnavailableError(f'claim of call {call_id} was not settled'))
--- a/tests/test_claim.py
+++ b/tests/test_claim.py
@@ -86,6 +86,8 @@
         self.is_out = False
         self.loses_answers = False
 
+        self.reads = 0
+
     def append(self, stream, data):
         self.appends += 1
         if not self.is_out or self.loses_answers:
@@ -99,6 +101,7 @@
         return defer.succeed(len(self.records) - 1)
 
     def read(self, stream, offset, limit, wait_ms):
+        self.reads += 1
         if self.is_out:
             return defer.fail(ConnectionError('read'))
         found = tuple(self.records[offset : offset + limit])
@@ -113,8 +116,10 @@
         self.time = clock.ManualClock()
         self.log = FakeLog(self.time)
 
-    def desk(self):
-        settings = claim_desk.DeskSettings(lifetime_ms=LIFETIME, partitions=1, give_up_ms=200)
+    def desk(self, watch_ms=30_000):
+        settings = claim_desk.DeskSettings(
+            lifetime_ms=LIFETIME, partitions=1, give_up_ms=200, watch_ms=watch_ms
+        )
         return claim_desk.ClaimDesk(self.log, self.reactor, self.time, settings)
 
     def settle(self):
@@ -236,3 +241,27 @@
         sizes = [len(record.data) for record in bench.log.records]
         assert max(sizes) == claim_desk.MAX_BATCH
         assert sum(sizes) == claim_desk.MAX_OUTBOX
+
+    def test_late_win_is_released_after_a_long_outage(self):
+        # The claim was no longer looked for when the log was back, so that its key
+        # stayed held by a call that had been refused as not run.
+        bench = Bench()
+        bench.log.is_out = True
+        bench.log.loses_answers = True
+        desk = bench.desk(watch_ms=50)
+        desk.claim(FIRST).addErrback(lambda failure: None)
+        bench.run(300)
+        bench.log.is_out = False
+        bench.log.loses_answers = False
+        bench.run(300)
+        second = bench.desk().claim(SECOND)
+        bench.settle()
+        assert second.result.kind is KIND.WON
+
+    def test_reads_during_an_outage_are_spaced(self):
+        bench = Bench()
+        bench.log.is_out = True
+        desk = bench.desk()
+        desk.claim(FIRST).addErrback(lambda failure: None)
+        bench.run(10_000)
+        assert bench.log.reads <= 10_000 / claim_desk.MAX_RETRY_MS + 5
