Keep connections whose next user has left

Cause: a call or probe that was cancelled while it waited for a connection stayed in the queue of the pool and closed the next free connection. Under overload, when many calls give up, each of them cost a healthy connection. Ruled out: removing waiting entries at the cancel; it needs a search per call. Change: a user that has left does not take the connection, and the pool offers it to the next one; a cancelled connection is never offered. Conclusion: calls that give up no longer cost connections.

--- a/src/anvillug/connection/http_client.py
+++ b/src/anvillug/connection/http_client.py
@@ -84,7 +84,7 @@
     @property
     def idle(self) -> bool:
         """Whether the connection can take a request."""
-        return self._handler is None and not self._lost
+        return self._handler is None and self._reusable and not self._lost
 
     def connectionMade(self) -> None:  # noqa: N802
         """Register for write backpressure; see Twisted."""
@@ -316,7 +316,7 @@
         self.ready = None
         if ready is not None:
             self._pool.connected(self)
-            ready(self)
+            self._pool.hand_over(self, ready)
 
 
 class Pool:
@@ -368,13 +368,14 @@
         """Get a connection that carries no request.
 
         Args:
-            ready: Called with the connection, at once where one is idle.
+            ready: Called with the connection, at once where one is idle. It takes the
+                connection by a request; otherwise the pool keeps it.
             failed: Called when none can be had; nothing was sent.
         """
         while self._idle:
             connection = self._idle.pop()
             if connection.idle:
-                ready(connection)
+                self.hand_over(connection, ready)
                 return
         if self._closed or len(self._waiting) >= self._max_waiting:
             failed()
@@ -390,18 +391,24 @@
     def open_ahead(self) -> None:
         """Open one more connection before it is needed, within the limit."""
         if not self._closed and self.open_count < self._max_connections:
-            self._connect(self.release, _ignore)
+            self._connect(_keep_in_pool, _ignore)
 
     def release(self, connection: ClientConnection) -> None:
         """Take back a connection that carries no request."""
         if self._closed:
             connection.cancel()
             return
-        while self._waiting:
+        while self._waiting and connection.idle:
             ready, _failed = self._waiting.popleft()
             ready(connection)
-            return
-        self._idle.append(connection)
+        if connection.idle:
+            self._idle.append(connection)
+
+    def hand_over(self, connection: ClientConnection, ready: ConnectionReady) -> None:
+        """Offer a connection, and take it back where it is not wanted any more."""
+        ready(connection)
+        if connection.idle:
+            self.release(connection)
 
     def connected(self, connection: ClientConnection) -> None:
         """Count a connection that has just opened."""
@@ -453,5 +460,9 @@
             failed()
 
 
+def _keep_in_pool(connection: ClientConnection) -> None:
+    """Leave a connection that was opened ahead of need to the pool."""
+
+
 def _ignore() -> None:
     """Ignore a connect that failed ahead of need."""
--- a/src/anvillug/process/backend_probe.py
+++ b/src/anvillug/process/backend_probe.py
@@ -128,7 +128,6 @@
 
     def _connected(self, connection: http_client.ClientConnection) -> None:
         if self._over:
-            connection.cancel()
             return
         self._connection = connection
         connection.request(_HEAD, self)
--- a/src/anvillug/request/attempt.py
+++ b/src/anvillug/request/attempt.py
@@ -201,7 +201,6 @@
 
     def _connected(self, connection: http_client.ClientConnection) -> None:
         if self.done:
-            connection.cancel()
             return
         self.connection = connection
         self._owner.attempt_connected(self)
--- a/src/anvillug/request/host_call.py
+++ b/src/anvillug/request/host_call.py
@@ -280,7 +280,6 @@
 
     def _connected(self, connection: http_client.ClientConnection) -> None:
         if self.state is HostCallState.DONE:
-            connection.cancel()
             return
         self._connection = connection
         self.state = HostCallState.RUNNING
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -66,6 +66,14 @@
     return recorder
 
 
+def _decline(connection):
+    """Take no connection."""
+
+
+def _ignore():
+    """Do nothing."""
+
+
 class TestReuse:
     """Guards against a connection whose earlier response disturbs the next one."""
 
@@ -153,6 +161,27 @@
 class TestPool:
     """Guards against requests that wait for a connection that never comes."""
 
+    def test_connection_outlives_those_who_wait_no_more(self, pool):
+        # Each call that had been cancelled while it waited closed the next free connection.
+        connection = connect(pool)
+        first = send(connection)
+        later = []
+        waiting = pool._waiting  # noqa: SLF001 - as if all connections were busy
+        waiting.extend((_decline, _ignore) for _ in range(2000))
+        waiting.append((later.append, _ignore))
+        connection.dataReceived(b'HTTP/1.1 204 No Content\r\n\r\n')
+        assert first.events == [204, 'ended']
+        assert later == [connection]
+        assert pool.idle_count == 1
+
+    def test_connection_that_was_cancelled_is_not_handed_out(self, pool):
+        connection = connect(pool)
+        send(connection)
+        pool._waiting.append((lambda reused: reused.cancel(), _ignore))  # noqa: SLF001
+        connection.transport.abortConnection = _ignore
+        connection.dataReceived(b'HTTP/1.1 204 No Content\r\n\r\n')
+        assert pool.idle_count == 0
+
     def test_failed_connect_fails_those_who_wait(self):
         reactor = twisted_testing.MemoryReactorClock()
         pool = http_client.Pool(reactor, '127.0.0.1', 1, max_connections=1)
