--- a/src/anvillug/connection/http_client.py
+++ b/src/anvillug/connection/http_client.py
@@ -78,12 +78,13 @@
         self._reusable = True
         self._lost = False
         self._paused = False
+        self._parsing = False
         self.served = 0
 
     @property
     def idle(self) -> bool:
         """Whether the connection can take a request."""
-        return self._handler is None and not self._lost
+        return self._handler is None and self._reusable and not self._lost
 
     def connectionMade(self) -> None:  # noqa: N802
         """Register for write backpressure; see Twisted."""
@@ -147,6 +148,7 @@
             self.transport.abortConnection()
             return
         write_batch.BATCH.begin()
+        self._parsing = True
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as problem:
@@ -156,7 +158,11 @@
                 self._fail(ClientFailure.MALFORMED)
             self._reusable = False
             self.transport.abortConnection()
+        else:
+            self._parsing = False
+            self._finish_if_done()
         finally:
+            self._parsing = False
             write_batch.BATCH.end()
 
     def connectionLost(self, reason: failure.Failure | None = None) -> None:  # noqa: N802
@@ -172,6 +178,8 @@
 
     def on_message_begin(self) -> None:
         """Start an answer; see httptools."""
+        if self._response_done:
+            self._reusable = False
         self._headers = []
         self._reason = b''
 
@@ -185,6 +193,8 @@
 
     def on_headers_complete(self) -> None:
         """Pass on the head; see httptools."""
+        if self._response_done:
+            return
         self._status = self._parser.get_status_code()
         if self._status < _INFORMATIONAL_BELOW or self._handler is None:
             return
@@ -200,7 +210,10 @@
 
     def on_body(self, data: bytes) -> None:
         """Pass on a piece of the body; see httptools."""
-        if self._handler is not None and not self._response_done:
+        if self._response_done:
+            # A body that must not be there; its rest may still be on its way.
+            self._reusable = False
+        elif self._handler is not None:
             self._handler.response_body(data)
 
     def on_message_complete(self) -> None:
@@ -250,7 +263,8 @@
         self._finish_if_done()
 
     def _finish_if_done(self) -> None:
-        if not self._response_done or self._lost:
+        # The rest of a segment must not be taken for the answer to the next request.
+        if not self._response_done or self._lost or self._parsing:
             return
         if self._reusable and self._request_done:
             self._pool.release(self)
@@ -302,7 +316,7 @@
         self.ready = None
         if ready is not None:
             self._pool.connected(self)
-            ready(self)
+            self._pool.hand_over(self, ready)
 
 
 class Pool:
@@ -354,13 +368,14 @@
         """Get a connection that carries no request.
 
         Args:
-            ready: Called with the connection, at once where one is idle.
+            ready: Called with the connection, at once where one is idle. It takes the
+                connection by a request; otherwise the pool keeps it.
             failed: Called when none can be had; nothing was sent.
         """
         while self._idle:
             connection = self._idle.pop()
             if connection.idle:
-                ready(connection)
+                self.hand_over(connection, ready)
                 return
         if self._closed or len(self._waiting) >= self._max_waiting:
             failed()
@@ -376,18 +391,24 @@
     def open_ahead(self) -> None:
         """Open one more connection before it is needed, within the limit."""
         if not self._closed and self.open_count < self._max_connections:
-            self._connect(self.release, _ignore)
+            self._connect(_keep_in_pool, _ignore)
 
     def release(self, connection: ClientConnection) -> None:
         """Take back a connection that carries no request."""
         if self._closed:
             connection.cancel()
             return
-        while self._waiting:
+        while self._waiting and connection.idle:
             ready, _failed = self._waiting.popleft()
             ready(connection)
-            return
-        self._idle.append(connection)
+        if connection.idle:
+            self._idle.append(connection)
+
+    def hand_over(self, connection: ClientConnection, ready: ConnectionReady) -> None:
+        """Offer a connection, and take it back where it is not wanted any more."""
+        ready(connection)
+        if connection.idle:
+            self.release(connection)
 
     def connected(self, connection: ClientConnection) -> None:
         """Count a connection that has just opened."""
@@ -439,5 +460,9 @@
             failed()
 
 
+def _keep_in_pool(connection: ClientConnection) -> None:
+    """Leave a connection that was opened ahead of need to the pool."""
+
+
 def _ignore() -> None:
     """Ignore a connect that failed ahead of need."""
--- a/src/anvillug/request/host_call.py
+++ b/src/anvillug/request/host_call.py
@@ -20,6 +20,7 @@
 _STATUS_SERVER_ERROR = 500
 _STATUS_UNAVAILABLE = 503
 _PROGRESS_LIMIT_S = 30.0
+_CALL = call.CALL_HEADER.lower().encode()
 _OUTCOME = call.OUTCOME_HEADER.lower().encode()
 
 
@@ -50,7 +51,7 @@
         """
 
     def admit(self, host_call: HostCall) -> str | None:
-        """Ask for a slot; returns why the call is refused, or None."""
+        """Ask for a slot; returns why the call is refused, None when it is settled otherwise."""
 
     def backend_unreachable(self) -> None:
         """Note that a connect to the backend server failed."""
@@ -204,6 +205,10 @@
         """Answer that the call has not been run; its record is settled already."""
         self._answer_refusal(reason)
 
+    def answer_unknown(self, reason: str) -> None:
+        """Answer that nothing is said about a run of the call; its record stays as it is."""
+        self._answer_without_run(_STATUS_BAD_GATEWAY, call.Outcome.UNKNOWN, reason)
+
     # From the backend server
 
     def response_continue(self) -> None:
@@ -211,6 +216,11 @@
 
     def response_head(self, head: http_head.ResponseHead) -> None:
         """Pass the head on, or note that the backend server has shed the call."""
+        echoed = head.get(_CALL)
+        if echoed is not None and echoed != str(self.request.properties.call_id).encode():
+            # A late answer to an earlier request on this connection.
+            self._fail(f'the backend server answered call {echoed.decode("latin-1")}')
+            return
         if head.status == _STATUS_UNAVAILABLE and head.get(_OUTCOME) == b'not-run':
             self._shed = True
             return
@@ -270,7 +280,6 @@
 
     def _connected(self, connection: http_client.ClientConnection) -> None:
         if self.state is HostCallState.DONE:
-            connection.cancel()
             return
         self._connection = connection
         self.state = HostCallState.RUNNING
@@ -313,13 +322,13 @@
         self._answer_refusal(reason)
 
     def _answer_refusal(self, reason: str) -> None:
+        self._answer_without_run(_STATUS_UNAVAILABLE, call.Outcome.NOT_RUN, reason)
+
+    def _answer_without_run(self, status: int, outcome: call.Outcome, reason: str) -> None:
         self.state = HostCallState.DONE
-        headers = self._context.answer_headers(
-            self.request.properties.call_id,
-            call.Outcome.NOT_RUN,
-        )
+        headers = self._context.answer_headers(self.request.properties.call_id, outcome)
         headers.append((b'Anvillug-Reason', reason.encode('latin-1', 'replace')))
-        self._exchange.respond(_STATUS_UNAVAILABLE, b'', tuple(headers))
+        self._exchange.respond(status, b'', tuple(headers))
 
     def _fail(self, reason: str, *, crashed: bool = False) -> None:
         self._close()
@@ -328,13 +337,8 @@
         self._context.failed(self, crashed=crashed)
         if self._exchange.head_sent:
             self._exchange.abort()
-            return
-        headers = self._context.answer_headers(
-            self.request.properties.call_id,
-            call.Outcome.UNKNOWN,
-        )
-        headers.append((b'Anvillug-Reason', reason.encode('latin-1', 'replace')))
-        self._exchange.respond(_STATUS_BAD_GATEWAY, b'', tuple(headers))
+        else:
+            self.answer_unknown(reason)
 
     def _close(self) -> None:
         self.state = HostCallState.DONE
--- a/tests/test_entry_call.py
+++ b/tests/test_entry_call.py
@@ -13,6 +13,8 @@
 NO_DEADLINE = float('inf')
 HEAD = http_head.RequestHead(b'GET', b'/sheets/1', [(b'Host', b'drawbook')])
 
+BODY_HEAD = http_head.RequestHead(b'PUT', b'/sheets/1', [(b'Content-Length', b'2')])
+
 
 class FakeExchange:
     """Exchange with a caller that notes the answer."""
@@ -38,6 +40,22 @@
         self.aborted = True
 
 
+class FakeConnection:
+    """Connection to a host that never answers."""
+
+    def request(self, head, handler):
+        """Do nothing."""
+
+    def send_body(self, data):
+        """Do nothing."""
+
+    def end_request(self):
+        """Do nothing."""
+
+    def cancel(self):
+        """Do nothing."""
+
+
 class FakeContext:
     """Entry side with a list of hosts."""
 
@@ -81,6 +99,10 @@
     def hedge_delay_ms(self, call_of):
         """Hedge never."""
 
+    def config_number(self):
+        """Return a number."""
+        return ids.ConfigNumber(1)
+
     def call_over(self, call_of, status, outcome):
         """Note the result."""
         self.ended.append((status, outcome))
@@ -88,15 +110,21 @@
 
 def start(context, repeatable=True, deadline=NO_DEADLINE, key=None):
     """Return a started call and its exchange."""
-    request = entry_request.EntryRequest(HEAD, ids.ServiceName('drawbook'), deadline, 0, key)
+    received = receive(context, repeatable, deadline, key)
+    received[0].request_ended()
+    return received
+
+
+def receive(context, repeatable=True, deadline=NO_DEADLINE, key=None, head=HEAD):
+    """Return a call whose body is still to come, and its exchange."""
+    request = entry_request.EntryRequest(head, ids.ServiceName('drawbook'), deadline, 0, key)
     call_id = ids.CallId(ids.HostId('e'), ids.Incarnation(1), 1)
     properties = call.CallProperties(
         call_id, request.service, call.Criticality.NORMAL, repeatable, deadline
     )
-    exchange = FakeExchange(HEAD)
+    exchange = FakeExchange(head)
     started = entry_call.EntryCall(context, exchange, request, properties)
     started.receive()
-    started.request_ended()
     return started, exchange
 
 
@@ -127,6 +155,32 @@
         context.reactor.advance(6)
         assert exchange.answer == (504, b'unknown')
 
+    def test_refusal_of_the_hedge_of_a_broken_attempt_is_unknown(self):
+        # The broken attempt may have run; it was not resolved because the hedge was active.
+        context = FakeContext(['a', 'b'])
+        started, exchange = start(context)
+        context.start_attempt(started, attempts.AttemptKind.SEND, None)
+        started.attempt_broken(context.started[0])
+        started.attempt_not_run(context.started[1], 'full')
+        assert exchange.answer == (502, b'unknown')
+
+    def test_refusal_of_a_hedge_before_the_resolution_is_unknown(self):
+        context = FakeContext(['a', 'b'])
+        started, exchange = start(context)
+        started.attempt_broken(context.started[0])
+        hedge = context.start_attempt(started, attempts.AttemptKind.SEND, None)
+        started.attempt_not_run(hedge, 'full')
+        assert exchange.answer == (502, b'unknown')
+
+    def test_resolution_as_not_run_settles_a_broken_attempt(self):
+        context = FakeContext(['a', 'b'])
+        started, exchange = start(context)
+        started.attempt_broken(context.started[0])
+        context.reactor.advance(1)
+        started.attempt_not_run(context.started[1], 'fenced')
+        started.attempt_not_run(context.started[2], 'full')
+        assert exchange.answer == (503, b'not-run')
+
     def test_deadline_before_a_send_is_not_run(self):
         context = FakeContext(['a'])
         _, exchange = start(context, deadline=5_000)
@@ -171,3 +225,87 @@
         assert (context.claims, context.started) == ([started], [])
         started.claim_won()
         assert len(context.started) == 1
+
+
+def sent(started, attempt):
+    """Give an attempt a connection, so that the call is sent."""
+    attempt.connection = FakeConnection()
+    started.attempt_connected(attempt)
+
+
+def start_sent(context, repeatable=True):
+    """Return a call that has been sent, its exchange and its attempt."""
+    started, exchange = start(context, repeatable=repeatable)
+    first = context.started[0]
+    sent(started, first)
+    return started, exchange, first
+
+
+class TestSilence:
+    """Guards against a call that waits for ever for a host that went silent."""
+
+    @pytest.mark.parametrize('repeatable', [True, False])
+    def test_silent_host_after_a_retry_is_asked(self, repeatable):
+        # Only the first host was asked for the outcome, also after it had refused the call.
+        context = FakeContext(['a', 'b'])
+        started, _, first = start_sent(context, repeatable)
+        started.attempt_not_run(first, 'full')
+        sent(started, context.started[1])
+        context.reactor.advance(1.1)
+        resolve = context.started[2]
+        assert (resolve.kind, resolve.host_id) == (attempts.AttemptKind.RESOLVE, 'b')
+
+    def test_silent_hedge_is_asked_once_the_first_host_is_settled(self):
+        context = FakeContext(['a', 'b'])
+        started, _, first = start_sent(context)
+        hedge = context.start_attempt(started, attempts.AttemptKind.SEND, None)
+        sent(started, hedge)
+        started.attempt_not_run(first, 'full')
+        context.reactor.advance(1.1)
+        resolve = context.started[-1]
+        assert (resolve.kind, resolve.host_id) == (attempts.AttemptKind.RESOLVE, 'b')
+
+    def test_silent_second_host_gets_as_many_questions_as_the_first(self):
+        context = FakeContext(['a', 'b'])
+        started, exchange, _ = start_sent(context, repeatable=False)
+        context.reactor.advance(1.1)
+        context.reactor.advance(2.1)
+        started.attempt_not_run(context.started[-1], 'fenced')
+        assert context.started[-1].host_id == 'b'
+        sent(started, context.started[-1])
+        context.reactor.advance(1.1)
+        context.reactor.advance(2.1)
+        assert exchange.answer is None
+        context.reactor.advance(4.1)
+        context.reactor.advance(8.1)
+        assert exchange.answer == (502, b'unknown')
+
+
+class TestReceiving:
+    """Guards against a call that stays for ever with a caller that went silent."""
+
+    def test_caller_that_sends_no_byte_is_told_not_run(self):
+        # The call was in progress without end, so that the node could not stop.
+        context = FakeContext(['a'])
+        started, caller = receive(context, head=BODY_HEAD)
+        context.reactor.advance(29)
+        started.body_received(b'x')
+        context.reactor.advance(29)
+        assert caller.answer is None
+        context.reactor.advance(32)
+        assert caller.answer == (408, b'not-run')
+        assert context.ended == [(408, call.Outcome.NOT_RUN)]
+
+    def test_whole_body_ends_the_watch(self):
+        context = FakeContext(['a'])
+        started, caller = receive(context, head=BODY_HEAD)
+        started.request_ended()
+        context.reactor.advance(100)
+        assert caller.answer is None
+
+    def test_caller_that_leaves_before_the_send_frees_the_key(self):
+        # The key stayed held for its lifetime by a call that no host had seen.
+        context = FakeContext(['a'])
+        started, _ = receive(context, repeatable=False, key=ids.IdempotencyKey('k'))
+        started.request_aborted()
+        assert context.ended == [(0, call.Outcome.NOT_RUN)]
