Let hedges use half of the spare share, and take both numbers from the targets

Cause: the hedge budget of 5% was used up by one slow host of ten, whose calls are up to 10%; the ratio stood in two modules and did not follow the configuration. Change: hedge ratio is half of the spare share, at most 10%, from targets alone; the budget follows the configuration.

--- a/src/anvillug/process/service_desk.py
+++ b/src/anvillug/process/service_desk.py
@@ -88,7 +88,7 @@
         self.candidates = _make_chooser(chooser, self.decisions.hot_threshold)
         self.retries = budget.retry_budget()
         self.hedges = budget.HedgeRule(
-            budget.hedge_budget(view.service.targets.spare_percent),
+            budget.hedge_budget(self.decisions.hedge_ratio),
             self.decisions.hedge_delay_ms,
         )
         self._clock = time
@@ -114,6 +114,7 @@
         self.view_age_limit = age_limit
         self.decisions = targets.decide(view.service)
         self.hedges.target_delay_ms = self.decisions.hedge_delay_ms
+        self.hedges.budget.ratio = self.decisions.hedge_ratio
         self._version_by_host_id = {
             host_id: version
             for version, host_ids in view.hosts_by_version.items()
--- a/src/anvillug/request/budget.py
+++ b/src/anvillug/request/budget.py
@@ -17,9 +17,8 @@
 RETRY_FLOOR_PER_SECOND = 1.0
 RETRY_CAP = 100.0
 
-MAX_HEDGE_RATIO = 0.05
-_HEDGE_SPARE_SHARE = 0.25
-"""Hedges may use at most this share of the spare capacity that the cost target leaves."""
+# Hedges that a quiet time may save up for a burst.
+_HEDGE_CAP = 5
 _MIN_HEDGE_DELAY_MS = 1.0
 _MIN_LATENCIES = 20
 _HEDGE_QUANTILE = 0.95
@@ -79,14 +78,13 @@
     return TokenBudget(RETRY_RATIO, RETRY_FLOOR_PER_SECOND, RETRY_CAP)
 
 
-def hedge_budget(spare_percent: float) -> TokenBudget:
-    """Return a hedge budget bounded by the cost target.
+def hedge_budget(ratio: float) -> TokenBudget:
+    """Return a hedge budget.
 
     Args:
-        spare_percent: Spare capacity of the cost target; at 0 nothing is hedged.
+        ratio: Hedges per call, from the cost target; at 0 nothing is hedged.
     """
-    ratio = min(MAX_HEDGE_RATIO, spare_percent / 100 * _HEDGE_SPARE_SHARE)
-    return TokenBudget(ratio, floor_per_second=0, cap=RETRY_CAP * ratio)
+    return TokenBudget(ratio, floor_per_second=0, cap=_HEDGE_CAP)
 
 
 def may_retry(
@@ -166,7 +164,8 @@
     def __init__(self, budget: TokenBudget, target_delay_ms: float = math.inf) -> None:
         self.target_delay_ms = target_delay_ms
         """Delay that the latency target asks for; may change with the configuration."""
-        self._budget = budget
+        self.budget = budget
+        """Bounds the hedges; its ratio may change with the configuration."""
         self._tail = _Quantile(_HEDGE_QUANTILE)
         self._median = _Quantile(_MEDIAN)
 
@@ -184,7 +183,7 @@
 
     def call_started(self, now: clock.Milliseconds) -> None:
         """Count a call that is not itself a hedge."""
-        self._budget.earn(now)
+        self.budget.earn(now)
 
     def may_hedge(
         self,
@@ -207,4 +206,4 @@
         delay = self.delay_ms()
         if not repeatable or delay is None or waited_ms < delay or now >= deadline:
             return False
-        return self._budget.spend(now)
+        return self.budget.spend(now)
--- a/src/anvillug/version/targets.py
+++ b/src/anvillug/version/targets.py
@@ -4,7 +4,7 @@
 |---|---|---|
 | `queue_bound_ms` | latency | 40% of the 99th percentile, from 2 to 1000 ms |
 | `hedge_delay_ms` | latency | 50% of the 99th percentile, at least 4 ms |
-| `hedge_ratio` | cost, `hedge` | a quarter of the spare share, at most 5%; else 0 |
+| `hedge_ratio` | cost, `hedge` | half of the spare share, at most 10%; else 0 |
 | `hot_threshold` | cost | 1 less the spare share, at least 0.5 of a host's limit |
 | `canary_share` | safety | strict 1%, balanced 5%, fast 10% |
 | `probe_budget` | `probe_budget_percent` | that share of slot time, as a fraction |
@@ -27,8 +27,8 @@
 _HEDGE_PART = 0.5
 # A round trip between zones takes 3 ms and the nodes add 0.91 ms.
 _MIN_HEDGE_DELAY_MS = 4.0
-_HEDGE_PART_OF_SPARE = 0.25
-_MAX_HEDGE_RATIO = 0.05
+_HEDGE_PART_OF_SPARE = 0.5
+_MAX_HEDGE_RATIO = 0.1
 _MIN_HOT_THRESHOLD = 0.5
 _MS_PER_SECOND = 1000
 
