Split pool, exchange and entry context from the modules that had grown

Change: http_exchange, http_pool and entry_context; owners are named by small interfaces. No behaviour changes.

--- a/src/anvillug/connection/http_server.py
+++ b/src/anvillug/connection/http_server.py
@@ -8,14 +8,13 @@
 
 import collections
 from collections.abc import Callable
-from typing import Protocol as Interface
 
 import httptools
 from twisted.internet import interfaces, protocol
 from zope.interface import implementer
 
 from anvillug import event_log
-from anvillug.connection import http_head, write_batch
+from anvillug.connection import http_exchange, http_head, write_batch
 
 MAX_HEAD_BYTES = 64 * 1024
 
@@ -28,130 +27,6 @@
 _STATUS_SERVER_ERROR = 500
 
 
-class RequestHandler(Interface):
-    """Receives the body of one request and signals about its connection."""
-
-    def body_received(self, data: bytes) -> None:
-        """Take a piece of the request body."""
-
-    def request_ended(self) -> None:
-        """Note that the request is complete."""
-
-    def request_aborted(self) -> None:
-        """Note that the connection is gone before the answer was complete."""
-
-    def response_writes_paused(self, paused: bool) -> None:
-        """Note that the sender of the answer should pause or resume."""
-
-
-class ServerExchange:
-    """One request and the means to answer it.
-
-    Args:
-        connection: Connection that the request arrived on.
-        head: Head of the request.
-    """
-
-    __slots__ = ('_chunked', '_connection', '_continued', 'ended', 'handler', 'head', 'head_sent')
-
-    def __init__(self, connection: ServerConnection, head: http_head.RequestHead) -> None:
-        self.head = head
-        self.handler: RequestHandler | None = None
-        self.head_sent = False
-        self.ended = False
-        self._connection = connection
-        self._chunked = False
-        self._continued = False
-
-    @property
-    def sends_body(self) -> bool:
-        """Whether the sender of the request does not wait to be asked for the body."""
-        return self._continued or not self.head.expects_continue
-
-    def accept_body(self) -> None:
-        """Let a sender that waits for status 100 go on with the body."""
-        if self.head.expects_continue and self.head.understands_chunks and not self._continued:
-            self._continued = True
-            self.send_continue()
-
-    def send_continue(self) -> None:
-        """Send the interim status 100."""
-        if not self.ended and not self.head_sent:
-            self._connection.send(http_head.CONTINUE)
-
-    def send_head(self, head: http_head.ResponseHead) -> None:
-        """Send the head of the answer.
-
-        Args:
-            head: Head with end-to-end headers only; when it has no
-                `Content-Length`, the body is sent in chunks, and to callers
-                before HTTP/1.1 up to the end of the connection.
-        """
-        if self.ended:
-            return
-        framing = head.framing(self.head.method)
-        if framing in _CHUNKED_FRAMINGS and self.head.understands_chunks:
-            head.headers.append((b'Transfer-Encoding', b'chunked'))
-            self._chunked = True
-        if self._connection.closes_after(self):
-            self.head.keep_alive = False
-            head.headers.append((b'Connection', b'close'))
-        self.head_sent = True
-        self._connection.send(http_head.serialize_response(head))
-
-    def send_body(self, data: bytes) -> None:
-        """Send a piece of the body."""
-        if self.ended or not data:
-            return
-        self._connection.send(http_head.chunk(data) if self._chunked else data)
-
-    def finish(self) -> None:
-        """Complete the answer."""
-        if self.ended:
-            return
-        self.ended = True
-        if self._chunked:
-            self._connection.send(http_head.LAST_CHUNK)
-        self._connection.exchange_ended(self)
-
-    def respond(
-        self,
-        status: int,
-        body: bytes = b'',
-        headers: tuple[http_head.Header, ...] = (),
-    ) -> None:
-        """Send a whole answer.
-
-        Args:
-            status: HTTP status.
-            body: Body of the answer.
-            headers: Further headers.
-        """
-        if self.ended:
-            return
-        all_headers = [(b'Content-Length', b'%d' % len(body)), *headers]
-        self.send_head(http_head.ResponseHead(status, all_headers))
-        if self.head.method != b'HEAD':
-            self.send_body(body)
-        self.finish()
-
-    def abort(self) -> None:
-        """Close the connection at once, so that a cut answer is not taken for whole."""
-        if not self.ended:
-            self.ended = True
-            self._connection.abort()
-
-    def pause_request(self, paused: bool) -> None:
-        """Stop or go on reading the body of the request."""
-        if not self.ended:
-            self._connection.pause_reading(paused)
-
-
-_CHUNKED_FRAMINGS = frozenset((http_head.Framing.CHUNKED, http_head.Framing.UNTIL_CLOSE))
-
-RequestStarted = Callable[[ServerExchange], None]
-
-
 @implementer(interfaces.IPushProducer)
 class ServerConnection(protocol.Protocol):
     """Server side of one HTTP/1.1 connection.
@@ -164,7 +39,7 @@
 
     def __init__(
         self,
-        on_request: RequestStarted,
+        on_request: http_exchange.RequestStarted,
         max_head_bytes: int,
         open_connections: set[ServerConnection],
     ) -> None:
@@ -176,7 +51,7 @@
         self._headers: list[http_head.Header] = []
         self._head_bytes = 0
         self._in_head = True
-        self._exchange: ServerExchange | None = None
+        self._exchange: http_exchange.ServerExchange | None = None
         self._request_complete = True
         self._pending: collections.deque[Callable[[], None]] = collections.deque()
         self._drops_rest = False
@@ -329,7 +204,7 @@
         if self._exchange is None:
             self._close()
 
-    def exchange_ended(self, exchange: ServerExchange) -> None:
+    def exchange_ended(self, exchange: http_exchange.ServerExchange) -> None:
         """Go on with the next request, or close where the request was cut short."""
         if exchange is not self._exchange:
             return
@@ -346,7 +221,7 @@
         else:
             self._run_pending()
 
-    def closes_after(self, exchange: ServerExchange) -> bool:
+    def closes_after(self, exchange: http_exchange.ServerExchange) -> bool:
         """Tell whether the connection ends with an answer; so where a body was not read whole."""
         cut_short = not self._request_complete and exchange.head.has_body
         return self._closing or cut_short or not exchange.head.keep_alive
@@ -397,7 +272,7 @@
 
     def _start(self, head: http_head.RequestHead) -> None:
         self._request_complete = False
-        exchange = ServerExchange(self, head)
+        exchange = http_exchange.ServerExchange(self, head)
         self._exchange = exchange
         self._on_request(exchange)
 
@@ -480,7 +355,9 @@
 
     noisy = False
 
-    def __init__(self, on_request: RequestStarted, max_head_bytes: int = MAX_HEAD_BYTES) -> None:
+    def __init__(
+        self, on_request: http_exchange.RequestStarted, max_head_bytes: int = MAX_HEAD_BYTES
+    ) -> None:
         self._on_request = on_request
         self._max_head_bytes = max_head_bytes
         self._open_connections: set[ServerConnection] = set()
--- a/src/anvillug/process/backend_probe.py
+++ b/src/anvillug/process/backend_probe.py
@@ -8,7 +8,7 @@
 from twisted.internet import interfaces
 
 from anvillug import clock
-from anvillug.connection import http_client, http_head
+from anvillug.connection import http_client, http_head, http_pool
 from anvillug.request import probing
 
 _CHECK_INTERVAL_S = 0.05
@@ -52,7 +52,7 @@
         self,
         reactor: interfaces.IReactorTime,
         time: clock.Clock,
-        pool: Callable[[], http_client.Pool | None],
+        pool: Callable[[], http_pool.Pool | None],
         probed: Callable[[ProbeResult], None],
     ) -> None:
         # Without a configuration there is no budget.
@@ -101,7 +101,7 @@
         timeout_s = clock.to_seconds(probing.PROBE_TIMEOUT_MS)
         self._timer = reactor.callLater(timeout_s, self._timed_out)
 
-    def start(self, pool: http_client.Pool) -> None:
+    def start(self, pool: http_pool.Pool) -> None:
         """Send the request on an idle or new connection."""
         pool.acquire(self._connected, self._unreachable)
 
--- a/src/anvillug/process/entry_side.py
+++ b/src/anvillug/process/entry_side.py
@@ -9,7 +9,7 @@
 from twisted.internet import interfaces
 
 from anvillug import clock, event_log, ids
-from anvillug.connection import http_server
+from anvillug.connection import http_exchange
 from anvillug.process import (
     keyed_calls,
     load_sampler,
@@ -100,7 +100,7 @@
         self._sequence = 0
         self._sample()
 
-    def request_received(self, exchange: http_server.ServerExchange) -> None:
+    def request_received(self, exchange: http_exchange.ServerExchange) -> None:
         """Start a call."""
         now = self.clock.now()
         try:
@@ -141,7 +141,7 @@
         kind: attempts.AttemptKind,
         host: tuple[ids.HostId, ids.Incarnation] | None,
     ) -> attempts.Attempt | None:
-        """Begin an attempt; see `entry_call.EntryContext`."""
+        """Begin an attempt; see `entry_context.EntryContext`."""
         now = self.clock.now()
         desk = self._desk(call_of.request.service, now)
         if desk is None:
@@ -163,7 +163,7 @@
         return attempt
 
     def attempt_over(self, call_of: entry_call.EntryCall, attempt: attempts.Attempt) -> None:
-        """Count an attempt as over; see `entry_call.EntryContext`."""
+        """Count an attempt as over; see `entry_context.EntryContext`."""
         now = self.clock.now()
         desk = self._desks_by_service.get(call_of.request.service)
         if desk is not None:
@@ -172,19 +172,19 @@
             self._members.observe(attempt.host_id, attempt.answered, now)
 
     def connection_silent(self, host_id: ids.HostId) -> None:
-        """Drop idle connections; see `entry_call.EntryContext`."""
+        """Drop idle connections; see `entry_context.EntryContext`."""
         self._pools.drop_idle(host_id)
 
     def claim(self, call_of: entry_call.EntryCall) -> None:
-        """Claim the key of a call; see `entry_call.EntryContext`."""
+        """Claim the key of a call; see `entry_context.EntryContext`."""
         self._keyed.claim(call_of)
 
     def config_number(self) -> ids.ConfigNumber:
-        """Return the number in effect; see `entry_call.EntryContext`."""
+        """Return the number in effect; see `entry_context.EntryContext`."""
         return self._config().number
 
     def may_retry(self, call_of: entry_call.EntryCall, outcome: call.Outcome) -> bool:
-        """Ask the retry budget; see `entry_call.EntryContext`."""
+        """Ask the retry budget; see `entry_context.EntryContext`."""
         now = self.clock.now()
         desk = self._desk(call_of.request.service, now)
         if desk is None:
@@ -200,14 +200,14 @@
         return allowed and desk.retries.spend(now)
 
     def hedge_delay_ms(self, call_of: entry_call.EntryCall) -> float | None:
-        """Return when to hedge; see `entry_call.EntryContext`."""
+        """Return when to hedge; see `entry_context.EntryContext`."""
         if not call_of.properties.repeatable or not call_of.request.small_body:
             return None
         desk = self._desk(call_of.request.service, self.clock.now())
         return None if desk is None else desk.hedge_delay_ms()
 
     def may_hedge(self, call_of: entry_call.EntryCall) -> bool:
-        """Ask the hedge budget; see `entry_call.EntryContext`."""
+        """Ask the hedge budget; see `entry_context.EntryContext`."""
         now = self.clock.now()
         desk = self._desk(call_of.request.service, now)
         if desk is None:
@@ -224,13 +224,13 @@
         return allowed
 
     def silence_ms(self, call_of: entry_call.EntryCall) -> float:
-        """Return when to ask for the outcome; see `entry_call.EntryContext`."""
+        """Return when to ask for the outcome; see `entry_context.EntryContext`."""
         desk = self._desk(call_of.request.service, self.clock.now())
         usual = None if desk is None else desk.hedges.delay_ms()
         return max(_SILENCE_FLOOR_MS, _SILENCE_FACTOR * (usual or 0))
 
     def call_over(self, ended: entry_call.EntryCall, status: int, outcome: call.Outcome) -> None:
-        """Record a result; see `entry_call.EntryContext`."""
+        """Record a result; see `entry_context.EntryContext`."""
         self.in_progress.discard(ended)
         if ended.keyed:
             self._keyed.call_over(ended.properties.call_id, outcome, ended.kept_answer)
--- a/src/anvillug/process/host_side.py
+++ b/src/anvillug/process/host_side.py
@@ -8,7 +8,7 @@
 from twisted.internet import interfaces
 
 from anvillug import clock, event_log, ids
-from anvillug.connection import http_client, http_head, http_server
+from anvillug.connection import http_exchange, http_head, http_pool
 from anvillug.process import backend_probe, backend_watch
 from anvillug.request import (
     admission,
@@ -72,7 +72,7 @@
         config_number: Callable[[], ids.ConfigNumber],
         catch_up: Callable[[ids.HostId, ids.ConfigNumber], None],
         crashed: Callable[[list[quarantine.QuarantineEntry]], None],
-        resolve_keyed: Callable[[http_server.ServerExchange], None],
+        resolve_keyed: Callable[[http_exchange.ServerExchange], None],
     ) -> None:
         self.reactor = reactor
         self.clock = time
@@ -89,7 +89,7 @@
         self._crashed = crashed
         self._resolve_keyed = resolve_keyed
         self._backend: backend_watch.Backend | None = None
-        self._pool: http_client.Pool | None = None
+        self._pool: http_pool.Pool | None = None
         self._calls_by_id: dict[ids.CallId, host_call.HostCall] = {}
         self._behind: list[host_call.HostCall] = []
         self._queue_timer: interfaces.IDelayedCall | None = None
@@ -136,7 +136,7 @@
         if known is None or known.incarnation != backend.incarnation:
             self.concurrency.restarted(self.clock.now())
             self._replace_pool(
-                http_client.Pool(
+                http_pool.Pool(
                     self.reactor,
                     *backend.host_and_port,
                     max_connections=backend.connections,
@@ -165,7 +165,7 @@
 
     # Requests of entry sides
 
-    def request_received(self, exchange: http_server.ServerExchange) -> None:
+    def request_received(self, exchange: http_exchange.ServerExchange) -> None:
         """Answer a sample or a resolution, or start a call."""
         path = exchange.head.path
         try:
@@ -237,7 +237,7 @@
         """Refuse calls until the next announcement; see `host_call.HostContext`."""
         self.admission.has_backend = False
 
-    def pool(self) -> http_client.Pool | None:
+    def pool(self) -> http_pool.Pool | None:
         """Return connections to the backend server; see `host_call.HostContext`."""
         return self._pool
 
@@ -287,7 +287,7 @@
 
     # Private
 
-    def _start_call(self, exchange: http_server.ServerExchange) -> None:
+    def _start_call(self, exchange: http_exchange.ServerExchange) -> None:
         request = host_request.parse(exchange.head, self.clock.now())
         host_call.HostCall(self, exchange, request).receive()
 
@@ -300,7 +300,7 @@
         self.counters.refused += 1
         started.refuse('this host does not have the configuration of the sender yet')
 
-    def _resolve(self, exchange: http_server.ServerExchange) -> None:
+    def _resolve(self, exchange: http_exchange.ServerExchange) -> None:
         call_id, incarnation = host_request.parse_resolve(exchange.head)
         self.counters.resolved += 1
         resolver = resolution.Resolver(self, self._table, exchange, call_id)
@@ -401,7 +401,7 @@
         event_log.warn('backend_server_crashed', calls=len(fingerprints))
         self._crashed(entries)
 
-    def _replace_pool(self, pool: http_client.Pool | None) -> None:
+    def _replace_pool(self, pool: http_pool.Pool | None) -> None:
         if self._pool is not None:
             self._pool.close()
         self._pool = pool
--- a/src/anvillug/process/keyed_calls.py
+++ b/src/anvillug/process/keyed_calls.py
@@ -9,7 +9,7 @@
 from twisted.internet import interfaces
 
 from anvillug import clock, event_log, ids
-from anvillug.connection import http_client, http_head, http_server
+from anvillug.connection import http_exchange, http_head, http_pool
 from anvillug.process import claim_desk
 from anvillug.request import (
     call,
@@ -32,7 +32,7 @@
 _EXPIRY_INTERVAL_S = 5.0
 _UNAVAILABLE = 'the log is out of reach, so the idempotency key could not be claimed'
 
-PoolOf = Callable[[ids.HostId], http_client.Pool | None]
+PoolOf = Callable[[ids.HostId], http_pool.Pool | None]
 
 
 @dataclasses.dataclass(slots=True)
@@ -123,7 +123,7 @@
         else:
             self._table.fail(call_id, now)
 
-    def resolve(self, exchange: http_server.ServerExchange) -> None:
+    def resolve(self, exchange: http_exchange.ServerExchange) -> None:
         """Answer another entry side that asks for the answer of a call with a key."""
         call_id, incarnation = host_request.parse_resolve(exchange.head)
         resolver = resolution.Resolver(_Headers(), self._table, exchange, call_id)
--- a/src/anvillug/process/load_sampler.py
+++ b/src/anvillug/process/load_sampler.py
@@ -7,7 +7,7 @@
 from twisted.internet import interfaces
 
 from anvillug import ids
-from anvillug.connection import http_client, http_head
+from anvillug.connection import http_client, http_head, http_pool
 
 _HEAD = http_head.RequestHead(
     b'GET',
@@ -42,7 +42,7 @@
         self._over = False
         self._timer = reactor.callLater(timeout_s, self._timed_out)
 
-    def start(self, pool: http_client.Pool) -> None:
+    def start(self, pool: http_pool.Pool) -> None:
         """Send the request on an idle or new connection."""
         pool.acquire(self._connected, self._end)
 
--- a/src/anvillug/process/peer_pools.py
+++ b/src/anvillug/process/peer_pools.py
@@ -5,7 +5,7 @@
 from twisted.internet import interfaces
 
 from anvillug import ids
-from anvillug.connection import http_client
+from anvillug.connection import http_pool
 from anvillug.process import membership
 
 _MAX_CONNECTIONS = 64
@@ -29,9 +29,9 @@
         self._reactor = reactor
         self._members = members
         self._connect_timeout_s = connect_timeout_s
-        self._by_host_id: dict[ids.HostId, tuple[str, http_client.Pool]] = {}
+        self._by_host_id: dict[ids.HostId, tuple[str, http_pool.Pool]] = {}
 
-    def get(self, host_id: ids.HostId) -> http_client.Pool | None:
+    def get(self, host_id: ids.HostId) -> http_pool.Pool | None:
         """Return the pool of a host, None for an unknown host."""
         member = self._members.get(host_id)
         if member is None:
@@ -43,7 +43,7 @@
         self.drop(host_id)
         self._drop_forgotten()
         host, _, port = member.peer_address.rpartition(':')
-        pool = http_client.Pool(
+        pool = http_pool.Pool(
             self._reactor,
             host,
             int(port),
--- a/src/anvillug/request/attempt.py
+++ b/src/anvillug/request/attempt.py
@@ -6,7 +6,7 @@
 from typing import Protocol as Interface
 
 from anvillug import clock, ids
-from anvillug.connection import http_client, http_head
+from anvillug.connection import http_client, http_head, http_pool
 from anvillug.request import call
 
 _CALL = call.CALL_HEADER.lower().encode()
@@ -129,7 +129,7 @@
         """Whether the host told that it has not run the call."""
         return self._outcome == b'not-run'
 
-    def begin(self, pool: http_client.Pool) -> None:
+    def begin(self, pool: http_pool.Pool) -> None:
         """Get a connection; a resolution always takes a new one."""
         if self.kind is AttemptKind.RESOLVE:
             pool.acquire_fresh(self._connected, self._connect_failed)
--- a/src/anvillug/request/entry_call.py
+++ b/src/anvillug/request/entry_call.py
@@ -8,13 +8,12 @@
 from __future__ import annotations
 
 import enum
-from typing import Protocol as Interface
 
 from twisted.internet import interfaces
 
 from anvillug import clock, ids
-from anvillug.connection import http_head, http_server
-from anvillug.request import answer_keeper, call, call_table, entry_request
+from anvillug.connection import http_exchange, http_head
+from anvillug.request import answer_keeper, call, call_table, entry_context, entry_request
 from anvillug.request import attempt as attempts
 
 MAX_ATTEMPTS = 3
@@ -38,50 +37,6 @@
     DONE = 'done'
 
 
-class EntryContext(Interface):
-    """What a call needs from the entry side that carries it."""
-
-    reactor: interfaces.IReactorTime
-    """Timers."""
-    clock: clock.Clock
-    """Time."""
-
-    def start_attempt(
-        self,
-        entry_call: EntryCall,
-        kind: attempts.AttemptKind,
-        host: tuple[ids.HostId, ids.Incarnation] | None,
-    ) -> attempts.Attempt | None:
-        """Choose a host where none is given and begin an attempt; None without a host."""
-
-    def attempt_over(self, entry_call: EntryCall, attempt: attempts.Attempt) -> None:
-        """Count an attempt as no longer outstanding."""
-
-    def connection_silent(self, host_id: ids.HostId) -> None:
-        """Drop idle connections to a host, one of which has gone silent."""
-
-    def claim(self, entry_call: EntryCall) -> None:
-        """Claim the key of a call; answers by `claim_won`, `refuse` or `hand_over`."""
-
-    def config_number(self) -> ids.ConfigNumber:
-        """Return the configuration number in effect."""
-
-    def may_retry(self, entry_call: EntryCall, outcome: call.Outcome) -> bool:
-        """Tell whether the retry budget allows another attempt, and spend it."""
-
-    def hedge_delay_ms(self, entry_call: EntryCall) -> float | None:
-        """Return when to send a hedge, or None for never."""
-
-    def may_hedge(self, entry_call: EntryCall) -> bool:
-        """Tell whether the hedge budget allows a second attempt, and spend it."""
-
-    def silence_ms(self, entry_call: EntryCall) -> float:
-        """Return after how long without an answer the outcome is asked for."""
-
-    def call_over(self, entry_call: EntryCall, status: int, outcome: call.Outcome) -> None:
-        """Record the result of a call."""
-
-
 class EntryCall:
     """A caller's request and the attempts to have it answered.
 
@@ -94,8 +49,8 @@
 
     def __init__(
         self,
-        context: EntryContext,
-        exchange: http_server.ServerExchange,
+        context: entry_context.EntryContext,
+        exchange: http_exchange.ServerExchange,
         request: entry_request.EntryRequest,
         properties: call.CallProperties,
     ) -> None:
@@ -205,7 +160,7 @@
         self._claimed = True
         self.send()
 
-    def hand_over(self) -> http_server.ServerExchange | None:
+    def hand_over(self) -> http_exchange.ServerExchange | None:
         """Give up the exchange with the caller, None when the call is over already."""
         if self.state is EntryState.DONE:
             return None
--- a/src/anvillug/request/host_call.py
+++ b/src/anvillug/request/host_call.py
@@ -12,7 +12,7 @@
 from twisted.internet import interfaces
 
 from anvillug import clock, ids
-from anvillug.connection import http_client, http_head, http_server
+from anvillug.connection import http_client, http_exchange, http_head, http_pool
 from anvillug.request import answer_keeper, call, call_table, host_request, limit, quarantine
 
 _STATUS_OK = 200
@@ -59,7 +59,7 @@
     def dispatched(self, host_call: HostCall) -> None:
         """Record that the first byte goes to the backend server."""
 
-    def pool(self) -> http_client.Pool | None:
+    def pool(self) -> http_pool.Pool | None:
         """Return connections to the backend server, None without one."""
 
     def refused(self, host_call: HostCall) -> None:
@@ -92,7 +92,7 @@
     def __init__(
         self,
         context: HostContext,
-        exchange: http_server.ServerExchange,
+        exchange: http_exchange.ServerExchange,
         request: host_request.HostRequest,
     ) -> None:
         self.request = request
--- a/src/anvillug/request/replay.py
+++ b/src/anvillug/request/replay.py
@@ -5,7 +5,7 @@
 from twisted.internet import interfaces
 
 from anvillug import clock, ids
-from anvillug.connection import http_client, http_head, http_server
+from anvillug.connection import http_exchange, http_head, http_pool
 from anvillug.request import attempt as attempts
 from anvillug.request import claim
 
@@ -29,7 +29,7 @@
         self,
         reactor: interfaces.IReactorTime,
         time: clock.Clock,
-        exchange: http_server.ServerExchange,
+        exchange: http_exchange.ServerExchange,
         winner: claim.Claim,
     ) -> None:
         self._exchange = exchange
@@ -46,7 +46,7 @@
         self._timer = reactor.callLater(_TIME_LIMIT_S, self._timed_out)
         exchange.handler = self
 
-    def start(self, pool: http_client.Pool | None) -> None:
+    def start(self, pool: http_pool.Pool | None) -> None:
         """Ask the entry side of the first call.
 
         Args:
--- a/src/anvillug/request/resolution.py
+++ b/src/anvillug/request/resolution.py
@@ -5,7 +5,7 @@
 from typing import Protocol as Interface
 
 from anvillug import ids
-from anvillug.connection import http_head, http_server
+from anvillug.connection import http_exchange, http_head
 from anvillug.request import call, call_table
 
 _STATUS_BAD_GATEWAY = 502
@@ -33,7 +33,7 @@
         self,
         context: AnswerHeaders,
         table: call_table.CallTable,
-        exchange: http_server.ServerExchange,
+        exchange: http_exchange.ServerExchange,
         call_id: ids.CallId,
     ) -> None:
         self._context = context
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -15,7 +15,7 @@
 from twisted.internet import testing
 
 from anvillug.bench import processes
-from anvillug.connection import http_head, http_server
+from anvillug.connection import http_exchange, http_head, http_server
 
 _SERVICE = 'drawbook'
 _TIMEOUT_S = 5
@@ -26,7 +26,7 @@
 class _Recorder:
     """Handler that collects a body and answers with it at the end of the request."""
 
-    def __init__(self, exchange: http_server.ServerExchange, received: list) -> None:
+    def __init__(self, exchange: http_exchange.ServerExchange, received: list) -> None:
         self._exchange = exchange
         self._received = received
         self._body = b''
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -7,7 +7,7 @@
 from twisted.internet import testing as twisted_testing
 from twisted.python import failure
 
-from anvillug.connection import http_client, http_head
+from anvillug.connection import http_client, http_head, http_pool
 
 
 class Recorder:
@@ -45,7 +45,7 @@
 @pytest.fixture
 def pool():
     """Return a pool that opens no real connections."""
-    return http_client.Pool(twisted_testing.MemoryReactorClock(), '127.0.0.1', 1)
+    return http_pool.Pool(twisted_testing.MemoryReactorClock(), '127.0.0.1', 1)
 
 
 def connect(pool):
@@ -184,7 +184,7 @@
 
     def test_failed_connect_fails_those_who_wait(self):
         reactor = twisted_testing.MemoryReactorClock()
-        pool = http_client.Pool(reactor, '127.0.0.1', 1, max_connections=1)
+        pool = http_pool.Pool(reactor, '127.0.0.1', 1, max_connections=1)
         failures = []
 
         def failed():
