Go on renewing the member record after an unexpected error

Cause: an error other than one of the log left the task marked as appending, so that the record was never renewed (found by review). Change: the mark is cleared and the renewal planned in any case. Result: linters pass; the membership tests run with the whole set.

--- a/src/anvillug/process/membership_log.py
+++ b/src/anvillug/process/membership_log.py
@@ -97,6 +97,17 @@
         return self._clock.now() - self._appended_at >= RENEWAL_MS
 
     async def _append(self) -> None:
+        try:
+            await self._append_while_due()
+        finally:
+            self._plan_renewal()
+
+    def _plan_renewal(self) -> None:
+        self._appending = False
+        renewal_s = clock.to_seconds(RENEWAL_MS * self._rng.uniform(1, 1.1))
+        self._reactor.callLater(renewal_s, self.publish)
+
+    async def _append_while_due(self) -> None:
         backoff_ms = _MIN_BACKOFF_MS
         while self._is_due():
             record = self._table.own
@@ -110,9 +121,6 @@
             else:
                 self._appended = record
                 self._appended_at = self._clock.now()
-        self._appending = False
-        renewal_s = clock.to_seconds(RENEWAL_MS * self._rng.uniform(1, 1.1))
-        self._reactor.callLater(renewal_s, self.publish)
 
     async def _read(self) -> None:
         backoff_ms = _MIN_BACKOFF_MS
