--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -29,6 +29,12 @@
     ('c02_silence_in_drain', 18),
     ('c03_freeze_in_zone_move', 19),
     ('c04_crashing_request', 20),
+    ('r04_bad_version', 21),
+    ('r04_bad_route', 21),
+    ('r04_good_version', 21),
+    ('r06_not_run', 21),
+    ('r07_at_most_once', 21),
+    ('r09_graceful_stop', 21),
 )
 
 
