Bound the answer that a running call holds for a later resolution

Cause: the setting for all retained answers (8 MB) was used as the bound of each, so that ten running calls could hold 80 MB, and did not reach the table. Change: one answer is held up to 256 KiB; the setting bounds the table. Result: tests of the host side and the call table pass.

--- a/src/anvillug/process/node.py
+++ b/src/anvillug/process/node.py
@@ -44,6 +44,8 @@
 _SNAPSHOT_HOSTS = 2
 # Entry sides add headers to a head that callers may fill up to the limit.
 _ADDED_HEADER_BYTES = 4096
+# Each running call may hold an answer of this size until it ends.
+_ONE_ANSWER_BYTES = 256 * 1024
 _NO_SERVICE = ids.ServiceName('')
 _NO_VERSION = ids.VersionName('')
 
@@ -258,10 +260,14 @@
             self._incarnation,
             call_table.CallTable(
                 self._incarnation,
-                call_table.Bounds(entries=limits.call_table_entries),
+                call_table.Bounds(
+                    entries=limits.call_table_entries,
+                    answer_bytes=limits.kept_answer_bytes,
+                    one_answer_bytes=_ONE_ANSWER_BYTES,
+                ),
             ),
             self.suspects,
-            limits.kept_answer_bytes,
+            _ONE_ANSWER_BYTES,
             self.config_number,
             self._catch_up,
             self.gossip_task.spread_quarantine,
