Name the router of a service and the coordinator of claims by usual terms

Cause: service_desk and claim_desk are no terms of the field. Change: ServiceRouter and ClaimCoordinator; no behaviour changes.

--- a/src/anvillug/bench/capacity_control.py
+++ b/src/anvillug/bench/capacity_control.py
@@ -40,7 +40,7 @@
     'anvillug.process.config_follower',
     'anvillug.process.membership_log',
     'anvillug.process.move_judge',
-    'anvillug.process.claim_desk',
+    'anvillug.process.claim_coordinator',
 )
 _GOSSIP = ('anvillug.process.gossip', 'anvillug.connection.control_client')
 _CHANNELS = 16
--- a/src/anvillug/bench/capacity_log.py
+++ b/src/anvillug/bench/capacity_log.py
@@ -13,7 +13,7 @@
 from anvillug import clock
 from anvillug.bench import capacity_logic, membership_cost, processes
 from anvillug.connection import log_client
-from anvillug.process import claim_desk, membership, membership_log
+from anvillug.process import claim_coordinator, membership, membership_log
 from anvillug.request import claim
 
 NODES = 6300
@@ -89,7 +89,7 @@
     renewals_s = NODES * _MS_PER_SECOND / membership_log.RENEWAL_MS
     rows = [_append_row('membership: renewals', renewals_s)]
     rows.extend(_append_row(kind, count / _SECONDS_PER_DAY) for kind, count in per_day.items())
-    batch_ms = claim_desk.DeskSettings().batch_ms
+    batch_ms = claim_coordinator.CoordinatorSettings().batch_ms
     for keyed in KEYED_SHARES:
         kind = f'claims, {keyed:.2%} of calls with a key'
         built_s = claim_appends(keyed, NODES * claim.PARTITIONS, batch_ms)
--- a/src/anvillug/process/claim_desk.py
+++ b/src/anvillug/process/claim_coordinator.py
@@ -67,8 +67,8 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class DeskSettings:
-    """Times of a claim desk."""
+class CoordinatorSettings:
+    """Times of a claim coordinator."""
 
     lifetime_ms: float = 3_600_000
     """Time for which a won claim holds its key."""
@@ -88,7 +88,7 @@
     """Streams of claims."""
 
 
-_DEFAULT_SETTINGS = DeskSettings()
+_DEFAULT_SETTINGS = CoordinatorSettings()
 
 
 @dataclasses.dataclass(slots=True)
@@ -114,7 +114,7 @@
     """End up to which to read although no claim waits; 0 for no such read."""
 
 
-class ClaimDesk:
+class ClaimCoordinator:
     """Settles claims for the host side of one node.
 
     Args:
@@ -129,7 +129,7 @@
         log: Log,
         reactor: interfaces.IReactorTime,
         time: clock.Clock,
-        settings: DeskSettings = _DEFAULT_SETTINGS,
+        settings: CoordinatorSettings = _DEFAULT_SETTINGS,
     ) -> None:
         self._log = log
         self._reactor = reactor
--- a/src/anvillug/process/entry_side.py
+++ b/src/anvillug/process/entry_side.py
@@ -15,7 +15,7 @@
     load_sampler,
     membership,
     peer_pools,
-    service_desk,
+    service_router,
     service_view,
 )
 from anvillug.request import attempt as attempts
@@ -77,11 +77,11 @@
         pools: peer_pools.PeerPools,
         config: Callable[[], config_state.ConfigState],
         is_bad: Callable[[ids.ServiceName, config_state.MoveStatus], bool],
-        observer: service_desk.CallObserver,
+        observer: service_router.CallObserver,
         keyed: keyed_calls.KeyedCalls,
         rng: random.Random,
         sample_timeout_ms: float,
-        chooser: str = service_desk.SAMPLES,
+        chooser: str = service_router.SAMPLES,
     ) -> None:
         self.reactor = reactor
         self.clock = time
@@ -96,7 +96,7 @@
         self._rng = rng
         self._chooser = chooser
         self._sample_timeout_s = clock.to_seconds(sample_timeout_ms)
-        self._desks_by_service: dict[ids.ServiceName, service_desk.ServiceDesk] = {}
+        self._routers_by_service: dict[ids.ServiceName, service_router.ServiceRouter] = {}
         self._sequence = 0
         self._sample()
 
@@ -109,8 +109,8 @@
             event_log.warn('caller_request_rejected', reason=error)
             exchange.respond(_STATUS_BAD_REQUEST, f'{error}\n'.encode())
             return
-        desk = self._desk(request.service, now)
-        if desk is None:
+        router = self._router(request.service, now)
+        if router is None:
             text = f'service {request.service!r} is not in the configuration\n'
             exchange.respond(_STATUS_NOT_FOUND, text.encode())
             return
@@ -118,7 +118,7 @@
         self.counters.calls += 1
         own = self._members.own
         call_id = ids.CallId(own.host_id, own.incarnation, self._sequence)
-        route = desk.route_of(request.head)
+        route = router.route_of(request.head)
         properties = call.CallProperties(
             call_id=call_id,
             service=request.service,
@@ -130,7 +130,7 @@
         started = entry_call.EntryCall(self, exchange, request, properties)
         started.route = route.name
         self.in_progress.add(started)
-        desk.call_started(now)
+        router.call_started(now)
         started.receive()
 
     # Calls from `EntryCall`
@@ -143,20 +143,20 @@
     ) -> attempts.Attempt | None:
         """Begin an attempt; see `entry_context.EntryContext`."""
         now = self.clock.now()
-        desk = self._desk(call_of.request.service, now)
-        if desk is None:
+        router = self._router(call_of.request.service, now)
+        if router is None:
             return None
         if host is None:
-            host = self._choose(desk, call_of, now)
+            host = self._choose(router, call_of, now)
         pool = None if host is None else self._pools.get(host[0])
         if host is None or pool is None:
             return None
-        attempt = attempts.Attempt(call_of, desk, *host, call_of.call_id, kind, now)
+        attempt = attempts.Attempt(call_of, router, *host, call_of.call_id, kind, now)
         call_of.attempt_started(attempt)
         if kind is attempts.AttemptKind.SEND:
             self.counters.attempts += 1
-            attempt.load_level = desk.candidates.load_level(attempt.host_id)
-            desk.candidates.call_started(attempt.host_id)
+            attempt.load_level = router.candidates.load_level(attempt.host_id)
+            router.candidates.call_started(attempt.host_id)
         else:
             self.counters.resolves += 1
         attempt.begin(pool)
@@ -165,9 +165,9 @@
     def attempt_over(self, call_of: entry_call.EntryCall, attempt: attempts.Attempt) -> None:
         """Count an attempt as over; see `entry_context.EntryContext`."""
         now = self.clock.now()
-        desk = self._desks_by_service.get(call_of.request.service)
-        if desk is not None:
-            desk.attempt_over(attempt, call_of.route, now)
+        router = self._routers_by_service.get(call_of.request.service)
+        if router is not None:
+            router.attempt_over(attempt, call_of.route, now)
         if attempt.connect_failed or attempt.answered:
             self._members.observe(attempt.host_id, attempt.answered, now)
 
@@ -186,8 +186,8 @@
     def may_retry(self, call_of: entry_call.EntryCall, outcome: call.Outcome) -> bool:
         """Ask the retry budget; see `entry_context.EntryContext`."""
         now = self.clock.now()
-        desk = self._desk(call_of.request.service, now)
-        if desk is None:
+        router = self._router(call_of.request.service, now)
+        if router is None:
             return False
         allowed = budget.may_retry(
             outcome,
@@ -197,24 +197,24 @@
             call_of.properties.deadline,
             now,
         )
-        return allowed and desk.retries.spend(now)
+        return allowed and router.retries.spend(now)
 
     def hedge_delay_ms(self, call_of: entry_call.EntryCall) -> float | None:
         """Return when to hedge; see `entry_context.EntryContext`."""
         if not call_of.properties.repeatable or not call_of.request.small_body:
             return None
-        desk = self._desk(call_of.request.service, self.clock.now())
-        return None if desk is None else desk.hedge_delay_ms()
+        router = self._router(call_of.request.service, self.clock.now())
+        return None if router is None else router.hedge_delay_ms()
 
     def may_hedge(self, call_of: entry_call.EntryCall) -> bool:
         """Ask the hedge budget; see `entry_context.EntryContext`."""
         now = self.clock.now()
-        desk = self._desk(call_of.request.service, now)
-        if desk is None:
+        router = self._router(call_of.request.service, now)
+        if router is None:
             return False
         waited_ms = now - call_of.started_at
         properties = call_of.properties
-        allowed = desk.hedges.may_hedge(
+        allowed = router.hedges.may_hedge(
             properties.repeatable,
             waited_ms,
             properties.deadline,
@@ -225,8 +225,8 @@
 
     def silence_ms(self, call_of: entry_call.EntryCall) -> float:
         """Return when to ask for the outcome; see `entry_context.EntryContext`."""
-        desk = self._desk(call_of.request.service, self.clock.now())
-        usual = None if desk is None else desk.hedges.delay_ms()
+        router = self._router(call_of.request.service, self.clock.now())
+        usual = None if router is None else router.hedges.delay_ms()
         return max(_SILENCE_FLOOR_MS, _SILENCE_FACTOR * (usual or 0))
 
     def call_over(self, ended: entry_call.EntryCall, status: int, outcome: call.Outcome) -> None:
@@ -240,9 +240,9 @@
             self.counters.not_run += 1
         else:
             self.counters.unknown += 1
-        desk = self._desks_by_service.get(ended.request.service)
-        if desk is not None:
-            desk.call_over(ended, status, outcome, self.clock.now())
+        router = self._routers_by_service.get(ended.request.service)
+        if router is not None:
+            router.call_over(ended, status, outcome, self.clock.now())
 
     def dump(self) -> dict[str, object]:
         """Return what operators see of the entry side."""
@@ -251,24 +251,24 @@
             'in_progress': len(self.in_progress),
             'keyed': self._keyed.dump(),
             'connections_by_host_id': self._pools.counts(),
-            'services': {name: desk.dump() for name, desk in self._desks_by_service.items()},
+            'services': {name: router.dump() for name, router in self._routers_by_service.items()},
         }
 
     def refresh(self) -> None:
         """Rebuild the views of all services: configuration or members have changed."""
-        for desk in self._desks_by_service.values():
-            desk.view_age_limit = 0
+        for router in self._routers_by_service.values():
+            router.view_age_limit = 0
 
     # Private
 
-    def _desk(
+    def _router(
         self,
         name: ids.ServiceName,
         now: clock.Milliseconds,
-    ) -> service_desk.ServiceDesk | None:
-        desk = self._desks_by_service.get(name)
-        if desk is not None and now - desk.viewed_at < desk.view_age_limit:
-            return desk
+    ) -> service_router.ServiceRouter | None:
+        router = self._routers_by_service.get(name)
+        if router is not None and now - router.viewed_at < router.view_age_limit:
+            return router
         config = self._config()
         view = service_view.build(
             config,
@@ -279,27 +279,27 @@
             self._is_bad,
         )
         if view is None:
-            self._desks_by_service.pop(name, None)
+            self._routers_by_service.pop(name, None)
             return None
-        if desk is None:
-            desk = service_desk.ServiceDesk(
+        if router is None:
+            router = service_router.ServiceRouter(
                 name,
                 view,
                 self.clock,
                 self._observer,
                 self._chooser,
             )
-            self._desks_by_service[name] = desk
-        desk.take_view(view, now, _VIEW_AGE_MS)
-        return desk
+            self._routers_by_service[name] = router
+        router.take_view(view, now, _VIEW_AGE_MS)
+        return router
 
     def _choose(
         self,
-        desk: service_desk.ServiceDesk,
+        router: service_router.ServiceRouter,
         call_of: entry_call.EntryCall,
         now: clock.Milliseconds,
     ) -> tuple[ids.HostId, ids.Incarnation] | None:
-        host_id = desk.choose(call_of.tried, now, self._rng)
+        host_id = router.choose(call_of.tried, now, self._rng)
         member = None if host_id is None else self._members.get(host_id)
         if member is None or host_id is None:
             return None
@@ -307,12 +307,12 @@
 
     def _sample(self) -> None:
         now = self.clock.now()
-        for desk in self._desks_by_service.values():
-            for host_id in desk.hosts_to_sample(now):
-                self._sample_host(desk, host_id)
+        for router in self._routers_by_service.values():
+            for host_id in router.hosts_to_sample(now):
+                self._sample_host(router, host_id)
         self.reactor.callLater(_SAMPLE_INTERVAL_S, self._sample)
 
-    def _sample_host(self, desk: service_desk.ServiceDesk, host_id: ids.HostId) -> None:
+    def _sample_host(self, router: service_router.ServiceRouter, host_id: ids.HostId) -> None:
         pool = self._pools.get(host_id)
         if pool is not None:
             self.counters.samples += 1
@@ -320,6 +320,6 @@
                 self.reactor,
                 host_id,
                 self._sample_timeout_s,
-                desk.load_received,
+                router.load_received,
                 self._pools.drop_idle,
             ).start(pool)
--- a/src/anvillug/process/keyed_calls.py
+++ b/src/anvillug/process/keyed_calls.py
@@ -10,7 +10,7 @@
 
 from anvillug import clock, event_log, ids
 from anvillug.connection import http_exchange, http_head, http_pool
-from anvillug.process import claim_desk
+from anvillug.process import claim_coordinator
 from anvillug.request import (
     call,
     call_table,
@@ -55,7 +55,7 @@
         time: Clock.
         own_host_id: This host.
         incarnation: Incarnation of this process.
-        desk: Settles claims through the log.
+        coordinator: Settles claims through the log.
         pool_of: Returns the connections to a host.
     """
 
@@ -65,7 +65,7 @@
         time: clock.Clock,
         own_host_id: ids.HostId,
         incarnation: ids.Incarnation,
-        desk: claim_desk.ClaimDesk,
+        coordinator: claim_coordinator.ClaimCoordinator,
         pool_of: PoolOf,
     ) -> None:
         self.counters = KeyedCounters()
@@ -73,7 +73,7 @@
         self._clock = time
         self._own_host_id = own_host_id
         self._incarnation = incarnation
-        self._desk = desk
+        self._coordinator = coordinator
         self._pool_of = pool_of
         self._table = call_table.CallTable(incarnation, _BOUNDS)
         self._claims_by_call_id: dict[ids.CallId, claim.Claim] = {}
@@ -97,7 +97,7 @@
             started.refuse('too many calls with idempotency keys')
             return
         self._claims_by_call_id[properties.call_id] = wanted
-        settled = self._desk.claim(wanted)
+        settled = self._coordinator.claim(wanted)
         settled.addCallbacks(
             lambda verdict: self._settled(started, verdict),
             lambda _failure: self._unavailable(started),
@@ -119,7 +119,7 @@
             self._table.finish(call_id, kept, now)
         elif outcome is call.Outcome.NOT_RUN:
             self._table.refuse(call_id, now)
-            self._desk.release(held)
+            self._coordinator.release(held)
         else:
             self._table.fail(call_id, now)
 
@@ -150,7 +150,7 @@
             self._replay(started, verdict.winner)
 
     def _unavailable(self, started: entry_call.EntryCall) -> None:
-        # The desk itself releases a claim that turns out to be won later.
+        # The coordinator itself releases a claim that turns out to be won later.
         self._drop(started)
         self.counters.refused += 1
         started.refuse(_UNAVAILABLE)
--- a/src/anvillug/process/move_judge.py
+++ b/src/anvillug/process/move_judge.py
@@ -11,7 +11,7 @@
 
 from anvillug import clock, event_log, ids
 from anvillug.connection import log_client, log_record
-from anvillug.process import membership, service_desk
+from anvillug.process import membership, service_router
 from anvillug.version import (
     config_state,
     document,
@@ -80,8 +80,8 @@
         """Start to watch."""
         self._watch()
 
-    def call_ended(self, ended: service_desk.EndedCall) -> None:
-        """Count an ended call; see `service_desk.CallObserver`."""
+    def call_ended(self, ended: service_router.EndedCall) -> None:
+        """Count an ended call; see `service_router.CallObserver`."""
         level = min(_LEVELS - 1, int(ended.load_level * _LEVELS))
         self._evidence.record(
             ended.service,
--- a/src/anvillug/process/node.py
+++ b/src/anvillug/process/node.py
@@ -15,7 +15,7 @@
 from anvillug.connection import control_client, control_server, http_server, log_client
 from anvillug.process import (
     backend_watch,
-    claim_desk,
+    claim_coordinator,
     config_follower,
     drain,
     entry_side,
@@ -114,11 +114,11 @@
             time,
             config.host_id,
             self._incarnation,
-            claim_desk.ClaimDesk(
+            claim_coordinator.ClaimCoordinator(
                 self._log,
                 reactor,
                 time,
-                claim_desk.DeskSettings(lifetime_ms=config.claim_lifetime_ms),
+                claim_coordinator.CoordinatorSettings(lifetime_ms=config.claim_lifetime_ms),
             ),
             self._pools.get,
         )
--- a/src/anvillug/process/service_desk.py
+++ b/src/anvillug/process/service_router.py
@@ -61,7 +61,7 @@
         """Take the facts of an ended call."""
 
 
-class ServiceDesk:
+class ServiceRouter:
     """Samples, budgets and view of one service.
 
     Args:
--- a/tests/test_claim.py
+++ b/tests/test_claim.py
@@ -1,4 +1,4 @@
-"""Tests of the fold of claims and of the desk that settles them through a log."""
+"""Tests of the fold of claims and of the coordinator that settles them through a log."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 from twisted.internet import defer, task
 
 from anvillug import clock, ids
-from anvillug.process import claim_desk
+from anvillug.process import claim_coordinator
 from anvillug.request import claim
 
 KIND = claim.VerdictKind
@@ -109,18 +109,18 @@
 
 
 class Bench:
-    """Desks that share a fake log with one stream."""
+    """Coordinators that share a fake log with one stream."""
 
     def __init__(self):
         self.reactor = task.Clock()
         self.time = clock.ManualClock()
         self.log = FakeLog(self.time)
 
-    def desk(self, watch_ms=30_000):
-        settings = claim_desk.DeskSettings(
+    def coordinator(self, watch_ms=30_000):
+        settings = claim_coordinator.CoordinatorSettings(
             lifetime_ms=LIFETIME, partitions=1, give_up_ms=200, watch_ms=watch_ms
         )
-        return claim_desk.ClaimDesk(self.log, self.reactor, self.time, settings)
+        return claim_coordinator.ClaimCoordinator(self.log, self.reactor, self.time, settings)
 
     def settle(self):
         self.run(100)
@@ -131,20 +131,20 @@
             self.reactor.advance(0.005)
 
 
-class TestDesk:
+class TestCoordinator:
     """Guards against a call that runs without its key, or waits for ever for it."""
 
     def test_claims_of_two_nodes(self):
         bench = Bench()
-        results = [bench.desk().claim(each) for each in (FIRST, SECOND)]
+        results = [bench.coordinator().claim(each) for each in (FIRST, SECOND)]
         bench.run(100)
         assert [result.result.kind for result in results] == [KIND.WON, KIND.LOST]
         assert results[1].result.winner == FIRST
 
     def test_claims_are_batched(self):
         bench = Bench()
-        desk = bench.desk()
-        results = [desk.claim(_claim(seq, key=f'k{seq}')) for seq in range(50)]
+        coordinator = bench.coordinator()
+        results = [coordinator.claim(_claim(seq, key=f'k{seq}')) for seq in range(50)]
         bench.run(100)
         assert all(result.result.kind is KIND.WON for result in results)
         assert bench.log.appends == 1
@@ -152,37 +152,37 @@
     def test_lost_answer_is_settled_by_reading(self):
         bench = Bench()
         bench.log.loses_answers = True
-        found = bench.desk().claim(FIRST)
+        found = bench.coordinator().claim(FIRST)
         bench.run(100)
         assert found.result.kind is KIND.WON
 
     def test_log_out_fails_as_not_run(self):
         bench = Bench()
         bench.log.is_out = True
-        found = bench.desk().claim(FIRST)
+        found = bench.coordinator().claim(FIRST)
         bench.run(195)
         assert not found.called
         bench.run(10)
-        found.addErrback(lambda failure: failure.trap(claim_desk.ClaimUnavailableError))
-        assert found.result is claim_desk.ClaimUnavailableError
+        found.addErrback(lambda failure: failure.trap(claim_coordinator.ClaimUnavailableError))
+        assert found.result is claim_coordinator.ClaimUnavailableError
 
     def test_late_win_is_released(self):
         bench = Bench()
         bench.log.is_out = True
         bench.log.loses_answers = True
-        found = bench.desk().claim(FIRST)
+        found = bench.coordinator().claim(FIRST)
         found.addErrback(lambda failure: None)
         bench.run(300)
         bench.log.is_out = False
         bench.log.loses_answers = False
         bench.run(300)
-        second = bench.desk().claim(SECOND)
+        second = bench.coordinator().claim(SECOND)
         bench.run(100)
         assert second.result.kind is KIND.WON
 
     def test_verdict_read_after_the_lifetime(self):
         bench = Bench()
-        found = bench.desk().claim(FIRST)
+        found = bench.coordinator().claim(FIRST)
         bench.time.advance(LIFETIME)
         bench.log.time = clock.ManualClock()
         bench.run(100)
@@ -192,22 +192,22 @@
 class TestRelease:
     """Guards against a key that stays held by a call that has not been run."""
 
-    def test_released_key_is_free_at_the_same_desk(self):
-        # The desk did not read its own release, so that each resend lost to a call
+    def test_released_key_is_free_at_the_same_coordinator(self):
+        # The coordinator did not read its own release, so that each resend lost to a call
         # that had not been run.
         bench = Bench()
-        desk = bench.desk()
-        desk.claim(FIRST)
+        coordinator = bench.coordinator()
+        coordinator.claim(FIRST)
         bench.settle()
-        desk.release(FIRST)
+        coordinator.release(FIRST)
         bench.settle()
-        second = desk.claim(SECOND)
+        second = coordinator.claim(SECOND)
         bench.settle()
         assert second.result.kind is KIND.WON
 
     def test_key_released_by_another_node_is_free_at_the_next_resend(self):
         bench = Bench()
-        holder, other = bench.desk(), bench.desk()
+        holder, other = bench.coordinator(), bench.coordinator()
         holder.claim(FIRST)
         lost = other.claim(SECOND)
         bench.settle()
@@ -222,25 +222,25 @@
 
     def test_holder_is_known_while_the_log_is_out(self):
         bench = Bench()
-        desk = bench.desk()
-        desk.claim(FIRST)
+        coordinator = bench.coordinator()
+        coordinator.claim(FIRST)
         bench.settle()
         bench.log.is_out = True
-        assert desk.claim(SECOND).result.winner == FIRST
+        assert coordinator.claim(SECOND).result.winner == FIRST
 
     def test_releases_of_an_outage_are_bounded(self):
         # Calls that end before their claim is settled each post a release.
         bench = Bench()
         bench.log.is_out = True
-        desk = bench.desk()
-        for sequence in range(3 * claim_desk.MAX_OUTBOX):
-            desk.release(_claim(sequence))
+        coordinator = bench.coordinator()
+        for sequence in range(3 * claim_coordinator.MAX_OUTBOX):
+            coordinator.release(_claim(sequence))
         bench.settle()
         bench.log.is_out = False
-        bench.run(30 * claim_desk.MAX_OUTBOX // claim_desk.MAX_BATCH)
+        bench.run(30 * claim_coordinator.MAX_OUTBOX // claim_coordinator.MAX_BATCH)
         sizes = [len(record.data) for record in bench.log.records]
-        assert max(sizes) == claim_desk.MAX_BATCH
-        assert sum(sizes) == claim_desk.MAX_OUTBOX
+        assert max(sizes) == claim_coordinator.MAX_BATCH
+        assert sum(sizes) == claim_coordinator.MAX_OUTBOX
 
     def test_late_win_is_released_after_a_long_outage(self):
         # The claim was no longer looked for when the log was back, so that its key
@@ -248,20 +248,20 @@
         bench = Bench()
         bench.log.is_out = True
         bench.log.loses_answers = True
-        desk = bench.desk(watch_ms=50)
-        desk.claim(FIRST).addErrback(lambda failure: None)
+        coordinator = bench.coordinator(watch_ms=50)
+        coordinator.claim(FIRST).addErrback(lambda failure: None)
         bench.run(300)
         bench.log.is_out = False
         bench.log.loses_answers = False
         bench.run(300)
-        second = bench.desk().claim(SECOND)
+        second = bench.coordinator().claim(SECOND)
         bench.settle()
         assert second.result.kind is KIND.WON
 
     def test_reads_during_an_outage_are_spaced(self):
         bench = Bench()
         bench.log.is_out = True
-        desk = bench.desk()
-        desk.claim(FIRST).addErrback(lambda failure: None)
+        coordinator = bench.coordinator()
+        coordinator.claim(FIRST).addErrback(lambda failure: None)
         bench.run(10_000)
-        assert bench.log.reads <= 10_000 / claim_desk.MAX_RETRY_MS + 5
+        assert bench.log.reads <= 10_000 / claim_coordinator.MAX_RETRY_MS + 5
