--- a/src/anvillug/bench/demo.py
+++ b/src/anvillug/bench/demo.py
@@ -151,9 +151,12 @@
         await self._mesh.sleep(_SETTLE_S / 4)
         await self._mesh.post(host.operator_address, '/drain', {})
         result = await generator
-        not_lost = result.by_status['200'] + result.errors['connect_ConnectionRefusedError']
-        cut = result.sent - not_lost
-        self._tell('a node drains while calls run', f'{cut} of {result.sent} cut', cut == 0)
+        refused = result.errors['connect_ConnectionRefusedError']
+        cut = result.sent - result.by_status['200'] - refused
+        not_run = result.by_outcome['not-run']
+        errors = dict(result.errors)
+        seen = f'{cut} of {result.sent} not whole, {not_run} as not run, errors {errors}'
+        self._tell('a node drains while calls run', seen, cut == 0)
 
         async def ended() -> bool:
             return not host.node.running
