Remove names that nothing uses

Cause: the read-through found the bound of attempts again in entry_call (the one in budget.py decides), a request counter and a target that nobody reads, and a condition that stood twice. Change: they are gone; behaviour is the same. Result: linters pass, and the tests of entry calls, keys, HTTP client, host side, claims and bad input (no assertion changed). The whole set was not run again: it takes four minutes.

--- a/src/anvillug/connection/http_client.py
+++ b/src/anvillug/connection/http_client.py
@@ -87,7 +87,6 @@
         self._lost = False
         self._paused = False
         self._parsing = False
-        self.served = 0
 
     @property
     def idle(self) -> bool:
@@ -115,7 +114,6 @@
         self._response_done = False
         self._request_done = False
         self._start_response()
-        self.served += 1
         write_batch.BATCH.write(self.transport, http_head.serialize_request(head))
 
     def send_body(self, data: bytes) -> None:
--- a/src/anvillug/process/keyed_calls.py
+++ b/src/anvillug/process/keyed_calls.py
@@ -21,8 +21,6 @@
     resolution,
 )
 
-KEYED_TARGET = b'/-/keyed'
-
 _BOUNDS = call_table.Bounds(
     entries=5000,
     answer_bytes=4_000_000,
--- a/src/anvillug/request/entry_call.py
+++ b/src/anvillug/request/entry_call.py
@@ -16,7 +16,6 @@
 from anvillug.request import answer_keeper, call, call_table, entry_context, entry_request
 from anvillug.request import attempt as attempts
 
-MAX_ATTEMPTS = 3
 _MAX_UNANSWERED_RESOLVES = 3
 _RESOLVE_PAUSE_S = 0.2
 _BODY_PROGRESS_S = 30.0
@@ -275,7 +274,7 @@
             self._drop_host(attempt.host_id)
         if self._active or self.state is EntryState.DONE:
             return
-        if self._streaming_to is not None and self._body_was_used():
+        if self._body_was_used():
             self.refuse(reason)
         elif self._context.may_retry(self, self._worst_outcome()):
             self.send()
