--- a/src/anvillug/connection/http_client.py
+++ b/src/anvillug/connection/http_client.py
@@ -71,6 +71,8 @@
     """
 
     def __init__(self, pool: ConnectionOwner) -> None:
+        self.idle_since_s: float = 0
+        """When the pool got the connection back, by the reactor's clock in seconds."""
         self._pool = pool
         self._handler: ResponseHandler | None = None
         self._parser: httptools.HttpResponseParser | None = None
--- a/src/anvillug/connection/http_pool.py
+++ b/src/anvillug/connection/http_pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import math
 from collections.abc import Callable
 
 from twisted.internet import interfaces, protocol
@@ -92,19 +93,24 @@
         """Open connections that carry no request."""
         return len(self._idle)
 
-    def acquire(self, ready: ConnectionReady, failed: ConnectFailed) -> None:
+    def acquire(
+        self,
+        ready: ConnectionReady,
+        failed: ConnectFailed,
+        max_idle_s: float = math.inf,
+    ) -> None:
         """Get a connection that carries no request.
 
         Args:
             ready: Called with the connection, at once where one is idle. It takes the
                 connection by a request; otherwise the pool keeps it.
             failed: Called when none can be had; nothing was sent.
+            max_idle_s: Longest time in seconds that the connection may have been idle.
         """
-        while self._idle:
-            connection = self._idle.pop()
-            if connection.idle:
-                self.hand_over(connection, ready)
-                return
+        connection = self._pop_idle(max_idle_s)
+        if connection is not None:
+            self.hand_over(connection, ready)
+            return
         if self._closed or len(self._waiting) >= self._max_waiting:
             failed()
         elif self.open_count < self._max_connections:
@@ -130,6 +136,7 @@
             ready, _failed = self._waiting.popleft()
             ready(connection)
         if connection.idle:
+            connection.idle_since_s = self._reactor.seconds()
             self._idle.append(connection)
 
     def hand_over(self, connection: http_client.ClientConnection, ready: ConnectionReady) -> None:
@@ -171,6 +178,20 @@
         self.drop_idle()
         self._fail_waiting()
 
+    def _pop_idle(self, max_idle_s: float) -> http_client.ClientConnection | None:
+        """Take the connection that was used last; older ones would be idle for longer."""
+        while self._idle:
+            connection = self._idle.pop()
+            if not connection.idle:
+                continue
+            if max_idle_s < math.inf:
+                idle_s = self._reactor.seconds() - connection.idle_since_s
+                if idle_s > max_idle_s:
+                    self._idle.append(connection)
+                    return None
+            return connection
+        return None
+
     def _connect(self, ready: ConnectionReady, failed: ConnectFailed) -> None:
         self._connecting += 1
         factory = _ClientFactory(self, ready, failed)
--- a/src/anvillug/ids.py
+++ b/src/anvillug/ids.py
@@ -14,6 +14,8 @@
 VersionName = NewType('VersionName', str)
 RouteName = NewType('RouteName', str)
 ConfigNumber = NewType('ConfigNumber', int)
+InstanceId = NewType('InstanceId', str)
+"""Id of one start of a backend server."""
 LogOffset = NewType('LogOffset', int)
 Fingerprint = NewType('Fingerprint', str)
 IdempotencyKey = NewType('IdempotencyKey', str)
--- /dev/null
+++ b/src/anvillug/platform/control.py
@@ -0,0 +1,105 @@
+"""Calls of the platform to a node: heartbeats, leaves and the readiness check."""
+
+from __future__ import annotations
+
+from urllib import parse as url_parse
+
+from anvillug import event_log, findings, ids
+from anvillug.connection import http_exchange
+from anvillug.platform import documents
+from anvillug.process import mesh_node
+
+READINESS_PATH = b'/-/readiness'
+
+_RPC_PATH = b'/-/rpc'
+_HEARTBEAT = 'instances.heartbeat'
+_LEAVE = 'instances.deregister'
+_JSON = ((b'Content-Type', b'application/json'),)
+_STATUS_OK = 200
+_STATUS_BAD_REQUEST = 400
+_STATUS_NOT_FOUND = 404
+_STATUS_UNAVAILABLE = 503
+_MAX_BODY_BYTES = 64 * 1024
+
+
+class Control:
+    """Answers the platform.
+
+    Args:
+        node: The node.
+    """
+
+    def __init__(self, node: mesh_node.MeshNode) -> None:
+        self._node = node
+
+    def readiness(self, exchange: http_exchange.ServerExchange) -> None:
+        """Answer the readiness check; see `http_exchange.RequestStarted`."""
+        if exchange.head.path != READINESS_PATH:
+            exchange.respond(_STATUS_NOT_FOUND)
+        elif self._node.is_ready:
+            exchange.respond(_STATUS_OK)
+        else:
+            exchange.respond(_STATUS_UNAVAILABLE)
+
+    def control(self, exchange: http_exchange.ServerExchange) -> None:
+        """Take a call of the backend server; see `http_exchange.RequestStarted`."""
+        if exchange.head.path == _RPC_PATH:
+            exchange.handler = _Call(self, exchange)
+        else:
+            exchange.respond(_STATUS_NOT_FOUND)
+
+    def answer(self, target: bytes, body: bytes) -> findings.Findings:
+        """Carry a call out.
+
+        Args:
+            target: Path and query; the query names the call and the instance.
+            body: Body.
+
+        Returns:
+            What is wrong with the call.
+        """
+        query = url_parse.parse_qs(target.partition(b'?')[2].decode('latin-1'))
+        name = query.get('call', [''])[0]
+        instance = query.get('of', [''])[0]
+        if name == _LEAVE:
+            self._node.leave(ids.InstanceId(instance))
+            return ()
+        if name == _HEARTBEAT:
+            return self._heartbeat(instance, body)
+        return findings.one('call', f'{name!r} is neither {_HEARTBEAT} nor {_LEAVE}')
+
+    def _heartbeat(self, instance: str, body: bytes) -> findings.Findings:
+        decoded = documents.decode_heartbeat(instance, body)
+        if isinstance(decoded, tuple):
+            return decoded
+        return self._node.heartbeat(decoded)
+
+
+class _Call:
+    """One call; see `http_exchange.RequestHandler`."""
+
+    def __init__(self, control: Control, exchange: http_exchange.ServerExchange) -> None:
+        self._control = control
+        self._exchange = exchange
+        self._body = b''
+
+    def body_received(self, data: bytes) -> None:
+        """Keep a piece of the body."""
+        if len(self._body) + len(data) <= _MAX_BODY_BYTES:
+            self._body += data
+
+    def request_ended(self) -> None:
+        """Answer the call."""
+        problems = self._control.answer(self._exchange.head.target, self._body)
+        for problem in problems:
+            event_log.warn('control_call_refused', place=problem.place, reason=problem.message)
+        if problems:
+            self._exchange.respond(_STATUS_BAD_REQUEST, findings.report(problems).encode())
+        else:
+            self._exchange.respond(_STATUS_OK, b'{}', _JSON)
+
+    def request_aborted(self) -> None:
+        """Ignore a caller that is gone."""
+
+    def response_writes_paused(self, paused: bool) -> None:
+        """Ignore backpressure: answers are small."""
--- /dev/null
+++ b/src/anvillug/platform/documents.py
@@ -0,0 +1,289 @@
+"""Documents of the platform: configuration, orders, heartbeats and rollout status."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+from typing import Any
+
+import pydantic
+
+from anvillug import event_log, findings, ids, validation
+from anvillug.process import upstream
+from anvillug.version import directives, rollout, route_table
+
+CONFIG_KEY = 'config'
+ROLLOUT_PREFIX = 'rollout/'
+_EVACUATE_PREFIX = 'evacuate/'
+_HEX = 16
+_MS_PER_SECOND = 1000.0
+# Every prefix begins and ends with a slash.
+_SLASH = '/'
+
+_KINDS = {
+    'idempotent': route_table.RouteKind.REPEATABLE,
+    'non_idempotent': route_table.RouteKind.ONCE,
+    'upload': route_table.RouteKind.UPLOAD,
+}
+_STATES = {'ready': upstream.UpstreamState.SERVING, 'draining': upstream.UpstreamState.LEAVING}
+_PHASES = {
+    rollout.Phase.CANARY: 'active',
+    rollout.Phase.COMPLETED: 'completed',
+    rollout.Phase.REVERTED: 'reverted',
+}
+
+
+class _Document(pydantic.BaseModel):
+    """Base of the platform's documents, to which it may add fields at any time."""
+
+    model_config = pydantic.ConfigDict(extra='ignore', frozen=True, strict=True)
+
+
+class _Service(_Document):
+    Name: str
+    HealthPath: str
+    MaxConnections: int
+    ColdStartS: float = 0
+    ColdPerS: float = math.inf
+
+
+class _Limits(_Document):
+    MaxHeaderBytes: int
+    MaxBodyBytes: int
+    HeaderTimeoutMs: float
+    IdleTimeoutMs: float
+
+
+class _Weighted(_Document):
+    Service: str
+    Weight: float
+
+
+class _Path(_Document):
+    Name: str
+    PathPrefix: str
+    Kind: str
+    TimeoutMs: float
+    TargetLatencyMs: float = 0
+    Priority: int = 0
+    MaxAttempts: int = 1
+    # One of the two names where requests go.
+    Service: str | None = None
+    WeightedSplit: list[_Weighted] | None = None
+
+
+class _VirtualHost(_Document):
+    Host: str
+    Paths: list[_Path]
+
+
+class _Config(_Document):
+    Version: str
+    Services: list[_Service]
+    Limits: _Limits
+    VirtualHosts: list[_VirtualHost]
+
+
+class _Rollout(_Document):
+    Service: str
+    TargetVersion: str
+    DurationS: float
+
+
+class _Heartbeat(_Document):
+    Service: str
+    Address: str
+    Zone: str
+    Version: str
+    Slots: int = pydantic.Field(gt=0)
+    State: str
+    ColdLeftMs: float = 0
+    # Counts the heartbeats of one start; a later one is higher.
+    Sequence: int
+    # Unix time of the start in milliseconds.
+    born: int
+
+
+class _Status(_Document):
+    State: str
+    TargetVersion: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _DecodedConfig:
+    revision: int
+    routes: route_table.RouteTable
+
+
+def decode_directives(
+    records: directives.Records,
+    position: directives.Position,
+    former: directives.Directives,
+) -> directives.Directives:
+    """Decode the operator's records; see `directives.Decoder`."""
+    config = _decode_config(records, former)
+    rollouts = {}
+    zones_out = set()
+    for key, record in records.items():
+        if key.startswith(ROLLOUT_PREFIX):
+            order = _decode_rollout(key, record)
+            if order is not None:
+                rollouts[order.service] = order
+        elif key.startswith(_EVACUATE_PREFIX):
+            zones_out.add(ids.ZoneName(key.removeprefix(_EVACUATE_PREFIX)))
+        elif key != CONFIG_KEY:
+            event_log.warn('operator_record_ignored', key=key, reason='unknown key')
+    return directives.Directives(
+        position,
+        config.revision,
+        config.routes,
+        frozenset(zones_out),
+        rollouts,
+        dict(records),
+    )
+
+
+def decode_heartbeat(instance: str, body: bytes) -> upstream.Heartbeat | findings.Findings:
+    """Decode a heartbeat.
+
+    Args:
+        instance: Id of the backend server's start, from the address of the call.
+        body: JSON body.
+
+    Returns:
+        The heartbeat, or what is wrong with it.
+    """
+    place = f'heartbeat of {instance or "nobody"}'
+    if not instance:
+        return findings.one(place, 'the id is missing')
+    try:
+        beat = _Heartbeat.model_validate_json(body)
+    except pydantic.ValidationError as error:
+        return validation.findings_of(error, place)
+    state = _STATES.get(beat.State)
+    if state is None:
+        return findings.one(f'{place}: State', f'{beat.State!r} is not one of {sorted(_STATES)}')
+    return upstream.Heartbeat(
+        instance=ids.InstanceId(instance),
+        service=ids.ServiceName(beat.Service),
+        address=beat.Address,
+        version=ids.VersionName(beat.Version),
+        slots=beat.Slots,
+        state=state,
+        cold_ms=beat.ColdLeftMs,
+        started_at=ids.Incarnation(beat.born),
+        sequence=beat.Sequence,
+    )
+
+
+def encode_status(status: rollout.Status) -> bytes:
+    """Return the status document of a rollout."""
+    document = _Status(State=_PHASES[status.phase], TargetVersion=status.target_version)
+    return document.model_dump_json().encode()
+
+
+def decode_status(service: ids.ServiceName, body: bytes) -> rollout.Status | None:
+    """Decode the status document of a rollout; None for one that can't be read."""
+    try:
+        document = _Status.model_validate_json(body)
+    except pydantic.ValidationError as error:
+        place = f'status of the rollout of {service}'
+        event_log.warn('status_malformed', findings=validation.findings_of(error, place)[0])
+        return None
+    for phase, name in _PHASES.items():
+        if name == document.State:
+            return rollout.Status(service, ids.VersionName(document.TargetVersion), phase)
+    event_log.warn('status_malformed', service=service, state=document.State)
+    return None
+
+
+def _decode_config(
+    records: directives.Records, former: directives.Directives
+) -> directives.Directives | _DecodedConfig:
+    """Return the configuration, or the former value where there is no newer valid one."""
+    record = records.get(CONFIG_KEY)
+    if record is None or record == former.records.get(CONFIG_KEY):
+        return former
+    try:
+        document = _Config.model_validate_json(record.value)
+        revision = int(document.Version, _HEX)
+        routes = _routes(document)
+    except pydantic.ValidationError as error:
+        for finding in validation.findings_of(error, CONFIG_KEY):
+            event_log.warn('config_rejected', place=finding.place, reason=finding.message)
+        return former
+    except ValueError as error:
+        event_log.warn('config_rejected', place=CONFIG_KEY, reason=error)
+        return former
+    if revision <= former.revision:
+        event_log.warn('config_rejected', place='Version', reason='older', revision=revision)
+        return former
+    return _DecodedConfig(revision, routes)
+
+
+def _routes(document: _Config) -> route_table.RouteTable:
+    services = [_service(service) for service in document.Services]
+    names = {service.name for service in services}
+    routes = [
+        _route(host.Host, path, names) for host in document.VirtualHosts for path in host.Paths
+    ]
+    limits = route_table.CallerLimits(
+        document.Limits.MaxHeaderBytes,
+        document.Limits.MaxBodyBytes,
+        document.Limits.HeaderTimeoutMs,
+        document.Limits.IdleTimeoutMs,
+    )
+    return route_table.RouteTable(routes, services, limits)
+
+
+def _service(service: _Service) -> route_table.ServicePolicy:
+    return route_table.ServicePolicy(
+        ids.ServiceName(service.Name),
+        service.HealthPath.encode(),
+        service.MaxConnections,
+        service.ColdStartS * _MS_PER_SECOND,
+        service.ColdPerS,
+    )
+
+
+def _route(host: str, path: _Path, services: set[ids.ServiceName]) -> route_table.Route:
+    place = f'VirtualHosts.{host}.{path.Name}'
+    parts = tuple(
+        route_table.RoutePart(ids.ServiceName(part.Service), part.Weight)
+        for part in path.WeightedSplit or ()
+    )
+    if path.Service is not None:
+        parts = (route_table.RoutePart(ids.ServiceName(path.Service), 1),)
+    unknown = [part.service for part in parts if part.service not in services]
+    if not parts or unknown:
+        raise ValueError(f'{place}: needs known services, got {unknown}')
+    if path.Kind not in _KINDS:
+        raise ValueError(f'{place}: Kind {path.Kind!r} is not one of {sorted(_KINDS)}')
+    if not (path.PathPrefix.startswith(_SLASH) and path.PathPrefix.endswith(_SLASH)):
+        raise ValueError(f'{place}: PathPrefix must begin and end with a slash')
+    return route_table.Route(
+        name=ids.RouteName(path.Name),
+        host=host.lower().encode(),
+        path_prefix=path.PathPrefix.encode(),
+        kind=_KINDS[path.Kind],
+        timeout_ms=path.TimeoutMs,
+        target_latency_ms=path.TargetLatencyMs,
+        priority=path.Priority,
+        parts=parts,
+        max_attempts=max(1, path.MaxAttempts),
+    )
+
+
+def _decode_rollout(key: str, record: directives.Record) -> directives.RolloutOrder | None:
+    try:
+        order: Any = _Rollout.model_validate_json(record.value)
+    except pydantic.ValidationError as error:
+        for finding in validation.findings_of(error, key):
+            event_log.warn('rollout_rejected', place=finding.place, reason=finding.message)
+        return None
+    return directives.RolloutOrder(
+        ids.ServiceName(order.Service),
+        ids.VersionName(order.TargetVersion),
+        order.DurationS * _MS_PER_SECOND,
+        record.offset,
+    )
--- /dev/null
+++ b/src/anvillug/platform/program.py
@@ -0,0 +1,74 @@
+"""The node as the platform starts it."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+import sys
+
+from anvillug import clock, event_log, findings, ids
+from anvillug.platform import documents, headers, settings
+from anvillug.process import plain_tcp
+from anvillug.version import rollout
+
+SETTINGS_VARIABLE = 'ANVILLUG_NODE_FILE'
+"""Environment variable with the path of the settings file."""
+
+_EXIT_BAD_INPUT = 2
+
+
+class _StatusCodec:
+    """Status documents of rollouts; see `rollout_writer.StatusCodec`."""
+
+    def key(self, service: ids.ServiceName) -> str:
+        """Return the key of a service's rollout."""
+        return f'{documents.ROLLOUT_PREFIX}{service}'
+
+    def encode(self, status: rollout.Status) -> bytes:
+        """Return the wire form of a status."""
+        return documents.encode_status(status)
+
+    def decode(self, key: str, value: bytes) -> rollout.Status | None:
+        """Return a status from its record, None for any other record."""
+        if not key.startswith(documents.ROLLOUT_PREFIX):
+            return None
+        service = ids.ServiceName(key.removeprefix(documents.ROLLOUT_PREFIX))
+        return documents.decode_status(service, value)
+
+
+def run() -> int:
+    """Run a node until SIGTERM.
+
+    Returns:
+        Exit code: 0 after a graceful stop, 2 for invalid settings.
+    """
+    event_log.set_up()
+    path = pathlib.Path(os.environ.get(SETTINGS_VARIABLE, ''))
+    loaded = settings.load(path)
+    if loaded.is_error():
+        sys.stderr.write(f'{findings.report(loaded.error)}\n')
+        return _EXIT_BAD_INPUT
+    plain_tcp.leave_out_tls()
+    # Importing the reactor installs it.
+    from twisted.internet import reactor  # noqa: PLC0415
+
+    from anvillug.platform import control, store  # noqa: PLC0415
+    from anvillug.process import error_reports, mesh_node  # noqa: PLC0415
+
+    error_reports.set_up()
+    node = mesh_node.MeshNode(
+        reactor,
+        loaded.ok,
+        clock.SystemClock(),
+        store.Store(reactor, loaded.ok.store_address),
+        mesh_node.Topics(store.OPERATOR_TOPIC, store.STATUS_TOPIC, store.MEMBER_TOPIC),
+        headers.PlatformDialect(),
+        documents.decode_directives,
+        _StatusCodec(),
+    )
+    answers = control.Control(node)
+    node.listen(loaded.ok.ready_address, answers.readiness)
+    node.listen(loaded.ok.control_address, answers.control)
+    node.start()
+    reactor.run(installSignalHandlers=False)
+    return 0
--- /dev/null
+++ b/src/anvillug/platform/settings.py
@@ -0,0 +1,124 @@
+"""Settings file of the platform, as the product's settings of a mesh node."""
+
+from __future__ import annotations
+
+import pathlib
+
+import expression
+import pydantic
+
+from anvillug import findings, ids, validation
+from anvillug.process import mesh_settings
+
+_MS_PER_SECOND = 1000.0
+
+
+class _Table(pydantic.BaseModel):
+    """Base of the tables, to which the platform may add fields at any time."""
+
+    model_config = pydantic.ConfigDict(extra='ignore', frozen=True, strict=True)
+
+
+class _Self(_Table):
+    NodeName: str
+    Ip: str
+    Zone: str
+    # Address of the backend server beside this node.
+    AppAddr: validation.Address
+    # Service of that backend server.
+    Service: str
+
+
+class _Listen(_Table):
+    Inbound: validation.Address
+    Outbound: validation.Address
+    ReadyAddr: validation.Address
+    Control: validation.Address
+
+
+class _Network(_Table):
+    Listen: _Listen
+    # First and last port for traffic between nodes.
+    InternalPorts: tuple[int, int] = pydantic.Field(strict=False)
+
+
+class _Store(_Table):
+    Address: validation.Address
+
+
+class _Platform(_Table):
+    Platform: _Store
+
+
+class _Bounds(_Table):
+    DrainMs: float = 2000
+    GraceS: float = 6
+    RetryBudgetRatio: float = 0.2
+    BudgetWindowS: float = 10
+    RetryBudgetSlack: float = 62
+    ExposureShare: float = 0.1
+    ExposureSlack: float = 50
+    ColdFactor: float = 1.5
+    ColdSlack: float = 5
+    ProbesPerS: float = 60
+
+
+class _Terms(_Table):
+    Bounds: _Bounds
+
+
+class _File(_Table):
+    Self: _Self
+    Network: _Network
+    Platform: _Platform
+    Terms: _Terms
+
+
+def load(path: pathlib.Path) -> expression.Result[mesh_settings.MeshSettings, findings.Findings]:
+    """Read the settings file.
+
+    Args:
+        path: The file.
+
+    Returns:
+        The settings, or all findings with their place.
+    """
+    try:
+        content = _File.model_validate_json(path.read_bytes())
+    except OSError as error:
+        return expression.Error(findings.one(str(path), f'can not be read: {error.strerror}'))
+    except pydantic.ValidationError as error:
+        return expression.Error(validation.findings_of(error, str(path)))
+    return expression.Ok(_translate(content))
+
+
+def _translate(content: _File) -> mesh_settings.MeshSettings:
+    listen = content.Network.Listen
+    bounds = content.Terms.Bounds
+    own = content.Self
+    return mesh_settings.MeshSettings(
+        host_id=ids.HostId(own.NodeName),
+        zone=ids.ZoneName(own.Zone),
+        ip=own.Ip,
+        service=ids.ServiceName(own.Service),
+        backend_address=own.AppAddr,
+        caller_address=listen.Outbound,
+        peer_address=listen.Inbound,
+        ready_address=listen.ReadyAddr,
+        control_address=listen.Control,
+        beacon_port=content.Network.InternalPorts[0],
+        metrics_port=content.Network.InternalPorts[1],
+        store_address=content.Platform.Platform.Address,
+        bounds=mesh_settings.Bounds(
+            drain_ms=bounds.DrainMs,
+            grace_ms=bounds.GraceS * _MS_PER_SECOND,
+            retry_ratio=bounds.RetryBudgetRatio,
+            retry_window_ms=bounds.BudgetWindowS * _MS_PER_SECOND,
+            retry_slack=bounds.RetryBudgetSlack,
+            exposure_share=bounds.ExposureShare,
+            exposure_slack=bounds.ExposureSlack,
+            cold_factor=bounds.ColdFactor,
+            cold_slack=bounds.ColdSlack,
+            probes_per_second=bounds.ProbesPerS,
+        ),
+    )
--- /dev/null
+++ b/src/anvillug/platform/store.py
@@ -0,0 +1,127 @@
+"""Client of the platform's store: keyed topics with one partition, read and appended over HTTP."""
+
+from __future__ import annotations
+
+import base64
+import json
+import struct
+from typing import Any
+from urllib import parse as url_parse
+
+import treq
+from treq import client as treq_client
+from twisted.internet import interfaces
+from twisted.web import client as web_client
+
+from anvillug import clock
+from anvillug.connection import keyed_log
+from anvillug.version import directives
+
+# Keyed topics: the newest record of each key is kept for good.
+OPERATOR_TOPIC = 'keyed.op'
+STATUS_TOPIC = 'keyed.status'
+MEMBER_TOPIC = 'keyed.members'
+
+# The only partition of these topics.
+_PARTITION = '0'
+
+# An answer takes 4 ms on an ordinary day; the platform's slow days multiply that by 80.
+_ANSWER_TIMEOUT_MS = 900
+_CONNECT_TIMEOUT_MS = 500
+_MAX_CONNECTIONS = 2
+_LENGTH = struct.Struct('>I')
+_BOUNDS = struct.Struct('>QQ')
+_STATUS_OK = 200
+_ERRORS_BY_STATUS = {
+    410: keyed_log.HistoryDroppedError,
+    412: keyed_log.ConditionFailedError,
+}
+
+
+class Store:
+    """Client that keeps its connections open; see `keyed_log.KeyedLog`.
+
+    Args:
+        reactor: Reactor that owns the sockets and timers.
+        address: IP:port of the store.
+    """
+
+    def __init__(self, reactor: interfaces.IReactorTCP, address: str) -> None:
+        pool = web_client.HTTPConnectionPool(reactor)
+        pool.maxPersistentPerHost = _MAX_CONNECTIONS
+        agent = web_client.Agent(
+            reactor, connectTimeout=clock.to_seconds(_CONNECT_TIMEOUT_MS), pool=pool
+        )
+        self._http = treq_client.HTTPClient(agent)
+        self._address = address
+
+    async def newest(self, topic: str) -> keyed_log.Batch:
+        """Return the newest record of each key; see `keyed_log.KeyedLog`."""
+        changes: list[tuple[str, directives.Record]] = []
+        end = None
+        page: dict[str, Any] = {'HasMore': True}
+        arguments = {'Topic': topic, 'part': _PARTITION}
+        while page['HasMore']:
+            page = json.loads(await self._call('GET', 'log-newest', arguments))
+            end = page['End'] if end is None else end
+            for entry in page['items']:
+                record = directives.Record(entry['Offset'], base64.b64decode(entry['Value']))
+                changes.append((entry['Key'], record))
+                arguments['after'] = entry['Key']
+        return keyed_log.Batch(tuple(changes), end or 0)
+
+    async def read(self, topic: str, start: int, wait_ms: int) -> keyed_log.Batch:
+        """Return records from an offset on; see `keyed_log.KeyedLog`."""
+        arguments = {'Topic': topic, 'part': _PARTITION, 'From': str(start), 'WaitMs': str(wait_ms)}
+        content = await self._call('GET', 'log-read', arguments, wait_ms=wait_ms)
+        return _parse_batch(content, start)
+
+    async def append(self, topic: str, key: str, value: bytes, at: int | None = None) -> int:
+        """Append one record; see `keyed_log.KeyedLog`."""
+        arguments = {'Topic': topic, 'part': _PARTITION}
+        if at is not None:
+            arguments['At'] = str(at)
+        name = key.encode()
+        record = bytes((len(name),)) + name + value
+        body = _LENGTH.pack(len(record)) + record
+        content = await self._call('POST', 'log-append', arguments, body=body)
+        return json.loads(content)['Offset']
+
+    async def _call(
+        self,
+        method: str,
+        name: str,
+        arguments: dict[str, str],
+        body: bytes | None = None,
+        wait_ms: float = 0,
+    ) -> bytes:
+        url = f'http://{self._address}/-/{name}?{url_parse.urlencode(arguments)}'
+        timeout = clock.to_seconds(wait_ms + _ANSWER_TIMEOUT_MS)
+        try:
+            response = await self._http.request(method, url, data=body, timeout=timeout)
+            content = await treq.content(response)
+        except Exception as error:
+            # Twisted has no common class for the ways in which a request can fail.
+            raise keyed_log.LogUnavailableError(f'{name}: {error!r}') from error
+        if response.code != _STATUS_OK:
+            raise _ERRORS_BY_STATUS.get(response.code, keyed_log.LogUnavailableError)(
+                f'{name}: status {response.code}'
+            )
+        return content
+
+
+def _parse_batch(content: bytes, start: int) -> keyed_log.Batch:
+    end, _first = _BOUNDS.unpack_from(content)
+    place = _BOUNDS.size
+    offset = start
+    changes = []
+    while place < len(content):
+        length = _LENGTH.unpack_from(content, place)[0]
+        place += _LENGTH.size
+        record = content[place : place + length]
+        place += length
+        key_end = 1 + record[0]
+        value = record[key_end:]
+        changes.append((record[1:key_end].decode(), directives.Record(offset, value)))
+        offset += 1
+    return keyed_log.Batch(tuple(changes), offset if changes else min(end, start))
--- /dev/null
+++ b/src/anvillug/process/host_choice.py
@@ -0,0 +1,66 @@
+"""Choice of a host by the load that its backend server told last."""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Sequence
+
+from anvillug import clock
+from anvillug.process import peer_table
+
+# Hosts that are compared; comparing all would send every node's jobs to the same one.
+_COMPARED_HOSTS = 5
+# Mean slowness over all hosts, which old samples are taken to have returned to.
+_MEAN_SLOWNESS = 160.0
+# Neighbours change about twice a second.
+_SAMPLE_LIFE_MS = 500.0
+# Slowness that a faster host in another zone has to make up for; bytes between zones are priced.
+_OTHER_ZONE_SLOWNESS = 15.0
+# Above this share of busy slots, work begins to slow down.
+_BUSY_FROM = 0.75
+_BUSY_FACTOR = 2.0
+# Work takes about twice as long on a cold backend server.
+_COLD_FACTOR = 2.0
+
+
+def choose(
+    peers: Sequence[peer_table.Peer],
+    zone: str,
+    now: clock.Milliseconds,
+    rng: random.Random,
+) -> peer_table.Peer | None:
+    """Return the best of a few hosts, None without any.
+
+    Args:
+        peers: Hosts that may be chosen.
+        zone: Zone of the caller.
+        now: Monotonic time.
+        rng: Source of randomness.
+    """
+    usable = [peer for peer in peers if peer.avoid_until <= now]
+    heard = [peer for peer in usable if now - peer.heard_at < peer_table.SILENT_AFTER_MS]
+    pool = heard or usable or list(peers)
+    if len(pool) > _COMPARED_HOSTS:
+        pool = rng.sample(pool, _COMPARED_HOSTS)
+    return min(pool, key=lambda peer: slowness_of(peer, zone, now), default=None)
+
+
+def slowness_of(peer: peer_table.Peer, zone: str, now: clock.Milliseconds) -> float:
+    """Return how long work is expected to take at a host, 100 as usual."""
+    load = peer.load
+    announcement = peer.announcement
+    if load is None:
+        slowness = _MEAN_SLOWNESS
+        busy = 0.0
+    else:
+        weight = math.exp(-max(0.0, now - peer.load_at) / _SAMPLE_LIFE_MS)
+        slowness = load.slowness * weight + _MEAN_SLOWNESS * (1 - weight)
+        busy = max(load.running + load.waiting, peer.outstanding) / max(1, load.slots)
+    if busy > _BUSY_FROM:
+        slowness *= 1 + (busy - _BUSY_FROM) * _BUSY_FACTOR
+    if announcement.cold:
+        slowness *= _COLD_FACTOR
+    if announcement.zone != zone:
+        slowness += _OTHER_ZONE_SLOWNESS
+    return slowness
--- /dev/null
+++ b/src/anvillug/process/mesh_entry.py
@@ -0,0 +1,266 @@
+"""Entry side of a mesh node: takes the requests of callers and hands them to hosts."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+from anvillug import clock, event_log, ids
+from anvillug.connection import http_exchange, http_head, http_pool
+from anvillug.process import host_choice, mesh_host, mesh_settings, peer_table, upstream
+from anvillug.request import dialect, job, job_wire, remote_run, retry_share, routed_call
+from anvillug.version import directives, rollout
+
+# Bodies that are held at once; a host has a few hundred MB for the process.
+_MAX_HELD_BYTES = 64 * 1024 * 1024
+_MAX_CONNECTIONS = 256
+_CONNECT_TIMEOUT_S = 0.25
+
+
+class MeshEntry:
+    """Entry side of a mesh node; see `routed_call.CallContext`.
+
+    Args:
+        reactor: Twisted reactor.
+        time: Clock.
+        settings: Settings of the node.
+        board: Directives in effect.
+        peers: Other nodes.
+        host: Host side of this node.
+        speech: Headers of callers.
+        rollouts: Rollouts in progress.
+        own: Returns what this node says of itself.
+    """
+
+    def __init__(  # noqa: WPS211 - each is a part that lives as long as the process
+        self,
+        reactor: Any,
+        time: clock.Clock,
+        settings: mesh_settings.MeshSettings,
+        board: directives.DirectiveBoard,
+        peers: peer_table.PeerTable,
+        host: mesh_host.MeshHost,
+        speech: dialect.Dialect,
+        rollouts: rollout.Rollouts,
+        own: Callable[[], peer_table.Announcement],
+    ) -> None:
+        self.reactor = reactor
+        self.clock = time
+        self.rng = random.Random()
+        self.speech = speech
+        self.caller_service: str = settings.service
+        self.in_progress: set[routed_call.RoutedCall] = set()
+        """Calls that are not answered."""
+        self._settings = settings
+        self._board = board
+        self._peers = peers
+        self._host = host
+        self._rollouts = rollouts
+        self._own = own
+        self._own_outstanding = 0
+        self._held_bytes = 0
+        self._pools_by_address: dict[str, http_pool.Pool] = {}
+        self._fetching = False
+        bounds = settings.bounds
+        self._retries = retry_share.RetryShare(
+            bounds.retry_ratio, bounds.retry_window_ms, bounds.retry_slack
+        )
+
+    def request_received(self, exchange: http_exchange.ServerExchange) -> None:
+        """Take a caller's request; see `http_exchange.RequestStarted`."""
+        call = routed_call.RoutedCall(self, exchange)
+        self.in_progress.add(call)
+        call.receive()
+
+    # For calls
+
+    def directives(self) -> directives.Directives:
+        """Return the directives in effect; see `routed_call.CallContext`."""
+        return self._board.current
+
+    def reserve(self, size: int) -> bool:
+        """Reserve memory for a body; see `routed_call.CallContext`."""
+        if size > 0 and self._held_bytes + size > _MAX_HELD_BYTES:
+            return False
+        self._held_bytes += size
+        return True
+
+    def may_repeat(self, service: ids.ServiceName) -> bool:
+        """Spend the retry budget; see `routed_call.CallContext`."""
+        return self._retries.spend(service, self._node_count(), self.clock.now())
+
+    def start(
+        self,
+        call: routed_call.RoutedCall,
+        work: job.Job,
+        on_result: Callable[[job.Result], None],
+    ) -> Callable[[], object] | None:
+        """Choose a host and hand a job over; see `routed_call.CallContext`."""
+        now = self.clock.now()
+        if call.tries == 1:
+            self._retries.earn(call.service, self._node_count(), now)
+        peer = self._choose(call, work, now)
+        if peer is None:
+            return None
+        call.tried.add(peer.announcement.host_id)
+        work.instance = peer.announcement.instance
+        handed_over = _Try(self, call, peer, work, on_result)
+        if peer.announcement.host_id == self._settings.host_id:
+            handed_over.cancel_run = self._host.submit(work, handed_over.result)
+        else:
+            pool = self.pool(peer.announcement.peer_address)
+            handed_over.cancel_run = remote_run.run_remotely(
+                pool, job_wire.pack_job(work, now), handed_over.result
+            )
+        return handed_over.cancel
+
+    def try_over(self, handed_over: _Try, result: job.Result) -> None:
+        """Learn from the result of a try."""
+        now = self.clock.now()
+        peer = handed_over.peer
+        work = handed_over.work
+        if result.kind is not job.ResultKind.ANSWERED:
+            event_log.emit(
+                'try_failed',
+                request=work.attempt_id,
+                peer=peer.announcement.host_id,
+                outcome=result.kind.value,
+                reason=result.reason,
+                load_age_ms=int(now - peer.load_at),
+                slowness=0 if peer.load is None else int(peer.load.slowness),
+                position=result.position,
+            )
+        if result.kind is not job.ResultKind.REFUSED:
+            answered = result.kind is job.ResultKind.ANSWERED and not result.failed
+            latency_ms = now - handed_over.started_at if answered else None
+            slowness = _USUAL_SLOWNESS if result.load is None else result.load.slowness
+            self._rollouts.record(work.service, work.route, peer.version, latency_ms, slowness)
+        if result.node_failed:
+            peer.avoid(now)
+        peer.told_load(result.load, now)
+        if result.position > self._board.current.position:
+            self.fetch_directives(peer.announcement.peer_address)
+
+    def call_over(self, call: routed_call.RoutedCall, status: int, reason: str) -> None:
+        """Record the result of a call; see `routed_call.CallContext`."""
+        self.in_progress.discard(call)
+
+    def pool(self, address: str) -> http_pool.Pool:
+        """Return the connections to another node."""
+        pool = self._pools_by_address.get(address)
+        if pool is None:
+            host, _, port = address.rpartition(':')
+            pool = http_pool.Pool(
+                self.reactor,
+                host,
+                int(port),
+                max_connections=_MAX_CONNECTIONS,
+                connect_timeout_s=_CONNECT_TIMEOUT_S,
+            )
+            self._pools_by_address[address] = pool
+        return pool
+
+    # Directives of other nodes
+
+    def fetch_directives(self, address: str) -> None:
+        """Fetch the directives of a node that has newer ones."""
+        if self._fetching:
+            return
+        self._fetching = True
+        request = remote_run.PeerRequest(
+            http_head.RequestHead(b'GET', job_wire.DIRECTIVES_PATH, [(b'Host', b'node')]),
+            b'',
+            self._directives_fetched,
+            self._fetch_failed,
+        )
+        request.begin(self.pool(address))
+        self.reactor.callLater(_CONNECT_TIMEOUT_S, self._fetch_over)
+
+    def _directives_fetched(self, body: bytes) -> None:
+        self._fetching = False
+        try:
+            records, position = job_wire.unpack_directives(body)
+        except job_wire.MalformedError as error:
+            event_log.warn('directives_malformed', reason=error)
+            return
+        if self._board.advance(records, position):
+            event_log.emit('directives_from_peer', position=position)
+
+    def _fetch_failed(self, reason: str, sent: bool) -> None:
+        self._fetching = False
+        event_log.warn('directives_not_fetched', reason=reason, sent=sent)
+
+    def _fetch_over(self) -> None:
+        self._fetching = False
+
+    # Private
+
+    def _choose(
+        self, call: routed_call.RoutedCall, work: job.Job, now: clock.Milliseconds
+    ) -> peer_table.Peer | None:
+        zones_out = self._board.current.zones_out
+        candidates = [
+            peer
+            for peer in self._candidates(work.service, now)
+            if peer.announcement.zone not in zones_out
+            and peer.announcement.host_id not in call.tried
+        ]
+        allowed = self._rollouts.allowed(work.service, candidates, self.rng.random())
+        return host_choice.choose(allowed, self._settings.zone, now, self.rng)
+
+    def _candidates(
+        self, service: ids.ServiceName, now: clock.Milliseconds
+    ) -> list[peer_table.Peer]:
+        peers = list(self._peers.of_service(service))
+        own = self._own()
+        if own.service == service and own.state is upstream.UpstreamState.SERVING:
+            peers.append(peer_table.Peer(own, now))
+            peers[-1].outstanding = self._host.running
+        return peers
+
+    def _node_count(self) -> int:
+        return len(self._peers.by_host_id) + 1
+
+
+class _Try:
+    """One job that was handed to a host."""
+
+    def __init__(
+        self,
+        entry: MeshEntry,
+        call: routed_call.RoutedCall,
+        peer: peer_table.Peer,
+        work: job.Job,
+        on_result: Callable[[job.Result], None],
+    ) -> None:
+        self.peer = peer
+        self.work = work
+        self.started_at = entry.clock.now()
+        self.cancel_run: Callable[[], object] | None = None
+        self._entry = entry
+        self._on_result = on_result
+        self._over = False
+        peer.outstanding += 1
+
+    def result(self, result: job.Result) -> None:
+        """Pass the result on."""
+        if self._over:
+            return
+        self._finish()
+        self._entry.try_over(self, result)
+        self._on_result(result)
+
+    def cancel(self) -> None:
+        """Give the job up."""
+        if not self._over:
+            self._finish()
+            if self.cancel_run is not None:
+                self.cancel_run()
+
+    def _finish(self) -> None:
+        self._over = True
+        self.peer.outstanding -= 1
+
+
+_USUAL_SLOWNESS = 100.0
--- /dev/null
+++ b/src/anvillug/process/mesh_host.py
@@ -0,0 +1,211 @@
+"""Host side of a mesh node: decides which jobs the backend server beside it gets, and runs them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from anvillug import clock, event_log, ids
+from anvillug.connection import http_pool
+from anvillug.process import mesh_settings, upstream
+from anvillug.request import dialect, job, rate_gate, upstream_run
+from anvillug.version import directives
+
+SLOW_FROM = 180.0
+"""Slowness from which a host hands a job back, so that a faster one can take it; 100 is usual."""
+
+# Load that was told longer ago than this says nothing about the present.
+_LOAD_FRESH_MS = 120.0
+# Requests beyond the slots that may wait in the backend server, as a share of its slots.
+_QUEUE_SHARE = 0.34
+# The least important requests may use only this share of that queue.
+_LOW_PRIORITY_QUEUE_SHARE = 0.5
+_LOW_PRIORITY = 2
+# Time that has to be left for a job to be worth starting.
+_LEAST_TIME_MS = 3.0
+# A cold backend server's tokens are spread over the second.
+_COLD_BURST_SHARE = 0.1
+_CONNECT_TIMEOUT_S = 0.4
+_MAX_WAITING = 64
+
+
+class MeshHost:
+    """Host side of a mesh node.
+
+    Args:
+        reactor: Twisted reactor.
+        time: Clock.
+        own: Backend server beside the node.
+        board: Directives in effect.
+        speech: Headers of the backend server.
+        settings: Settings of the node.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        time: clock.Clock,
+        own: upstream.Upstream,
+        board: directives.DirectiveBoard,
+        speech: dialect.Dialect,
+        settings: mesh_settings.MeshSettings,
+    ) -> None:
+        self.upstream = own
+        """Backend server beside the node."""
+        self._reactor = reactor
+        self._clock = time
+        self._board = board
+        self._dialect = speech
+        self._settings = settings
+        self._runs: set[upstream_run.UpstreamRun] = set()
+        self._gate = rate_gate.RateGate(_COLD_BURST_SHARE)
+        self._pool: http_pool.Pool | None = None
+        self._pool_start = ids.Incarnation(0)
+
+    @property
+    def running(self) -> int:
+        """Jobs at the backend server."""
+        return len(self._runs)
+
+    def submit(
+        self, work: job.Job, on_result: upstream_run.ResultReady
+    ) -> Callable[[], object] | None:
+        """Run a job, or refuse it.
+
+        Args:
+            work: The job.
+            on_result: Called once with the result, before this returns where it is refused.
+
+        Returns:
+            Function that cancels the job; None when it is refused.
+        """
+        reason = self._refusal(work)
+        if reason:
+            on_result(self._complete(job.Result(job.ResultKind.REFUSED, reason)))
+            return None
+        run = upstream_run.UpstreamRun(
+            self._reactor,
+            self._clock,
+            self._dialect,
+            work,
+            lambda result: self._done(run, result, on_result),
+        )
+        self._runs.add(run)
+        run.begin(self.pool())
+        return lambda: self._cancel(run)
+
+    def pool(self) -> http_pool.Pool:
+        """Return the connections to the present start of the backend server."""
+        beat = self.upstream.beat
+        start = ids.Incarnation(0) if beat is None else beat.started_at
+        if self._pool is None or start != self._pool_start:
+            if self._pool is not None:
+                self._pool.close()
+            host, _, port = self._settings.backend_address.rpartition(':')
+            self._pool = http_pool.Pool(
+                self._reactor,
+                host,
+                int(port),
+                max_connections=self._max_connections(),
+                max_waiting=_MAX_WAITING,
+                connect_timeout_s=_CONNECT_TIMEOUT_S,
+            )
+            self._pool_start = start
+        return self._pool
+
+    def policy(self) -> Any:
+        """Return the operator's policy of the service, None where there is none."""
+        routes = self._board.current.routes
+        beat = self.upstream.beat
+        if routes is None or beat is None:
+            return None
+        return routes.services_by_name.get(beat.service)
+
+    # Private
+
+    def _refusal(self, work: job.Job) -> str:
+        """Return why a job is refused, empty if it may run."""
+        own = self.upstream
+        current = self._board.current
+        beat = own.beat
+        if beat is None or own.state is not upstream.UpstreamState.SERVING:
+            return f'backend server is {own.state.value}'
+        if (work.service, work.instance) != (beat.service, beat.instance):
+            return 'other instance'
+        if self._settings.zone in current.zones_out:
+            return 'zone is out'
+        if work.position < current.position:
+            return 'older directives'
+        if work.deadline - self._clock.now() < _LEAST_TIME_MS:
+            return 'deadline'
+        return self._overload(work, beat.slots)
+
+    def _overload(self, work: job.Job, slots: int) -> str:
+        queue = slots * _QUEUE_SHARE
+        if work.priority >= _LOW_PRIORITY:
+            queue *= _LOW_PRIORITY_QUEUE_SHARE
+        if len(self._runs) >= slots + queue:
+            return 'full'
+        load = self.upstream.load
+        fresh = load is not None and self.upstream.load_age_ms < _LOAD_FRESH_MS
+        if fresh and load.slowness > SLOW_FROM and not work.insists:
+            return 'slow'
+        if self.upstream.cold_ms > 0 and not self._take_cold_token():
+            return 'cold'
+        return ''
+
+    def _take_cold_token(self) -> bool:
+        policy = self.policy()
+        rate = 1.0 if policy is None else policy.cold_per_second
+        return self._gate.take(rate, self._clock.now())
+
+    def _max_connections(self) -> int:
+        policy = self.policy()
+        beat = self.upstream.beat
+        slots = 1 if beat is None else beat.slots
+        # Half of what the backend server accepts leaves room for a node that takes over.
+        most = 2 * slots if policy is None else policy.max_connections // 2
+        return max(2, min(most, 2 * slots + 2))
+
+    def _cancel(self, run: upstream_run.UpstreamRun) -> None:
+        if run in self._runs and (run.work.repeatable or run.state is not _SENT):
+            self._runs.discard(run)
+            run.cancel()
+
+    def _done(
+        self,
+        run: upstream_run.UpstreamRun,
+        result: job.Result,
+        on_result: upstream_run.ResultReady,
+    ) -> None:
+        self._runs.discard(run)
+        self.upstream.told_load(run.load)
+        if run.connect_failed:
+            self.upstream.lost('no connection')
+        if run.wrong_instance:
+            self.upstream.lost('another instance answers')
+        if result.kind is not job.ResultKind.ANSWERED:
+            event_log.warn(
+                'run_without_answer',
+                request=run.work.attempt_id,
+                outcome=result.kind.value,
+                reason=result.reason,
+                instance=run.work.instance,
+                running=len(self._runs),
+                load_age_ms=int(self.upstream.load_age_ms),
+            )
+        on_result(self._complete(result))
+
+    def _complete(self, result: job.Result) -> job.Result:
+        """Add what the sender should know about this host."""
+        return job.Result(
+            result.kind,
+            result.reason,
+            result.head,
+            result.body,
+            self.upstream.load,
+            self._board.current.position,
+        )
+
+
+_SENT = upstream_run.RunState.SENT
--- /dev/null
+++ b/src/anvillug/process/mesh_node.py
@@ -0,0 +1,272 @@
+"""Process beside a backend server that takes its members, orders and rollouts from a keyed log."""
+
+from __future__ import annotations
+
+import gc
+import random
+import signal
+from typing import Any
+
+import msgpack
+from twisted.internet import defer, interfaces, task
+
+from anvillug import clock, event_log, ids
+from anvillug.connection import http_exchange, http_server, keyed_log
+from anvillug.process import (
+    beacon,
+    mesh_entry,
+    mesh_host,
+    mesh_settings,
+    order_feed,
+    peer_server,
+    peer_table,
+    rollout_writer,
+    upstream,
+    upstream_probe,
+)
+from anvillug.request import dialect
+from anvillug.version import directives, rollout
+
+# Callers hear within two seconds that the node is not ready, and send nothing more then.
+_LEAST_STOP_S = 2.3
+# Left of the grace time when the process ends although a call is not answered.
+_STOP_MARGIN_MS = 350.0
+_STOP_CHECK_S = 0.05
+_ROLLOUT_STEP_S = 0.1
+_MEMBER_RETRY_S = 0.4
+# Nodes that restart or were cut off are found again this often.
+_MEMBER_REREAD_S = 20.0
+# Calls leave few cycles behind; the default of 700 collects several times per 100 calls.
+_GC_THRESHOLDS = (20_000, 20, 20)
+
+
+class Topics:
+    """Names of the topics in the log.
+
+    Args:
+        orders: What the operator orders.
+        statuses: How rollouts stand.
+        members: First contact between nodes.
+    """
+
+    def __init__(self, orders: str, statuses: str, members: str) -> None:
+        self.orders = orders
+        self.statuses = statuses
+        self.members = members
+
+
+class MeshNode:
+    """One process beside one backend server.
+
+    Args:
+        reactor: Twisted reactor.
+        settings: Settings.
+        time: Clock.
+        log: Keyed log.
+        topics: Topics in that log.
+        speech: Headers of callers and backend servers.
+        decode: Decodes the operator's records.
+        status_codec: Writes and reads the status of rollouts.
+    """
+
+    def __init__(  # noqa: WPS211 - each is a choice of the platform
+        self,
+        reactor: Any,
+        settings: mesh_settings.MeshSettings,
+        time: clock.Clock,
+        log: keyed_log.KeyedLog,
+        topics: Topics,
+        speech: dialect.Dialect,
+        decode: directives.Decoder,
+        status_codec: rollout_writer.StatusCodec,
+    ) -> None:
+        self.upstream = upstream.Upstream(settings.backend_address, time)
+        """Backend server beside the node."""
+        self._reactor = reactor
+        self._settings = settings
+        self._clock = time
+        self._log = log
+        self._topics = topics
+        self._rng = random.Random()
+        self._incarnation = ids.Incarnation(int(time.wall()))
+        self._stopping_since: clock.Milliseconds | None = None
+        self.board = directives.DirectiveBoard(decode)
+        self.rollouts = rollout.Rollouts(time)
+        self.board.add_listener(self.rollouts.ordered)
+        self.peers = peer_table.PeerTable(settings.host_id, time)
+        self.host = mesh_host.MeshHost(reactor, time, self.upstream, self.board, speech, settings)
+        self.entry = mesh_entry.MeshEntry(
+            reactor,
+            time,
+            settings,
+            self.board,
+            self.peers,
+            self.host,
+            speech,
+            self.rollouts,
+            self._announcement,
+        )
+        self._beacons = beacon.BeaconTask(
+            reactor,
+            time,
+            self._announcement,
+            self.peers,
+            settings.beacon_port,
+            self.rollouts.shared,
+            self._beacon_heard,
+        )
+        self._probe = upstream_probe.UpstreamProbe(
+            reactor, time, self.host, speech, settings.bounds.probes_per_second
+        )
+        self._feed = order_feed.OrderFeed(reactor, log, topics.orders, self.board, self._rng)
+        self._writer = rollout_writer.RolloutWriter(
+            reactor, log, topics.statuses, status_codec, self.rollouts, self._writer_rank
+        )
+        self._peer_server = peer_server.PeerServer(self.host, self.board, time)
+        self._caller_factory = http_server.ServerFactory(self.entry.request_received)
+        self._peer_factory = http_server.ServerFactory(self._peer_server.request_received)
+        self._caller_port: interfaces.IListeningPort | None = None
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers may send requests."""
+        return self._stopping_since is None and self.board.current.routes is not None
+
+    def start(self) -> None:
+        """Open the listeners and start the tasks."""
+        settings = self._settings
+        self._listen(settings.peer_address, self._peer_factory)
+        self._caller_port = self._listen(settings.caller_address, self._caller_factory)
+        self._beacons.start(settings.ip)
+        self._feed.start()
+        self._writer.start()
+        self._probe.start()
+        defer.ensureDeferred(self._join())
+        task.LoopingCall(self._step_rollouts).start(_ROLLOUT_STEP_S)
+        signal.signal(signal.SIGTERM, self._signalled)
+        # Collections of long-lived objects would show as latency.
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(*_GC_THRESHOLDS)
+        event_log.emit(
+            'node_started',
+            host=settings.host_id,
+            zone=settings.zone,
+            service=settings.service,
+            incarnation=self._incarnation,
+        )
+
+    def listen(self, address: str, handler: http_exchange.RequestStarted) -> None:
+        """Open one more listener for HTTP."""
+        self._listen(address, http_server.ServerFactory(handler))
+
+    def heartbeat(self, beat: upstream.Heartbeat) -> Any:
+        """Take a heartbeat of the backend server; returns what is wrong with it."""
+        former = (self.upstream.state, self.upstream.instance)
+        findings = self.upstream.heard(beat)
+        if (self.upstream.state, self.upstream.instance) != former:
+            self._beacons.send_now()
+        return findings
+
+    def leave(self, instance: ids.InstanceId) -> None:
+        """Note that the backend server leaves."""
+        self.upstream.left(instance)
+        self._beacons.send_now()
+
+    # Private
+
+    def _announcement(self, sequence: int = 0) -> peer_table.Announcement:
+        own = self.upstream
+        beat = own.beat
+        settings = self._settings
+        state = own.state if self._stopping_since is None else upstream.UpstreamState.LEAVING
+        return peer_table.Announcement(
+            host_id=settings.host_id,
+            incarnation=self._incarnation,
+            sequence=sequence,
+            peer_address=settings.peer_address,
+            beacon_address=f'{settings.ip}:{settings.beacon_port}',
+            zone=settings.zone,
+            service=settings.service if beat is None else beat.service,
+            version=ids.VersionName('') if beat is None else beat.version,
+            instance=own.instance,
+            state=state,
+            cold=own.cold_ms > 0,
+            load=own.load,
+            load_age_ms=own.load_age_ms,
+            position=self.board.current.position,
+        )
+
+    def _beacon_heard(self, announcement: peer_table.Announcement, extra: beacon.Extra) -> None:
+        self.rollouts.heard(announcement.host_id, extra)
+        if announcement.position > self.board.current.position:
+            self.entry.fetch_directives(announcement.peer_address)
+
+    def _step_rollouts(self) -> None:
+        self.rollouts.step()
+
+    def _writer_rank(self) -> int:
+        """Return how many live nodes come before this one in the order of names."""
+        now = self._clock.now()
+        return sum(
+            host_id < self._settings.host_id and now - peer.heard_at < peer_table.SILENT_AFTER_MS
+            for host_id, peer in self.peers.by_host_id.items()
+        )
+
+    async def _join(self) -> None:
+        """Tell the log where this node is, and read where the others are.
+
+        Each node writes before it reads, so of any two at least one finds the other.
+        """
+        own = msgpack.packb(f'{self._settings.ip}:{self._settings.beacon_port}')
+        written = False
+        while self._stopping_since is None:
+            try:
+                if not written:
+                    await self._log.append(self._topics.members, self._settings.host_id, own)
+                    written = True
+                batch = await self._log.newest(self._topics.members)
+            except keyed_log.LogUnavailableError as error:
+                event_log.warn('members_not_read', reason=error)
+                await task.deferLater(self._reactor, _MEMBER_RETRY_S)
+                continue
+            for name, record in batch.changes:
+                self._contact(name, record.value)
+            self._beacons.send_now()
+            await task.deferLater(self._reactor, _MEMBER_REREAD_S)
+
+    def _contact(self, name: str, value: bytes) -> None:
+        try:
+            address = msgpack.unpackb(value)
+        except (ValueError, msgpack.UnpackException) as error:
+            event_log.warn('member_record_malformed', member=name, reason=error)
+            return
+        self.peers.contact(ids.HostId(name), address)
+
+    def _listen(self, address: str, factory: Any) -> interfaces.IListeningPort:
+        host, _, port = address.rpartition(':')
+        return self._reactor.listenTCP(int(port), factory, backlog=1024, interface=host)
+
+    def _signalled(self, number: int, frame: object) -> None:
+        self._reactor.callFromThread(self._stop)
+
+    def _stop(self) -> None:
+        """Finish what was read, tell callers to go elsewhere, and end."""
+        if self._stopping_since is not None:
+            return
+        self._stopping_since = self._clock.now()
+        event_log.emit(
+            'node_stopping', calls=len(self.entry.in_progress), running=self.host.running
+        )
+        self._beacons.send_now()
+        self._reactor.callLater(_LEAST_STOP_S, self._end_when_idle)
+
+    def _end_when_idle(self) -> None:
+        self._caller_factory.close_when_idle()
+        busy = self.entry.in_progress or self.host.running or self._peer_factory.busy_count
+        stopped_for = self._clock.now() - self._stopping_since
+        if busy and stopped_for < self._settings.bounds.grace_ms - _STOP_MARGIN_MS:
+            self._reactor.callLater(_STOP_CHECK_S, self._end_when_idle)
+            return
+        event_log.emit('node_stopped', calls=len(self.entry.in_progress), after_ms=int(stopped_for))
+        self._reactor.stop()
--- /dev/null
+++ b/src/anvillug/process/mesh_settings.py
@@ -0,0 +1,65 @@
+"""Settings of a mesh node: its addresses, and the bounds that its deployment has to keep."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from anvillug import ids
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bounds:
+    """Bounds of the deployment."""
+
+    drain_ms: float
+    """Time in milliseconds after which a leaving backend server gets no more work."""
+    grace_ms: float
+    """Time in milliseconds from SIGTERM to SIGKILL."""
+    retry_ratio: float
+    """Most repeated arrivals per request, over all nodes."""
+    retry_window_ms: float
+    """Window in milliseconds over which repeated arrivals are counted."""
+    retry_slack: float
+    """Repeated arrivals that are allowed beside the ratio in each window, over all nodes."""
+    exposure_share: float
+    """Largest share of requests that a bad version may get."""
+    exposure_slack: float
+    """Requests that a bad version may get beside that share."""
+    cold_factor: float
+    """How far above its own figure a cold backend server's rate may go."""
+    cold_slack: float
+    """Requests a second that a cold backend server may get beside that."""
+    probes_per_second: float
+    """Most probes per backend server and second."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MeshSettings:
+    """Settings of one node."""
+
+    host_id: ids.HostId
+    """Name of the host."""
+    zone: ids.ZoneName
+    """Availability zone of the host."""
+    ip: str
+    """IP number of the host."""
+    service: ids.ServiceName
+    """Service of the backend server beside the node."""
+    backend_address: str
+    """IP:port of that backend server."""
+    caller_address: str
+    """IP:port for callers on the host."""
+    peer_address: str
+    """IP:port for other nodes."""
+    ready_address: str
+    """IP:port of the readiness check."""
+    control_address: str
+    """IP:port for heartbeats of the backend server."""
+    beacon_port: int
+    """UDP port for beacons, the same on all hosts."""
+    metrics_port: int
+    """TCP port of the metrics."""
+    store_address: str
+    """IP:port of the store that holds orders and members."""
+    bounds: Bounds
+    """Bounds of the deployment."""
--- /dev/null
+++ b/src/anvillug/process/order_feed.py
@@ -0,0 +1,122 @@
+"""Follows the operator's topic and puts what it says into effect."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+from twisted.internet import defer, task
+
+from anvillug import clock, event_log
+from anvillug.connection import keyed_log
+from anvillug.version import directives
+
+# A connection that has gone silent is noticed at the end of a long poll. That has to be sooner
+# than the 3 s after which the deployment's bounds hold again.
+_POLL_MS = 2500
+_FIRST_PAUSE_MS = 80.0
+_LONGEST_PAUSE_MS = 600.0
+_PAUSE_FACTOR = 1.8
+
+
+class OrderFeed:
+    """Follows the operator's topic.
+
+    Args:
+        reactor: Timers.
+        log: The log.
+        topic: Topic that the operator writes to.
+        board: Receives the records.
+        rng: Source of randomness.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        log: keyed_log.KeyedLog,
+        topic: str,
+        board: directives.DirectiveBoard,
+        rng: random.Random,
+    ) -> None:
+        self._reactor = reactor
+        self._log = log
+        self._topic = topic
+        self._board = board
+        self._rng = rng
+        self._has_log = True
+        self._has_read = False
+        self._pause_ms = _FIRST_PAUSE_MS
+
+    def start(self) -> None:
+        """Follow the topic for as long as the process lives."""
+        defer.ensureDeferred(self._follow())
+
+    async def _follow(self) -> None:
+        while True:
+            try:
+                await self._step()
+            except keyed_log.LogUnavailableError as error:
+                await self._failed(error)
+            except Exception as error:  # noqa: BLE001
+                # A record that nothing can read must not end the task.
+                event_log.error('order_feed_failed', error)
+                await self._failed(error)
+
+    async def _step(self) -> None:
+        """Read the newest records once, and then only what comes after them."""
+        position = self._board.current.position
+        if not self._has_read:
+            await self._read_newest()
+            return
+        try:
+            batch = await self._log.read(self._topic, position, _POLL_MS)
+        except keyed_log.HistoryDroppedError:
+            event_log.emit('order_history_dropped', position=position)
+            await self._read_newest()
+            return
+        self._reached()
+        self._apply(batch, dict(self._board.current.records), position)
+
+    async def _read_newest(self) -> None:
+        batch = await self._log.newest(self._topic)
+        self._reached()
+        self._has_read = True
+        self._apply(batch, {}, self._board.current.position)
+
+    def _apply(
+        self,
+        batch: keyed_log.Batch,
+        records: dict[str, directives.Record],
+        position: directives.Position,
+    ) -> None:
+        for key, record in batch.changes:
+            records.pop(key, None)
+            if record.value:
+                records[key] = record
+        # A node may have told newer directives while the store answered.
+        if batch.end > position and self._board.advance(records, directives.Position(batch.end)):
+            current = self._board.current
+            event_log.emit(
+                'directives_applied',
+                position=current.position,
+                revision=current.revision,
+                keys=','.join(change[0] for change in batch.changes),
+                zones_out=','.join(sorted(current.zones_out)),
+            )
+
+    def _reached(self) -> None:
+        self._pause_ms = _FIRST_PAUSE_MS
+        if not self._has_log:
+            self._has_log = True
+            event_log.emit('store_regained')
+
+    async def _failed(self, error: Exception) -> None:
+        if self._has_log:
+            self._has_log = False
+            event_log.warn('store_lost', reason=error)
+        pause = self._pause_ms * (1 + self._rng.random()) / 2
+        self._pause_ms = min(_LONGEST_PAUSE_MS, self._pause_ms * _PAUSE_FACTOR)
+        await self._sleep(pause)
+
+    async def _sleep(self, duration_ms: float) -> None:
+        await task.deferLater(self._reactor, clock.to_seconds(duration_ms))
--- /dev/null
+++ b/src/anvillug/process/peer_server.py
@@ -0,0 +1,80 @@
+"""Requests of other nodes: jobs for the backend server beside this one, and the directives."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from anvillug import clock, event_log
+from anvillug.connection import http_exchange
+from anvillug.process import mesh_host
+from anvillug.request import job, job_wire
+from anvillug.version import directives
+
+_STATUS_OK = 200
+_STATUS_BAD_REQUEST = 400
+_STATUS_NOT_FOUND = 404
+
+
+class PeerServer:
+    """Answers other nodes.
+
+    Args:
+        host: Host side of this node.
+        board: Directives in effect.
+        time: Clock.
+    """
+
+    def __init__(
+        self, host: mesh_host.MeshHost, board: directives.DirectiveBoard, time: clock.Clock
+    ) -> None:
+        self.host = host
+        """Host side of this node."""
+        self.clock = time
+        """Clock."""
+        self._board = board
+
+    def request_received(self, exchange: http_exchange.ServerExchange) -> None:
+        """Take a request; see `http_exchange.RequestStarted`."""
+        path = exchange.head.path
+        if path == job_wire.RUN_PATH:
+            exchange.handler = _JobExchange(self, exchange)
+        elif path == job_wire.DIRECTIVES_PATH:
+            exchange.respond(_STATUS_OK, job_wire.pack_directives(self._board.current))
+        else:
+            exchange.respond(_STATUS_NOT_FOUND)
+
+
+class _JobExchange:
+    """One job that another node hands over; see `http_exchange.RequestHandler`."""
+
+    def __init__(self, server: PeerServer, exchange: http_exchange.ServerExchange) -> None:
+        self._server = server
+        self._exchange = exchange
+        self._body: list[bytes] = []
+        self._cancel: Callable[[], object] | None = None
+
+    def body_received(self, data: bytes) -> None:
+        """Keep a piece of the job."""
+        self._body.append(data)
+
+    def request_ended(self) -> None:
+        """Run the job: it is here whole."""
+        try:
+            work = job_wire.unpack_job(b''.join(self._body), self._server.clock.now())
+        except job_wire.MalformedError as error:
+            event_log.warn('job_malformed', reason=error)
+            self._exchange.respond(_STATUS_BAD_REQUEST, f'{error}\n'.encode())
+            return
+        self._body.clear()
+        self._cancel = self._server.host.submit(work, self._result)
+
+    def request_aborted(self) -> None:
+        """Cancel the job: the node that handed it over has given up, or is gone."""
+        if self._cancel is not None:
+            self._cancel()
+
+    def response_writes_paused(self, paused: bool) -> None:
+        """Ignore backpressure: results are held whole."""
+
+    def _result(self, result: job.Result) -> None:
+        self._exchange.respond(_STATUS_OK, job_wire.pack_result(result))
--- /dev/null
+++ b/src/anvillug/process/peer_table.py
@@ -0,0 +1,190 @@
+"""What a node knows of the other nodes, from their beacons and answers."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Iterable
+
+from anvillug import clock, event_log, ids
+from anvillug.process import upstream
+from anvillug.request import dialect
+from anvillug.version import directives
+
+SILENT_AFTER_MS = 700.0
+"""A node without beacons for this long is chosen only where no other is left."""
+
+# No beacon is on its way for longer; a restart takes longer.
+_RESTART_SILENCE_MS = 300.0
+_FORGET_AFTER_MS = 60_000.0
+# A failed connect or a broken connection keeps a node out of the choice this long.
+_AVOID_MS = 250.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Announcement:
+    """What a node says of itself in a beacon."""
+
+    host_id: ids.HostId
+    """Name of the host."""
+    incarnation: ids.Incarnation
+    """Start of the node's process."""
+    sequence: int
+    """Counts the beacons of that process."""
+    peer_address: str
+    """IP:port for other nodes."""
+    beacon_address: str
+    """IP:port for beacons."""
+    zone: ids.ZoneName
+    """Availability zone."""
+    service: ids.ServiceName
+    """Service of the backend server beside the node."""
+    version: ids.VersionName
+    """Version of the backend server."""
+    instance: ids.InstanceId
+    """Start of the backend server."""
+    state: upstream.UpstreamState
+    """Whether the node takes jobs."""
+    cold: bool
+    """Whether the backend server is cold."""
+    load: dialect.ReportedLoad | None
+    """Load of the backend server."""
+    load_age_ms: float
+    """Age of that load in milliseconds."""
+    position: directives.Position
+    """Position of the directives in effect."""
+
+
+class Peer:
+    """One other node.
+
+    Args:
+        announcement: What it says of itself.
+        now: Monotonic time.
+    """
+
+    def __init__(self, announcement: Announcement, now: clock.Milliseconds) -> None:
+        self.announcement = announcement
+        """What it said last."""
+        self.heard_at = now
+        """When it said so."""
+        self.load = announcement.load
+        """Newest load, from beacons and answers."""
+        self.load_at = clock.Milliseconds(now - announcement.load_age_ms)
+        """When the backend server told that load."""
+        self.avoid_until = clock.Milliseconds(0)
+        """Until when the node is left out of the choice."""
+        self.outstanding = 0
+        """Jobs of this node that run there."""
+
+    @property
+    def version(self) -> ids.VersionName:
+        """Version of the backend server."""
+        return self.announcement.version
+
+    def told_load(self, load: dialect.ReportedLoad | None, at: clock.Milliseconds) -> None:
+        """Take a load if it is newer."""
+        if load is not None and at >= self.load_at:
+            self.load = load
+            self.load_at = at
+
+    def avoid(self, now: clock.Milliseconds) -> None:
+        """Leave the node out of the choice for a moment."""
+        self.avoid_until = clock.Milliseconds(now + _AVOID_MS)
+
+
+class PeerTable:
+    """All other nodes that are known, by host.
+
+    Args:
+        own: Name of this host.
+        time: Clock.
+    """
+
+    def __init__(self, own: ids.HostId, time: clock.Clock) -> None:
+        self._own = own
+        self._clock = time
+        self.by_host_id: dict[ids.HostId, Peer] = {}
+        """Nodes that have sent a beacon."""
+        self.contacts_by_host_id: dict[ids.HostId, str] = {}
+        """Beacon addresses known from the store only."""
+
+    def announced(self, announcement: Announcement) -> bool:
+        """Take a beacon.
+
+        Returns:
+            Whether the node is new, or has changed other than by its load.
+        """
+        if announcement.host_id == self._own:
+            return False
+        now = self._clock.now()
+        peer = self.by_host_id.get(announcement.host_id)
+        if peer is None:
+            self.by_host_id[announcement.host_id] = Peer(announcement, now)
+            self.contacts_by_host_id.pop(announcement.host_id, None)
+            event_log.emit(
+                'peer_found',
+                peer=announcement.host_id,
+                service=announcement.service,
+                state=announcement.state.value,
+            )
+            return True
+        former = peer.announcement
+        order = (announcement.incarnation, announcement.sequence)
+        # A process that starts while the time of day is behind has a lower incarnation.
+        restarted = announcement.incarnation != former.incarnation
+        replaces = restarted and now - peer.heard_at > _RESTART_SILENCE_MS
+        if order <= (former.incarnation, former.sequence) and not replaces:
+            return False
+        changed = _facts(announcement) != _facts(former)
+        if now - peer.heard_at > SILENT_AFTER_MS:
+            event_log.emit('peer_regained', peer=former.host_id, silent_ms=int(now - peer.heard_at))
+        peer.announcement = announcement
+        peer.heard_at = now
+        peer.told_load(announcement.load, clock.Milliseconds(now - announcement.load_age_ms))
+        if changed:
+            event_log.emit(
+                'peer_changed',
+                peer=announcement.host_id,
+                state=announcement.state.value,
+                instance=announcement.instance,
+                version=announcement.version,
+                cold=announcement.cold,
+            )
+        return changed
+
+    def contact(self, host_id: ids.HostId, beacon_address: str) -> None:
+        """Note where a node can be reached that has not sent a beacon yet."""
+        if host_id != self._own and host_id not in self.by_host_id:
+            self.contacts_by_host_id[host_id] = beacon_address
+
+    def of_service(self, service: ids.ServiceName) -> Iterable[Peer]:
+        """Return the nodes whose backend server belongs to a service and takes jobs."""
+        return [
+            peer
+            for peer in self.by_host_id.values()
+            if peer.announcement.service == service
+            and peer.announcement.state is upstream.UpstreamState.SERVING
+        ]
+
+    def beacon_addresses(self) -> list[str]:
+        """Return where beacons go to."""
+        known = [peer.announcement.beacon_address for peer in self.by_host_id.values()]
+        return [*known, *self.contacts_by_host_id.values()]
+
+    def forget_silent(self) -> None:
+        """Drop the nodes that have been silent for long."""
+        horizon = self._clock.now() - _FORGET_AFTER_MS
+        for host_id, peer in tuple(self.by_host_id.items()):
+            if peer.heard_at < horizon:
+                event_log.emit('peer_forgotten', peer=host_id)
+                self.by_host_id.pop(host_id)
+
+
+def _facts(announcement: Announcement) -> tuple[object, ...]:
+    return (
+        announcement.incarnation,
+        announcement.state,
+        announcement.instance,
+        announcement.version,
+        announcement.cold,
+    )
--- /dev/null
+++ b/src/anvillug/process/rollout_writer.py
@@ -0,0 +1,120 @@
+"""Writes how rollouts stand to the log, once for all nodes."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+from typing import Protocol as Interface
+
+from twisted.internet import defer, task
+
+from anvillug import event_log, ids
+from anvillug.connection import keyed_log
+from anvillug.version import rollout
+
+_CHECK_S = 0.15
+# The next node in the order of names steps in after this long.
+_TURN_S = 0.5
+
+
+class StatusCodec(Interface):
+    """Writes and reads the status of rollouts."""
+
+    def key(self, service: ids.ServiceName) -> str:
+        """Return the key of a service's rollout."""
+
+    def encode(self, status: rollout.Status) -> bytes:
+        """Return the wire form of a status."""
+
+    def decode(self, key: str, value: bytes) -> rollout.Status | None:
+        """Return a status from its record, None for any other record."""
+
+
+class RolloutWriter:
+    """Writes the status of rollouts, and reads it back where another node was faster.
+
+    Args:
+        reactor: Timers.
+        log: The log.
+        topic: Topic of the statuses.
+        codec: Writes and reads statuses.
+        rollouts: Rollouts in progress.
+        rank: Returns how many live nodes come before this one.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        log: keyed_log.KeyedLog,
+        topic: str,
+        codec: StatusCodec,
+        rollouts: rollout.Rollouts,
+        rank: Callable[[], int],
+    ) -> None:
+        self._reactor = reactor
+        self._log = log
+        self._topic = topic
+        self._codec = codec
+        self._rollouts = rollouts
+        self._rank = rank
+        self._read_once = False
+        self._turns_waited = 0
+
+    def start(self) -> None:
+        """Write for as long as the process lives."""
+        defer.ensureDeferred(self._run())
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                await self._step()
+            except keyed_log.LogUnavailableError as error:
+                event_log.warn('rollout_status_not_settled', reason=error)
+                await task.deferLater(self._reactor, _TURN_S)
+            except Exception as error:  # noqa: BLE001
+                # The task must outlive a record that nothing can read.
+                event_log.error('rollout_writer_failed', error)
+            await task.deferLater(self._reactor, _CHECK_S)
+
+    async def _step(self) -> None:
+        if not self._read_once:
+            await self._read()
+            self._read_once = True
+        unwritten = [known for known in self._rollouts.by_service.values() if _is_unwritten(known)]
+        if not unwritten:
+            self._turns_waited = 0
+            return
+        # The others hear from beacons that the status has been written.
+        if self._turns_waited < self._rank():
+            self._turns_waited += 1
+            await task.deferLater(self._reactor, _TURN_S)
+            return
+        for known in unwritten:
+            await self._write(known)
+
+    async def _write(self, known: rollout.Rollout) -> None:
+        end = await self._read()
+        if not _is_unwritten(known):
+            return
+        phase = known.phase if known.phase.is_final else rollout.Phase.CANARY
+        status = rollout.Status(known.order.service, known.order.target_version, phase)
+        key = self._codec.key(status.service)
+        try:
+            await self._log.append(self._topic, key, self._codec.encode(status), at=end)
+        except keyed_log.ConditionFailedError:
+            # Another node has written; the next step reads what.
+            return
+        event_log.emit('rollout_status_written', service=status.service, phase=phase.value)
+        known.status_written(phase)
+
+    async def _read(self) -> int:
+        batch = await self._log.newest(self._topic)
+        for key, record in batch.changes:
+            status = self._codec.decode(key, record.value)
+            if status is not None:
+                self._rollouts.stored(status)
+        return batch.end
+
+
+def _is_unwritten(known: rollout.Rollout) -> bool:
+    return not known.written if known.phase.is_final else not known.announced
