--- a/src/anvillug/platform/control.py
+++ b/src/anvillug/platform/control.py
@@ -34,12 +34,10 @@
 
     def readiness(self, exchange: http_exchange.ServerExchange) -> None:
         """Answer the readiness check; see `http_exchange.RequestStarted`."""
-        if exchange.head.path != READINESS_PATH:
-            exchange.respond(_STATUS_NOT_FOUND)
-        elif self._node.is_ready:
-            exchange.respond(_STATUS_OK)
+        if exchange.head.path == READINESS_PATH:
+            exchange.respond(_STATUS_OK if self._node.is_ready else _STATUS_UNAVAILABLE)
         else:
-            exchange.respond(_STATUS_UNAVAILABLE)
+            exchange.respond(_STATUS_NOT_FOUND)
 
     def control(self, exchange: http_exchange.ServerExchange) -> None:
         """Take a call of the backend server; see `http_exchange.RequestStarted`."""
@@ -61,11 +59,11 @@
         query = url_parse.parse_qs(target.partition(b'?')[2].decode('latin-1'))
         name = query.get('call', [''])[0]
         instance = query.get('of', [''])[0]
+        if name == _HEARTBEAT:
+            return self._heartbeat(instance, body)
         if name == _LEAVE:
             self._node.leave(ids.InstanceId(instance))
             return ()
-        if name == _HEARTBEAT:
-            return self._heartbeat(instance, body)
         return findings.one('call', f'{name!r} is neither {_HEARTBEAT} nor {_LEAVE}')
 
     def _heartbeat(self, instance: str, body: bytes) -> findings.Findings:
--- a/src/anvillug/process/beacon.py
+++ b/src/anvillug/process/beacon.py
@@ -9,23 +9,31 @@
 import msgpack
 from twisted.internet import protocol
 
-from anvillug import clock, event_log
+from anvillug import clock, event_log, ids
 from anvillug.process import peer_table, upstream
 from anvillug.request import dialect
 
-# The slowness of a backend server changes several times a second.
-INTERVAL_MS = 50.0
-"""Pause between two beacons to each node."""
-
-_MAX_BEACONS_PER_SECOND = 400.0  # keeps the share of a core flat as nodes are added
+# The slowness of a backend server changes several times a second, and the other nodes should
+# know within a few tens of milliseconds.
+_TICK_MS = 25.0
+# A node whose load does not change is heard at this interval.
+_LOAD_INTERVAL_MS = 200.0
+# Everything but the load is repeated at this interval, since datagrams get lost.
+_FULL_INTERVAL_MS = 500.0
+# Change of the slowness that is told at once.
+_TOLD_CHANGE = 0.2
+_MAX_BEACONS_PER_SECOND = 300.0  # keeps the share of a core flat as nodes are added
 _MS_PER_SECOND = 1000.0
-_MALFORMED = (ValueError, TypeError, LookupError, msgpack.UnpackException)
 # Datagrams of this size pass without fragments.
 _MAX_BYTES = 1200
+_MALFORMED = (ValueError, TypeError, LookupError, msgpack.UnpackException)
 
 Extra = dict[str, Any]
 """Further state that travels with beacons, by topic."""
 
+LoadNotice = peer_table.LoadNotice
+Message = LoadNotice | tuple[peer_table.Announcement, Extra]
+
 
 class BeaconTask(protocol.DatagramProtocol):
     """Sends the beacons of this node and takes those of others.
@@ -59,47 +67,90 @@
         self._on_extra = on_extra
         self._sequence = 0
         self._malformed = 0
+        self._told_load: dialect.ReportedLoad | None = None
+        self._load_at = clock.Milliseconds(0)
+        self._full_at = clock.Milliseconds(0)
 
     def start(self, ip: str) -> None:
         """Open the port and start to send."""
         self._reactor.listenUDP(self._port, self, interface=ip, maxPacketSize=2 * _MAX_BYTES)
-        self._send_later()
+        self._tick()
 
     def send_now(self) -> None:
-        """Send a beacon to all nodes at once: something has changed that they should know."""
-        self._sequence += 1
-        datagram = encode(self._own(self._sequence), self._extra())
-        for address in self._peers.beacon_addresses():
-            host, _, port = address.rpartition(':')
-            self._write(datagram, host, int(port))
+        """Send a whole beacon at once: something has changed that the others should know."""
+        now = self._clock.now()
+        self._full_at = now
+        self._load_at = now
+        announcement = self._next()
+        self._told_load = announcement.load
+        self._send(encode(announcement, self._extra()))
 
     def datagramReceived(self, datagram: bytes, addr: Any) -> None:  # noqa: N802
         """Take a beacon; see Twisted."""
         try:
-            announcement, extra = decode(datagram)
+            message = decode(datagram)
         except _MALFORMED as error:
             self._malformed += 1
             event_log.warn('beacon_malformed', sender=addr[0], reason=error, count=self._malformed)
             return
-        self._peers.announced(announcement)
-        self._on_extra(announcement, extra)
-
-    def _write(self, datagram: bytes, host: str, port: int) -> None:
-        try:
-            self.transport.write(datagram, (host, port))
-        except OSError as error:
-            # The next beacon follows soon; a full buffer or a missing route is not worth more.
-            event_log.warn('beacon_not_sent', peer=host, reason=error)
+        if isinstance(message, LoadNotice):
+            self._peers.load_told(message)
+            return
+        self._peers.announced(message[0])
+        self._on_extra(*message)
 
-    def _send_later(self) -> None:
+    def _tick(self) -> None:
+        now = self._clock.now()
         count = len(self._peers.by_host_id) + len(self._peers.contacts_by_host_id)
-        pause_ms = max(INTERVAL_MS, count * _MS_PER_SECOND / _MAX_BEACONS_PER_SECOND)
-        self._reactor.callLater(clock.to_seconds(pause_ms), self._send_and_repeat)
+        least_pause_ms = count * _MS_PER_SECOND / _MAX_BEACONS_PER_SECOND
+        if now - self._full_at >= max(_FULL_INTERVAL_MS, least_pause_ms):
+            self.send_now()
+            self._peers.forget_silent()
+        elif now - self._load_at >= least_pause_ms:
+            self._tell_load(now)
+        self._reactor.callLater(clock.to_seconds(_TICK_MS), self._tick)
+
+    def _tell_load(self, now: clock.Milliseconds) -> None:
+        """Send the load if it has changed, or has not been told for a while."""
+        own = self._own(self._sequence)
+        if not _differs(own.load, self._told_load) and now - self._load_at < _LOAD_INTERVAL_MS:
+            return
+        self._load_at = now
+        self._told_load = own.load
+        self._send(encode_load(self._next()))
 
-    def _send_and_repeat(self) -> None:
-        self.send_now()
-        self._peers.forget_silent()
-        self._send_later()
+    def _next(self) -> peer_table.Announcement:
+        self._sequence += 1
+        return self._own(self._sequence)
+
+    def _send(self, datagram: bytes) -> None:
+        for address in self._peers.beacon_addresses():
+            host, _, port = address.rpartition(':')
+            try:
+                self.transport.write(datagram, (host, int(port)))
+            except OSError as error:
+                # The next beacon follows soon; a full buffer or a missing route is not worth more.
+                event_log.warn('beacon_not_sent', peer=host, reason=error)
+
+
+def _differs(load: dialect.ReportedLoad | None, told: dialect.ReportedLoad | None) -> bool:
+    if load is None or told is None:
+        return load is not told
+    return abs(load.slowness - told.slowness) > told.slowness * _TOLD_CHANGE
+
+
+def encode_load(announcement: peer_table.Announcement) -> bytes:
+    """Return the wire form of a beacon that tells the load only."""
+    load = announcement.load
+    return msgpack.packb(
+        [
+            announcement.host_id,
+            announcement.incarnation,
+            announcement.sequence,
+            None if load is None else list(dataclasses.astuple(load)),
+            int(announcement.load_age_ms),
+        ],
+    )
 
 
 def encode(announcement: peer_table.Announcement, extra: Extra) -> bytes:
@@ -112,17 +163,24 @@
     return msgpack.packb([fields, extra])
 
 
-def decode(datagram: bytes) -> tuple[peer_table.Announcement, Extra]:
-    """Return the announcement and further state of a beacon.
+def decode(datagram: bytes) -> Message:
+    """Return the announcement and further state of a beacon, or the load that it tells.
 
     Raises:
         ValueError, TypeError, LookupError: If it has another form.
     """
-    fields, extra = msgpack.unpackb(datagram)
-    load = fields[_LOAD]
-    fields[_LOAD] = None if load is None else dialect.ReportedLoad(*load)
+    fields, *rest = msgpack.unpackb(datagram)
+    if len(rest) > 1:
+        incarnation, sequence, load, load_age_ms = rest
+        host_id = ids.HostId(fields)
+        return peer_table.LoadNotice(host_id, incarnation, sequence, _load(load), load_age_ms)
+    fields[_LOAD] = _load(fields[_LOAD])
     fields[_STATE] = upstream.UpstreamState(fields[_STATE])
-    return peer_table.Announcement(*fields), extra
+    return peer_table.Announcement(*fields), rest[0]
+
+
+def _load(fields: list[float] | None) -> dialect.ReportedLoad | None:
+    return None if fields is None else dialect.ReportedLoad(*fields)
 
 
 _FIELDS = dataclasses.fields(peer_table.Announcement)
--- a/src/anvillug/process/host_choice.py
+++ b/src/anvillug/process/host_choice.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import dataclasses
 import math
 import random
 from collections.abc import Sequence
 
-from anvillug import clock
+from anvillug import clock, ids
 from anvillug.process import peer_table
 
 # Hosts that are compared; comparing all would send every node's jobs to the same one.
@@ -17,6 +18,7 @@
 _SAMPLE_LIFE_MS = 500.0
 # Slowness that a faster host in another zone has to make up for; bytes between zones are priced.
 _OTHER_ZONE_SLOWNESS = 15.0
+_OTHER_ZONE_SLOWNESS_PER_KB = 2.0
 # Above this share of busy slots, work begins to slow down.
 _BUSY_FROM = 0.75
 _BUSY_FACTOR = 2.0
@@ -24,9 +26,19 @@
 _COLD_FACTOR = 2.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Origin:
+    """Where a job comes from, and what it takes to bring it to another zone."""
+
+    zone: ids.ZoneName
+    """Zone of the caller."""
+    body_kb: float
+    """Size of the body in kilobytes."""
+
+
 def choose(
     peers: Sequence[peer_table.Peer],
-    zone: str,
+    origin: Origin,
     now: clock.Milliseconds,
     rng: random.Random,
 ) -> peer_table.Peer | None:
@@ -34,7 +46,7 @@
 
     Args:
         peers: Hosts that may be chosen.
-        zone: Zone of the caller.
+        origin: Where the job comes from.
         now: Monotonic time.
         rng: Source of randomness.
     """
@@ -43,10 +55,10 @@
     pool = heard or usable or list(peers)
     if len(pool) > _COMPARED_HOSTS:
         pool = rng.sample(pool, _COMPARED_HOSTS)
-    return min(pool, key=lambda peer: slowness_of(peer, zone, now), default=None)
+    return min(pool, key=lambda peer: slowness_of(peer, origin, now), default=None)
 
 
-def slowness_of(peer: peer_table.Peer, zone: str, now: clock.Milliseconds) -> float:
+def slowness_of(peer: peer_table.Peer, origin: Origin, now: clock.Milliseconds) -> float:
     """Return how long work is expected to take at a host, 100 as usual."""
     load = peer.load
     announcement = peer.announcement
@@ -61,6 +73,6 @@
         slowness *= 1 + (busy - _BUSY_FROM) * _BUSY_FACTOR
     if announcement.cold:
         slowness *= _COLD_FACTOR
-    if announcement.zone != zone:
-        slowness += _OTHER_ZONE_SLOWNESS
+    if announcement.zone != origin.zone:
+        slowness += _OTHER_ZONE_SLOWNESS + origin.body_kb * _OTHER_ZONE_SLOWNESS_PER_KB
     return slowness
--- a/src/anvillug/process/mesh_entry.py
+++ b/src/anvillug/process/mesh_entry.py
@@ -207,7 +207,8 @@
             and peer.announcement.host_id not in call.tried
         ]
         allowed = self._rollouts.allowed(work.service, candidates, self.rng.random())
-        return host_choice.choose(allowed, self._settings.zone, now, self.rng)
+        origin = host_choice.Origin(self._settings.zone, len(work.body) / _BYTES_PER_KB)
+        return host_choice.choose(allowed, origin, now, self.rng)
 
     def _candidates(
         self, service: ids.ServiceName, now: clock.Milliseconds
@@ -264,3 +265,4 @@
 
 
 _USUAL_SLOWNESS = 100.0
+_BYTES_PER_KB = 1024
--- a/src/anvillug/process/mesh_node.py
+++ b/src/anvillug/process/mesh_node.py
@@ -35,7 +35,7 @@
 _ROLLOUT_STEP_S = 0.1
 _MEMBER_RETRY_S = 0.4
 # Nodes that restart or were cut off are found again this often.
-_MEMBER_REREAD_S = 20.0
+_MEMBER_REREAD_S = 60.0
 # Calls leave few cycles behind; the default of 700 collects several times per 100 calls.
 _GC_THRESHOLDS = (20_000, 20, 20)
 
@@ -115,6 +115,7 @@
             self.rollouts.shared,
             self._beacon_heard,
         )
+        self.board.add_listener(self._directives_changed)
         self._probe = upstream_probe.UpstreamProbe(
             reactor, time, self.host, speech, settings.bounds.probes_per_second
         )
@@ -202,6 +203,9 @@
         if announcement.position > self.board.current.position:
             self.entry.fetch_directives(announcement.peer_address)
 
+    def _directives_changed(self, current: directives.Directives) -> None:
+        self._beacons.send_now()
+
     def _step_rollouts(self) -> None:
         self.rollouts.step()
 
--- a/src/anvillug/process/order_feed.py
+++ b/src/anvillug/process/order_feed.py
@@ -47,9 +47,9 @@
         self._has_read = False
         self._pause_ms = _FIRST_PAUSE_MS
 
-    def start(self) -> None:
-        """Follow the topic for as long as the process lives."""
-        defer.ensureDeferred(self._follow())
+    def start(self) -> defer.Deferred[None]:
+        """Follow the topic until the returned Deferred is cancelled."""
+        return defer.ensureDeferred(self._follow())
 
     async def _follow(self) -> None:
         while True:
@@ -57,7 +57,9 @@
                 await self._step()
             except keyed_log.LogUnavailableError as error:
                 await self._failed(error)
-            except Exception as error:  # noqa: BLE001
+            except defer.CancelledError:
+                return
+            except Exception as error:
                 # A record that nothing can read must not end the task.
                 event_log.error('order_feed_failed', error)
                 await self._failed(error)
--- a/src/anvillug/process/peer_table.py
+++ b/src/anvillug/process/peer_table.py
@@ -54,6 +54,22 @@
     """Position of the directives in effect."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadNotice:
+    """Load of a node, between two announcements."""
+
+    host_id: ids.HostId
+    """Name of the host."""
+    incarnation: ids.Incarnation
+    """Start of the node's process."""
+    sequence: int
+    """Counts the beacons of that process."""
+    load: dialect.ReportedLoad | None
+    """Load of the backend server."""
+    load_age_ms: float
+    """Age of that load in milliseconds."""
+
+
 class Peer:
     """One other node.
 
@@ -152,6 +168,15 @@
             )
         return changed
 
+    def load_told(self, notice: LoadNotice) -> None:
+        """Take the load of a node that is known."""
+        peer = self.by_host_id.get(notice.host_id)
+        if peer is None or peer.announcement.incarnation != notice.incarnation:
+            return
+        now = self._clock.now()
+        peer.heard_at = now
+        peer.told_load(notice.load, clock.Milliseconds(now - notice.load_age_ms))
+
     def contact(self, host_id: ids.HostId, beacon_address: str) -> None:
         """Note where a node can be reached that has not sent a beacon yet."""
         if host_id != self._own and host_id not in self.by_host_id:
--- a/src/anvillug/process/rollout_writer.py
+++ b/src/anvillug/process/rollout_writer.py
@@ -71,7 +71,7 @@
             except keyed_log.LogUnavailableError as error:
                 event_log.warn('rollout_status_not_settled', reason=error)
                 await task.deferLater(self._reactor, _TURN_S)
-            except Exception as error:  # noqa: BLE001
+            except Exception as error:
                 # The task must outlive a record that nothing can read.
                 event_log.error('rollout_writer_failed', error)
             await task.deferLater(self._reactor, _CHECK_S)
--- a/src/anvillug/process/upstream_probe.py
+++ b/src/anvillug/process/upstream_probe.py
@@ -12,6 +12,8 @@
 INTERVAL_MS = 50.0
 """Age of the load from which a probe is sent."""
 
+# Answers tell the load, but only a health check tells that the backend server has turned cold.
+_LONGEST_PAUSE_MS = 200.0
 _TIMEOUT_S = 0.5
 _MS_PER_SECOND = 1000.0
 
@@ -42,6 +44,7 @@
         self._interval_ms = max(INTERVAL_MS, 2 * _MS_PER_SECOND / max(1.0, max_per_second))
         self._request: _HealthRequest | None = None
         self._tells_load = True
+        self._sent_at = clock.Milliseconds(0)
 
     def start(self) -> None:
         """Probe for as long as the process lives."""
@@ -50,9 +53,11 @@
     def _tick(self) -> None:
         own = self._host.upstream
         policy = self._host.policy()
-        stale = own.load_age_ms >= self._interval_ms
+        now = self._clock.now()
+        stale = own.load_age_ms >= self._interval_ms or now - self._sent_at >= _LONGEST_PAUSE_MS
         serving = own.state is upstream.UpstreamState.SERVING
         if serving and stale and policy is not None and self._request is None:
+            self._sent_at = now
             self._request = _HealthRequest(self, policy.health_path, self._host.policy().name)
             self._host.pool().acquire(self._request.connected, self._request.unreachable)
             self._reactor.callLater(_TIMEOUT_S, self._request.expire)
--- a/src/anvillug/request/routed_call.py
+++ b/src/anvillug/request/routed_call.py
@@ -109,6 +109,7 @@
         self._exchange = exchange
         self._body: list[bytes] = []
         self._reserved = 0
+        self._max_body_bytes = 0
         self._state = CallState.READING
         self._may_have_run = False
         self._pending_try = 0
@@ -124,9 +125,8 @@
         self._exchange.handler = self
         if not self._find_route():
             return
-        limits = self._context.directives().routes.limits
-        if self._exchange.head.content_length > limits.max_body_bytes:
-            self._respond(STATUS_TOO_LARGE, f'body exceeds {limits.max_body_bytes} bytes')
+        self._max_body_bytes = self._context.directives().routes.limits.max_body_bytes
+        if self._is_too_large(self._exchange.head.content_length):
             return
         self._exchange.accept_body()
         self._timer = self._context.reactor.callLater(self._seconds_left(), self._expire)
@@ -135,6 +135,8 @@
         """Take a piece of the body."""
         if self._state is not CallState.READING:
             return
+        if self._is_too_large(self._reserved + len(data)):
+            return
         if not self._context.reserve(len(data)):
             self._refuse('no memory for the body')
             return
@@ -156,6 +158,13 @@
 
     # Private
 
+    def _is_too_large(self, size: int) -> bool:
+        """Tell whether a body exceeds the limit; answers the caller if so."""
+        if size <= self._max_body_bytes:
+            return False
+        self._respond(STATUS_TOO_LARGE, f'body exceeds {self._max_body_bytes} bytes')
+        return True
+
     def _find_route(self) -> bool:
         """Look the route up; answers the caller where there is none."""
         head = self._exchange.head
--- /dev/null
+++ b/tests/test_beacon.py
@@ -0,0 +1,118 @@
+"""Beacons between nodes, and what a node knows of the others by them."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import pytest
+
+from anvillug import clock, ids
+from anvillug.process import beacon, peer_table, upstream
+from anvillug.request import dialect
+from anvillug.version import directives
+
+_OWN = ids.HostId('own')
+_PEER = ids.HostId('peer')
+_SERVICE = ids.ServiceName('one')
+
+
+def _announcement(**changes: object) -> peer_table.Announcement:
+    fields = {
+        'host_id': _PEER,
+        'incarnation': ids.Incarnation(100),
+        'sequence': 1,
+        'peer_address': '10.0.0.2:80',
+        'beacon_address': '10.0.0.2:70',
+        'zone': ids.ZoneName('z'),
+        'service': _SERVICE,
+        'version': ids.VersionName('v1'),
+        'instance': ids.InstanceId('i-1'),
+        'state': upstream.UpstreamState.SERVING,
+        'cold': False,
+        'load': dialect.ReportedLoad(1, 0, 9, 100.0),
+        'load_age_ms': 5.0,
+        'position': directives.Position(3),
+    }
+    return peer_table.Announcement(**{**fields, **changes})
+
+
+class TestWireForm:
+    """Guards against beacons that other nodes misread."""
+
+    @pytest.mark.parametrize('load', [None, dialect.ReportedLoad(1, 2, 9, 350.0)])
+    def test_announcement(self, load):
+        sent = _announcement(load=load)
+        assert beacon.decode(beacon.encode(sent, {'s': [1]})) == (sent, {'s': [1]})
+
+    def test_load(self):
+        sent = _announcement()
+        notice = beacon.decode(beacon.encode_load(sent))
+        assert (notice.host_id, notice.load) == (_PEER, sent.load)
+
+    @pytest.mark.parametrize('datagram', [b'', b'\xc1', b'\x91\x90', b'\x01'])
+    def test_malformed(self, datagram):
+        with pytest.raises(beacon._MALFORMED):  # noqa: SLF001
+            beacon.decode(datagram)
+
+
+class TestOrder:
+    """Guards against late beacons that bring back a former state."""
+
+    @pytest.fixture
+    def time(self):
+        return clock.ManualClock(1000)
+
+    @pytest.fixture
+    def table(self, time):
+        return peer_table.PeerTable(_OWN, time)
+
+    def _state(self, table):
+        return table.by_host_id[_PEER].announcement.state
+
+    def test_late_beacon_changes_nothing(self, table):
+        table.announced(_announcement(sequence=5, state=upstream.UpstreamState.LEAVING))
+        table.announced(_announcement(sequence=4))
+        assert self._state(table) is upstream.UpstreamState.LEAVING
+
+    def test_new_process_counts_from_the_beginning(self, table):
+        table.announced(_announcement(sequence=5))
+        table.announced(_announcement(incarnation=ids.Incarnation(200), cold=True))
+        assert table.by_host_id[_PEER].announcement.cold
+
+    def test_start_with_an_earlier_clock_is_taken_after_a_silence(self, table, time):
+        table.announced(_announcement(sequence=5))
+        earlier = _announcement(incarnation=ids.Incarnation(50), cold=True)
+        table.announced(earlier)
+        assert not table.by_host_id[_PEER].announcement.cold
+        time.advance(400)
+        table.announced(earlier)
+        assert table.by_host_id[_PEER].announcement.cold
+
+    def test_older_load_does_not_replace_a_newer_one(self, table):
+        table.announced(_announcement())
+        peer = table.by_host_id[_PEER]
+        peer.told_load(dialect.ReportedLoad(0, 0, 9, 700.0), clock.Milliseconds(999))
+        table.load_told(
+            peer_table.LoadNotice(
+                _PEER, ids.Incarnation(100), 2, dialect.ReportedLoad(0, 0, 9, 100.0), 50.0
+            ),
+        )
+        assert peer.load.slowness == 700
+
+    def test_own_beacon_is_ignored(self, table):
+        table.announced(_announcement(host_id=_OWN))
+        assert not table.by_host_id
+
+    def test_only_serving_nodes_are_candidates(self, table):
+        table.announced(_announcement())
+        absent = {'state': upstream.UpstreamState.ABSENT, 'host_id': ids.HostId('b')}
+        table.announced(_announcement(**absent))
+        table.announced(_announcement(service=ids.ServiceName('two'), host_id=ids.HostId('c')))
+        hosts = [peer.announcement.host_id for peer in table.of_service(_SERVICE)]
+        assert hosts == [_PEER]
+
+    def test_contact_is_kept_until_the_node_is_heard(self, table):
+        table.contact(_PEER, '10.0.0.2:70')
+        assert table.beacon_addresses() == ['10.0.0.2:70']
+        table.announced(dataclasses.replace(_announcement(), beacon_address='10.0.0.2:71'))
+        assert table.beacon_addresses() == ['10.0.0.2:71']
--- /dev/null
+++ b/tests/test_platform_documents.py
@@ -0,0 +1,148 @@
+"""Documents of the platform in the product's types."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from anvillug import ids
+from anvillug.platform import documents
+from anvillug.process import upstream
+from anvillug.version import directives, rollout, route_table
+
+CONFIG = {
+    'Version': '0000000c',
+    'Services': [
+        {'Name': 'one', 'HealthPath': '/health', 'MaxConnections': 260, 'ColdPerS': 43.0},
+        {'Name': 'two', 'HealthPath': '/health', 'MaxConnections': 260},
+    ],
+    'Limits': {
+        'MaxHeaderBytes': 16384,
+        'MaxBodyBytes': 1000,
+        'HeaderTimeoutMs': 3000,
+        'IdleTimeoutMs': 15000,
+    },
+    'VirtualHosts': [
+        {
+            'Host': 'A.example',
+            'Paths': [
+                {
+                    'Name': 'r',
+                    'PathPrefix': '/p/',
+                    'Kind': 'idempotent',
+                    'TimeoutMs': 800,
+                    'WeightedSplit': [
+                        {'Service': 'one', 'Weight': 90},
+                        {'Service': 'two', 'Weight': 10},
+                    ],
+                },
+            ],
+        },
+    ],
+}
+_BEAT = {
+    'Service': 'one',
+    'Address': '10.0.0.1:80',
+    'Zone': 'z',
+    'Version': 'v1',
+    'Slots': 9,
+    'State': 'ready',
+    'ColdLeftMs': 0,
+    'Sequence': 4,
+    'born': 1700000000000,
+}
+
+
+def _decode(records: dict[str, object], former: directives.Directives | None = None):
+    packed = {
+        key: directives.Record(number, value if isinstance(value, bytes) else _json(value))
+        for number, (key, value) in enumerate(records.items())
+    }
+    return documents.decode_directives(
+        packed, directives.Position(len(packed)), former or directives.Directives()
+    )
+
+
+def _json(value: object) -> bytes:
+    return json.dumps(value).encode()
+
+
+class TestDirectives:
+    """Guards against orders that are lost, or malformed ones that displace valid ones."""
+
+    def test_config(self):
+        decoded = _decode({'config': CONFIG})
+        route = decoded.routes.match(b'a.example', b'/p/x')
+        assert decoded.revision == 12
+        assert route.kind is route_table.RouteKind.REPEATABLE
+        assert [part.weight for part in route.parts] == [90, 10]
+        assert decoded.routes.services_by_name['one'].cold_per_second == 43
+
+    @pytest.mark.parametrize(
+        'broken',
+        [
+            b'{"Version',
+            _json({**CONFIG, 'Version': 'x'}),
+            _json({**CONFIG, 'Services': []}),
+            _json({**CONFIG, 'Version': '00000001'}),
+        ],
+    )
+    def test_malformed_or_older_config_keeps_the_former_one(self, broken: bytes):
+        former = _decode({'config': CONFIG})
+        decoded = _decode({'other': b'{}', 'config': broken}, former)
+        assert decoded.revision == 12
+        assert decoded.routes is former.routes
+
+    def test_orders(self):
+        decoded = _decode(
+            {
+                'evacuate/z1': {},
+                'rollout/one': {'Service': 'one', 'TargetVersion': 'v2', 'DurationS': 12},
+                'rollout/two': b'?',
+            },
+        )
+        order = decoded.rollouts_by_service['one']
+        assert decoded.zones_out == {'z1'}
+        assert (order.target_version, order.duration_ms, order.offset) == ('v2', 12000, 1)
+        assert 'two' not in decoded.rollouts_by_service
+
+
+class TestHeartbeat:
+    """Guards against heartbeats of other writers that name a backend server."""
+
+    def test_whole(self):
+        beat = documents.decode_heartbeat('i-1', _json(_BEAT))
+        assert beat.state is upstream.UpstreamState.SERVING
+        assert (beat.instance, beat.sequence, beat.slots) == ('i-1', 4, 9)
+
+    @pytest.mark.parametrize('field', sorted(set(_BEAT) - {'ColdLeftMs'}))
+    def test_missing_field_is_named(self, field: str):
+        content = {key: value for key, value in _BEAT.items() if key != field}
+        finding = documents.decode_heartbeat('i-1', _json(content))[0]
+        assert finding.place == f'heartbeat of i-1: {field}'
+
+    @pytest.mark.parametrize(
+        ('field', 'value'),
+        [('State', 'gone'), ('Sequence', 'x'), ('born', 1.5), ('Slots', 0), ('Service', 3)],
+    )
+    def test_wrong_value_is_refused(self, field: str, value: object):
+        findings = documents.decode_heartbeat('i-1', _json({**_BEAT, field: value}))
+        assert findings[0].place.endswith(field)
+
+    def test_unreadable_bytes_are_refused(self):
+        assert documents.decode_heartbeat('i-1', b'\xff{')[0].message
+
+
+class TestStatus:
+    """Guards against a status that another node can not read back."""
+
+    @pytest.mark.parametrize(
+        'phase', [rollout.Phase.CANARY, rollout.Phase.COMPLETED, rollout.Phase.REVERTED]
+    )
+    def test_round_trip(self, phase: rollout.Phase):
+        status = rollout.Status(ids.ServiceName('one'), ids.VersionName('v2'), phase)
+        assert documents.decode_status(status.service, documents.encode_status(status)) == status
+
+    def test_malformed_is_none(self):
+        assert documents.decode_status(ids.ServiceName('one'), b'{"State": "odd"}') is None
