Keep requests that crash backend servers from the next ones

Cause: the mesh node did not remember a request that had crashed backend servers, so each caller's attempt reached up to MaxAttempts more of them. Change: the product's quarantine watches the jobs of the host side; entries travel in beacons. Ruled out: blaming every broken answer; only a backend server that can't be reached any more counts as crashed.

--- a/src/anvillug/process/mesh_host.py
+++ b/src/anvillug/process/mesh_host.py
@@ -7,7 +7,7 @@
 
 from anvillug import clock, event_log, ids
 from anvillug.connection import http_pool
-from anvillug.process import mesh_settings, metrics, upstream
+from anvillug.process import crash_watch, mesh_settings, metrics, upstream
 from anvillug.request import dialect, job, rate_gate, upstream_run
 from anvillug.version import directives
 
@@ -40,9 +40,10 @@
         speech: Headers of the backend server.
         settings: Settings of the node.
         figures: Metrics of the process.
+        crashes: Requests that crash backend servers.
     """
 
-    def __init__(
+    def __init__(  # noqa: WPS211 - each is a part that lives as long as the process
         self,
         reactor: Any,
         time: clock.Clock,
@@ -51,8 +52,10 @@
         speech: dialect.Dialect,
         settings: mesh_settings.MeshSettings,
         figures: metrics.Metrics,
+        crashes: crash_watch.CrashWatch,
     ) -> None:
         self._metrics = figures
+        self._crashes = crashes
         self.upstream = own
         """Backend server beside the node."""
         self._reactor = reactor
@@ -82,7 +85,8 @@
         Returns:
             Function that cancels the job; None when it is refused.
         """
-        reason = self._refusal(work)
+        known = self._crashes.suspicion(work)
+        reason = self._refusal(work) or self._crashes.refusal(known)
         if reason:
             self._metrics.count('refusals', reason)
             on_result(self._complete(job.Result(job.ResultKind.REFUSED, reason)))
@@ -92,11 +96,11 @@
             self._clock,
             self._dialect,
             work,
-            lambda result: self._done(run, result, on_result),
+            lambda result: self._done(run, known, result, on_result),
         )
         self._runs.add(run)
         run.begin(self.pool())
-        return lambda: self._cancel(run)
+        return lambda: self._cancel(run, known)
 
     def pool(self) -> http_pool.Pool:
         """Return the connections to the present start of the backend server."""
@@ -117,6 +121,12 @@
             self._pool_start = start
         return self._pool
 
+    def backend_lost(self, reason: str) -> None:
+        """Send nothing more to the backend server until its next heartbeat."""
+        if self.upstream.state is not upstream.UpstreamState.ABSENT:
+            self.upstream.lost(reason)
+            self._crashes.backend_lost()
+
     def policy(self) -> Any:
         """Return the operator's policy of the service, None where there is none."""
         routes = self._board.current.routes
@@ -171,23 +181,26 @@
         most = 2 * slots if policy is None else policy.max_connections // 2
         return max(2, min(most, 2 * slots + 2))
 
-    def _cancel(self, run: upstream_run.UpstreamRun) -> None:
+    def _cancel(self, run: upstream_run.UpstreamRun, known: crash_watch.Suspicion) -> None:
         if run in self._runs and (run.work.repeatable or run.state is not _SENT):
             self._runs.discard(run)
             run.cancel()
+            self._crashes.ended(known, _CANCELLED)
 
     def _done(
         self,
         run: upstream_run.UpstreamRun,
+        known: crash_watch.Suspicion,
         result: job.Result,
         on_result: upstream_run.ResultReady,
     ) -> None:
         self._runs.discard(run)
+        self._crashes.ended(known, result)
         self.upstream.told_load(run.load)
         if run.connect_failed:
-            self.upstream.lost('no connection')
+            self.backend_lost('no connection')
         if run.wrong_instance:
-            self.upstream.lost('another instance answers')
+            self.backend_lost('another instance answers')
         self._metrics.count('runs', result.kind.value)
         if run.sent_at:
             self._metrics.latency('run_latency', self._clock.now() - run.sent_at)
@@ -216,4 +229,5 @@
         )
 
 
+_CANCELLED = job.Result(job.ResultKind.REFUSED, 'cancelled')
 _SENT = upstream_run.RunState.SENT
--- a/src/anvillug/process/mesh_node.py
+++ b/src/anvillug/process/mesh_node.py
@@ -14,6 +14,7 @@
 from anvillug.connection import http_exchange, http_server, keyed_log
 from anvillug.process import (
     beacon,
+    crash_watch,
     mesh_entry,
     mesh_host,
     mesh_settings,
@@ -37,6 +38,9 @@
 _MEMBER_RETRY_S = 0.4
 # Nodes that restart or were cut off are found again this often.
 _MEMBER_REREAD_S = 60.0
+# Further state in beacons, by topic.
+_ROLLOUTS = 'r'
+_CRASHES = 'c'
 # Calls leave few cycles behind; the default of 700 collects several times per 100 calls.
 _GC_THRESHOLDS = (20_000, 20, 20)
 
@@ -99,8 +103,16 @@
         self.board.add_listener(self.rollouts.ordered)
         self.peers = peer_table.PeerTable(settings.host_id, time)
         self._metrics = metrics.Metrics(self._gauges)
+        self._crashes = crash_watch.CrashWatch(settings.host_id, self._incarnation, time)
         self.host = mesh_host.MeshHost(
-            reactor, time, self.upstream, self.board, speech, settings, self._metrics
+            reactor,
+            time,
+            self.upstream,
+            self.board,
+            speech,
+            settings,
+            self._metrics,
+            self._crashes,
         )
         self.entry = mesh_entry.MeshEntry(
             reactor,
@@ -120,7 +132,7 @@
             self._announcement,
             self.peers,
             settings.beacon_port,
-            self.rollouts.shared,
+            self._shared,
             self._beacon_heard,
             lambda: self.rollouts.in_progress,
         )
@@ -219,8 +231,12 @@
             position=self.board.current.position,
         )
 
+    def _shared(self) -> beacon.Extra:
+        return {_ROLLOUTS: self.rollouts.shared(), _CRASHES: self._crashes.shared()}
+
     def _beacon_heard(self, announcement: peer_table.Announcement, extra: beacon.Extra) -> None:
-        self.rollouts.heard(announcement.host_id, extra)
+        self.rollouts.heard(announcement.host_id, extra[_ROLLOUTS])
+        self._crashes.heard(extra[_CRASHES])
         if announcement.position > self.board.current.position:
             self.entry.fetch_directives(announcement.peer_address)
 
--- a/src/anvillug/process/upstream_probe.py
+++ b/src/anvillug/process/upstream_probe.py
@@ -70,7 +70,7 @@
         own = self._host.upstream
         self._tells_load = report.load is not None
         if report.instance and report.instance != own.instance:
-            own.lost('another instance answers the health check')
+            self._host.backend_lost('another instance answers the health check')
             return
         own.told_load(report.load)
         if report.cold_ms > own.cold_ms:
@@ -80,7 +80,7 @@
         """Note that the health check has ended."""
         self._request = None
         if unreachable:
-            self._host.upstream.lost('no connection for a health check')
+            self._host.backend_lost('no connection for a health check')
 
 
 class _HealthRequest:
