Read the settings again on SIGHUP or when the file changes

Change: a watch reads the file on the signal and when its time or size changes, tells all findings of a malformed one, and puts service and bounds into effect. Two tests on real processes failed before.

--- a/src/anvillug/platform/program.py
+++ b/src/anvillug/platform/program.py
@@ -77,7 +77,7 @@
     from twisted.internet import reactor  # noqa: PLC0415
 
     from anvillug.platform import control, store  # noqa: PLC0415
-    from anvillug.process import error_reports, mesh_node  # noqa: PLC0415
+    from anvillug.process import error_reports, mesh_node, settings_watch  # noqa: PLC0415
 
     error_reports.set_up()
     node = mesh_node.MeshNode(
@@ -95,5 +95,6 @@
     node.listen(loaded.ok.ready_address, answers.readiness)
     node.listen(loaded.ok.control_address, answers.control)
     node.start()
+    settings_watch.SettingsWatch(reactor, path, settings.load, node.apply, loaded.ok).start()
     reactor.run(installSignalHandlers=False)
     return 0
--- a/src/anvillug/process/mesh_node.py
+++ b/src/anvillug/process/mesh_node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import gc
 import random
 import signal
@@ -196,6 +197,13 @@
             self._beacons.send_now()
         return findings
 
+    def apply(self, settings: mesh_settings.MeshSettings) -> None:
+        """Put a changed service and bounds into effect; the rest counts at the next start."""
+        self._settings = dataclasses.replace(
+            self._settings, service=settings.service, bounds=settings.bounds
+        )
+        self.entry.caller_service = settings.service
+
     def leave(self, instance: ids.InstanceId) -> None:
         """Note that the backend server leaves."""
         self.upstream.left(instance)
--- a/src/anvillug/process/mesh_settings.py
+++ b/src/anvillug/process/mesh_settings.py
@@ -63,3 +63,12 @@
     """IP:port of the store that holds orders and members."""
     bounds: Bounds
     """Bounds of the deployment."""
+
+
+def differences(one: MeshSettings, other: MeshSettings) -> list[str]:
+    """Return the names of the settings that differ."""
+    return [
+        field.name
+        for field in dataclasses.fields(one)
+        if getattr(one, field.name) != getattr(other, field.name)
+    ]
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -4,6 +4,7 @@
 
 import itertools
 import json
+import pathlib
 import re
 import signal
 import threading
@@ -148,6 +149,10 @@
             for name, setting in faults.items():
                 setattr(backend.faults, name, setting)
 
+    def settings_path(self, number: int) -> pathlib.Path:
+        """Return the settings file of a node."""
+        return self._folder / f'node-{number}.json'
+
     def _start(self, number: int, store_port: int) -> processes.ChildProcess:
         ip = _IPS[number]
         backend, *listeners = [f'{ip}:{port}' for port in self.ports[:5]]
@@ -167,7 +172,7 @@
             'Platform': {'Platform': {'Address': f'127.0.0.1:{store_port}'}},
             'Terms': {'Bounds': {}},
         }
-        path = self._folder / f'node-{number}.json'
+        path = self.settings_path(number)
         path.write_text(json.dumps(document))
         return processes.ChildProcess(('mesh', str(path)))
 
@@ -315,3 +320,26 @@
         mesh.fault(work_ms=30)
         mesh.nodes[1].send_signal(signal.SIGSTOP)
         assert {mesh.status(f'/get/{number}') for number in range(30)} == {200}
+
+    def test_settings_that_change_are_read_again(self, mesh):
+        node = mesh.nodes[0]
+        path = mesh.settings_path(0)
+        document = json.loads(path.read_text())
+        document['Self']['Service'] = 'two'
+        path.write_text(json.dumps(document))
+        node.send_signal(signal.SIGHUP)
+        reactor_thread.eventually(lambda: 'event=settings_applied' in node.output())
+        mesh.status('/once/hup', method='POST', body=b'1')
+        callers = {
+            arrival.headers['anvillug-caller-service']
+            for backend in mesh.backends
+            for arrival in backend.arrivals
+            if arrival.target == b'/once/hup'
+        }
+        assert callers == {'two'}
+
+    def test_malformed_settings_change_nothing(self, mesh):
+        node = mesh.nodes[0]
+        mesh.settings_path(0).write_text('{')
+        reactor_thread.eventually(lambda: 'event=settings_rejected' in node.output())
+        assert mesh.status('/get/x') == 200
