Split rollouts and the fetch of directives by job

Cause: rollout.py held the counts, one rollout and all of them; the entry side fetched directives by itself, and a late timer could end the next fetch. Ruled out: any change of the decisions.

--- /dev/null
+++ b/src/anvillug/process/directive_fetch.py
@@ -0,0 +1,66 @@
+"""Fetches the directives of another node that has newer ones."""
+
+from __future__ import annotations
+
+from twisted.internet import interfaces
+
+from anvillug import event_log
+from anvillug.connection import http_head, http_pool
+from anvillug.request import job_wire, remote_run
+from anvillug.version import directives
+
+# A peer that does not answer by then is not waited for; the next beacon names another.
+_TIMEOUT_S = 0.25
+
+
+class DirectiveFetch:
+    """Fetches directives, from one node at a time.
+
+    Args:
+        reactor: Timers.
+        board: Receives the directives.
+    """
+
+    def __init__(self, reactor: interfaces.IReactorTime, board: directives.DirectiveBoard) -> None:
+        self._reactor = reactor
+        self._board = board
+        self._request: remote_run.PeerRequest | None = None
+        self._timer: interfaces.IDelayedCall | None = None
+
+    def start(self, pool: http_pool.Pool) -> None:
+        """Fetch, unless a fetch is on its way.
+
+        Args:
+            pool: Connections to the node.
+        """
+        if self._request is not None:
+            return
+        head = http_head.RequestHead(b'GET', job_wire.DIRECTIVES_PATH, [(b'Host', b'node')])
+        self._request = remote_run.PeerRequest(head, b'', self._fetched, self._failed)
+        self._timer = self._reactor.callLater(_TIMEOUT_S, self._expire)
+        self._request.begin(pool)
+
+    def _fetched(self, body: bytes) -> None:
+        self._finish()
+        try:
+            records, position = job_wire.unpack_directives(body)
+        except job_wire.MalformedError as error:
+            event_log.warn('directives_malformed', reason=error)
+            return
+        if self._board.advance(records, position):
+            event_log.emit('directives_from_peer', position=position)
+
+    def _failed(self, reason: str, sent: bool) -> None:
+        self._finish()
+        event_log.warn('directives_not_fetched', reason=reason, sent=sent)
+
+    def _expire(self) -> None:
+        request = self._request
+        if request is not None:
+            request.cancel()
+            self._failed('no answer', sent=True)
+
+    def _finish(self) -> None:
+        self._request = None
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
--- a/src/anvillug/process/mesh_entry.py
+++ b/src/anvillug/process/mesh_entry.py
@@ -7,8 +7,9 @@
 from typing import Any
 
 from anvillug import clock, event_log, ids
-from anvillug.connection import http_exchange, http_head, http_pool
+from anvillug.connection import http_exchange, http_pool
 from anvillug.process import (
+    directive_fetch,
     host_choice,
     mesh_host,
     mesh_settings,
@@ -17,7 +18,7 @@
     upstream,
 )
 from anvillug.request import dialect, job, job_wire, remote_run, retry_share, routed_call
-from anvillug.version import directives, rollout
+from anvillug.version import directives, rollouts
 
 # Bodies that are held at once; a host has a few hundred MB for the process.
 _MAX_HELD_BYTES = 64 * 1024 * 1024
@@ -50,7 +51,7 @@
         peers: peer_table.PeerTable,
         host: mesh_host.MeshHost,
         speech: dialect.Dialect,
-        rollouts: rollout.Rollouts,
+        rollouts: rollouts.Rollouts,
         figures: metrics.Metrics,
         own: Callable[[], peer_table.Announcement],
     ) -> None:
@@ -73,7 +74,7 @@
         self._metrics = figures
         self._held_bytes = 0
         self._pools_by_address: dict[str, http_pool.Pool] = {}
-        self._fetching = False
+        self._fetch = directive_fetch.DirectiveFetch(reactor, board)
         bounds = settings.bounds
         self._retries = retry_share.RetryShare(
             bounds.retry_ratio, bounds.retry_window_ms, bounds.retry_slack
@@ -160,7 +161,7 @@
             peer.avoid(now)
         peer.told_load(result.load, now)
         if result.position > self._board.current.position:
-            self.fetch_directives(peer.announcement.peer_address)
+            self._fetch.start(self.pool(peer.announcement.peer_address))
 
     def has_faster_host(self, call: routed_call.RoutedCall) -> bool:
         """Compare the host of a call with others; see `routed_call.CallContext`."""
@@ -222,6 +223,10 @@
             held_ms=int(held_ms),
         )
 
+    def fetch_directives(self, address: str) -> None:
+        """Fetch the directives of a node that has newer ones."""
+        self._fetch.start(self.pool(address))
+
     def pool(self, address: str) -> http_pool.Pool:
         """Return the connections to another node."""
         pool = self._pools_by_address.get(address)
@@ -237,39 +242,6 @@
             self._pools_by_address[address] = pool
         return pool
 
-    # Directives of other nodes
-
-    def fetch_directives(self, address: str) -> None:
-        """Fetch the directives of a node that has newer ones."""
-        if self._fetching:
-            return
-        self._fetching = True
-        request = remote_run.PeerRequest(
-            http_head.RequestHead(b'GET', job_wire.DIRECTIVES_PATH, [(b'Host', b'node')]),
-            b'',
-            self._directives_fetched,
-            self._fetch_failed,
-        )
-        request.begin(self.pool(address))
-        self.reactor.callLater(_CONNECT_TIMEOUT_S, self._fetch_over)
-
-    def _directives_fetched(self, body: bytes) -> None:
-        self._fetching = False
-        try:
-            records, position = job_wire.unpack_directives(body)
-        except job_wire.MalformedError as error:
-            event_log.warn('directives_malformed', reason=error)
-            return
-        if self._board.advance(records, position):
-            event_log.emit('directives_from_peer', position=position)
-
-    def _fetch_failed(self, reason: str, sent: bool) -> None:
-        self._fetching = False
-        event_log.warn('directives_not_fetched', reason=reason, sent=sent)
-
-    def _fetch_over(self) -> None:
-        self._fetching = False
-
     # Private
 
     def _choose(
--- a/src/anvillug/process/mesh_node.py
+++ b/src/anvillug/process/mesh_node.py
@@ -28,7 +28,7 @@
     upstream_probe,
 )
 from anvillug.request import dialect
-from anvillug.version import directives, rollout
+from anvillug.version import directives, rollouts
 
 # Callers hear within two seconds that the node is not ready, and send nothing more then.
 _LEAST_STOP_S = 2.3
@@ -103,7 +103,7 @@
         self._incarnation = ids.Incarnation(int(time.wall()))
         self._stopping_since: clock.Milliseconds | None = None
         self.board = directives.DirectiveBoard(decode)
-        self.rollouts = rollout.Rollouts(time)
+        self.rollouts = rollouts.Rollouts(time)
         self.board.add_listener(self.rollouts.ordered)
         self.peers = peer_table.PeerTable(settings.host_id, time)
         self._metrics = metrics.Metrics(self._gauges)
--- a/src/anvillug/process/rollout_writer.py
+++ b/src/anvillug/process/rollout_writer.py
@@ -10,7 +10,7 @@
 
 from anvillug import event_log, ids
 from anvillug.connection import keyed_log
-from anvillug.version import rollout
+from anvillug.version import rollout, rollouts
 
 _CHECK_S = 0.15
 # The next node in the order of names steps in after this long.
@@ -38,7 +38,7 @@
         log: The log.
         topic: Topic of the statuses.
         codec: Writes and reads statuses.
-        rollouts: Rollouts in progress.
+        known: Rollouts in progress.
         rank: Returns how many live nodes come before this one.
     """
 
@@ -48,14 +48,14 @@
         log: keyed_log.KeyedLog,
         topic: str,
         codec: StatusCodec,
-        rollouts: rollout.Rollouts,
+        known: rollouts.Rollouts,
         rank: Callable[[], int],
     ) -> None:
         self._reactor = reactor
         self._log = log
         self._topic = topic
         self._codec = codec
-        self._rollouts = rollouts
+        self._rollouts = known
         self._rank = rank
         self._read_once = False
         self._turns_waited = 0
--- a/src/anvillug/process/upstream.py
+++ b/src/anvillug/process/upstream.py
@@ -8,9 +8,6 @@
 from anvillug import clock, event_log, findings, ids
 from anvillug.request import dialect
 
-# Without any answer for this long, the reported slowness says nothing about the present.
-_WINDOW_MS = 1000.0
-
 
 class UpstreamState(enum.Enum):
     """Whether the backend server takes work."""
--- a/src/anvillug/version/route_table.py
+++ b/src/anvillug/version/route_table.py
@@ -146,9 +146,3 @@
                 return route
             end = path.rfind(_SLASH, 0, end)
         return None
-
-    def routes(self) -> list[Route]:
-        """Return all routes."""
-        return [
-            route for by_prefix in self._routes_by_host.values() for route in by_prefix.values()
-        ]
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -7,7 +7,7 @@
 import pytest
 
 from anvillug import clock, ids
-from anvillug.version import directives, rollout
+from anvillug.version import directives, rollout, rollouts
 
 _SERVICE = ids.ServiceName('one')
 _OLD = ids.VersionName('v1')
@@ -30,7 +30,7 @@
 
     def __init__(self, offset: int = 7):
         self.time = clock.ManualClock(1000)
-        self.rollouts = rollout.Rollouts(self.time)
+        self.rollouts = rollouts.Rollouts(self.time)
         order = directives.RolloutOrder(_SERVICE, _NEW, _DURATION_MS, offset)
         self.rollouts.ordered(directives.Directives(rollouts_by_service={_SERVICE: order}))
 
