--- a/Makefile
+++ b/Makefile
@@ -30,13 +30,13 @@
 	$(BIN)/python tools/check_binary.py
 
 format: setup
-	$(BIN)/ruff format src tests specs tools
-	$(BIN)/ruff check --fix --quiet src tests specs tools
+	$(BIN)/ruff format src tests specs tools deploy
+	$(BIN)/ruff check --fix --quiet src tests specs tools deploy
 
 lint: setup
-	$(BIN)/ruff format --check src tests specs tools
-	$(BIN)/ruff check src tests specs tools
-	$(BIN)/flake8 src tests specs tools
+	$(BIN)/ruff format --check src tests specs tools deploy
+	$(BIN)/ruff check src tests specs tools deploy
+	$(BIN)/flake8 src tests specs tools deploy
 
 generate: setup
 	$(BIN)/python tools/generate_control.py
--- a/src/anvillug/process/mesh_entry.py
+++ b/src/anvillug/process/mesh_entry.py
@@ -152,7 +152,7 @@
             host_position=result.position,
             took_ms=int(now - handed_over.started_at),
         )
-        if result.kind is not job.ResultKind.REFUSED:
+        if result.tells_of_version:
             answered = result.kind is job.ResultKind.ANSWERED and not result.failed
             latency_ms = now - handed_over.started_at if answered else None
             slowness = _USUAL_SLOWNESS if result.load is None else result.load.slowness
--- a/src/anvillug/request/job.py
+++ b/src/anvillug/request/job.py
@@ -71,6 +71,12 @@
     node_failed: bool = False
     """Whether the node beside the backend server broke off or could not be reached."""
 
+    @property
+    def tells_of_version(self) -> bool:
+        """Whether the result is evidence on the backend server's version."""
+        broke_off = self.kind is ResultKind.UNKNOWN and not self.node_failed
+        return broke_off or self.kind is ResultKind.ANSWERED
+
     @property
     def failed(self) -> bool:
         """Whether the backend server answered with a failure of its own."""
