--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -10,6 +10,15 @@
 _STOP_TIMEOUT_S = 10
 
 
+def pytest_collection_modifyitems(items):
+    """Run the tests with a running reactor last: those of `twisted.trial` run it themselves."""
+    items.sort(key=_needs_running_reactor)
+
+
+def _needs_running_reactor(item) -> bool:
+    return 'running_reactor' in getattr(item, 'fixturenames', ())
+
+
 @pytest.fixture(scope='session')
 def running_reactor():
     """Run the reactor, which can be started only once, in a thread of its own."""
