Hash a job's body only where it may run; sum the counts once

Cause: read-through. Every job that the host side refused was fingerprinted first, and the canary step added the counts up again. Change: refusals come before the fingerprint; the sum is passed on; the probe asks for the policy once. Behaviour and order of the checks are the same. Ruled out: nothing; no fault was seen.

--- a/src/anvillug/process/mesh_host.py
+++ b/src/anvillug/process/mesh_host.py
@@ -85,12 +85,14 @@
         Returns:
             Function that cancels the job; None when it is refused.
         """
+        reason = self._refusal(work)
+        if reason:
+            return self._refuse(reason, on_result)
+        # The fingerprint hashes the body, so jobs that are refused anyway go without.
         known = self._crashes.suspicion(work)
-        reason = self._refusal(work) or self._crashes.refusal(known)
+        reason = self._crashes.refusal(known)
         if reason:
-            self._metrics.count('refusals', reason)
-            on_result(self._complete(job.Result(job.ResultKind.REFUSED, reason)))
-            return None
+            return self._refuse(reason, on_result)
         run = upstream_run.UpstreamRun(
             self._reactor,
             self._clock,
@@ -137,6 +139,10 @@
 
     # Private
 
+    def _refuse(self, reason: str, on_result: upstream_run.ResultReady) -> None:
+        self._metrics.count('refusals', reason)
+        on_result(self._complete(job.Result(job.ResultKind.REFUSED, reason)))
+
     def _refusal(self, work: job.Job) -> str:
         """Return why a job is refused, empty if it may run."""
         own = self.upstream
--- a/src/anvillug/process/upstream_probe.py
+++ b/src/anvillug/process/upstream_probe.py
@@ -58,7 +58,7 @@
         serving = own.state is upstream.UpstreamState.SERVING
         if serving and stale and policy is not None and self._request is None:
             self._sent_at = now
-            self._request = _HealthRequest(self, policy.health_path, self._host.policy().name)
+            self._request = _HealthRequest(self, policy.health_path, policy.name)
             self._host.pool().acquire(self._request.connected, self._request.unreachable)
             self._reactor.callLater(_TIMEOUT_S, self._request.expire)
         pause = self._interval_ms if self._tells_load else _MS_PER_SECOND
--- a/src/anvillug/version/rollout.py
+++ b/src/anvillug/version/rollout.py
@@ -138,7 +138,7 @@
         if guilty or everything.shows_bad:
             self._enter(Phase.REVERTED, f'bad on {",".join(guilty) or "all routes"}', everything)
         elif self.phase is Phase.CANARY:
-            self._step_canary(now, totals)
+            self._step_canary(now, totals, everything)
         elif now - self.shifted_at > _SHIFT_MS + _SETTLE_MS:
             self._enter(Phase.COMPLETED, 'all calls have moved', everything)
 
@@ -147,9 +147,11 @@
         return counts.shows_bad or counts.since(self._before_shift.get(route)).shows_bad
 
     def _step_canary(
-        self, now: clock.Milliseconds, totals: dict[ids.RouteName, rollout_counts.RouteCounts]
+        self,
+        now: clock.Milliseconds,
+        totals: dict[ids.RouteName, rollout_counts.RouteCounts],
+        everything: rollout_counts.RouteCounts,
     ) -> None:
-        everything = rollout_counts.sum_of(totals.values())
         elapsed_share = (now - self.started_at) / self.order.duration_ms
         if elapsed_share < _SHIFT_AT:
             return
