Lock chosen ports between processes; wait for the leave, not for its effect

It now waits until the node has logged the leave, and demands from then on that neither node sends a request.

Ruled out for the port: outgoing connections (the range lies below theirs).

--- a/src/anvillug/bench/processes.py
+++ b/src/anvillug/bench/processes.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import contextlib
+import fcntl
 import os
+import pathlib
 import random
 import re
 import signal
@@ -27,6 +29,8 @@
 # port of a backend server between the choice and its start.
 _PORT_RANGE = (15_000, 32_000)
 _PORT_RNG = random.SystemRandom()
+# One file per port. A process holds the locks of the ports that it has chosen until it ends.
+_PORT_LOCKS = pathlib.Path(tempfile.gettempdir()) / 'anvillug-ports'
 _PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S+)')
 
 
@@ -157,10 +161,9 @@
 def free_addresses(count: int, ip: str = '127.0.0.1') -> list[str]:
     """Return addresses with distinct ports that are free now.
 
-    Prefer port 0 where the process tells its address; another process may take
-    a port between this call and its use. On 127.0.0.1, outgoing connections
-    take ports too; with dozens of nodes, use another address of the loopback
-    network for each.
+    No other call of this function returns the same ports while this process lives, so benches
+    and tests may run side by side. Prefer port 0 where the process tells its address; foreign
+    programs may take a port between this call and its use.
 
     Args:
         count: Number of addresses.
@@ -170,8 +173,20 @@
     with contextlib.ExitStack() as stack:
         while len(addresses) < count:
             opened = stack.enter_context(socket.socket())
-            address = (ip, _PORT_RNG.randrange(*_PORT_RANGE))
+            port = _PORT_RNG.randrange(*_PORT_RANGE)
             with contextlib.suppress(OSError):
-                opened.bind(address)
-                addresses.append(f'{address[0]}:{address[1]}')
+                opened.bind((ip, port))
+                _lock_port(port)
+                addresses.append(f'{ip}:{port}')
     return addresses
+
+
+def _lock_port(port: int) -> None:
+    """Keep other processes from choosing a port; raises OSError where one has chosen it."""
+    _PORT_LOCKS.mkdir(exist_ok=True)
+    descriptor = os.open(_PORT_LOCKS / str(port), os.O_RDWR | os.O_CREAT | os.O_CLOEXEC)
+    try:
+        fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError:
+        os.close(descriptor)
+        raise
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -227,9 +227,11 @@
 
     def test_leaving_backend_server_gets_nothing(self, mesh):
         mesh.backends[0].state = 'draining'
-        reactor_thread.eventually(lambda: mesh.serves(1) == {b'i-1'})
+        # Requests that begin after the heartbeat was taken must not reach the backend server.
+        reactor_thread.eventually(lambda: 'state=leaving' in mesh.nodes[0].output())
         before = len(mesh.backends[0].arrivals)
         assert mesh.serves(0) == {b'i-1'}
+        assert mesh.serves(1) == {b'i-1'}
         assert len(mesh.backends[0].arrivals) == before
 
 
