Avoid hosts whose runs fail or are slow; follow the node count in the retry share

The node beside it now counts how its runs end (process/fault_share.py) and tells the share of faulty ones with its load; the choice takes a host that fails or delays one request in eight for twice as slow.

Ruled out: the load header. In it tells a slow backend server (500) but stays at 100 for one that delays or fails part of its requests.

The share now follows the number of nodes.

--- a/src/anvillug/process/beacon.py
+++ b/src/anvillug/process/beacon.py
@@ -22,8 +22,9 @@
 _FULL_INTERVAL_MS = 500.0
 # Counts of calls on a new version decide on it, and travel in whole beacons.
 _ROLLOUT_INTERVAL_MS = 150.0
-# Change of the slowness that is told at once.
+# Changes of the slowness and of the share of faulty runs that are told at once.
 _TOLD_CHANGE = 0.2
+_TOLD_FAULTS = 0.1
 _MAX_BEACONS_PER_SECOND = 300.0  # keeps the share of a core flat as nodes are added
 _MS_PER_SECOND = 1000.0
 # Datagrams of this size pass without fragments.
@@ -142,7 +143,8 @@
 def _differs(load: dialect.ReportedLoad | None, told: dialect.ReportedLoad | None) -> bool:
     if load is None or told is None:
         return load is not told
-    return abs(load.slowness - told.slowness) > told.slowness * _TOLD_CHANGE
+    faults_changed = abs(load.fault_share - told.fault_share) > _TOLD_FAULTS
+    return faults_changed or abs(load.slowness - told.slowness) > told.slowness * _TOLD_CHANGE
 
 
 def encode_load(announcement: peer_table.Announcement) -> bytes:
--- a/src/anvillug/process/host_choice.py
+++ b/src/anvillug/process/host_choice.py
@@ -22,6 +22,9 @@
 # Above this share of busy slots, work begins to slow down.
 _BUSY_FROM = 0.75
 _BUSY_FACTOR = 2.0
+# A host that fails or delays one request in eight counts as twice as slow: a failed request is
+# lost, or starts anew elsewhere.
+_FAULT_FACTOR = 8.0
 # Work takes about twice as long on a cold backend server.
 _COLD_FACTOR = 2.0
 
@@ -68,6 +71,7 @@
     else:
         weight = math.exp(-max(0.0, now - peer.load_at) / _SAMPLE_LIFE_MS)
         slowness = load.slowness * weight + _MEAN_SLOWNESS * (1 - weight)
+        slowness *= 1 + load.fault_share * _FAULT_FACTOR
         busy = max(load.running + load.waiting, peer.outstanding) / max(1, load.slots)
     if busy > _BUSY_FROM:
         slowness *= 1 + (busy - _BUSY_FROM) * _BUSY_FACTOR
--- a/src/anvillug/process/mesh_host.py
+++ b/src/anvillug/process/mesh_host.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import dataclasses
 from collections.abc import Callable
 from typing import Any
 
 from anvillug import clock, event_log, ids
 from anvillug.connection import http_pool
-from anvillug.process import crash_watch, mesh_settings, metrics, upstream
+from anvillug.process import crash_watch, fault_share, mesh_settings, metrics, upstream
 from anvillug.request import dialect, job, rate_gate, upstream_run
 from anvillug.version import directives
 
@@ -67,12 +68,21 @@
         self._gate = rate_gate.RateGate(_COLD_BURST_SHARE)
         self._pool: http_pool.Pool | None = None
         self._pool_start = ids.Incarnation(0)
+        self._faults = fault_share.FaultShare()
 
     @property
     def running(self) -> int:
         """Jobs at the backend server."""
         return len(self._runs)
 
+    @property
+    def load(self) -> dialect.ReportedLoad | None:
+        """Load that the backend server told last, with the share of its faulty runs."""
+        load = self.upstream.load
+        if load is None:
+            return None
+        return dataclasses.replace(load, fault_share=self._faults.share(self._clock.now()))
+
     def submit(
         self, work: job.Job, on_result: upstream_run.ResultReady
     ) -> Callable[[], object] | None:
@@ -121,6 +131,7 @@
                 connect_timeout_s=_CONNECT_TIMEOUT_S,
             )
             self._pool_start = start
+            self._faults = fault_share.FaultShare()
         return self._pool
 
     def backend_lost(self, reason: str) -> None:
@@ -203,6 +214,7 @@
         self._runs.discard(run)
         self._crashes.ended(known, result)
         self.upstream.told_load(run.load)
+        self._count(run, result)
         if run.connect_failed:
             self.backend_lost('no connection')
         if run.wrong_instance:
@@ -230,10 +242,19 @@
             result.reason,
             result.head,
             result.body,
-            self.upstream.load,
+            self.load,
             self._board.current.position,
         )
 
+    def _count(self, run: upstream_run.UpstreamRun, result: job.Result) -> None:
+        """Count a run that the backend server got in the share of faulty ones."""
+        now = self._clock.now()
+        if result.kind is job.ResultKind.ANSWERED and not result.failed:
+            slowness = 0.0 if run.load is None else run.load.slowness
+            self._faults.answered(run.work.route, now - run.sent_at, slowness, now)
+        elif run.sent_at:
+            self._faults.failed(now)
+
 
 _CANCELLED = job.Result(job.ResultKind.REFUSED, 'cancelled')
 _SENT = upstream_run.RunState.SENT
--- a/src/anvillug/process/mesh_node.py
+++ b/src/anvillug/process/mesh_node.py
@@ -237,7 +237,7 @@
             instance=own.instance,
             state=state,
             cold=own.cold_ms > 0,
-            load=own.load,
+            load=self.host.load,
             load_age_ms=own.load_age_ms,
             position=self.board.current.position,
         )
--- a/src/anvillug/request/dialect.py
+++ b/src/anvillug/request/dialect.py
@@ -38,6 +38,8 @@
     """Requests that can run at once."""
     slowness: float
     """How long work takes at this moment, 100 as usual."""
+    fault_share: float = 0.0
+    """Share of recent runs that failed or were slow; added by the node beside the server."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/anvillug/request/retry_share.py
+++ b/src/anvillug/request/retry_share.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 from anvillug import clock, ids
-from anvillug.request import budget
 
 # Calls that a repeated run makes count as repeats at the service that is called, and a node that
 # restarts begins with a fresh share; half of the budget is left for both.
 _USED_SHARE = 0.5
-_MS_PER_SECOND = 1000.0
+# Share of a node's part of the slack that may be saved up for a burst; the rest comes with time.
+_BURST_SHARE = 0.5
 
 
 class RetryShare:
@@ -24,27 +24,43 @@
         self._ratio = ratio * _USED_SHARE
         self._slack = slack * _USED_SHARE
         self._window_ms = window_ms
-        self._by_service: dict[ids.ServiceName, budget.TokenBudget] = {}
+        self._by_service: dict[ids.ServiceName, _Bucket] = {}
 
     def earn(self, service: ids.ServiceName, nodes: int, now: clock.Milliseconds) -> None:
         """Count a request that is not a repeat.
 
         Args:
             service: Service that the request goes to.
-            nodes: Nodes that share the budget.
+            nodes: Nodes that share the budget now.
             now: Monotonic time.
         """
-        self._bucket(service, nodes).earn(now)
+        self._refilled(service, nodes, now).tokens += self._ratio
 
     def spend(self, service: ids.ServiceName, nodes: int, now: clock.Milliseconds) -> bool:
         """Take a token for one repeated arrival; see `earn`."""
-        return self._bucket(service, nodes).spend(now)
+        bucket = self._refilled(service, nodes, now)
+        if bucket.tokens < 1:
+            return False
+        bucket.tokens -= 1
+        return True
 
-    def _bucket(self, service: ids.ServiceName, nodes: int) -> budget.TokenBudget:
+    def _refilled(self, service: ids.ServiceName, nodes: int, now: clock.Milliseconds) -> _Bucket:
+        """Return a service's bucket with what time has brought, within the share of the moment."""
+        slack = self._slack / max(1, nodes)
+        burst = max(1.0, slack * _BURST_SHARE)
         bucket = self._by_service.get(service)
         if bucket is None:
-            per_node = self._slack / max(1, nodes)
-            floor = per_node * _MS_PER_SECOND / self._window_ms / 2
-            bucket = budget.TokenBudget(self._ratio, floor, max(1.0, per_node / 2))
+            bucket = _Bucket(burst, now)
             self._by_service[service] = bucket
+        earned = (now - bucket.refilled_at) * slack * (1 - _BURST_SHARE) / self._window_ms
+        bucket.tokens = min(burst, bucket.tokens + earned)
+        bucket.refilled_at = now
         return bucket
+
+
+class _Bucket:
+    """Tokens of one service."""
+
+    def __init__(self, tokens: float, now: clock.Milliseconds) -> None:
+        self.tokens = tokens
+        self.refilled_at = now
--- a/tests/test_host_choice.py
+++ b/tests/test_host_choice.py
@@ -65,6 +65,10 @@
     def test_full_host_is_left_out_while_others_have_room(self):
         assert set(_chosen([_peer('a', running=9), _peer('b', running=2)])) == {'b'}
 
+    def test_failing_host_is_left_out_though_it_looks_idle(self):
+        failing = dialect.ReportedLoad(0, 0, 9, 100, fault_share=0.4)
+        assert set(_chosen([_peer('a', load=failing), _peer('b', 190, running=3)])) == {'b'}
+
     def test_cold_host_is_chosen_last(self):
         assert set(_chosen([_peer('a', cold=True), _peer('b', 150)])) == {'b'}
 
