Let two nodes of each zone follow the store; tell far nodes less often

Change: the first two live nodes of a zone that reach the store follow the topic (process/follower_duty.py); the others hear of new directives from beacons and fetch them from a peer, first from one of their zone. Nodes in a zone that has six hosts or more of a service get only whole beacons of that service's hosts from other zones, every 2 s (1 s during rollouts) and at changes. A beacon tells its pace, by which the receiver takes the sender for silent.

Ruled out: longer polls alone (the outage of the store would be seen late), load by relays (one more process that can fail for each sample).

--- a/src/anvillug/process/beacon.py
+++ b/src/anvillug/process/beacon.py
@@ -16,12 +16,14 @@
 # The slowness of a backend server changes several times a second, and the other nodes should
 # know within a few tens of milliseconds.
 _TICK_MS = 25.0
-# A node whose load does not change is heard at this interval.
-_LOAD_INTERVAL_MS = 200.0
 # Everything but the load is repeated at this interval, since datagrams get lost.
 _FULL_INTERVAL_MS = 500.0
 # Counts of calls on a new version decide on it, and travel in whole beacons.
 _ROLLOUT_INTERVAL_MS = 150.0
+# Pace of whole beacons to nodes in zones that have enough hosts of their own. A beacon to all nodes
+# of a deployment costs bytes that grow with the square of their number.
+_FAR_INTERVAL_MS = 2000.0
+_FAR_ROLLOUT_INTERVAL_MS = 1000.0
 # Changes of the slowness and of the share of faulty runs that are told at once.
 _TOLD_CHANGE = 0.2
 _TOLD_FAULTS = 0.1
@@ -44,7 +46,7 @@
     Args:
         reactor: Twisted reactor.
         time: Clock.
-        own: Returns what this node says of itself, given the sequence number.
+        own: Returns what this node says of itself; sequence and pace are set here.
         peers: Other nodes.
         port: UDP port.
         extra: Returns further state to send.
@@ -56,7 +58,7 @@
         self,
         reactor: Any,
         time: clock.Clock,
-        own: Callable[[int], peer_table.Announcement],
+        own: Callable[[], peer_table.Announcement],
         peers: peer_table.PeerTable,
         port: int,
         extra: Callable[[], Extra],
@@ -76,6 +78,7 @@
         self._told_load: dialect.ReportedLoad | None = None
         self._load_at = clock.Milliseconds(0)
         self._full_at = clock.Milliseconds(0)
+        self._far_at = clock.Milliseconds(0)
 
     def start(self, ip: str) -> None:
         """Open the port and start to send."""
@@ -84,12 +87,17 @@
 
     def send_now(self) -> None:
         """Send a whole beacon at once: something has changed that the others should know."""
-        now = self._clock.now()
-        self._full_at = now
-        self._load_at = now
-        announcement = self._next()
-        self._told_load = announcement.load
-        self._send(encode(announcement, self._extra()))
+        receivers = self._receivers()
+        self._tell_near(receivers.near)
+        self._tell_far(receivers.far)
+
+    def send_near(self) -> None:
+        """Send a whole beacon at once to the nodes that need to know soonest."""
+        self._tell_near(self._receivers().near)
+
+    def send_far(self) -> None:
+        """Send a whole beacon at once to the nodes that `send_near` leaves out."""
+        self._tell_far(self._receivers().far)
 
     def datagramReceived(self, datagram: bytes, addr: Any) -> None:  # noqa: N802
         """Take a beacon; see Twisted."""
@@ -107,31 +115,53 @@
 
     def _tick(self) -> None:
         now = self._clock.now()
-        count = len(self._peers.by_host_id) + len(self._peers.contacts_by_host_id)
-        least_pause_ms = count * _MS_PER_SECOND / _MAX_BEACONS_PER_SECOND
-        interval_ms = _ROLLOUT_INTERVAL_MS if self._is_urgent() else _FULL_INTERVAL_MS
+        receivers = self._receivers()
+        urgent = self._is_urgent()
+        least_pause_ms = len(receivers.near) * _MS_PER_SECOND / _MAX_BEACONS_PER_SECOND
+        interval_ms = _ROLLOUT_INTERVAL_MS if urgent else _FULL_INTERVAL_MS
         if now - self._full_at >= max(interval_ms, least_pause_ms):
-            self.send_now()
+            self._tell_near(receivers.near)
             self._peers.forget_silent()
         elif now - self._load_at >= least_pause_ms:
-            self._tell_load(now)
+            self._tell_load(receivers.near, now)
+        if now - self._far_at >= (_FAR_ROLLOUT_INTERVAL_MS if urgent else _FAR_INTERVAL_MS):
+            self._tell_far(receivers.far)
         self._reactor.callLater(clock.to_seconds(_TICK_MS), self._tick)
 
-    def _tell_load(self, now: clock.Milliseconds) -> None:
+    def _tell_load(self, addresses: list[str], now: clock.Milliseconds) -> None:
         """Send the load if it has changed, or has not been told for a while."""
-        own = self._own(self._sequence)
-        if not _differs(own.load, self._told_load) and now - self._load_at < _LOAD_INTERVAL_MS:
+        own = self._own()
+        rested = now - self._load_at >= peer_table.NEAR_PACE_MS
+        if not rested and not _differs(own.load, self._told_load):
             return
         self._load_at = now
         self._told_load = own.load
-        self._send(encode_load(self._next()))
+        self._send(encode_load(self._next()), addresses)
+
+    def _tell_near(self, addresses: list[str]) -> None:
+        now = self._clock.now()
+        self._full_at = now
+        self._load_at = now
+        least_pause_ms = len(addresses) * _MS_PER_SECOND / _MAX_BEACONS_PER_SECOND
+        announcement = self._next(max(peer_table.NEAR_PACE_MS, least_pause_ms))
+        self._told_load = announcement.load
+        self._send(encode(announcement, self._extra()), addresses)
+
+    def _tell_far(self, addresses: list[str]) -> None:
+        self._far_at = self._clock.now()
+        if addresses:
+            self._send(encode(self._next(_FAR_INTERVAL_MS), self._extra()), addresses)
+
+    def _receivers(self) -> peer_table.Receivers:
+        own = self._own()
+        return self._peers.receivers(own.zone, own.service)
 
-    def _next(self) -> peer_table.Announcement:
+    def _next(self, pace_ms: float = peer_table.NEAR_PACE_MS) -> peer_table.Announcement:
         self._sequence += 1
-        return self._own(self._sequence)
+        return dataclasses.replace(self._own(), sequence=self._sequence, pace_ms=pace_ms)
 
-    def _send(self, datagram: bytes) -> None:
-        for address in self._peers.beacon_addresses():
+    def _send(self, datagram: bytes, addresses: list[str]) -> None:
+        for address in addresses:
             host, _, port = address.rpartition(':')
             try:
                 self.transport.write(datagram, (host, int(port)))
--- a/src/anvillug/process/directive_fetch.py
+++ b/src/anvillug/process/directive_fetch.py
@@ -10,7 +10,7 @@
 from anvillug.version import directives
 
 # A peer that does not answer by then is not waited for; the next beacon names another.
-_TIMEOUT_S = 0.25
+_TIMEOUT_S = 0.6
 
 
 class DirectiveFetch:
--- a/src/anvillug/process/host_choice.py
+++ b/src/anvillug/process/host_choice.py
@@ -54,7 +54,7 @@
         rng: Source of randomness.
     """
     usable = [peer for peer in peers if peer.avoid_until <= now]
-    heard = [peer for peer in usable if now - peer.heard_at < peer_table.SILENT_AFTER_MS]
+    heard = [peer for peer in usable if not peer.is_silent(now)]
     pool = heard or usable or list(peers)
     # Sampling also shuffles, so that equal hosts are chosen equally often.
     compared = rng.sample(pool, min(len(pool), _COMPARED_HOSTS))
--- a/src/anvillug/process/mesh_entry.py
+++ b/src/anvillug/process/mesh_entry.py
@@ -190,11 +190,11 @@
 
         Others wait: their backend server may still answer, and they can't be tried again.
         """
-        silent_since = self.clock.now() - peer_table.SILENT_AFTER_MS
+        now = self.clock.now()
         for handed_over in tuple(self._tries):
             peer = handed_over.peer
             remote = peer.announcement.host_id != self._settings.host_id
-            if remote and handed_over.work.repeatable and peer.heard_at < silent_since:
+            if remote and handed_over.work.repeatable and peer.is_silent(now):
                 handed_over.give_up('node: silent')
 
     def tries_changed(self, handed_over: _Try, *, over: bool) -> None:
--- a/src/anvillug/process/mesh_node.py
+++ b/src/anvillug/process/mesh_node.py
@@ -16,6 +16,7 @@
 from anvillug.process import (
     beacon,
     crash_watch,
+    follower_duty,
     mesh_entry,
     mesh_host,
     mesh_settings,
@@ -40,6 +41,8 @@
 _STOP_CHECK_S = 0.05
 _STEP_S = 0.1
 _MEMBER_RETRY_S = 0.4
+# A node of the same zone may have newer directives by then; bytes between zones are priced.
+_FAR_FETCH_PAUSE_S = 0.15
 # Nodes that restart or were cut off are found again this often.
 _MEMBER_REREAD_S = 60.0
 # Further state in beacons, by topic.
@@ -144,7 +147,18 @@
         self._probe = upstream_probe.UpstreamProbe(
             reactor, time, self.host, speech, settings.bounds.probes_per_second
         )
-        self._feed = order_feed.OrderFeed(reactor, log, topics.orders, self.board, self._rng)
+        self._duty = follower_duty.FollowerDuty(
+            settings.host_id, settings.zone, self.peers, self.board, time
+        )
+        self._feed = order_feed.OrderFeed(
+            reactor,
+            log,
+            topics.orders,
+            self.board,
+            self._rng,
+            self._duty.holds,
+            self._beacons.send_far,
+        )
         self._writer = rollout_writer.RolloutWriter(
             reactor, log, topics.statuses, status_codec, self.rollouts, self._writer_rank
         )
@@ -220,7 +234,7 @@
             'log_lines_dropped': self._log_lines.dropped,
         }
 
-    def _announcement(self, sequence: int = 0) -> peer_table.Announcement:
+    def _announcement(self) -> peer_table.Announcement:
         own = self.upstream
         beat = own.beat
         settings = self._settings
@@ -228,7 +242,7 @@
         return peer_table.Announcement(
             host_id=settings.host_id,
             incarnation=self._incarnation,
-            sequence=sequence,
+            sequence=0,
             peer_address=settings.peer_address,
             beacon_address=f'{settings.ip}:{settings.beacon_port}',
             zone=settings.zone,
@@ -240,6 +254,7 @@
             load=self.host.load,
             load_age_ms=own.load_age_ms,
             position=self.board.current.position,
+            reaches_log=self._feed.reaches_log,
         )
 
     def _shared(self) -> beacon.Extra:
@@ -248,11 +263,18 @@
     def _beacon_heard(self, announcement: peer_table.Announcement, extra: beacon.Extra) -> None:
         self.rollouts.heard(announcement.host_id, extra[_ROLLOUTS])
         self._crashes.heard(extra[_CRASHES])
+        self._duty.heard(announcement.position)
+        if announcement.position > self.board.current.position:
+            is_near = announcement.zone == self._settings.zone
+            pause_s = 0.0 if is_near else _FAR_FETCH_PAUSE_S
+            self._reactor.callLater(pause_s, self._fetch, announcement)
+
+    def _fetch(self, announcement: peer_table.Announcement) -> None:
         if announcement.position > self.board.current.position:
             self.entry.fetch_directives(announcement.peer_address)
 
     def _directives_changed(self, current: directives.Directives) -> None:
-        self._beacons.send_now()
+        self._beacons.send_near()
 
     def _step(self) -> None:
         self.rollouts.step()
@@ -262,7 +284,7 @@
         """Return how many live nodes come before this one in the order of names."""
         now = self._clock.now()
         return sum(
-            host_id < self._settings.host_id and now - peer.heard_at < peer_table.SILENT_AFTER_MS
+            host_id < self._settings.host_id and not peer.is_silent(now)
             for host_id, peer in self.peers.by_host_id.items()
         )
 
--- a/src/anvillug/process/order_feed.py
+++ b/src/anvillug/process/order_feed.py
@@ -1,8 +1,13 @@
-"""Follows the operator's topic and puts what it says into effect."""
+"""Follows the operator's topic and puts what it says into effect.
+
+Every node reads the newest records once. After that a few nodes of each zone follow the topic,
+and the others hear from their beacons; see `process/follower_duty.py`.
+"""
 
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 from typing import Any
 
 from twisted.internet import defer, task
@@ -17,6 +22,8 @@
 _FIRST_PAUSE_MS = 80.0
 _LONGEST_PAUSE_MS = 600.0
 _PAUSE_FACTOR = 1.8
+# A node that need not follow looks this often whether it has to.
+_IDLE_CHECK_MS = 150.0
 
 
 class OrderFeed:
@@ -28,6 +35,8 @@
         topic: Topic that the operator writes to.
         board: Receives the records.
         rng: Source of randomness.
+        has_duty: Tells whether this node has to follow the topic now.
+        on_applied: Called when something new was read from the topic.
     """
 
     def __init__(
@@ -37,16 +46,25 @@
         topic: str,
         board: directives.DirectiveBoard,
         rng: random.Random,
+        has_duty: Callable[[], bool],
+        on_applied: Callable[[], None],
     ) -> None:
         self._reactor = reactor
         self._log = log
         self._topic = topic
         self._board = board
         self._rng = rng
+        self._has_duty = has_duty
+        self._on_applied = on_applied
         self._has_log = True
         self._has_read = False
         self._pause_ms = _FIRST_PAUSE_MS
 
+    @property
+    def reaches_log(self) -> bool:
+        """Whether the last attempt to read the topic has succeeded, or none was made."""
+        return self._has_log
+
     def start(self) -> defer.Deferred[None]:
         """Follow the topic until the returned Deferred is cancelled."""
         return defer.ensureDeferred(self._follow())
@@ -70,6 +88,9 @@
         if not self._has_read:
             await self._read_newest()
             return
+        if self._has_log and not self._has_duty():
+            await self._sleep(_IDLE_CHECK_MS)
+            return
         try:
             batch = await self._log.read(self._topic, position, _POLL_MS)
         except keyed_log.HistoryDroppedError:
@@ -105,6 +126,7 @@
                 keys=','.join(change[0] for change in batch.changes),
                 zones_out=','.join(sorted(current.zones_out)),
             )
+            self._on_applied()
 
     def _reached(self) -> None:
         self._pause_ms = _FIRST_PAUSE_MS
--- a/src/anvillug/process/peer_table.py
+++ b/src/anvillug/process/peer_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 from collections.abc import Iterable
 
@@ -10,9 +11,14 @@
 from anvillug.request import dialect
 from anvillug.version import directives
 
-SILENT_AFTER_MS = 550.0
-"""A node without beacons for this long is chosen only where no other is left."""
+NEAR_PACE_MS = 200.0
+"""Longest time between two beacons to a node that may need the load of a moment ago."""
 
+# A node is silent when two beacons in a row are missing; both may have been lost.
+_SILENT_PACES = 2.75
+# Nodes of a zone with this many hosts of a service choose among those, and need to know of hosts
+# in other zones only that they are there.
+_ENOUGH_HOSTS = 6
 # No beacon is on its way for longer; a restart takes longer.
 _RESTART_SILENCE_MS = 300.0
 _FORGET_AFTER_MS = 60_000.0
@@ -52,6 +58,10 @@
     """Age of that load in milliseconds."""
     position: directives.Position
     """Position of the directives in effect."""
+    reaches_log: bool = True
+    """Whether the node's last attempt to read the log has succeeded, or it has made none."""
+    pace_ms: float = NEAR_PACE_MS
+    """Longest time to the next beacon to this receiver in milliseconds."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -70,6 +80,16 @@
     """Age of that load in milliseconds."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Receivers:
+    """Addresses that beacons go to."""
+
+    near: list[str]
+    """Nodes that choose this one by its load."""
+    far: list[str]
+    """Nodes that have enough other hosts in their own zone."""
+
+
 class Peer:
     """One other node.
 
@@ -97,6 +117,10 @@
         """Version of the backend server."""
         return self.announcement.version
 
+    def is_silent(self, now: clock.Milliseconds) -> bool:
+        """Tell whether the node has missed its beacons; it is chosen only as a last resort then."""
+        return now - self.heard_at > self.announcement.pace_ms * _SILENT_PACES
+
     def told_load(self, load: dialect.ReportedLoad | None, at: clock.Milliseconds) -> None:
         """Take a load if it is newer."""
         if load is not None and at >= self.load_at:
@@ -152,7 +176,7 @@
         if order <= (former.incarnation, former.sequence) and not replaces:
             return False
         changed = _facts(announcement) != _facts(former)
-        if now - peer.heard_at > SILENT_AFTER_MS:
+        if peer.is_silent(now):
             event_log.emit('peer_regained', peer=former.host_id, silent_ms=int(now - peer.heard_at))
         peer.announcement = announcement
         peer.heard_at = now
@@ -191,10 +215,34 @@
             and peer.announcement.state is upstream.UpstreamState.SERVING
         ]
 
-    def beacon_addresses(self) -> list[str]:
-        """Return where beacons go to."""
-        known = [peer.announcement.beacon_address for peer in self.by_host_id.values()]
-        return [*known, *self.contacts_by_host_id.values()]
+    def receivers(self, zone: ids.ZoneName, service: ids.ServiceName) -> Receivers:
+        """Return where the beacons of a node go to.
+
+        Args:
+            zone: Zone of the node.
+            service: Service of the backend server beside the node.
+        """
+        hosts_by_zone = collections.Counter(
+            peer.announcement.zone for peer in self.of_service(service)
+        )
+        near = list(self.contacts_by_host_id.values())
+        far = []
+        for peer in self.by_host_id.values():
+            there = peer.announcement.zone
+            is_far = there != zone and hosts_by_zone[there] >= _ENOUGH_HOSTS
+            (far if is_far else near).append(peer.announcement.beacon_address)
+        return Receivers(near, far)
+
+    def before(self, host_id: ids.HostId, zone: ids.ZoneName) -> int:
+        """Count the live nodes of a zone that reach the log and come before a host by name."""
+        now = self._clock.now()
+        return sum(
+            name < host_id
+            and peer.announcement.zone == zone
+            and peer.announcement.reaches_log
+            and not peer.is_silent(now)
+            for name, peer in self.by_host_id.items()
+        )
 
     def forget_silent(self) -> None:
         """Drop the nodes that have been silent for long."""
--- a/tests/test_beacon.py
+++ b/tests/test_beacon.py
@@ -16,7 +16,8 @@
 _SERVICE = ids.ServiceName('one')
 
 
-def _announcement(**changes: object) -> peer_table.Announcement:
+def announcement(**changes: object) -> peer_table.Announcement:
+    """Return a beacon of a node that serves."""
     fields = {
         'host_id': _PEER,
         'incarnation': ids.Incarnation(100),
@@ -40,12 +41,12 @@
     """Guards against beacons that other nodes misread."""
 
     @pytest.mark.parametrize('load', [None, dialect.ReportedLoad(1, 2, 9, 350.0)])
-    def test_announcement(self, load):
-        sent = _announcement(load=load)
+    def testannouncement(self, load):
+        sent = announcement(load=load)
         assert beacon.decode(beacon.encode(sent, {'s': [1]})) == (sent, {'s': [1]})
 
     def test_load(self):
-        sent = _announcement()
+        sent = announcement()
         notice = beacon.decode(beacon.encode_load(sent))
         assert (notice.host_id, notice.load) == (_PEER, sent.load)
 
@@ -70,18 +71,18 @@
         return table.by_host_id[_PEER].announcement.state
 
     def test_late_beacon_changes_nothing(self, table):
-        table.announced(_announcement(sequence=5, state=upstream.UpstreamState.LEAVING))
-        table.announced(_announcement(sequence=4))
+        table.announced(announcement(sequence=5, state=upstream.UpstreamState.LEAVING))
+        table.announced(announcement(sequence=4))
         assert self._state(table) is upstream.UpstreamState.LEAVING
 
     def test_new_process_counts_from_the_beginning(self, table):
-        table.announced(_announcement(sequence=5))
-        table.announced(_announcement(incarnation=ids.Incarnation(200), cold=True))
+        table.announced(announcement(sequence=5))
+        table.announced(announcement(incarnation=ids.Incarnation(200), cold=True))
         assert table.by_host_id[_PEER].announcement.cold
 
     def test_start_with_an_earlier_clock_is_taken_after_a_silence(self, table, time):
-        table.announced(_announcement(sequence=5))
-        earlier = _announcement(incarnation=ids.Incarnation(50), cold=True)
+        table.announced(announcement(sequence=5))
+        earlier = announcement(incarnation=ids.Incarnation(50), cold=True)
         table.announced(earlier)
         assert not table.by_host_id[_PEER].announcement.cold
         time.advance(400)
@@ -89,7 +90,7 @@
         assert table.by_host_id[_PEER].announcement.cold
 
     def test_older_load_does_not_replace_a_newer_one(self, table):
-        table.announced(_announcement())
+        table.announced(announcement())
         peer = table.by_host_id[_PEER]
         peer.told_load(dialect.ReportedLoad(0, 0, 9, 700.0), clock.Milliseconds(999))
         table.load_told(
@@ -100,19 +101,49 @@
         assert peer.load.slowness == 700
 
     def test_own_beacon_is_ignored(self, table):
-        table.announced(_announcement(host_id=_OWN))
+        table.announced(announcement(host_id=_OWN))
         assert not table.by_host_id
 
     def test_only_serving_nodes_are_candidates(self, table):
-        table.announced(_announcement())
+        table.announced(announcement())
         absent = {'state': upstream.UpstreamState.ABSENT, 'host_id': ids.HostId('b')}
-        table.announced(_announcement(**absent))
-        table.announced(_announcement(service=ids.ServiceName('two'), host_id=ids.HostId('c')))
+        table.announced(announcement(**absent))
+        table.announced(announcement(service=ids.ServiceName('two'), host_id=ids.HostId('c')))
         hosts = [peer.announcement.host_id for peer in table.of_service(_SERVICE)]
         assert hosts == [_PEER]
 
     def test_contact_is_kept_until_the_node_is_heard(self, table):
         table.contact(_PEER, '10.0.0.2:70')
-        assert table.beacon_addresses() == ['10.0.0.2:70']
-        table.announced(dataclasses.replace(_announcement(), beacon_address='10.0.0.2:71'))
-        assert table.beacon_addresses() == ['10.0.0.2:71']
+        assert table.receivers('z', _SERVICE).near == ['10.0.0.2:70']
+        table.announced(dataclasses.replace(announcement(), beacon_address='10.0.0.2:71'))
+        assert table.receivers('z', _SERVICE).near == ['10.0.0.2:71']
+
+
+class TestReceivers:
+    """Guards against beacons whose bytes between zones grow with the square of the nodes."""
+
+    @pytest.fixture
+    def table(self):
+        return peer_table.PeerTable(_OWN, clock.ManualClock(1000))
+
+    def _announce(self, table, zone: str, count: int):
+        for number in range(count):
+            name = ids.HostId(f'{zone}-{number}')
+            table.announced(announcement(host_id=name, zone=zone, beacon_address=name))
+
+    def test_zone_with_few_hosts_of_the_service_is_near(self, table):
+        self._announce(table, 'y', 5)
+        assert len(table.receivers('z', _SERVICE).near) == 5
+
+    def test_zone_with_many_hosts_of_the_service_is_far(self, table):
+        self._announce(table, 'y', 6)
+        self._announce(table, 'z', 6)
+        receivers = table.receivers('z', _SERVICE)
+        assert {name[0] for name in receivers.far} == {'y'}
+        assert {name[0] for name in receivers.near} == {'z'}
+
+    def test_far_node_is_silent_by_its_own_pace(self, table):
+        table.announced(announcement(pace_ms=2000.0))
+        peer = table.by_host_id[_PEER]
+        assert not peer.is_silent(clock.Milliseconds(1000 + 4000))
+        assert peer.is_silent(clock.Milliseconds(1000 + 6000))
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -90,7 +90,9 @@
     @pytest.fixture
     def board(self, trial):
         board = directives.DirectiveBoard(documents.decode_directives)
-        feed = order_feed.OrderFeed(reactor, trial.client, _TOPIC, board, random.Random(1))
+        feed = order_feed.OrderFeed(
+            reactor, trial.client, _TOPIC, board, random.Random(1), lambda: True, lambda: None
+        )
         task = reactor_thread.call(self._start, feed)
         yield board
         with contextlib.suppress(defer.CancelledError):
