Keep the leave of a backend server in the store over restarts of its node

The start that has left now stands in the members' topic and is read at the node's start. The records of a node are a module of their own (process/member_records.py, split from mesh_node).

test_leave_is_known_after_a_restart failed before (real processes).

--- a/src/anvillug/process/mesh_node.py
+++ b/src/anvillug/process/mesh_node.py
@@ -8,8 +8,7 @@
 import signal
 from typing import Any
 
-import msgpack
-from twisted.internet import defer, interfaces, task
+from twisted.internet import interfaces, task
 
 from anvillug import clock, event_log, ids, log_writer
 from anvillug.connection import http_exchange, http_server, keyed_log
@@ -17,6 +16,7 @@
     beacon,
     crash_watch,
     follower_duty,
+    member_records,
     mesh_entry,
     mesh_host,
     mesh_settings,
@@ -40,11 +40,8 @@
 _FINISH_MS = 3000.0
 _STOP_CHECK_S = 0.05
 _STEP_S = 0.1
-_MEMBER_RETRY_S = 0.4
 # A node of the same zone may have newer directives by then; bytes between zones are priced.
 _FAR_FETCH_PAUSE_S = 0.15
-# Nodes that restart or were cut off are found again this often.
-_MEMBER_REREAD_S = 60.0
 # Further state in beacons, by topic.
 _ROLLOUTS = 'r'
 _CRASHES = 'c'
@@ -147,6 +144,16 @@
         self._probe = upstream_probe.UpstreamProbe(
             reactor, time, self.host, speech, settings.bounds.probes_per_second
         )
+        self._records = member_records.MemberRecords(
+            reactor,
+            log,
+            topics.members,
+            settings.host_id,
+            f'{settings.ip}:{settings.beacon_port}',
+            self.peers,
+            self.upstream,
+            self._beacons.send_now,
+        )
         self._duty = follower_duty.FollowerDuty(
             settings.host_id, settings.zone, self.peers, self.board, time
         )
@@ -184,7 +191,7 @@
         self._feed.start()
         self._writer.start()
         self._probe.start()
-        defer.ensureDeferred(self._join())
+        self._records.start()
         task.LoopingCall(self._step).start(_STEP_S)
         signal.signal(signal.SIGTERM, self._signalled)
         # Collections of long-lived objects would show as latency.
@@ -220,7 +227,8 @@
 
     def leave(self, instance: ids.InstanceId) -> None:
         """Note that the backend server leaves."""
-        self.upstream.left(instance)
+        if self.upstream.left(instance):
+            self._records.leave_taken(self.upstream.left_at)
         self._beacons.send_now()
 
     # Private
@@ -288,36 +296,6 @@
             for host_id, peer in self.peers.by_host_id.items()
         )
 
-    async def _join(self) -> None:
-        """Tell the log where this node is, and read where the others are.
-
-        Each node writes before it reads, so of any two at least one finds the other.
-        """
-        own = msgpack.packb(f'{self._settings.ip}:{self._settings.beacon_port}')
-        written = False
-        while self._stopping_since is None:
-            try:
-                if not written:
-                    await self._log.append(self._topics.members, self._settings.host_id, own)
-                    written = True
-                batch = await self._log.newest(self._topics.members)
-            except keyed_log.LogUnavailableError as error:
-                event_log.warn('members_not_read', reason=error)
-                await task.deferLater(self._reactor, _MEMBER_RETRY_S)
-                continue
-            for name, record in batch.changes:
-                self._contact(name, record.value)
-            self._beacons.send_now()
-            await task.deferLater(self._reactor, _MEMBER_REREAD_S)
-
-    def _contact(self, name: str, value: bytes) -> None:
-        try:
-            address = msgpack.unpackb(value)
-        except (ValueError, msgpack.UnpackException) as error:
-            event_log.warn('member_record_malformed', member=name, reason=error)
-            return
-        self.peers.contact(ids.HostId(name), address)
-
     def _listen(self, address: str, factory: Any) -> interfaces.IListeningPort:
         host, _, port = address.rpartition(':')
         return self._reactor.listenTCP(int(port), factory, backlog=1024, interface=host)
--- a/src/anvillug/process/upstream.py
+++ b/src/anvillug/process/upstream.py
@@ -61,8 +61,8 @@
         self.load_at = clock.Milliseconds(0)
         """When it told that load."""
         self._cold_until = clock.Milliseconds(0)
-        # Starts up to this one have left and do not come back.
-        self._left_at = ids.Incarnation(0)
+        self.left_at = ids.Incarnation(0)
+        """Starts up to this one have left and do not come back."""
 
     @property
     def instance(self) -> ids.InstanceId:
@@ -85,7 +85,7 @@
         former = self.beat
         order = (beat.started_at, beat.sequence)
         is_late = former is not None and order <= (former.started_at, former.sequence)
-        if is_late or beat.started_at <= self._left_at:
+        if is_late or beat.started_at <= self.left_at:
             event_log.emit('heartbeat_late', instance=beat.instance, sequence=beat.sequence)
             return ()
         restarted = former is None or beat.started_at != former.started_at
@@ -104,14 +104,26 @@
         self.state = beat.state
         return ()
 
-    def left(self, instance: ids.InstanceId) -> None:
-        """Note that a start of the backend server takes no more work."""
+    def left(self, instance: ids.InstanceId) -> bool:
+        """Note that a start of the backend server takes no more work.
+
+        Returns:
+            Whether it was the present start.
+        """
         if self.beat is None or self.beat.instance != instance:
             event_log.emit('leave_ignored', instance=instance, present=self.instance)
-            return
-        self._left_at = self.beat.started_at
+            return False
+        self.left_at = self.beat.started_at
         self.state = UpstreamState.LEAVING
         event_log.emit('upstream_left', instance=instance)
+        return True
+
+    def remember_leave(self, started_at: ids.Incarnation) -> None:
+        """Take a leave that an earlier process of this node has acknowledged."""
+        self.left_at = max(self.left_at, started_at)
+        if self.beat is not None and self.beat.started_at <= self.left_at:
+            event_log.emit('upstream_left', instance=self.instance, reason='kept in the log')
+            self.state = UpstreamState.LEAVING
 
     def lost(self, reason: str) -> None:
         """Stop sending work until the next heartbeat."""
--- a/src/anvillug/standin/platform_backend.py
+++ b/src/anvillug/standin/platform_backend.py
@@ -114,12 +114,19 @@
             'Sequence': self._sequence,
             'born': self._started_at_ms,
         }
-        url = f'http://{control_address}/-/rpc?call=instances.heartbeat&of={self.instance}'
+        return await self._call(control_address, 'heartbeat', json.dumps(content).encode())
+
+    async def leave(self, control_address: str) -> int:
+        """Say that this start takes no more work; returns the status of the answer, 0 without."""
+        return await self._call(control_address, 'deregister', b'')
+
+    async def _call(self, control_address: str, name: str, body: bytes) -> int:
+        url = f'http://{control_address}/-/rpc?call=instances.{name}&of={self.instance}'
         try:
-            answer = await treq.post(url, data=json.dumps(content).encode(), timeout=1)
+            answer = await treq.post(url, data=body, timeout=1)
         except Exception as error:
             # The node may not listen yet; the next heartbeat follows.
-            event_log.emit('heartbeat_not_taken', reason=error)
+            event_log.emit('control_call_not_taken', call=name, reason=error)
             return 0
         await treq.content(answer)
         return answer.code
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -20,7 +20,10 @@
 _IPS = ('127.0.0.11', '127.0.0.12')
 _PORTS_EACH = 7
 _ORDERS = 'keyed.op'
+_MEMBERS = 'keyed.members'
 _SERVING_PEER = re.compile('event=peer_.* state=serving')
+# The record of the leave is read before or after the late heartbeat.
+_KNOWS_LEAVE = re.compile('event=heartbeat_late|kept in the log')
 _LIMITS = {
     'MaxHeaderBytes': 16384,
     'MaxBodyBytes': 1 << 20,
@@ -91,6 +94,22 @@
         for port in self._listening:
             port.stopListening()
 
+    def silence(self, number: int) -> None:
+        """End the heartbeats of a backend server."""
+        self._loops.pop(number).stop()
+
+    def restart(self, number: int) -> None:
+        """Start a node that has ended."""
+        self.nodes[number] = self._start(number, self._listening[0].getHost().port)
+
+    def stores(self, key: str) -> bool:
+        """Tell whether the nodes keep a record in the store."""
+        return any(name == key.encode() for name, _ in self.store.topic(_MEMBERS).records)
+
+    def control_address(self, number: int) -> str:
+        """Return where a node takes heartbeats."""
+        return f'{_IPS[number]}:{self.ports[4]}'
+
     def order(self, key: bytes, value: bytes) -> None:
         """Write an order of the operator."""
         reactor_thread.call(self.store.topic(_ORDERS).append, key, value)
@@ -234,6 +253,21 @@
         assert mesh.serves(1) == {b'i-1'}
         assert len(mesh.backends[0].arrivals) == before
 
+    def test_leave_is_known_after_a_restart(self, mesh):
+        # An instance that has left sends no more heartbeats, but a late one may still arrive.
+        backend = mesh.backends[0]
+        reactor_thread.call(mesh.silence, 0)
+        reactor_thread.wait_for(backend.leave(mesh.control_address(0)))
+        reactor_thread.eventually(lambda: mesh.stores('left/host-0'))
+        mesh.nodes[0].kill()
+        reactor_thread.call(mesh.restart, 0)
+        reactor_thread.eventually(lambda: mesh.is_ready(0))
+        assert reactor_thread.wait_for(backend.heartbeat(mesh.control_address(0))) == 200
+        reactor_thread.eventually(lambda: _KNOWS_LEAVE.search(mesh.nodes[0].output()))
+        before = len(backend.arrivals)
+        assert mesh.serves(0) == {b'i-1'}
+        assert len(backend.arrivals) == before
+
 
 class TestFaults:
     """Guards against answers that are not the backend server's, and requests that run twice."""
