Ask nodes that have missed a beacon before a job is sent to them

A node whose beacon is late (240 ms) is now asked first, as it is for jobs that run once; no answer within 80 ms is a refusal, which costs no retry budget.

Ruled out: a larger share of the retry budget (calls of repeated runs count, too).

--- a/src/anvillug/process/mesh_entry.py
+++ b/src/anvillug/process/mesh_entry.py
@@ -135,8 +135,9 @@
             pool = self.pool(peer.announcement.peer_address)
             run = remote_run.RemoteRun(self.reactor, pool, work, self.clock, handed_over.result)
             handed_over.cancel_run = run.cancel
-            # A job that runs once is lost when its node is gone, whether it has run or not.
-            if not work.repeatable or self._is_costly(work, peer):
+            # A job that runs once is lost when its node is gone, whether it has run or not; others
+            # cost time and retry budget.
+            if not work.repeatable or peer.is_late(now) or self._is_costly(work, peer):
                 run.ask_first()
             else:
                 run.begin()
--- a/src/anvillug/process/peer_table.py
+++ b/src/anvillug/process/peer_table.py
@@ -16,6 +16,8 @@
 
 # A node is silent when two beacons in a row are missing; both may have been lost.
 _SILENT_PACES = 2.75
+# A beacon that is this late is missing: timers fire a few milliseconds late.
+_LATE_PACES = 1.2
 # Nodes of a zone with this many hosts of a service choose among those, and need to know of hosts
 # in other zones only that they are there.
 _ENOUGH_HOSTS = 6
@@ -121,6 +123,10 @@
         """Tell whether the node has missed its beacons; it is chosen only as a last resort then."""
         return now - self.heard_at > self.announcement.pace_ms * _SILENT_PACES
 
+    def is_late(self, now: clock.Milliseconds) -> bool:
+        """Tell whether a beacon of the node is missing, so that it may be gone."""
+        return now - self.heard_at > self.announcement.pace_ms * _LATE_PACES
+
     def told_load(self, load: dialect.ReportedLoad | None, at: clock.Milliseconds) -> None:
         """Take a load if it is newer."""
         if load is not None and at >= self.load_at:
--- a/tests/test_beacon.py
+++ b/tests/test_beacon.py
@@ -142,6 +142,13 @@
         assert {name[0] for name in receivers.far} == {'y'}
         assert {name[0] for name in receivers.near} == {'z'}
 
+    def test_node_is_late_before_it_is_silent(self, table):
+        table.announced(announcement())
+        peer = table.by_host_id[_PEER]
+        assert not peer.is_late(clock.Milliseconds(1000 + 200))
+        assert peer.is_late(clock.Milliseconds(1000 + 300))
+        assert not peer.is_silent(clock.Milliseconds(1000 + 300))
+
     def test_far_node_is_silent_by_its_own_pace(self, table):
         table.announced(announcement(pace_ms=2000.0))
         peer = table.by_host_id[_PEER]
