--- a/src/anvillug/process/fault_share.py
+++ b/src/anvillug/process/fault_share.py
@@ -53,6 +53,11 @@
         self._count(now, faulty=usual.is_exceeded_by(cost))
         usual.add(cost)
 
+    def usual_ms(self, route: ids.RouteName) -> float:
+        """Return the usual time of a route's runs in milliseconds, 0 while it is not known."""
+        usual = self._usual_by_route.get(route)
+        return 0.0 if usual is None else usual.mean_ms
+
     def share(self, now: clock.Milliseconds) -> float:
         """Return the share of faulty runs, from 0 to 1; without runs it falls back to 0."""
         self._forget(now)
@@ -73,18 +78,18 @@
 class _UsualTime:
     """Mean time of the runs on a route."""
 
-    __slots__ = ('_mean_ms', '_runs')
+    __slots__ = ('_runs', 'mean_ms')
 
     def __init__(self) -> None:
         self._runs = 0
-        self._mean_ms = 0.0
+        self.mean_ms = 0.0
 
     def is_exceeded_by(self, cost_ms: float) -> bool:
-        return self._runs >= _LEAST_RUNS and cost_ms > self._mean_ms * _SLOW_FACTOR
+        return self._runs >= _LEAST_RUNS and cost_ms > self.mean_ms * _SLOW_FACTOR
 
     def add(self, cost_ms: float) -> None:
         self._runs += 1
         if self._runs > _LEAST_RUNS:
-            cost_ms = min(cost_ms, self._mean_ms * _MOST_FACTOR)
+            cost_ms = min(cost_ms, self.mean_ms * _MOST_FACTOR)
         weight = max(_USUAL_WEIGHT, 1 / self._runs)
-        self._mean_ms += (cost_ms - self._mean_ms) * weight
+        self.mean_ms += (cost_ms - self.mean_ms) * weight
--- a/src/anvillug/process/mesh_host.py
+++ b/src/anvillug/process/mesh_host.py
@@ -15,6 +15,7 @@
 SLOW_FROM = 180.0
 """Slowness from which a host hands a job back, so that a faster one can take it; 100 is usual."""
 
+_USUAL_SLOWNESS = 100.0
 # Load that was told longer ago than this says nothing about the present.
 _LOAD_FRESH_MS = 120.0
 # Requests beyond the slots that may wait in the backend server, as a share of its slots.
@@ -198,8 +199,17 @@
         load = self.upstream.load
         fresh = load is not None and self.upstream.load_age_ms < _LOAD_FRESH_MS
         slow_from = SLOW_FROM * _COLD_SLOWNESS if self.upstream.cold_ms > 0 else SLOW_FROM
-        if fresh and load.slowness > slow_from and not work.insists:
+        if fresh and load.slowness > slow_from:
+            return self._slow_refusal(work, load.slowness)
+        return ''
+
+    def _slow_refusal(self, work: job.Job, slowness: float) -> str:
+        """Refuse a job that a faster host can take, and one that would not end in time."""
+        if not work.insists:
             return 'slow'
+        expected_ms = self._faults.usual_ms(work.route) * slowness / _USUAL_SLOWNESS
+        if expected_ms > work.deadline - self._clock.now():
+            return 'too slow'
         return ''
 
     def _take_cold_token(self) -> bool:
--- a/tests/test_mesh_host.py
+++ b/tests/test_mesh_host.py
@@ -88,7 +88,7 @@
     def told(self, slowness: float) -> None:
         self.host.upstream.told_load(dialect.ReportedLoad(0, 0, 9, slowness))
 
-    def job(self) -> job.Job:
+    def job(self, *, insists: bool = False) -> job.Job:
         return job.Job(
             attempt_id='a1',
             service=_SERVICE,
@@ -100,12 +100,13 @@
             priority=0,
             position=directives.Position(0),
             instance=_INSTANCE,
+            insists=insists,
         )
 
-    def refusal(self) -> str:
+    def refusal(self, *, insists: bool = False) -> str:
         """Submit a job and return why it was refused, empty where it was taken."""
         results: list[job.Result] = []
-        self.host.submit(self.job(), results.append)
+        self.host.submit(self.job(insists=insists), results.append)
         return results[0].reason if results else ''
 
     def taken_in(self, duration_ms: int) -> int:
@@ -160,3 +161,28 @@
         while trial.refusal() != 'cold':
             trial.time.advance(1)
         assert trial.host.consider(trial.job()).reason == 'cold'
+
+
+class TestSlow:
+    """Guards against jobs that a slow host begins and can't end in time."""
+
+    @pytest.fixture
+    def trial(self):
+        made = _Trial(cold_ms=0)
+        for _ in range(30):
+            made.host._faults.answered(  # noqa: SLF001 - runs that are over
+                ids.RouteName('r'), 400, 100, made.time.now()
+            )
+        return made
+
+    def test_slow_host_hands_back(self, trial):
+        trial.told(400)
+        assert trial.refusal() == 'slow'
+
+    def test_job_that_no_other_host_takes_runs_if_it_can_end(self, trial):
+        trial.told(400)
+        assert not trial.refusal(insists=True)
+
+    def test_job_that_would_not_end_in_time_is_refused(self, trial):
+        trial.told(700)
+        assert trial.refusal(insists=True) == 'too slow'
