Wait for the answer of a silent node; stay behind until caught up

The caller got a 502 while its backend server was at work. Ruled out: giving up only while stopping. Change: a silent host counts as slow, so the call is offered to a second host within the budget and the first answer wins. A try ends early only when another process of its node is heard, since no answer can come from one that has ended.

Cause, FollowerDuty: a beacon of a node that is as far behind as this one reset the time since when this one is behind, so the fallback to the store was put off for as long as others were behind too. Change: the highest position told is kept and compared with the board. The old test of read_soon took heard(0) for "caught up"; it now advances the board.

--- a/src/anvillug/process/directive_fetch.py
+++ b/src/anvillug/process/directive_fetch.py
@@ -21,14 +21,14 @@
     Args:
         reactor: Timers.
         board: Receives the directives.
-        on_too_large: Called when the directives are to be read from the log.
+        on_too_large: Called with the position up to which the log is to be read.
     """
 
     def __init__(
         self,
         reactor: interfaces.IReactorTime,
         board: directives.DirectiveBoard,
-        on_too_large: Callable[[], None],
+        on_too_large: Callable[[directives.Position], None],
     ) -> None:
         self._reactor = reactor
         self._board = board
@@ -58,7 +58,7 @@
             return
         if records is None:
             event_log.emit('directives_too_large', position=position)
-            self._on_too_large()
+            self._on_too_large(position)
         elif self._board.advance(records, position):
             event_log.emit('directives_from_peer', position=position)
 
--- a/src/anvillug/process/follower_duty.py
+++ b/src/anvillug/process/follower_duty.py
@@ -42,26 +42,30 @@
         self._peers = peers
         self._board = board
         self._clock = time
-        self._behind_since: clock.Milliseconds | None = None
+        self._wanted = directives.Position(0)
+        self._behind_since = clock.Milliseconds(0)
 
     def heard(self, position: directives.Position) -> None:
         """Note the position that another node has told."""
-        if position <= self._board.current.position:
-            self._behind_since = None
-        elif self._behind_since is None:
-            self._behind_since = self._clock.now()
+        if position > max(self._wanted, self._board.current.position):
+            if not self._is_behind:
+                self._behind_since = self._clock.now()
+            self._wanted = position
 
-    def read_soon(self) -> None:
-        """Read the topic once, since peers can't give what it says."""
+    def wanted(self, position: directives.Position) -> None:
+        """Read the topic up to a position, since peers can't give what it says."""
+        self._wanted = max(self._wanted, position)
         self._behind_since = clock.Milliseconds(-math.inf)
 
     def holds(self) -> bool:
         """Tell whether this node has to follow the topic now."""
-        return self._is_behind() or self._rank() < FOLLOWERS_PER_ZONE
+        behind_ms = self._clock.now() - self._behind_since
+        is_overdue = self._is_behind and behind_ms > _BEHIND_MS
+        return is_overdue or self._rank() < FOLLOWERS_PER_ZONE
 
+    @property
     def _is_behind(self) -> bool:
-        since = self._behind_since
-        return since is not None and self._clock.now() - since > _BEHIND_MS
+        return self._board.current.position < self._wanted
 
     def _rank(self) -> int:
         return self._peers.before(self._host_id, self._zone)
--- a/src/anvillug/process/member_records.py
+++ b/src/anvillug/process/member_records.py
@@ -86,7 +86,7 @@
         self._on_contacts()
 
     async def _write_leave(self, started_at: ids.Incarnation) -> None:
-        # The heartbeats of a later start make the record void, and with it the attempts.
+        # A later leave makes the record void, and with it the attempts.
         while self._upstream.left_at == started_at:
             try:
                 await self._append(f'{_LEFT_PREFIX}{self._host_id}', started_at)
--- a/src/anvillug/process/mesh_entry.py
+++ b/src/anvillug/process/mesh_entry.py
@@ -15,6 +15,7 @@
     mesh_settings,
     metrics,
     peer_table,
+    pending_try,
     upstream,
 )
 from anvillug.request import dialect, job, remote_run, retry_share, routed_call
@@ -43,7 +44,7 @@
         rollouts: Rollouts in progress.
         figures: Metrics of the process.
         own: Returns what this node says of itself.
-        on_too_large: Called when newer directives are to be read from the log.
+        on_too_large: Called with the position up to which the log is to be read.
     """
 
     def __init__(  # noqa: WPS211 - each is a part that lives as long as the process
@@ -58,7 +59,7 @@
         rollouts: rollouts.Rollouts,
         figures: metrics.Metrics,
         own: Callable[[], peer_table.Announcement],
-        on_too_large: Callable[[], None],
+        on_too_large: Callable[[directives.Position], None],
     ) -> None:
         self.reactor = reactor
         self.clock = time
@@ -71,7 +72,7 @@
         """Whether the process is about to end, and refuses requests."""
         self._settings = settings
         self._board = board
-        self._tries: set[_Try] = set()
+        self._tries: set[pending_try.PendingTry] = set()
         self._peers = peers
         self._host = host
         self._rollouts = rollouts
@@ -128,7 +129,7 @@
             return None
         call.tried.add(peer.announcement.host_id)
         work.instance = peer.announcement.instance
-        handed_over = _Try(self, peer, work, on_result)
+        handed_over = pending_try.PendingTry(self, peer, work, on_result)
         if peer.announcement.host_id == self._settings.host_id:
             handed_over.cancel_run = self._host.submit(work, handed_over.result)
         else:
@@ -143,7 +144,7 @@
                 run.begin()
         return handed_over.cancel
 
-    def try_over(self, handed_over: _Try, result: job.Result) -> None:
+    def try_over(self, handed_over: pending_try.PendingTry, result: job.Result) -> None:
         """Learn from the result of a try."""
         now = self.clock.now()
         peer = handed_over.peer
@@ -186,29 +187,28 @@
             return False
         work = waiting[0].work
         other = self._choose(call, work, now)
-        if other is None:
+        if other is None or other.is_silent(now):
             return False
         peer = waiting[0].peer
         if peer.announcement.host_id == self._settings.host_id:
             peer = peer_table.Peer(self._own(), now)
         origin = self._origin(work)
+        if host_choice.slowness_of(other, origin, now) >= _HEDGE_TARGET_SLOWNESS:
+            return False
         here = host_choice.slowness_of(peer, origin, now)
-        there = host_choice.slowness_of(other, origin, now)
-        return here > mesh_host.SLOW_FROM and there < _HEDGE_TARGET_SLOWNESS
+        return peer.is_silent(now) or here > mesh_host.SLOW_FROM
 
-    def give_up_silent(self) -> None:
-        """End the tries of repeatable requests at nodes that have gone silent.
+    def give_up_ended(self) -> None:
+        """End the tries at nodes whose process has ended: no answer can come from those.
 
-        Others wait: their backend server may still answer, and they can't be tried again.
+        Tries at nodes that have gone silent wait: their backend server may be at work, and the
+        answer may still come.
         """
-        now = self.clock.now()
         for handed_over in tuple(self._tries):
-            peer = handed_over.peer
-            remote = peer.announcement.host_id != self._settings.host_id
-            if remote and handed_over.work.repeatable and peer.is_silent(now):
-                handed_over.give_up('node: silent')
+            if handed_over.process_ended:
+                handed_over.give_up('node: restarted')
 
-    def tries_changed(self, handed_over: _Try, *, over: bool) -> None:
+    def tries_changed(self, handed_over: pending_try.PendingTry, *, over: bool) -> None:
         """Note that a try has begun or ended."""
         if over:
             self._tries.discard(handed_over)
@@ -290,56 +290,6 @@
         return len(self._peers.by_host_id) + 1
 
 
-class _Try:
-    """One job that was handed to a host."""
-
-    def __init__(
-        self,
-        entry: MeshEntry,
-        peer: peer_table.Peer,
-        work: job.Job,
-        on_result: Callable[[job.Result], None],
-    ) -> None:
-        self.peer = peer
-        self.work = work
-        self.started_at = entry.clock.now()
-        self.slowness = -1 if peer.load is None else int(peer.load.slowness)
-        self.faulty_percent = 0 if peer.load is None else round(100 * peer.load.fault_share)
-        self.load_age_ms = int(self.started_at - peer.load_at)
-        self.cancel_run: Callable[[], object] | None = None
-        self._entry = entry
-        self._on_result = on_result
-        self._over = False
-        peer.outstanding += 1
-        entry.tries_changed(self, over=False)
-
-    def result(self, result: job.Result) -> None:
-        """Pass the result on."""
-        if self._over:
-            return
-        self._finish()
-        self._entry.try_over(self, result)
-        self._on_result(result)
-
-    def cancel(self) -> None:
-        """Give the job up."""
-        if not self._over:
-            self._finish()
-            if self.cancel_run is not None:
-                self.cancel_run()
-
-    def give_up(self, reason: str) -> None:
-        """Cancel the run and pass on that its outcome is unknown."""
-        if self.cancel_run is not None:
-            self.cancel_run()
-        self.result(job.Result(job.ResultKind.UNKNOWN, reason, node_failed=True))
-
-    def _finish(self) -> None:
-        self._over = True
-        self._entry.tries_changed(self, over=True)
-        self.peer.outstanding -= 1
-
-
 _USUAL_SLOWNESS = 100.0
 _BYTES_PER_KB = 1024
 # A second run goes only to a host that is fast and has free slots, so that hedges stop when
--- a/src/anvillug/process/mesh_node.py
+++ b/src/anvillug/process/mesh_node.py
@@ -132,7 +132,7 @@
             self.rollouts,
             self._metrics,
             self._announcement,
-            self._duty.read_soon,
+            self._duty.wanted,
         )
         self._beacons = beacon.BeaconTask(
             reactor,
@@ -287,7 +287,7 @@
 
     def _step(self) -> None:
         self.rollouts.step()
-        self.entry.give_up_silent()
+        self.entry.give_up_ended()
 
     def _writer_rank(self) -> int:
         """Return how many live nodes come before this one in the order of names."""
--- a/tests/test_follower_duty.py
+++ b/tests/test_follower_duty.py
@@ -17,7 +17,9 @@
 
     def __init__(self) -> None:
         self.time = clock.ManualClock(1000)
-        self.board = directives.DirectiveBoard(lambda records, position, former: former)
+        self.board = directives.DirectiveBoard(
+            lambda records, position, former: directives.Directives(position=position)
+        )
         self.peers = peer_table.PeerTable(ids.HostId('m'), self.time)
         self.duty = follower_duty.FollowerDuty(
             ids.HostId('m'), _ZONE, self.peers, self.board, self.time
@@ -68,9 +70,28 @@
 
     def test_node_reads_what_peers_cannot_give(self, trial):
         trial.duty.heard(directives.Position(9))
-        trial.duty.read_soon()
+        trial.duty.wanted(directives.Position(9))
         assert trial.duty.holds()
+        trial.board.advance({}, directives.Position(9))
+        assert not trial.duty.holds()
+
+    def test_node_that_others_are_behind_with_follows(self, trial):
+        trial.duty.heard(directives.Position(9))
         trial.duty.heard(directives.Position(0))
+        trial.time.advance(450)
+        for name in 'ab':
+            trial.announce(name)
+        trial.time.advance(300)
+        assert trial.duty.holds()
+
+    def test_time_behind_counts_from_the_last_lag(self, trial):
+        trial.duty.heard(directives.Position(9))
+        trial.board.advance({}, directives.Position(9))
+        trial.time.advance(450)
+        for name in 'ab':
+            trial.announce(name)
+        trial.time.advance(300)
+        trial.duty.heard(directives.Position(10))
         assert not trial.duty.holds()
 
     def test_node_that_stays_behind_follows(self, trial):
--- /dev/null
+++ b/tests/test_mesh_entry.py
@@ -0,0 +1,128 @@
+"""What the entry side of a mesh node makes of nodes that fall silent or start again."""
+
+from __future__ import annotations
+
+import types
+
+import pytest
+from twisted.internet import testing
+
+from anvillug import clock, ids
+from anvillug.connection import http_head
+from anvillug.platform import headers
+from anvillug.process import mesh_entry, metrics, peer_table
+from anvillug.request import job
+from anvillug.version import directives, rollouts
+from tests import test_beacon, test_mesh_host
+
+_SERVICE = ids.ServiceName('one')
+_ZONE = ids.ZoneName('z')
+_SILENT_MS = 600
+
+
+class _Trial:
+    """Entry side of a node without a backend server, and one call that it has handed over."""
+
+    def __init__(self) -> None:
+        self.time = clock.ManualClock(10_000)
+        self.peers = peer_table.PeerTable(ids.HostId('h'), self.time)
+        self.results: list[job.Result] = []
+        self.entry = mesh_entry.MeshEntry(
+            testing.MemoryReactorClock(),
+            self.time,
+            test_mesh_host.settings(),
+            directives.DirectiveBoard(lambda records, position, former: former),
+            self.peers,
+            types.SimpleNamespace(running=0),
+            headers.PlatformDialect(),
+            rollouts.Rollouts(self.time),
+            metrics.Metrics(dict),
+            lambda: test_beacon.announcement(host_id='h', service='none'),
+            lambda position: None,
+        )
+        self.call = types.SimpleNamespace(
+            tries=1, service=_SERVICE, tried=set(), terms=types.SimpleNamespace(attempt_id='a1')
+        )
+
+    def heard(self, name: str, **changes: object) -> None:
+        self.peers.announced(
+            test_beacon.announcement(
+                host_id=name, zone=_ZONE, sequence=int(self.time.now()), **changes
+            )
+        )
+
+    def hand_over(self, *, repeatable: bool = True) -> None:
+        work = job.Job(
+            attempt_id='a1',
+            service=_SERVICE,
+            route=ids.RouteName('r'),
+            head=http_head.RequestHead(b'GET', b'/', []),
+            body=b'',
+            deadline=clock.Milliseconds(self.time.now() + 2000),
+            repeatable=repeatable,
+            priority=0,
+            position=directives.Position(0),
+            instance=ids.InstanceId(''),
+        )
+        self.entry.start(self.call, work, self.results.append)
+
+    @property
+    def outcomes(self) -> list[tuple[job.ResultKind, str]]:
+        return [(result.kind, result.reason) for result in self.results]
+
+
+@pytest.fixture
+def trial():
+    """Return a call that was handed to the only host that was known."""
+    made = _Trial()
+    made.heard('a')
+    made.hand_over()
+    return made
+
+
+class TestSilentNode:
+    """Guards against answers of our own in place of one that a backend server is working on."""
+
+    def test_its_answer_is_waited_for(self, trial):
+        trial.time.advance(_SILENT_MS)
+        trial.entry.give_up_ended()
+        assert not trial.results
+
+    def test_another_host_is_looked_for(self, trial):
+        trial.time.advance(_SILENT_MS)
+        trial.heard('b')
+        assert trial.entry.has_faster_host(trial.call)
+
+    def test_another_silent_host_is_no_better(self, trial):
+        trial.heard('b')
+        trial.time.advance(_SILENT_MS)
+        assert not trial.entry.has_faster_host(trial.call)
+
+    def test_host_that_is_heard_is_not_doubted(self, trial):
+        trial.time.advance(_SILENT_MS)
+        for name in 'ab':
+            trial.heard(name)
+        assert not trial.entry.has_faster_host(trial.call)
+
+
+class TestRestartedNode:
+    """Guards against calls held for the answer of a process that has ended."""
+
+    @pytest.mark.parametrize('repeatable', [False, True])
+    def test_outcome_is_unknown(self, repeatable):
+        trial = _Trial()
+        trial.heard('a')
+        trial.hand_over(repeatable=repeatable)
+        trial.time.advance(_SILENT_MS)
+        trial.heard('a', incarnation=ids.Incarnation(200))
+        trial.entry.give_up_ended()
+        assert trial.outcomes == [(job.ResultKind.UNKNOWN, 'node: restarted')]
+        assert not trial.peers.by_host_id['a'].outstanding
+
+    def test_job_of_the_new_process_goes_on(self, trial):
+        trial.time.advance(_SILENT_MS)
+        trial.heard('a', incarnation=ids.Incarnation(200))
+        trial.entry.give_up_ended()
+        trial.hand_over()
+        trial.entry.give_up_ended()
+        assert len(trial.results) == 1
--- a/tests/test_mesh_host.py
+++ b/tests/test_mesh_host.py
@@ -31,7 +31,8 @@
 _STEP_MS = 5
 
 
-def _settings() -> mesh_settings.MeshSettings:
+def settings() -> mesh_settings.MeshSettings:
+    """Return the settings of a node."""
     return mesh_settings.MeshSettings(
         host_id=ids.HostId('h'),
         zone=ids.ZoneName('z'),
@@ -80,7 +81,7 @@
             own,
             self.board,
             headers.PlatformDialect(),
-            _settings(),
+            settings(),
             metrics.Metrics(dict),
             crash_watch.CrashWatch(ids.HostId('h'), ids.Incarnation(1), self.time),
         )
