Let the canary's share follow the bound on exposure

Cause: the share of a new version was the constant 0.07, while ExposureShare is a setting of the deployment; a deployment with a bound of 0.05 would have broken it. Change: seven tenths of the bound, which is the same 0.07 on both sites. Bounds that nothing reads (drain, exposure slack, cold slack) are no longer decoded. The docstring of MeshNode.apply says which settings count at once.

--- a/src/anvillug/platform/settings.py
+++ b/src/anvillug/platform/settings.py
@@ -51,15 +51,12 @@
 
 
 class _Bounds(_Table):
-    DrainMs: float = 2000
     GraceS: float = 6
     RetryBudgetRatio: float = 0.2
     BudgetWindowS: float = 10
     RetryBudgetSlack: float = 62
     ExposureShare: float = 0.1
-    ExposureSlack: float = 50
     ColdFactor: float = 1.5
-    ColdSlack: float = 5
     ProbesPerS: float = 60
 
 
@@ -110,15 +107,12 @@
         metrics_port=content.Network.InternalPorts[1],
         store_address=content.Platform.Platform.Address,
         bounds=mesh_settings.Bounds(
-            drain_ms=bounds.DrainMs,
             grace_ms=bounds.GraceS * _MS_PER_SECOND,
             retry_ratio=bounds.RetryBudgetRatio,
             retry_window_ms=bounds.BudgetWindowS * _MS_PER_SECOND,
             retry_slack=bounds.RetryBudgetSlack,
             exposure_share=bounds.ExposureShare,
-            exposure_slack=bounds.ExposureSlack,
             cold_factor=bounds.ColdFactor,
-            cold_slack=bounds.ColdSlack,
             probes_per_second=bounds.ProbesPerS,
         ),
     )
--- a/src/anvillug/process/mesh_node.py
+++ b/src/anvillug/process/mesh_node.py
@@ -103,7 +103,7 @@
         self._incarnation = ids.Incarnation(int(time.wall()))
         self._stopping_since: clock.Milliseconds | None = None
         self.board = directives.DirectiveBoard(decode)
-        self.rollouts = rollouts.Rollouts(time)
+        self.rollouts = rollouts.Rollouts(time, settings.bounds.exposure_share)
         self.board.add_listener(self.rollouts.ordered)
         self.peers = peer_table.PeerTable(settings.host_id, time)
         self._duty = follower_duty.FollowerDuty(
@@ -220,7 +220,7 @@
         return findings
 
     def apply(self, settings: mesh_settings.MeshSettings) -> None:
-        """Put a changed service and bounds into effect; the rest counts at the next start."""
+        """Put a changed service and grace time into effect; the rest counts at the next start."""
         self._settings = dataclasses.replace(
             self._settings, service=settings.service, bounds=settings.bounds
         )
--- a/src/anvillug/process/mesh_settings.py
+++ b/src/anvillug/process/mesh_settings.py
@@ -11,8 +11,6 @@
 class Bounds:
     """Bounds of the deployment."""
 
-    drain_ms: float
-    """Time in milliseconds after which a leaving backend server gets no more work."""
     grace_ms: float
     """Time in milliseconds from SIGTERM to SIGKILL."""
     retry_ratio: float
@@ -23,12 +21,8 @@
     """Repeated arrivals that are allowed beside the ratio in each window, over all nodes."""
     exposure_share: float
     """Largest share of requests that a bad version may get."""
-    exposure_slack: float
-    """Requests that a bad version may get beside that share."""
     cold_factor: float
     """How far above its own figure a cold backend server's rate may go."""
-    cold_slack: float
-    """Requests a second that a cold backend server may get beside that."""
     probes_per_second: float
     """Most probes per backend server and second."""
 
--- a/src/anvillug/version/rollout.py
+++ b/src/anvillug/version/rollout.py
@@ -8,9 +8,9 @@
 from anvillug import clock, event_log, ids
 from anvillug.version import directives, rollout_counts
 
-CANARY_SHARE = 0.07
-"""Share of calls that the new version gets while evidence is gathered."""
-
+# Part of the bound on a bad version's share that the new version gets while evidence is gathered;
+# the rest is for calls that are on their way when it is found to be bad.
+_EXPOSURE_PART = 0.7
 # Points of a rollout's duration, as shares of it.
 _SHIFT_AT = 0.5
 _COMPLETE_AT = 0.78
@@ -63,11 +63,16 @@
     Args:
         order: What the operator has ordered.
         now: When the order became known here, by the monotonic clock.
+        exposure_share: Largest share of calls that a bad version may get.
     """
 
-    def __init__(self, order: directives.RolloutOrder, now: clock.Milliseconds) -> None:
+    def __init__(
+        self, order: directives.RolloutOrder, now: clock.Milliseconds, exposure_share: float
+    ) -> None:
         self.order = order
         """What the operator has ordered."""
+        self.canary_share = exposure_share * _EXPOSURE_PART
+        """Share of calls that the new version gets while evidence is gathered."""
         self.phase = Phase.CANARY
         """Progress."""
         self.started_at = now
@@ -88,10 +93,10 @@
     def share(self, now: clock.Milliseconds) -> float:
         """Return the share of calls that goes to the new version."""
         if self.phase is Phase.CANARY:
-            return CANARY_SHARE
+            return self.canary_share
         if self.phase is Phase.SHIFTING:
             progress = (now - self.shifted_at) / _SHIFT_MS
-            return min(1.0, max(CANARY_SHARE, progress))
+            return min(1.0, max(self.canary_share, progress))
         return 1.0 if self.phase is Phase.COMPLETED else 0.0
 
     def record(
--- a/src/anvillug/version/rollouts.py
+++ b/src/anvillug/version/rollouts.py
@@ -30,12 +30,14 @@
 
     Args:
         time: Clock.
+        exposure_share: Largest share of calls that a bad version may get.
     """
 
-    def __init__(self, time: clock.Clock) -> None:
+    def __init__(self, time: clock.Clock, exposure_share: float) -> None:
         self.by_service: dict[ids.ServiceName, rollout.Rollout] = {}
         """Newest rollout of each service."""
         self._clock = time
+        self._exposure_share = exposure_share
         # Versions that were ordered and not completed; their backend servers may still be there.
         self._untrusted_by_service: dict[ids.ServiceName, set[ids.VersionName]] = {}
         self._statuses_by_service: dict[ids.ServiceName, rollout.Status] = {}
@@ -49,7 +51,9 @@
                     'rollout_ordered', service=service, target_version=order.target_version
                 )
                 self._supersede(known, order)
-                self.by_service[service] = rollout.Rollout(order, self._clock.now())
+                self.by_service[service] = rollout.Rollout(
+                    order, self._clock.now(), self._exposure_share
+                )
         for status in tuple(self._statuses_by_service.values()):
             self.stored(status)
 
@@ -105,7 +109,7 @@
         if fraction < share:
             return new or old
         # A version that is not trusted yet does not stand in for the old one.
-        return old or (new if share > rollout.CANARY_SHARE else [])
+        return old or (new if share > known.canary_share else [])
 
     def step(self) -> None:
         """Judge all rollouts."""
