Keep the receivers of beacons between whole beacons

Cause: every node looked all its peers up forty times a second to find whom to tell a load, and worked the least pause out in two places; the work grows with the number of nodes. Ruled out: looking them up when a peer changes only. A zone's count of hosts changes with silence, too, and a whole beacon follows within half a second anyway. Change: receivers are looked up for each whole beacon and kept for the loads between; one place works out the pause. After: tests of beacons and of the whole path pass.

--- a/src/anvillug/process/beacon.py
+++ b/src/anvillug/process/beacon.py
@@ -79,6 +79,8 @@
         self._load_at = clock.Milliseconds(0)
         self._full_at = clock.Milliseconds(0)
         self._far_at = clock.Milliseconds(0)
+        # Looked up for each whole beacon, and kept for the loads between those.
+        self._receivers = peer_table.Receivers([], [])
 
     def start(self, ip: str) -> None:
         """Open the port and start to send."""
@@ -87,17 +89,25 @@
 
     def send_now(self) -> None:
         """Send a whole beacon at once: something has changed that the others should know."""
-        receivers = self._receivers()
-        self._tell_near(receivers.near)
-        self._tell_far(receivers.far)
+        self.send_near()
+        self.send_far()
 
     def send_near(self) -> None:
         """Send a whole beacon at once to the nodes that need to know soonest."""
-        self._tell_near(self._receivers().near)
+        self._look_up_receivers()
+        now = self._clock.now()
+        self._full_at = now
+        self._load_at = now
+        announcement = self._next(max(peer_table.NEAR_PACE_MS, self._least_pause_ms))
+        self._told_load = announcement.load
+        self._send(encode(announcement, self._extra()), self._receivers.near)
 
     def send_far(self) -> None:
         """Send a whole beacon at once to the nodes that `send_near` leaves out."""
-        self._tell_far(self._receivers().far)
+        self._look_up_receivers()
+        self._far_at = self._clock.now()
+        if self._receivers.far:
+            self._send(encode(self._next(_FAR_INTERVAL_MS), self._extra()), self._receivers.far)
 
     def datagramReceived(self, datagram: bytes, addr: Any) -> None:  # noqa: N802
         """Take a beacon; see Twisted."""
@@ -113,22 +123,25 @@
         self._peers.announced(message[0])
         self._on_extra(*message)
 
+    @property
+    def _least_pause_ms(self) -> float:
+        """Pause between beacons that keeps their number within the limit."""
+        return len(self._receivers.near) * _MS_PER_SECOND / _MAX_BEACONS_PER_SECOND
+
     def _tick(self) -> None:
         now = self._clock.now()
-        receivers = self._receivers()
         urgent = self._is_urgent()
-        least_pause_ms = len(receivers.near) * _MS_PER_SECOND / _MAX_BEACONS_PER_SECOND
         interval_ms = _ROLLOUT_INTERVAL_MS if urgent else _FULL_INTERVAL_MS
-        if now - self._full_at >= max(interval_ms, least_pause_ms):
-            self._tell_near(receivers.near)
+        if now - self._full_at >= max(interval_ms, self._least_pause_ms):
+            self.send_near()
             self._peers.forget_silent()
-        elif now - self._load_at >= least_pause_ms:
-            self._tell_load(receivers.near, now)
+        elif now - self._load_at >= self._least_pause_ms:
+            self._tell_load(now)
         if now - self._far_at >= (_FAR_ROLLOUT_INTERVAL_MS if urgent else _FAR_INTERVAL_MS):
-            self._tell_far(receivers.far)
+            self.send_far()
         self._reactor.callLater(clock.to_seconds(_TICK_MS), self._tick)
 
-    def _tell_load(self, addresses: list[str], now: clock.Milliseconds) -> None:
+    def _tell_load(self, now: clock.Milliseconds) -> None:
         """Send the load if it has changed, or has not been told for a while."""
         own = self._own()
         rested = now - self._load_at >= peer_table.NEAR_PACE_MS
@@ -136,25 +149,11 @@
             return
         self._load_at = now
         self._told_load = own.load
-        self._send(encode_load(self._next()), addresses)
-
-    def _tell_near(self, addresses: list[str]) -> None:
-        now = self._clock.now()
-        self._full_at = now
-        self._load_at = now
-        least_pause_ms = len(addresses) * _MS_PER_SECOND / _MAX_BEACONS_PER_SECOND
-        announcement = self._next(max(peer_table.NEAR_PACE_MS, least_pause_ms))
-        self._told_load = announcement.load
-        self._send(encode(announcement, self._extra()), addresses)
-
-    def _tell_far(self, addresses: list[str]) -> None:
-        self._far_at = self._clock.now()
-        if addresses:
-            self._send(encode(self._next(_FAR_INTERVAL_MS), self._extra()), addresses)
+        self._send(encode_load(self._next()), self._receivers.near)
 
-    def _receivers(self) -> peer_table.Receivers:
+    def _look_up_receivers(self) -> None:
         own = self._own()
-        return self._peers.receivers(own.zone, own.service)
+        self._receivers = self._peers.receivers(own.zone, own.service)
 
     def _next(self, pace_ms: float = peer_table.NEAR_PACE_MS) -> peer_table.Announcement:
         self._sequence += 1
