--- a/src/anvillug/process/host_choice.py
+++ b/src/anvillug/process/host_choice.py
@@ -12,6 +12,8 @@
 
 # Hosts that are compared; comparing all would send every node's jobs to the same one.
 _COMPARED_HOSTS = 5
+# As many of them are in the caller's own zone, where it has that many; more where others lack.
+_COMPARED_NEAR = 3
 # Mean slowness over all hosts, which old samples are taken to have returned to.
 _MEAN_SLOWNESS = 160.0
 # Neighbours change about twice a second.
@@ -56,8 +58,12 @@
     usable = [peer for peer in peers if peer.avoid_until <= now]
     heard = [peer for peer in usable if not peer.is_silent(now)]
     pool = heard or usable or list(peers)
+    near = [peer for peer in pool if peer.announcement.zone == origin.zone]
+    far = [peer for peer in pool if peer.announcement.zone != origin.zone]
     # Sampling also shuffles, so that equal hosts are chosen equally often.
-    compared = rng.sample(pool, min(len(pool), _COMPARED_HOSTS))
+    most_near = max(_COMPARED_NEAR, _COMPARED_HOSTS - len(far))
+    compared = rng.sample(near, min(len(near), most_near))
+    compared += rng.sample(far, min(len(far), _COMPARED_HOSTS - len(compared)))
     return min(compared, key=lambda peer: slowness_of(peer, origin, now), default=None)
 
 
--- a/tests/test_host_choice.py
+++ b/tests/test_host_choice.py
@@ -87,3 +87,23 @@
         assert set(_chosen([silent, avoided, fine])) == {'c'}
         assert set(_chosen([silent])) == {'a'}
         assert set(_chosen([avoided])) == {'b'}
+
+
+class TestZones:
+    """Guards against calls that cross zones in vain, or stay in a zone that is slow."""
+
+    def test_few_hosts_of_the_own_zone_are_found_among_many(self):
+        far = [_peer(f'f{number}', zone='y') for number in range(30)]
+        assert set(_chosen([*far, _peer('a'), _peer('b')])) == {'a', 'b'}
+
+    def test_fast_hosts_of_other_zones_are_found(self):
+        near = [_peer(f'n{number}', 700) for number in range(30)]
+        assert set(_chosen([*near, _peer('a', zone='y'), _peer('b', zone='y')])) == {'a', 'b'}
+
+    def test_other_zones_fill_up_what_the_own_zone_lacks(self):
+        far = [_peer(f'f{number}', zone='y') for number in range(4)]
+        assert _chosen([*far, _peer('a', 700)])['f0'] > 50
+
+    def test_lone_zone_compares_as_many(self):
+        slow = [_peer(f's{number}', 700) for number in range(4)]
+        assert _chosen([*slow, _peer('a')])['a'] == 400
