Keep the work of a choice the same as hosts are added

Cause: each try walked all peers four times: for the service, the candidates, the silent ones and the zones. Change: the serving peers of a service are kept until a peer comes, goes or changes; a choice draws 32 hosts and looks at those, and falls back to all of them when none of the drawn is heard. Tests of the index (change of state, of service, forgotten node) and of the fallback come with it.

--- a/src/anvillug/process/host_choice.py
+++ b/src/anvillug/process/host_choice.py
@@ -10,7 +10,9 @@
 from anvillug import clock, ids
 from anvillug.process import peer_table
 
-# Hosts that are compared; comparing all would send every node's jobs to the same one.
+# Hosts that are looked at for one choice; the work for a call stays the same as hosts are added.
+_DRAWN_HOSTS = 32
+# Hosts of those that are compared; comparing all would send every node's jobs to the same one.
 _COMPARED_HOSTS = 5
 # As many of them are in the caller's own zone, where it has that many; more where others lack.
 _COMPARED_NEAR = 3
@@ -55,18 +57,27 @@
         now: Monotonic time.
         rng: Source of randomness.
     """
-    usable = [peer for peer in peers if peer.avoid_until <= now]
-    heard = [peer for peer in usable if not peer.is_silent(now)]
-    pool = heard or usable or list(peers)
+    # Sampling also shuffles, so that equal hosts are chosen equally often.
+    drawn = rng.sample(peers, min(len(peers), _DRAWN_HOSTS))
+    pool = _heard(drawn, now) or _last_resorts(rng.sample(peers, len(peers)), now)
     near = [peer for peer in pool if peer.announcement.zone == origin.zone]
     far = [peer for peer in pool if peer.announcement.zone != origin.zone]
-    # Sampling also shuffles, so that equal hosts are chosen equally often.
-    most_near = max(_COMPARED_NEAR, _COMPARED_HOSTS - len(far))
-    compared = rng.sample(near, min(len(near), most_near))
-    compared += rng.sample(far, min(len(far), _COMPARED_HOSTS - len(compared)))
+    compared = near[: max(_COMPARED_NEAR, _COMPARED_HOSTS - len(far))]
+    compared += far[: _COMPARED_HOSTS - len(compared)]
     return min(compared, key=lambda peer: slowness_of(peer, origin, now), default=None)
 
 
+def _heard(peers: Sequence[peer_table.Peer], now: clock.Milliseconds) -> Sequence[peer_table.Peer]:
+    return [peer for peer in peers if peer.avoid_until <= now and not peer.is_silent(now)]
+
+
+def _last_resorts(
+    peers: Sequence[peer_table.Peer], now: clock.Milliseconds
+) -> Sequence[peer_table.Peer]:
+    """Return the nodes that may still answer: those that are heard, then the silent ones."""
+    return _heard(peers, now) or [peer for peer in peers if peer.avoid_until <= now] or peers
+
+
 def slowness_of(peer: peer_table.Peer, origin: Origin, now: clock.Milliseconds) -> float:
     """Return how long work is expected to take at a host, 100 as usual."""
     load = peer.load
--- a/src/anvillug/process/mesh_entry.py
+++ b/src/anvillug/process/mesh_entry.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 from anvillug import clock, event_log, ids
@@ -258,13 +258,15 @@
     def _choose(
         self, call: routed_call.RoutedCall, work: job.Job, now: clock.Milliseconds
     ) -> peer_table.Peer | None:
+        candidates = self._candidates(work.service, now)
         zones_out = self._board.current.zones_out
-        candidates = [
-            peer
-            for peer in self._candidates(work.service, now)
-            if peer.announcement.zone not in zones_out
-            and peer.announcement.host_id not in call.tried
-        ]
+        if zones_out or call.tried:
+            candidates = [
+                peer
+                for peer in candidates
+                if peer.announcement.zone not in zones_out
+                and peer.announcement.host_id not in call.tried
+            ]
         allowed = self._rollouts.allowed(work.service, candidates, self.rng.random())
         return host_choice.choose(allowed, self._origin(work), now, self.rng)
 
@@ -278,13 +280,14 @@
 
     def _candidates(
         self, service: ids.ServiceName, now: clock.Milliseconds
-    ) -> list[peer_table.Peer]:
-        peers = list(self._peers.of_service(service))
+    ) -> Sequence[peer_table.Peer]:
+        others = self._peers.of_service(service)
         own = self._own()
-        if own.service == service and own.state is upstream.UpstreamState.SERVING:
-            peers.append(peer_table.Peer(own, now))
-            peers[-1].outstanding = self._host.running
-        return peers
+        if own.service != service or own.state is not upstream.UpstreamState.SERVING:
+            return others
+        here = peer_table.Peer(own, now)
+        here.outstanding = self._host.running
+        return (*others, here)
 
     def _node_count(self) -> int:
         return len(self._peers.by_host_id) + 1
--- a/src/anvillug/process/peer_table.py
+++ b/src/anvillug/process/peer_table.py
@@ -4,7 +4,8 @@
 
 import collections
 import dataclasses
-from collections.abc import Iterable
+import operator
+from collections.abc import Sequence
 
 from anvillug import clock, event_log, ids
 from anvillug.process import upstream
@@ -153,6 +154,8 @@
         """Nodes that have sent a beacon."""
         self.contacts_by_host_id: dict[ids.HostId, str] = {}
         """Beacon addresses known from the store only."""
+        # Looked up for each call; emptied when a peer comes, goes or changes.
+        self._serving_by_service: dict[ids.ServiceName, Sequence[Peer]] = {}
 
     def announced(self, announcement: Announcement) -> bool:
         """Take a beacon.
@@ -166,6 +169,7 @@
         peer = self.by_host_id.get(announcement.host_id)
         if peer is None:
             self.by_host_id[announcement.host_id] = Peer(announcement, now)
+            self._serving_by_service.clear()
             self.contacts_by_host_id.pop(announcement.host_id, None)
             event_log.emit(
                 'peer_found',
@@ -188,6 +192,7 @@
         peer.heard_at = now
         peer.told_load(announcement.load, clock.Milliseconds(now - announcement.load_age_ms))
         if changed:
+            self._serving_by_service.clear()
             event_log.emit(
                 'peer_changed',
                 peer=announcement.host_id,
@@ -212,14 +217,18 @@
         if host_id != self._own and host_id not in self.by_host_id:
             self.contacts_by_host_id[host_id] = beacon_address
 
-    def of_service(self, service: ids.ServiceName) -> Iterable[Peer]:
+    def of_service(self, service: ids.ServiceName) -> Sequence[Peer]:
         """Return the nodes whose backend server belongs to a service and takes jobs."""
-        return [
-            peer
-            for peer in self.by_host_id.values()
-            if peer.announcement.service == service
-            and peer.announcement.state is upstream.UpstreamState.SERVING
-        ]
+        serving = self._serving_by_service.get(service)
+        if serving is None:
+            serving = tuple(
+                peer
+                for peer in self.by_host_id.values()
+                if peer.announcement.service == service
+                and peer.announcement.state is upstream.UpstreamState.SERVING
+            )
+            self._serving_by_service[service] = serving
+        return serving
 
     def receivers(self, zone: ids.ZoneName, service: ids.ServiceName) -> Receivers:
         """Return where the beacons of a node go to.
@@ -257,13 +266,8 @@
             if peer.heard_at < horizon:
                 event_log.emit('peer_forgotten', peer=host_id)
                 self.by_host_id.pop(host_id)
+                self._serving_by_service.clear()
 
 
-def _facts(announcement: Announcement) -> tuple[object, ...]:
-    return (
-        announcement.incarnation,
-        announcement.state,
-        announcement.instance,
-        announcement.version,
-        announcement.cold,
-    )
+# What a node says of itself besides its load.
+_facts = operator.attrgetter('incarnation', 'service', 'state', 'instance', 'version', 'cold')
--- a/tests/test_beacon.py
+++ b/tests/test_beacon.py
@@ -112,6 +112,28 @@
         hosts = [peer.announcement.host_id for peer in table.of_service(_SERVICE)]
         assert hosts == [_PEER]
 
+    @pytest.mark.parametrize(
+        'change',
+        [
+            {'state': upstream.UpstreamState.LEAVING},
+            {'service': ids.ServiceName('two')},
+        ],
+    )
+    def test_node_that_changes_is_no_candidate_any_more(self, table, change):
+        table.announced(announcement())
+        assert table.of_service(_SERVICE)
+        table.announced(announcement(sequence=2, **change))
+        assert not table.of_service(_SERVICE)
+        table.announced(announcement(sequence=3))
+        assert table.of_service(_SERVICE)
+
+    def test_forgotten_node_is_no_candidate_any_more(self, table, time):
+        table.announced(announcement())
+        assert table.of_service(_SERVICE)
+        time.advance(70_000)
+        table.forget_silent()
+        assert not table.of_service(_SERVICE)
+
     def test_contact_is_kept_until_the_node_is_heard(self, table):
         table.contact(_PEER, '10.0.0.2:70')
         assert table.receivers('z', _SERVICE).near == ['10.0.0.2:70']
--- a/tests/test_host_choice.py
+++ b/tests/test_host_choice.py
@@ -88,6 +88,12 @@
         assert set(_chosen([silent])) == {'a'}
         assert set(_chosen([avoided])) == {'b'}
 
+    def test_lone_host_that_is_heard_is_found_among_many(self):
+        silent = [_peer(f's{number}') for number in range(60)]
+        for peer in silent:
+            peer.heard_at = clock.Milliseconds(_NOW - 1000)
+        assert set(_chosen([*silent, _peer('a', 700)])) == {'a'}
+
 
 class TestZones:
     """Guards against calls that cross zones in vain, or stay in a zone that is slow."""
