--- a/tests/test_mesh_entry.py
+++ b/tests/test_mesh_entry.py
@@ -8,7 +8,6 @@
 from twisted.internet import testing
 
 from anvillug import clock, ids
-from anvillug.connection import http_head
 from anvillug.platform import headers
 from anvillug.process import mesh_entry, metrics, peer_table
 from anvillug.request import job
@@ -52,18 +51,7 @@
         )
 
     def hand_over(self, *, repeatable: bool = True) -> None:
-        work = job.Job(
-            attempt_id='a1',
-            service=_SERVICE,
-            route=ids.RouteName('r'),
-            head=http_head.RequestHead(b'GET', b'/', []),
-            body=b'',
-            deadline=clock.Milliseconds(self.time.now() + 2000),
-            repeatable=repeatable,
-            priority=0,
-            position=directives.Position(0),
-            instance=ids.InstanceId(''),
-        )
+        work = test_mesh_host.job_at(self.time, repeatable=repeatable)
         self.entry.start(self.call, work, self.results.append)
 
     @property
--- a/tests/test_mesh_host.py
+++ b/tests/test_mesh_host.py
@@ -48,6 +48,23 @@
     )
 
 
+def job_at(time: clock.Clock, *, repeatable: bool = True, insists: bool = False) -> job.Job:
+    """Return a job that has two seconds left."""
+    return job.Job(
+        attempt_id='a1',
+        service=_SERVICE,
+        route=ids.RouteName('r'),
+        head=http_head.RequestHead(b'GET', b'/', []),
+        body=b'',
+        deadline=clock.Milliseconds(time.now() + 2000),
+        repeatable=repeatable,
+        priority=0,
+        position=directives.Position(0),
+        instance=_INSTANCE,
+        insists=insists,
+    )
+
+
 class _Trial:
     """Host side whose backend server never answers."""
 
@@ -88,19 +105,7 @@
         self.host.upstream.told_load(dialect.ReportedLoad(0, 0, 9, slowness))
 
     def job(self, *, insists: bool = False) -> job.Job:
-        return job.Job(
-            attempt_id='a1',
-            service=_SERVICE,
-            route=ids.RouteName('r'),
-            head=http_head.RequestHead(b'GET', b'/', []),
-            body=b'',
-            deadline=clock.Milliseconds(self.time.now() + 2000),
-            repeatable=True,
-            priority=0,
-            position=directives.Position(0),
-            instance=_INSTANCE,
-            insists=insists,
-        )
+        return job_at(self.time, insists=insists)
 
     def refusal(self, *, insists: bool = False) -> str:
         """Submit a job and return why it was refused, empty where it was taken."""
