Log records of the store that are discarded as not newer

Reads after the return of the store left no line between order_history_dropped and the next one, so that discarded records, failing reads and rejected content could not be told apart. directives_discarded names the position in effect and the end of the records that were read.

--- a/src/anvillug/process/order_feed.py
+++ b/src/anvillug/process/order_feed.py
@@ -122,6 +122,8 @@
             records.pop(key, None)
             if record.value:
                 records[key] = record
+        if batch.changes and batch.end <= position:
+            event_log.warn('directives_discarded', position=position, end=batch.end)
         # Newer directives may have been fetched from a peer while the log was read.
         if batch.end > position and self._active_directives.advance(
             records, directives.Position(batch.end)
