Close a silent connection to the store within two seconds

A waiting read sends nothing, so neither side noticed.

The connections to the store now send keep-alive probes after one second without data, and are closed by the kernel two seconds after the last sign of the store; unacknowledged data is bound by TCP_USER_TIMEOUT. No calls to the store are added.

The test failed before: no keep-alive timer on the connection (inf <= 2000).

--- a/src/anvillug/platform/store.py
+++ b/src/anvillug/platform/store.py
@@ -14,7 +14,7 @@
 from twisted.web import client as web_client
 
 from anvillug import clock
-from anvillug.connection import keyed_log
+from anvillug.connection import keyed_log, tcp_liveness
 from anvillug.version import directives
 
 # Keyed topics: the newest record of each key is never deleted.
@@ -52,9 +52,10 @@
         self._reactor = reactor
         pool = web_client.HTTPConnectionPool(reactor)
         pool.maxPersistentPerHost = _MAX_CONNECTIONS
-        agent = web_client.Agent(
-            reactor, connectTimeout=clock.to_seconds(_CONNECT_TIMEOUT_MS), pool=pool
+        endpoint_factory = tcp_liveness.EndpointFactory(
+            reactor, clock.to_seconds(_CONNECT_TIMEOUT_MS)
         )
+        agent = web_client.Agent.usingEndpointFactory(reactor, endpoint_factory, pool=pool)
         self._http = treq_client.HTTPClient(agent)
         self._address = address
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -4,13 +4,16 @@
 
 import contextlib
 import json
+import math
+import os
+import pathlib
 import random
 import time
 
 import pytest
 from twisted.internet import defer, reactor
 
-from anvillug.connection import keyed_log
+from anvillug.connection import keyed_log, tcp_liveness
 from anvillug.platform import documents, store
 from anvillug.process import order_feed
 from anvillug.standin import platform_store
@@ -18,6 +21,10 @@
 from tests import reactor_thread, test_platform_documents
 
 _TOPIC = 'keyed.op'
+# States and timers in `/proc/net/tcp`; see the kernel's documentation of that file.
+_ESTABLISHED = '01'
+_KEEP_ALIVE_TIMER = '02'
+_TICKS_PER_S = os.sysconf('SC_CLK_TCK')
 
 
 class _StoreSetup:
@@ -84,6 +91,30 @@
         assert store_setup.server.topic(_TOPIC).records == [(b'a', b'1')]
 
 
+class TestSilentConnections:
+    """Guards against directives missed while connections that carry nothing still look open."""
+
+    def test_waiting_read_does_not_outlast_a_silent_connection(self, store_setup):
+        # The kernel's keep-alive timer is the only one that can end the wait early.
+        reactor_thread.wait_for(store_setup.client.append(_TOPIC, 'a', b'1'))
+        waits = _keep_alive_waits_ms(store_setup.port.getHost().port)
+        assert waits
+        assert max(waits) <= tcp_liveness.SILENCE_LIMIT_MS
+
+
+def _keep_alive_waits_ms(server_port: int) -> list[float]:
+    """Return the time until the next keep-alive probe of each open connection to a port."""
+    rows = [line.split() for line in pathlib.Path('/proc/net/tcp').read_text().splitlines()[1:]]
+    waits = []
+    for row in rows:
+        _, remote_port = row[2].split(':')
+        timer, ticks = row[5].split(':')
+        if int(remote_port, 16) == server_port and row[3] == _ESTABLISHED:
+            is_keep_alive = timer == _KEEP_ALIVE_TIMER
+            waits.append(int(ticks, 16) * 1000 / _TICKS_PER_S if is_keep_alive else math.inf)
+    return waits
+
+
 class TestFeed:
     """Guards against directives that are missed after outages or dropped history."""
 
