Repeat a failed call to the store on a new connection

After all open connections had fallen silent, followers of the operator's topic noticed it on one connection of the client's pool and repeated the read on the other one, which had been silent for as long: a second wait of 4.9 s, in which routes confirmed in the meantime were answered 404 (DENIED).

A call that fails now closes the idle connections of the pool, so that the next one opens its own. Keep-alive probes close most of them before; this covers silence that the kernel does not see, for instance behind a proxy that accepts the probes.

The test failed before: LogUnavailableError from the call after the failed one.

--- a/src/anvillug/platform/store.py
+++ b/src/anvillug/platform/store.py
@@ -50,12 +50,12 @@
 
     def __init__(self, reactor: interfaces.IReactorTCP, address: str) -> None:
         self._reactor = reactor
-        pool = web_client.HTTPConnectionPool(reactor)
-        pool.maxPersistentPerHost = _MAX_CONNECTIONS
+        self._pool = web_client.HTTPConnectionPool(reactor)
+        self._pool.maxPersistentPerHost = _MAX_CONNECTIONS
         endpoint_factory = tcp_liveness.EndpointFactory(
             reactor, clock.to_seconds(_CONNECT_TIMEOUT_MS)
         )
-        agent = web_client.Agent.usingEndpointFactory(reactor, endpoint_factory, pool=pool)
+        agent = web_client.Agent.usingEndpointFactory(reactor, endpoint_factory, pool=self._pool)
         self._http = treq_client.HTTPClient(agent)
         self._address = address
 
@@ -110,6 +110,8 @@
             content = await body
         except Exception as error:
             # Twisted has no common base class of request failures.
+            # Whatever silenced this connection may have silenced the idle ones.
+            self._pool.closeCachedConnections()
             raise keyed_log.LogUnavailableError(f'{name}: {error!r}') from error
         if response.code != _STATUS_OK:
             raise _ERRORS_BY_STATUS.get(response.code, keyed_log.LogUnavailableError)(
--- a/src/anvillug/standin/link.py
+++ b/src/anvillug/standin/link.py
@@ -191,6 +191,12 @@
         self._port = None
         return defer.succeed(None) if port is None else defer.maybeDeferred(port.stopListening)
 
+    def silence_open_connections(self) -> None:
+        """Discard all further data of the open connections; new ones work."""
+        for connection in self.open_connections:
+            if connection.forwarder is not None:
+                connection.forwarder.stop_forwarding()
+
     def target_endpoint(self) -> endpoints.TCP4ClientEndpoint:
         """Return the endpoint of the target."""
         host, port = self._target
@@ -215,7 +221,7 @@
             return http_api.error_response(request, http.BAD_REQUEST, failure)
         self.faults = dataclasses.replace(faults, silent=False)
         if faults.silent:
-            self._stop_forwarding()
+            self.silence_open_connections()
         if faults.cut:
             await self.stop()
         elif self._port is None:
@@ -234,8 +240,3 @@
     def _start_listening(self) -> None:
         host, port = self._address
         self._port = self.reactor.listenTCP(port, self, backlog=LISTEN_BACKLOG, interface=host)
-
-    def _stop_forwarding(self) -> None:
-        for connection in self.open_connections:
-            if connection.forwarder is not None:
-                connection.forwarder.stop_forwarding()
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -16,7 +16,7 @@
 from anvillug.connection import keyed_log, tcp_liveness
 from anvillug.platform import documents, store
 from anvillug.process import order_feed
-from anvillug.standin import platform_store
+from anvillug.standin import link, platform_store
 from anvillug.version import directives
 from tests import reactor_thread, test_platform_documents
 
@@ -94,6 +94,15 @@
 class TestSilentConnections:
     """Guards against directives missed while connections that carry nothing still look open."""
 
+    @pytest.fixture
+    def store_link(self, store_setup):
+        store_link = link.Link(reactor, f'127.0.0.1:{store_setup.port.getHost().port}')
+        store_setup.client = store.Store(
+            reactor, reactor_thread.call(store_link.listen, '127.0.0.1:0')
+        )
+        yield store_link
+        reactor_thread.wait_for(store_link.stop())
+
     def test_waiting_read_does_not_outlast_a_silent_connection(self, store_setup):
         # The kernel's keep-alive timer is the only one that can end the wait early.
         reactor_thread.wait_for(store_setup.client.append(_TOPIC, 'a', b'1'))
@@ -101,6 +110,20 @@
         assert waits
         assert max(waits) <= tcp_liveness.SILENCE_LIMIT_MS
 
+    def test_call_after_a_silent_connection_uses_a_new_one(self, store_setup, store_link):
+        client = store_setup.client
+        reactor_thread.call(_open_two_connections, client)
+        reactor_thread.call(store_link.silence_open_connections)
+        with pytest.raises(keyed_log.LogUnavailableError):
+            reactor_thread.wait_for(client.read(_TOPIC, 0, 0))
+        assert reactor_thread.wait_for(client.append(_TOPIC, 'a', b'1')) == 0
+
+
+def _open_two_connections(client: store.Store) -> defer.Deferred[object]:
+    """Read twice at the same time, which leaves two idle connections in the client's pool."""
+    reads = [defer.ensureDeferred(client.read(_TOPIC, 0, 100)) for _ in range(2)]
+    return defer.gatherResults(reads)
+
 
 def _keep_alive_waits_ms(server_port: int) -> list[float]:
     """Return the time until the next keep-alive probe of each open connection to a port."""
