Stand-in of the platform's store: restore from a copy

Cause: the platform's store may come back from a copy that is some seconds old, with lost records and offsets that are given out again. The stand-in could not show this: it kept all records, and a read beyond the end waited instead of failing.

All responses carry Store-Era. A read from above the topic's end gets 410 with First. A read during an outage gets 503 also where its records have been deleted, as the docstring of the fault says; it got 410 before. Calls are counted by name.

--- a/src/anvillug/standin/platform_store.py
+++ b/src/anvillug/standin/platform_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+import collections
 import dataclasses
 import struct
 
@@ -18,6 +19,7 @@
 _MAX_WAIT_MS = 30_000
 _MAX_PAGE_RECORDS = 500
 _STATUS_GONE = 410
+_ERA_HEADER = b'Store-Era'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -55,9 +57,21 @@
     def append(self, key: bytes, value: bytes) -> int:
         """Append a record and return its offset."""
         self.records.append((key, value))
+        self.wake_waiters()
+        return len(self.records) - 1
+
+    def wake_waiters(self) -> None:
+        """End the waits of all reads."""
         for waiter in tuple(self.waiters):
             waiter.callback(None)
-        return len(self.records) - 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _TopicCopy:
+    """Copy of a topic's records; see `Topic`."""
+
+    records: tuple[tuple[bytes, bytes], ...] = ()
+    first_offset: int = 0
 
 
 class PlatformStore:
@@ -72,8 +86,13 @@
     def __init__(self, reactor: interfaces.IReactorTime) -> None:
         self.faults = StoreFaults()
         """Active faults."""
+        self.era = 1
+        """Number of the current era; each restore begins a new one."""
+        self.call_counts: collections.Counter[str] = collections.Counter()
+        """Number of calls received, including rejected ones, by the name of the call."""
         self._reactor = reactor
         self._topics_by_name: dict[str, Topic] = {}
+        self._snapshot: dict[str, _TopicCopy] = {}
 
     def site(self) -> server.Site:
         """Return the factory of the HTTP connections."""
@@ -83,10 +102,30 @@
         """Return a topic; it is created on first use."""
         return self._topics_by_name.setdefault(name, Topic())
 
+    def snapshot(self) -> None:
+        """Keep a copy of all topics; it replaces the previous copy."""
+        self._snapshot = {
+            name: _TopicCopy(tuple(topic.records), topic.first_offset)
+            for name, topic in self._topics_by_name.items()
+        }
+
+    def restore(self) -> None:
+        """Return all topics to the copy, and begin a new era.
+
+        Topics that are not in the copy become empty. Waiting reads respond from the new state.
+        """
+        self.era += 1
+        for name, topic in self._topics_by_name.items():
+            copy = self._snapshot.get(name, _TopicCopy())
+            topic.records = list(copy.records)
+            topic.first_offset = copy.first_offset
+        for restored_topic in self._topics_by_name.values():
+            restored_topic.wake_waiters()
+
     @app.route('/-/log-append', methods=['POST'])
     async def append(self, request: iweb.IRequest) -> object:
         """Append the records of the body; the topic must end at offset `At` if that is given."""
-        await self._block_if_silent(request)
+        await self._receive(request)
         if self.faults.outage:
             return http_api.error_response(request, http.SERVICE_UNAVAILABLE, 'outage')
         topic = self.topic(_query_value(request, 'Topic'))
@@ -106,24 +145,25 @@
 
     @app.route('/-/log-read', methods=['GET'])
     async def read(self, request: iweb.IRequest) -> object:
-        """Read records from an offset; if there is none yet, wait up to `WaitMs` for one."""
-        await self._block_if_silent(request)
+        """Read records from an offset; if it is the end, wait up to `WaitMs` for a record."""
+        await self._receive(request)
         topic = self.topic(_query_value(request, 'Topic'))
         start = int(_query_value(request, 'From'))
         wait_ms = min(int(_query_value(request, 'WaitMs') or 0), _MAX_WAIT_MS)
-        if start < topic.first_offset:
-            return http_api.json_response(request, {'First': topic.first_offset}, _STATUS_GONE)
-        if start >= len(topic.records) and not self.faults.outage:
+        if start == len(topic.records) and not self.faults.outage:
             await self._wait_for_record(topic, wait_ms)
+            self._set_era_header(request)  # the store may have been restored during the wait
         if self.faults.outage:
             return http_api.error_response(request, http.SERVICE_UNAVAILABLE, 'outage')
+        if not topic.first_offset <= start <= len(topic.records):
+            return http_api.json_response(request, {'First': topic.first_offset}, _STATUS_GONE)
         encoded = [_encode_record(*record) for record in topic.records[start:]]
         return _READ_PREFIX.pack(len(topic.records), topic.first_offset) + b''.join(encoded)
 
     @app.route('/-/log-newest', methods=['GET'])
     async def newest(self, request: iweb.IRequest) -> object:
         """Return the newest record of each key, in pages."""
-        await self._block_if_silent(request)
+        await self._receive(request)
         if self.faults.outage:
             return http_api.error_response(request, http.SERVICE_UNAVAILABLE, 'outage')
         topic = self.topic(_query_value(request, 'Topic'))
@@ -140,10 +180,16 @@
         }
         return http_api.json_response(request, page)
 
-    async def _block_if_silent(self, request: iweb.IRequest) -> None:
+    async def _receive(self, request: iweb.IRequest) -> None:
+        """Count a call and set the header of its response; never return if the store is silent."""
+        self.call_counts[request.path.decode().rpartition('/')[2]] += 1
+        self._set_era_header(request)
         if self.faults.silent:
             await defer.Deferred()  # klein cancels it when the connection is closed
 
+    def _set_era_header(self, request: iweb.IRequest) -> None:
+        request.setHeader(_ERA_HEADER, str(self.era).encode())
+
     async def _wait_for_record(self, topic: Topic, wait_ms: int) -> None:
         waiter: defer.Deferred[None] = defer.Deferred()
         topic.waiters.add(waiter)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -1,11 +1,14 @@
-"""Tests of the client of the platform's store and of the feed of the operator's topic."""
+"""Tests of the platform store: its stand-in, its client and the feed of the operator's topic."""
 
 from __future__ import annotations
 
 import contextlib
 import json
 import random
+import struct
 import time
+from concurrent import futures
+from http import client as http_client
 
 import pytest
 from twisted.internet import defer, reactor
@@ -37,6 +40,78 @@
     reactor_thread.call(setup.port.stopListening)
 
 
+class TestStandin:
+    """Guards against a stand-in that hides what a restored store loses."""
+
+    def test_topics_return_to_the_copy(self, store_setup):
+        server = store_setup.server
+        topic, late_topic = server.topic(_TOPIC), server.topic('keyed.late')
+        topic.append(b'a', b'1')
+        server.snapshot()
+        topic.append(b'a', b'2')
+        topic.first_offset = 2
+        late_topic.append(b'b', b'1')
+        reactor_thread.call(server.restore)
+        assert (topic.records, topic.first_offset) == ([(b'a', b'1')], 0)
+        assert not late_topic.records
+        assert topic.append(b'c', b'1') == 1
+        reactor_thread.call(server.restore)
+        assert topic.records == [(b'a', b'1')]
+
+    def test_every_response_names_the_era(self, store_setup):
+        calls = {
+            f'GET log-read?Topic={_TOPIC}&From=0': 200,
+            f'GET log-read?Topic={_TOPIC}&From=9': 410,
+            f'GET log-newest?Topic={_TOPIC}': 200,
+            f'POST log-append?Topic={_TOPIC}': 200,
+            f'POST log-append?Topic={_TOPIC}&At=9': 412,
+        }
+        for call, status in calls.items():
+            assert self._respond(store_setup, call)[:2] == (status, '1')
+        reactor_thread.call(store_setup.server.restore)
+        for call, status in calls.items():
+            assert self._respond(store_setup, call)[:2] == (status, '2')
+        store_setup.server.faults = platform_store.StoreFaults(outage=True)
+        for call in calls:
+            assert self._respond(store_setup, call)[:2] == (503, '2')
+        counts = {'log-read': 6, 'log-newest': 3, 'log-append': 6}
+        assert store_setup.server.call_counts == counts
+
+    def test_waiting_read_responds_from_the_restored_topic(self, store_setup):
+        server = store_setup.server
+        topic = server.topic(_TOPIC)
+        server.snapshot()
+        topic.append(b'a', b'1')
+        call = f'GET log-read?Topic={_TOPIC}&From=1&WaitMs=30000'
+        with futures.ThreadPoolExecutor() as executor:
+            waiting = executor.submit(self._respond, store_setup, call)
+            reactor_thread.eventually(lambda: topic.waiters)
+            reactor_thread.call(server.restore)
+            assert waiting.result(reactor_thread.TIMEOUT_S) == (410, '2', b'{"First": 0}')
+
+    def test_waiting_read_of_an_unchanged_topic_responds(self, store_setup):
+        server = store_setup.server
+        topic = server.topic(_TOPIC)
+        call = f'GET log-read?Topic={_TOPIC}&From=0&WaitMs=30000'
+        with futures.ThreadPoolExecutor() as executor:
+            waiting = executor.submit(self._respond, store_setup, call)
+            reactor_thread.eventually(lambda: topic.waiters)
+            reactor_thread.call(server.restore)
+            bounds = struct.pack('>QQ', 0, 0)
+            assert waiting.result(reactor_thread.TIMEOUT_S) == (200, '2', bounds)
+
+    def _respond(self, store_setup, call: str) -> tuple[int, str, bytes]:
+        """Return status, era and body of the response to a call."""
+        method, target = call.split()
+        connection = http_client.HTTPConnection(
+            '127.0.0.1', store_setup.port.getHost().port, timeout=reactor_thread.TIMEOUT_S
+        )
+        with contextlib.closing(connection):
+            connection.request(method, f'/-/{target}')
+            response = connection.getresponse()
+            return response.status, response.getheader('Store-Era'), response.read()
+
+
 class TestClient:
     """Guards against records that are misread and append conditions that are ignored."""
 
@@ -71,6 +146,13 @@
         with pytest.raises(keyed_log.RecordsDeletedError):
             reactor_thread.wait_for(store_setup.client.read(_TOPIC, 0, 0))
 
+    def test_read_beyond_the_end(self, store_setup):
+        store_setup.server.topic(_TOPIC).append(b'a', b'1')
+        end = keyed_log.Batch((), 1)
+        assert reactor_thread.wait_for(store_setup.client.read(_TOPIC, 1, 0)) == end
+        with pytest.raises(keyed_log.RecordsDeletedError):
+            reactor_thread.wait_for(store_setup.client.read(_TOPIC, 2, 0))
+
     @pytest.mark.parametrize('faults', [{'outage': True}, {'silent': True}])
     def test_outage_is_an_error_within_the_timeout(self, store_setup, faults):
         store_setup.server.faults = platform_store.StoreFaults(**faults)
