Tests of the feed and of nodes after the store is restored from a copy

Cause: a node drops records whose end is not above its position. After a restore the store gives offsets out again, so newer directives are dropped, and a read from a lost offset is repeated without backoff.

They cover directives at reused offsets, as many other records as were lost (with and without an outage), a restored older config, the number of calls to the store, and on node processes an added route and an evacuation.

--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -114,6 +114,10 @@
         """Write an order of the operator."""
         reactor_thread.call(self.store.topic(_ORDERS).append, key, value)
 
+    def all_respond(self, target: str, status: int) -> bool:
+        """Return whether both nodes respond to a request with a status."""
+        return all(self.status(target, node=node) == status for node in range(len(_IPS)))
+
     def request(
         self, target: str, method: str = 'GET', body: bytes | None = None, node: int = 0
     ) -> tuple[int, bytes, http_client.HTTPResponse]:
@@ -396,3 +400,31 @@
         mesh.settings_path(0).write_text('{')
         reactor_thread.eventually(lambda: 'event=settings_rejected' in node.output())
         assert mesh.status('/get/x') == 200
+
+
+class TestRestoredStore:
+    """Guards against nodes that ignore the directives of a restored store."""
+
+    # Guards against a proper request answered 404 by a node that ignores a restored store.
+    def test_proper_request_is_not_rejected_after_a_restore(self, mesh):
+        reactor_thread.call(mesh.store.snapshot)
+        first, second, third = (_path(name, 'idempotent') for name in ('first', 'second', 'third'))
+        mesh.order(b'config', _config(6, *_PATHS, first))
+        mesh.order(b'config', _config(7, *_PATHS, first, second))
+        reactor_thread.eventually(lambda: mesh.all_respond('/second/', 200))
+        reactor_thread.call(mesh.store.restore)
+        mesh.order(b'config', _config(7, *_PATHS, first, second))
+        # The offset of this record is not above that of the newest record before the restore.
+        mesh.order(b'config', _config(8, *_PATHS, first, second, third))
+        reactor_thread.eventually(lambda: mesh.all_respond('/third/', 200))
+        assert mesh.all_respond('/second/', 200)
+
+    def test_evacuation_written_after_the_restore_takes_effect(self, mesh):
+        reactor_thread.call(mesh.store.snapshot)
+        mesh.order(b'evacuate/z', b'{}')
+        reactor_thread.eventually(lambda: mesh.all_respond('/get/x', 503))
+        mesh.order(b'evacuate/z', b'')
+        reactor_thread.eventually(lambda: mesh.all_respond('/get/x', 200))
+        reactor_thread.call(mesh.store.restore)
+        mesh.order(b'evacuate/z', b'{}')
+        reactor_thread.eventually(lambda: mesh.all_respond('/get/x', 503))
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -31,6 +31,19 @@
         self.port = reactor.listenTCP(0, self.server.site(), interface='127.0.0.1')
         self.client = store.Store(reactor, f'127.0.0.1:{self.port.getHost().port}')
 
+    def append(self, key: bytes, value: bytes) -> None:
+        """Append a record of the operator."""
+        reactor_thread.call(self.server.topic(_TOPIC).append, key, value)
+
+    def restore(self, *written: tuple[bytes, bytes]) -> None:
+        """Restore the store and append records before it receives another call."""
+        reactor_thread.call(self._restore, written)
+
+    def _restore(self, written: tuple[tuple[bytes, bytes], ...]) -> None:
+        self.server.restore()
+        for key, value in written:
+            self.server.topic(_TOPIC).append(key, value)
+
 
 @pytest.fixture
 def store_setup(running_reactor):
@@ -166,45 +179,39 @@
         assert store_setup.server.topic(_TOPIC).records == [(b'a', b'1')]
 
 
-class TestFeed:
-    """Guards against directives that are missed after outages or dropped history."""
-
-    @pytest.fixture
-    def active_directives(self, store_setup):
-        active_directives = directives.ActiveDirectives(documents.decode_directives)
-        feed = order_feed.OrderFeed(
-            reactor,
-            store_setup.client,
-            _TOPIC,
-            active_directives,
-            random.Random(1),
-            lambda: True,
-            lambda: None,
-        )
-        task = reactor_thread.call(self._start, feed)
-        yield active_directives
-        with contextlib.suppress(defer.CancelledError):
-            reactor_thread.call(task.cancel)
+@pytest.fixture
+def active_directives(store_setup):
+    """Return the directives that a feed of the store keeps; stop the feed after the test."""
+    applied = directives.ActiveDirectives(documents.decode_directives)
+    feed = order_feed.OrderFeed(
+        reactor,
+        store_setup.client,
+        _TOPIC,
+        applied,
+        random.Random(1),
+        lambda: True,
+        lambda: None,
+    )
+    task = reactor_thread.call(lambda: _UnawaitedTask(feed.start()))
+    yield applied
+    with contextlib.suppress(defer.CancelledError):
+        reactor_thread.call(task.cancel)
 
-    def _start(self, feed):
-        started = []
-        started.append(feed.start())
-        return _UnawaitedTask(started[0])
 
-    def _append(self, store_setup, key: bytes, value: bytes):
-        reactor_thread.call(store_setup.server.topic(_TOPIC).append, key, value)
+class TestFeed:
+    """Guards against directives that are missed after outages or dropped history."""
 
     def test_changes_and_deletions_take_effect(self, store_setup, active_directives):
-        self._append(store_setup, b'evacuate/z1', b'{}')
+        store_setup.append(b'evacuate/z1', b'{}')
         reactor_thread.eventually(lambda: active_directives.current.zones_out == {'z1'})
-        self._append(store_setup, b'evacuate/z1', b'')
+        store_setup.append(b'evacuate/z1', b'')
         reactor_thread.eventually(lambda: not active_directives.current.zones_out)
 
     def test_directive_written_during_an_outage_takes_effect_later(
         self, store_setup, active_directives
     ):
         store_setup.server.faults = platform_store.StoreFaults(outage=True)
-        self._append(store_setup, b'evacuate/z1', b'{}')
+        store_setup.append(b'evacuate/z1', b'{}')
         time.sleep(0.2)
         assert not active_directives.current.zones_out
         store_setup.server.faults = platform_store.StoreFaults()
@@ -214,17 +221,84 @@
         self, store_setup, active_directives
     ):
         config = json.dumps(test_platform_documents.CONFIG).encode()
-        self._append(store_setup, b'config', config)
+        store_setup.append(b'config', config)
         reactor_thread.eventually(lambda: active_directives.current.revision)
         topic = store_setup.server.topic(_TOPIC)
         store_setup.server.faults = platform_store.StoreFaults(outage=True)
-        self._append(store_setup, b'evacuate/z1', b'{}')
+        store_setup.append(b'evacuate/z1', b'{}')
         topic.first_offset = len(topic.records)
         store_setup.server.faults = platform_store.StoreFaults()
         reactor_thread.eventually(lambda: active_directives.current.zones_out == {'z1'})
         assert active_directives.current.revision
 
 
+class TestFeedOfRestoredStore:
+    """Guards against directives that are missed or undone after the store has lost records."""
+
+    def test_directive_at_a_reused_offset_takes_effect(self, store_setup, active_directives):
+        self._lose_two_records(store_setup, active_directives)
+        store_setup.restore()
+        store_setup.append(b'evacuate/z2', b'{}')
+        reactor_thread.eventually(lambda: active_directives.current.zones_out == {'z2'})
+
+    def test_as_many_other_records_as_were_lost_take_effect(self, store_setup, active_directives):
+        self._lose_two_records(store_setup, active_directives)
+        store_setup.restore((b'evacuate/z2', b'{}'), (b'evacuate/z3', b'{}'))
+        reactor_thread.eventually(lambda: active_directives.current.zones_out == {'z2', 'z3'})
+
+    def test_other_records_written_during_an_outage_take_effect(
+        self, store_setup, active_directives
+    ):
+        self._lose_two_records(store_setup, active_directives)
+        # The next read succeeds, since the topic ends where it did before.
+        store_setup.server.faults = platform_store.StoreFaults(outage=True)
+        store_setup.restore((b'evacuate/z2', b'{}'), (b'evacuate/z3', b'{}'))
+        store_setup.server.faults = platform_store.StoreFaults()
+        reactor_thread.eventually(lambda: active_directives.current.zones_out == {'z2', 'z3'})
+
+    @pytest.mark.parametrize('restored_version', [None, '0000000b'])
+    def test_restored_older_config_does_not_replace_a_newer_one(
+        self, store_setup, active_directives, restored_version
+    ):
+        if restored_version:
+            store_setup.append(b'config', _config(restored_version))
+        reactor_thread.call(store_setup.server.snapshot)
+        newer = _config('0000000c')
+        store_setup.append(b'config', newer)
+        reactor_thread.eventually(lambda: active_directives.current.revision == 12)
+        store_setup.restore()
+        store_setup.append(b'evacuate/z1', b'{}')
+        reactor_thread.eventually(lambda: active_directives.current.zones_out == {'z1'})
+        assert active_directives.current.revision == 12
+        # Nodes that fetch the directives from this one decode the records.
+        assert active_directives.current.records['config'].value == newer
+        store_setup.append(b'config', _config('0000000d'))
+        reactor_thread.eventually(lambda: active_directives.current.revision == 13)
+
+    def test_calls_after_a_restore_are_bounded(self, store_setup, active_directives):
+        self._lose_two_records(store_setup, active_directives)
+        topic = store_setup.server.topic(_TOPIC)
+        reactor_thread.eventually(lambda: topic.waiters)
+        before = store_setup.server.call_counts.total()
+        # The waiting read gets the first response of the new era.
+        store_setup.restore()
+        time.sleep(1)
+        # Backoff leaves at least 40, 72, 130 and 233 ms between failed calls.
+        assert store_setup.server.call_counts.total() - before <= 10
+
+    def _lose_two_records(self, store_setup, active_directives) -> None:
+        """Let the feed apply two records that the copy of the store does not have."""
+        reactor_thread.call(store_setup.server.snapshot)
+        store_setup.append(b'evacuate/z1', b'{}')
+        reactor_thread.eventually(lambda: active_directives.current.zones_out == {'z1'})
+        store_setup.append(b'evacuate/z1', b'')
+        reactor_thread.eventually(lambda: not active_directives.current.zones_out)
+
+
+def _config(version: str) -> bytes:
+    return json.dumps({**test_platform_documents.CONFIG, 'Version': version}).encode()
+
+
 class _UnawaitedTask:
     """Wraps a Deferred so that `reactor_thread.call` does not wait for its result."""
 
