Order directives by era and offset of the store's log

After the store had returned from an older copy, confirmed changes were not in force: a route that had been added was answered 404, an evacuation was ignored, and all nodes together made 500 calls a second to the store.

Cause: the position that orders directives was an offset. A restored log uses offsets again, so whatever it held counted as old until it had grown beyond the position from before; records that it held at lower offsets were never read.

A position is now the pair of the store's era, which it names in each response, and the offset; every comparison and message between nodes uses the pair. A read that finds a new era is followed by one of the newest records. Rollout orders of different eras are the same if their content is; hosts of the canary no longer depend on the order's offset.

--- a/src/anvillug/connection/keyed_log.py
+++ b/src/anvillug/connection/keyed_log.py
@@ -13,7 +13,7 @@
 
 
 class RecordsDeletedError(Exception):
-    """The requested records have been deleted from the log."""
+    """The requested records are not in the log (any more)."""
 
 
 class ConditionFailedError(Exception):
@@ -26,8 +26,8 @@
 
     changes: tuple[tuple[str, directives.Record], ...]
     """Keys with their records; an empty value deletes the key."""
-    end: int
-    """Offset of the next read."""
+    end: directives.Position
+    """Position of the next read."""
 
 
 class KeyedLog(Interface):
@@ -46,13 +46,15 @@
     async def read(self, topic: str, start: int, wait_ms: int) -> Batch:
         """Return records from an offset on; wait for the first one up to a time limit.
 
+        The offset is one of the log's present era, which the returned records name.
+
         Args:
             topic: Keyed topic.
             start: Offset of the first record.
             wait_ms: Max time to wait for a record in milliseconds.
 
         Raises:
-            RecordsDeletedError: If the records have been deleted.
+            RecordsDeletedError: If the records have been deleted, or the log ends before them.
             LogUnavailableError: If the log does not respond or rejects the request.
         """
 
--- a/src/anvillug/platform/documents.py
+++ b/src/anvillug/platform/documents.py
@@ -290,5 +290,5 @@
         ids.ServiceName(order.Service),
         ids.VersionName(order.TargetVersion),
         order.DurationS * _MS_PER_SECOND,
-        record.offset,
+        record.position,
     )
--- a/src/anvillug/platform/store.py
+++ b/src/anvillug/platform/store.py
@@ -22,6 +22,8 @@
 STATUS_TOPIC = 'keyed.status'
 MEMBER_TOPIC = 'keyed.members'
 
+# Rises by one each time the store is restored from an older copy; older stores do not send it.
+_ERA_HEADER = 'Store-Era'
 # The only partition of these topics.
 _PARTITION = '0'
 
@@ -62,23 +64,27 @@
     async def newest(self, topic: str) -> keyed_log.Batch:
         """Return the newest record of each key; see `keyed_log.KeyedLog`."""
         changes: list[tuple[str, directives.Record]] = []
-        end = None
+        end: directives.Position | None = None
         page: dict[str, Any] = {'HasMore': True}
         arguments = {'Topic': topic, 'part': _PARTITION}
         while page['HasMore']:
-            page = json.loads(await self._call('GET', 'log-newest', arguments))
-            end = page['End'] if end is None else end
+            content, era = await self._call('GET', 'log-newest', arguments)
+            page = json.loads(content)
+            end = end or directives.Position(era, page['End'])
+            if era != end.era:
+                raise keyed_log.LogUnavailableError('log-newest: restored between two pages')
             for entry in page['items']:
-                record = directives.Record(entry['Offset'], base64.b64decode(entry['Value']))
+                position = directives.Position(era, entry['Offset'])
+                record = directives.Record(position, base64.b64decode(entry['Value']))
                 changes.append((entry['Key'], record))
                 arguments['after'] = entry['Key']
-        return keyed_log.Batch(tuple(changes), end or 0)
+        return keyed_log.Batch(tuple(changes), end)
 
     async def read(self, topic: str, start: int, wait_ms: int) -> keyed_log.Batch:
         """Return records from an offset on; see `keyed_log.KeyedLog`."""
         arguments = {'Topic': topic, 'part': _PARTITION, 'From': str(start), 'WaitMs': str(wait_ms)}
-        content = await self._call('GET', 'log-read', arguments, wait_ms=wait_ms)
-        return _parse_batch(content, start)
+        content, era = await self._call('GET', 'log-read', arguments, wait_ms=wait_ms)
+        return _parse_batch(content, directives.Position(era, start))
 
     async def append(
         self, topic: str, key: str, value: bytes, expected_end: int | None = None
@@ -90,7 +96,7 @@
         name = key.encode()
         record = bytes((len(name),)) + name + value
         body = _LENGTH.pack(len(record)) + record
-        content = await self._call('POST', 'log-append', arguments, body=body)
+        content, _ = await self._call('POST', 'log-append', arguments, body=body)
         return json.loads(content)['Offset']
 
     async def _call(
@@ -100,7 +106,8 @@
         arguments: dict[str, str],
         body: bytes | None = None,
         wait_ms: float = 0,
-    ) -> bytes:
+    ) -> tuple[bytes, int]:
+        """Return the body of the response and the era of the store."""
         url = f'http://{self._address}/-/{name}?{url_parse.urlencode(arguments)}'
         timeout = clock.to_seconds(wait_ms + _RESPONSE_TIMEOUT_MS)
         try:
@@ -108,6 +115,7 @@
             body = treq.content(response)
             body.addTimeout(clock.to_seconds(_BODY_TIMEOUT_MS), self._reactor)
             content = await body
+            era = int(response.headers.getRawHeaders(_ERA_HEADER, ['0'])[0])
         except Exception as error:
             # Twisted has no common base class of request failures.
             # Whatever silenced this connection may have silenced the idle ones.
@@ -117,21 +125,23 @@
             raise _ERRORS_BY_STATUS.get(response.code, keyed_log.LogUnavailableError)(
                 f'{name}: status {response.code}'
             )
-        return content
+        return content, era
 
 
-def _parse_batch(content: bytes, start: int) -> keyed_log.Batch:
+def _parse_batch(content: bytes, start: directives.Position) -> keyed_log.Batch:
     end, _first = _BOUNDS.unpack_from(content)
-    position = _BOUNDS.size
-    offset = start
+    index = _BOUNDS.size
+    position = start
     changes = []
-    while position < len(content):
-        length = _LENGTH.unpack_from(content, position)[0]
-        position += _LENGTH.size
-        record = content[position : position + length]
-        position += length
+    while index < len(content):
+        length = _LENGTH.unpack_from(content, index)[0]
+        index += _LENGTH.size
+        record = content[index : index + length]
+        index += length
         key_end = 1 + record[0]
         value = record[key_end:]
-        changes.append((record[1:key_end].decode(), directives.Record(offset, value)))
-        offset += 1
-    return keyed_log.Batch(tuple(changes), offset if changes else min(end, start))
+        changes.append((record[1:key_end].decode(), directives.Record(position, value)))
+        position = directives.Position(position.era, position.offset + 1)
+    if not changes:
+        position = directives.Position(start.era, min(end, start.offset))
+    return keyed_log.Batch(tuple(changes), position)
--- a/src/anvillug/process/beacon.py
+++ b/src/anvillug/process/beacon.py
@@ -16,6 +16,7 @@
 from anvillug import clock, event_log, ids
 from anvillug.process import peer_table, upstream
 from anvillug.request import dialect
+from anvillug.version import directives
 
 # The slowness of a backend server changes several times a second, and the other nodes should
 # receive a change within a few tens of milliseconds.
@@ -237,6 +238,7 @@
         )
     fields[_LOAD_INDEX] = _unpack_load(fields[_LOAD_INDEX])
     fields[_STATE_INDEX] = upstream.UpstreamState(fields[_STATE_INDEX])
+    fields[_POSITION_INDEX] = directives.unpack_position(fields[_POSITION_INDEX])
     return peer_table.Announcement(*fields), rest[0]
 
 
@@ -248,3 +250,4 @@
 _NAMES = [field.name for field in _FIELDS]
 _STATE_INDEX = _NAMES.index('state')
 _LOAD_INDEX = _NAMES.index('load')
+_POSITION_INDEX = _NAMES.index('position')
--- a/src/anvillug/process/follower_duty.py
+++ b/src/anvillug/process/follower_duty.py
@@ -42,7 +42,7 @@
         self._peers = peers
         self._active_directives = active_directives
         self._clock = time
-        self._target = directives.Position(0)
+        self._target = directives.ORIGIN
         self._lagging_since = clock.Milliseconds(0)
 
     def record_peer_position(self, position: directives.Position) -> None:
--- a/src/anvillug/process/mesh_node.py
+++ b/src/anvillug/process/mesh_node.py
@@ -247,11 +247,13 @@
     # Private
 
     def _gauges(self) -> dict[str, float]:
+        position = self.active_directives.current.position
         return {
             'calls_in_progress': len(self.entry.in_progress),
             'runs_in_progress': self.host.running,
             'peers_known': len(self.peers.by_host_id),
-            'directives_position': self.active_directives.current.position,
+            'directives_era': position.era,
+            'directives_position': position.offset,
             'log_lines_dropped': self._log_lines.dropped,
         }
 
--- a/src/anvillug/process/order_feed.py
+++ b/src/anvillug/process/order_feed.py
@@ -98,12 +98,17 @@
             await self._sleep(_IDLE_CHECK_MS)
             return
         try:
-            batch = await self._log.read(self._topic, position, _POLL_MS)
+            batch = await self._log.read(self._topic, position.offset, _POLL_MS)
         except keyed_log.RecordsDeletedError:
             event_log.emit('order_history_dropped', position=position)
             await self._read_newest()
             return
         self._record_success()
+        if batch.end.era != position.era:
+            # The records before this offset may differ from those that this node has applied.
+            event_log.warn('order_era_changed', position=position, era=batch.end.era)
+            await self._read_newest()
+            return
         self._apply(batch, dict(self._active_directives.current.records), position)
 
     async def _read_newest(self) -> None:
@@ -125,9 +130,7 @@
         if batch.changes and batch.end <= position:
             event_log.warn('directives_discarded', position=position, end=batch.end)
         # Newer directives may have been fetched from a peer while the log was read.
-        if batch.end > position and self._active_directives.advance(
-            records, directives.Position(batch.end)
-        ):
+        if batch.end > position and self._active_directives.advance(records, batch.end):
             current = self._active_directives.current
             event_log.emit(
                 'directives_applied',
--- a/src/anvillug/process/peer_server.py
+++ b/src/anvillug/process/peer_server.py
@@ -38,7 +38,7 @@
         self._active_directives = active_directives
         # Wire form of the most recently requested directives; cached, since the nodes of a zone
         # request them at the same time.
-        self._packed = (directives.Position(-1), b'')
+        self._packed = (directives.Position(-1, 0), b'')
 
     def request_received(self, exchange: http_exchange.ServerExchange) -> None:
         """Handle a request; see `http_exchange.RequestStarted`."""
--- a/src/anvillug/process/rollout_writer.py
+++ b/src/anvillug/process/rollout_writer.py
@@ -128,12 +128,13 @@
         self._rollouts.apply_status(status)
 
     async def _read(self) -> int:
+        """Apply the statuses in the log, and return the offset at which their topic ends."""
         batch = await self._log.newest(self._topic)
         for key, record in batch.changes:
             status = self._codec.decode(key, record.value)
             if status is not None:
                 self._rollouts.apply_status(status)
-        return batch.end
+        return batch.end.offset
 
 
 _PHASES_BY_STEP = {
--- a/src/anvillug/request/job.py
+++ b/src/anvillug/request/job.py
@@ -68,7 +68,7 @@
     """Body of the response."""
     load: dialect.ReportedLoad | None = None
     """Most recently reported load of the backend server."""
-    position: directives.Position = directives.Position(0)
+    position: directives.Position = directives.ORIGIN
     """Position of the directives in effect at the host."""
     node_failed: bool = False
     """Whether the node beside the backend server did not respond or could not be reached."""
--- a/src/anvillug/request/job_wire.py
+++ b/src/anvillug/request/job_wire.py
@@ -23,6 +23,7 @@
 # Indexes of the fields that are converted between a job and its wire form.
 _HEAD_INDEX = 3
 _DEADLINE_INDEX = 5
+_POSITION_INDEX = 8
 _DECODE_ERRORS = (
     ValueError,
     TypeError,
@@ -80,6 +81,7 @@
         fields = msgpack.unpackb(data)
         fields[_HEAD_INDEX] = http_head.RequestHead(*_with_header_tuples(fields[_HEAD_INDEX]))
         fields[_DEADLINE_INDEX] += now
+        fields[_POSITION_INDEX] = directives.unpack_position(fields[_POSITION_INDEX])
         return job.Job(*fields)
     except _DECODE_ERRORS as error:
         raise MalformedError(f'job: {error}') from error
@@ -109,7 +111,7 @@
             None if packed_head is None else _response_head(packed_head),
             body,
             None if load is None else dialect.ReportedLoad(*load),
-            directives.Position(position),
+            directives.unpack_position(position),
         )
     except _DECODE_ERRORS as error:
         raise MalformedError(f'result: {error}') from error
@@ -117,7 +119,7 @@
 
 def pack_directives(current: directives.Directives) -> bytes:
     """Encode the directives in effect; the records are left out if they are too large."""
-    records = {key: [record.offset, record.value] for key, record in current.records.items()}
+    records = {key: [record.position, record.value] for key, record in current.records.items()}
     packed = zlib.compress(msgpack.packb(records), _COMPRESSION_LEVEL)
     fits = len(packed) <= _MAX_DIRECTIVES_BYTES
     return msgpack.packb([current.position, packed if fits else None])
@@ -130,14 +132,18 @@
         MalformedError: If the data can't be decoded.
     """
     try:
-        position, packed = msgpack.unpackb(data)
+        packed_position, packed = msgpack.unpackb(data)
+        position = directives.unpack_position(packed_position)
         if packed is None:
-            return None, directives.Position(position)
+            return None, position
         content = msgpack.unpackb(zlib.decompress(packed))
-        records = {key: directives.Record(*fields) for key, fields in content.items()}
+        records = {
+            key: directives.Record(directives.unpack_position(record_position), value)
+            for key, (record_position, value) in content.items()
+        }
     except _DECODE_ERRORS as error:
         raise MalformedError(f'directives: {error}') from error
-    return records, directives.Position(position)
+    return records, position
 
 
 def _with_header_tuples(packed_head: list[Any]) -> list[Any]:
--- a/src/anvillug/version/directives.py
+++ b/src/anvillug/version/directives.py
@@ -3,22 +3,50 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Callable, Mapping
-from typing import NewType
+from collections.abc import Callable, Mapping, Sequence
+from typing import NamedTuple
 
 from anvillug import ids
 from anvillug.version import route_table
 
-Position = NewType('Position', int)
-"""Offset of the next record in the operator's log; a higher position is newer."""
+
+class Position(NamedTuple):
+    """Position in the operator's log; a higher one is newer.
+
+    The log begins a new era when it is restored from an older copy. Offsets are used again after
+    that, so those of different eras can't be compared.
+    """
+
+    era: int
+    """Number of the era."""
+    offset: int
+    """Offset in that era."""
+
+    def __str__(self) -> str:
+        """Return the form that is written to the event log."""
+        return f'{self.era}:{self.offset}'
+
+
+ORIGIN = Position(0, 0)
+"""Position of a node that has read nothing yet."""
+
+
+def unpack_position(packed: Sequence[int]) -> Position:
+    """Decode a position from a message of another node.
+
+    Raises:
+        ValueError, TypeError: If it is malformed.
+    """
+    era, offset = packed
+    return Position(int(era), int(offset))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Record:
     """Newest record of one key in the operator's log."""
 
-    offset: int
-    """Offset of the record."""
+    position: Position
+    """Position of the record."""
     value: bytes
     """Value; never empty, since an empty value deletes the key."""
 
@@ -37,15 +65,22 @@
     """New version."""
     duration_ms: float
     """Time in milliseconds within which the rollout has to end."""
-    offset: int
-    """Offset of the order's record; distinguishes it from earlier orders for the same service."""
+    position: Position
+    """Position of the order's record; distinguishes it from earlier orders for the same service."""
+
+    def is_same_in_other_era(self, other: RolloutOrder) -> bool:
+        """Return whether this is another record of an order from before the log was restored."""
+        return (
+            self.position.era != other.position.era
+            and dataclasses.replace(self, position=other.position) == other
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Directives:
     """Routes, zones out of service and rollouts in effect at one position."""
 
-    position: Position = Position(0)
+    position: Position = ORIGIN
     """Position up to which the log has been read."""
     revision: int = 0
     """Version number of the routes."""
--- a/src/anvillug/version/rollouts.py
+++ b/src/anvillug/version/rollouts.py
@@ -65,15 +65,24 @@
         """Apply the rollout orders in effect."""
         for service, order in in_effect.rollouts_by_service.items():
             current = self.by_service.get(service)
-            if current is None or current.order.offset < order.offset:
-                event_log.emit(
-                    'rollout_ordered', service=service, target_version=order.target_version
-                )
-                self._record_untrusted(current, order)
-                self.by_service[service] = rollout.Rollout(order, self._clock.now(), self._exposure)
+            if current is None or current.order.position < order.position:
+                self._apply_order(current, order)
         for status in tuple(self._statuses_by_service.values()):
             self.apply_status(status)
 
+    def _apply_order(self, current: rollout.Rollout | None, order: directives.RolloutOrder) -> None:
+        if current is not None and order.is_same_in_other_era(current.order):
+            current.order = order
+            return
+        event_log.emit(
+            'rollout_ordered',
+            service=order.service,
+            target_version=order.target_version,
+            position=order.position,
+        )
+        self._record_untrusted(current, order)
+        self.by_service[order.service] = rollout.Rollout(order, self._clock.now(), self._exposure)
+
     def _record_untrusted(
         self, current: rollout.Rollout | None, order: directives.RolloutOrder
     ) -> None:
@@ -168,7 +177,7 @@
         reported = self._next_reported()
         return {
             service: [
-                current.order.offset,
+                current.order.position,
                 current.phase.value,
                 current.announced,
                 current.written,
@@ -203,9 +212,10 @@
         Raises:
             ValueError, TypeError, LookupError: If the state is malformed.
         """
-        for service, (offset, *state) in packed.items():
+        for service, (position, *state) in packed.items():
             current = self.by_service.get(ids.ServiceName(service))
-            if current is not None and current.order.offset == offset:
+            order_position = directives.unpack_position(position)
+            if current is not None and current.order.position == order_position:
                 self._receive_state(current, reporter, *state)
 
     def _receive_state(  # noqa: WPS211 - the fields of the wire form
@@ -245,4 +255,5 @@
 
 def _rank(order: directives.RolloutOrder, host: VersionedHost) -> int:
     """Return a pseudo-random rank of a host, different for each rollout."""
-    return xxhash.xxh3_64_intdigest(f'{order.offset}/{host.host_id}'.encode())
+    key = f'{order.service}/{order.target_version}/{host.host_id}'
+    return xxhash.xxh3_64_intdigest(key.encode())
--- a/tests/rollout_fleet.py
+++ b/tests/rollout_fleet.py
@@ -122,7 +122,7 @@
     def new_node(self) -> rollouts.Rollouts:
         """Return a node that has just read the order."""
         node = rollouts.Rollouts(self.time, EXPOSURE, lambda: None)
-        order = directives.RolloutOrder(SERVICE, NEW, DURATION_MS, 7)
+        order = directives.RolloutOrder(SERVICE, NEW, DURATION_MS, directives.Position(1, 7))
         node.apply_orders(directives.Directives(rollouts_by_service={SERVICE: order}))
         return node
 
--- a/tests/test_beacon.py
+++ b/tests/test_beacon.py
@@ -32,7 +32,7 @@
         'cold': False,
         'load': dialect.ReportedLoad(1, 0, 9, 100.0),
         'load_age_ms': 5.0,
-        'position': directives.Position(3),
+        'position': directives.Position(1, 3),
     }
     return peer_table.Announcement(**{**fields, **changes})
 
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -24,7 +24,7 @@
         clock.Milliseconds(1000),
         True,  # noqa: FBT003
         1,
-        directives.Position(1),
+        directives.Position(1, 1),
         ids.InstanceId('i'),
     )
 
--- a/tests/test_directive_wire.py
+++ b/tests/test_directive_wire.py
@@ -9,11 +9,13 @@
 from anvillug.request import job_wire
 from anvillug.version import directives
 
-_POSITION = directives.Position(7)
+_POSITION = directives.Position(1, 7)
 
 
 def _directives(value: bytes) -> directives.Directives:
-    return directives.Directives(_POSITION, records={'config': directives.Record(3, value)})
+    return directives.Directives(
+        _POSITION, records={'config': directives.Record(directives.Position(1, 3), value)}
+    )
 
 
 class TestDirectives:
--- a/tests/test_follower_duty.py
+++ b/tests/test_follower_duty.py
@@ -71,15 +71,15 @@
         assert duty_setup.duty.is_follower()
 
     def test_node_reads_what_peers_cannot_send(self, duty_setup):
-        duty_setup.duty.record_peer_position(directives.Position(9))
-        duty_setup.duty.require_position(directives.Position(9))
+        duty_setup.duty.record_peer_position(directives.Position(1, 9))
+        duty_setup.duty.require_position(directives.Position(1, 9))
         assert duty_setup.duty.is_follower()
-        duty_setup.active_directives.advance({}, directives.Position(9))
+        duty_setup.active_directives.advance({}, directives.Position(1, 9))
         assert not duty_setup.duty.is_follower()
 
     def test_report_of_an_older_position_does_not_reset_the_lag(self, duty_setup):
-        duty_setup.duty.record_peer_position(directives.Position(9))
-        duty_setup.duty.record_peer_position(directives.Position(0))
+        duty_setup.duty.record_peer_position(directives.Position(1, 9))
+        duty_setup.duty.record_peer_position(directives.Position(1, 0))
         duty_setup.time.advance(450)
         for name in 'ab':
             duty_setup.announce(name)
@@ -87,17 +87,17 @@
         assert duty_setup.duty.is_follower()
 
     def test_lag_is_measured_from_its_latest_start(self, duty_setup):
-        duty_setup.duty.record_peer_position(directives.Position(9))
-        duty_setup.active_directives.advance({}, directives.Position(9))
+        duty_setup.duty.record_peer_position(directives.Position(1, 9))
+        duty_setup.active_directives.advance({}, directives.Position(1, 9))
         duty_setup.time.advance(450)
         for name in 'ab':
             duty_setup.announce(name)
         duty_setup.time.advance(300)
-        duty_setup.duty.record_peer_position(directives.Position(10))
+        duty_setup.duty.record_peer_position(directives.Position(1, 10))
         assert not duty_setup.duty.is_follower()
 
     def test_node_whose_lag_exceeds_the_limit_follows(self, duty_setup):
-        duty_setup.duty.record_peer_position(directives.Position(9))
+        duty_setup.duty.record_peer_position(directives.Position(1, 9))
         assert not duty_setup.duty.is_follower()
         duty_setup.time.advance(500)
         for name in 'ab':
--- a/tests/test_host_choice.py
+++ b/tests/test_host_choice.py
@@ -29,7 +29,7 @@
         'cold': False,
         'load': dialect.ReportedLoad(running, 0, 9, slowness),
         'load_age_ms': 0,
-        'position': directives.Position(1),
+        'position': directives.Position(1, 1),
     }
     return peer_table.Peer(peer_table.Announcement(**{**fields, **changes}), _NOW)
 
--- a/tests/test_mesh_host.py
+++ b/tests/test_mesh_host.py
@@ -59,7 +59,7 @@
         deadline=clock.Milliseconds(time.now() + 2000),
         repeatable=repeatable,
         priority=0,
-        position=directives.Position(0),
+        position=directives.Position(1, 0),
         instance=_INSTANCE,
         must_accept=must_accept,
     )
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -56,11 +56,13 @@
 
 def _decode(records: dict[str, object], previous: directives.Directives | None = None):
     packed = {
-        key: directives.Record(number, value if isinstance(value, bytes) else _json(value))
+        key: directives.Record(
+            directives.Position(1, number), value if isinstance(value, bytes) else _json(value)
+        )
         for number, (key, value) in enumerate(records.items())
     }
     return documents.decode_directives(
-        packed, directives.Position(len(packed)), previous or directives.Directives()
+        packed, directives.Position(1, len(packed)), previous or directives.Directives()
     )
 
 
@@ -104,7 +106,8 @@
         )
         order = decoded.rollouts_by_service['one']
         assert decoded.zones_out == {'z1'}
-        assert (order.target_version, order.duration_ms, order.offset) == ('v2', 12000, 1)
+        assert (order.target_version, order.duration_ms) == ('v2', 12000)
+        assert order.position == directives.Position(1, 1)
         assert 'two' not in decoded.rollouts_by_service
 
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -30,6 +30,15 @@
 _TICKS_PER_S = os.sysconf('SC_CLK_TCK')
 
 
+def _position(offset: int) -> directives.Position:
+    """Return a position in the first era of the store."""
+    return directives.Position(1, offset)
+
+
+def _record(offset: int, value: bytes) -> directives.Record:
+    return directives.Record(_position(offset), value)
+
+
 class _StoreSetup:
     """A store on a free port, with a client."""
 
@@ -140,12 +149,13 @@
         assert reactor_thread.wait_for(client.append(_TOPIC, 'a', b'1')) == 0
         assert reactor_thread.wait_for(client.append(_TOPIC, 'b', b'2')) == 1
         assert reactor_thread.wait_for(client.append(_TOPIC, 'a', b'3')) == 2
-        read = (('b', directives.Record(1, b'2')), ('a', directives.Record(2, b'3')))
-        assert reactor_thread.wait_for(client.read(_TOPIC, 1, 0)) == keyed_log.Batch(read, 3)
+        read = (('b', _record(1, b'2')), ('a', _record(2, b'3')))
+        batch = reactor_thread.wait_for(client.read(_TOPIC, 1, 0))
+        assert batch == keyed_log.Batch(read, _position(3))
         newest = reactor_thread.wait_for(client.newest(_TOPIC))
         assert dict(newest.changes) == {
-            'a': directives.Record(2, b'3'),
-            'b': directives.Record(1, b'2'),
+            'a': _record(2, b'3'),
+            'b': _record(1, b'2'),
         }
 
     def test_pages_of_newest_records(self, store_setup):
--- a/tests/test_remote_run.py
+++ b/tests/test_remote_run.py
@@ -58,7 +58,7 @@
             deadline=clock.Milliseconds(5000),
             repeatable=False,
             priority=1,
-            position=directives.Position(1),
+            position=directives.Position(1, 1),
             instance=ids.InstanceId('i-1'),
         )
         self.timers = task.Clock()
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -43,7 +43,9 @@
         self.hosts = [ids.HostId(f'h{index}') for index in range(host_count)]
         self.exposure = rollout.Exposure(exposure_share, slack)
         self.rollouts = rollouts.Rollouts(self.time, self.exposure, self._decided)
-        order = directives.RolloutOrder(_SERVICE, _NEW, _DURATION_MS, offset)
+        order = directives.RolloutOrder(
+            _SERVICE, _NEW, _DURATION_MS, directives.Position(1, offset)
+        )
         self.rollouts.apply_orders(directives.Directives(rollouts_by_service={_SERVICE: order}))
 
     def _decided(self) -> None:
@@ -309,7 +311,9 @@
     """Guards against a version that was never accepted and later counts as the old version."""
 
     def _order_next(self, setup: _RolloutSetup, version: str = 'v3'):
-        order = directives.RolloutOrder(_SERVICE, ids.VersionName(version), _DURATION_MS, 20)
+        order = directives.RolloutOrder(
+            _SERVICE, ids.VersionName(version), _DURATION_MS, directives.Position(1, 20)
+        )
         setup.rollouts.apply_orders(directives.Directives(rollouts_by_service={_SERVICE: order}))
 
     @pytest.mark.parametrize('reverted', [True, False])
@@ -386,7 +390,7 @@
         assert setup.phase is rollout.Phase.CANARY
 
     def test_short_rollout_leaves_time_to_store_the_outcome(self):
-        order = directives.RolloutOrder(_SERVICE, _NEW, 5000, 20)
+        order = directives.RolloutOrder(_SERVICE, _NEW, 5000, directives.Position(1, 20))
         setup = _RolloutSetup()
         setup.rollouts.apply_orders(directives.Directives(rollouts_by_service={_SERVICE: order}))
         setup.record_calls(_OLD, 400)
@@ -530,7 +534,8 @@
         setup, other = _RolloutSetup(), _RolloutSetup()
         services = [ids.ServiceName(name) for name in ('one', 'two', 'three')]
         orders = {
-            service: directives.RolloutOrder(service, _NEW, _DURATION_MS, 7) for service in services
+            service: directives.RolloutOrder(service, _NEW, _DURATION_MS, directives.Position(1, 7))
+            for service in services
         }
         for node in (setup, other):
             node.rollouts.apply_orders(directives.Directives(rollouts_by_service=orders))
--- a/tests/test_rollout_writer.py
+++ b/tests/test_rollout_writer.py
@@ -39,8 +39,8 @@
         self._check()
         self.on_read()
         newest = self.records[-1:]
-        records = tuple(('one', directives.Record(0, value)) for value in newest)
-        return keyed_log.Batch(records, len(self.records))
+        records = tuple(('one', directives.Record(directives.ORIGIN, value)) for value in newest)
+        return keyed_log.Batch(records, directives.Position(1, len(self.records)))
 
     async def append(
         self, topic: str, key: str, value: bytes, expected_end: int | None = None
@@ -77,7 +77,7 @@
         self.log = _Log()
         exposure = rollout.Exposure(0.1, 50)
         self.rollouts = rollouts.Rollouts(self.time, exposure, lambda: None)
-        order = directives.RolloutOrder(_SERVICE, _NEW, _DURATION_MS, 7)
+        order = directives.RolloutOrder(_SERVICE, _NEW, _DURATION_MS, directives.Position(1, 7))
         self.rollouts.apply_orders(directives.Directives(rollouts_by_service={_SERVICE: order}))
         self.current_rollout = self.rollouts.by_service[_SERVICE]
         self.writer = rollout_writer.RolloutWriter(
