Keep a configuration in effect also in the records that peers fetch

A record of the configuration that is older or malformed leaves the previous one in effect, but stood in the records in its place. Nodes that fetched them, for instance after their start, applied the older routes: after the store returned from an older copy, that is a confirmed change that returns to an older one.

--- a/src/anvillug/platform/documents.py
+++ b/src/anvillug/platform/documents.py
@@ -125,6 +125,10 @@
 ) -> directives.Directives:
     """Decode the operator's records; see `directives.Decoder`."""
     config = _decode_config(records, previous)
+    records = dict(records)
+    if config is previous and CONFIG_KEY in previous.records:
+        # Other nodes are served these records, and have to receive the configuration in effect.
+        records[CONFIG_KEY] = previous.records[CONFIG_KEY]
     rollouts = {}
     zones_out = set()
     for key, record in records.items():
@@ -142,7 +146,7 @@
         config.routes,
         frozenset(zones_out),
         rollouts,
-        dict(records),
+        records,
     )
 
 
@@ -207,7 +211,8 @@
 ) -> directives.Directives | _DecodedConfig:
     """Return the configuration, or the previous value if there is no newer valid one."""
     record = records.get(CONFIG_KEY)
-    if record is None or record == previous.records.get(CONFIG_KEY):
+    in_effect = previous.records.get(CONFIG_KEY)
+    if record is None or (in_effect is not None and record.value == in_effect.value):
         return previous
     try:
         document = _Config.model_validate_json(record.value)
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -96,6 +96,15 @@
         assert decoded.revision == 12
         assert decoded.routes is previous.routes
 
+    # A node that has just started would apply the older configuration of a restored store.
+    @pytest.mark.parametrize(
+        'records', [{'config': {**CONFIG, 'Version': '00000001'}}, {'config': b'{'}, {}]
+    )
+    def test_peers_are_not_served_a_config_that_was_ignored(self, records: dict[str, object]):
+        previous = _decode({'config': CONFIG})
+        decoded = _decode(records, previous)
+        assert decoded.records['config'] == previous.records['config']
+
     def test_rollouts_and_evacuated_zones(self):
         decoded = _decode(
             {
