Keep zones out of service while the operator repeats lost orders

After the store returned from an older copy, an evacuation written since was missing until the operator wrote it again, and the zone received calls again in the meantime. Records that a new era lacks now stay in effect for three seconds after it began; what has not been written again by then has ended.

The response with directives to other nodes is cached by the directives themselves, which now change without a new position.

--- a/src/anvillug/process/order_feed.py
+++ b/src/anvillug/process/order_feed.py
@@ -23,6 +23,9 @@
 _INITIAL_BACKOFF_MS = 80.0
 _MAX_BACKOFF_MS = 600.0
 _BACKOFF_FACTOR = 1.8
+# After the log was restored from an older copy, the operator writes again what it has lost within
+# two seconds; the rest allows for the time until the node reads it.
+_REWRITE_MS = 3000.0
 # Interval at which a node that does not follow the topic checks whether it has to.
 _IDLE_CHECK_MS = 150.0
 
@@ -61,6 +64,8 @@
         self._has_newest = False
         self._follows = True
         self._backoff_ms = _INITIAL_BACKOFF_MS
+        self._era = active_directives.current.position.era
+        active_directives.add_listener(self._directives_changed)
 
     @property
     def reaches_log(self) -> bool:
@@ -106,7 +111,6 @@
         self._record_success()
         if batch.end.era != position.era:
             # The records before this offset may differ from those that this node has applied.
-            event_log.warn('order_era_changed', position=position, era=batch.end.era)
             await self._read_newest()
             return
         self._apply(batch, dict(self._active_directives.current.records), position)
@@ -141,6 +145,18 @@
             )
             self._on_applied()
 
+    def _directives_changed(self, current: directives.Directives) -> None:
+        if current.position.era == self._era:
+            return
+        event_log.emit('order_era_began', position=current.position, previous=self._era)
+        self._era = current.position.era
+        self._reactor.callLater(clock.to_seconds(_REWRITE_MS), self._rewrite_ended, self._era)
+
+    def _rewrite_ended(self, era: int) -> None:
+        # If the log has been restored again, the operator is still writing.
+        if era == self._era:
+            self._active_directives.drop_lost_records()
+
     def _record_success(self) -> None:
         self._backoff_ms = _INITIAL_BACKOFF_MS
         if not self._log_reachable:
--- a/src/anvillug/process/peer_server.py
+++ b/src/anvillug/process/peer_server.py
@@ -38,7 +38,7 @@
         self._active_directives = active_directives
         # Wire form of the most recently requested directives; cached, since the nodes of a zone
         # request them at the same time.
-        self._packed = (directives.Position(-1, 0), b'')
+        self._packed: tuple[directives.Directives | None, bytes] = (None, b'')
 
     def request_received(self, exchange: http_exchange.ServerExchange) -> None:
         """Handle a request; see `http_exchange.RequestStarted`."""
@@ -52,8 +52,8 @@
 
     def _packed_directives(self) -> bytes:
         current = self._active_directives.current
-        if self._packed[0] != current.position:
-            self._packed = (current.position, job_wire.pack_directives(current))
+        if self._packed[0] is not current:
+            self._packed = (current, job_wire.pack_directives(current))
         return self._packed[1]
 
 
--- a/src/anvillug/version/directives.py
+++ b/src/anvillug/version/directives.py
@@ -120,6 +120,9 @@
     def advance(self, records: Records, position: Position) -> bool:
         """Put newer records into effect.
 
+        In a new era, records that the log has lost stay in effect until `drop_lost_records`, so
+        that the operator can write them again.
+
         Args:
             records: Newest record of each key.
             position: Position that the records were read up to.
@@ -129,7 +132,23 @@
         """
         if position <= self.current.position:
             return False
+        if position.era > self.current.position.era:
+            records = {**self.current.records, **records}
+        self._replace(records, position)
+        return True
+
+    def drop_lost_records(self) -> None:
+        """Drop the records of earlier eras: the operator has not written them again."""
+        position = self.current.position
+        records = {
+            key: record
+            for key, record in self.current.records.items()
+            if record.position.era == position.era
+        }
+        if len(records) < len(self.current.records):
+            self._replace(records, position)
+
+    def _replace(self, records: Records, position: Position) -> None:
         self.current = self._decode(records, position, self.current)
         for listener in self._listeners:
             listener(self.current)
-        return True
--- /dev/null
+++ b/tests/test_directives.py
@@ -0,0 +1,63 @@
+"""Tests of the directives in effect while the log returns to an older copy."""
+
+from __future__ import annotations
+
+import pytest
+
+from anvillug.platform import documents
+from anvillug.version import directives
+
+_OUT_KEY = 'evacuate/z1'
+_OTHER_KEY = 'evacuate/z2'
+
+
+def _records(era: int, *keys: str) -> directives.Records:
+    """Return one record for each key, at ascending offsets."""
+    return {
+        key: directives.Record(directives.Position(era, offset), b'{}')
+        for offset, key in enumerate(keys)
+    }
+
+
+@pytest.fixture
+def active_directives():
+    """Return directives at offset 9 of the first era, with one zone out of service."""
+    active_directives = directives.ActiveDirectives(documents.decode_directives)
+    active_directives.advance(_records(1, _OUT_KEY), directives.Position(1, 9))
+    return active_directives
+
+
+class TestRestoredLog:
+    """Guards against directives that are ignored or lost because the log was restored."""
+
+    def test_lower_offset_of_a_new_era_is_newer(self, active_directives):
+        assert active_directives.advance(
+            _records(2, _OUT_KEY, _OTHER_KEY), directives.Position(2, 2)
+        )
+        assert active_directives.current.zones_out == {'z1', 'z2'}
+
+    def test_older_era_is_not_newer(self, active_directives):
+        active_directives.advance(_records(2), directives.Position(2, 2))
+        assert not active_directives.advance(_records(1, _OTHER_KEY), directives.Position(1, 12))
+        assert 'z2' not in active_directives.current.zones_out
+
+    # Calls would be sent to a zone out of service until the operator has repeated its order.
+    def test_lost_evacuation_is_kept_until_it_is_written_again(self, active_directives):
+        active_directives.advance(_records(2), directives.Position(2, 2))
+        assert active_directives.current.zones_out == {'z1'}
+        active_directives.advance(_records(2, _OUT_KEY), directives.Position(2, 3))
+        active_directives.drop_lost_records()
+        assert active_directives.current.zones_out == {'z1'}
+
+    def test_evacuation_that_is_not_written_again_ends(self, active_directives):
+        active_directives.advance(_records(2, _OTHER_KEY), directives.Position(2, 2))
+        active_directives.drop_lost_records()
+        assert active_directives.current.zones_out == {'z2'}
+
+    def test_listeners_receive_the_end_of_a_lost_evacuation(self, active_directives):
+        zones_out = []
+        active_directives.add_listener(lambda current: zones_out.append(set(current.zones_out)))
+        active_directives.advance(_records(2), directives.Position(2, 2))
+        active_directives.drop_lost_records()
+        active_directives.drop_lost_records()
+        assert zones_out == [{'z1'}, set()]
