Write a node's records again when the store has lost them

What operators would see: after the store has returned from an older copy, nodes that start later don't find a node whose address was written after that copy (no `peer_found` for up to the life of its process), and the next process of a node whose leave was lost takes a late heartbeat of the instance that has left for a serving backend server (`upstream_changed state=serving`), which breaks DRAIN.

Cause: `MemberRecords` wrote the address and the leave once and took the acknowledgement as final.

Change: the directives tell the era of the store. When it rises, the node reads the member topic within 0.5 s, at a random moment, and appends those of its own records that are missing or older there. Each read, also the one every 60 s, is compared in the same way, and its own era counts too. A read that began before the newest era was noticed and reports an earlier one is not compared; another follows soon. The acknowledgement of a leave counts only if no new era was noticed since its append was sent; otherwise the append is repeated. An append that was acknowledged before the read began needs no such check: the read shows whether the record is there. A leave that is still being written, or that was stored while the read was in progress, is not written a second time.

Why it works: the store is linearizable, so a read of an era shows all that was acknowledged in it before the read began. At the start the address is written before the first read, as before; so it is when a failed append is retried. The calls of an era are one read and the appends of what is missing; if an append fails, its retry is followed by one more read.

Ruled out: writing without reading first (an append per node and era although most copies have the records), and judging by the acknowledgement alone (it may arrive after the restore).

--- a/src/anvillug/process/mesh_node.py
+++ b/src/anvillug/process/mesh_node.py
@@ -161,6 +161,7 @@
             f'{settings.ip}:{settings.beacon_port}',
             self.peers,
             self.upstream,
+            self._rng,
             self._beacons.send_now,
         )
         self._feed = order_feed.OrderFeed(
@@ -300,6 +301,7 @@
             self.entry.fetch_directives(announcement.peer_address)
 
     def _directives_changed(self, current: directives.Directives) -> None:
+        self._records.notice_era(current.position.era)
         self._beacons.send_near()
 
     def _step(self) -> None:
