Skip malformed records of nodes

What operators would see: after a record of another type in the member topic, a node reads the topic no more until it is started again (a leave that is not an integer), or keeps an address that is none as a contact. By reading only: the beacon task catches no error but OSError when it sends to such an address, so it would end.

Cause: a record was checked only for being valid msgpack, and the task catches only LogUnavailableError.

Before (17 of the 21 new tests fail):

test_leave_is_skipped[None] AssertionError: assert {} == {'p': '10.0.0.2:70'} test_leave_is_skipped[5.5] assert 5.5 == 0 test_address_is_skipped[10.0.0.3:x] AssertionError: assert {'m': '10.0.0...'10.0.0.2:70'} == {'p': '10.0.0.2:70'}

Change: an address has to be a string with IP address and port, a leave has to be an integer.

Why it works: the checks raise ValueError inside the try statement that already logs undecodable records, so no record reaches the peers, the beacons or the backend server's state unchecked.

After: 61 tests of the file pass.

--- a/src/anvillug/process/member_records.py
+++ b/src/anvillug/process/member_records.py
@@ -14,7 +14,7 @@
 import msgpack
 from twisted.internet import defer, interfaces, task
 
-from anvillug import event_log, ids
+from anvillug import event_log, ids, validation
 from anvillug.connection import keyed_log
 from anvillug.process import peer_table, upstream
 from anvillug.version import directives
@@ -208,10 +208,21 @@
     def _apply(self, key: str, record: directives.Record) -> None:
         try:
             content = msgpack.unpackb(record.value)
+            if not key.startswith(_LEFT_PREFIX):
+                self._peers.add_contact(ids.HostId(key), _check_address(content))
+            elif key == self._leave_key:
+                self._upstream.restore_leave(_check_start_time(content))
         except (ValueError, msgpack.UnpackException) as error:
             event_log.warn('member_record_malformed', member=key, reason=error)
-            return
-        if not key.startswith(_LEFT_PREFIX):
-            self._peers.add_contact(ids.HostId(key), content)
-        elif key == self._leave_key:
-            self._upstream.restore_leave(ids.Incarnation(content))
+
+
+def _check_address(content: object) -> str:
+    if not isinstance(content, str):
+        raise ValueError(f'address must be a string, got {type(content).__name__}')
+    return validation.check_address(content)
+
+
+def _check_start_time(content: object) -> ids.Incarnation:
+    if isinstance(content, bool) or not isinstance(content, int):
+        raise ValueError(f'start time must be an integer, got {type(content).__name__}')
+    return ids.Incarnation(content)
--- a/tests/test_member_records.py
+++ b/tests/test_member_records.py
@@ -377,3 +377,40 @@
         assert setup.log.calls == ['append', 'newest']
         assert setup.log.stored_keys == ['h']
         assert setup.peers.contacts_by_host_id == {_PEER: _PEER_ADDRESS}
+
+
+class TestMalformedRecord:
+    """Guards against a record of another writer that ends the task or the beacons."""
+
+    @pytest.mark.parametrize(
+        'content',
+        [None, 70, b'10.0.0.3:70', ['10.0.0.3', 70], '10.0.0.3', '10.0.0.3:x', '10.0.0.3:70000']
+        + [':70', 'host:70', '::1:70', '10.0.0.3:0'],
+    )
+    def test_address_is_skipped(self, content):
+        setup = _RecordsSetup()
+        setup.log.restore({'m': content, _PEER: _PEER_ADDRESS})
+        setup.records.start()
+        setup.run(300)
+        assert setup.peers.contacts_by_host_id == {_PEER: _PEER_ADDRESS}
+
+    @pytest.mark.parametrize('content', [None, '5', 5.5, True, [5], b'5'])
+    def test_leave_is_skipped(self, content):
+        setup = _RecordsSetup()
+        setup.log.restore({'left/h': content, _PEER: _PEER_ADDRESS})
+        setup.records.start()
+        setup.run(300)
+        assert setup.backend.last_left_started_at == 0
+        assert setup.peers.contacts_by_host_id == {_PEER: _PEER_ADDRESS}
+        setup.run(_REREAD_INTERVAL_MS)
+        assert len(setup.log.read_times) == 2
+
+    @pytest.mark.parametrize('value', [b'\xc1', b'\xa5ab', b'\x05\x05', b'\xa1\xff'])
+    def test_undecodable_value_is_skipped(self, value):
+        setup = _RecordsSetup()
+        setup.log.restore({})
+        setup.log.values_by_key = {'left/h': value, 'm': value}
+        setup.records.start()
+        setup.run(_REREAD_INTERVAL_MS + 300)
+        assert not setup.peers.contacts_by_host_id
+        assert len(setup.log.read_times) == 2
