Keep reading and writing records of nodes after an unexpected error

What operators would see: after a response of the store that can't be decoded, a node never reads or writes the member topic again: nodes that start later don't find it, and it doesn't write lost records again. A leave that met such a response is not stored, so the next process of the node would take a late heartbeat for a serving backend server.

Cause: the task and the retries of a leave catch only LogUnavailableError. The client decodes the body of a response outside of the statement that turns errors into LogUnavailableError, so a body without `End` or `Offset` raises KeyError.

test_records_are_read_after_an_error_at_the_start AssertionError: assert [] == ['h'] test_leave_is_stored_after_an_error AssertionError: assert [] == ['left/h']

Change: other errors are logged with their trace, as member_records_failed and leave_failed, and followed by the usual retry.

Why it works: no error of a step or an append leaves the loop any more, and the retry starts from state that is only changed after a success.

--- a/src/anvillug/process/member_records.py
+++ b/src/anvillug/process/member_records.py
@@ -124,9 +124,13 @@
             except keyed_log.LogUnavailableError as error:
                 event_log.warn('members_not_read', reason=error)
                 await self._sleep(_RETRY_INTERVAL_S)
-                continue
-            is_up_to_date = self._read_era >= self._era
-            await self._sleep(_REREAD_INTERVAL_S if is_up_to_date else self._jitter_s())
+            except Exception as error:
+                # A response that cannot be decoded must not end the task.
+                event_log.error('member_records_failed', error)
+                await self._sleep(_RETRY_INTERVAL_S)
+            else:
+                is_up_to_date = self._read_era >= self._era
+                await self._sleep(_REREAD_INTERVAL_S if is_up_to_date else self._jitter_s())
 
     async def _step(self) -> None:
         if not self._address_written:
@@ -187,11 +191,14 @@
             except keyed_log.LogUnavailableError as error:
                 event_log.warn('leave_not_kept', reason=error)
                 await task.deferLater(self._reactor, _RETRY_INTERVAL_S)
-                continue
-            # An append from before a new era may have been lost although it was acknowledged.
-            if era == self._era:
-                self._stored_leave = (era, started_at)
-                return
+            except Exception as error:
+                event_log.error('leave_failed', error)
+                await task.deferLater(self._reactor, _RETRY_INTERVAL_S)
+            else:
+                # An append from before a new era may have been lost although it was acknowledged.
+                if era == self._era:
+                    self._stored_leave = (era, started_at)
+                    return
 
     async def _append(self, key: str, content: object) -> None:
         await self._log.append(self._topic, key, msgpack.packb(content))
--- a/tests/test_member_records.py
+++ b/tests/test_member_records.py
@@ -38,6 +38,7 @@
         self.read_times: list[float] = []
         self.calls: list[str] = []
         self.is_up = True
+        self.error = keyed_log.LogUnavailableError('down')
         self.append_response_ms = _LOG_RESPONSE_MS
         self.read_response_ms = _LOG_RESPONSE_MS
         self._reactor = reactor
@@ -78,7 +79,7 @@
 
     def _require_up(self) -> None:
         if not self.is_up:
-            raise keyed_log.LogUnavailableError('down')
+            raise self.error
 
 
 class _RecordsSetup:
@@ -414,3 +415,29 @@
         setup.run(_REREAD_INTERVAL_MS + 300)
         assert not setup.peers.contacts_by_host_id
         assert len(setup.log.read_times) == 2
+
+
+class TestUnexpectedError:
+    """Guards against a task that ends because the response of the log can't be decoded."""
+
+    def test_records_are_read_after_an_error_at_the_start(self):
+        setup = _RecordsSetup()
+        setup.log.restore({_PEER: _PEER_ADDRESS})
+        setup.log.error = KeyError('End')
+        setup.log.is_up = False
+        setup.records.start()
+        setup.run(300)
+        setup.log.is_up = True
+        setup.run(1000)
+        assert setup.log.stored_keys == ['h']
+        assert setup.peers.contacts_by_host_id == {_PEER: _PEER_ADDRESS}
+
+    def test_leave_is_stored_after_an_error(self, records_setup):
+        records_setup.log.error = KeyError('Offset')
+        records_setup.log.is_up = False
+        records_setup.run(300)
+        assert not records_setup.acknowledged
+        records_setup.log.is_up = True
+        records_setup.run(1000)
+        assert records_setup.log.stored_keys == ['left/h']
+        assert len(records_setup.acknowledged) == 1
