Pause between reads of a store that ends before the node's position

All nodes repeated two calls without a pause while the store ended earlier than their position, hundreds of times a second, since each call by itself succeeded. Eras make this rare; a store that loses records without a new era still causes it. Such a read now counts as a failed one, with its backoff and store_lost.

The test failed before: 275 calls in a second, 20 allowed.

--- a/src/anvillug/process/order_feed.py
+++ b/src/anvillug/process/order_feed.py
@@ -116,7 +116,10 @@
         self._apply(batch, dict(self._active_directives.current.records), position)
 
     async def _read_newest(self) -> None:
+        position = self._active_directives.current.position
         batch = await self._log.newest(self._topic)
+        if batch.end < position:
+            raise keyed_log.LogUnavailableError(f'ends at {batch.end}, before {position}')
         self._record_success()
         self._has_newest = True
         self._apply(batch, {}, self._active_directives.current.position)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -350,6 +350,23 @@
         # Backoff leaves at least 40, 72, 130 and 233 ms between failed calls.
         assert store_setup.server.call_counts.total() - before <= 10
 
+    # Reads that cannot succeed would be repeated without a pause by all nodes.
+    def test_calls_to_a_store_that_ends_earlier_are_bounded(self, store_setup, active_directives):
+        self._lose_two_records(store_setup, active_directives)
+        topic = store_setup.server.topic(_TOPIC)
+        reactor_thread.eventually(lambda: topic.waiters)
+        before = store_setup.server.call_counts.total()
+        # The store loses records without a new era.
+        reactor_thread.call(topic.records.clear)
+        reactor_thread.call(self._wake, topic)
+        time.sleep(1)
+        # Each attempt makes two calls, and the backoff between attempts grows.
+        assert store_setup.server.call_counts.total() - before <= 20
+
+    def _wake(self, topic: platform_store.Topic) -> None:
+        for waiter in tuple(topic.waiters):
+            waiter.callback(None)
+
     def _lose_two_records(self, store_setup, active_directives) -> None:
         """Let the feed apply two records that the copy of the store does not have."""
         reactor_thread.call(store_setup.server.snapshot)
