--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -178,7 +178,7 @@
 
     def test_read_beyond_the_end(self, store_setup):
         store_setup.server.topic(_TOPIC).append(b'a', b'1')
-        end = keyed_log.Batch((), 1)
+        end = keyed_log.Batch((), _position(1))
         assert reactor_thread.wait_for(store_setup.client.read(_TOPIC, 1, 0)) == end
         with pytest.raises(keyed_log.RecordsDeletedError):
             reactor_thread.wait_for(store_setup.client.read(_TOPIC, 2, 0))
