--- a/src/anvillug/process/order_feed.py
+++ b/src/anvillug/process/order_feed.py
@@ -16,8 +16,7 @@
 from anvillug.connection import keyed_log
 from anvillug.version import directives
 
-# An unresponsive connection is detected at the end of a long poll. Outages last 4.5 s or more, so
-# each is detected before it ends; until then, beacons announce newer directives.
+# A silent connection ends the poll early; see `connection/tcp_liveness.py`.
 _POLL_MS = 4000
 # Exponential backoff after a failed read.
 _INITIAL_BACKOFF_MS = 80.0
