Write the status of rollouts again after the store was restored

Cause: `announced` and `written` were flags that stayed set when the store lost the records, the flags of other nodes were believed whatever era they came from, and remembered statuses were applied again with every new directive.

A match of the order's position does not protect the flags: a node may notice the era by reading the statuses while its order still has the old position, and the copy may lack the order. So nodes now keep and exchange the position of the newest status record that they know, with its phase. A record of an earlier era is not believed, and one that another status has replaced shows as missing. Outcomes that have been in the store are marked as settled: they are adopted from reports although the store lacks them, and `completed` is never replaced.

Only the node whose turn it is reads the topic again: every rollout whose status is not known in the new era has a step due, and `_take_step` reads first. A read by each node at once would compete with that write for the store's limit.

--- a/src/anvillug/process/rollout_writer.py
+++ b/src/anvillug/process/rollout_writer.py
@@ -14,7 +14,7 @@
 
 from anvillug import clock, event_log, ids
 from anvillug.connection import keyed_log
-from anvillug.version import rollout, rollouts
+from anvillug.version import directives, rollout, rollouts
 
 _CHECK_INTERVAL_S = 0.15
 # Wait for each live node that comes before this one in the order of names.
@@ -120,21 +120,28 @@
         )
         key = self._codec.key(status.service)
         try:
-            await self._log.append(self._topic, key, self._codec.encode(status), expected_end=end)
+            offset = await self._log.append(
+                self._topic, key, self._codec.encode(status), expected_end=end.offset
+            )
         except keyed_log.ConditionFailedError:
             # Another node has written a status; the next check reads it.
             return
         event_log.emit('rollout_status_written', service=status.service, phase=status.phase.value)
-        self._rollouts.apply_status(status)
+        self._rollouts.apply_status(status, directives.Position(end.era, offset))
 
-    async def _read(self) -> int:
-        """Apply the statuses in the log, and return the offset at which their topic ends."""
+    async def _read(self) -> directives.Position:
+        """Apply the statuses in the log, and return the position at which their topic ends."""
         batch = await self._log.newest(self._topic)
+        self._rollouts.enter_era(batch.end.era)
+        if batch.end.era < self._rollouts.era:
+            raise keyed_log.LogUnavailableError(
+                f'statuses of era {batch.end.era} received in era {self._rollouts.era}'
+            )
         for key, record in batch.changes:
             status = self._codec.decode(key, record.value)
             if status is not None:
-                self._rollouts.apply_status(status)
-        return batch.end.offset
+                self._rollouts.apply_status(status, record.position)
+        return batch.end
 
 
 _PHASES_BY_STEP = {
--- a/src/anvillug/version/rollout.py
+++ b/src/anvillug/version/rollout.py
@@ -11,6 +11,7 @@
 import dataclasses
 import enum
 import math
+from typing import NamedTuple
 
 from anvillug import clock, event_log, ids
 from anvillug.version import (
@@ -94,6 +95,15 @@
     """`CANARY` while it is in progress, or how it ended."""
 
 
+class StoredStatus(NamedTuple):
+    """Status record of a service in the store."""
+
+    position: directives.Position
+    """Position of the record."""
+    phase: Phase | None
+    """Phase that it states; None if it is the status of another rollout."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Exposure:
     """Bound on the calls that a bad version may receive during its rollout."""
@@ -148,10 +158,10 @@
         """Number of shifts that were cancelled because the outcome could not be stored."""
         self.shifted_at = clock.Milliseconds(0)
         """When the shift began, by this node or by the report that it adopted."""
-        self.announced = False
-        """Whether the store holds a status of this rollout."""
-        self.written = False
-        """Whether the store holds the outcome."""
+        self.stored: StoredStatus | None = None
+        """Newest status record that is known in the present era of the store."""
+        self.settled = False
+        """Whether the outcome has been in the store, in any era."""
         self.evidence = rollout_evidence.Evidence()
         """Counted calls on both versions."""
         self._exposure = exposure
@@ -221,15 +231,16 @@
 
     def next_step(self, now: clock.Milliseconds) -> Step | None:
         """Return the step that is due on behalf of all nodes, if any."""
-        if self.written:
-            return None
+        stored_phase = None if self.stored is None else self.stored.phase
         if self.phase.is_final:
+            if stored_phase is self.phase:
+                return None
             return Step.REVERT if self.phase is Phase.REVERTED else Step.COMPLETE
         if self._has_enough_evidence(now):
             decision = self._next_decision(now)
             if decision is not None:
                 return decision
-        return None if self.announced else Step.ANNOUNCE
+        return Step.ANNOUNCE if stored_phase is None else None
 
     def shift(self, now: clock.Milliseconds) -> None:
         """Move all calls to the new version."""
@@ -259,10 +270,20 @@
             self.shifted_at = shifted_at
             self._enter(Phase.SHIFTING, 'reported by another node')
 
-    def status_written(self, phase: Phase) -> None:
-        """Record the phase that the store holds."""
-        self.announced = True
-        self.written = self.written or phase.is_final
+    def record_stored(self, stored: StoredStatus) -> None:
+        """Record a status record of the present era, unless a newer one is known."""
+        if self.stored is None or stored.position > self.stored.position:
+            self.stored = stored
+
+    def settle(self, phase: Phase, reason: str) -> None:
+        """Adopt an outcome that the store holds or held before it was restored.
+
+        `COMPLETED` is never replaced: the old backend servers stopped when it was stored.
+        """
+        if self.settled and self.phase is Phase.COMPLETED:
+            return
+        self.settled = True
+        self.adopt(phase, reason)
 
     def adopt(self, phase: Phase, reason: str) -> None:
         """Adopt the outcome that the store or another node reports."""
--- a/src/anvillug/version/rollouts.py
+++ b/src/anvillug/version/rollouts.py
@@ -3,7 +3,7 @@
 Every node counts its own calls, receives the counts of the others, and evaluates the sums. The
 verdict that a version is bad takes effect at once on each node that reaches or receives it. One
 node that can write to the store begins the shift and completes the rollout; the outcome in the
-store is authoritative.
+store is authoritative. An outcome that the store has lost stays in effect and is written again.
 """
 
 from __future__ import annotations
@@ -11,7 +11,7 @@
 import heapq
 import math
 from collections.abc import Callable, Sequence
-from typing import Any, Protocol, TypeVar
+from typing import Any, NamedTuple, Protocol, TypeVar
 
 import xxhash
 
@@ -39,6 +39,19 @@
 HostT = TypeVar('HostT', bound=VersionedHost)
 
 
+class _State(NamedTuple):
+    """State of a rollout in its wire form."""
+
+    order_position: Sequence[int]
+    phase_name: str
+    stored: Sequence[Any] | None
+    settled: bool
+    age_ms: int
+    cancelled_shifts: int
+    shift_age_ms: int
+    counts: list[Any] | None
+
+
 class Rollouts:
     """All rollouts that were ordered.
 
@@ -53,22 +66,42 @@
     ) -> None:
         self.by_service: dict[ids.ServiceName, rollout.Rollout] = {}
         """Newest rollout of each service."""
+        self.era = directives.ORIGIN.era
+        """Newest known era of the store."""
         self._clock = time
         self._exposure = exposure
         self._on_decided = on_decided
         self._report_turn = 0
         # Versions whose rollout was not completed; their backend servers may still be running.
         self._untrusted_by_service: dict[ids.ServiceName, set[ids.VersionName]] = {}
-        self._statuses_by_service: dict[ids.ServiceName, rollout.Status] = {}
+        # Status records of the present era of the store.
+        self._statuses_by_service: dict[
+            ids.ServiceName, tuple[rollout.Status, directives.Position]
+        ] = {}
+
+    def enter_era(self, era: int) -> None:
+        """Forget which statuses the store holds if it has been restored since the last call.
+
+        Args:
+            era: An era of the store; has no effect unless it is a new one.
+        """
+        if era <= self.era:
+            return
+        event_log.emit('rollout_era_entered', era=era, previous=self.era)
+        self.era = era
+        self._statuses_by_service.clear()
+        for current in self.by_service.values():
+            current.stored = None
 
     def apply_orders(self, in_effect: directives.Directives) -> None:
         """Apply the rollout orders in effect."""
+        self.enter_era(in_effect.position.era)
         for service, order in in_effect.rollouts_by_service.items():
             current = self.by_service.get(service)
             if current is None or current.order.position < order.position:
                 self._apply_order(current, order)
-        for status in tuple(self._statuses_by_service.values()):
-            self.apply_status(status)
+        for status, position in tuple(self._statuses_by_service.values()):
+            self.apply_status(status, position)
 
     def _apply_order(self, current: rollout.Rollout | None, order: directives.RolloutOrder) -> None:
         if current is not None and order.is_same_in_other_era(current.order):
@@ -91,15 +124,25 @@
             untrusted.add(current.order.target_version)
         untrusted.discard(order.target_version)
 
-    def apply_status(self, status: rollout.Status) -> None:
-        """Apply a status that was read from or written to the store."""
-        self._statuses_by_service[status.service] = status
+    def apply_status(self, status: rollout.Status, position: directives.Position) -> None:
+        """Apply a status that was read from or written to the store.
+
+        Args:
+            status: The status.
+            position: Position of its record.
+        """
+        self.enter_era(position.era)
+        is_present = position.era == self.era
+        if is_present:
+            self._statuses_by_service[status.service] = (status, position)
         current = self.by_service.get(status.service)
-        if current is None or current.order.target_version != status.target_version:
+        if current is None:
             return
-        if status.phase.is_final:
-            current.adopt(status.phase, 'read from the store')
-        current.status_written(status.phase)
+        phase = status.phase if current.order.target_version == status.target_version else None
+        if phase is not None and phase.is_final:
+            current.settle(phase, 'read from the store')
+        if is_present:
+            current.record_stored(rollout.StoredStatus(position, phase))
 
     def record(self, call: rollout.Call) -> rollout_counts.Outcome | None:
         """Count a call that has ended.
@@ -176,16 +219,16 @@
         now = self._clock.now()
         reported = self._next_reported()
         return {
-            service: [
+            service: _State(
                 current.order.position,
                 current.phase.value,
-                current.announced,
-                current.written,
+                current.stored and _pack_stored(current.stored),
+                current.settled,
                 int(now - current.started_at),
                 current.cancelled_shifts,
                 int(now - current.shifted_at),
                 current.evidence.local.pack() if current is reported else None,
-            ]
+            )
             for service, current in self.by_service.items()
         }
 
@@ -212,37 +255,47 @@
         Raises:
             ValueError, TypeError, LookupError: If the state is malformed.
         """
-        for service, (position, *state) in packed.items():
+        for service, fields in packed.items():
+            state = _State(*fields)
             current = self.by_service.get(ids.ServiceName(service))
-            order_position = directives.unpack_position(position)
+            order_position = directives.unpack_position(state.order_position)
             if current is not None and current.order.position == order_position:
-                self._receive_state(current, reporter, *state)
-
-    def _receive_state(  # noqa: WPS211 - the fields of the wire form
-        self,
-        current: rollout.Rollout,
-        reporter: rollout_evidence.Reporter,
-        phase_name: str,
-        announced: bool,
-        written: bool,
-        age_ms: int,
-        cancelled_shifts: int,
-        shift_age_ms: int,
-        packed_counts: list[Any] | None,
+                self._receive_state(current, reporter, state)
+
+    def _receive_state(
+        self, current: rollout.Rollout, reporter: rollout_evidence.Reporter, state: _State
     ) -> None:
         now = self._clock.now()
-        current.started_at = min(current.started_at, clock.Milliseconds(now - age_ms))
-        counts = packed_counts and rollout_counts.VersionCounts.unpack(packed_counts)
+        current.started_at = min(current.started_at, clock.Milliseconds(now - state.age_ms))
+        counts = state.counts and rollout_counts.VersionCounts.unpack(state.counts)
         current.evidence.record_report(reporter, counts, now)
-        current.announced = current.announced or announced
-        phase = rollout.Phase(phase_name)
-        if written and phase.is_final:
-            current.adopt(phase, f'reported by {reporter[0]}')
-            current.written = True
+        phase = rollout.Phase(state.phase_name)
+        if state.settled and phase.is_final:
+            current.settle(phase, f'reported by {reporter[0]}')
         elif phase is rollout.Phase.REVERTED and not current.phase.is_final:
             current.adopt(phase, f'reported by {reporter[0]}')
         elif phase is rollout.Phase.SHIFTING:
-            current.adopt_shift(cancelled_shifts, clock.Milliseconds(now - shift_age_ms))
+            shifted_at = clock.Milliseconds(now - state.shift_age_ms)
+            current.adopt_shift(state.cancelled_shifts, shifted_at)
+        if state.stored is not None:
+            self._receive_stored(current, _unpack_stored(state.stored))
+
+    def _receive_stored(self, current: rollout.Rollout, stored: rollout.StoredStatus) -> None:
+        self.enter_era(stored.position.era)
+        # The store may have lost a record of an earlier era.
+        if stored.position.era == self.era:
+            current.record_stored(stored)
+
+
+def _pack_stored(stored: rollout.StoredStatus) -> list[Any]:
+    phase_name = None if stored.phase is None else stored.phase.value
+    return [*stored.position, phase_name]
+
+
+def _unpack_stored(packed: Sequence[Any]) -> rollout.StoredStatus:
+    era, offset, phase_name = packed
+    phase = None if phase_name is None else rollout.Phase(phase_name)
+    return rollout.StoredStatus(directives.unpack_position((era, offset)), phase)
 
 
 def _canary_hosts(current: rollout.Rollout, new: Sequence[HostT]) -> Sequence[HostT]:
--- a/tests/rollout_fleet.py
+++ b/tests/rollout_fleet.py
@@ -110,6 +110,7 @@
         self._scheduled_ends: list[_ScheduledEnd] = []
         self._tie_breakers = itertools.count()
         self._started_at = self.time.now()
+        self._status_offsets = itertools.count()
         self.nodes = [self.new_node() for _ in range(node_count)]
         # Number of restarts of each node's process.
         self._incarnations = [0 for _ in range(node_count)]
@@ -241,7 +242,8 @@
             if step is rollout.Step.REVERT:
                 node.revert(current)
             self.stored_phase = _PHASE_BY_STEP[step]
-            node.apply_status(rollout.Status(SERVICE, NEW, self.stored_phase))
+            position = directives.Position(1, next(self._status_offsets))
+            node.apply_status(rollout.Status(SERVICE, NEW, self.stored_phase), position)
 
 
 _PHASE_BY_STEP = {
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import itertools
 
 import msgpack
 import pytest
@@ -40,6 +41,7 @@
     ):
         self.time = clock.ManualClock(1000)
         self.decisions = 0
+        self.status_offsets = itertools.count()
         self.hosts = [ids.HostId(f'h{index}') for index in range(host_count)]
         self.exposure = rollout.Exposure(exposure_share, slack)
         self.rollouts = rollouts.Rollouts(self.time, self.exposure, self._decided)
@@ -94,7 +96,7 @@
             rollout.Step.REVERT: rollout.Phase.REVERTED,
         }
         status = rollout.Status(_SERVICE, _NEW, phases.get(step, rollout.Phase.CANARY))
-        self.rollouts.apply_status(status)
+        self.rollouts.apply_status(status, directives.Position(1, next(self.status_offsets)))
 
     def versions(self, fraction: float) -> set[ids.VersionName]:
         return {host.version for host in self.rollouts.allowed(_SERVICE, _HOSTS, fraction)}
@@ -303,7 +305,8 @@
     def test_outcome_in_the_store_takes_precedence(self, phase: rollout.Phase):
         setup = _RolloutSetup()
         setup.rollouts.by_service[_SERVICE].adopt(rollout.Phase.REVERTED, 'test')
-        setup.rollouts.apply_status(rollout.Status(_SERVICE, _NEW, phase))
+        status = rollout.Status(_SERVICE, _NEW, phase)
+        setup.rollouts.apply_status(status, directives.Position(1, 0))
         assert setup.phase is phase
 
 
--- a/tests/test_rollout_writer.py
+++ b/tests/test_rollout_writer.py
@@ -28,6 +28,7 @@
 
     def __init__(self) -> None:
         self.records: list[bytes] = []
+        self.era = 1
         self.is_up = True
         self.on_read: Callable[[], object] = _do_nothing
 
@@ -38,9 +39,10 @@
     async def newest(self, topic: str) -> keyed_log.Batch:
         self._check()
         self.on_read()
-        newest = self.records[-1:]
-        records = tuple(('one', directives.Record(directives.ORIGIN, value)) for value in newest)
-        return keyed_log.Batch(records, directives.Position(1, len(self.records)))
+        end = directives.Position(self.era, len(self.records))
+        newest = directives.Position(self.era, len(self.records) - 1)
+        records = tuple(('one', directives.Record(newest, value)) for value in self.records[-1:])
+        return keyed_log.Batch(records, end)
 
     async def append(
         self, topic: str, key: str, value: bytes, expected_end: int | None = None
@@ -51,6 +53,11 @@
         self.records.append(value)
         return expected_end
 
+    def restore(self, record_count: int) -> None:
+        """Return to a copy that holds the first records only."""
+        self.era += 1
+        del self.records[record_count:]
+
     def _check(self) -> None:
         if not self.is_up:
             raise keyed_log.LogUnavailableError('down')
@@ -71,20 +78,38 @@
 class _WriterSetup:
     """One node with a rollout in progress and a writer of its status."""
 
-    def __init__(self, rank: int = 0) -> None:
+    def __init__(self, rank: int = 0, log: _Log | None = None) -> None:
         self.reactor = task.Clock()
         self.time = clock.ManualClock(1000)
-        self.log = _Log()
+        self.log = log or _Log()
         exposure = rollout.Exposure(0.1, 50)
         self.rollouts = rollouts.Rollouts(self.time, exposure, lambda: None)
-        order = directives.RolloutOrder(_SERVICE, _NEW, _DURATION_MS, directives.Position(1, 7))
-        self.rollouts.apply_orders(directives.Directives(rollouts_by_service={_SERVICE: order}))
+        self.apply_order(directives.Position(1, 7))
         self.current_rollout = self.rollouts.by_service[_SERVICE]
         self.writer = rollout_writer.RolloutWriter(
             self.reactor, self.time, self.log, 't', _Codec(), self.rollouts, lambda: rank
         )
         self.writer.start()
 
+    def apply_order(self, position: directives.Position) -> None:
+        order = directives.RolloutOrder(_SERVICE, _NEW, _DURATION_MS, position)
+        self.rollouts.apply_orders(
+            directives.Directives(position, rollouts_by_service={_SERVICE: order})
+        )
+
+    def restore_store(self, record_count: int) -> None:
+        """Restore the store from a copy that lacks the order and the later status records.
+
+        Then run until the node has written what is due.
+        """
+        self.log.restore(record_count)
+        self.rollouts.apply_orders(directives.Directives(directives.Position(self.log.era, 3)))
+        self.run(1000)
+
+    def receive_report(self, other: _WriterSetup) -> None:
+        reporter = (ids.HostId('other'), ids.Incarnation(1))
+        self.rollouts.receive_report(reporter, other.rollouts.encode_report())
+
     def record_calls(
         self, version: ids.VersionName, count: int, latency_ms: float | None = 60
     ) -> None:
@@ -166,3 +191,99 @@
         assert not writer_setup.log.records
         writer_setup.run(2000)
         assert writer_setup.log.phases == ['reverted']
+
+
+class TestRestoredStore:
+    """Guards against a status that the store has lost and no node writes again."""
+
+    @pytest.mark.parametrize('record_count', [0, 1])
+    def test_lost_completion_is_written_again(self, writer_setup, record_count):
+        writer_setup.run(_DURATION_MS)
+        assert writer_setup.log.phases == ['canary', 'completed']
+        writer_setup.restore_store(record_count)
+        assert writer_setup.log.phases[record_count:] == ['completed']
+        assert writer_setup.current_rollout.phase is rollout.Phase.COMPLETED
+
+    @pytest.mark.parametrize('record_count', [0, 1])
+    def test_lost_reversion_is_written_again(self, record_count):
+        writer_setup = _WriterSetup()
+        writer_setup.record_calls(_OLD, 400)
+        writer_setup.run(_DURATION_MS)
+        assert writer_setup.log.phases == ['canary', 'reverted']
+        writer_setup.restore_store(record_count)
+        assert writer_setup.log.phases[record_count:] == ['reverted']
+        assert writer_setup.current_rollout.phase is rollout.Phase.REVERTED
+
+    def test_rollout_in_progress_is_announced_again(self, writer_setup):
+        writer_setup.run(3000)
+        writer_setup.restore_store(0)
+        assert writer_setup.log.phases == ['canary']
+        assert writer_setup.current_rollout.phase is rollout.Phase.CANARY
+
+    def test_status_that_the_copy_holds_is_not_written_again(self, writer_setup):
+        writer_setup.run(_DURATION_MS)
+        writer_setup.restore_store(2)
+        assert writer_setup.log.phases == ['canary', 'completed']
+
+    def test_completion_is_written_again_after_each_of_two_restores(self, writer_setup):
+        writer_setup.run(_DURATION_MS)
+        for _ in range(2):
+            writer_setup.restore_store(1)
+        assert writer_setup.log.phases == ['canary', 'completed']
+
+    def test_report_of_an_earlier_era_does_not_prevent_the_write(self, writer_setup):
+        other = _WriterSetup()
+        writer_setup.run(_DURATION_MS)
+        other.log.restore(0)
+        other.rollouts.apply_orders(directives.Directives(directives.Position(2, 3)))
+        other.receive_report(writer_setup)
+        other.run(1000)
+        assert other.log.phases == ['completed']
+
+    def test_restored_store_is_noticed_by_reading_the_statuses(self, writer_setup):
+        writer_setup.run(1000)
+        writer_setup.log.restore(0)
+        writer_setup.run(0.85 * _DURATION_MS)
+        assert writer_setup.log.phases == ['canary', 'completed']
+
+    def test_statuses_of_the_previous_era_are_not_counted_as_kept(self, writer_setup):
+        writer_setup.run(1000)
+        writer_setup.rollouts.apply_orders(directives.Directives(directives.Position(2, 3)))
+        writer_setup.run(1000)
+        assert writer_setup.log.phases == ['canary']
+        writer_setup.log.restore(0)
+        writer_setup.run(1000)
+        assert writer_setup.log.phases == ['canary']
+
+
+class TestSettledOutcome:
+    """Guards against an outcome that changes after the operator may have acted on it."""
+
+    def test_new_process_adopts_the_outcome_that_the_store_has_lost(self, writer_setup):
+        writer_setup.run(_DURATION_MS)
+        writer_setup.restore_store(0)
+        new_process = _WriterSetup()
+        new_process.receive_report(writer_setup)
+        assert new_process.current_rollout.phase is rollout.Phase.COMPLETED
+
+    def test_completed_rollout_is_not_reverted_by_a_later_status(self, writer_setup):
+        writer_setup.run(_DURATION_MS)
+        writer_setup.log.restore(0)
+        status = rollout.Status(_SERVICE, _NEW, rollout.Phase.REVERTED)
+        writer_setup.log.records.append(_Codec().encode(status))
+        writer_setup.rollouts.apply_orders(directives.Directives(directives.Position(2, 3)))
+        writer_setup.run(1000)
+        assert writer_setup.current_rollout.phase is rollout.Phase.COMPLETED
+        assert writer_setup.log.phases == ['reverted', 'completed']
+
+    def test_outcome_that_another_status_replaced_is_written_again(self, writer_setup):
+        other = _WriterSetup(log=writer_setup.log)
+        writer_setup.run(_DURATION_MS)
+        other.receive_report(writer_setup)
+        status = rollout.Status(_SERVICE, _OLD, rollout.Phase.COMPLETED)
+        position = directives.Position(1, len(other.log.records))
+        other.log.records.append(_Codec().encode(status))
+        other.rollouts.apply_status(status, position)
+        writer_setup.receive_report(other)
+        writer_setup.run(1000)
+        assert writer_setup.log.phases == ['canary', 'completed', 'completed', 'completed']
