Settle no status by a write that was appended in another era than it was read

Failing before (tests/test_rollout_writer.py on the previous sources, with the offset that append returned then): TestRestoreDuringWrite: test_outcome_that_follows_the_write_is_adopted (COMPLETED is REVERTED), test_outcome_that_the_write_replaced_is_written_again (['reverted', 'canary']), test_position_of_the_write_is_in_the_new_era (1:1 == 2:1).

Cause: the writer appended on condition that the topic still ended at the offset it had read. After a restore that offset can exist again behind other records, so the condition held and the status counted as the only outcome.

`KeyedLog.append` now returns a Position. If its era differs from that of the read, the writer applies what the topic holds instead of what it wrote. A record that its write replaced is found by the exchanged positions of status records.

test_append_read_and_newest of tests/test_platform_store.py states the era of the appended records; it fails, as it did before this change, until the stand-in of the store sends `Store-Era`.

--- a/src/anvillug/connection/keyed_log.py
+++ b/src/anvillug/connection/keyed_log.py
@@ -60,8 +60,11 @@
 
     async def append(
         self, topic: str, key: str, value: bytes, expected_end: int | None = None
-    ) -> int:
-        """Append one record and return its offset.
+    ) -> directives.Position:
+        """Append one record and return its position.
+
+        A position of another era than that of the preceding read means that `expected_end` was
+        compared with the end of another log: the records before it may differ from those read.
 
         Args:
             topic: Keyed topic.
--- a/src/anvillug/platform/store.py
+++ b/src/anvillug/platform/store.py
@@ -88,7 +88,7 @@
 
     async def append(
         self, topic: str, key: str, value: bytes, expected_end: int | None = None
-    ) -> int:
+    ) -> directives.Position:
         """Append one record; see `keyed_log.KeyedLog`."""
         arguments = {'Topic': topic, 'part': _PARTITION}
         if expected_end is not None:
@@ -96,8 +96,8 @@
         name = key.encode()
         record = bytes((len(name),)) + name + value
         body = _LENGTH.pack(len(record)) + record
-        content, _ = await self._call('POST', 'log-append', arguments, body=body)
-        return json.loads(content)['Offset']
+        content, era = await self._call('POST', 'log-append', arguments, body=body)
+        return directives.Position(era, json.loads(content)['Offset'])
 
     async def _call(
         self,
--- a/src/anvillug/process/rollout_writer.py
+++ b/src/anvillug/process/rollout_writer.py
@@ -120,14 +120,25 @@
         )
         key = self._codec.key(status.service)
         try:
-            offset = await self._log.append(
+            position = await self._log.append(
                 self._topic, key, self._codec.encode(status), expected_end=end.offset
             )
         except keyed_log.ConditionFailedError:
             # Another node has written a status; the next check reads it.
             return
-        event_log.emit('rollout_status_written', service=status.service, phase=status.phase.value)
-        self._rollouts.apply_status(status, directives.Position(end.era, offset))
+        event_log.emit(
+            'rollout_status_written',
+            service=status.service,
+            phase=status.phase.value,
+            position=position,
+        )
+        if position.era == end.era:
+            self._rollouts.apply_status(status, position)
+            return
+        # The log was restored after it was read. Other nodes may have written before or after this
+        # record, so the newest record decides.
+        event_log.warn('rollout_status_era_changed', service=status.service, position=position)
+        await self._read()
 
     async def _read(self) -> directives.Position:
         """Apply the statuses in the log, and return the position at which their topic ends."""
--- a/tests/test_member_records.py
+++ b/tests/test_member_records.py
@@ -68,14 +68,15 @@
 
     async def append(
         self, topic: str, key: str, value: bytes, expected_end: int | None = None
-    ) -> int:
+    ) -> directives.Position:
         self.calls.append('append')
         await task.deferLater(self._reactor, self.append_response_ms / 2000)
         self._require_up()
         self.stored_keys.append(key)
         self.values_by_key[key] = value
+        position = directives.Position(self._era, len(self.stored_keys) - 1)
         await task.deferLater(self._reactor, self.append_response_ms / 2000)
-        return 0
+        return position
 
     def _require_up(self) -> None:
         if not self.is_up:
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -146,9 +146,9 @@
 
     def test_append_read_and_newest(self, store_setup):
         client = store_setup.client
-        assert reactor_thread.wait_for(client.append(_TOPIC, 'a', b'1')) == 0
-        assert reactor_thread.wait_for(client.append(_TOPIC, 'b', b'2')) == 1
-        assert reactor_thread.wait_for(client.append(_TOPIC, 'a', b'3')) == 2
+        assert reactor_thread.wait_for(client.append(_TOPIC, 'a', b'1')) == _position(0)
+        assert reactor_thread.wait_for(client.append(_TOPIC, 'b', b'2')) == _position(1)
+        assert reactor_thread.wait_for(client.append(_TOPIC, 'a', b'3')) == _position(2)
         read = (('b', _record(1, b'2')), ('a', _record(2, b'3')))
         batch = reactor_thread.wait_for(client.read(_TOPIC, 1, 0))
         assert batch == keyed_log.Batch(read, _position(3))
@@ -221,7 +221,7 @@
         reactor_thread.call(store_link.silence_open_connections)
         with pytest.raises(keyed_log.LogUnavailableError):
             reactor_thread.wait_for(client.read(_TOPIC, 0, 0))
-        assert reactor_thread.wait_for(client.append(_TOPIC, 'a', b'1')) == 0
+        assert reactor_thread.wait_for(client.append(_TOPIC, 'a', b'1')) == _position(0)
 
 
 def _open_two_connections(client: store.Store) -> defer.Deferred[object]:
--- a/tests/test_rollout_writer.py
+++ b/tests/test_rollout_writer.py
@@ -31,6 +31,8 @@
         self.era = 1
         self.is_up = True
         self.on_read: Callable[[], object] = _do_nothing
+        self.on_append: Callable[[], object] = _do_nothing
+        self.on_appended: Callable[[], object] = _do_nothing
 
     @property
     def phases(self) -> list[str]:
@@ -46,12 +48,19 @@
 
     async def append(
         self, topic: str, key: str, value: bytes, expected_end: int | None = None
-    ) -> int:
+    ) -> directives.Position:
+        self.on_append()
         self._check()
         if expected_end != len(self.records):
             raise keyed_log.ConditionFailedError
         self.records.append(value)
-        return expected_end
+        position = directives.Position(self.era, expected_end)
+        self.on_appended()
+        return position
+
+    def write(self, version: ids.VersionName, phase: rollout.Phase) -> None:
+        """Append the status that another node writes."""
+        self.records.append(_Codec().encode(rollout.Status(_SERVICE, version, phase)))
 
     def restore(self, record_count: int) -> None:
         """Return to a copy that holds the first records only."""
@@ -163,8 +172,7 @@
 
     def test_outcome_written_by_another_node_takes_precedence(self, writer_setup):
         writer_setup.run(0.82 * _DURATION_MS)
-        status = rollout.Status(_SERVICE, _NEW, rollout.Phase.REVERTED)
-        writer_setup.log.records.append(_Codec().encode(status))
+        writer_setup.log.write(_NEW, rollout.Phase.REVERTED)
         writer_setup.run(2000)
         assert writer_setup.log.phases == ['canary', 'reverted']
         assert writer_setup.current_rollout.phase is rollout.Phase.REVERTED
@@ -269,8 +277,7 @@
     def test_completed_rollout_is_not_reverted_by_a_later_status(self, writer_setup):
         writer_setup.run(_DURATION_MS)
         writer_setup.log.restore(0)
-        status = rollout.Status(_SERVICE, _NEW, rollout.Phase.REVERTED)
-        writer_setup.log.records.append(_Codec().encode(status))
+        writer_setup.log.write(_NEW, rollout.Phase.REVERTED)
         writer_setup.rollouts.apply_orders(directives.Directives(directives.Position(2, 3)))
         writer_setup.run(1000)
         assert writer_setup.current_rollout.phase is rollout.Phase.COMPLETED
@@ -282,8 +289,77 @@
         other.receive_report(writer_setup)
         status = rollout.Status(_SERVICE, _OLD, rollout.Phase.COMPLETED)
         position = directives.Position(1, len(other.log.records))
-        other.log.records.append(_Codec().encode(status))
+        other.log.write(_OLD, rollout.Phase.COMPLETED)
         other.rollouts.apply_status(status, position)
         writer_setup.receive_report(other)
         writer_setup.run(1000)
         assert writer_setup.log.phases == ['canary', 'completed', 'completed', 'completed']
+
+
+class TestRestoreDuringWrite:
+    """Guards against a write whose condition held for other records than those that were read."""
+
+    def test_outcome_that_follows_the_write_is_adopted(self, writer_setup):
+        log = writer_setup.log
+        writer_setup.run(0.82 * _DURATION_MS)
+
+        def restore() -> None:
+            log.on_append = _do_nothing
+            log.restore(0)
+            log.write(_OLD, rollout.Phase.COMPLETED)
+
+        def write_outcome() -> None:
+            log.on_appended = _do_nothing
+            log.write(_NEW, rollout.Phase.REVERTED)
+
+        log.on_append = restore
+        log.on_appended = write_outcome
+        writer_setup.run(2000)
+        assert log.phases[1:] == ['completed', 'reverted']
+        assert writer_setup.current_rollout.phase is rollout.Phase.REVERTED
+
+    def test_outcome_that_the_write_replaced_is_written_again(self):
+        log = _Log()
+        log.write(_OLD, rollout.Phase.COMPLETED)
+        other = _WriterSetup(rank=9, log=log)
+
+        def restore() -> None:
+            log.on_append = _do_nothing
+            log.restore(0)
+            log.write(_NEW, rollout.Phase.REVERTED)
+            status = rollout.Status(_SERVICE, _NEW, rollout.Phase.REVERTED)
+            other.rollouts.apply_status(status, directives.Position(2, 0))
+
+        log.on_append = restore
+        writer_setup = _WriterSetup(log=log)
+        assert log.phases == ['reverted', 'canary']
+        writer_setup.receive_report(other)
+        writer_setup.run(1000)
+        assert log.phases == ['reverted', 'canary', 'reverted']
+
+    def test_position_of_the_write_is_in_the_new_era(self, writer_setup):
+        log = writer_setup.log
+
+        def restore() -> None:
+            log.on_append = _do_nothing
+            log.restore(len(log.records))
+
+        writer_setup.run(1000)
+        log.on_append = restore
+        writer_setup.run(_DURATION_MS)
+        assert log.phases == ['canary', 'completed']
+        assert writer_setup.current_rollout.stored.position == directives.Position(2, 1)
+
+    def test_outcome_that_was_written_before_the_restore_stays(self, writer_setup):
+        log = writer_setup.log
+
+        def restore() -> None:
+            log.on_appended = _do_nothing
+            log.restore(1)
+            writer_setup.rollouts.apply_orders(directives.Directives(directives.Position(2, 3)))
+
+        writer_setup.run(0.82 * _DURATION_MS)
+        log.on_appended = restore
+        writer_setup.run(2000)
+        assert log.phases == ['canary', 'completed']
+        assert writer_setup.current_rollout.phase is rollout.Phase.COMPLETED
