Tell repeated rollout orders from new ones after the store was restored

TestRepeatedOrder: a completed, reverted or running rollout starts again when its order is written again although the copy had it (CANARY is COMPLETED), also when the order is repeated without a restore; reports of nodes that read the order again do not match. TestSupersededOrder: the older order of the copy supersedes the newer one ('v2' == 'v3'), which then starts again when it is written again. test_decision_is_logged_once: no line.

Cause: an order was the same as the current one only if it was the first record of another era with the same content; all other records of a higher position started a rollout.

version/rollout_orders.py states the rule: a record for the version of a rollout that is in progress or completed is no new order; neither is one with the content of the current or a superseded order, if it has kept its offset (record of the copy) or if directives of the new era took effect less than _REWRITE_MS before. The last eight superseded orders of a service are remembered. All other records are new orders, also at a lower offset. rollout_order_repeated logs each decision against a new order, rollout_ordered each new one.

--- a/src/anvillug/version/rollouts.py
+++ b/src/anvillug/version/rollouts.py
@@ -16,7 +16,13 @@
 import xxhash
 
 from anvillug import clock, event_log, ids
-from anvillug.version import directives, rollout, rollout_counts, rollout_evidence
+from anvillug.version import (
+    directives,
+    rollout,
+    rollout_counts,
+    rollout_evidence,
+    rollout_orders,
+)
 
 # Before the shift, only this many hosts of the new version receive calls, or more if the canary
 # share requires it. With more hosts, each would receive too few calls for a failing host to be
@@ -72,6 +78,7 @@
         self._exposure = exposure
         self._on_decided = on_decided
         self._report_turn = 0
+        self._order_history = rollout_orders.OrderHistory(time)
         # Versions whose rollout was not completed; their backend servers may still be running.
         self._untrusted_by_service: dict[ids.ServiceName, set[ids.VersionName]] = {}
         # Status records of the present era of the store.
@@ -96,17 +103,41 @@
     def apply_orders(self, in_effect: directives.Directives) -> None:
         """Apply the rollout orders in effect."""
         self.enter_era(in_effect.position.era)
+        self._order_history.enter_era(in_effect.position.era)
         for service, order in in_effect.rollouts_by_service.items():
             current = self.by_service.get(service)
-            if current is None or current.order.position < order.position:
+            if current is None:
+                self._start_rollout(current, order)
+            elif current.order.position < order.position:
                 self._apply_order(current, order)
         for status, position in tuple(self._statuses_by_service.values()):
             self.apply_status(status, position)
 
-    def _apply_order(self, current: rollout.Rollout | None, order: directives.RolloutOrder) -> None:
-        if current is not None and order.is_same_in_other_era(current.order):
-            current.order = order
+    def _apply_order(self, current: rollout.Rollout, order: directives.RolloutOrder) -> None:
+        if self._order_history.has_record(order):
+            return
+        identity = self._order_history.identify(order, current)
+        if identity is rollout_orders.Identity.NEW:
+            self._order_history.add_superseded(current.order)
+            self._start_rollout(current, order)
             return
+        event_log.emit(
+            'rollout_order_repeated',
+            service=order.service,
+            target_version=order.target_version,
+            position=order.position,
+            reason=identity.value,
+            phase=current.phase.value,
+            known_position=current.order.position,
+        )
+        if identity is rollout_orders.Identity.CURRENT:
+            current.order = order
+        else:
+            self._order_history.add_superseded(order)
+
+    def _start_rollout(
+        self, current: rollout.Rollout | None, order: directives.RolloutOrder
+    ) -> None:
         event_log.emit(
             'rollout_ordered',
             service=order.service,
