--- a/src/anvillug/version/rollouts.py
+++ b/src/anvillug/version/rollouts.py
@@ -11,7 +11,7 @@
 import heapq
 import math
 from collections.abc import Callable, Sequence
-from typing import Any, NamedTuple, Protocol, TypeVar
+from typing import Any, Protocol, TypeVar
 
 import xxhash
 
@@ -22,6 +22,7 @@
     rollout_counts,
     rollout_evidence,
     rollout_orders,
+    rollout_report,
 )
 
 # Before the shift, only this many hosts of the new version receive calls, or more if the canary
@@ -45,19 +46,6 @@
 HostT = TypeVar('HostT', bound=VersionedHost)
 
 
-class _State(NamedTuple):
-    """State of a rollout in its wire form."""
-
-    order_position: Sequence[int]
-    phase_name: str
-    stored: Sequence[Any] | None
-    settled: bool
-    age_ms: int
-    cancelled_shifts: int
-    shift_age_ms: int
-    counts: list[Any] | None
-
-
 class Rollouts:
     """All rollouts that were ordered.
 
@@ -250,10 +238,10 @@
         now = self._clock.now()
         reported = self._next_reported()
         return {
-            service: _State(
+            service: rollout_report.Report(
                 current.order.position,
                 current.phase.value,
-                current.stored and _pack_stored(current.stored),
+                rollout_report.pack_stored(current.stored),
                 current.settled,
                 int(now - current.started_at),
                 current.cancelled_shifts,
@@ -287,14 +275,17 @@
             ValueError, TypeError, LookupError: If the state is malformed.
         """
         for service, fields in packed.items():
-            state = _State(*fields)
+            state = rollout_report.Report(*fields)
             current = self.by_service.get(ids.ServiceName(service))
             order_position = directives.unpack_position(state.order_position)
             if current is not None and current.order.position == order_position:
                 self._receive_state(current, reporter, state)
 
     def _receive_state(
-        self, current: rollout.Rollout, reporter: rollout_evidence.Reporter, state: _State
+        self,
+        current: rollout.Rollout,
+        reporter: rollout_evidence.Reporter,
+        state: rollout_report.Report,
     ) -> None:
         now = self._clock.now()
         current.started_at = min(current.started_at, clock.Milliseconds(now - state.age_ms))
@@ -309,7 +300,7 @@
             shifted_at = clock.Milliseconds(now - state.shift_age_ms)
             current.adopt_shift(state.cancelled_shifts, shifted_at)
         if state.stored is not None:
-            self._receive_stored(current, _unpack_stored(state.stored))
+            self._receive_stored(current, rollout_report.unpack_stored(state.stored))
 
     def _receive_stored(self, current: rollout.Rollout, stored: rollout.StoredStatus) -> None:
         self.enter_era(stored.position.era)
@@ -318,17 +309,6 @@
             current.record_stored(stored)
 
 
-def _pack_stored(stored: rollout.StoredStatus) -> list[Any]:
-    phase_name = None if stored.phase is None else stored.phase.value
-    return [*stored.position, phase_name]
-
-
-def _unpack_stored(packed: Sequence[Any]) -> rollout.StoredStatus:
-    era, offset, phase_name = packed
-    phase = None if phase_name is None else rollout.Phase(phase_name)
-    return rollout.StoredStatus(directives.unpack_position((era, offset)), phase)
-
-
 def _canary_hosts(current: rollout.Rollout, new: Sequence[HostT]) -> Sequence[HostT]:
     """Return the hosts of the new version that may receive calls, the same on all nodes."""
     count = max(_MIN_CANARY_HOSTS, math.ceil(current.share * len(new)))
