Continue a rollout that an older order of a restored log interrupted

Failing before: tests/test_rollout_orders.py, TestInterruptedOrder: rollout continues, version of the older order receives calls again, older order that is written again is ignored ('v2' != 'v3'), status of an earlier era is forgotten (CANARY is COMPLETED).

The first order of a new era now interrupts the current rollout instead of superseding it. If the interrupted order is written again, its rollout continues with its phase, counts and untrusted versions, and the other order counts as superseded.

--- a/src/anvillug/version/rollout_orders.py
+++ b/src/anvillug/version/rollout_orders.py
@@ -9,6 +9,10 @@
 - it has the content of the current order or of one that was superseded, and is a record of the
   copy, which keeps the offsets, or was written while the operator writes lost records again.
 
+The first record of another order in a new era may be a new order, or an older one of the copy that
+this node has not read before. It starts its rollout, but the current one is only interrupted: it
+continues if the operator writes its order again, which was lost then.
+
 All other records are new orders, also at a lower offset than that of the current order.
 """
 
@@ -18,6 +22,8 @@
 import dataclasses
 import enum
 import math
+from collections.abc import Collection
+from typing import NamedTuple
 
 from anvillug import clock, ids
 from anvillug.version import directives, rollout
@@ -33,12 +39,22 @@
 
     NEW = 'new'
     CURRENT = 'current order'
+    INTERRUPTED = 'interrupted order'
+    """The order that was current until an order of the present era took its place."""
     SUPERSEDED = 'superseded order'
     """An order that a newer one has superseded."""
 
 
+class Interrupted(NamedTuple):
+    """State of a service before the first order of the present era took effect."""
+
+    rollout: rollout.Rollout
+    untrusted: frozenset[ids.VersionName]
+    """Versions whose rollout was not completed."""
+
+
 class OrderHistory:
-    """Orders of each service that newer ones have superseded.
+    """Orders of each service that newer ones have superseded or interrupted.
 
     Args:
         time: Clock.
@@ -51,6 +67,7 @@
         self._superseded_by_service: dict[
             ids.ServiceName, collections.deque[directives.RolloutOrder]
         ] = {}
+        self._interrupted_by_service: dict[ids.ServiceName, Interrupted] = {}
 
     def enter_era(self, era: int) -> None:
         """Note the era of the directives in effect."""
@@ -74,10 +91,45 @@
             if not is_over or self._is_same(order, current.order):
                 return Identity.CURRENT
             return Identity.NEW
+        interrupted = self._interrupted_by_service.get(order.service)
+        if interrupted is not None and self._is_same(order, interrupted.rollout.order):
+            return Identity.INTERRUPTED
         if any(self._is_same(order, known) for known in self._superseded(order.service)):
             return Identity.SUPERSEDED
         return Identity.NEW
 
+    def replace(
+        self,
+        current: rollout.Rollout,
+        untrusted: Collection[ids.VersionName],
+        order: directives.RolloutOrder,
+    ) -> None:
+        """Remember the current rollout of a service before a new order takes effect.
+
+        Args:
+            current: Current rollout.
+            untrusted: Versions of the service whose rollout was not completed.
+            order: The new order.
+        """
+        if order.position.era == current.order.position.era:
+            self.add_superseded(current.order)
+        else:
+            self._interrupted_by_service[order.service] = Interrupted(current, frozenset(untrusted))
+
+    def resume(self, current: rollout.Rollout, order: directives.RolloutOrder) -> Interrupted:
+        """Return the state that an order interrupted, and remember that order as superseded.
+
+        Args:
+            current: Rollout of the order that interrupted it.
+            order: Record of the interrupted order in the present era.
+        """
+        self.add_superseded(current.order)
+        interrupted = self._interrupted_by_service.pop(order.service)
+        interrupted.rollout.order = order
+        # Its status may have been lost meanwhile.
+        interrupted.rollout.stored = None
+        return interrupted
+
     def add_superseded(self, order: directives.RolloutOrder) -> None:
         """Remember an order that a newer one has superseded, or another record of it."""
         superseded = self._superseded(order.service)
--- a/src/anvillug/version/rollouts.py
+++ b/src/anvillug/version/rollouts.py
@@ -106,7 +106,8 @@
             return
         identity = self._order_history.identify(order, current)
         if identity is rollout_orders.Identity.NEW:
-            self._order_history.add_superseded(current.order)
+            untrusted = self._untrusted_by_service[order.service]
+            self._order_history.replace(current, untrusted, order)
             self._start_rollout(current, order)
             return
         event_log.emit(
@@ -120,8 +121,12 @@
         )
         if identity is rollout_orders.Identity.CURRENT:
             current.order = order
-        else:
+        elif identity is rollout_orders.Identity.SUPERSEDED:
             self._order_history.add_superseded(order)
+        else:
+            interrupted = self._order_history.resume(current, order)
+            self.by_service[order.service] = interrupted.rollout
+            self._untrusted_by_service[order.service] = set(interrupted.untrusted)
 
     def _start_rollout(
         self, current: rollout.Rollout | None, order: directives.RolloutOrder
--- a/tests/test_rollout_orders.py
+++ b/tests/test_rollout_orders.py
@@ -21,6 +21,12 @@
     return directives.RolloutOrder(_SERVICE, ids.VersionName(version), _DURATION_MS, position)
 
 
+@dataclasses.dataclass(frozen=True)
+class _Host:
+    host_id: ids.HostId
+    version: ids.VersionName
+
+
 class _OrderSetup:
     """One node that reads the operator's log."""
 
@@ -166,6 +172,55 @@
         assert succeeded_setup.current.evidence.total.new.calls == 1
 
 
+class TestInterruptedOrder:
+    """Guards against a lost order that is ignored when it is written again.
+
+    A node that started after the order does not know that the order of the copy is an older one.
+    """
+
+    @pytest.fixture
+    def interrupted_setup(self):
+        """Return a node that knows only the second order, and then reads the first in the copy."""
+        setup = _OrderSetup()
+        setup.read('v3', 1, 20)
+        setup.record_call()
+        setup.read('v2', 2, 7)
+        return setup
+
+    def test_rollout_continues(self, interrupted_setup):
+        interrupted_setup.read('v3', 2, 8)
+        assert interrupted_setup.order == _order('v3', 2, 8)
+        assert interrupted_setup.current.evidence.total.new.calls == 1
+
+    def test_version_of_the_older_order_receives_calls_again(self, interrupted_setup):
+        interrupted_setup.read('v3', 2, 8)
+        hosts = [_Host(ids.HostId('a'), ids.VersionName('v2'))]
+        assert interrupted_setup.rollouts.allowed(_SERVICE, hosts, 0.9) == hosts
+
+    def test_older_order_that_is_written_again_is_ignored(self, interrupted_setup):
+        interrupted_setup.read('v3', 2, 8)
+        interrupted_setup.read('v2', 2, 9)
+        interrupted_setup.read('v3', 2, 10)
+        assert interrupted_setup.order == _order('v3', 2, 10)
+        assert interrupted_setup.current.evidence.total.new.calls == 1
+
+    def test_status_of_an_earlier_era_is_forgotten(self, order_setup):
+        order_setup.read('v3', 1, 20)
+        status = rollout.Status(_SERVICE, ids.VersionName('v3'), rollout.Phase.COMPLETED)
+        order_setup.rollouts.apply_status(status, directives.Position(1, 3))
+        order_setup.read('v4', 2, 7)
+        order_setup.read('v3', 2, 8)
+        assert order_setup.current.phase is rollout.Phase.COMPLETED
+        next_step = order_setup.current.next_step(order_setup.time.now())
+        assert next_step is rollout.Step.COMPLETE
+
+    def test_order_is_new_if_it_follows_much_later(self, interrupted_setup):
+        interrupted_setup.time.advance(_LATER_MS)
+        interrupted_setup.read('v3', 2, 8)
+        assert interrupted_setup.order == _order('v3', 2, 8)
+        assert not interrupted_setup.current.evidence.total.new.calls
+
+
 class TestNewOrder:
     """Guards against a new order that is ignored because the log was restored."""
 
