--- a/src/anvillug/process/pending_attempt.py
+++ b/src/anvillug/process/pending_attempt.py
@@ -8,7 +8,7 @@
 from anvillug import clock
 from anvillug.process import peer_table
 from anvillug.request import dialect, job
-from anvillug.version import rollout, rollout_counts
+from anvillug.version import rollout_call, rollout_counts
 
 
 class AttemptOwner(Interface):
@@ -82,7 +82,9 @@
         """Name of the outcome under which a rollout counted the attempt, empty if none."""
         return '' if self.counted_as is None else self.counted_as.value
 
-    def as_call(self, latency_ms: float | None, load: dialect.ReportedLoad | None) -> rollout.Call:
+    def as_call(
+        self, latency_ms: float | None, load: dialect.ReportedLoad | None
+    ) -> rollout_call.Call:
         """Return the attempt as evidence on the version.
 
         Args:
@@ -90,7 +92,7 @@
             load: Newest load of the backend server.
         """
         slowness_after = self.slowness if load is None else load.slowness
-        return rollout.Call(
+        return rollout_call.Call(
             self.work.service,
             self.work.route,
             self.peer.announcement.host_id,
--- a/src/anvillug/version/rollout.py
+++ b/src/anvillug/version/rollout.py
@@ -16,6 +16,7 @@
 from anvillug import clock, event_log, ids
 from anvillug.version import (
     directives,
+    rollout_call,
     rollout_counts,
     rollout_evidence,
     rollout_verdict,
@@ -40,12 +41,6 @@
 _MAX_CANARY_SHARE = 0.5
 # The new version is not accepted with fewer calls than this on either version.
 _MIN_COMPARED_CALLS = 20
-# A call is slow if its latency, normalized by the host's slowness, exceeds the old version's
-# baseline by this factor. On a version without faults, a few calls in a thousand are slow.
-_SLOW_RATIO = 2.5
-# Calls that take less than this part of their latency objective do not affect callers.
-_SLOW_OBJECTIVE_RATIO = 0.5
-_BASELINE_SLOWNESS = 100.0
 # Time in which a node that has just started receives the counts of the others and observes enough
 # calls to estimate their rate.
 _MIN_OBSERVATION_MS = 2500.0
@@ -114,26 +109,6 @@
     """Calls allowed in addition to that share."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Call:
-    """A call that has ended or has received no response yet."""
-
-    service: ids.ServiceName
-    """Service that was called."""
-    route: ids.RouteName
-    """Route of the call."""
-    host_id: ids.HostId
-    """Host that ran it."""
-    version: ids.VersionName
-    """Version that ran it."""
-    latency_ms: float | None
-    """Time to the response, or so far if there is none yet; None if the call failed."""
-    slowness: float
-    """Highest slowness that the host reported during the call; 100 is normal."""
-    objective_ms: float
-    """Latency objective of the route."""
-
-
 class Rollout:
     """One rollout.
 
@@ -177,7 +152,7 @@
             return self.canary_share
         return 0.0 if self.phase is Phase.REVERTED else 1.0
 
-    def record(self, call: Call) -> rollout_counts.Outcome:
+    def record(self, call: rollout_call.Call) -> rollout_counts.Outcome:
         """Count a call that has ended.
 
         Returns:
@@ -187,24 +162,24 @@
         normalized_ms = 0.0
         outcome = rollout_counts.Outcome.FAILED
         if call.latency_ms is not None:
-            normalized_ms = _normalized_ms(call)
-            slow = _is_slow(call, baseline_ms)
+            normalized_ms = call.normalized_ms
+            slow = call.is_slow(baseline_ms)
             outcome = rollout_counts.Outcome.SLOW if slow else rollout_counts.Outcome.GOOD
         if call.version == self.order.target_version:
             self.evidence.count_new(call.route, call.host_id, outcome)
         else:
             # Uncapped, a few very slow calls would raise the baseline and hide other slow calls.
-            max_ms = math.inf if baseline_ms is None else baseline_ms * _SLOW_RATIO
+            max_ms = math.inf if baseline_ms is None else baseline_ms * rollout_call.SLOW_RATIO
             self.evidence.count_old(call.route, outcome, min(normalized_ms, max_ms))
         return outcome
 
-    def record_if_slow(self, call: Call) -> rollout_counts.Outcome | None:
+    def record_if_slow(self, call: rollout_call.Call) -> rollout_counts.Outcome | None:
         """Count a call that has received no response yet, if it is slow already.
 
         Returns:
             The outcome under which it was counted; None if it was not counted.
         """
-        return self.record(call) if _is_slow(call, self.evidence.baseline_ms(call.route)) else None
+        return self.record(call) if call.is_slow(self.evidence.baseline_ms(call.route)) else None
 
     def step(self, now: clock.Milliseconds) -> bool:
         """Evaluate the evidence, at most once per evaluation interval.
@@ -369,14 +344,3 @@
             old_failed=old.failed,
             old_slow=old.slow,
         )
-
-
-def _normalized_ms(call: Call) -> float:
-    return (call.latency_ms or 0.0) * _BASELINE_SLOWNESS / max(_BASELINE_SLOWNESS, call.slowness)
-
-
-def _is_slow(call: Call, baseline_ms: float | None) -> bool:
-    if baseline_ms is None or call.latency_ms is None:
-        return False
-    affects_callers = call.latency_ms > call.objective_ms * _SLOW_OBJECTIVE_RATIO
-    return affects_callers and _normalized_ms(call) > baseline_ms * _SLOW_RATIO
--- a/src/anvillug/version/rollouts.py
+++ b/src/anvillug/version/rollouts.py
@@ -19,6 +19,7 @@
 from anvillug.version import (
     directives,
     rollout,
+    rollout_call,
     rollout_counts,
     rollout_evidence,
     rollout_orders,
@@ -168,7 +169,7 @@
         if is_present:
             current.record_stored(rollout.StoredStatus(position, phase))
 
-    def record(self, call: rollout.Call) -> rollout_counts.Outcome | None:
+    def record(self, call: rollout_call.Call) -> rollout_counts.Outcome | None:
         """Count a call that has ended.
 
         Returns:
@@ -177,7 +178,7 @@
         current = self._in_progress(call.service)
         return None if current is None else current.record(call)
 
-    def record_if_slow(self, call: rollout.Call) -> rollout_counts.Outcome | None:
+    def record_if_slow(self, call: rollout_call.Call) -> rollout_counts.Outcome | None:
         """Count a call that has received no response yet, if it is slow already.
 
         Returns:
--- a/tests/rollout_fleet.py
+++ b/tests/rollout_fleet.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 
 from anvillug import clock, ids
-from anvillug.version import directives, rollout, rollouts
+from anvillug.version import directives, rollout, rollout_call, rollouts
 
 SERVICE = ids.ServiceName('one')
 OLD = ids.VersionName('v1')
@@ -173,7 +173,7 @@
         self.calls += 1
         self.new_version_calls += host.version == NEW
         latency_ms, slowness, is_failure = self._sample_call(host, route)
-        call = rollout.Call(
+        call = rollout_call.Call(
             SERVICE,
             route,
             host.host_id,
--- a/tests/test_mesh_entry.py
+++ b/tests/test_mesh_entry.py
@@ -11,7 +11,7 @@
 from anvillug.platform import headers
 from anvillug.process import mesh_entry, metrics, peer_table
 from anvillug.request import dialect, job
-from anvillug.version import directives, rollout, rollout_counts, rollouts
+from anvillug.version import directives, rollout, rollout_call, rollout_counts, rollouts
 from tests import test_beacon, test_mesh_host
 
 _SERVICE = ids.ServiceName('one')
@@ -163,7 +163,7 @@
         )
         for _ in range(10):
             entry_side.rollouts.record(
-                rollout.Call(_SERVICE, _ROUTE, _HOST, _OLD, 60, 100, _OBJECTIVE_MS)
+                rollout_call.Call(_SERVICE, _ROUTE, _HOST, _OLD, 60, 100, _OBJECTIVE_MS)
             )
         entry_side.rollouts.shift(entry_side.rollouts.by_service[_SERVICE])
         entry_side.receive_beacon('a', version=_NEW)
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -9,7 +9,7 @@
 import pytest
 
 from anvillug import clock, ids
-from anvillug.version import directives, rollout, rollout_counts, rollouts
+from anvillug.version import directives, rollout, rollout_call, rollout_counts, rollouts
 
 _SERVICE = ids.ServiceName('one')
 _OLD = ids.VersionName('v1')
@@ -66,7 +66,7 @@
     ):
         for index in range(count):
             host_id = self.hosts[index % len(self.hosts)]
-            call = rollout.Call(
+            call = rollout_call.Call(
                 _SERVICE, _ROUTE, host_id, version, latency_ms, slowness, _OBJECTIVE_MS
             )
             self.rollouts.record(call)
@@ -161,7 +161,7 @@
         for version, count in ((_OLD, 40), (_NEW, 4)):
             for index in range(count):
                 latency_ms = None if version == _NEW and index < 2 else 60
-                call = rollout.Call(
+                call = rollout_call.Call(
                     _SERVICE, rare, setup.hosts[index % 4], version, latency_ms, 100, _OBJECTIVE_MS
                 )
                 setup.rollouts.record(call)
@@ -459,7 +459,9 @@
         setup = _RolloutSetup(host_count=host_count)
         setup.record_calls(_OLD, 400)
         setup.record_calls(_NEW, 10 * host_count)
-        failing = rollout.Call(_SERVICE, _ROUTE, setup.hosts[0], _NEW, None, 100, _OBJECTIVE_MS)
+        failing = rollout_call.Call(
+            _SERVICE, _ROUTE, setup.hosts[0], _NEW, None, 100, _OBJECTIVE_MS
+        )
         for _ in range(10):
             setup.rollouts.record(failing)
         setup.run(100)
@@ -478,7 +480,7 @@
     def _outcome(self, latency_ms: float, slowness: float = 100) -> rollout_counts.Outcome:
         setup = _RolloutSetup()
         setup.record_calls(_OLD, 100)
-        call = rollout.Call(
+        call = rollout_call.Call(
             _SERVICE, _ROUTE, setup.hosts[0], _NEW, latency_ms, slowness, _OBJECTIVE_MS
         )
         return setup.rollouts.record(call)
@@ -492,21 +494,21 @@
     def test_latency_far_below_the_objective_is_good(self):
         setup = _RolloutSetup()
         setup.record_calls(_OLD, 100, latency_ms=1)
-        call = rollout.Call(_SERVICE, _ROUTE, setup.hosts[0], _NEW, 90, 100, _OBJECTIVE_MS)
+        call = rollout_call.Call(_SERVICE, _ROUTE, setup.hosts[0], _NEW, 90, 100, _OBJECTIVE_MS)
         assert setup.rollouts.record(call) is rollout_counts.Outcome.GOOD
 
     def test_baseline_includes_the_calls_of_other_nodes(self):
         setup, other = _RolloutSetup(), _RolloutSetup()
         other.record_calls(_OLD, 100)
         setup.rollouts.receive_report(_OTHER_REPORTER, other.rollouts.encode_report())
-        call = rollout.Call(_SERVICE, _ROUTE, setup.hosts[0], _NEW, 400, 100, _OBJECTIVE_MS)
+        call = rollout_call.Call(_SERVICE, _ROUTE, setup.hosts[0], _NEW, 400, 100, _OBJECTIVE_MS)
         assert setup.rollouts.record(call) is rollout_counts.Outcome.SLOW
 
     def test_few_very_slow_calls_do_not_raise_the_baseline(self):
         setup = _RolloutSetup()
         setup.record_calls(_OLD, 100)
         setup.record_calls(_OLD, 10, latency_ms=10_000)
-        call = rollout.Call(_SERVICE, _ROUTE, setup.hosts[0], _NEW, 240, 100, _OBJECTIVE_MS)
+        call = rollout_call.Call(_SERVICE, _ROUTE, setup.hosts[0], _NEW, 240, 100, _OBJECTIVE_MS)
         assert setup.rollouts.record(call) is rollout_counts.Outcome.SLOW
 
 
@@ -543,7 +545,7 @@
         for node in (setup, other):
             node.rollouts.apply_orders(directives.Directives(rollouts_by_service=orders))
         for service in services:
-            call = rollout.Call(service, _ROUTE, setup.hosts[0], _NEW, 60, 100, _OBJECTIVE_MS)
+            call = rollout_call.Call(service, _ROUTE, setup.hosts[0], _NEW, 60, 100, _OBJECTIVE_MS)
             other.rollouts.record(call)
         for _ in services:
             packed = other.rollouts.encode_report()
--- a/tests/test_rollout_orders.py
+++ b/tests/test_rollout_orders.py
@@ -8,7 +8,7 @@
 import pytest
 
 from anvillug import clock, ids
-from anvillug.version import directives, rollout, rollouts
+from anvillug.version import directives, rollout, rollout_call, rollouts
 
 _SERVICE = ids.ServiceName('one')
 _DURATION_MS = 12_000.0
@@ -53,7 +53,7 @@
         self.rollouts.apply_orders(directives.Directives(directives.Position(era, offset)))
 
     def record_call(self) -> None:
-        call = rollout.Call(
+        call = rollout_call.Call(
             _SERVICE, ids.RouteName('r'), ids.HostId('h'), self.order.target_version, 60, 100, 200
         )
         self.rollouts.record(call)
--- a/tests/test_rollout_writer.py
+++ b/tests/test_rollout_writer.py
@@ -11,7 +11,7 @@
 from anvillug import clock, ids
 from anvillug.connection import keyed_log
 from anvillug.process import rollout_writer
-from anvillug.version import directives, rollout, rollouts
+from anvillug.version import directives, rollout, rollout_call, rollouts
 
 _SERVICE = ids.ServiceName('one')
 _OLD = ids.VersionName('v1')
@@ -123,7 +123,7 @@
         self, version: ids.VersionName, count: int, latency_ms: float | None = 60
     ) -> None:
         for _ in range(count):
-            call = rollout.Call(
+            call = rollout_call.Call(
                 _SERVICE, ids.RouteName('r'), ids.HostId('h'), version, latency_ms, 100, 200
             )
             self.rollouts.record(call)
