Resume an interrupted rollout without superseding the order of an earlier era

Failing before: tests/test_rollout_orders.py, TestInterruptedOrder, test_newer_order_continues_after_the_copy_lost_both_eras ('v2' == 'v3').

It ignored B when the operator wrote it again, kept A to the end and wrote its status over that of B.

An order is superseded only by a later record of the same era; otherwise it is interrupted in its turn.

--- a/src/anvillug/version/rollout_orders.py
+++ b/src/anvillug/version/rollout_orders.py
@@ -104,27 +104,33 @@
         untrusted: Collection[ids.VersionName],
         order: directives.RolloutOrder,
     ) -> None:
-        """Remember the current rollout of a service before a new order takes effect.
+        """Remember the current rollout of a service before another order takes effect.
 
         Args:
             current: Current rollout.
             untrusted: Versions of the service whose rollout was not completed.
-            order: The new order.
+            order: The other order.
         """
         if order.position.era == current.order.position.era:
             self.add_superseded(current.order)
         else:
             self._interrupted_by_service[order.service] = Interrupted(current, frozenset(untrusted))
 
-    def resume(self, current: rollout.Rollout, order: directives.RolloutOrder) -> Interrupted:
-        """Return the state that an order interrupted, and remember that order as superseded.
+    def resume(
+        self,
+        current: rollout.Rollout,
+        untrusted: Collection[ids.VersionName],
+        order: directives.RolloutOrder,
+    ) -> Interrupted:
+        """Return the state that an order interrupted; that order is superseded or interrupted now.
 
         Args:
             current: Rollout of the order that interrupted it.
+            untrusted: Versions of the service whose rollout was not completed.
             order: Record of the interrupted order in the present era.
         """
-        self.add_superseded(current.order)
         interrupted = self._interrupted_by_service.pop(order.service)
+        self.replace(current, untrusted, order)
         interrupted.rollout.order = order
         # Its status may have been lost meanwhile.
         interrupted.rollout.stored = None
--- a/src/anvillug/version/rollouts.py
+++ b/src/anvillug/version/rollouts.py
@@ -106,8 +106,8 @@
         if self._order_history.has_record(order):
             return
         identity = self._order_history.identify(order, current)
+        untrusted = self._untrusted_by_service[order.service]
         if identity is rollout_orders.Identity.NEW:
-            untrusted = self._untrusted_by_service[order.service]
             self._order_history.replace(current, untrusted, order)
             self._start_rollout(current, order)
             return
@@ -125,7 +125,7 @@
         elif identity is rollout_orders.Identity.SUPERSEDED:
             self._order_history.add_superseded(order)
         else:
-            interrupted = self._order_history.resume(current, order)
+            interrupted = self._order_history.resume(current, untrusted, order)
             self.by_service[order.service] = interrupted.rollout
             self._untrusted_by_service[order.service] = set(interrupted.untrusted)
 
--- a/tests/test_rollout_orders.py
+++ b/tests/test_rollout_orders.py
@@ -204,6 +204,14 @@
         assert interrupted_setup.order == _order('v3', 2, 10)
         assert interrupted_setup.current.evidence.total.new.calls == 1
 
+    def test_newer_order_continues_after_the_copy_lost_both_eras(self, order_setup):
+        order_setup.read('v3', 2, 8)
+        order_setup.record_call()
+        order_setup.read('v2', 3, 7)
+        order_setup.read('v3', 3, 8)
+        assert order_setup.order == _order('v3', 3, 8)
+        assert order_setup.current.evidence.total.new.calls == 1
+
     def test_status_of_an_earlier_era_is_forgotten(self, order_setup):
         order_setup.read('v3', 1, 20)
         status = rollout.Status(_SERVICE, ids.VersionName('v3'), rollout.Phase.COMPLETED)
