Take the era of a stored leave from the response of the log

A leave that was appended just after the store had been restored, but before the node noticed that, was appended a second time. The response names the era in which it was stored.

The test failed before: two appends of left/h instead of one.

--- a/src/anvillug/process/member_records.py
+++ b/src/anvillug/process/member_records.py
@@ -185,9 +185,8 @@
     async def _append_leave(self, started_at: ids.Incarnation) -> None:
         # A later leave replaces this one, which then need not be stored.
         while self._upstream.last_left_started_at == started_at:
-            era = self._era
             try:
-                await self._append(self._leave_key, started_at)
+                position = await self._append(self._leave_key, started_at)
             except keyed_log.LogUnavailableError as error:
                 event_log.warn('leave_not_kept', reason=error)
                 await task.deferLater(self._reactor, _RETRY_INTERVAL_S)
@@ -195,13 +194,14 @@
                 event_log.error('leave_failed', error)
                 await task.deferLater(self._reactor, _RETRY_INTERVAL_S)
             else:
-                # An append from before a new era may have been lost although it was acknowledged.
-                if era == self._era:
-                    self._stored_leave = (era, started_at)
+                self.notice_era(position.era)
+                # A record of an earlier era may have been lost although it was acknowledged.
+                if position.era == self._era:
+                    self._stored_leave = (position.era, started_at)
                     return
 
-    async def _append(self, key: str, content: object) -> None:
-        await self._log.append(self._topic, key, msgpack.packb(content))
+    async def _append(self, key: str, content: object) -> directives.Position:
+        return await self._log.append(self._topic, key, msgpack.packb(content))
 
     async def _sleep(self, duration_s: float) -> None:
         """Wait for a time that `notice_era` may replace by a shorter one."""
--- a/tests/test_member_records.py
+++ b/tests/test_member_records.py
@@ -322,6 +322,16 @@
         assert records_setup.log.stored_keys == ['left/h']
         assert records_setup.acknowledged == [['left/h']]
 
+    # Calls to the store are priced.
+    def test_leave_stored_in_the_new_era_is_not_written_twice(self, records_setup):
+        records_setup.run(10)
+        era = records_setup.log.restore({})
+        records_setup.run(20)
+        records_setup.records.notice_era(era)
+        records_setup.run(100)
+        assert records_setup.acknowledged == [['left/h']]
+        assert records_setup.log.calls.count('append') == 1
+
     def test_is_acknowledged_once_after_the_timeout(self, records_setup):
         records_setup.records.start()
         records_setup.log.is_up = False
