Bound the time until a lost response of the store is noticed

Reads now wait 1.2 s on average, each a random quarter more or less, and their response may take 0.5 s more. The first read after a failure does not wait, and a node announces at once that it has lost or regained the store.

--- a/src/anvillug/platform/store.py
+++ b/src/anvillug/platform/store.py
@@ -29,6 +29,8 @@
 
 # A response typically takes 4 ms, and up to 80 times that when the platform is slow.
 _RESPONSE_TIMEOUT_MS = 900
+# The same for reads, which can be repeated without harm.
+_READ_TIMEOUT_MS = 500
 _CONNECT_TIMEOUT_MS = 500
 # A configuration with some thousand routes takes one second over a link of 5 Mbit/s.
 _BODY_TIMEOUT_MS = 4000
@@ -83,7 +85,9 @@
     async def read(self, topic: str, start: int, wait_ms: int) -> keyed_log.Batch:
         """Return records from an offset on; see `keyed_log.KeyedLog`."""
         arguments = {'Topic': topic, 'part': _PARTITION, 'From': str(start), 'WaitMs': str(wait_ms)}
-        content, era = await self._call('GET', 'log-read', arguments, wait_ms=wait_ms)
+        content, era = await self._call(
+            'GET', 'log-read', arguments, timeout_ms=wait_ms + _READ_TIMEOUT_MS
+        )
         return _parse_batch(content, directives.Position(era, start))
 
     async def append(
@@ -105,11 +109,11 @@
         name: str,
         arguments: dict[str, str],
         body: bytes | None = None,
-        wait_ms: float = 0,
+        timeout_ms: float = _RESPONSE_TIMEOUT_MS,
     ) -> tuple[bytes, int]:
         """Return the body of the response and the era of the store."""
         url = f'http://{self._address}/-/{name}?{url_parse.urlencode(arguments)}'
-        timeout = clock.to_seconds(wait_ms + _RESPONSE_TIMEOUT_MS)
+        timeout = clock.to_seconds(timeout_ms)
         try:
             response = await self._http.request(method, url, data=body, timeout=timeout)
             body = treq.content(response)
--- a/src/anvillug/process/mesh_node.py
+++ b/src/anvillug/process/mesh_node.py
@@ -172,6 +172,7 @@
             self._rng,
             self._duty.is_follower,
             self._beacons.send_far,
+            self._beacons.send_near,
         )
         self._writer = rollout_writer.RolloutWriter(
             reactor, time, log, topics.statuses, status_codec, self.rollouts, self._writer_rank
--- a/src/anvillug/process/order_feed.py
+++ b/src/anvillug/process/order_feed.py
@@ -16,8 +16,11 @@
 from anvillug.connection import keyed_log
 from anvillug.version import directives
 
-# A silent connection ends the poll early; see `connection/tcp_liveness.py`.
-_POLL_MS = 4000
+# Mean wait of a long poll. A response that never comes is noticed only after the wait, and a change
+# has to be in force two seconds after it was made.
+_POLL_MS = 1200
+# Part of the wait that varies at random: after a change, all followers begin to poll at once.
+_POLL_JITTER_SHARE = 0.25
 # Exponential backoff after a failed read.
 _INITIAL_BACKOFF_MS = 80.0
 _MAX_BACKOFF_MS = 600.0
@@ -40,6 +43,7 @@
         rng: Source of the jitter of delays.
         has_duty: Returns whether this node has to follow the topic now.
         on_applied: Called after new directives from the topic have been applied.
+        on_reach_changed: Called after `reaches_log` has changed.
     """
 
     def __init__(
@@ -51,6 +55,7 @@
         rng: random.Random,
         has_duty: Callable[[], bool],
         on_applied: Callable[[], None],
+        on_reach_changed: Callable[[], None],
     ) -> None:
         self._reactor = reactor
         self._log = log
@@ -59,6 +64,7 @@
         self._rng = rng
         self._has_duty = has_duty
         self._on_applied = on_applied
+        self._on_reach_changed = on_reach_changed
         self._log_reachable = True
         self._has_newest = False
         self._follows = True
@@ -102,7 +108,7 @@
             await self._sleep(_IDLE_CHECK_MS)
             return
         try:
-            batch = await self._log.read(self._topic, position.offset, _POLL_MS)
+            batch = await self._log.read(self._topic, position.offset, self._wait_ms())
         except keyed_log.RecordsDeletedError:
             event_log.emit('order_history_dropped', position=position)
             await self._read_newest()
@@ -114,6 +120,13 @@
             return
         self._apply(batch, dict(self._active_directives.current.records), position)
 
+    def _wait_ms(self) -> int:
+        """Return how long the next read may wait for a record."""
+        if not self._log_reachable:
+            # Whatever was missed is read at once, and the others learn that the log is back.
+            return 0
+        return int(_POLL_MS * self._rng.uniform(1 - _POLL_JITTER_SHARE, 1 + _POLL_JITTER_SHARE))
+
     async def _read_newest(self) -> None:
         position = self._active_directives.current.position
         batch = await self._log.newest(self._topic)
@@ -164,11 +177,13 @@
         if not self._log_reachable:
             self._log_reachable = True
             event_log.emit('store_regained')
+            self._on_reach_changed()
 
     async def _back_off(self, error: Exception) -> None:
         if self._log_reachable:
             self._log_reachable = False
             event_log.warn('store_lost', reason=error)
+            self._on_reach_changed()
         delay_ms = self._backoff_ms * (1 + self._rng.random()) / 2
         self._backoff_ms = min(_MAX_BACKOFF_MS, self._backoff_ms * _BACKOFF_FACTOR)
         await self._sleep(delay_ms)
--- a/src/anvillug/standin/platform_store.py
+++ b/src/anvillug/standin/platform_store.py
@@ -152,6 +152,7 @@
         wait_ms = min(int(_query_value(request, 'WaitMs') or 0), _MAX_WAIT_MS)
         if start == len(topic.records) and not self.faults.outage:
             await self._wait_for_record(topic, wait_ms)
+            await self._block_if_silent()
             self._set_era_header(request)  # the store may have been restored during the wait
         if self.faults.outage:
             return http_api.error_response(request, http.SERVICE_UNAVAILABLE, 'outage')
@@ -184,6 +185,9 @@
         """Count a call and set the header of its response; never return if the store is silent."""
         self.call_counts[request.path.decode().rpartition('/')[2]] += 1
         self._set_era_header(request)
+        await self._block_if_silent()
+
+    async def _block_if_silent(self) -> None:
         if self.faults.silent:
             await defer.Deferred()  # klein cancels it when the connection is closed
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -24,6 +24,10 @@
 from tests import reactor_thread, test_platform_documents
 
 _TOPIC = 'keyed.op'
+# A change has to be in force within this time of its acknowledgement.
+_APPLY_LIMIT_S = 2
+# Nodes have to be up to date this long after a disturbance of the store has ended.
+_CONTACT_LIMIT_S = 3
 # States and timers in `/proc/net/tcp`; see the kernel's documentation of that file.
 _ESTABLISHED = '01'
 _KEEP_ALIVE_TIMER = '02'
@@ -46,6 +50,7 @@
         self.server = platform_store.PlatformStore(reactor)
         self.port = reactor.listenTCP(0, self.server.site(), interface='127.0.0.1')
         self.client = store.Store(reactor, f'127.0.0.1:{self.port.getHost().port}')
+        self.feed: order_feed.OrderFeed | None = None
 
     def append(self, key: bytes, value: bytes) -> None:
         """Append a record of the operator."""
@@ -255,7 +260,9 @@
         random.Random(1),
         lambda: True,
         lambda: None,
+        lambda: None,
     )
+    store_setup.feed = feed
     task = reactor_thread.call(lambda: _UnawaitedTask(feed.start()))
     yield applied
     with contextlib.suppress(defer.CancelledError):
@@ -296,6 +303,32 @@
         assert active_directives.current.revision
 
 
+class TestLostResponses:
+    """Guards against changes that are in force too late, because their response never came."""
+
+    # The connection stays open, so that only the client's own limit ends the wait.
+    def test_change_whose_response_is_lost_takes_effect(self, store_setup, active_directives):
+        topic = store_setup.server.topic(_TOPIC)
+        reactor_thread.eventually(lambda: topic.waiters)
+        store_setup.server.faults = platform_store.StoreFaults(silent=True)
+        store_setup.append(b'evacuate/z1', b'{}')
+        reactor_thread.eventually(lambda: not topic.waiters)
+        store_setup.server.faults = platform_store.StoreFaults()
+        began = time.monotonic()
+        reactor_thread.eventually(lambda: active_directives.current.zones_out == {'z1'})
+        assert time.monotonic() - began < _CONTACT_LIMIT_S
+
+    def test_return_of_the_store_is_noticed_without_a_change(self, store_setup, active_directives):
+        store_setup.append(b'evacuate/z1', b'{}')
+        reactor_thread.eventually(lambda: active_directives.current.zones_out == {'z1'})
+        store_setup.server.faults = platform_store.StoreFaults(outage=True)
+        reactor_thread.eventually(lambda: not store_setup.feed.reaches_log)
+        store_setup.server.faults = platform_store.StoreFaults()
+        began = time.monotonic()
+        reactor_thread.eventually(lambda: store_setup.feed.reaches_log)
+        assert time.monotonic() - began < _APPLY_LIMIT_S
+
+
 class TestFeedOfRestoredStore:
     """Guards against directives that are missed or undone after the store has lost records."""
 
@@ -318,7 +351,9 @@
         store_setup.server.faults = platform_store.StoreFaults(outage=True)
         store_setup.restore((b'evacuate/z2', b'{}'), (b'evacuate/z3', b'{}'))
         store_setup.server.faults = platform_store.StoreFaults()
+        began = time.monotonic()
         reactor_thread.eventually(lambda: active_directives.current.zones_out == {'z2', 'z3'})
+        assert time.monotonic() - began < _APPLY_LIMIT_S
 
     @pytest.mark.parametrize('restored_version', [None, '0000000b'])
     def test_restored_older_config_does_not_replace_a_newer_one(
