--- a/src/anvillug/process/order_feed.py
+++ b/src/anvillug/process/order_feed.py
@@ -46,7 +46,7 @@
         on_reach_changed: Called after `reaches_log` has changed.
     """
 
-    def __init__(
+    def __init__(  # noqa: WPS211 - callbacks keep the task independent of its users
         self,
         reactor: Any,
         log: keyed_log.KeyedLog,
