Ignore records of other nodes that have ended here

After the store had lost an evacuation that the operator took back, a node that noticed the new era later still had the record when others had dropped it, and passed it on with a newer position. It then stayed in effect there until the process ended, since the time to drop it was over.

Found by review; the test failed before: zones_out was {'z1'}.

--- a/src/anvillug/version/directives.py
+++ b/src/anvillug/version/directives.py
@@ -111,6 +111,7 @@
         self.current = Directives()
         """Directives in effect."""
         self._decode = decode
+        self._keeps_lost_records = False
         self._listeners: list[Callable[[Directives], None]] = []
 
     def add_listener(self, listener: Callable[[Directives], None]) -> None:
@@ -134,17 +135,18 @@
             return False
         if position.era > self.current.position.era:
             records = {**self.current.records, **records}
+            self._keeps_lost_records = True
+        elif not self._keeps_lost_records:
+            # A node that has noticed the era later still has records that have ended here.
+            records = _of_era(records, position.era)
         self._replace(records, position)
         return True
 
     def drop_lost_records(self) -> None:
         """Drop the records of earlier eras: the operator has not written them again."""
+        self._keeps_lost_records = False
         position = self.current.position
-        records = {
-            key: record
-            for key, record in self.current.records.items()
-            if record.position.era == position.era
-        }
+        records = _of_era(self.current.records, position.era)
         if len(records) < len(self.current.records):
             self._replace(records, position)
 
@@ -152,3 +154,7 @@
         self.current = self._decode(records, position, self.current)
         for listener in self._listeners:
             listener(self.current)
+
+
+def _of_era(records: Records, era: int) -> Records:
+    return {key: record for key, record in records.items() if record.position.era == era}
--- a/tests/test_directives.py
+++ b/tests/test_directives.py
@@ -54,6 +54,13 @@
         active_directives.drop_lost_records()
         assert active_directives.current.zones_out == {'z2'}
 
+    def test_dropped_record_does_not_return_from_another_node(self, active_directives):
+        active_directives.advance(_records(2), directives.Position(2, 2))
+        later_records = dict(active_directives.current.records)
+        active_directives.drop_lost_records()
+        active_directives.advance(later_records, directives.Position(2, 3))
+        assert not active_directives.current.zones_out
+
     def test_listeners_receive_the_end_of_a_lost_evacuation(self, active_directives):
         zones_out = []
         active_directives.add_listener(lambda current: zones_out.append(set(current.zones_out)))
