Keep lost orders in effect while the store is away again

The operator could not repeat an evacuation when the store failed again within three seconds of its return from an older copy, and the evacuation ended anyway: the zone received calls. The time starts again while the store is not reached.

Found by review; the test failed before: zones_out was empty.

--- a/src/anvillug/process/order_feed.py
+++ b/src/anvillug/process/order_feed.py
@@ -165,12 +165,20 @@
             return
         event_log.emit('order_era_began', position=current.position, previous=self._era)
         self._era = current.position.era
+        self._await_rewrite()
+
+    def _await_rewrite(self) -> None:
         self._reactor.callLater(clock.to_seconds(_REWRITE_MS), self._rewrite_ended, self._era)
 
     def _rewrite_ended(self, era: int) -> None:
         # If the log has been restored again, the operator is still writing.
-        if era == self._era:
+        if era != self._era:
+            return
+        if self._log_reachable:
             self._active_directives.drop_lost_records()
+        else:
+            # The operator may have been unable to write as well.
+            self._await_rewrite()
 
     def _record_success(self) -> None:
         self._backoff_ms = _INITIAL_BACKOFF_MS
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -28,6 +28,8 @@
 _APPLY_LIMIT_S = 2
 # Nodes have to be up to date this long after a disturbance of the store has ended.
 _CONTACT_LIMIT_S = 3
+# A node waits this long for the operator to write lost records again.
+_REWRITE_LIMIT_S = 3
 # States and timers in `/proc/net/tcp`; see the kernel's documentation of that file.
 _ESTABLISHED = '01'
 _KEEP_ALIVE_TIMER = '02'
@@ -374,6 +376,20 @@
         store_setup.append(b'config', _config('0000000d'))
         reactor_thread.eventually(lambda: active_directives.current.revision == 13)
 
+    # Calls would be sent to a zone out of service, since its order was lost a second time.
+    def test_lost_evacuation_is_kept_while_the_store_is_away(self, store_setup, active_directives):
+        reactor_thread.call(store_setup.server.snapshot)
+        store_setup.append(b'evacuate/z1', b'{}')
+        reactor_thread.eventually(lambda: active_directives.current.zones_out == {'z1'})
+        era = active_directives.current.position.era
+        store_setup.restore()
+        reactor_thread.eventually(lambda: active_directives.current.position.era > era)
+        store_setup.server.faults = platform_store.StoreFaults(outage=True)
+        time.sleep(_REWRITE_LIMIT_S + 0.5)
+        assert active_directives.current.zones_out == {'z1'}
+        store_setup.server.faults = platform_store.StoreFaults()
+        reactor_thread.eventually(lambda: not active_directives.current.zones_out)
+
     def test_calls_after_a_restore_are_bounded(self, store_setup, active_directives):
         self._lose_two_records(store_setup, active_directives)
         topic = store_setup.server.topic(_TOPIC)
