Fetch directives on a new connection after one without a response

A fetch that times out now closes the node's idle connections that have carried no response since it was sent. Connections that have, and those that carry a job, stay open.

The test failed before, with a second line "no response": test_fetch_after_a_silent_one_uses_a_new_connection eventually(lambda: node.active.current.position == _DIRECTIVES.position) AssertionError

--- a/src/anvillug/connection/http_client.py
+++ b/src/anvillug/connection/http_client.py
@@ -73,6 +73,8 @@
     def __init__(self, pool: ConnectionOwner) -> None:
         self.idle_since_s: float = 0
         """Time of the release to the pool, by the reactor's clock in seconds."""
+        self.acquired_at_s: float = 0
+        """Time at which the pool handed it out last, by the reactor's clock in seconds."""
         self._pool = pool
         self._handler: ResponseHandler | None = None
         self._parser: httptools.HttpResponseParser | None = None
--- a/src/anvillug/connection/http_pool.py
+++ b/src/anvillug/connection/http_pool.py
@@ -134,14 +134,14 @@
             return
         while self._waiting and connection.is_idle:
             ready, _failed = self._waiting.popleft()
-            ready(connection)
+            self._hand_out(connection, ready)
         if connection.is_idle:
             connection.idle_since_s = self._reactor.seconds()
             self._idle.append(connection)
 
     def offer(self, connection: http_client.ClientConnection, ready: ConnectionReady) -> None:
         """Offer a connection to a requester, and release it if it sends no request."""
-        ready(connection)
+        self._hand_out(connection, ready)
         if connection.is_idle:
             self.release(connection)
 
@@ -172,12 +172,27 @@
         for connection in idle:
             connection.cancel()
 
+    def close_idle_without_response_since(self, silent: http_client.ClientConnection) -> None:
+        """Close the idle connections that may be as silent as one that received no response.
+
+        A connection that was released after the silent one was acquired has carried a response
+        since and stays open.
+        """
+        suspect = [idle for idle in self._idle if idle.idle_since_s <= silent.acquired_at_s]
+        for connection in suspect:
+            self._idle.remove(connection)
+            connection.cancel()
+
     def close(self) -> None:
         """Close idle connections now and busy ones after their response."""
         self._closed = True
         self.close_idle()
         self._fail_waiting()
 
+    def _hand_out(self, connection: http_client.ClientConnection, ready: ConnectionReady) -> None:
+        connection.acquired_at_s = self._reactor.seconds()
+        ready(connection)
+
     def _pop_idle(self, max_idle_s: float) -> http_client.ClientConnection | None:
         """Remove and return the idle connection that was used last.
 
--- a/src/anvillug/request/remote_run.py
+++ b/src/anvillug/request/remote_run.py
@@ -44,12 +44,14 @@
         self._on_response = on_response
         self._on_failure = on_failure
         self._chunks: list[bytes] = []
+        self._pool: http_pool.Pool | None = None
         self._connection: http_client.ClientConnection | None = None
         self._ended = False
         self._status = 0
 
     def begin(self, pool: http_pool.Pool) -> None:
         """Get a connection and send the request."""
+        self._pool = pool
         pool.acquire(self._connected, lambda: self._fail('no connection'))
 
     def cancel(self) -> None:
@@ -58,6 +60,15 @@
         if self._connection is not None:
             self._connection.cancel()
 
+    def time_out(self) -> None:
+        """Cancel the request, since the response is overdue; neither callback is called.
+
+        What silenced the connection may have silenced the idle ones to the same node.
+        """
+        self.cancel()
+        if self._connection is not None and not self._status:
+            self._pool.close_idle_without_response_since(self._connection)
+
     # From the connection
 
     def response_continue(self) -> None:
