Close idle connections to a node after a job or inquiry without a response

After all open connections had fallen silent, each idle connection between two nodes cost a caller one job or inquiry: what was cancelled at the timeout was followed by the next one on a connection that had been silent for as long.

A job or inquiry that is cancelled without a response now closes the node's idle connections that have carried no response since it was sent, as a fetch of directives does. Connections that carry another job stay open, no job is aborted or repeated, and outcomes are as before. A cancelled request that had ended already no longer closes its connection, which may carry another request by then.

The tests failed before: test_inquiry_without_a_response and test_job_without_a_response, `assert [] == [<Connection>]`.

--- a/src/anvillug/process/directive_fetch.py
+++ b/src/anvillug/process/directive_fetch.py
@@ -70,7 +70,7 @@
     def _timed_out(self) -> None:
         request = self._request
         if request is not None:
-            request.time_out()
+            request.cancel()
             self._failed('no response', sent=True)
 
     def _finish(self) -> None:
--- a/src/anvillug/request/remote_run.py
+++ b/src/anvillug/request/remote_run.py
@@ -55,19 +55,17 @@
         pool.acquire(self._connected, lambda: self._fail('no connection'))
 
     def cancel(self) -> None:
-        """Cancel the request; neither callback is called."""
+        """Cancel the request; neither callback is called.
+
+        Whatever kept the response away may have silenced the idle connections as well.
+        """
+        if self._ended:
+            return
         self._ended = True
         if self._connection is not None:
             self._connection.cancel()
-
-    def time_out(self) -> None:
-        """Cancel the request, since the response is overdue; neither callback is called.
-
-        What silenced the connection may have silenced the idle ones to the same node.
-        """
-        self.cancel()
-        if self._connection is not None and not self._status:
-            self._pool.close_idle_without_response_since(self._connection)
+            if not self._status:
+                self._pool.close_idle_without_response_since(self._connection)
 
     # From the connection
 
--- a/tests/test_remote_run.py
+++ b/tests/test_remote_run.py
@@ -16,7 +16,7 @@
 _ANSWERED = job.Result(job.ResultKind.ANSWERED, head=http_head.ResponseHead(200, []), body=b'ok')
 
 
-class _Connection:
+class Connection:
     """Fake connection that records what is sent; see `http_client.ClientConnection`."""
 
     def __init__(self) -> None:
@@ -47,7 +47,9 @@
     """One job, and the connections to the node that receives it."""
 
     def __init__(self) -> None:
-        self.connections: list[_Connection] = []
+        self.connections: list[Connection] = []
+        """Connections in the order of use."""
+        self.silent: list[Connection] = []
         self.results: list[job.Result] = []
         work = job.Job(
             attempt_id='a1',
@@ -68,9 +70,13 @@
 
     def acquire(self, ready, failed):
         """Open a connection; see `http_pool.Pool`."""
-        self.connections.append(_Connection())
+        self.connections.append(Connection())
         ready(self.connections[-1])
 
+    def close_idle_without_response_since(self, silent):
+        """Record the silent connection; see `http_pool.Pool`."""
+        self.silent.append(silent)
+
 
 @pytest.fixture
 def remote_job():
@@ -118,3 +124,24 @@
         remote_job.connections[0].respond(_WILLING)
         remote_job.connections[1].handler.response_failed(http_client.ClientFailure.LOST)
         assert remote_job.results[0].kind is job.ResultKind.UNKNOWN
+
+
+class TestSilentConnections:
+    """Guards against jobs lost on one silent connection of a node after the other."""
+
+    def test_inquiry_without_a_response(self, remote_job):
+        remote_job.timers.advance(0.1)
+        assert remote_job.silent == remote_job.connections
+
+    def test_job_without_a_response(self):
+        without_inquiry = _RemoteJob()
+        without_inquiry.run.begin()
+        without_inquiry.run.cancel()
+        assert without_inquiry.silent == without_inquiry.connections
+        assert not without_inquiry.results
+
+    def test_response_clears_the_suspicion(self, remote_job):
+        remote_job.connections[0].respond(_WILLING)
+        remote_job.connections[1].respond(_ANSWERED)
+        remote_job.run.cancel()
+        assert not remote_job.silent
