Send a job on the connection of its inquiry

A job that must not be repeated is sent only after an inquiry. The inquiry showed that its own connection works, but the job was then sent on the next idle one, since the first was released to the pool only after the response had been handled. On a silent connection the job was lost, after a successful inquiry.

The pool now hands the connection to the job as soon as it is released; if it closes instead, a new one is opened.

The tests failed before: test_job_uses_the_connection_of_its_inquiry, the connections differ; the tests of the pool had no such call.

--- a/src/anvillug/connection/http_pool.py
+++ b/src/anvillug/connection/http_pool.py
@@ -80,6 +80,10 @@
             collections.deque()
         )
         self._open_connections: set[http_client.ClientConnection] = set()
+        # Busy connections that a further request is to use next.
+        self._reserved: dict[
+            http_client.ClientConnection, tuple[ConnectionReady, ConnectFailed]
+        ] = {}
         self._connecting = 0
         self._closed = False
 
@@ -122,6 +126,18 @@
         """Open a new connection, for use when the peer may not respond on existing ones."""
         self._connect(ready, failed)
 
+    def acquire_when_released(
+        self,
+        connection: http_client.ClientConnection,
+        ready: ConnectionReady,
+        failed: ConnectFailed,
+    ) -> None:
+        """Acquire a busy connection once its response has ended, before all other requests.
+
+        If it closes instead, a new connection is opened.
+        """
+        self._reserved[connection] = (ready, failed)
+
     def preconnect(self) -> None:
         """Open one more connection in advance, within the limit."""
         if not self._closed and self.open_count < self._max_connections:
@@ -132,6 +148,9 @@
         if self._closed:
             connection.cancel()
             return
+        if connection in self._reserved:
+            ready, _ = self._reserved.pop(connection)
+            self._hand_out(connection, ready)
         while self._waiting and connection.is_idle:
             ready, _failed = self._waiting.popleft()
             self._hand_out(connection, ready)
@@ -161,6 +180,12 @@
         self._open_connections.discard(connection)
         if connection in self._idle:
             self._idle.remove(connection)
+        if connection in self._reserved:
+            ready, failed = self._reserved.pop(connection)
+            if self._closed:
+                failed()
+            else:
+                self._connect(ready, failed)
         if self._waiting and self.open_count < self._max_connections and not self._closed:
             ready, failed = self._waiting.popleft()
             self._connect(ready, failed)
--- a/src/anvillug/request/remote_run.py
+++ b/src/anvillug/request/remote_run.py
@@ -49,10 +49,20 @@
         self._ended = False
         self._status = 0
 
-    def begin(self, pool: http_pool.Pool) -> None:
-        """Get a connection and send the request."""
+    def begin(self, pool: http_pool.Pool, previous: PeerRequest | None = None) -> None:
+        """Get a connection and send the request.
+
+        Args:
+            pool: Connections to the node.
+            previous: Request whose response has just ended. Its connection is used again, since
+                it is known to work.
+        """
         self._pool = pool
-        pool.acquire(self._connected, lambda: self._fail('no connection'))
+        if previous is None:
+            pool.acquire(self._connected, self._connection_failed)
+        else:
+            connection = previous._connection  # noqa: SLF001 - same class
+            pool.acquire_when_released(connection, self._connected, self._connection_failed)
 
     def cancel(self) -> None:
         """Cancel the request; neither callback is called.
@@ -97,6 +107,9 @@
     def request_writes_paused(self, paused: bool) -> None:
         """Ignore backpressure: the whole body is in memory already."""
 
+    def _connection_failed(self) -> None:
+        self._fail('no connection')
+
     def _connected(self, connection: http_client.ClientConnection) -> None:
         if self._ended:
             return
@@ -168,6 +181,7 @@
     def _inquiry_ended(self, result: job.Result) -> None:
         self._stop_inquiry_timer()
         if result.kind is job.ResultKind.WILLING:
+            # The inquiry has shown that its connection works; an idle one may be silent.
             self.begin()
         else:
             self._on_result(result)
@@ -202,5 +216,6 @@
         job_bytes = job_wire.pack_job(work, self._clock.now())
         headers = [(b'Host', b'node'), (b'Content-Length', b'%d' % len(job_bytes))]
         head = http_head.RequestHead(b'POST', path, headers)
+        inquiry = self._request
         self._request = PeerRequest(head, job_bytes, answered, failed)
-        self._request.begin(self._pool)
+        self._request.begin(self._pool, inquiry)
--- a/tests/test_remote_run.py
+++ b/tests/test_remote_run.py
@@ -73,6 +73,12 @@
         self.connections.append(Connection())
         ready(self.connections[-1])
 
+    def acquire_when_released(self, connection, ready, failed):
+        """Reuse a connection; see `http_pool.Pool`."""
+        connection.sent = b''
+        self.connections.append(connection)
+        ready(connection)
+
     def close_idle_without_response_since(self, silent):
         """Record the silent connection; see `http_pool.Pool`."""
         self.silent.append(silent)
@@ -125,6 +131,11 @@
         remote_job.connections[1].handler.response_failed(http_client.ClientFailure.LOST)
         assert remote_job.results[0].kind is job.ResultKind.UNKNOWN
 
+    def test_job_uses_the_connection_of_its_inquiry(self, remote_job):
+        # Any other connection may be silent, and the job would be lost on it.
+        remote_job.connections[0].respond(_WILLING)
+        assert remote_job.connections[1] is remote_job.connections[0]
+
 
 class TestSilentConnections:
     """Guards against jobs lost on one silent connection of a node after the other."""
