--- a/src/anvillug/version/rollout_orders.py
+++ b/src/anvillug/version/rollout_orders.py
@@ -28,8 +28,8 @@
 from anvillug import clock, ids
 from anvillug.version import directives, rollout
 
-# Time after a restore in which the operator writes the records again that were lost.
-_REWRITE_MS = 10_000.0
+# A record of known content that appears within this time after a restore repeats a lost order.
+_REPEAT_MS = 10_000.0
 # Superseded orders that are remembered for each service.
 _MAX_SUPERSEDED = 8
 
@@ -150,7 +150,7 @@
         )
 
     def _is_same(self, order: directives.RolloutOrder, known: directives.RolloutOrder) -> bool:
-        if self._clock.now() - self._restored_at < _REWRITE_MS:
+        if self._clock.now() - self._restored_at < _REPEAT_MS:
             return _has_same_content(order, known)
         is_in_copy = order.position.offset == known.position.offset
         return is_in_copy and order.is_same_in_other_era(known)
--- a/tests/test_directive_fetch.py
+++ b/tests/test_directive_fetch.py
@@ -12,7 +12,7 @@
 from anvillug.version import directives
 from tests import reactor_thread
 
-_DIRECTIVES = directives.Directives(position=directives.Position(3))
+_DIRECTIVES = directives.Directives(position=directives.Position(1, 3))
 _IDLE_CONNECTIONS = 3
 
 
