Replace silent connections of the product's own log client, too

Calls of anvillug node to its log failed one after the other, each with a full timeout, once for each pooled connection that had fallen silent. The client now closes idle connections after a failed call, and its connections detect silence, as those of the platform's store do.

--- a/src/anvillug/connection/log_client.py
+++ b/src/anvillug/connection/log_client.py
@@ -13,7 +13,7 @@
 from twisted.web import client as web_client
 
 from anvillug import clock, ids
-from anvillug.connection import log_record
+from anvillug.connection import log_record, tcp_liveness
 
 CONFIGURATION_STREAM = 'configuration'
 
@@ -50,10 +50,11 @@
     ) -> None:
         self._pool = web_client.HTTPConnectionPool(reactor)
         self._pool.maxPersistentPerHost = _MAX_CONNECTIONS
-        pooled_agent = web_client.Agent(
-            reactor,
-            connectTimeout=clock.to_seconds(_CONNECT_TIMEOUT_MS),
-            pool=self._pool,
+        endpoint_factory = tcp_liveness.EndpointFactory(
+            reactor, clock.to_seconds(_CONNECT_TIMEOUT_MS)
+        )
+        pooled_agent = web_client.Agent.usingEndpointFactory(
+            reactor, endpoint_factory, pool=self._pool
         )
         self._reactor: Any = reactor
         self._http = treq_client.HTTPClient(pooled_agent if agent is None else agent)
@@ -112,6 +113,7 @@
         except _NOT_SENT_ERRORS as failure:
             raise log_record.LogUnavailable(f'cannot reach the log: {failure}') from failure
         except Exception as failure:
+            self._close_suspect_connections()
             _raise_if_cancelled(failure)
             raise log_record.LogResponseLost(f'no response to append: {failure!r}') from failure
         return _parse_append(status, content)
@@ -121,6 +123,7 @@
         try:
             status, content = await self._with_timeout(self._http.get(url), wait_ms)
         except Exception as failure:
+            self._close_suspect_connections()
             _raise_if_cancelled(failure)
             raise log_record.LogUnavailable(f'no response to read: {failure!r}') from failure
         self._counts['bytes_received'] += len(content)
@@ -130,6 +133,10 @@
         except (ValueError, KeyError, TypeError) as failure:
             raise log_record.LogUnavailable('response to read is malformed') from failure
 
+    def _close_suspect_connections(self) -> None:
+        # Whatever silenced a connection may have silenced the idle ones.
+        self._pool.closeCachedConnections()
+
     def _with_timeout(self, request: defer.Deferred[Any], wait_ms: int) -> defer.Deferred[Any]:
         request.addCallback(_read_body)
         return request.addTimeout(
