--- a/tests/test_directives.py
+++ b/tests/test_directives.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import json
+
 import pytest
 
 from anvillug.platform import documents
+from anvillug.request import job_wire
 from anvillug.version import directives
+from tests import test_platform_documents
 
 _OUT_KEY = 'evacuate/z1'
 _OTHER_KEY = 'evacuate/z2'
@@ -68,3 +72,20 @@
         active_directives.drop_lost_records()
         active_directives.drop_lost_records()
         assert zones_out == [{'z1'}, set()]
+
+    # A node that has read only the copy would answer 404 for routes that were confirmed.
+    def test_newest_config_reaches_a_node_that_read_the_copy(self, active_directives):
+        started = directives.ActiveDirectives(documents.decode_directives)
+        newest = {'config': directives.Record(directives.Position(1, 9), _config('0000000a'))}
+        active_directives.advance(newest, directives.Position(1, 10))
+        copy = {'config': directives.Record(directives.Position(2, 3), _config('00000008'))}
+        for node in (active_directives, started):
+            node.advance(copy, directives.Position(2, 4))
+        started.advance(
+            *job_wire.unpack_directives(job_wire.pack_directives(active_directives.current))
+        )
+        assert (active_directives.current.revision, started.current.revision) == (10, 10)
+
+
+def _config(version: str) -> bytes:
+    return json.dumps({**test_platform_documents.CONFIG, 'Version': version}).encode()
--- a/tests/test_rollout_orders.py
+++ b/tests/test_rollout_orders.py
@@ -260,3 +260,27 @@
         order_setup.time.advance(_LATER_MS)
         order_setup.read('v2', era, 30)
         assert order_setup.order == _order('v2', era, 30)
+
+    # A good version that is ordered again would never be completed.
+    def test_status_of_an_earlier_order_does_not_settle_it(self, order_setup):
+        status = rollout.Status(_SERVICE, ids.VersionName('v2'), rollout.Phase.REVERTED)
+        order_setup.rollouts.apply_status(status, directives.Position(1, 1))
+        assert order_setup.current.phase is rollout.Phase.REVERTED
+        order_setup.time.advance(_LATER_MS)
+        order_setup.read('v2', 1, 9)
+        assert order_setup.current.phase is rollout.Phase.CANARY
+
+
+class TestOrderOfTheCopy:
+    """Guards against a service without hosts, because the copy holds an order not read before."""
+
+    def test_hosts_of_the_version_in_service_stay_available(self):
+        # The node has started after v2 was completed, and knows only the order for v3.
+        setup = _OrderSetup()
+        setup.read('v3', 1, 20)
+        hosts = [
+            _Host(ids.HostId(f'h{version}'), ids.VersionName(version)) for version in ('v2', 'v3')
+        ]
+        setup.read('v2', 2, 8)
+        allowed = setup.rollouts.allowed(_SERVICE, hosts, 0.99)
+        assert {host.version for host in allowed} == {'v2'}
