Order directives of one position by the revision of the configuration

Cause: a node that started between the return of a restored store and the operator's repeated write read only the copy.

Change: positions between nodes carry the revision. The kept configuration is passed on as a record of the present era, so that it also reaches a node that has stopped waiting for repeated writes. A configuration that can't be decoded changes nothing, since each beacon would otherwise cause a fetch and beacons.

--- a/src/anvillug/platform/documents.py
+++ b/src/anvillug/platform/documents.py
@@ -127,8 +127,11 @@
     config = _decode_config(records, previous)
     records = dict(records)
     if config is previous and CONFIG_KEY in previous.records:
-        # Other nodes are served these records, and have to receive the configuration in effect.
-        records[CONFIG_KEY] = previous.records[CONFIG_KEY]
+        # Other nodes are served these records, and have to receive the configuration in effect,
+        # which is valid in this era even if the log lacks its record.
+        kept = previous.records[CONFIG_KEY]
+        kept_position = kept.position._replace(era=position.era)
+        records[CONFIG_KEY] = dataclasses.replace(kept, position=kept_position)
     rollouts = {}
     zones_out = set()
     for key, record in records.items():
--- a/src/anvillug/process/order_feed.py
+++ b/src/anvillug/process/order_feed.py
@@ -130,7 +130,7 @@
     async def _read_newest(self) -> None:
         position = self._active_directives.current.position
         batch = await self._log.newest(self._topic)
-        if batch.end < position:
+        if batch.end < position._replace(revision=0):
             raise keyed_log.LogUnavailableError(f'ends at {batch.end}, before {position}')
         self._record_success()
         self._has_newest = True
--- a/src/anvillug/version/directives.py
+++ b/src/anvillug/version/directives.py
@@ -21,6 +21,9 @@
     """Number of the era."""
     offset: int
     """Offset in that era."""
+    revision: int = 0
+    """Version number of the configuration in effect at that offset; 0 in positions of records. It
+    differs between nodes if only some have read a configuration that a restored log has lost."""
 
     def __str__(self) -> str:
         """Return the form that is written to the event log."""
@@ -37,8 +40,8 @@
     Raises:
         ValueError, TypeError: If it is malformed.
     """
-    era, offset = packed
-    return Position(int(era), int(offset))
+    era, offset, revision = packed
+    return Position(int(era), int(offset), int(revision))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -139,7 +142,11 @@
         elif not self._keeps_lost_records:
             # A node that has noticed the era later still has records that have ended here.
             records = _of_era(records, position.era)
-        self._replace(records, position)
+        newer = self._decode_at(records, position)
+        if newer.position <= self.current.position:
+            # This node can't decode the configuration that makes the other node's position newer.
+            return False
+        self._put_into_effect(newer)
         return True
 
     def drop_lost_records(self) -> None:
@@ -148,10 +155,14 @@
         position = self.current.position
         records = _of_era(self.current.records, position.era)
         if len(records) < len(self.current.records):
-            self._replace(records, position)
+            self._put_into_effect(self._decode_at(records, position))
+
+    def _decode_at(self, records: Records, position: Position) -> Directives:
+        decoded = self._decode(records, position, self.current)
+        return dataclasses.replace(decoded, position=position._replace(revision=decoded.revision))
 
-    def _replace(self, records: Records, position: Position) -> None:
-        self.current = self._decode(records, position, self.current)
+    def _put_into_effect(self, newer: Directives) -> None:
+        self.current = newer
         for listener in self._listeners:
             listener(self.current)
 
--- a/src/anvillug/version/rollout_report.py
+++ b/src/anvillug/version/rollout_report.py
@@ -35,6 +35,6 @@
     Raises:
         ValueError, TypeError: If it is malformed.
     """
-    era, offset, phase_name = packed
+    *position, phase_name = packed
     phase = None if phase_name is None else rollout.Phase(phase_name)
-    return rollout.StoredStatus(directives.unpack_position((era, offset)), phase)
+    return rollout.StoredStatus(directives.unpack_position(position), phase)
--- a/tests/test_directives.py
+++ b/tests/test_directives.py
@@ -86,6 +86,30 @@
         )
         assert (active_directives.current.revision, started.current.revision) == (10, 10)
 
+    # After the operator's repeated writes are due, records of earlier eras are dropped.
+    def test_newest_config_reaches_a_node_that_has_stopped_waiting(self, active_directives):
+        started = directives.ActiveDirectives(documents.decode_directives)
+        newest = {'config': directives.Record(directives.Position(1, 9), _config('0000000a'))}
+        active_directives.advance(newest, directives.Position(1, 10))
+        copy = {'config': directives.Record(directives.Position(2, 3), _config('00000008'))}
+        for node in (active_directives, started):
+            node.advance(copy, directives.Position(2, 4))
+            node.drop_lost_records()
+        assert started.advance(
+            *job_wire.unpack_directives(job_wire.pack_directives(active_directives.current))
+        )
+        assert started.current.position == active_directives.current.position
+        assert started.current.revision == 10
+
+    # Each beacon would cause a fetch, and each fetch beacons to all nodes.
+    def test_undecodable_config_of_another_node_changes_nothing(self, active_directives):
+        notified = []
+        active_directives.add_listener(notified.append)
+        broken = {'config': directives.Record(directives.Position(1, 8), b'{}')}
+        position = active_directives.current.position._replace(revision=12)
+        assert not active_directives.advance(broken, position)
+        assert not notified
+
 
 def _config(version: str) -> bytes:
     return json.dumps({**test_platform_documents.CONFIG, 'Version': version}).encode()
