Don't settle a repeated rollout order by the status of the earlier one

Cause: statuses name only the target version.

Change: a rollout to the version of the one before it ignores the status record that states that one's outcome.

What remains: a node that starts before the first status of the new rollout is written can't tell the two apart (docs/platform.md).

--- a/src/anvillug/version/rollout.py
+++ b/src/anvillug/version/rollout.py
@@ -135,6 +135,8 @@
         """When the shift began, by this node or by the report that it adopted."""
         self.stored: StoredStatus | None = None
         """Newest status record that is known in the present era of the store."""
+        self.earlier_stored: StoredStatus | None = None
+        """Status record of an earlier rollout to the same version, which does not apply here."""
         self.settled = False
         """Whether the outcome has been in the store, in any era."""
         self.evidence = rollout_evidence.Evidence()
@@ -152,6 +154,23 @@
             return self.canary_share
         return 0.0 if self.phase is Phase.REVERTED else 1.0
 
+    @property
+    def stored_outcome(self) -> StoredStatus | None:
+        """Status record that states the outcome of this rollout, once the store holds it."""
+        is_stored = self.phase.is_final and self.stored is not None
+        return self.stored if is_stored and self.stored.phase is self.phase else None
+
+    def owns_status(self, status: Status, position: directives.Position) -> bool:
+        """Return whether a status record states the progress of this rollout.
+
+        Args:
+            status: Content of the record.
+            position: Position of the record.
+        """
+        earlier = self.earlier_stored
+        is_earlier = earlier is not None and position <= earlier.position
+        return status.target_version == self.order.target_version and not is_earlier
+
     def record(self, call: rollout_call.Call) -> rollout_counts.Outcome:
         """Count a call that has ended.
 
--- a/src/anvillug/version/rollouts.py
+++ b/src/anvillug/version/rollouts.py
@@ -139,7 +139,10 @@
             position=order.position,
         )
         self._record_untrusted(current, order)
-        self.by_service[order.service] = rollout.Rollout(order, self._clock.now(), self._exposure)
+        started = rollout.Rollout(order, self._clock.now(), self._exposure)
+        if current is not None and current.order.target_version == order.target_version:
+            started.earlier_stored = current.stored_outcome
+        self.by_service[order.service] = started
 
     def _record_untrusted(
         self, current: rollout.Rollout | None, order: directives.RolloutOrder
@@ -163,7 +166,7 @@
         current = self.by_service.get(status.service)
         if current is None:
             return
-        phase = status.phase if current.order.target_version == status.target_version else None
+        phase = status.phase if current.owns_status(status, position) else None
         if phase is not None and phase.is_final:
             current.settle(phase, 'read from the store')
         if is_present:
