Keep the hosts of a service while a restored copy holds an older order

Cause: a node that had never read the older order of the copy took it for a new one.

Change: if an order of the present era has interrupted a rollout and no host of another version may be used, calls go to the version of that order. Without a restore the new version stays no fallback (test).

--- a/src/anvillug/version/rollout_orders.py
+++ b/src/anvillug/version/rollout_orders.py
@@ -79,6 +79,10 @@
         """Return whether this very record is known as that of a superseded order."""
         return order in self._superseded(order.service)
 
+    def is_interrupted(self, service: ids.ServiceName) -> bool:
+        """Return whether an order of the present era has interrupted a rollout of a service."""
+        return service in self._interrupted_by_service
+
     def identify(self, order: directives.RolloutOrder, current: rollout.Rollout) -> Identity:
         """Return what a record that is newer than the current order is an order for.
 
--- a/src/anvillug/version/rollouts.py
+++ b/src/anvillug/version/rollouts.py
@@ -213,10 +213,13 @@
         old = [host for host in hosts if host.version != target and host.version not in untrusted]
         if current.phase.is_final:
             return new if current.share else old
+        if fraction < current.share:
+            return _canary_hosts(current, new) or old
+        if not old and self._order_history.is_interrupted(service):
+            # The order may be an older one that the copy holds, and its version the one in service.
+            return new
         # The new version is no fallback for the old one until the rollout is completed.
-        if fraction >= current.share:
-            return old
-        return _canary_hosts(current, new) or old
+        return old
 
     def step(self) -> None:
         """Evaluate all rollouts."""
--- a/tests/test_rollout_orders.py
+++ b/tests/test_rollout_orders.py
@@ -270,6 +270,13 @@
         order_setup.read('v2', 1, 9)
         assert order_setup.current.phase is rollout.Phase.CANARY
 
+    def test_status_of_the_repeated_order_settles_it(self, order_setup):
+        status = rollout.Status(_SERVICE, ids.VersionName('v2'), rollout.Phase.REVERTED)
+        order_setup.rollouts.apply_status(status, directives.Position(1, 1))
+        order_setup.read('v2', 1, 9)
+        order_setup.rollouts.apply_status(status, directives.Position(1, 2))
+        assert order_setup.current.phase is rollout.Phase.REVERTED
+
 
 class TestOrderOfTheCopy:
     """Guards against a service without hosts, because the copy holds an order not read before."""
@@ -284,3 +291,8 @@
         setup.read('v2', 2, 8)
         allowed = setup.rollouts.allowed(_SERVICE, hosts, 0.99)
         assert {host.version for host in allowed} == {'v2'}
+
+    # A bad version would get all calls while the hosts of the old one are restarted.
+    def test_new_version_is_no_fallback_without_a_restore(self, order_setup):
+        hosts = [_Host(ids.HostId('a'), ids.VersionName('v2'))]
+        assert not order_setup.rollouts.allowed(_SERVICE, hosts, 0.99)
