--- a/src/anvillug/connection/http_exchange.py
+++ b/src/anvillug/connection/http_exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import NamedTuple
 from typing import Protocol as Interface
 
 from anvillug.connection import http_head
@@ -45,12 +46,22 @@
         """Return whether the connection closes after the response of an exchange."""
 
 
+class Place(NamedTuple):
+    """Place of a request among those of its connection."""
+
+    connection: int = 0
+    """Number of the connection, counted per process; 0 if it is not known."""
+    ahead: int = 0
+    """Unanswered requests before this one when it began; their responses are sent first."""
+
+
 class ServerExchange:
     """One request and its response.
 
     Args:
         connection: Connection that the request was received on.
         head: Head of the request.
+        place: Place of the request among those of the connection.
     """
 
     __slots__ = (
@@ -61,10 +72,17 @@
         'handler',
         'head',
         'head_sent',
+        'place',
     )
 
-    def __init__(self, connection: ExchangeConnection, head: http_head.RequestHead) -> None:
+    def __init__(
+        self,
+        connection: ExchangeConnection,
+        head: http_head.RequestHead,
+        place: Place = Place(),  # noqa: B008, WPS404 - an immutable value
+    ) -> None:
         self.head = head
+        self.place = place
         self.handler: RequestHandler | None = None
         self.head_sent = False
         self.ended = False
--- /dev/null
+++ b/src/anvillug/connection/request_parser.py
@@ -0,0 +1,152 @@
+"""Parses the requests of one HTTP/1.1 server connection and checks their heads."""
+
+from __future__ import annotations
+
+from typing import Protocol as Interface
+
+import httptools
+
+from anvillug import event_log
+from anvillug.connection import http_head
+
+_HTTP11 = '1.1'
+_UPGRADE_NOT_SUPPORTED = 'protocol upgrades are not supported'
+_STATUS_BAD_REQUEST = 400
+_STATUS_HEAD_TOO_LARGE = 431
+
+
+class RequestReceiver(Interface):
+    """Receives the parts of requests in the order in which they arrive."""
+
+    def head_received(self, head: http_head.RequestHead) -> None:
+        """Handle the head of a request."""
+
+    def body_received(self, data: bytes) -> None:
+        """Handle a part of the body."""
+
+    def request_received(self) -> None:
+        """Handle the end of a request."""
+
+    def request_malformed(self, status: int, message: str) -> None:
+        """Handle bytes that are no request; nothing that follows them is parsed.
+
+        Args:
+            status: HTTP status to respond with.
+            message: What is wrong.
+        """
+
+    def receiver_failed(self) -> None:
+        """Handle an exception that another method of the receiver has raised."""
+
+
+class RequestParser:
+    """Parser of one connection.
+
+    Args:
+        receiver: Receives what is parsed.
+        max_head_bytes: Maximum size of a request head in bytes.
+    """
+
+    def __init__(self, receiver: RequestReceiver, max_head_bytes: int) -> None:
+        self._receiver = receiver
+        self._max_head_bytes = max_head_bytes
+        self._parser = httptools.HttpRequestParser(self)
+        self._target = b''
+        self._headers: list[http_head.Header] = []
+        self._head_bytes = 0
+        self._in_head = True
+        self._is_malformed = False
+
+    def feed(self, data: bytes) -> None:
+        """Parse received bytes."""
+        if self._is_malformed:
+            return
+        if self._in_head:
+            self._head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserCallbackError as error:
+            event_log.error('request_handler_failed', error.__context__ or error)
+            self._is_malformed = True
+            self._receiver.receiver_failed()
+        except httptools.HttpParserUpgrade:
+            self._reject(_STATUS_BAD_REQUEST, _UPGRADE_NOT_SUPPORTED)
+        except httptools.HttpParserError as error:
+            self._reject(_STATUS_BAD_REQUEST, f'malformed HTTP request: {error}')
+        if self._in_head and self._head_bytes > self._max_head_bytes:
+            self._reject(_STATUS_HEAD_TOO_LARGE, self._too_large_message())
+
+    # Callbacks of httptools
+
+    def on_message_begin(self) -> None:
+        """Start a request; see httptools."""
+        self._target = b''
+        self._headers = []
+        self._in_head = True
+
+    def on_url(self, url: bytes) -> None:
+        """Receive a part of the target; see httptools."""
+        self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Receive a header; see httptools."""
+        # Headers after the body are trailers, which are not forwarded.
+        if self._in_head:
+            self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Pass the head on, or reject it; see httptools."""
+        # HTTP/1.0 clients receive one response per connection, as the close may end its body.
+        is_http11 = self._parser.get_http_version() == _HTTP11
+        head = http_head.RequestHead(
+            self._parser.get_method(),
+            self._target,
+            self._headers,
+            is_http11 and self._parser.should_keep_alive(),
+            is_http11,
+        )
+        # The counted bytes may include the start of the body.
+        limit = self._max_head_bytes
+        too_large = self._head_bytes > limit and len(http_head.serialize_request(head)) > limit
+        self._in_head = False
+        self._head_bytes = 0
+        head_error = self._head_error(head)
+        if too_large:
+            self._reject(_STATUS_HEAD_TOO_LARGE, self._too_large_message())
+        elif head_error:
+            self._reject(_STATUS_BAD_REQUEST, head_error)
+        elif not self._is_malformed:
+            self._receiver.head_received(head)
+
+    def on_body(self, data: bytes) -> None:
+        """Pass a part of the body on; see httptools."""
+        if not self._is_malformed:
+            self._receiver.body_received(data)
+
+    def on_message_complete(self) -> None:
+        """Pass the end of the request on; see httptools."""
+        self._in_head = True
+        if not self._is_malformed:
+            self._receiver.request_received()
+
+    # Private
+
+    def _reject(self, status: int, message: str) -> None:
+        if not self._is_malformed:
+            self._is_malformed = True
+            self._receiver.request_malformed(status, message)
+
+    def _too_large_message(self) -> str:
+        return f'request head exceeds {self._max_head_bytes} bytes'
+
+    def _head_error(self, head: http_head.RequestHead) -> str:
+        """Return why a request head is rejected, or an empty string for a valid head."""
+        if self._parser.should_upgrade():
+            return _UPGRADE_NOT_SUPPORTED
+        if head.framing is not http_head.Framing.CHUNKED:
+            return ''
+        if head.get(b'content-length') is not None:
+            return 'header Transfer-Encoding: not allowed together with Content-Length'
+        return (
+            '' if head.supports_chunked else 'header Transfer-Encoding: not supported in HTTP/1.0'
+        )
--- a/src/anvillug/process/entry_side.py
+++ b/src/anvillug/process/entry_side.py
@@ -9,7 +9,7 @@
 from twisted.internet import interfaces
 
 from anvillug import clock, event_log, ids
-from anvillug.connection import http_exchange
+from anvillug.connection import http_exchange, http_head
 from anvillug.process import (
     keyed_calls,
     load_sampler,
@@ -134,6 +134,19 @@
         router.call_started(now)
         started.receive()
 
+    def may_overlap(self, head: http_head.RequestHead) -> bool:
+        """Return whether a request may run while others before it on its connection do.
+
+        See `http_server.MayOverlap`.
+        """
+        now = self.clock.now()
+        try:
+            request = entry_request.parse(head, now)
+        except entry_request.BadRequestError:
+            return False
+        router = self._router(request.service, now)
+        return router is not None and router.match_route(head).repeatable
+
     # Calls from `EntryCall`
 
     def start_attempt(
--- a/src/anvillug/process/mesh_entry.py
+++ b/src/anvillug/process/mesh_entry.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from anvillug import clock, event_log, ids
-from anvillug.connection import http_exchange, http_pool
+from anvillug.connection import http_exchange, http_head, http_pool
 from anvillug.process import (
     directive_fetch,
     host_choice,
@@ -98,6 +98,15 @@
         self.in_progress.add(call)
         call.receive()
 
+    def may_overlap(self, head: http_head.RequestHead) -> bool:
+        """Return whether a request may run while others before it on its connection do.
+
+        See `http_server.MayOverlap`.
+        """
+        routes = self._active_directives.current.routes
+        route = None if routes is None else routes.match(head.get(b'host') or b'', head.path)
+        return route is not None and route.is_repeatable
+
     # For calls
 
     def directives(self) -> directives.Directives:
@@ -281,6 +290,8 @@
             arrivals=call.arrivals,
             position=self._active_directives.current.position,
             held_ms=int(held_ms),
+            connection=call.place.connection,
+            ahead=call.place.ahead,
         )
 
     def fetch_directives(self, address: str) -> None:
--- a/src/anvillug/process/mesh_node.py
+++ b/src/anvillug/process/mesh_node.py
@@ -178,7 +178,9 @@
             reactor, time, log, topics.statuses, status_codec, self.rollouts, self._writer_rank
         )
         self._peer_server = peer_server.PeerServer(self.host, self.active_directives, time)
-        self._caller_factory = http_server.ServerFactory(self.entry.request_received)
+        self._caller_factory = http_server.ServerFactory(
+            self.entry.request_received, may_overlap=self.entry.may_overlap
+        )
         self._peer_factory = http_server.ServerFactory(self._peer_server.request_received)
         self._caller_port: interfaces.IListeningPort | None = None
 
--- a/src/anvillug/process/node.py
+++ b/src/anvillug/process/node.py
@@ -131,6 +131,7 @@
         self._caller_factory = http_server.ServerFactory(
             self.entry.request_received,
             config.limits.max_header_bytes,
+            self.entry.may_overlap,
         )
         self._peer_factory = http_server.ServerFactory(
             self.host.request_received,
--- a/src/anvillug/request/routed_call.py
+++ b/src/anvillug/request/routed_call.py
@@ -102,6 +102,8 @@
         """When the head arrived."""
         self.attributes = context.header_dialect.read_attributes(exchange.head)
         """Attempt id and deadline from the caller's headers."""
+        self.place = exchange.place
+        """Place of the request among those of the caller's connection."""
         self.route: route_table.Route | None = None
         """Route in effect."""
         self.service = ids.ServiceName('')
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -63,6 +63,11 @@
         self.aborted = True
 
 
+def make_transport() -> _Transport:
+    """Return a transport that records what is written."""
+    return _Transport()
+
+
 def _make_connection(on_request=None, max_head_bytes: int = _MAX_HEAD_BYTES):
     received: list = []
     started = on_request or (lambda exchange: _Recorder(exchange, received))
