Follow the operator's topic by three nodes of the deployment instead of two per zone

Cause: followers grew with the zones.

Change: live nodes that reach the log take turns by zone, so that the three followers are in different zones. The first node of a zone fetches changes for the others. A zone that hears no other counts alone after 2.4 s. A node begins to follow 0.6 s after its first read, when it has heard of the others.

--- a/src/anvillug/process/follower_duty.py
+++ b/src/anvillug/process/follower_duty.py
@@ -8,8 +8,8 @@
 from anvillug.process import peer_table
 from anvillug.version import directives
 
-FOLLOWERS_PER_ZONE = 2
-"""Live nodes per zone that follow the topic; the failure of one is detected only after a poll."""
+FOLLOWERS = 3
+"""Nodes of the whole deployment that follow the topic, in different zones if there are as many."""
 
 # A node that has not received newer directives from a peer within this time reads the topic itself.
 _MAX_LAG_MS = 700.0
@@ -18,7 +18,8 @@
 class FollowerDuty:
     """Duty of one node to follow the operator's topic.
 
-    The first nodes of a zone in the order of names that are live and reach the log have the duty.
+    Nodes that are live and reach the log take turns by zone: the first ones of all zones in the
+    order of names, then the second ones, and so on. The first few in this order have the duty.
     Nodes agree on them without further messages: beacons report who is live and reaches the log.
 
     Args:
@@ -61,11 +62,23 @@
         """Return whether this node has to follow the topic now."""
         lag_ms = self._clock.now() - self._lagging_since
         is_overdue = self._is_lagging and lag_ms > _MAX_LAG_MS
-        return is_overdue or self._rank() < FOLLOWERS_PER_ZONE
+        return is_overdue or self.index() < FOLLOWERS
+
+    def is_first_of_zone(self) -> bool:
+        """Return whether no other node of the zone precedes this one."""
+        readers = self._peers.log_readers_by_zone().get(self._zone, [])
+        return all(name > self._host_id for name in readers)
+
+    def index(self) -> int:
+        """Return the number of nodes that precede this one in taking up the duty."""
+        readers_by_zone = self._peers.log_readers_by_zone()
+        own_zone = readers_by_zone.pop(self._zone, [])
+        rank = sum(name < self._host_id for name in own_zone)
+        return rank + sum(
+            min(len(readers), rank + (zone < self._zone))
+            for zone, readers in readers_by_zone.items()
+        )
 
     @property
     def _is_lagging(self) -> bool:
         return self._active_directives.current.position < self._target
-
-    def _rank(self) -> int:
-        return self._peers.rank(self._host_id, self._zone)
--- a/src/anvillug/process/mesh_node.py
+++ b/src/anvillug/process/mesh_node.py
@@ -295,8 +295,9 @@
         self._crashes.merge_entries(extra_state[_CRASHES])
         self._duty.record_peer_position(announcement.position)
         if announcement.position > self.active_directives.current.position:
-            is_same_zone = announcement.zone == self._settings.zone
-            delay_s = 0.0 if is_same_zone else _OTHER_ZONE_FETCH_DELAY_S
+            # The first node of a zone fetches for the others.
+            is_direct = announcement.zone == self._settings.zone or self._duty.is_first_of_zone()
+            delay_s = 0.0 if is_direct else _OTHER_ZONE_FETCH_DELAY_S
             self._reactor.callLater(delay_s, self._fetch_directives, announcement)
 
     def _fetch_directives(self, announcement: peer_table.Announcement) -> None:
--- a/src/anvillug/process/order_feed.py
+++ b/src/anvillug/process/order_feed.py
@@ -1,7 +1,7 @@
 """Follows the operator's topic and applies its directives.
 
-Every node reads the newest records once. After that, a few nodes of each zone follow the topic, and
-the other nodes are notified by their beacons; see `process/follower_duty.py`.
+Every node reads the newest records once. After that, a few nodes follow the topic, and the other
+nodes are notified by their beacons; see `process/follower_duty.py`.
 """
 
 from __future__ import annotations
@@ -21,6 +21,8 @@
 _POLL_MS = 1200
 # Part of the wait that varies at random: after a change, all followers begin to poll at once.
 _POLL_JITTER_SHARE = 0.25
+# Nodes that have started at the same time hear of each other within this time.
+_FIRST_CONTACT_MS = 600.0
 # Exponential backoff after a failed read.
 _INITIAL_BACKOFF_MS = 80.0
 _MAX_BACKOFF_MS = 600.0
@@ -67,7 +69,7 @@
         self._on_reach_changed = on_reach_changed
         self._log_reachable = True
         self._has_newest = False
-        self._follows = True
+        self._follows = False
         self._backoff_ms = _INITIAL_BACKOFF_MS
         self._era = active_directives.current.position.era
         active_directives.add_listener(self._directives_changed)
@@ -99,6 +101,7 @@
         position = self._active_directives.current.position
         if not self._has_newest:
             await self._read_newest()
+            await self._sleep(_FIRST_CONTACT_MS)
             return
         follows = self._has_duty()
         if follows is not self._follows:
--- a/src/anvillug/process/peer_table.py
+++ b/src/anvillug/process/peer_table.py
@@ -23,6 +23,9 @@
 # Nodes of a zone with this many hosts of a service select among those. Of hosts in other zones
 # they need to know only that they exist.
 _MIN_ZONE_HOSTS = 6
+# Overdue beacons of so many nodes of a zone were not all lost in transit by chance.
+_MIN_CUT_PEERS = 3
+_MIN_CUT_MS = NEAR_BEACON_INTERVAL_MS * _TIMEOUT_INTERVALS
 # Beacons are in transit for less time than this, and a restart takes longer.
 _MIN_RESTART_PAUSE_MS = 300.0
 # A node that has sent no beacon for this long is removed.
@@ -257,16 +260,22 @@
             (far if is_far else near).append(peer.announcement.beacon_address)
         return BeaconTargets(near, far)
 
-    def rank(self, host_id: ids.HostId, zone: ids.ZoneName) -> int:
-        """Count the live nodes of a zone that reach the log and precede a host by name."""
+    def log_readers_by_zone(self) -> dict[ids.ZoneName, list[ids.HostId]]:
+        """Return the live nodes that reach the log, except those of zones that seem to be cut off.
+
+        One far node times out only after several seconds. That beacons of all nodes of a zone are
+        overdue is noticed sooner.
+        """
         now = self._clock.now()
-        return sum(
-            name < host_id
-            and peer.announcement.zone == zone
-            and peer.announcement.reaches_log
-            and not peer.is_unresponsive(now)
-            for name, peer in self.by_host_id.items()
-        )
+        readers_by_zone = collections.defaultdict(list)
+        for peer in self.by_host_id.values():
+            if peer.announcement.reaches_log and not peer.is_unresponsive(now):
+                readers_by_zone[peer.announcement.zone].append(peer)
+        return {
+            zone: [reader.host_id for reader in readers]
+            for zone, readers in readers_by_zone.items()
+            if not _seem_cut_off(readers, now)
+        }
 
     def expire_peers(self) -> None:
         """Remove the nodes that have sent no beacon within the expiry time."""
@@ -278,6 +287,13 @@
                 self._serving_by_service.clear()
 
 
+def _seem_cut_off(peers: Sequence[Peer], now: clock.Milliseconds) -> bool:
+    """Return whether beacons of all peers of a zone are overdue."""
+    return len(peers) >= _MIN_CUT_PEERS and all(
+        peer.is_overdue(now) and now - peer.last_received_at > _MIN_CUT_MS for peer in peers
+    )
+
+
 # Fields of an announcement whose change is logged and reported to the caller of
 # `receive_announcement`.
 _tracked_fields = operator.attrgetter(
