Keep a call at its service when weights change; reject bad weights

Cause: a call whose route had changed drew its service again, so that its retry could move to another part of the split, which a part short of room must not cause. Negative, infinite and all-zero weights were accepted.

Change: the service drawn first stays while the route lists it with a weight above 0; after that the same point of the split decides. Bad weights are findings with their place, and the configuration in effect stays.

--- a/src/anvillug/platform/documents.py
+++ b/src/anvillug/platform/documents.py
@@ -261,15 +261,7 @@
 
 def _route(host: str, path: _Path, services: set[ids.ServiceName]) -> route_table.Route:
     place = f'VirtualHosts.{host}.{path.Name}'
-    parts = tuple(
-        route_table.RoutePart(ids.ServiceName(part.Service), part.Weight)
-        for part in path.WeightedSplit or ()
-    )
-    if path.Service is not None:
-        parts = (route_table.RoutePart(ids.ServiceName(path.Service), 1),)
-    unknown = [part.service for part in parts if part.service not in services]
-    if not parts or unknown:
-        raise ValueError(f'{place}: must list configured services, unknown: {unknown}')
+    parts = _route_parts(place, path, services)
     if path.Kind not in _KIND_BY_NAME:
         raise ValueError(f'{place}: Kind {path.Kind!r} is not one of {sorted(_KIND_BY_NAME)}')
     if not (path.PathPrefix.startswith(_SLASH) and path.PathPrefix.endswith(_SLASH)):
@@ -287,6 +279,27 @@
     )
 
 
+def _route_parts(
+    place: str, path: _Path, services: set[ids.ServiceName]
+) -> tuple[route_table.RoutePart, ...]:
+    parts = tuple(
+        route_table.RoutePart(ids.ServiceName(part.Service), part.Weight)
+        for part in path.WeightedSplit or ()
+    )
+    if path.Service is not None:
+        parts = (route_table.RoutePart(ids.ServiceName(path.Service), 1),)
+    unknown = [part.service for part in parts if part.service not in services]
+    if not parts or unknown:
+        raise ValueError(f'{place}: must list configured services, unknown: {unknown}')
+    invalid = [part for part in parts if part.weight < 0 or not math.isfinite(part.weight)]
+    if invalid:
+        weight, service = invalid[0].weight, invalid[0].service
+        raise ValueError(f'{place}: Weight {weight} of {service!r} must be 0 or more, and finite')
+    if not any(part.weight for part in parts):
+        raise ValueError(f'{place}: at least one Weight must be above 0')
+    return parts
+
+
 def _decode_rollout(key: str, record: directives.Record) -> directives.RolloutOrder | None:
     try:
         order: Any = _Rollout.model_validate_json(record.value)
--- a/src/anvillug/request/routed_call.py
+++ b/src/anvillug/request/routed_call.py
@@ -118,6 +118,7 @@
         """Random number in [0, 1) that decides during a rollout whether the new version gets the
         call. It is the same for all attempts: a new one for each would direct calls that hosts of
         the old version reject to the new version."""
+        self._service_draw = context.rng.random()
         self.host_rejections = 0
         """Attempts that were rejected by a host before dispatch."""
         self.deadline = clock.Milliseconds(self.started_at + self.attributes.deadline_ms)
@@ -199,7 +200,7 @@
             return False
         if route is not self.route:
             self.route = route
-            self.service = route.service_at(self._context.rng.random())
+            self.service = route.service_for(self._service_draw, self.service)
             timeout_at = self.started_at + route.timeout_ms
             caller_deadline = self.started_at + self.attributes.deadline_ms
             self.deadline = clock.Milliseconds(min(timeout_at, caller_deadline))
--- a/src/anvillug/version/route_table.py
+++ b/src/anvillug/version/route_table.py
@@ -73,6 +73,16 @@
                 return part.service
         return self.parts[-1].service
 
+    def service_for(self, fraction: float, current: ids.ServiceName) -> ids.ServiceName:
+        """Return the service of a call, which stays the same while the route allows it.
+
+        Args:
+            fraction: The call's point of the weighted split, in [0, 1).
+            current: Service that the call was routed to so far; empty at first.
+        """
+        stays = any(part.service == current and part.weight > 0 for part in self.parts)
+        return current if stays else self.service_at(fraction)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServicePolicy:
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -66,6 +66,10 @@
     )
 
 
+def _split_of(config: dict) -> list[dict]:
+    return config['VirtualHosts'][0]['Paths'][0]['WeightedSplit']
+
+
 def _json(value: object) -> bytes:
     return json.dumps(value).encode()
 
@@ -96,6 +100,23 @@
         assert decoded.revision == 12
         assert decoded.routes is previous.routes
 
+    @pytest.mark.parametrize(
+        ('weights', 'message'),
+        [
+            ((-1, 5), "Weight -1.0 of 'one' must be 0 or more"),
+            ((float('inf'), 5), "Weight inf of 'one' must be 0 or more, and finite"),
+            ((0, 0), 'at least one Weight must be above 0'),
+        ],
+    )
+    def test_bad_weights_are_found_with_their_place(self, weights, message, caplog):
+        previous = _decode({'config': CONFIG})
+        changed = json.loads(json.dumps({**CONFIG, 'Version': '0000000d'}))
+        for part, weight in zip(_split_of(changed), weights, strict=True):
+            part['Weight'] = weight
+        decoded = _decode({'other': b'{}', 'config': changed}, previous)
+        assert decoded.routes is previous.routes
+        assert f'VirtualHosts.A.example.r: {message}' in caplog.text.replace('\\', '')
+
     # A node that has just started would apply the older configuration of a restored store.
     @pytest.mark.parametrize(
         'records', [{'config': {**CONFIG, 'Version': '00000001'}}, {'config': b'{'}, {}]
--- a/tests/test_route_table.py
+++ b/tests/test_route_table.py
@@ -64,3 +64,14 @@
     def test_part_with_zero_weight_receives_nothing(self):
         route = _route(b'/a/', weights=(0, 10))
         assert route.service_at(0) == 's1'
+
+    # Calls of a service that has no room would be moved to the other one by their retries.
+    def test_call_keeps_its_service(self):
+        for weights in ((90, 10), (10, 90)):
+            route = _route(b'/a/', weights=weights)
+            assert route.service_for(0.5, ids.ServiceName('s1')) == 's1'
+
+    def test_call_leaves_a_service_that_the_route_has_left(self):
+        route = _route(b'/a/', weights=(10, 0))
+        for service in ('s1', 's2', ''):
+            assert route.service_for(0.5, ids.ServiceName(service)) == 's0'
--- a/tests/test_routed_call.py
+++ b/tests/test_routed_call.py
@@ -15,6 +15,7 @@
 from anvillug.version import directives, route_table
 
 _SERVICE = ids.ServiceName('one')
+_OTHER_SERVICE = ids.ServiceName('other')
 _TARGET_LATENCY_MS = 200
 _TIMEOUT_MS = 800
 _PATHS = {
@@ -23,7 +24,9 @@
 }
 
 
-def _directives() -> directives.Directives:
+def _directives(
+    *parts: tuple[ids.ServiceName, float],
+) -> directives.Directives:
     routes = [
         route_table.Route(
             ids.RouteName(kind.value),
@@ -33,7 +36,7 @@
             _TIMEOUT_MS,
             _TARGET_LATENCY_MS,
             1,
-            (route_table.RoutePart(_SERVICE, 1),),
+            tuple(route_table.RoutePart(*part) for part in parts or ((_SERVICE, 1),)),
             2,
         )
         for kind, path in _PATHS.items()
@@ -205,6 +208,21 @@
     def test_shed_request_is_retried_within_the_budget(self, kind):
         assert _RoutedRequest(kind).begin(_SHED, _make_answered()).connection.status == 200
 
+    # A change of weights in the middle of a call would move it to a service with more room.
+    def test_retry_after_a_change_of_weights_stays_with_the_service(self):
+        routed = _RoutedRequest(_ONCE)
+        routed.begin()
+        routed.context.current = _directives((_SERVICE, 1), (_OTHER_SERVICE, 1_000_000))
+        routed.context.pending.pop()(_SHED)
+        assert [work.service for work in routed.context.jobs] == [_SERVICE, _SERVICE]
+
+    def test_retry_follows_the_route_to_another_service(self):
+        routed = _RoutedRequest(_ONCE)
+        routed.begin()
+        routed.context.current = _directives((_SERVICE, 0), (_OTHER_SERVICE, 1))
+        routed.context.pending.pop()(_SHED)
+        assert [work.service for work in routed.context.jobs] == [_SERVICE, _OTHER_SERVICE]
+
     def test_shed_request_without_budget_is_unavailable(self):
         routed = _RoutedRequest(_ONCE)
         routed.context.budget = 0
