Repeat full beacons to other zones every 2 s, introduce nodes at first contact, follow by two nodes

Two followers suffice: each notices a lost response within its own read, a failed follower is replaced by the next node of its zone after 0.55 s.

Change: between the full ones, near nodes of other zones get load beacons. Changes are sent at once as before, and while calls of a rollout are counted the interval is 0.5 s. A process that is heard for the first time is sent a full beacon at once, so that a restarted node does not wait for the longer interval.

Tests: TestIntervals, TestFirstContact of tests/test_beacon.py.

--- a/src/anvillug/process/beacon.py
+++ b/src/anvillug/process/beacon.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
 from collections.abc import Callable
 from typing import Any
 
@@ -23,6 +24,9 @@
 _TICK_MS = 25.0
 # Interval of full beacons; they are repeated because datagrams may be lost.
 _FULL_INTERVAL_MS = 500.0
+# Interval of full beacons to near nodes of other zones, unless calls of a rollout are counted.
+# Between them, load beacons show that the node is live.
+_OTHER_ZONES_INTERVAL_MS = 2000.0
 # Interval of full beacons while a rollout shifts all calls: the counts of calls that they carry
 # decide whether the rollout is rolled back.
 _ROLLOUT_INTERVAL_MS = 150.0
@@ -40,6 +44,18 @@
 _MAX_BYTES = 1200
 _MALFORMED_ERRORS = (ValueError, TypeError, LookupError, msgpack.UnpackException)
 
+
+class Need(enum.Enum):
+    """How soon the other nodes need the extra state."""
+
+    NONE = 'none'
+    """It has not changed since they received it."""
+    SOON = 'soon'
+    """It changes with each call, and decisions are based on it."""
+    AT_ONCE = 'at once'
+    """A decision about all calls of a service is due."""
+
+
 ExtraState = dict[str, Any]
 """Additional state that full beacons carry, by topic."""
 
@@ -59,7 +75,7 @@
         port: UDP port.
         extra_state: Returns the extra state to send.
         on_extra_state: Called with the announcement and extra state of another node.
-        is_urgent: Returns whether the other nodes need the extra state at shorter intervals.
+        need: Returns how soon the other nodes need the extra state.
     """
 
     def __init__(  # noqa: WPS211 - callbacks keep the task independent of what it sends
@@ -71,7 +87,7 @@
         port: int,
         extra_state: Callable[[], ExtraState],
         on_extra_state: Callable[[peer_table.Announcement, ExtraState], None],
-        is_urgent: Callable[[], bool],
+        need: Callable[[], Need],
     ) -> None:
         self._reactor = reactor
         self._clock = time
@@ -80,15 +96,16 @@
         self._port = port
         self._extra_state = extra_state
         self._on_extra_state = on_extra_state
-        self._is_urgent = is_urgent
+        self._need = need
         self._sequence = 0
         self._malformed_count = 0
         self._last_sent_load: dialect.ReportedLoad | None = None
         self._load_sent_at = clock.Milliseconds(0)
         self._near_sent_at = clock.Milliseconds(0)
+        self._other_zones_sent_at = clock.Milliseconds(0)
         self._far_sent_at = clock.Milliseconds(0)
         # Updated for each full beacon, and reused for the load beacons between them.
-        self._targets = peer_table.BeaconTargets([], [])
+        self._targets = peer_table.BeaconTargets([], [], [])
 
     def start(self, ip: str) -> None:
         """Open the port and start sending."""
@@ -103,13 +120,8 @@
     def send_near(self) -> None:
         """Send a full beacon at once to the nodes that choose this one by its load."""
         self._update_targets()
-        now = self._clock.now()
-        self._near_sent_at = now
-        self._load_sent_at = now
-        announcement = self._next_announcement(
-            max(peer_table.NEAR_BEACON_INTERVAL_MS, self._min_interval_ms)
-        )
-        self._last_sent_load = announcement.load
+        announcement = self._next_near_announcement()
+        self._other_zones_sent_at = self._near_sent_at
         self._send(encode(announcement, self._extra_state()), self._targets.near)
 
     def send_far(self) -> None:
@@ -135,7 +147,10 @@
         if isinstance(message, LoadNotice):
             self._peers.receive_load(message)
             return
+        is_known = self._peers.is_known_process(message[0])
         self._peers.receive_announcement(message[0])
+        if not is_known:
+            self._introduce(message[0].beacon_address)
         self._on_extra_state(*message)
 
     @property
@@ -145,10 +160,15 @@
 
     def _tick(self) -> None:
         now = self._clock.now()
-        urgent = self._is_urgent()
+        need = self._need()
+        urgent = need is Need.AT_ONCE
         interval_ms = _ROLLOUT_INTERVAL_MS if urgent else _FULL_INTERVAL_MS
         if now - self._near_sent_at >= max(interval_ms, self._min_interval_ms):
-            self.send_near()
+            is_due = now - self._other_zones_sent_at >= _OTHER_ZONES_INTERVAL_MS
+            if is_due or need is not Need.NONE:
+                self.send_near()
+            else:
+                self._send_near_by_zone()
             self._peers.expire_peers()
         elif now - self._load_sent_at >= self._min_interval_ms:
             self._send_load_if_due(now)
@@ -156,6 +176,32 @@
             self.send_far()
         self._reactor.callLater(clock.to_seconds(_TICK_MS), self._tick)
 
+    def _send_near_by_zone(self) -> None:
+        """Send a full beacon to nodes of this zone, and the load to near ones of other zones."""
+        self._update_targets()
+        announcement = self._next_near_announcement()
+        other_zones = set(self._targets.other_zones)
+        same_zone = [address for address in self._targets.near if address not in other_zones]
+        self._send(encode(announcement, self._extra_state()), same_zone)
+        self._send(encode_load(announcement), self._targets.other_zones)
+
+    def _next_near_announcement(self) -> peer_table.Announcement:
+        now = self._clock.now()
+        self._near_sent_at = now
+        self._load_sent_at = now
+        announcement = self._next_announcement(
+            max(peer_table.NEAR_BEACON_INTERVAL_MS, self._min_interval_ms)
+        )
+        self._last_sent_load = announcement.load
+        return announcement
+
+    def _introduce(self, address: str) -> None:
+        """Send a full beacon to a process that has just been heard for the first time."""
+        self._update_targets()
+        is_far = address in self._targets.far
+        pace_ms = _FAR_INTERVAL_MS if is_far else peer_table.NEAR_BEACON_INTERVAL_MS
+        self._send(encode(self._next_announcement(pace_ms), self._extra_state()), [address])
+
     def _send_load_if_due(self, now: clock.Milliseconds) -> None:
         """Send the load if it has changed, or if the pace of beacons requires it."""
         local = self._local_announcement()
--- a/src/anvillug/process/follower_duty.py
+++ b/src/anvillug/process/follower_duty.py
@@ -8,7 +8,7 @@
 from anvillug.process import peer_table
 from anvillug.version import directives
 
-FOLLOWERS = 3
+FOLLOWERS = 2
 """Nodes of the whole deployment that follow the topic, in different zones if there are as many."""
 
 # A node that has not received newer directives from a peer within this time reads the topic itself.
--- a/src/anvillug/process/mesh_node.py
+++ b/src/anvillug/process/mesh_node.py
@@ -147,7 +147,7 @@
             settings.beacon_port,
             self._beacon_extra_state,
             self._beacon_received,
-            lambda: self.rollouts.shifting,
+            self._beacon_need,
         )
         self.active_directives.add_listener(self._directives_changed)
         self._probe = upstream_probe.UpstreamProbe(
@@ -287,6 +287,11 @@
     def _beacon_extra_state(self) -> beacon.ExtraState:
         return {_ROLLOUTS: self.rollouts.encode_report(), _CRASHES: self._crashes.encode_entries()}
 
+    def _beacon_need(self) -> beacon.Need:
+        if self.rollouts.shifting:
+            return beacon.Need.AT_ONCE
+        return beacon.Need.SOON if self.rollouts.in_progress else beacon.Need.NONE
+
     def _beacon_received(
         self, announcement: peer_table.Announcement, extra_state: beacon.ExtraState
     ) -> None:
--- a/src/anvillug/process/peer_table.py
+++ b/src/anvillug/process/peer_table.py
@@ -94,6 +94,8 @@
 
     near: list[str]
     """Nodes that consider the sender's load when they select a host, and new contacts."""
+    other_zones: list[str]
+    """Those of `near` that are in other zones, where repeated state is charged as traffic."""
     far: list[str]
     """Nodes with enough hosts in their own zone; they receive beacons less often."""
 
@@ -253,12 +255,23 @@
             peer.announcement.zone for peer in self.of_service(service)
         )
         near = list(self.contacts_by_host_id.values())
+        other_zones = []
         far = []
         for peer in self.by_host_id.values():
             peer_zone = peer.announcement.zone
-            is_far = peer_zone != zone and hosts_by_zone[peer_zone] >= _MIN_ZONE_HOSTS
-            (far if is_far else near).append(peer.announcement.beacon_address)
-        return BeaconTargets(near, far)
+            address = peer.announcement.beacon_address
+            if peer_zone == zone:
+                near.append(address)
+            elif hosts_by_zone[peer_zone] >= _MIN_ZONE_HOSTS:
+                far.append(address)
+            else:
+                other_zones.append(address)
+        return BeaconTargets(near + other_zones, other_zones, far)
+
+    def is_known_process(self, announcement: Announcement) -> bool:
+        """Return whether the process that sent an announcement has sent one before."""
+        peer = self.by_host_id.get(announcement.host_id)
+        return peer is not None and peer.announcement.incarnation == announcement.incarnation
 
     def log_readers_by_zone(self) -> dict[ids.ZoneName, list[ids.HostId]]:
         """Return the live nodes that reach the log, except those of zones that seem to be cut off.
--- a/src/anvillug/version/rollouts.py
+++ b/src/anvillug/version/rollouts.py
@@ -243,6 +243,11 @@
         """Whether a shift is in progress, during which nodes exchange their counts more often."""
         return any(current.phase is rollout.Phase.SHIFTING for current in self.by_service.values())
 
+    @property
+    def in_progress(self) -> bool:
+        """Whether a rollout is in progress, whose counts nodes exchange."""
+        return any(not current.phase.is_final for current in self.by_service.values())
+
     # Exchange with other nodes
 
     def encode_report(self) -> dict[str, Any]:
--- a/tests/test_beacon.py
+++ b/tests/test_beacon.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 import pytest
+from twisted.internet import task
 
 from anvillug import clock, ids
 from anvillug.process import beacon, peer_table, upstream
@@ -183,3 +184,100 @@
         peer = table.by_host_id[_PEER_HOST]
         assert not peer.is_unresponsive(clock.Milliseconds(1000 + 4000))
         assert peer.is_unresponsive(clock.Milliseconds(1000 + 6000))
+
+
+class _Sender:
+    """Beacon task of the local node in zone z, whose datagrams are recorded."""
+
+    def __init__(self) -> None:
+        self.reactor = task.Clock()
+        self.reactor.listenUDP = lambda *args, **options: None
+        self.time = clock.ManualClock(1000)
+        self.need = beacon.Need.NONE
+        self.table = peer_table.PeerTable(_LOCAL_HOST, self.time)
+        self.sent: list[tuple[str, beacon.Message]] = []
+        self.task = beacon.BeaconTask(
+            self.reactor,
+            self.time,
+            lambda: announcement(host_id=_LOCAL_HOST, zone='z'),
+            self.table,
+            70,
+            dict,
+            lambda *_: None,
+            lambda: self.need,
+        )
+        self.task.transport = self
+        self.task.start('10.0.0.1')
+
+    def write(self, datagram: bytes, address: tuple[str, int]) -> None:
+        self.sent.append((address[0], beacon.decode(datagram)))
+
+    def receive(self, name: str, zone: str, **changes: object) -> None:
+        peer = announcement(
+            host_id=ids.HostId(name), zone=zone, beacon_address=f'{name}:70', **changes
+        )
+        self.task.datagramReceived(beacon.encode(peer, {}), (name, 70))
+
+    def advance(self, duration_ms: int) -> None:
+        for _ in range(duration_ms // 25):
+            self.time.advance(25)
+            self.reactor.advance(0.025)
+
+    def counts(self, name: str) -> tuple[int, int]:
+        """Return the numbers of full and load beacons to a node, and forget them."""
+        messages = [message for receiver, message in self.sent if receiver == name]
+        self.sent = [sent for sent in self.sent if sent[0] != name]
+        loads = sum(isinstance(message, peer_table.LoadNotice) for message in messages)
+        return len(messages) - loads, loads
+
+
+class TestIntervals:
+    """Guards against state that is repeated across zones, and against nodes that seem silent."""
+
+    @pytest.fixture
+    def sender(self):
+        """Return a sender that knows a node of its zone and one of another zone."""
+        sender = _Sender()
+        sender.receive('same', 'z')
+        sender.receive('other', 'y')
+        for name in ('same', 'other'):
+            sender.counts(name)
+        return sender
+
+    def test_state_is_repeated_less_often_to_other_zones(self, sender):
+        sender.advance(10_000)
+        assert sender.counts('same')[0] == pytest.approx(20, abs=2)
+        full, loads = sender.counts('other')
+        assert full == pytest.approx(5, abs=1)
+        assert full + loads >= 10_000 / peer_table.NEAR_BEACON_INTERVAL_MS * 0.8
+
+    @pytest.mark.parametrize('need', [beacon.Need.SOON, beacon.Need.AT_ONCE])
+    def test_counts_of_a_rollout_reach_other_zones_as_soon(self, sender, need):
+        sender.need = need
+        sender.advance(10_000)
+        assert sender.counts('other')[0] == sender.counts('same')[0]
+
+    def test_change_reaches_other_zones_at_once(self, sender):
+        sender.task.send_now()
+        assert sender.counts('other') == (1, 0)
+
+
+class TestFirstContact:
+    """Guards against a node that learns of its peers only by their next repeated beacon."""
+
+    @pytest.mark.parametrize('zone', ['y', 'z'])
+    def test_new_process_is_sent_the_state_at_once(self, zone):
+        sender = _Sender()
+        sender.receive('new', zone)
+        assert sender.counts('new') == (1, 0)
+        sender.receive('new', zone, sequence=2)
+        assert sender.counts('new') == (0, 0)
+        sender.receive('new', zone, incarnation=ids.Incarnation(200))
+        assert sender.counts('new') == (1, 0)
+
+    def test_far_process_is_told_the_pace_of_far_beacons(self):
+        sender = _Sender()
+        for number in range(7):
+            sender.receive(f'far{number}', 'y')
+        paces = [message[0].pace_ms for name, message in sender.sent if name == 'far6']
+        assert paces == [2000.0]
