Skip a late copy of an earlier response instead of giving the call up

Cause: a backend server that sends a second copy of a response when its connection is in use again. A call took it for a wrong answer and ended as unknown (502 for what may run only once), although its own answer followed. A health check took the copy for its own answer, read a load from it, and gave the connection back, so that the health answer met the next call.

Change: a response that names a request which the connection has carried before is skipped; the call waits on. Anything else that is not for the call still ends it. Health checks skip responses that name a request.

--- a/src/anvillug/connection/http_client.py
+++ b/src/anvillug/connection/http_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import enum
 from typing import Protocol as Interface
 
@@ -15,6 +16,7 @@
 
 _MIN_FINAL_STATUS = 200
 _STATUS_CONTINUE = 100
+_MAX_REQUEST_IDS = 8
 
 
 class ClientFailure(enum.Enum):
@@ -75,6 +77,9 @@
         """Time of the release to the pool, by the reactor's clock in seconds."""
         self.acquired_at_s: float = 0
         """Time at which the pool handed it out last, by the reactor's clock in seconds."""
+        self.request_ids: collections.deque[str] = collections.deque(maxlen=_MAX_REQUEST_IDS)
+        """Ids of the newest requests that the connection has carried, as their senders note them;
+        a peer may send a further copy of a response to one of them."""
         self._pool = pool
         self._handler: ResponseHandler | None = None
         self._parser: httptools.HttpResponseParser | None = None
@@ -87,6 +92,7 @@
         self._response_complete = False
         self._request_complete = False
         self._chunked = False
+        self._skips_response = False
         self._reusable = True
         self._disconnected = False
         self._paused = False
@@ -141,6 +147,17 @@
             write_batch.BATCH.discard(self.transport)
             self.transport.abortConnection()
 
+    def skip_response(self) -> bool:
+        """Ignore the response whose head has just been received, and wait for another one.
+
+        Returns:
+            Whether another response may follow on this connection.
+        """
+        if not self._reusable or self._method == b'HEAD':
+            return False
+        self._skips_response = True
+        return True
+
     def pause_response(self, paused: bool) -> None:
         """Pause or resume reading the response."""
         if self._disconnected or self._handler is None or paused is self._paused:
@@ -220,6 +237,8 @@
 
     def on_body(self, data: bytes) -> None:
         """Forward a part of the body to the handler; see httptools."""
+        if self._skips_response:
+            return
         if self._response_complete:
             # A body that must not exist, as after HEAD; more of it may follow.
             self._reusable = False
@@ -232,7 +251,10 @@
             if self._handler is not None:
                 self._handler.response_continue()
             return
-        if self._status >= _MIN_FINAL_STATUS:
+        if self._skips_response:
+            self._skips_response = False
+            self._head_received = False
+        elif self._status >= _MIN_FINAL_STATUS:
             self._complete_response()
 
     # Write backpressure
--- a/src/anvillug/platform/headers.py
+++ b/src/anvillug/platform/headers.py
@@ -73,6 +73,10 @@
             return dialect.ReplyKind.FOREIGN
         return dialect.ReplyKind.RESPONSE
 
+    def echoed_id(self, head: http_head.ResponseHead) -> str:
+        """Return the attempt id that a response names; empty if it names none."""
+        return (head.get(_ATTEMPT_ID) or b'').decode('latin-1')
+
     def read_load(self, head: http_head.ResponseHead) -> dialect.ReportedLoad | None:
         """Return the load that a response reports: running, waiting, slots and slowness."""
         text = head.get(_LOAD)
--- a/src/anvillug/process/upstream_probe.py
+++ b/src/anvillug/process/upstream_probe.py
@@ -66,6 +66,10 @@
         pause_ms = self._interval_ms if self._reports_load else _MS_PER_SECOND
         self._reactor.callLater(clock.to_seconds(pause_ms), self._tick)
 
+    def is_copy(self, head: http_head.ResponseHead) -> bool:
+        """Return whether a response is a late copy of the response to a call."""
+        return bool(self._dialect.echoed_id(head))
+
     def response_received(self, head: http_head.ResponseHead) -> None:
         """Apply the response to a health check."""
         report = self._dialect.read_health(head)
@@ -123,9 +127,14 @@
         """Ignore status 100."""
 
     def response_head(self, head: http_head.ResponseHead) -> None:
-        """Forward the response."""
-        if not self._done:
+        """Forward the response, or wait on after a late copy of another one."""
+        if self._done:
+            return
+        if not self._probe.is_copy(head):
             self._probe.response_received(head)
+        elif not self._connection.skip_response():
+            self._connection.cancel()
+            self._finish()
 
     def response_body(self, data: bytes) -> None:
         """Ignore the body."""
--- a/src/anvillug/request/dialect.py
+++ b/src/anvillug/request/dialect.py
@@ -97,6 +97,9 @@
     def classify(self, head: http_head.ResponseHead, attempt_id: str) -> ReplyKind:
         """Classify a response to the call with an attempt id."""
 
+    def echoed_id(self, head: http_head.ResponseHead) -> str:
+        """Return the attempt id that a response names; empty if it names none."""
+
     def read_load(self, head: http_head.ResponseHead) -> ReportedLoad | None:
         """Return the load that a response reports."""
 
--- a/src/anvillug/request/upstream_run.py
+++ b/src/anvillug/request/upstream_run.py
@@ -7,7 +7,7 @@
 
 from twisted.internet import interfaces
 
-from anvillug import clock
+from anvillug import clock, event_log
 from anvillug.connection import http_client, http_head, http_pool
 from anvillug.request import dialect, job
 
@@ -70,6 +70,8 @@
         self._clock = time
         self._dialect = header_dialect
         self._on_done = on_done
+        # Ids of the requests that the connection has carried before.
+        self._earlier_ids: frozenset[str] = frozenset()
         self._connection: http_client.ClientConnection | None = None
         self._head: http_head.ResponseHead | None = None
         self._not_run_reason = ''
@@ -108,9 +110,10 @@
         if self.state is RunState.DONE:
             return
         kind = self._dialect.classify(head, self.work.attempt_id)
-        self.load = self._dialect.read_load(head)
+        if kind is not dialect.ReplyKind.FOREIGN:
+            self.load = self._dialect.read_load(head)
         if kind is dialect.ReplyKind.FOREIGN:
-            self._abort('answer is not for this request')
+            self._foreign_response(head)
         elif kind is dialect.ReplyKind.RESPONSE:
             self._head = head
         else:
@@ -153,6 +156,16 @@
 
     # Private
 
+    def _foreign_response(self, head: http_head.ResponseHead) -> None:
+        """Wait on after a late copy of a response to an earlier request; else give up."""
+        connection = self._connection
+        echoed_id = self._dialect.echoed_id(head)
+        is_copy = echoed_id in self._earlier_ids
+        if is_copy and connection is not None and connection.skip_response():
+            event_log.warn('response_copy_skipped', request=self.work.attempt_id, copy_of=echoed_id)
+        else:
+            self._abort('answer is not for this request')
+
     def _connected(self, connection: http_client.ClientConnection) -> None:
         now = self._clock.now()
         left_ms = self.work.deadline - now
@@ -164,6 +177,8 @@
         self._connection = connection
         self.state = RunState.SENT
         self.sent_at = now
+        self._earlier_ids = frozenset(connection.request_ids)
+        connection.request_ids.append(self.work.attempt_id)
         head = self.work.head
         headers = [*head.headers, *self._dialect.dispatch_headers(left_ms, self.work.instance)]
         connection.request(http_head.RequestHead(head.method, head.target, headers), self)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -23,6 +23,13 @@
 )
 
 
+def serving(time: clock.Clock) -> upstream.Upstream:
+    """Return the state of a backend server that is serving."""
+    backend = upstream.Upstream(_ADDRESS, time)
+    backend.receive_heartbeat(_HEARTBEAT)
+    return backend
+
+
 @pytest.fixture
 def backend():
     """Return the state of a backend server that has not sent a heartbeat."""
