Count the time in which a host was suspended

Cause: the clock of the decision logic was CLOCK_MONOTONIC, which stands still while a host is suspended. After some seconds of suspension, loads, beacons, deadlines of calls and the shift of a rollout counted as recent.

Change: CLOCK_BOOTTIME, where the system has it.

--- a/src/anvillug/clock.py
+++ b/src/anvillug/clock.py
@@ -13,6 +13,8 @@
 
 _MS_PER_SECOND = 1000.0
 _NS_PER_MS = 1_000_000.0
+# Only Linux has a clock that counts suspensions apart from the monotonic one.
+_CLOCK_ID = getattr(time, 'CLOCK_BOOTTIME', time.CLOCK_MONOTONIC)
 
 
 class Clock(Protocol):
@@ -29,8 +31,11 @@
     """Clock of the operating system."""
 
     def now(self) -> Milliseconds:
-        """Return monotonic time in milliseconds."""
-        return Milliseconds(time.monotonic_ns() / _NS_PER_MS)
+        """Return monotonic time in milliseconds, including time in which the host was suspended.
+
+        What was known before a suspension would otherwise count as recent after it.
+        """
+        return Milliseconds(time.clock_gettime_ns(_CLOCK_ID) / _NS_PER_MS)
 
     def wall(self) -> Milliseconds:
         """Return milliseconds since the Unix epoch."""
