Answer requests that arrive while a stopping node closes its connections

Cause: a stopping node closed idle connections without reading what had arrived on them, and closed its listener with connections in the queue. Both reset the caller's connection, although its request had been accepted.

Change: what has arrived is read before a connection is closed, connections of the listen queue are accepted before the listener closes, and a connection that has carried no request is closed by the next check.

--- a/src/anvillug/connection/http_server.py
+++ b/src/anvillug/connection/http_server.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from twisted.internet import interfaces, protocol
+from twisted.internet import interfaces, protocol, tcp
 from zope.interface import implementer
 
 from anvillug import event_log
@@ -86,11 +86,16 @@
         self._sending_responses = False
         self._reading_paused_by: response_slot.ResponseSlot | None = None
         self._writes_paused = False
+        self._is_new = True
+        self._asked_to_close = False
+        # Whether the request that begins next is the last one.
+        self._closes_after_next = False
 
     @property
     def is_busy(self) -> bool:
-        """Whether a request is in progress, or response bytes are still unsent."""
-        return bool(self._slots) or write_batch.has_unsent_bytes(self.transport)
+        """Whether a request is in progress or on its way, or response bytes are still unsent."""
+        awaits_first = self._asked_to_close and self._is_new and not self._closing
+        return bool(self._slots) or awaits_first or write_batch.has_unsent_bytes(self.transport)
 
     def connectionMade(self) -> None:  # noqa: N802
         """Register for write backpressure; see Twisted."""
@@ -203,15 +208,30 @@
     # Calls from the factory
 
     def close_when_idle(self) -> None:
-        """Close the connection now, or after the requests that have begun are answered."""
+        """Close the connection now, or after the requests that have begun are answered.
+
+        A request that has arrived but was not read begins first. A connection that has carried no
+        request is closed by the next call, since its first one may be on its way.
+        """
+        if not (self._slots or self._closing or self._disconnected):
+            self._read_available()
         if self._slots:
             # No request begins after one that ends the connection.
             self._slots[-1].exchange.head.keep_alive = False
+        elif self._is_new and not self._asked_to_close:
+            self._asked_to_close = True
         else:
             self._close()
 
     # Private
 
+    def _read_available(self) -> None:
+        """Read what has arrived; closing a connection with unread bytes would reset it."""
+        if isinstance(self.transport, tcp.Connection):
+            self._closes_after_next = True
+            self.transport.doRead()
+            self._closes_after_next = False
+
     def _run_or_queue(self, may_run: Callable[[], bool], run: Callable[[], None]) -> None:
         if self._closing or self._malformed:
             return
@@ -251,6 +271,9 @@
         return self._slots[-1].exchange.head.keep_alive and self._may_overlap(head)
 
     def _begin(self, head: http_head.RequestHead) -> None:
+        self._is_new = False
+        if self._closes_after_next or self._asked_to_close:
+            head.keep_alive = False
         place = http_exchange.Place(self._number, len(self._slots))
         slot = response_slot.ResponseSlot(self, head, place)
         self._slots.append(slot)
@@ -388,6 +411,11 @@
             self._on_request, self._max_head_bytes, self._open_connections, self._may_overlap
         )
 
+    @property
+    def open_count(self) -> int:
+        """Number of open connections."""
+        return len(self._open_connections)
+
     @property
     def busy_count(self) -> int:
         """Number of connections with a request in progress or unsent bytes."""
@@ -397,3 +425,10 @@
         """Close each connection now, or after its current responses."""
         for connection in tuple(self._open_connections):
             connection.close_when_idle()
+
+
+def stop_listening(port: interfaces.IListeningPort) -> None:
+    """Stop accepting connections, after accepting those that wait in the listen queue."""
+    if isinstance(port, tcp.Port):
+        port.doRead()
+    port.stopListening()
--- a/src/anvillug/process/mesh_node.py
+++ b/src/anvillug/process/mesh_node.py
@@ -360,7 +360,7 @@
             return
         if not self.entry.closed and (not busy or remaining_ms < _DRAIN_MS):
             self.entry.closed = True
-            self._caller_port.stopListening()
+            http_server.stop_listening(self._caller_port)
         self._reactor.callLater(_STOP_CHECK_S, self._end_when_idle)
 
     def _is_busy(self) -> bool:
--- a/src/anvillug/process/node.py
+++ b/src/anvillug/process/node.py
@@ -400,8 +400,10 @@
     def _close_caller_listener(self) -> None:
         # The peer listener stays open, since entry sides resolve running calls through it.
         if self._caller_port is not None:
-            self._caller_port.stopListening()
+            http_server.stop_listening(self._caller_port)
         self._caller_factory.close_when_idle()
+        # Closes connections that have carried no request by then.
+        self._reactor.callLater(drain.CHECK_INTERVAL_S, self._caller_factory.close_when_idle)
         drain.Drain(
             self._reactor,
             self._clock,
--- /dev/null
+++ b/tests/test_planned_stop.py
@@ -0,0 +1,104 @@
+"""Tests of requests that arrive while the listeners and connections of a stopping node close."""
+
+from __future__ import annotations
+
+import socket
+import time
+
+import pytest
+
+from anvillug.connection import http_server
+from tests import reactor_thread
+
+_REQUEST = b'GET /one HTTP/1.1\r\nHost: a\r\n\r\n'
+# Data that was sent on the loopback interface has arrived after this time.
+_ARRIVAL_S = 0.2
+
+
+class _Server:
+    """Server in the reactor thread that answers each request at once."""
+
+    def __init__(self, running_reactor) -> None:
+        self.factory = http_server.ServerFactory(lambda exchange: exchange.respond(200, b'whole'))
+        self.port = reactor_thread.call(
+            lambda: running_reactor.listenTCP(0, self.factory, interface='127.0.0.1')
+        )
+
+    def connect(self) -> socket.socket:
+        connection = socket.create_connection(('127.0.0.1', self.port.getHost().port))
+        connection.settimeout(reactor_thread.TIMEOUT_S)
+        return connection
+
+    def stop_after(self, action) -> None:
+        """Stop in the turn of the reactor in which the action is taken by a caller."""
+
+        def act_and_stop() -> None:
+            action()
+            time.sleep(_ARRIVAL_S)
+            http_server.stop_listening(self.port)
+            self.factory.close_when_idle()
+
+        reactor_thread.call(act_and_stop)
+
+    def close(self) -> None:
+        """Close what is idle until nothing is left."""
+
+        def is_closed() -> bool:
+            reactor_thread.call(self.factory.close_when_idle)
+            return not reactor_thread.call(lambda: self.factory.busy_count)
+
+        reactor_thread.eventually(is_closed)
+
+
+@pytest.fixture
+def server(running_reactor):
+    """Yield a listening server."""
+    started = _Server(running_reactor)
+    yield started
+    reactor_thread.call(started.port.stopListening)
+
+
+def _receive_all(connection: socket.socket) -> bytes:
+    received = []
+    with connection:
+        while piece := connection.recv(65536):
+            received.append(piece)
+    return b''.join(received)
+
+
+class TestPlannedStop:
+    """Guards against a request that has been accepted and is cut off without an answer."""
+
+    def test_request_on_a_kept_connection_is_answered(self, server):
+        connection = server.connect()
+        connection.sendall(_REQUEST)
+        assert connection.recv(65536).endswith(b'whole')
+        server.stop_after(lambda: connection.sendall(_REQUEST))
+        response = _receive_all(connection)
+        assert response.endswith(b'whole')
+        assert b'Connection: close' in response
+
+    def test_request_on_a_connection_in_the_listen_queue_is_answered(self, server):
+        connections = []
+
+        def connect_and_send() -> None:
+            connections.append(server.connect())
+            connections[0].sendall(_REQUEST)
+
+        server.stop_after(connect_and_send)
+        response = _receive_all(connections[0])
+        assert response.endswith(b'whole')
+        assert b'Connection: close' in response
+
+    def test_connection_that_awaits_its_request_stays_open(self, server):
+        connections = []
+        server.stop_after(lambda: connections.append(server.connect()))
+        assert reactor_thread.call(lambda: server.factory.busy_count) == 1
+        connections[0].sendall(_REQUEST)
+        assert _receive_all(connections[0]).endswith(b'whole')
+
+    def test_silent_connection_does_not_delay_the_stop(self, server):
+        connection = server.connect()
+        reactor_thread.eventually(lambda: reactor_thread.call(lambda: server.factory.open_count))
+        server.close()
+        assert _receive_all(connection) == b''
