--- a/src/anvillug/process/beacon.py
+++ b/src/anvillug/process/beacon.py
@@ -38,7 +38,7 @@
 # load is sent at the next tick.
 _SLOWNESS_CHANGE_RATIO = 0.2
 _FAULT_SHARE_CHANGE = 0.1
-_MAX_BEACONS_PER_SECOND = 300.0  # bounds the CPU time as nodes are added
+_MAX_BEACONS_PER_SECOND = 120.0  # bounds the CPU time as nodes are added
 _MS_PER_SECOND = 1000.0
 # Datagrams up to this size are not fragmented.
 _MAX_BYTES = 1200
