Shorten load beacons

Each carried the name of its host and two floats of nine bytes.

Change: the receiver knows the host by the sender's address and the start of its process; slowness and faulty runs are sent in whole percent.

Tests: TestLoadBeacons, among others for processes that started in the same millisecond and for an address that another host has taken over. test_load named the host in the message; it now compares all fields that are sent, with three loads.

--- a/src/anvillug/process/beacon.py
+++ b/src/anvillug/process/beacon.py
@@ -9,7 +9,7 @@
 import dataclasses
 import enum
 from collections.abc import Callable
-from typing import Any
+from typing import Any, NamedTuple
 
 import msgpack
 from twisted.internet import protocol
@@ -40,6 +40,7 @@
 _FAULT_SHARE_CHANGE = 0.1
 _MAX_BEACONS_PER_SECOND = 120.0  # bounds the CPU time as nodes are added
 _MS_PER_SECOND = 1000.0
+_PERCENT = 100
 # Datagrams up to this size are not fragmented.
 _MAX_BYTES = 1200
 _MALFORMED_ERRORS = (ValueError, TypeError, LookupError, msgpack.UnpackException)
@@ -59,8 +60,21 @@
 ExtraState = dict[str, Any]
 """Additional state that full beacons carry, by topic."""
 
-LoadNotice = peer_table.LoadNotice
-Message = LoadNotice | tuple[peer_table.Announcement, ExtraState]
+
+class LoadBeacon(NamedTuple):
+    """Load of a node between two announcements; its host is known by the sender's address."""
+
+    incarnation: ids.Incarnation
+    """Start time of the node's process."""
+    sequence: int
+    """Sequence number of the beacon, counted per process."""
+    load: dialect.ReportedLoad | None
+    """Most recently reported load of the backend server; None if none was reported."""
+    load_age_ms: float
+    """Age of that load in milliseconds."""
+
+
+Message = LoadBeacon | tuple[peer_table.Announcement, ExtraState]
 
 
 class BeaconTask(protocol.DatagramProtocol):
@@ -144,8 +158,10 @@
                 'beacon_malformed', sender=addr[0], reason=error, count=self._malformed_count
             )
             return
-        if isinstance(message, LoadNotice):
-            self._peers.receive_load(message)
+        if isinstance(message, LoadBeacon):
+            host_id = self._peers.host_at(f'{addr[0]}:{addr[1]}')
+            if host_id is not None:
+                self._peers.receive_load(peer_table.LoadNotice(host_id, *message))
             return
         is_known = self._peers.is_known_process(message[0])
         self._peers.receive_announcement(message[0])
@@ -246,14 +262,24 @@
 
 
 def encode_load(announcement: peer_table.Announcement) -> bytes:
-    """Return the wire form of a load beacon."""
+    """Return the wire form of a load beacon, with the load in whole percent."""
     load = announcement.load
+    packed_load = (
+        None
+        if load is None
+        else [
+            load.running,
+            load.waiting,
+            load.slots,
+            round(load.slowness),
+            round(load.fault_share * _PERCENT),
+        ]
+    )
     return msgpack.packb(
         [
-            announcement.host_id,
             announcement.incarnation,
             announcement.sequence,
-            None if load is None else list(dataclasses.astuple(load)),
+            packed_load,
             int(announcement.load_age_ms),
         ],
     )
@@ -270,18 +296,15 @@
 
 
 def decode(datagram: bytes) -> Message:
-    """Return the announcement and extra state of a full beacon, or the notice of a load beacon.
+    """Return the announcement and extra state of a full beacon, or a load beacon.
 
     Raises:
         ValueError, TypeError, LookupError, msgpack.UnpackException: If the beacon is malformed.
     """
     fields, *rest = msgpack.unpackb(datagram)
     if len(rest) > 1:
-        incarnation, sequence, load, load_age_ms = rest
-        host_id = ids.HostId(fields)
-        return peer_table.LoadNotice(
-            host_id, incarnation, sequence, _unpack_load(load), load_age_ms
-        )
+        sequence, load, load_age_ms = rest
+        return LoadBeacon(fields, sequence, _unpack_rounded_load(load), load_age_ms)
     fields[_LOAD_INDEX] = _unpack_load(fields[_LOAD_INDEX])
     fields[_STATE_INDEX] = upstream.UpstreamState(fields[_STATE_INDEX])
     fields[_POSITION_INDEX] = directives.unpack_position(fields[_POSITION_INDEX])
@@ -292,6 +315,13 @@
     return None if fields is None else dialect.ReportedLoad(*fields)
 
 
+def _unpack_rounded_load(fields: list[int] | None) -> dialect.ReportedLoad | None:
+    if fields is None:
+        return None
+    *counts, slowness, fault_percent = fields
+    return dialect.ReportedLoad(*counts, float(slowness), fault_percent / _PERCENT)
+
+
 _FIELDS = dataclasses.fields(peer_table.Announcement)
 _NAMES = [field.name for field in _FIELDS]
 _STATE_INDEX = _NAMES.index('state')
--- a/src/anvillug/process/peer_table.py
+++ b/src/anvillug/process/peer_table.py
@@ -166,6 +166,7 @@
         """Nodes that have sent a beacon."""
         self.contacts_by_host_id: dict[ids.HostId, str] = {}
         """Beacon addresses from the log, of nodes that have not sent a beacon yet."""
+        self._host_ids_by_address: dict[str, ids.HostId] = {}
         # Cache, read for each call; cleared when a peer is added, removed or changed.
         self._serving_by_service: dict[ids.ServiceName, Sequence[Peer]] = {}
 
@@ -178,6 +179,7 @@
         if announcement.host_id == self._local_host_id:
             return False
         now = self._clock.now()
+        self._host_ids_by_address[announcement.beacon_address] = announcement.host_id
         peer = self.by_host_id.get(announcement.host_id)
         if peer is None:
             self.by_host_id[announcement.host_id] = Peer(announcement, now)
@@ -217,6 +219,10 @@
             )
         return changed
 
+    def host_at(self, beacon_address: str) -> ids.HostId | None:
+        """Return the host whose newest announcement names an address for beacons."""
+        return self._host_ids_by_address.get(beacon_address)
+
     def receive_load(self, notice: LoadNotice) -> None:
         """Process a load notice; ignored unless its process has sent an announcement."""
         peer = self.by_host_id.get(notice.host_id)
@@ -297,6 +303,8 @@
             if peer.last_received_at < oldest:
                 event_log.emit('peer_forgotten', peer=host_id)
                 self.by_host_id.pop(host_id)
+                if self.host_at(peer.announcement.beacon_address) == host_id:
+                    self._host_ids_by_address.pop(peer.announcement.beacon_address)
                 self._serving_by_service.clear()
 
 
--- a/tests/test_beacon.py
+++ b/tests/test_beacon.py
@@ -46,10 +46,14 @@
         sent = announcement(load=load)
         assert beacon.decode(beacon.encode(sent, {'s': [1]})) == (sent, {'s': [1]})
 
-    def test_load(self):
-        sent = announcement()
-        notice = beacon.decode(beacon.encode_load(sent))
-        assert (notice.host_id, notice.load) == (_PEER_HOST, sent.load)
+    @pytest.mark.parametrize(
+        'load',
+        [None, dialect.ReportedLoad(1, 2, 9, 350.0), dialect.ReportedLoad(1, 2, 9, 1.0, 0.5)],
+    )
+    def test_load(self, load):
+        sent = announcement(load=load, load_age_ms=7.0, sequence=70_000)
+        received = beacon.decode(beacon.encode_load(sent))
+        assert received == beacon.LoadBeacon(sent.incarnation, sent.sequence, load, 7)
 
     @pytest.mark.parametrize('datagram', [b'', b'\xc1', b'\x91\x90', b'\x01'])
     def test_malformed(self, datagram):
@@ -227,10 +231,53 @@
         """Return the numbers of full and load beacons to a node, and forget them."""
         messages = [message for receiver, message in self.sent if receiver == name]
         self.sent = [sent for sent in self.sent if sent[0] != name]
-        loads = sum(isinstance(message, peer_table.LoadNotice) for message in messages)
+        loads = sum(isinstance(message, beacon.LoadBeacon) for message in messages)
         return len(messages) - loads, loads
 
 
+class TestLoadBeacons:
+    """Guards against a load that is taken for that of another node or process."""
+
+    @pytest.fixture
+    def receiver(self):
+        """Return a node that knows two others, whose processes started at the same time."""
+        receiver = _Sender()
+        for name in ('a', 'b'):
+            receiver.receive(name, 'z')
+        return receiver
+
+    def _send_load(self, receiver, name: str, **changes: object) -> None:
+        load = dialect.ReportedLoad(5, 0, 9, 300.0)
+        sent = announcement(sequence=2, load=load, load_age_ms=0.0, **changes)
+        receiver.task.datagramReceived(beacon.encode_load(sent), (name, 70))
+
+    def _slowness(self, receiver) -> list[float]:
+        return [receiver.table.by_host_id[name].load.slowness for name in 'ab']
+
+    def test_sender_is_known_by_its_address(self, receiver):
+        self._send_load(receiver, 'b')
+        assert self._slowness(receiver) == [100, 300]
+
+    def test_load_of_another_process_is_ignored(self, receiver):
+        self._send_load(receiver, 'b', incarnation=ids.Incarnation(7))
+        assert self._slowness(receiver) == [100, 100]
+
+    def test_address_stays_with_the_host_that_took_it_over(self, receiver):
+        receiver.time.advance(50_000)
+        receiver.receive('b', 'z', sequence=2)
+        receiver.task.datagramReceived(
+            beacon.encode(announcement(host_id=ids.HostId('new'), beacon_address='a:70'), {}),
+            ('a', 70),
+        )
+        receiver.time.advance(20_000)
+        receiver.table.expire_peers()
+        assert receiver.table.host_at('a:70') == 'new'
+
+    def test_load_of_an_unknown_sender_is_ignored(self, receiver):
+        self._send_load(receiver, 'c')
+        assert self._slowness(receiver) == [100, 100]
+
+
 class TestIntervals:
     """Guards against state that is repeated across zones, and against nodes that seem silent."""
 
