Ignore delayed beacons of a process that another one has replaced

Cause: a beacon of another process counted as a restart once the node had been silent for 0.3 s, since a new process may have the lower start time. A delayed beacon of the former process did so too: calls in progress at the node were given up as lost with their process, and again when the next beacon arrived.

Change: processes that were replaced are remembered and don't return.

Test: test_delayed_beacon_of_the_former_process_is_ignored fails on the old code.

--- a/src/anvillug/process/peer_table.py
+++ b/src/anvillug/process/peer_table.py
@@ -28,6 +28,7 @@
 _MIN_CUT_MS = NEAR_BEACON_INTERVAL_MS * _TIMEOUT_INTERVALS
 # Beacons are in transit for less time than this, and a restart takes longer.
 _MIN_RESTART_PAUSE_MS = 300.0
+_MAX_FORMER_INCARNATIONS = 8
 # A node that has sent no beacon for this long is removed.
 _EXPIRY_MS = 60_000.0
 # A failed connection attempt or a broken connection excludes a node from selection for this time.
@@ -119,6 +120,10 @@
         """When the backend server reported that load."""
         self.avoid_until = clock.Milliseconds(0)
         """Time until which the node is excluded from selection."""
+        self.former_incarnations: collections.deque[ids.Incarnation] = collections.deque(
+            maxlen=_MAX_FORMER_INCARNATIONS
+        )
+        """Processes of the node that newer ones have replaced; their beacons may be delayed."""
         self.outstanding = 0
         """Jobs that this node has sent there and that have no result yet."""
 
@@ -197,8 +202,11 @@
         # A process that starts while its wall clock is behind has a lower incarnation.
         restarted = announcement.incarnation != previous.incarnation
         replaces = restarted and now - peer.last_received_at > _MIN_RESTART_PAUSE_MS
-        if order <= (previous.incarnation, previous.sequence) and not replaces:
+        is_older = order <= (previous.incarnation, previous.sequence) and not replaces
+        if is_older or announcement.incarnation in peer.former_incarnations:
             return False
+        if restarted:
+            peer.former_incarnations.append(previous.incarnation)
         changed = _tracked_fields(announcement) != _tracked_fields(previous)
         if peer.is_unresponsive(now):
             event_log.emit(
--- a/tests/test_beacon.py
+++ b/tests/test_beacon.py
@@ -94,6 +94,15 @@
         table.receive_announcement(earlier)
         assert table.by_host_id[_PEER_HOST].announcement.cold
 
+    # Its calls would be given up as those of a process that has ended.
+    def test_delayed_beacon_of_the_former_process_is_ignored(self, table, time):
+        former = announcement(sequence=5)
+        table.receive_announcement(former)
+        table.receive_announcement(announcement(incarnation=ids.Incarnation(200)))
+        time.advance(400)
+        table.receive_announcement(dataclasses.replace(former, sequence=6))
+        assert table.by_host_id[_PEER_HOST].announcement.incarnation == 200
+
     def test_older_load_does_not_replace_a_newer_one(self, table):
         table.receive_announcement(announcement())
         peer = table.by_host_id[_PEER_HOST]
