Serve after a restart only once the last leave is known

Cause: a node that restarts reads the record of its backend server's last leave from the store. A late heartbeat of the instance that had left, which arrived before that read was over, made it serve again.

Change: until the records have been read, or for 1 s without them, heartbeats are kept but the backend server accepts no requests.

Tests: TestRestartOfTheNode in tests/test_upstream.py, TestFirstRead in tests/test_member_records.py; on the old code the state is serving at once. What remains: the store is out for more than the second, or lost the leave.

--- a/src/anvillug/process/member_records.py
+++ b/src/anvillug/process/member_records.py
@@ -20,6 +20,8 @@
 from anvillug.version import directives
 
 _RETRY_INTERVAL_S = 0.4
+# Time for the first read; without the store, backend servers serve after it.
+_LEAVE_TIMEOUT_S = 1.0
 # The backend server has to receive the acknowledgement of its leave within a second.
 _ACKNOWLEDGE_TIMEOUT_S = 0.6
 # Interval at which the addresses are read again, to reach nodes that restarted or were cut off.
@@ -78,7 +80,13 @@
         self._stored_leave: tuple[int, ids.Incarnation] | None = None
 
     def start(self) -> None:
-        """Write the address of this node, and read those of the others until the process ends."""
+        """Write the address of this node, and read those of the others until the process ends.
+
+        The backend server accepts no requests until its last leave is known, or has not been read
+        in time.
+        """
+        self._upstream.await_leave()
+        self._reactor.callLater(_LEAVE_TIMEOUT_S, self._upstream.leave_known)
         defer.ensureDeferred(self._follow())
 
     def notice_era(self, era: int) -> None:
@@ -142,6 +150,7 @@
         self._era = max(self._era, batch.end.era)
         for key, record in batch.changes:
             self._apply(key, record)
+        self._upstream.leave_known()
         self._on_contacts()
         # Records of an earlier era do not show what is missing now; they are read again soon.
         if self._read_era == self._era:
--- a/src/anvillug/process/upstream.py
+++ b/src/anvillug/process/upstream.py
@@ -68,6 +68,7 @@
         self._cold_until = clock.Milliseconds(0)
         self.last_left_started_at = ids.Incarnation(0)
         """Start time of the newest instance that has left; it and older ones are ignored."""
+        self._awaits_leave = False
 
     @property
     def instance(self) -> ids.InstanceId:
@@ -110,9 +111,29 @@
                 cold_ms=heartbeat.cold_ms,
                 sequence=heartbeat.sequence,
             )
-        self.state = heartbeat.state
+        self.state = self._state_of(heartbeat)
         return ()
 
+    def await_leave(self) -> None:
+        """Accept no requests until `leave_known` is called.
+
+        A heartbeat that arrives meanwhile may be a late one of an instance that has left while the
+        previous process of this node was running.
+        """
+        self._awaits_leave = True
+
+    def leave_known(self) -> None:
+        """Accept requests, since a leave that was stored has been restored."""
+        if not self._awaits_leave:
+            return
+        self._awaits_leave = False
+        heartbeat = self.heartbeat
+        if heartbeat is not None and heartbeat.started_at > self.last_left_started_at:
+            self.state = heartbeat.state
+            event_log.emit(
+                'upstream_accepted', instance=heartbeat.instance, state=heartbeat.state.value
+            )
+
     def record_leave(self, instance: ids.InstanceId) -> bool:
         """Record that an instance of the backend server leaves and accepts no more requests.
 
@@ -158,6 +179,10 @@
         """Record the milliseconds for which the backend server remains cold."""
         self._cold_until = clock.Milliseconds(self._clock.now() + cold_ms)
 
+    def _state_of(self, heartbeat: Heartbeat) -> UpstreamState:
+        is_held = self._awaits_leave and heartbeat.state is UpstreamState.SERVING
+        return UpstreamState.ABSENT if is_held else heartbeat.state
+
     @property
     def cold_ms(self) -> float:
         """Milliseconds for which the backend server remains cold."""
--- a/tests/test_member_records.py
+++ b/tests/test_member_records.py
@@ -452,3 +452,52 @@
         records_setup.run(1000)
         assert records_setup.log.stored_keys == ['left/h']
         assert len(records_setup.acknowledged) == 1
+
+
+class TestFirstRead:
+    """Guards against a backend server that serves although it has left before the restart."""
+
+    def _heartbeat(self, setup: _RecordsSetup) -> None:
+        setup.backend.receive_heartbeat(_heartbeat())
+
+    def test_backend_server_waits_for_the_record(self):
+        setup = _RecordsSetup()
+        setup.log.values_by_key[f'left/{_HOST}'] = msgpack.packb(_LEFT_AT)
+        setup.records.start()
+        self._heartbeat(setup)
+        assert setup.backend.state is upstream.UpstreamState.ABSENT
+        setup.run_until_read()
+        setup.run(500)
+        assert setup.backend.state is upstream.UpstreamState.LEAVING
+
+    def test_backend_server_serves_without_a_record(self):
+        setup = _RecordsSetup()
+        setup.records.start()
+        self._heartbeat(setup)
+        setup.run_until_read()
+        setup.run(500)
+        assert setup.backend.state is upstream.UpstreamState.SERVING
+
+    def test_backend_server_serves_while_the_store_is_away(self):
+        setup = _RecordsSetup()
+        setup.log.is_up = False
+        setup.records.start()
+        self._heartbeat(setup)
+        setup.run(900)
+        assert setup.backend.state is upstream.UpstreamState.ABSENT
+        setup.run(300)
+        assert setup.backend.state is upstream.UpstreamState.SERVING
+
+
+def _heartbeat() -> upstream.Heartbeat:
+    return upstream.Heartbeat(
+        instance=ids.InstanceId('i-1'),
+        service=ids.ServiceName('one'),
+        address=_ADDRESS,
+        version=ids.VersionName('v1'),
+        slots=9,
+        state=upstream.UpstreamState.SERVING,
+        cold_ms=0,
+        started_at=_LEFT_AT,
+        sequence=1,
+    )
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -95,3 +95,38 @@
         assert backend.cold_ms == 100
         time.advance(200)
         assert backend.cold_ms == 0
+
+
+class TestRestartOfTheNode:
+    """Guards against a backend server that has left and is used again after a restart."""
+
+    @pytest.fixture
+    def restarted(self, backend):
+        """Return the state in a process that has not read the stored leave yet."""
+        backend.await_leave()
+        backend.receive_heartbeat(_HEARTBEAT)
+        return backend
+
+    def test_late_heartbeat_waits_for_the_leave(self, restarted):
+        assert restarted.state is upstream.UpstreamState.ABSENT
+        restarted.restore_leave(_HEARTBEAT.started_at)
+        restarted.leave_known()
+        assert restarted.state is upstream.UpstreamState.LEAVING
+
+    def test_instance_that_has_not_left_serves_once_that_is_known(self, restarted):
+        restarted.restore_leave(ids.Incarnation(_HEARTBEAT.started_at - 1))
+        restarted.leave_known()
+        assert restarted.state is upstream.UpstreamState.SERVING
+
+    def test_leaving_instance_is_known_at_once(self, restarted):
+        leaving = dataclasses.replace(_HEARTBEAT, state=upstream.UpstreamState.LEAVING, sequence=6)
+        restarted.receive_heartbeat(leaving)
+        assert restarted.state is upstream.UpstreamState.LEAVING
+        restarted.leave_known()
+        assert restarted.state is upstream.UpstreamState.LEAVING
+
+    def test_second_call_changes_nothing(self, restarted):
+        restarted.leave_known()
+        restarted.mark_lost('test')
+        restarted.leave_known()
+        assert restarted.state is upstream.UpstreamState.ABSENT
