Poll a store that is away by a few nodes instead of all

Cause: each node that had lost the store tried to read it up to twice a second.

Change: while no node reaches the store, the first two in the order of the duty try for all; others try every 3 s, or at once when it is their turn or they lag. If the store turns only some nodes away, as many more nodes follow as have lost it (at most six), so that the search for one that it serves widens. Reads of member records back off to 1.5 s.

--- a/src/anvillug/process/follower_duty.py
+++ b/src/anvillug/process/follower_duty.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Collection, Mapping
 
 from anvillug import clock, ids
 from anvillug.process import peer_table
@@ -11,6 +12,7 @@
 FOLLOWERS = 2
 """Nodes of the whole deployment that follow the topic, in different zones if there are as many."""
 
+_MAX_EXTRA_FOLLOWERS = 6
 # A node that has not received newer directives from a peer within this time reads the topic itself.
 _MAX_LAG_MS = 700.0
 
@@ -60,9 +62,20 @@
 
     def is_follower(self) -> bool:
         """Return whether this node has to follow the topic now."""
-        lag_ms = self._clock.now() - self._lagging_since
-        is_overdue = self._is_lagging and lag_ms > _MAX_LAG_MS
-        return is_overdue or self.index() < FOLLOWERS
+        return self._is_overdue or self.index() < FOLLOWERS + self._extra_followers()
+
+    def may_retry(self) -> bool:
+        """Return whether this node, which has lost the log, should try to reach it again soon.
+
+        While no node is known to reach the log, the first few in the order of the duty try on
+        behalf of all.
+        """
+        if self._is_overdue:
+            return True
+        if any(self._peers.log_readers_by_zone().values()):
+            return False
+        live_by_zone = self._peers.live_by_zone()
+        return _index(self._host_id, self._zone, live_by_zone) < FOLLOWERS
 
     def is_first_of_zone(self) -> bool:
         """Return whether no other node of the zone precedes this one."""
@@ -71,14 +84,37 @@
 
     def index(self) -> int:
         """Return the number of nodes that precede this one in taking up the duty."""
-        readers_by_zone = self._peers.log_readers_by_zone()
-        own_zone = readers_by_zone.pop(self._zone, [])
-        rank = sum(name < self._host_id for name in own_zone)
-        return rank + sum(
-            min(len(readers), rank + (zone < self._zone))
-            for zone, readers in readers_by_zone.items()
-        )
+        return _index(self._host_id, self._zone, self._peers.log_readers_by_zone())
+
+    def _extra_followers(self) -> int:
+        """Return how many nodes follow besides, so that one that the log serves is found soon.
+
+        They are as many as have lost the log: if it turns many nodes away, the search widens with
+        each that fails.
+        """
+        live_count = sum(len(hosts) for hosts in self._peers.live_by_zone().values())
+        reader_count = sum(len(hosts) for hosts in self._peers.log_readers_by_zone().values())
+        return min(_MAX_EXTRA_FOLLOWERS, max(0, live_count - reader_count))
+
+    @property
+    def _is_overdue(self) -> bool:
+        lag_ms = self._clock.now() - self._lagging_since
+        return self._is_lagging and lag_ms > _MAX_LAG_MS
 
     @property
     def _is_lagging(self) -> bool:
         return self._active_directives.current.position < self._target
+
+
+def _index(
+    host_id: ids.HostId,
+    zone: ids.ZoneName,
+    hosts_by_zone: Mapping[ids.ZoneName, Collection[ids.HostId]],
+) -> int:
+    """Return the number of hosts that precede one, if zones take turns."""
+    rank = sum(name < host_id for name in hosts_by_zone.get(zone, ()))
+    return rank + sum(
+        min(len(hosts), rank + (other_zone < zone))
+        for other_zone, hosts in hosts_by_zone.items()
+        if other_zone != zone
+    )
--- a/src/anvillug/process/member_records.py
+++ b/src/anvillug/process/member_records.py
@@ -20,6 +20,9 @@
 from anvillug.version import directives
 
 _RETRY_INTERVAL_S = 0.4
+# Interval of reads while the log stays away.
+_MAX_RETRY_INTERVAL_S = 1.5
+_RETRY_FACTOR = 1.5
 # Time for the first read; without the store, backend servers serve after it.
 _LEAVE_TIMEOUT_S = 1.0
 # The backend server has to receive the acknowledgement of its leave within a second.
@@ -126,17 +129,20 @@
 
     async def _follow(self) -> None:
         """Write before reading, so that of any two nodes at least one finds the other's address."""
+        pause_s = _RETRY_INTERVAL_S
         while True:
             try:
                 await self._step()
             except keyed_log.LogUnavailableError as error:
                 event_log.warn('members_not_read', reason=error)
-                await self._sleep(_RETRY_INTERVAL_S)
+                await self._sleep(pause_s)
+                pause_s = min(_MAX_RETRY_INTERVAL_S, pause_s * _RETRY_FACTOR)
             except Exception as error:
                 # A response that cannot be decoded must not end the task.
                 event_log.error('member_records_failed', error)
                 await self._sleep(_RETRY_INTERVAL_S)
             else:
+                pause_s = _RETRY_INTERVAL_S
                 is_up_to_date = self._read_era >= self._era
                 await self._sleep(_REREAD_INTERVAL_S if is_up_to_date else self._jitter_s())
 
--- a/src/anvillug/process/mesh_node.py
+++ b/src/anvillug/process/mesh_node.py
@@ -171,6 +171,7 @@
             self.active_directives,
             self._rng,
             self._duty.is_follower,
+            self._duty.may_retry,
             self._beacons.send_far,
             self._beacons.send_near,
         )
--- a/src/anvillug/process/order_feed.py
+++ b/src/anvillug/process/order_feed.py
@@ -27,6 +27,8 @@
 _INITIAL_BACKOFF_MS = 80.0
 _MAX_BACKOFF_MS = 600.0
 _BACKOFF_FACTOR = 1.8
+# A node without a turn tries this often, since the log may serve only some nodes.
+_RETRY_MS = 3000.0
 # After the log was restored from an older copy, the operator writes again what it has lost within
 # two seconds; the rest allows for the time until the node reads it.
 _REWRITE_MS = 3000.0
@@ -44,6 +46,7 @@
         active_directives: Applies the records.
         rng: Source of the jitter of delays.
         has_duty: Returns whether this node has to follow the topic now.
+        may_retry: Returns whether this node should soon try again to reach a log that it has lost.
         on_applied: Called after new directives from the topic have been applied.
         on_reach_changed: Called after `reaches_log` has changed.
     """
@@ -56,6 +59,7 @@
         active_directives: directives.ActiveDirectives,
         rng: random.Random,
         has_duty: Callable[[], bool],
+        may_retry: Callable[[], bool],
         on_applied: Callable[[], None],
         on_reach_changed: Callable[[], None],
     ) -> None:
@@ -65,6 +69,7 @@
         self._active_directives = active_directives
         self._rng = rng
         self._has_duty = has_duty
+        self._may_retry = may_retry
         self._on_applied = on_applied
         self._on_reach_changed = on_reach_changed
         self._log_reachable = True
@@ -110,6 +115,8 @@
         if self._log_reachable and not follows:
             await self._sleep(_IDLE_CHECK_MS)
             return
+        if not self._log_reachable:
+            await self._wait_to_retry()
         try:
             batch = await self._log.read(self._topic, position.offset, self._wait_ms())
         except keyed_log.RecordsDeletedError:
@@ -123,6 +130,13 @@
             return
         self._apply(batch, dict(self._active_directives.current.records), position)
 
+    async def _wait_to_retry(self) -> None:
+        """Wait for the turn of this node, or until it has not tried for a while."""
+        waited_ms = 0.0
+        while waited_ms < _RETRY_MS and not self._may_retry():
+            await self._sleep(_IDLE_CHECK_MS)
+            waited_ms += _IDLE_CHECK_MS
+
     def _wait_ms(self) -> int:
         """Return how long the next read may wait for a record."""
         if not self._log_reachable:
--- a/tests/test_follower_duty.py
+++ b/tests/test_follower_duty.py
@@ -98,6 +98,47 @@
         assert duty_setup.duty.is_follower()
 
 
+class TestOutage:
+    """Guards against nodes that all poll a log which is away, and a search that takes too long."""
+
+    def _lose(self, duty_setup, names: str) -> None:
+        for name in names:
+            duty_setup.announce(name, reaches_log=False)
+
+    def test_first_nodes_try_again_for_all(self, duty_setup):
+        self._lose(duty_setup, 'abz')
+        assert not duty_setup.duty.may_retry()
+
+    def test_node_among_the_first_tries_again(self):
+        setup = _DutySetup()
+        for name in 'az':
+            setup.announce(name, reaches_log=False)
+        assert setup.duty.may_retry()
+
+    def test_no_node_has_to_while_another_reaches_the_log(self):
+        setup = _DutySetup()
+        setup.announce('z')
+        assert not setup.duty.may_retry()
+
+    def test_node_that_lags_tries_again(self, duty_setup):
+        duty_setup.duty.require_position(directives.Position(1, 9))
+        assert duty_setup.duty.may_retry()
+
+    def test_search_widens_with_each_node_that_the_log_turns_away(self):
+        setup = _DutySetup()
+        for name in 'bcdefg':
+            setup.announce(name)
+        assert not setup.duty.is_follower()
+        # Two have failed: four search, and this node is the seventh.
+        for name in 'bc':
+            setup.announce(name, reaches_log=False)
+        assert setup.duty.index() == 4
+        assert not setup.duty.is_follower()
+        for name in 'de':
+            setup.announce(name, reaches_log=False)
+        assert setup.duty.is_follower()
+
+
 class TestZones:
     """Guards against followers that are all lost with one zone, and a cut zone without any."""
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -261,6 +261,7 @@
         applied,
         random.Random(1),
         lambda: True,
+        lambda: True,
         lambda: None,
         lambda: None,
     )
