Model of the call table: the floor also covers the host whose mark it was

The mark of f (incarnation 2) becomes the floor, and a later call of f in incarnation 2 is stale. Trace by hand on the code, which was not changed.

The table does what its documentation says: the floor covers the incarnation of the removed mark and all lower ones. The model let it cover other hosts only. It now allows the floor for every host, but only once more hosts have ended than marks fit, which it did not demand before. The case itself is a test.

--- a/tests/test_call_table.py
+++ b/tests/test_call_table.py
@@ -56,6 +56,14 @@
         table.expire(50)
         assert table.admit(CALL_ID, INCARNATION, 50) is ADMIT.STALE
 
+    def test_floor_covers_the_incarnation_of_a_removed_mark(self):
+        table = _make_table()
+        for call_id in (_call_id(1, 'f', 2), _call_id(1, 'e'), _call_id(1, 'g')):
+            table.resolve(call_id, INCARNATION, 0)
+        table.expire(50)
+        assert table.admit(_call_id(2, 'f', 2), INCARNATION, 50) is ADMIT.STALE
+        assert table.admit(_call_id(1, 'f', 3), INCARNATION, 50) is ADMIT.ADMITTED
+
     def test_rejected_call_is_fenced(self):
         table = _make_table()
         table.admit(CALL_ID, INCARNATION, 0)
@@ -316,9 +324,11 @@
         return self.fenced | self.state_by_call.keys()
 
     def _may_cover(self, ended, call_id):
-        if ended.host_id == call_id.host_id:
-            return ended >= call_id
-        return ended.incarnation >= call_id.incarnation  # covered by the floor of removed marks
+        if ended.host_id == call_id.host_id and ended >= call_id:
+            return True
+        # The floor of removed marks covers whole incarnations, also of the host whose mark it was.
+        has_floor = len({key.host_id for key in self._ended()}) > BOUNDS.marks
+        return has_floor and ended.incarnation >= call_id.incarnation
 
     def _check_response(self, call_id, resolution):
         if resolution.response is not None:
