--- /dev/null
+++ b/src/anvillug/connection/http_listener.py
@@ -0,0 +1,59 @@
+"""Listeners of HTTP/1.1 servers: builds their connections, and closes them gracefully."""
+
+from __future__ import annotations
+
+from twisted.internet import interfaces, protocol, tcp
+
+from anvillug.connection import http_exchange, http_server
+
+
+class ServerFactory(protocol.Factory):
+    """Builds server connections and tracks the open ones.
+
+    Args:
+        on_request: Called with the exchange of each request.
+        max_head_bytes: Maximum size of a request head in bytes.
+        may_overlap: Tells which requests may be processed while those before them on their
+            connection are unanswered; without it, none may.
+    """
+
+    noisy = False
+
+    def __init__(
+        self,
+        on_request: http_exchange.RequestStarted,
+        max_head_bytes: int = http_server.MAX_HEAD_BYTES,
+        may_overlap: http_server.MayOverlap | None = None,
+    ) -> None:
+        self._on_request = on_request
+        self._max_head_bytes = max_head_bytes
+        self._may_overlap = may_overlap
+        self._open_connections: set[http_server.ServerConnection] = set()
+
+    def buildProtocol(self, addr: object) -> http_server.ServerConnection:  # noqa: N802
+        """Return the protocol of a new connection; see Twisted."""
+        return http_server.ServerConnection(
+            self._on_request, self._max_head_bytes, self._open_connections, self._may_overlap
+        )
+
+    @property
+    def open_count(self) -> int:
+        """Number of open connections."""
+        return len(self._open_connections)
+
+    @property
+    def busy_count(self) -> int:
+        """Number of connections with a request in progress or unsent bytes."""
+        return sum(connection.is_busy for connection in self._open_connections)
+
+    def close_when_idle(self) -> None:
+        """Close each connection now, or after its current responses."""
+        for connection in tuple(self._open_connections):
+            connection.close_when_idle()
+
+
+def stop_listening(port: interfaces.IListeningPort) -> None:
+    """Stop accepting connections, after accepting those that wait in the listen queue."""
+    if isinstance(port, tcp.Port):
+        port.doRead()
+    port.stopListening()
--- a/src/anvillug/process/mesh_node.py
+++ b/src/anvillug/process/mesh_node.py
@@ -11,7 +11,7 @@
 from twisted.internet import defer, interfaces, task
 
 from anvillug import clock, event_log, ids, log_writer
-from anvillug.connection import http_exchange, http_server, keyed_log
+from anvillug.connection import http_exchange, http_listener, keyed_log
 from anvillug.process import (
     beacon,
     crash_watch,
@@ -179,10 +179,10 @@
             reactor, time, log, topics.statuses, status_codec, self.rollouts, self._writer_rank
         )
         self._peer_server = peer_server.PeerServer(self.host, self.active_directives, time)
-        self._caller_factory = http_server.ServerFactory(
+        self._caller_factory = http_listener.ServerFactory(
             self.entry.request_received, may_overlap=self.entry.may_overlap
         )
-        self._peer_factory = http_server.ServerFactory(self._peer_server.request_received)
+        self._peer_factory = http_listener.ServerFactory(self._peer_server.request_received)
         self._caller_port: interfaces.IListeningPort | None = None
 
     @property
@@ -196,7 +196,8 @@
         self._listen(settings.peer_address, self._peer_factory)
         self._caller_port = self._listen(settings.caller_address, self._caller_factory)
         self._listen(
-            f'{settings.ip}:{settings.metrics_port}', http_server.ServerFactory(self._metrics.serve)
+            f'{settings.ip}:{settings.metrics_port}',
+            http_listener.ServerFactory(self._metrics.serve),
         )
         self._beacons.start(settings.ip)
         self._feed.start()
@@ -219,7 +220,7 @@
 
     def listen(self, address: str, handler: http_exchange.RequestStarted) -> None:
         """Open an additional HTTP listener."""
-        self._listen(address, http_server.ServerFactory(handler))
+        self._listen(address, http_listener.ServerFactory(handler))
 
     def heartbeat(self, heartbeat: upstream.Heartbeat) -> Any:
         """Process a heartbeat of the backend server and return the findings."""
@@ -361,7 +362,7 @@
             return
         if not self.entry.closed and (not busy or remaining_ms < _DRAIN_MS):
             self.entry.closed = True
-            http_server.stop_listening(self._caller_port)
+            http_listener.stop_listening(self._caller_port)
         self._reactor.callLater(_STOP_CHECK_S, self._end_when_idle)
 
     def _is_busy(self) -> bool:
--- a/src/anvillug/process/node.py
+++ b/src/anvillug/process/node.py
@@ -12,7 +12,7 @@
 from twisted.internet import interfaces
 
 from anvillug import clock, event_log, ids
-from anvillug.connection import control_client, control_server, http_server, log_client
+from anvillug.connection import control_client, control_server, http_listener, log_client
 from anvillug.process import (
     backend_watch,
     claim_coordinator,
@@ -128,12 +128,12 @@
         self.host = self._build_host_side()
         self.entry = self._build_entry_side()
         self.backend = backend_watch.BackendWatch(reactor, time, self._backend_changed)
-        self._caller_factory = http_server.ServerFactory(
+        self._caller_factory = http_listener.ServerFactory(
             self.entry.request_received,
             config.limits.max_header_bytes,
             self.entry.may_overlap,
         )
-        self._peer_factory = http_server.ServerFactory(
+        self._peer_factory = http_listener.ServerFactory(
             self.host.request_received,
             config.limits.max_header_bytes + _MAX_ADDED_HEADER_BYTES,
         )
@@ -400,7 +400,7 @@
     def _close_caller_listener(self) -> None:
         # The peer listener stays open, since entry sides resolve running calls through it.
         if self._caller_port is not None:
-            http_server.stop_listening(self._caller_port)
+            http_listener.stop_listening(self._caller_port)
         self._caller_factory.close_when_idle()
         # Closes connections that have carried no request by then.
         self._reactor.callLater(drain.CHECK_INTERVAL_S, self._caller_factory.close_when_idle)
--- a/tests/test_directive_fetch.py
+++ b/tests/test_directive_fetch.py
@@ -5,7 +5,7 @@
 import pytest
 from twisted.internet import reactor
 
-from anvillug.connection import http_pool, http_server
+from anvillug.connection import http_listener, http_pool
 from anvillug.process import directive_fetch
 from anvillug.request import job_wire
 from anvillug.standin import http_api, link
@@ -22,7 +22,7 @@
     def __init__(self) -> None:
         self.active = directives.ActiveDirectives(_directives_at)
         self.fetch = directive_fetch.DirectiveFetch(reactor, self.active, lambda position: None)
-        factory = http_server.ServerFactory(_respond)
+        factory = http_listener.ServerFactory(_respond)
         self.port = reactor.listenTCP(0, factory, interface='127.0.0.1')
         self.link = link.Link(reactor, http_api.bound_address(self.port))
         host, port = http_api.split_address(self.link.listen('127.0.0.1:0'))
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -9,7 +9,7 @@
 from twisted.internet import testing as twisted_testing
 
 from anvillug import clock
-from anvillug.connection import http_server
+from anvillug.connection import http_listener
 from anvillug.process import drain
 
 REQUEST = b'GET / HTTP/1.1\r\nHost: a\r\n\r\n'
@@ -80,7 +80,7 @@
     @pytest.fixture
     def factory(self, exchanges):
         """Return a factory that records exchanges."""
-        return http_server.ServerFactory(exchanges.append)
+        return http_listener.ServerFactory(exchanges.append)
 
     @pytest.fixture
     def connection(self, factory):
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from anvillug.connection import http_server
+from anvillug.connection import http_listener
 from tests import reactor_thread
 
 _REQUEST = b'GET /one HTTP/1.1\r\nHost: a\r\n\r\n'
@@ -19,7 +19,7 @@
     """Server in the reactor thread that answers each request at once."""
 
     def __init__(self, running_reactor) -> None:
-        self.factory = http_server.ServerFactory(lambda exchange: exchange.respond(200, b'whole'))
+        self.factory = http_listener.ServerFactory(lambda exchange: exchange.respond(200, b'whole'))
         self.port = reactor_thread.call(
             lambda: running_reactor.listenTCP(0, self.factory, interface='127.0.0.1')
         )
@@ -35,7 +35,7 @@
         def act_and_stop() -> None:
             action()
             time.sleep(_ARRIVAL_S)
-            http_server.stop_listening(self.port)
+            http_listener.stop_listening(self.port)
             self.factory.close_when_idle()
 
         reactor_thread.call(act_and_stop)
