Decide the duty to follow in one pass over the nodes

Cause: the check, every 150 ms, went over all nodes three times and copied their names: 0.60 ms at 195 nodes, on a busy machine.

Change: one pass; 0.17 ms at 195 nodes in the same kind of run (timeit, 50 calls). At 6,300 nodes it still takes 19 ms in both forms, too much for such a fleet (docs/CAPACITY.md).

--- a/src/anvillug/process/follower_duty.py
+++ b/src/anvillug/process/follower_duty.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Collection, Mapping
+from collections.abc import Mapping, Sequence
 
 from anvillug import clock, ids
 from anvillug.process import peer_table
@@ -13,6 +13,7 @@
 """Nodes of the whole deployment that follow the topic, in different zones if there are as many."""
 
 _MAX_EXTRA_FOLLOWERS = 6
+_PeersByZone = Mapping[ids.ZoneName, Sequence[peer_table.Peer]]
 # A node that has not received newer directives from a peer within this time reads the topic itself.
 _MAX_LAG_MS = 700.0
 
@@ -61,8 +62,18 @@
         self._lagging_since = clock.Milliseconds(-math.inf)
 
     def is_follower(self) -> bool:
-        """Return whether this node has to follow the topic now."""
-        return self._is_overdue or self.index() < FOLLOWERS + self._extra_followers()
+        """Return whether this node has to follow the topic now.
+
+        Besides the first nodes, as many follow as have lost the log, so that one that the log
+        serves is found soon if it turns many away: the search widens with each that fails.
+        """
+        if self._is_overdue:
+            return True
+        live_by_zone = self._peers.live_by_zone()
+        readers_by_zone = _select_readers(live_by_zone)
+        lost_count = _count(live_by_zone) - _count(readers_by_zone)
+        followers = FOLLOWERS + min(_MAX_EXTRA_FOLLOWERS, lost_count)
+        return self._index_among(readers_by_zone) < followers
 
     def may_retry(self) -> bool:
         """Return whether this node, which has lost the log, should try to reach it again soon.
@@ -72,29 +83,32 @@
         """
         if self._is_overdue:
             return True
-        if any(self._peers.log_readers_by_zone().values()):
-            return False
         live_by_zone = self._peers.live_by_zone()
-        return _index(self._host_id, self._zone, live_by_zone) < FOLLOWERS
+        if _count(_select_readers(live_by_zone)):
+            return False
+        return self._index_among(live_by_zone) < FOLLOWERS
 
     def is_first_of_zone(self) -> bool:
-        """Return whether no other node of the zone precedes this one."""
-        readers = self._peers.log_readers_by_zone().get(self._zone, [])
-        return all(name > self._host_id for name in readers)
+        """Return whether no other node of the zone that reaches the log precedes this one."""
+        readers_by_zone = _select_readers(self._peers.live_by_zone())
+        return not self._rank(readers_by_zone)
 
     def index(self) -> int:
         """Return the number of nodes that precede this one in taking up the duty."""
-        return _index(self._host_id, self._zone, self._peers.log_readers_by_zone())
+        return self._index_among(_select_readers(self._peers.live_by_zone()))
 
-    def _extra_followers(self) -> int:
-        """Return how many nodes follow besides, so that one that the log serves is found soon.
+    def _index_among(self, peers_by_zone: _PeersByZone) -> int:
+        """Return the number of nodes that precede this one if zones take turns."""
+        rank = self._rank(peers_by_zone)
+        return rank + sum(
+            min(len(peers), rank + (zone < self._zone))
+            for zone, peers in peers_by_zone.items()
+            if zone != self._zone
+        )
 
-        They are as many as have lost the log: if it turns many nodes away, the search widens with
-        each that fails.
-        """
-        live_count = sum(len(hosts) for hosts in self._peers.live_by_zone().values())
-        reader_count = sum(len(hosts) for hosts in self._peers.log_readers_by_zone().values())
-        return min(_MAX_EXTRA_FOLLOWERS, max(0, live_count - reader_count))
+    def _rank(self, peers_by_zone: _PeersByZone) -> int:
+        """Return the number of nodes of this zone that precede this one."""
+        return sum(peer.host_id < self._host_id for peer in peers_by_zone.get(self._zone, ()))
 
     @property
     def _is_overdue(self) -> bool:
@@ -106,15 +120,13 @@
         return self._active_directives.current.position < self._target
 
 
-def _index(
-    host_id: ids.HostId,
-    zone: ids.ZoneName,
-    hosts_by_zone: Mapping[ids.ZoneName, Collection[ids.HostId]],
-) -> int:
-    """Return the number of hosts that precede one, if zones take turns."""
-    rank = sum(name < host_id for name in hosts_by_zone.get(zone, ()))
-    return rank + sum(
-        min(len(hosts), rank + (other_zone < zone))
-        for other_zone, hosts in hosts_by_zone.items()
-        if other_zone != zone
-    )
+def _select_readers(peers_by_zone: _PeersByZone) -> _PeersByZone:
+    """Return the nodes that reach the log."""
+    return {
+        zone: [peer for peer in peers if peer.announcement.reaches_log]
+        for zone, peers in peers_by_zone.items()
+    }
+
+
+def _count(peers_by_zone: _PeersByZone) -> int:
+    return sum(len(peers) for peers in peers_by_zone.values())
--- a/src/anvillug/process/peer_table.py
+++ b/src/anvillug/process/peer_table.py
@@ -5,7 +5,7 @@
 import collections
 import dataclasses
 import operator
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 
 from anvillug import clock, event_log, ids
 from anvillug.process import upstream
@@ -287,30 +287,19 @@
         peer = self.by_host_id.get(announcement.host_id)
         return peer is not None and peer.announcement.incarnation == announcement.incarnation
 
-    def live_by_zone(self) -> dict[ids.ZoneName, list[ids.HostId]]:
+    def live_by_zone(self) -> dict[ids.ZoneName, list[Peer]]:
         """Return the live nodes, except those of zones that seem to be cut off.
 
         One far node times out only after several seconds. That beacons of all nodes of a zone are
         overdue is noticed sooner.
         """
-        return self._select_by_zone(lambda peer: True)
-
-    def log_readers_by_zone(self) -> dict[ids.ZoneName, list[ids.HostId]]:
-        """Return those of `live_by_zone` that reach the log."""
-        return self._select_by_zone(lambda peer: peer.announcement.reaches_log)
-
-    def _select_by_zone(
-        self, is_selected: Callable[[Peer], bool]
-    ) -> dict[ids.ZoneName, list[ids.HostId]]:
         now = self._clock.now()
-        selected_by_zone = collections.defaultdict(list)
+        live_by_zone = collections.defaultdict(list)
         for peer in self.by_host_id.values():
-            if not peer.is_unresponsive(now) and is_selected(peer):
-                selected_by_zone[peer.announcement.zone].append(peer)
+            if not peer.is_unresponsive(now):
+                live_by_zone[peer.announcement.zone].append(peer)
         return {
-            zone: [selected.host_id for selected in zone_peers]
-            for zone, zone_peers in selected_by_zone.items()
-            if not _seem_cut_off(zone_peers, now)
+            zone: peers for zone, peers in live_by_zone.items() if not _seem_cut_off(peers, now)
         }
 
     def expire_peers(self) -> None:
