Search for a node that the store serves in wider and faster rounds

The store is silent to a third of the nodes from 2.5 s on, among them both followers and their first successors. Log: both followers notice at 3.96 and 4.01 s, at the end of their reads; the next three wait for a whole read as well (1.2 s and 0.5 s) and notice at 5.72 s; the nodes after them have the change at 5.83 s, which was acknowledged at 3.25 s.

Change: three followers; for each node that has lost the store three more follow, at most nine; the first read of a new follower does not wait, since the followers before may have missed a change.

Ruled out: a slow fetch between nodes (all have the change within 6 ms of the first), the first contact of nodes that have just started.

--- a/src/anvillug/process/follower_duty.py
+++ b/src/anvillug/process/follower_duty.py
@@ -9,10 +9,12 @@
 from anvillug.process import peer_table
 from anvillug.version import directives
 
-FOLLOWERS = 2
+FOLLOWERS = 3
 """Nodes of the whole deployment that follow the topic, in different zones if there are as many."""
 
-_MAX_EXTRA_FOLLOWERS = 6
+# Nodes that follow besides for each one that has lost the log, and the most of them.
+_EXTRA_PER_LOST = 3
+_MAX_EXTRA_FOLLOWERS = 9
 _PeersByZone = Mapping[ids.ZoneName, Sequence[peer_table.Peer]]
 # A node that has not received newer directives from a peer within this time reads the topic itself.
 _MAX_LAG_MS = 700.0
@@ -64,15 +66,15 @@
     def is_follower(self) -> bool:
         """Return whether this node has to follow the topic now.
 
-        Besides the first nodes, as many follow as have lost the log, so that one that the log
-        serves is found soon if it turns many away: the search widens with each that fails.
+        Besides the first nodes, some follow for each one that has lost the log, so that one that
+        the log serves is found soon if it turns many away: the search widens with each that fails.
         """
         if self._is_overdue:
             return True
         live_by_zone = self._peers.live_by_zone()
         readers_by_zone = _select_readers(live_by_zone)
         lost_count = _count(live_by_zone) - _count(readers_by_zone)
-        followers = FOLLOWERS + min(_MAX_EXTRA_FOLLOWERS, lost_count)
+        followers = FOLLOWERS + min(_MAX_EXTRA_FOLLOWERS, _EXTRA_PER_LOST * lost_count)
         return self._index_among(readers_by_zone) < followers
 
     def may_retry(self) -> bool:
--- a/src/anvillug/process/order_feed.py
+++ b/src/anvillug/process/order_feed.py
@@ -75,6 +75,8 @@
         self._log_reachable = True
         self._has_newest = False
         self._follows = False
+        # Whether the next read must not wait: the followers before may have missed a change.
+        self._reads_at_once = False
         self._backoff_ms = _INITIAL_BACKOFF_MS
         self._era = active_directives.current.position.era
         active_directives.add_listener(self._directives_changed)
@@ -111,6 +113,7 @@
         follows = self._has_duty()
         if follows is not self._follows:
             self._follows = follows
+            self._reads_at_once = follows
             event_log.emit('order_duty', follows=follows, position=position)
         if self._log_reachable and not follows:
             await self._sleep(_IDLE_CHECK_MS)
@@ -139,7 +142,9 @@
 
     def _wait_ms(self) -> int:
         """Return how long the next read may wait for a record."""
-        if not self._log_reachable:
+        reads_at_once = self._reads_at_once
+        self._reads_at_once = False
+        if reads_at_once or not self._log_reachable:
             # Whatever was missed is read at once, and the others learn that the log is back.
             return 0
         return int(_POLL_MS * self._rng.uniform(1 - _POLL_JITTER_SHARE, 1 + _POLL_JITTER_SHARE))
--- a/tests/test_order_feed.py
+++ b/tests/test_order_feed.py
@@ -20,12 +20,15 @@
     def __init__(self, reactor: task.Clock) -> None:
         self.is_up = True
         self.calls = 0
+        self.waits_ms: list[int] = []
         self._reactor = reactor
 
     async def newest(self, topic: str) -> keyed_log.Batch:
+        self.waits_ms.append(0)
         return await self._respond(0)
 
     async def read(self, topic: str, offset: int, wait_ms: int) -> keyed_log.Batch:
+        self.waits_ms.append(wait_ms)
         return await self._respond(wait_ms / 1000)
 
     async def _respond(self, wait_s: float) -> keyed_log.Batch:
@@ -84,6 +87,14 @@
         feed_setup.has_duty = True
         assert feed_setup.calls_in(30_000) == pytest.approx(25, abs=4)
 
+    # A change would wait for the end of the poll if the store is silent to this node as well.
+    def test_new_follower_does_not_wait_at_first(self, feed_setup):
+        feed_setup.has_duty = True
+        feed_setup.calls_in(2_000)
+        first, second = feed_setup.log.waits_ms[1:3]
+        assert first == 0
+        assert second >= 900
+
     def test_node_with_a_turn_tries_again_soon(self, feed_setup):
         feed_setup.has_duty = True
         feed_setup.may_retry = True
