Don't introduce a process that is not accepted, such as the own one

A host that takes over the address of one that has gone finds that one's record in the members topic, and sends its first beacon to itself. Since a beacon of an unknown process is answered at once, and the own process is never known, so the node answered itself without end.

Change: only a process that has just become known is answered.

Tests: test_own_beacon_is_not_answered and test_process_that_is_not_accepted_is_not_answered fail on the code before.

--- a/src/anvillug/process/beacon.py
+++ b/src/anvillug/process/beacon.py
@@ -163,9 +163,10 @@
             if host_id is not None:
                 self._peers.receive_load(peer_table.LoadNotice(host_id, *message))
             return
-        is_known = self._peers.is_known_process(message[0])
+        was_known = self._peers.is_known_process(message[0])
         self._peers.receive_announcement(message[0])
-        if not is_known:
+        # Processes that are not accepted, such as this one, would be introduced again and again.
+        if not was_known and self._peers.is_known_process(message[0]):
             self._introduce(message[0].beacon_address)
         self._on_extra_state(*message)
 
--- a/tests/test_beacon.py
+++ b/tests/test_beacon.py
@@ -331,6 +331,21 @@
         sender.receive('new', zone, incarnation=ids.Incarnation(200))
         assert sender.counts('new') == (1, 0)
 
+    # A host may take over the address of one that has gone, whose record names it still. The node
+    # then sends a beacon to itself, and would answer it without end.
+    def test_own_beacon_is_not_answered(self):
+        sender = _Sender()
+        sender.receive(_LOCAL_HOST, 'z')
+        assert not sender.sent
+
+    def test_process_that_is_not_accepted_is_not_answered(self):
+        sender = _Sender()
+        sender.receive('a', 'z')
+        sender.receive('a', 'z', incarnation=ids.Incarnation(200))
+        sender.counts('a')
+        sender.receive('a', 'z', sequence=9)
+        assert sender.counts('a') == (0, 0)
+
     def test_far_process_is_told_the_pace_of_far_beacons(self):
         sender = _Sender()
         for number in range(7):
