--- a/review/standins/mesh.py
+++ b/review/standins/mesh.py
@@ -471,6 +471,8 @@
 
 def main(folder: str, case: Callable[[Record, pathlib.Path, bool], Awaitable[int]]) -> None:
     """Run a case, and exit with its result."""
+    # Ends the nodes as well, which `asyncio.run` does when it cancels the case.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     record = Record(pathlib.Path(folder).resolve())
     has_trouble = os.environ.get('TROUBLE', '1') != '0'
     record.write('case', trouble=int(has_trouble))
@@ -479,7 +481,7 @@
             result = asyncio.run(
                 asyncio.wait_for(case(record, pathlib.Path(scratch), has_trouble), 110)
             )
-        except (CaseError, OSError, TimeoutError) as error:
+        except Exception as error:  # any failure of the case itself says nothing about the rule
             record.write('not-run', reason=repr(error))
             result = NOT_RUN
         if keep := os.environ.get('KEEP_LOGS'):
