--- a/review/standins/mesh.py
+++ b/review/standins/mesh.py
@@ -124,6 +124,8 @@
 
     def __init__(self) -> None:
         self.address = ''
+        self.is_silent = False
+        """Whether the store responds to nothing; what it receives then is not done."""
         self._records: dict[str, list[tuple[str, bytes]]] = {}
         self._changed = asyncio.Event()
         self._server: asyncio.Server | None = None
@@ -144,13 +146,21 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             while request := await read_message(reader):
-                writer.write(await self._answer(request))
+                answer = None if self.is_silent else await self._answer(request)
+                if self.is_silent or answer is None:
+                    await asyncio.sleep(30)
+                    return
+                writer.write(answer)
                 await writer.drain()
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
             writer.close()
 
+    def restore(self) -> None:
+        """Respond again."""
+        self.is_silent = False
+
     async def _answer(self, request: Message) -> bytes:
         target = url_parse.urlsplit(request.first_line.split(' ')[1])
         query = {name: values[0] for name, values in url_parse.parse_qs(target.query).items()}
