--- a/src/anvillug/connection/http_client.py
+++ b/src/anvillug/connection/http_client.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import collections
 import enum
 from typing import Protocol as Interface
 
@@ -12,11 +11,10 @@
 from zope.interface import implementer
 
 from anvillug import event_log
-from anvillug.connection import http_head, write_batch
+from anvillug.connection import carried_ids, http_head, write_batch
 
 _MIN_FINAL_STATUS = 200
 _STATUS_CONTINUE = 100
-_MAX_REQUEST_IDS = 8
 
 
 class ClientFailure(enum.Enum):
@@ -77,9 +75,12 @@
         """Time of the release to the pool, by the reactor's clock in seconds."""
         self.acquired_at_s: float = 0
         """Time at which the pool handed it out last, by the reactor's clock in seconds."""
-        self.request_ids: collections.deque[str] = collections.deque(maxlen=_MAX_REQUEST_IDS)
-        """Ids of the newest requests that the connection has carried, as their senders note them;
-        a peer may send a further copy of a response to one of them."""
+        self.carried_ids = carried_ids.CarriedIds()
+        """Ids of the requests that the connection has carried, added by their senders. A peer may
+        send a further copy of a response to one of them, so `Pool.acquire` avoids the connection
+        for a request with such an id."""
+        self.requests_sent = 0
+        """Number of requests that the connection has carried, with or without an id."""
         self._pool = pool
         self._handler: ResponseHandler | None = None
         self._parser: httptools.HttpResponseParser | None = None
@@ -117,6 +118,7 @@
                 needs `Transfer-Encoding: chunked` among them.
             handler: Receives the response.
         """
+        self.requests_sent += 1
         self._handler = handler
         self._method = head.method
         self._chunked = head.framing is http_head.Framing.CHUNKED
--- a/src/anvillug/connection/http_pool.py
+++ b/src/anvillug/connection/http_pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
 import math
 from collections.abc import Callable
 
@@ -14,6 +15,19 @@
 ConnectFailed = Callable[[], None]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Waiter:
+    """A request that waits for a connection."""
+
+    ready: ConnectionReady
+    failed: ConnectFailed
+    request_id: str
+
+    def accepts(self, connection: http_client.ClientConnection) -> bool:
+        """Return whether the connection has not carried a request with the same id."""
+        return self.request_id not in connection.carried_ids
+
+
 class _ClientFactory(protocol.ClientFactory):
     """Builds one pooled client connection."""
 
@@ -76,9 +90,7 @@
         self._max_waiting = max_waiting
         self._connect_timeout_s = connect_timeout_s
         self._idle: list[http_client.ClientConnection] = []
-        self._waiting: collections.deque[tuple[ConnectionReady, ConnectFailed]] = (
-            collections.deque()
-        )
+        self._waiting: collections.deque[_Waiter] = collections.deque()
         self._open_connections: set[http_client.ClientConnection] = set()
         # Busy connections that a further request is to use next.
         self._reserved: dict[
@@ -102,6 +114,7 @@
         ready: ConnectionReady,
         failed: ConnectFailed,
         max_idle_s: float = math.inf,
+        request_id: str = '',
     ) -> None:
         """Acquire an idle or new connection.
 
@@ -110,8 +123,11 @@
                 returns to the pool unless this function sends a request on it.
             failed: Called when no connection is available; nothing was sent.
             max_idle_s: Max time in seconds since the connection was released.
+            request_id: Id of the request; a connection that has carried it is not used, since a
+                second copy of the earlier response could not be told from the new response.
         """
-        connection = self._pop_idle(max_idle_s)
+        waiter = _Waiter(ready, failed, request_id)
+        connection = self._pop_idle(max_idle_s, waiter)
         if connection is not None:
             self.offer(connection, ready)
             return
@@ -120,7 +136,10 @@
         elif self.open_count < self._max_connections:
             self._connect(ready, failed)
         else:
-            self._waiting.append((ready, failed))
+            self._waiting.append(waiter)
+            if self._idle:
+                # Replaced by a new connection, since no idle one is suitable.
+                self._idle.pop(0).cancel()
 
     def acquire_new(self, ready: ConnectionReady, failed: ConnectFailed) -> None:
         """Open a new connection, for use when the peer may not respond on existing ones."""
@@ -151,10 +170,16 @@
         if connection in self._reserved:
             ready, _ = self._reserved.pop(connection)
             self._hand_out(connection, ready)
-        while self._waiting and connection.is_idle:
-            ready, _failed = self._waiting.popleft()
-            self._hand_out(connection, ready)
-        if connection.is_idle:
+        while connection.is_idle:
+            waiter = next((each for each in self._waiting if each.accepts(connection)), None)
+            if waiter is None:
+                break
+            self._waiting.remove(waiter)
+            self._hand_out(connection, waiter.ready)
+        if connection.is_idle and self._waiting:
+            # Replaced by a new connection, since no waiting request may use this one.
+            connection.cancel()
+        elif connection.is_idle:
             connection.idle_since_s = self._reactor.seconds()
             self._idle.append(connection)
 
@@ -187,8 +212,8 @@
             else:
                 self._connect(ready, failed)
         if self._waiting and self.open_count < self._max_connections and not self._closed:
-            ready, failed = self._waiting.popleft()
-            self._connect(ready, failed)
+            waiter = self._waiting.popleft()
+            self._connect(waiter.ready, waiter.failed)
 
     def close_idle(self) -> None:
         """Close the idle connections."""
@@ -218,21 +243,17 @@
         connection.acquired_at_s = self._reactor.seconds()
         ready(connection)
 
-    def _pop_idle(self, max_idle_s: float) -> http_client.ClientConnection | None:
-        """Remove and return the idle connection that was used last.
-
-        Returns None if it was idle for too long, as the others were idle for even longer.
-        """
-        while self._idle:
-            connection = self._idle.pop()
-            if not connection.is_idle:
-                continue
-            if max_idle_s < math.inf:
-                idle_s = self._reactor.seconds() - connection.idle_since_s
-                if idle_s > max_idle_s:
-                    self._idle.append(connection)
-                    return None
-            return connection
+    def _pop_idle(self, max_idle_s: float, waiter: _Waiter) -> http_client.ClientConnection | None:
+        """Remove and return the suitable idle connection that was used last, if there is one."""
+        self._idle = [idle for idle in self._idle if idle.is_idle]
+        min_idle_since_s = self._reactor.seconds() - max_idle_s
+        for connection in reversed(self._idle):
+            if connection.idle_since_s < min_idle_since_s:
+                # The others have been idle for even longer.
+                return None
+            if waiter.accepts(connection):
+                self._idle.remove(connection)
+                return connection
         return None
 
     def _connect(self, ready: ConnectionReady, failed: ConnectFailed) -> None:
@@ -248,8 +269,8 @@
     def _fail_waiting(self) -> None:
         waiting = tuple(self._waiting)
         self._waiting.clear()
-        for _ready, failed in waiting:
-            failed()
+        for waiter in waiting:
+            waiter.failed()
 
 
 def _leave_in_pool(connection: http_client.ClientConnection) -> None:
--- a/src/anvillug/request/upstream_run.py
+++ b/src/anvillug/request/upstream_run.py
@@ -70,8 +70,8 @@
         self._clock = time
         self._dialect = header_dialect
         self._on_done = on_done
-        # Ids of the requests that the connection has carried before.
-        self._earlier_ids: frozenset[str] = frozenset()
+        # Whether the connection has carried another request before.
+        self._is_reused = False
         self._connection: http_client.ClientConnection | None = None
         self._head: http_head.ResponseHead | None = None
         self._not_run_reason = ''
@@ -85,7 +85,7 @@
         delay_s = clock.to_seconds(left_ms + _DEADLINE_GRACE_MS)
         self._deadline_timer = self._reactor.callLater(delay_s, self._deadline_passed)
         idle_s = _MAX_IDLE_REPEATABLE_S if self.work.repeatable else _MAX_IDLE_ONCE_ONLY_S
-        pool.acquire(self._connected, self._connection_failed, idle_s)
+        pool.acquire(self._connected, self._connection_failed, idle_s, self.work.attempt_id)
 
     def cancel(self) -> bool:
         """Cancel the run; the result is not reported.
@@ -109,7 +109,7 @@
         """Classify the response: the response to the job, a rejection, or one of another call."""
         if self.state is RunState.DONE:
             return
-        kind = self._dialect.classify(head, self.work.attempt_id)
+        kind = self._classify(head)
         if kind is not dialect.ReplyKind.FOREIGN:
             self.load = self._dialect.read_load(head)
         if kind is dialect.ReplyKind.FOREIGN:
@@ -156,12 +156,19 @@
 
     # Private
 
+    def _classify(self, head: http_head.ResponseHead) -> dialect.ReplyKind:
+        """Classify a response; one that names no request may be a copy of an earlier response."""
+        if self._is_reused and not self._dialect.echoed_id(head):
+            return dialect.ReplyKind.FOREIGN
+        return self._dialect.classify(head, self.work.attempt_id)
+
     def _foreign_response(self, head: http_head.ResponseHead) -> None:
         """Wait on after a late copy of a response to an earlier request; else give up."""
         connection = self._connection
         echoed_id = self._dialect.echoed_id(head)
-        is_copy = echoed_id in self._earlier_ids
-        if is_copy and connection is not None and connection.skip_response():
+        is_earlier = connection is not None and echoed_id in connection.carried_ids
+        is_copy = is_earlier and echoed_id != self.work.attempt_id
+        if is_copy and connection.skip_response():
             event_log.warn('response_copy_skipped', request=self.work.attempt_id, copy_of=echoed_id)
         else:
             self._abort('answer is not for this request')
@@ -177,8 +184,8 @@
         self._connection = connection
         self.state = RunState.SENT
         self.sent_at = now
-        self._earlier_ids = frozenset(connection.request_ids)
-        connection.request_ids.append(self.work.attempt_id)
+        self._is_reused = connection.requests_sent > 0
+        connection.carried_ids.add(self.work.attempt_id, self.work.deadline, now)
         head = self.work.head
         headers = [*head.headers, *self._dialect.dispatch_headers(left_ms, self.work.instance)]
         connection.request(http_head.RequestHead(head.method, head.target, headers), self)
--- a/src/anvillug/standin/platform_backend.py
+++ b/src/anvillug/standin/platform_backend.py
@@ -139,6 +139,7 @@
         request.setHeader(b'Anvillug-Instance-Id', self.instance.encode())
         if request.path == _HEALTH_PATH:
             return b''
+        request.setHeader(b'Anvillug-Attempt-Id', request.getHeader(b'anvillug-attempt-id'))
         if request.getHeader('anvillug-expect-instance') != self.instance:
             request.setResponseCode(_STATUS_OTHER_INSTANCE)
             return b''
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -51,11 +51,16 @@
 def connect(pool):
     """Return a connection over a transport in memory."""
     connection = http_client.ClientConnection(pool)
+    connection.makeConnection(memory_transport())
+    return connection
+
+
+def memory_transport():
+    """Return a transport in memory that accepts the options of a TCP transport."""
     transport = twisted_testing.StringTransport()
     transport.setTcpNoDelay = lambda on: None
     transport.setTcpKeepAlive = lambda on: None
-    connection.makeConnection(transport)
-    return connection
+    return transport
 
 
 def send(connection, method=b'GET'):
@@ -167,8 +172,8 @@
         first = send(connection)
         acquired = []
         waiting = pool._waiting  # noqa: SLF001 - as if all connections were busy
-        waiting.extend((_leave_unused, _ignore) for _ in range(2000))
-        waiting.append((acquired.append, _ignore))
+        waiting.extend(http_pool._Waiter(_leave_unused, _ignore, '') for _ in range(2000))  # noqa: SLF001
+        waiting.append(http_pool._Waiter(acquired.append, _ignore, ''))  # noqa: SLF001
         connection.dataReceived(b'HTTP/1.1 204 No Content\r\n\r\n')
         assert first.events == [204, 'ended']
         assert acquired == [connection]
@@ -177,7 +182,8 @@
     def test_cancelled_connection_does_not_become_idle(self, pool):
         connection = connect(pool)
         send(connection)
-        pool._waiting.append((lambda reused: reused.cancel(), _ignore))  # noqa: SLF001
+        cancelling = http_pool._Waiter(lambda reused: reused.cancel(), _ignore, '')  # noqa: SLF001
+        pool._waiting.append(cancelling)  # noqa: SLF001
         connection.transport.abortConnection = _ignore
         connection.dataReceived(b'HTTP/1.1 204 No Content\r\n\r\n')
         assert pool.idle_count == 0
--- a/tests/test_late_copy.py
+++ b/tests/test_late_copy.py
@@ -7,9 +7,10 @@
 import pytest
 from hypothesis import given, settings, strategies
 from twisted.internet import task
+from twisted.internet import testing as twisted_testing
 
 from anvillug import clock, ids
-from anvillug.connection import http_client, http_head
+from anvillug.connection import http_client, http_head, http_pool
 from anvillug.platform import headers
 from anvillug.process import upstream_probe
 from anvillug.request import job, upstream_run
@@ -24,7 +25,7 @@
         self.connection = test_http_client.connect(self)
         self.released = 0
 
-    def acquire(self, connected, failed, max_idle_s: float = 0) -> None:
+    def acquire(self, connected, failed, max_idle_s=0, request_id='') -> None:
         connected(self.connection)
 
     def release(self, connection: http_client.ClientConnection) -> None:
@@ -136,6 +137,47 @@
         assert not backend.pool.connection.is_idle
 
 
+_REJECTION = ('Anvillug-Not-Executed: 1',)
+
+
+class TestRejectedAttempt:
+    """Guards against a copy of a rejection that counts for the same attempt, sent once more."""
+
+    @pytest.fixture
+    def rejected(self):
+        """Return a backend server on a real pool that has rejected call a1."""
+        server = _Backend()
+        server.pool = http_pool.Pool(twisted_testing.MemoryReactorClock(), '127.0.0.1', 1)
+        server.pool.connection = test_http_client.connect(server.pool)
+        server.pool.release(server.pool.connection)
+        server.run('a1')
+        server.send(_response('a1', *_REJECTION, status='503 Busy'))
+        assert server.result()[0] is job.ResultKind.SHED
+        return server
+
+    def test_same_attempt_uses_another_connection(self, rejected):
+        # The pool counts only connections that it has opened itself.
+        assert rejected.pool.open_count == 0
+        rejected.pool.connection.transport.clear()
+        rejected.run('a1')
+        assert not rejected.pool.connection.transport.value()
+        assert rejected.pool.open_count == 1
+
+    def test_other_attempt_uses_the_connection(self, rejected):
+        rejected.pool.connection.transport.clear()
+        rejected.run('a2')
+        assert rejected.pool.connection.transport.value()
+        rejected.send(_response('a1', *_REJECTION, status='503 Busy'))
+        rejected.send(_response('a2'))
+        assert rejected.result() == (job.ResultKind.ANSWERED, b'body of a2')
+
+    def test_rejection_without_an_id_may_be_an_earlier_one(self, rejected):
+        # A rejected health check has no id.
+        rejected.run('a2')
+        rejected.send(b'HTTP/1.1 503 Busy\r\nAnvillug-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n')
+        assert rejected.result()[0] is job.ResultKind.UNKNOWN
+
+
 class TestHealthCheck:
     """Guards against a health check answered by a late copy, whose own answer goes to a call."""
 
