--- a/src/anvillug/platform/control.py
+++ b/src/anvillug/platform/control.py
@@ -5,11 +5,12 @@
 from urllib import parse as url_parse
 
 from twisted.internet import defer
+from twisted.python import failure
 
 from anvillug import event_log, findings, ids
 from anvillug.connection import http_exchange
 from anvillug.platform import documents
-from anvillug.process import mesh_node
+from anvillug.process import member_records, mesh_node
 
 READINESS_PATH = b'/-/readiness'
 
@@ -56,22 +57,23 @@
             body: Body of the request.
 
         Returns:
-            Fires once the call may be acknowledged, with its problems (none if it is valid).
+            Fires once the call may be acknowledged, with its problems (none if it is valid). Fails
+            with `member_records.LeaveNotStoredError` if it may not be acknowledged yet.
         """
         query = url_parse.parse_qs(target.partition(b'?')[2].decode('latin-1'))
         name = query.get('call', [''])[0]
         instance = query.get('of', [''])[0]
         if name == _HEARTBEAT:
-            return defer.succeed(self._heartbeat(instance, body))
+            return self._heartbeat(instance, body)
         if name == _LEAVE:
             return self._node.leave(ids.InstanceId(instance)).addCallback(lambda _: ())
         message = f'{name!r} is neither {_HEARTBEAT} nor {_LEAVE}'
         return defer.succeed(findings.single('call', message))
 
-    def _heartbeat(self, instance: str, body: bytes) -> findings.Findings:
+    def _heartbeat(self, instance: str, body: bytes) -> defer.Deferred[findings.Findings]:
         decoded = documents.decode_heartbeat(instance, body)
         if isinstance(decoded, tuple):
-            return decoded
+            return defer.succeed(decoded)
         return self._node.heartbeat(decoded)
 
 
@@ -90,7 +92,8 @@
 
     def request_ended(self) -> None:
         """Execute the call and respond."""
-        self._control.execute(self._exchange.head.target, self._body).addCallback(self._respond)
+        executed = self._control.execute(self._exchange.head.target, self._body)
+        executed.addCallbacks(self._respond, self._respond_not_stored)
 
     def _respond(self, problems: findings.Findings) -> None:
         for problem in problems:
@@ -100,6 +103,11 @@
         else:
             self._exchange.respond(_STATUS_OK, b'{}', _JSON)
 
+    def _respond_not_stored(self, error: failure.Failure) -> None:
+        error.trap(member_records.LeaveNotStoredError)
+        event_log.warn('leave_not_acknowledged', reason=error.value)
+        self._exchange.respond(_STATUS_UNAVAILABLE, f'{error.value}\n'.encode())
+
     def request_aborted(self) -> None:
         """End the exchange without a response, since the connection is lost or closing."""
         self._exchange.ended = True
--- a/src/anvillug/process/member_records.py
+++ b/src/anvillug/process/member_records.py
@@ -1,6 +1,6 @@
-"""Records of a node in the log: its address, and the last leave of its backend server.
+"""Records of a node in the log: its address, and the leaves of its backend server.
 
-The address lets other nodes send their first beacons to it. The leave lets the next process of the
+The address lets other nodes send their first beacons to it. The leaves let the next process of the
 node ignore late heartbeats of an instance that has left. Each node writes its own records again
 when the log has been restored from a copy without them.
 """
@@ -16,7 +16,7 @@
 
 from anvillug import event_log, ids, validation
 from anvillug.connection import keyed_log
-from anvillug.process import peer_table, upstream
+from anvillug.process import leave_record, peer_table, upstream
 from anvillug.version import directives
 
 _RETRY_INTERVAL_S = 0.4
@@ -27,6 +27,7 @@
 _LEAVE_TIMEOUT_S = 1.0
 # The backend server has to receive the acknowledgement of its leave within a second.
 _ACKNOWLEDGE_TIMEOUT_S = 0.6
+_FIRST_READ_POLL_S = 0.05
 # Interval at which the addresses are read again, to reach nodes that restarted or were cut off.
 _REREAD_INTERVAL_S = 60.0
 # All nodes notice a new era of the log at about the same time; each waits a random part of this
@@ -36,6 +37,10 @@
 _LEFT_PREFIX = 'left/'
 
 
+class LeaveNotStoredError(Exception):
+    """A leave is not stored yet, so it must not be acknowledged."""
+
+
 class MemberRecords:
     """Writes the records of this node, and reads the addresses of the others.
 
@@ -78,9 +83,14 @@
         self._era = 0
         self._read_era = 0
         self._pause: interfaces.IDelayedCall | None = None
-        self._leaves_in_progress: list[ids.Incarnation] = []
-        # Era and leave, if a leave was acknowledged after the newest read began.
-        self._stored_leave: tuple[int, ids.Incarnation] | None = None
+        self._leaves_in_progress: list[leave_record.LeaveRecord] = []
+        # Leaves known to be in the log, and those who wait until the newest ones are.
+        self._kept_leaves = leave_record.NONE
+        self._acknowledgements: list[defer.Deferred[None]] = []
+        # Whether the leaves of previous processes have not been read yet.
+        self._awaits_first_read = False
+        # Era and leaves, if leaves were acknowledged after the newest read began.
+        self._stored_leaves: tuple[int, leave_record.LeaveRecord] | None = None
 
     def start(self) -> None:
         """Write the address of this node, and read those of the others until the process ends.
@@ -88,6 +98,7 @@
         The backend server accepts no requests until its last leave is known, or has not been read
         in time.
         """
+        self._awaits_first_read = True
         self._upstream.await_leave()
         self._reactor.callLater(_LEAVE_TIMEOUT_S, self._upstream.leave_known)
         defer.ensureDeferred(self._follow())
@@ -101,28 +112,24 @@
         if era <= self._era:
             return
         self._era = era
+        self._kept_leaves = leave_record.NONE
         if self._pause is not None and self._pause.active():
             self._pause.reset(self._jitter_s())
 
-    def store_leave(self, started_at: ids.Incarnation) -> defer.Deferred[None]:
-        """Store that an instance of the backend server has left, for the next process of this node.
-
-        Args:
-            started_at: Start time of the instance in milliseconds since the Unix epoch.
+    def store_leaves(self) -> defer.Deferred[None]:
+        """Store the leaves of the backend server for the next process of this node.
 
         Returns:
-            Fires once the leave is stored. If the log does not respond, it fires after a timeout;
-            this process then continues to retry, unless a later leave replaces this one.
+            Fires once they are stored. It fails with `LeaveNotStoredError` if that takes too long;
+            this process then continues to retry until they are, or later ones.
         """
+        if self._kept_leaves == self._upstream.leaves:
+            return defer.succeed(None)
         acknowledgement: defer.Deferred[None] = defer.Deferred()
-        timeout = self._reactor.callLater(_ACKNOWLEDGE_TIMEOUT_S, acknowledgement.callback, None)
-
-        def stored(_: object) -> None:
-            if timeout.active():
-                timeout.cancel()
-                acknowledgement.callback(None)
-
-        defer.ensureDeferred(self._write_leave(started_at)).addCallback(stored)
+        acknowledgement.addTimeout(_ACKNOWLEDGE_TIMEOUT_S, self._reactor, _fail_not_stored)
+        self._acknowledgements.append(acknowledgement)
+        if self._upstream.leaves not in self._leaves_in_progress:
+            defer.ensureDeferred(self._write_leaves(self._upstream.leaves))
         return acknowledgement
 
     # Private
@@ -150,12 +157,13 @@
         if not self._address_written:
             await self._write_address()
         era = self._era
-        self._stored_leave = None
+        self._stored_leaves = None
         batch = await self._log.newest(self._topic)
         self._read_era = max(era, batch.end.era)
-        self._era = max(self._era, batch.end.era)
+        self.notice_era(batch.end.era)
         for key, record in batch.changes:
             self._apply(key, record)
+        self._awaits_first_read = False
         self._upstream.leave_known()
         self._on_contacts()
         # Records of an earlier era do not show what is missing now; they are read again soon.
@@ -164,20 +172,22 @@
 
     async def _write_missing(self, records: directives.Records) -> None:
         """Write the own records that are missing or older in the log."""
-        if self._is_leave_missing(records):
-            defer.ensureDeferred(self._write_leave(self._upstream.last_left_started_at))
+        if self._are_leaves_missing(records):
+            defer.ensureDeferred(self._write_leaves(self._upstream.leaves))
+        elif self._leave_key in records:
+            self._kept_leaves = self._upstream.leaves
         if self._is_missing(records, self._host_id, self._beacon_address):
             self._address_written = False
             await self._write_address()
 
-    def _is_leave_missing(self, records: directives.Records) -> bool:
-        left_at = self._upstream.last_left_started_at
-        if not left_at or left_at in self._leaves_in_progress:
+    def _are_leaves_missing(self, records: directives.Records) -> bool:
+        leaves = self._upstream.leaves
+        if leaves == leave_record.NONE or leaves in self._leaves_in_progress:
             return False
-        # The read may have taken effect before the append of this leave.
-        if self._stored_leave == (self._era, left_at):
+        # The read may have taken effect before the append of these leaves.
+        if self._stored_leaves == (self._era, leaves):
             return False
-        return self._is_missing(records, self._leave_key, left_at)
+        return self._is_missing(records, self._leave_key, leaves.to_data())
 
     def _is_missing(self, records: directives.Records, key: str, content: object) -> bool:
         record = records.get(key)
@@ -190,18 +200,21 @@
         await self._append(self._host_id, self._beacon_address)
         self._address_written = True
 
-    async def _write_leave(self, started_at: ids.Incarnation) -> None:
-        self._leaves_in_progress.append(started_at)
+    async def _write_leaves(self, leaves: leave_record.LeaveRecord) -> None:
+        self._leaves_in_progress.append(leaves)
         try:
-            await self._append_leave(started_at)
+            await self._append_leaves(leaves)
         finally:
-            self._leaves_in_progress.remove(started_at)
-
-    async def _append_leave(self, started_at: ids.Incarnation) -> None:
-        # A later leave replaces this one, which then need not be stored.
-        while self._upstream.last_left_started_at == started_at:
+            self._leaves_in_progress.remove(leaves)
+
+    async def _append_leaves(self, leaves: leave_record.LeaveRecord) -> None:
+        # A write must not replace leaves that only the log has.
+        while self._awaits_first_read:
+            await task.deferLater(self._reactor, _FIRST_READ_POLL_S)
+        # Later leaves include these, which then need not be stored.
+        while self._upstream.leaves == leaves:
             try:
-                position = await self._append(self._leave_key, started_at)
+                position = await self._append(self._leave_key, leaves.to_data())
             except keyed_log.LogUnavailableError as error:
                 event_log.warn('leave_not_kept', reason=error)
                 await task.deferLater(self._reactor, _RETRY_INTERVAL_S)
@@ -212,9 +225,18 @@
                 self.notice_era(position.era)
                 # A record of an earlier era may have been lost although it was acknowledged.
                 if position.era == self._era:
-                    self._stored_leave = (position.era, started_at)
+                    self._leaves_stored(position.era, leaves)
                     return
 
+    def _leaves_stored(self, era: int, leaves: leave_record.LeaveRecord) -> None:
+        self._stored_leaves = (era, leaves)
+        self._kept_leaves = leaves
+        if leaves == self._upstream.leaves:
+            acknowledgements = tuple(self._acknowledgements)
+            self._acknowledgements.clear()
+            for acknowledgement in acknowledgements:
+                acknowledgement.callback(None)
+
     async def _append(self, key: str, content: object) -> directives.Position:
         return await self._log.append(self._topic, key, msgpack.packb(content))
 
@@ -233,7 +255,7 @@
             if not key.startswith(_LEFT_PREFIX):
                 self._peers.add_contact(ids.HostId(key), _check_address(content))
             elif key == self._leave_key:
-                self._upstream.restore_leave(_check_start_time(content))
+                self._upstream.restore_leaves(leave_record.from_data(content))
         except (ValueError, msgpack.UnpackException) as error:
             event_log.warn('member_record_malformed', member=key, reason=error)
 
@@ -244,7 +266,5 @@
     return validation.check_address(content)
 
 
-def _check_start_time(content: object) -> ids.Incarnation:
-    if isinstance(content, bool) or not isinstance(content, int):
-        raise ValueError(f'start time must be an integer, got {type(content).__name__}')
-    return ids.Incarnation(content)
+def _fail_not_stored(result: object, timeout_s: float) -> None:
+    raise LeaveNotStoredError(f'leave not stored within {timeout_s} s')
--- a/src/anvillug/process/mesh_node.py
+++ b/src/anvillug/process/mesh_node.py
@@ -10,7 +10,7 @@
 
 from twisted.internet import defer, interfaces, task
 
-from anvillug import clock, event_log, ids, log_writer
+from anvillug import clock, event_log, findings, ids, log_writer
 from anvillug.connection import http_exchange, http_listener, keyed_log
 from anvillug.process import (
     beacon,
@@ -222,13 +222,23 @@
         """Open an additional HTTP listener."""
         self._listen(address, http_listener.ServerFactory(handler))
 
-    def heartbeat(self, heartbeat: upstream.Heartbeat) -> Any:
-        """Process a heartbeat of the backend server and return the findings."""
+    def heartbeat(self, heartbeat: upstream.Heartbeat) -> defer.Deferred[findings.Findings]:
+        """Process a heartbeat of the backend server.
+
+        Returns:
+            Fires with its problems when it may be acknowledged. One that announces a leave is
+            stored first; see `MemberRecords.store_leaves`.
+        """
+        problems = self._service_findings(heartbeat)
+        if problems:
+            return defer.succeed(problems)
         previous = (self.upstream.state, self.upstream.instance)
-        findings = self.upstream.receive_heartbeat(heartbeat)
+        problems = self.upstream.receive_heartbeat(heartbeat)
         if (self.upstream.state, self.upstream.instance) != previous:
             self._beacons.send_now()
-        return findings
+        if problems or heartbeat.state is not upstream.UpstreamState.LEAVING:
+            return defer.succeed(problems)
+        return self._records.store_leaves().addCallback(lambda _: ())
 
     def apply(self, settings: mesh_settings.MeshSettings) -> None:
         """Apply a changed service and grace time; other changes take effect at the next start."""
@@ -241,17 +251,23 @@
         """Record that an instance of the backend server leaves.
 
         Returns:
-            Fires when the leave may be acknowledged, normally once it is stored for the next
-            process of this node.
+            Fires when the leave may be acknowledged; see `MemberRecords.store_leaves`.
         """
-        is_current = self.upstream.record_leave(instance)
+        self.upstream.record_leave(instance)
         self._beacons.send_now()
-        if is_current:
-            return self._records.store_leave(self.upstream.last_left_started_at)
-        return defer.succeed(None)
+        return self._records.store_leaves()
 
     # Private
 
+    def _service_findings(self, heartbeat: upstream.Heartbeat) -> findings.Findings:
+        """Return an error if the service of a heartbeat is not one of the configuration."""
+        routes = self.active_directives.current.routes
+        known = () if routes is None else routes.services_by_name
+        if heartbeat.service == self._settings.service or heartbeat.service in known:
+            return ()
+        message = f'{heartbeat.service!r} is not a service of the configuration'
+        return findings.single(f'heartbeat of {heartbeat.instance}: Service', message)
+
     def _gauges(self) -> dict[str, float]:
         position = self.active_directives.current.position
         return {
--- a/src/anvillug/process/upstream.py
+++ b/src/anvillug/process/upstream.py
@@ -9,6 +9,7 @@
 import enum
 
 from anvillug import clock, event_log, findings, ids
+from anvillug.process import leave_record
 from anvillug.request import dialect
 
 
@@ -45,6 +46,11 @@
     sequence: int
     """Sequence number of the heartbeat; increases from the start of the instance."""
 
+    @property
+    def order(self) -> leave_record.HeartbeatOrder:
+        """Position among the heartbeats of all instances of a backend server."""
+        return (self.started_at, self.sequence)
+
 
 class Upstream:
     """The backend server of this node.
@@ -66,8 +72,8 @@
         self.load_at = clock.Milliseconds(0)
         """Monotonic time at which that load was reported."""
         self._cold_until = clock.Milliseconds(0)
-        self.last_left_started_at = ids.Incarnation(0)
-        """Start time of the newest instance that has left; it and older ones are ignored."""
+        self.leaves = leave_record.NONE
+        """Leaves of its instances; heartbeats that they cover are ignored."""
         self._awaits_leave = False
 
     @property
@@ -91,9 +97,8 @@
             )
             return findings.single(f'{place}: Address', message)
         previous = self.heartbeat
-        order = (heartbeat.started_at, heartbeat.sequence)
-        is_late = previous is not None and order <= (previous.started_at, previous.sequence)
-        if is_late or heartbeat.started_at <= self.last_left_started_at:
+        is_late = previous is not None and heartbeat.order <= previous.order
+        if is_late or self._has_left(heartbeat):
             event_log.emit(
                 'heartbeat_late', instance=heartbeat.instance, sequence=heartbeat.sequence
             )
@@ -111,6 +116,8 @@
                 cold_ms=heartbeat.cold_ms,
                 sequence=heartbeat.sequence,
             )
+        if heartbeat.state is UpstreamState.LEAVING:
+            self._record_draining(heartbeat)
         self.state = self._state_of(heartbeat)
         return ()
 
@@ -128,34 +135,32 @@
             return
         self._awaits_leave = False
         heartbeat = self.heartbeat
-        if heartbeat is not None and heartbeat.started_at > self.last_left_started_at:
+        if heartbeat is not None and not self._has_left(heartbeat):
             self.state = heartbeat.state
             event_log.emit(
                 'upstream_accepted', instance=heartbeat.instance, state=heartbeat.state.value
             )
 
-    def record_leave(self, instance: ids.InstanceId) -> bool:
+    def record_leave(self, instance: ids.InstanceId) -> None:
         """Record that an instance of the backend server leaves and accepts no more requests.
 
-        Returns:
-            Whether it is the current instance.
+        The leave of an instance without a heartbeat so far is recorded as well: after a restart of
+        the node, a late heartbeat of that instance may still arrive.
         """
-        if self.heartbeat is None or self.heartbeat.instance != instance:
-            event_log.emit('leave_ignored', instance=instance, present=self.instance)
-            return False
-        self.last_left_started_at = self.heartbeat.started_at
+        heartbeat = self.heartbeat
+        if heartbeat is None or heartbeat.instance != instance:
+            self.leaves = self.leaves.with_unknown_instance(instance, int(self._clock.wall()))
+            event_log.emit('leave_before_heartbeat', instance=instance, present=self.instance)
+            return
+        if not self._has_left(heartbeat):
+            self.leaves = self.leaves.with_start(heartbeat.started_at)
         self.state = UpstreamState.LEAVING
         event_log.emit('upstream_left', instance=instance)
-        return True
 
-    def restore_leave(self, started_at: ids.Incarnation) -> None:
-        """Restore a leave that a previous process of this node has acknowledged.
-
-        Args:
-            started_at: Start time of the instance in milliseconds since the Unix epoch.
-        """
-        self.last_left_started_at = max(self.last_left_started_at, started_at)
-        if self.heartbeat is not None and self.heartbeat.started_at <= self.last_left_started_at:
+    def restore_leaves(self, record: leave_record.LeaveRecord) -> None:
+        """Restore the leaves that a previous process of this node has stored."""
+        self.leaves = self.leaves.merge(record)
+        if self.heartbeat is not None and self._has_left(self.heartbeat):
             event_log.emit('upstream_left', instance=self.instance, reason='restored from the log')
             self.state = UpstreamState.LEAVING
 
@@ -179,6 +184,15 @@
         """Record the milliseconds for which the backend server remains cold."""
         self._cold_until = clock.Milliseconds(self._clock.now() + cold_ms)
 
+    def _has_left(self, heartbeat: Heartbeat) -> bool:
+        return self.leaves.covers(heartbeat.instance, heartbeat.order)
+
+    def _record_draining(self, heartbeat: Heartbeat) -> None:
+        """Record that the instance announces its leave, unless an earlier heartbeat did."""
+        is_new = self.leaves.draining[0] != heartbeat.started_at
+        if is_new or self.state is UpstreamState.SERVING:
+            self.leaves = self.leaves.with_draining(heartbeat.order)
+
     def _state_of(self, heartbeat: Heartbeat) -> UpstreamState:
         is_held = self._awaits_leave and heartbeat.state is UpstreamState.SERVING
         return UpstreamState.ABSENT if is_held else heartbeat.state
--- a/src/anvillug/standin/platform_backend.py
+++ b/src/anvillug/standin/platform_backend.py
@@ -85,12 +85,13 @@
         self._started_at_ms = started_at_ms
         self._sequence = 0
         self._running_count = 0
-        self._address = ''
+        self.listen_address = ''
+        """IP:port that heartbeats name."""
 
     def listen(self, address: str) -> interfaces.IListeningPort:
         """Start to listen on an address."""
         host, _, port = address.rpartition(':')
-        self._address = address
+        self.listen_address = address
         site = server.Site(self.app.resource())
         return self._reactor.listenTCP(int(port), site, interface=host)
 
@@ -105,7 +106,7 @@
         self._sequence += 1
         content = {
             'Service': self._service,
-            'Address': self._address,
+            'Address': self.listen_address,
             'Zone': 'z',
             'Version': self.version,
             'Slots': 4,
--- a/tests/test_member_records.py
+++ b/tests/test_member_records.py
@@ -8,15 +8,18 @@
 import msgpack
 import pytest
 from twisted.internet import task
+from twisted.python import failure
 
 from anvillug import clock, ids
 from anvillug.connection import keyed_log
-from anvillug.process import member_records, peer_table, upstream
+from anvillug.process import leave_record, member_records, peer_table, upstream
 from anvillug.version import directives
 
 _HOST = ids.HostId('h')
 _ADDRESS = '10.0.0.1:80'
 _BEACON_ADDRESS = '10.0.0.1:70'
+_LEAVE_KEY = 'left/h'
+_ONLY_LEAVE = [_LEAVE_KEY]
 _PEER = ids.HostId('p')
 _PEER_ADDRESS = '10.0.0.2:70'
 _LEFT_AT = ids.Incarnation(5)
@@ -104,11 +107,18 @@
             lambda: None,
         )
         self.acknowledged: list[list[str]] = []
+        self.refused = 0
 
     def leave(self, started_at: ids.Incarnation = _LEFT_AT) -> None:
-        self.backend.last_left_started_at = started_at
-        acknowledgement = self.records.store_leave(started_at)
-        acknowledgement.addCallback(lambda _: self.acknowledged.append(list(self.log.stored_keys)))
+        self.backend.leaves = leave_record.LeaveRecord(started_at)
+        self.records.store_leaves().addCallbacks(self._acknowledge, self._refuse)
+
+    def _acknowledge(self, _: None) -> None:
+        self.acknowledged.append(list(self.log.stored_keys))
+
+    def _refuse(self, error: failure.Failure) -> None:
+        error.trap(member_records.LeaveNotStoredError)
+        self.refused += 1
 
     def run(self, duration_ms: int) -> None:
         for _ in range(duration_ms // 10):
@@ -148,7 +158,7 @@
     setup.records.start()
     setup.leave()
     setup.run(300)
-    assert sorted(setup.log.stored_keys) == ['h', 'left/h']
+    assert sorted(setup.log.stored_keys) == ['h', _LEAVE_KEY]
     return setup
 
 
@@ -158,16 +168,33 @@
     def test_is_acknowledged_once_it_is_stored(self, records_setup):
         assert not records_setup.acknowledged
         records_setup.run(100)
-        assert records_setup.acknowledged == [['left/h']]
+        assert records_setup.acknowledged == [[_LEAVE_KEY]]
 
-    def test_acknowledgement_does_not_wait_for_an_unavailable_log(self, records_setup):
+    def test_is_not_acknowledged_while_the_log_is_unavailable(self, records_setup):
         records_setup.log.is_up = False
         records_setup.run(900)
-        assert records_setup.acknowledged == [[]]
+        assert (records_setup.acknowledged, records_setup.refused) == ([], 1)
+        records_setup.leave()
+        records_setup.run(900)
+        assert (records_setup.acknowledged, records_setup.refused) == ([], 2)
         records_setup.log.is_up = True
         records_setup.run(900)
-        assert records_setup.log.stored_keys == ['left/h']
-        assert len(records_setup.acknowledged) == 1
+        records_setup.leave()
+        records_setup.run(900)
+        assert records_setup.log.stored_keys == _ONLY_LEAVE
+        assert records_setup.acknowledged == [[_LEAVE_KEY]]
+
+    def test_leave_before_the_first_read_keeps_the_earlier_ones(self):
+        setup = _RecordsSetup()
+        setup.log.restore({_LEAVE_KEY: _LEFT_AT})
+        setup.records.start()
+        setup.backend.record_leave(ids.InstanceId('i-9'))
+        setup.records.store_leaves().addCallbacks(setup._acknowledge, setup._refuse)  # noqa: SLF001
+        setup.run(500)
+        stored = leave_record.from_data(msgpack.unpackb(setup.log.values_by_key[_LEAVE_KEY]))
+        assert stored.started_at == _LEFT_AT
+        assert 'i-9' in stored.left_at_by_instance
+        assert len(setup.acknowledged) == 1
 
 
 class TestRestoredLog:
@@ -176,40 +203,40 @@
     def test_missing_records_are_written_again(self, stored):
         stored.restore({})
         stored.run(_MAX_REWRITE_MS)
-        assert sorted(stored.log.stored_keys) == ['h', 'left/h']
+        assert sorted(stored.log.stored_keys) == ['h', _LEAVE_KEY]
         assert stored.log.values_by_key == {
             'h': msgpack.packb(_BEACON_ADDRESS),
-            'left/h': msgpack.packb(_LEFT_AT),
+            _LEAVE_KEY: msgpack.packb(_LEFT_AT),
         }
         stored.run(_REREAD_INTERVAL_MS // 2)
         assert len(stored.log.stored_keys) == 2
         assert len(stored.log.read_times) == 1
 
     def test_older_record_is_replaced(self, stored):
-        stored.restore({'h': _BEACON_ADDRESS, 'left/h': _LEFT_AT - 1})
+        stored.restore({'h': _BEACON_ADDRESS, _LEAVE_KEY: _LEFT_AT - 1})
         stored.run(_MAX_REWRITE_MS)
-        assert stored.log.stored_keys == ['left/h']
-        stored.restore({'h': '10.0.0.9:70', 'left/h': _LEFT_AT})
+        assert stored.log.stored_keys == _ONLY_LEAVE
+        stored.restore({'h': '10.0.0.9:70', _LEAVE_KEY: _LEFT_AT})
         stored.run(_MAX_REWRITE_MS)
         assert stored.log.stored_keys == ['h']
 
     def test_present_records_are_not_written_again(self, stored):
-        stored.restore({'h': _BEACON_ADDRESS, 'left/h': _LEFT_AT})
+        stored.restore({'h': _BEACON_ADDRESS, _LEAVE_KEY: _LEFT_AT})
         stored.run(_REREAD_INTERVAL_MS // 2)
         assert not stored.log.stored_keys
         assert len(stored.log.read_times) == 1
 
     def test_leave_of_the_previous_process_is_written_again(self):
         setup = _RecordsSetup()
-        setup.log.restore({'left/h': _LEFT_AT})
+        setup.log.restore({_LEAVE_KEY: _LEFT_AT})
         setup.records.start()
         setup.run(300)
         setup.restore({'h': _BEACON_ADDRESS})
         setup.run(_MAX_REWRITE_MS)
-        assert setup.log.stored_keys == ['left/h']
+        assert setup.log.stored_keys == _ONLY_LEAVE
 
     def test_addresses_of_other_nodes_are_applied(self, stored):
-        stored.restore({'h': _BEACON_ADDRESS, 'left/h': _LEFT_AT, _PEER: _PEER_ADDRESS})
+        stored.restore({'h': _BEACON_ADDRESS, _LEAVE_KEY: _LEFT_AT, _PEER: _PEER_ADDRESS})
         stored.run(_MAX_REWRITE_MS)
         assert stored.peers.contacts_by_host_id == {_PEER: _PEER_ADDRESS}
 
@@ -225,7 +252,7 @@
         assert max(times) - min(times) > 2 * _LOG_RESPONSE_MS / 1000
 
     def test_known_era_causes_no_read(self, stored):
-        stored.restore({'h': _BEACON_ADDRESS, 'left/h': _LEFT_AT})
+        stored.restore({'h': _BEACON_ADDRESS, _LEAVE_KEY: _LEFT_AT})
         stored.run(_MAX_REWRITE_MS)
         stored.records.notice_era(1)
         stored.records.notice_era(0)
@@ -239,32 +266,32 @@
         assert not stored.log.stored_keys
         stored.log.is_up = True
         stored.run(_MAX_REWRITE_MS)
-        assert sorted(stored.log.stored_keys) == ['h', 'left/h']
+        assert sorted(stored.log.stored_keys) == ['h', _LEAVE_KEY]
 
     def test_era_that_only_the_log_reports_is_noticed(self, stored):
         stored.restore_unnoticed({})
         stored.run(_REREAD_INTERVAL_MS + _MAX_REWRITE_MS)
-        assert sorted(stored.log.stored_keys) == ['h', 'left/h']
+        assert sorted(stored.log.stored_keys) == ['h', _LEAVE_KEY]
         assert len(stored.log.read_times) == 1
 
     @pytest.mark.parametrize('read_ms', range(0, _LOG_RESPONSE_MS, 10))
     def test_era_noticed_during_a_read_is_not_lost(self, stored, read_ms):
-        stored.log.restore({'h': _BEACON_ADDRESS, 'left/h': _LEFT_AT})
+        stored.log.restore({'h': _BEACON_ADDRESS, _LEAVE_KEY: _LEFT_AT})
         stored.records.notice_era(1)
         stored.run_until_read()
         stored.run(read_ms)
         stored.restore({})
         stored.run(_MAX_REWRITE_MS)
-        assert sorted(stored.log.stored_keys) == ['h', 'left/h']
+        assert sorted(stored.log.stored_keys) == ['h', _LEAVE_KEY]
 
     def test_era_noticed_between_retries_is_not_lost(self, stored):
         stored.log.is_up = False
-        stored.restore({'h': _BEACON_ADDRESS, 'left/h': _LEFT_AT})
+        stored.restore({'h': _BEACON_ADDRESS, _LEAVE_KEY: _LEFT_AT})
         stored.run(700)
         stored.restore({})
         stored.log.is_up = True
         stored.run(_MAX_REWRITE_MS)
-        assert sorted(stored.log.stored_keys) == ['h', 'left/h']
+        assert sorted(stored.log.stored_keys) == ['h', _LEAVE_KEY]
 
     def test_era_noticed_while_records_are_written_again_is_not_lost(self, stored):
         stored.log.append_response_ms = 800
@@ -273,10 +300,10 @@
         stored.run_until(lambda: len(stored.log.stored_keys) == 2)
         stored.restore({})
         stored.run(4000)
-        assert sorted(stored.log.stored_keys) == ['h', 'left/h']
+        assert sorted(stored.log.stored_keys) == ['h', _LEAVE_KEY]
 
     def test_address_is_written_before_a_retried_read(self, stored):
-        stored.restore({'left/h': _LEFT_AT})
+        stored.restore({_LEAVE_KEY: _LEFT_AT})
         stored.run_until_read()
         # The read has taken effect, but the append will fail.
         stored.run(_LOG_RESPONSE_MS // 2 + 10)
@@ -293,7 +320,7 @@
         stored.run_until_read()
         # The read has taken effect in this era, but the log has not responded yet.
         stored.run(_LOG_RESPONSE_MS // 2 + 10)
-        stored.restore({'h': _BEACON_ADDRESS, 'left/h': _LEFT_AT})
+        stored.restore({'h': _BEACON_ADDRESS, _LEAVE_KEY: _LEFT_AT})
         stored.run(_MAX_REWRITE_MS)
         assert not stored.log.stored_keys
         assert len(stored.log.read_times) == 1
@@ -306,9 +333,9 @@
 
     def test_record_replaced_by_a_delayed_append_is_written_again(self, stored):
         stored.log.stored_keys.clear()
-        stored.log.values_by_key['left/h'] = msgpack.packb(_LEFT_AT - 1)
+        stored.log.values_by_key[_LEAVE_KEY] = msgpack.packb(_LEFT_AT - 1)
         stored.run(_REREAD_INTERVAL_MS)
-        assert stored.log.stored_keys == ['left/h']
+        assert stored.log.stored_keys == _ONLY_LEAVE
 
 
 class TestLeaveInRestoredLog:
@@ -319,8 +346,8 @@
         records_setup.run(40)
         records_setup.restore({})
         records_setup.run(_MAX_REWRITE_MS)
-        assert records_setup.log.stored_keys == ['left/h']
-        assert records_setup.acknowledged == [['left/h']]
+        assert records_setup.log.stored_keys == _ONLY_LEAVE
+        assert records_setup.acknowledged == [[_LEAVE_KEY]]
 
     # Calls to the store are priced.
     def test_leave_stored_in_the_new_era_is_not_written_twice(self, records_setup):
@@ -329,28 +356,28 @@
         records_setup.run(20)
         records_setup.records.notice_era(era)
         records_setup.run(100)
-        assert records_setup.acknowledged == [['left/h']]
+        assert records_setup.acknowledged == [[_LEAVE_KEY]]
         assert records_setup.log.calls.count('append') == 1
 
-    def test_is_acknowledged_once_after_the_timeout(self, records_setup):
+    def test_is_refused_once_after_the_timeout(self, records_setup):
         records_setup.records.start()
         records_setup.log.is_up = False
         records_setup.run(300)
         records_setup.restore({})
         records_setup.run(600)
-        assert records_setup.acknowledged == [[]]
+        assert (records_setup.acknowledged, records_setup.refused) == ([], 1)
         records_setup.log.is_up = True
         records_setup.run(2000)
-        assert sorted(records_setup.log.stored_keys) == ['h', 'left/h']
-        assert len(records_setup.acknowledged) == 1
+        assert sorted(records_setup.log.stored_keys) == ['h', _LEAVE_KEY]
+        assert (records_setup.acknowledged, records_setup.refused) == ([], 1)
 
     def test_leave_in_progress_is_not_written_twice(self, stored):
         stored.restore({'h': _BEACON_ADDRESS})
         stored.log.append_response_ms = 3000
         stored.leave(ids.Incarnation(6))
         stored.run(5000)
-        assert stored.log.stored_keys == ['left/h']
-        assert len(stored.acknowledged) == 2
+        assert stored.log.stored_keys == _ONLY_LEAVE
+        assert (len(stored.acknowledged), stored.refused) == (1, 1)
 
     def test_leave_stored_during_the_read_is_not_written_twice(self, stored):
         stored.log.read_response_ms = 2000
@@ -359,7 +386,7 @@
         stored.run(1200)
         stored.leave(ids.Incarnation(6))
         stored.run(3000)
-        assert stored.log.stored_keys == ['left/h']
+        assert stored.log.stored_keys == _ONLY_LEAVE
 
     def test_leave_lost_during_the_read_is_written_again(self, stored):
         stored.log.read_times.clear()
@@ -370,8 +397,8 @@
         assert len(stored.acknowledged) == 2
         stored.restore_unnoticed({'h': _BEACON_ADDRESS})
         stored.run(3000)
-        assert stored.log.stored_keys == ['left/h']
-        assert stored.log.values_by_key['left/h'] == msgpack.packb(6)
+        assert stored.log.stored_keys == _ONLY_LEAVE
+        assert stored.log.values_by_key[_LEAVE_KEY] == msgpack.packb(6)
 
 
 class TestStart:
@@ -409,10 +436,10 @@
     @pytest.mark.parametrize('content', [None, '5', 5.5, True, [5], b'5'])
     def test_leave_is_skipped(self, content):
         setup = _RecordsSetup()
-        setup.log.restore({'left/h': content, _PEER: _PEER_ADDRESS})
+        setup.log.restore({_LEAVE_KEY: content, _PEER: _PEER_ADDRESS})
         setup.records.start()
         setup.run(300)
-        assert setup.backend.last_left_started_at == 0
+        assert setup.backend.leaves == leave_record.NONE
         assert setup.peers.contacts_by_host_id == {_PEER: _PEER_ADDRESS}
         setup.run(_REREAD_INTERVAL_MS)
         assert len(setup.log.read_times) == 2
@@ -421,7 +448,7 @@
     def test_undecodable_value_is_skipped(self, value):
         setup = _RecordsSetup()
         setup.log.restore({})
-        setup.log.values_by_key = {'left/h': value, 'm': value}
+        setup.log.values_by_key = {_LEAVE_KEY: value, 'm': value}
         setup.records.start()
         setup.run(_REREAD_INTERVAL_MS + 300)
         assert not setup.peers.contacts_by_host_id
@@ -450,7 +477,7 @@
         assert not records_setup.acknowledged
         records_setup.log.is_up = True
         records_setup.run(1000)
-        assert records_setup.log.stored_keys == ['left/h']
+        assert records_setup.log.stored_keys == _ONLY_LEAVE
         assert len(records_setup.acknowledged) == 1
 
 
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -102,6 +102,12 @@
         """Start a stopped node again."""
         self.nodes[number] = self._start(number, self._listening[0].getHost().port)
 
+    def kill_and_restart(self, number: int) -> None:
+        """Kill a node, start it again and wait until it is ready."""
+        self.nodes[number].kill()
+        reactor_thread.call(self.restart, number)
+        reactor_thread.eventually(lambda: self.is_ready(number))
+
     def is_stored(self, key: str) -> bool:
         """Return whether the nodes have written a record to the store."""
         return any(name == key.encode() for name, _ in self.store.topic(_MEMBERS).records)
@@ -271,9 +277,53 @@
         assert reactor_thread.wait_for(backend.send_heartbeat(mesh.control_address(0))) == 200
         reactor_thread.eventually(lambda: _SERVING_PEER.search(mesh.nodes[0].output()))
         reactor_thread.eventually(lambda: _LEAVE_APPLIED.search(mesh.nodes[0].output()))
-        before = len(backend.executed_requests)
-        assert mesh.responding_instances(0) == {b'i-1'}
-        assert len(backend.executed_requests) == before
+        _check_unused(mesh)
+
+    def test_leave_before_the_first_heartbeat_has_effect(self, mesh):
+        # The restarted node has no heartbeat yet when the leave arrives, and then gets a late one.
+        backend = mesh.backends[0]
+        reactor_thread.call(mesh.stop_heartbeats, 0)
+        mesh.kill_and_restart(0)
+        assert reactor_thread.wait_for(backend.deregister(mesh.control_address(0))) == 200
+        assert mesh.is_stored('left/host-0')
+        assert reactor_thread.wait_for(backend.send_heartbeat(mesh.control_address(0))) == 200
+        reactor_thread.eventually(lambda: _SERVING_PEER.search(mesh.nodes[0].output()))
+        _check_unused(mesh)
+
+    def test_draining_stays_in_effect_after_a_restart(self, mesh):
+        backend = mesh.backends[0]
+        reactor_thread.call(mesh.stop_heartbeats, 0)
+        backend.state = 'draining'
+        assert reactor_thread.wait_for(backend.send_heartbeat(mesh.control_address(0))) == 200
+        assert mesh.is_stored('left/host-0')
+        mesh.kill_and_restart(0)
+        # A heartbeat that was sent before and arrives late.
+        backend.state = 'ready'
+        backend._sequence = 0  # noqa: SLF001
+        assert reactor_thread.wait_for(backend.send_heartbeat(mesh.control_address(0))) == 200
+        reactor_thread.eventually(lambda: _SERVING_PEER.search(mesh.nodes[0].output()))
+        _check_unused(mesh)
+
+    def test_leave_is_not_acknowledged_without_the_store(self, mesh):
+        mesh.store.faults = platform_store.StoreFaults(outage=True)
+        backend = mesh.backends[0]
+        reactor_thread.call(mesh.stop_heartbeats, 0)
+        assert reactor_thread.wait_for(backend.deregister(mesh.control_address(0))) == 503
+        _check_unused(mesh)
+
+    def test_heartbeat_of_an_unknown_service_is_refused(self, mesh):
+        # It would displace the real one by its later start.
+        forged = platform_backend.PlatformBackend(reactor, 'none', 'i-9', 1_800_000_000_000)
+        forged.listen_address = mesh.backends[0].listen_address
+        assert reactor_thread.wait_for(forged.send_heartbeat(mesh.control_address(0))) == 400
+        assert b'i-0' in mesh.responding_instances(0)
+
+
+def _check_unused(mesh):
+    """Check that no request reaches the first backend server."""
+    before = len(mesh.backends[0].executed_requests)
+    assert mesh.responding_instances(0) == {b'i-1'}
+    assert len(mesh.backends[0].executed_requests) == before
 
 
 class TestFaults:
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -7,7 +7,7 @@
 import pytest
 
 from anvillug import clock, ids
-from anvillug.process import upstream
+from anvillug.process import leave_record, upstream
 
 _ADDRESS = '10.0.0.1:80'
 _HEARTBEAT = upstream.Heartbeat(
@@ -31,9 +31,15 @@
 
 
 @pytest.fixture
-def backend():
+def time():
+    """Return a clock that the test advances, later than the start of all instances."""
+    return clock.ManualClock(wall_start=10_000)
+
+
+@pytest.fixture
+def backend(time):
     """Return the state of a backend server that has not sent a heartbeat."""
-    return upstream.Upstream(_ADDRESS, clock.ManualClock())
+    return upstream.Upstream(_ADDRESS, time)
 
 
 class TestHeartbeats:
@@ -109,12 +115,14 @@
 
     def test_late_heartbeat_waits_for_the_leave(self, restarted):
         assert restarted.state is upstream.UpstreamState.ABSENT
-        restarted.restore_leave(_HEARTBEAT.started_at)
+        restarted.restore_leaves(leave_record.LeaveRecord(_HEARTBEAT.started_at))
         restarted.leave_known()
         assert restarted.state is upstream.UpstreamState.LEAVING
 
     def test_instance_that_has_not_left_serves_once_that_is_known(self, restarted):
-        restarted.restore_leave(ids.Incarnation(_HEARTBEAT.started_at - 1))
+        restarted.restore_leaves(
+            leave_record.LeaveRecord(ids.Incarnation(_HEARTBEAT.started_at - 1))
+        )
         restarted.leave_known()
         assert restarted.state is upstream.UpstreamState.SERVING
 
@@ -130,3 +138,105 @@
         restarted.mark_lost('test')
         restarted.leave_known()
         assert restarted.state is upstream.UpstreamState.ABSENT
+
+
+class TestLeaveBeforeHeartbeat:
+    """Guards against a leave that is acknowledged and then forgotten.
+
+    After a restart of the node, a leave may arrive before the first heartbeat, and a late
+    heartbeat of the same instance after it.
+    """
+
+    def test_late_heartbeat_does_not_make_it_serve(self, backend, time):
+        backend.record_leave(_HEARTBEAT.instance)
+        time.advance(4000)
+        backend.receive_heartbeat(_HEARTBEAT)
+        assert backend.state is upstream.UpstreamState.ABSENT
+
+    def test_late_heartbeat_has_no_effect_in_the_next_process(self, backend, time):
+        backend.record_leave(_HEARTBEAT.instance)
+        restarted = upstream.Upstream(_ADDRESS, time)
+        restarted.receive_heartbeat(_HEARTBEAT)
+        restarted.restore_leaves(leave_record.from_data(backend.leaves.to_data()))
+        assert restarted.state is upstream.UpstreamState.LEAVING
+
+    def test_leave_of_another_instance_than_the_known_one_is_kept(self, backend, time):
+        earlier = dataclasses.replace(_HEARTBEAT, instance=ids.InstanceId('i-0'))
+        backend.receive_heartbeat(_HEARTBEAT)
+        backend.record_leave(earlier.instance)
+        restarted = upstream.Upstream(_ADDRESS, time)
+        restarted.restore_leaves(backend.leaves)
+        restarted.receive_heartbeat(earlier)
+        assert restarted.state is upstream.UpstreamState.ABSENT
+        assert backend.state is upstream.UpstreamState.SERVING
+
+    def test_new_start_under_the_same_id_serves(self, backend, time):
+        backend.record_leave(_HEARTBEAT.instance)
+        restarted_at = ids.Incarnation(int(time.wall()) + 1)
+        backend.receive_heartbeat(dataclasses.replace(_HEARTBEAT, started_at=restarted_at))
+        assert backend.state is upstream.UpstreamState.SERVING
+
+
+class TestDraining:
+    """Guards against an acknowledged `draining` that the next process of the node forgets."""
+
+    @pytest.fixture
+    def restarted(self, backend, time):
+        """Return the state in the process after the one that received `draining`."""
+        backend.receive_heartbeat(_HEARTBEAT)
+        backend.receive_heartbeat(_draining(sequence=6))
+        next_process = upstream.Upstream(_ADDRESS, time)
+        next_process.restore_leaves(leave_record.from_data(backend.leaves.to_data()))
+        return next_process
+
+    def test_late_heartbeat_does_not_make_it_serve(self, restarted):
+        restarted.receive_heartbeat(_HEARTBEAT)
+        assert restarted.state is upstream.UpstreamState.ABSENT
+
+    # Each change of the record is a call to the store, which is priced.
+    def test_repeated_heartbeat_and_deregistration_change_no_record(self, restarted):
+        record = restarted.leaves
+        restarted.receive_heartbeat(_draining(sequence=7))
+        restarted.record_leave(_HEARTBEAT.instance)
+        assert restarted.state is upstream.UpstreamState.LEAVING
+        assert restarted.leaves == record.with_start(_HEARTBEAT.started_at)
+
+    def test_deregistration_after_draining_changes_no_record(self, backend):
+        backend.receive_heartbeat(_draining(sequence=6))
+        record = backend.leaves
+        backend.record_leave(_HEARTBEAT.instance)
+        assert backend.leaves == record
+
+    def test_newer_heartbeat_may_take_the_leave_back(self, restarted):
+        restarted.receive_heartbeat(dataclasses.replace(_HEARTBEAT, sequence=7))
+        assert restarted.state is upstream.UpstreamState.SERVING
+
+
+class TestLeaveRecord:
+    """Guards against a record that grows without bound, or that others' bytes break."""
+
+    def test_instances_are_bounded(self):
+        record = leave_record.NONE
+        for number in range(100):
+            record = record.with_unknown_instance(ids.InstanceId(f'i-{number}'), number)
+        assert len(record.left_at_by_instance) == 8
+        assert 'i-99' in record.left_at_by_instance
+
+    def test_repeated_leave_changes_nothing(self):
+        record = leave_record.NONE.with_unknown_instance(ids.InstanceId('i'), 1000)
+        assert record.with_unknown_instance(ids.InstanceId('i'), 2000) == record
+
+    @pytest.mark.parametrize(
+        'content',
+        [{}, {'draining': [1], 'instances': {}}, {'draining': [1, 2], 'instances': []}]
+        + [{'draining': [1, 2], 'instances': {1: 2}, 'started_at': 1}]
+        + [{'draining': ['1', 2], 'instances': {}, 'started_at': 1}]
+        + [{'draining': [1, 2], 'instances': {}}, '5', None, True],
+    )
+    def test_malformed_record_is_an_error(self, content):
+        with pytest.raises(ValueError, match='must be'):
+            leave_record.from_data(content)
+
+
+def _draining(sequence: int) -> upstream.Heartbeat:
+    return dataclasses.replace(_HEARTBEAT, state=upstream.UpstreamState.LEAVING, sequence=sequence)
