--- a/src/anvillug/platform/headers.py
+++ b/src/anvillug/platform/headers.py
@@ -51,6 +51,10 @@
         headers.append((b'Anvillug-Caller-Service', caller_service.encode('latin-1')))
         return headers
 
+    def read_caller(self, head: http_head.RequestHead) -> str:
+        """Return the service whose host sent a request."""
+        return (head.get(_CALLER_SERVICE) or b'').decode('latin-1')
+
     def dispatch_headers(
         self, deadline_ms: float, instance: ids.InstanceId
     ) -> list[http_head.Header]:
--- a/src/anvillug/process/crash_watch.py
+++ b/src/anvillug/process/crash_watch.py
@@ -18,6 +18,8 @@
 _ATTRIBUTION_WINDOW_MS = 1000.0
 # Limit of fingerprints per beacon; few requests crash backend servers repeatedly.
 _MAX_SHARED_ENTRIES = 8
+# Two crashes are enough for a quarantine.
+_MAX_SHARED_CRASH_IDS = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -25,9 +27,10 @@
     """Identification of a job to which a crash may be attributed."""
 
     fingerprint: ids.Fingerprint
-    """Fingerprint of the request's service, method, path and body."""
+    """Fingerprint of the whole request."""
     call_id: ids.CallId
-    """Id that distinguishes the job from others with the same fingerprint."""
+    """Id that distinguishes the job from others with the same fingerprint; jobs are numbered in the
+    order in which they are sent."""
 
 
 class CrashWatch:
@@ -47,15 +50,21 @@
         self._clock = time
         self._call_numbers = itertools.count(1)
         self._quarantine = quarantine.Quarantine(f'{host_id}.{incarnation}')
-        self._lost_jobs: list[tuple[clock.Milliseconds, ids.Fingerprint]] = []
+        self._lost_jobs: list[tuple[clock.Milliseconds, JobIdentity]] = []
 
-    def identify(self, work: job.Job) -> JobIdentity:
-        """Return the identification of a job, with which it is checked and reported."""
+    def identify(self, work: job.Job, caller_service: str) -> JobIdentity:
+        """Return the identification of a job, with which it is checked and reported.
+
+        Args:
+            work: The job.
+            caller_service: Service that sent the request.
+        """
         fingerprint = quarantine.fingerprint(
             work.service,
+            caller_service,
             work.head.method.decode('latin-1'),
             work.head.target.decode('latin-1'),
-            work.body,
+            body=work.body,
         )
         call_id = ids.CallId(self._host_id, self._incarnation, next(self._call_numbers))
         return JobIdentity(fingerprint, call_id)
@@ -82,14 +91,14 @@
         elif result.kind is job.ResultKind.UNKNOWN:
             window_start = now - _ATTRIBUTION_WINDOW_MS
             self._lost_jobs = [entry for entry in self._lost_jobs if entry[0] > window_start]
-            self._lost_jobs.append((now, identity.fingerprint))
+            self._lost_jobs.append((now, identity))
 
     def backend_lost(self) -> None:
         """Attribute the loss of the backend server to jobs that recently lost their connection."""
         now = self._clock.now()
-        fingerprints = {
-            fingerprint for at, fingerprint in self._lost_jobs if at > now - _ATTRIBUTION_WINDOW_MS
-        }
+        lost = [identity for at, identity in self._lost_jobs if at > now - _ATTRIBUTION_WINDOW_MS]
+        lost.sort(key=lambda identity: identity.call_id.sequence)
+        fingerprints = [identity.fingerprint for identity in lost]
         self._lost_jobs.clear()
         for entry in self._quarantine.crashed(fingerprints, now) if fingerprints else ():
             event_log.warn(
@@ -100,10 +109,14 @@
         """Return the entries to send to other nodes, in their wire form."""
         now = self._clock.now()
         self._quarantine.expire(now)
-        entries = self._quarantine.entries(now)[-_MAX_SHARED_ENTRIES:]
         return [
-            [entry.fingerprint, entry.crash_ids, entry.quarantine_ms, entry.suspect_ms]
-            for entry in entries
+            [
+                entry.fingerprint,
+                entry.crash_ids[-_MAX_SHARED_CRASH_IDS:],
+                entry.quarantine_ms,
+                entry.suspect_ms,
+            ]
+            for entry in self._quarantine.most_suspect(now, _MAX_SHARED_ENTRIES)
         ]
 
     def merge_entries(self, packed: list[list[Any]]) -> None:
--- a/src/anvillug/process/host_side.py
+++ b/src/anvillug/process/host_side.py
@@ -312,8 +312,18 @@
         text = call.format_load(self.admission.sample(self.clock.now()))
         return (b'Anvillug-Load', text.encode())
 
+    @property
+    def has_suspects(self) -> bool:
+        """Whether requests are suspect; see `host_call.HostContext`."""
+        return len(self._crash_quarantine) > 0
+
+    def quarantine_reason(self, pending: host_call.HostCall) -> str | None:
+        """Return why a call may not run; see `host_call.HostContext`."""
+        return self._check_quarantine(pending, self.clock.now())
+
     def _check_quarantine(self, pending: host_call.HostCall, now: clock.Milliseconds) -> str | None:
-        if pending.fingerprint is None:
+        if not pending.body_complete:
+            # A streamed body is checked again at its end.
             return None
         state = self._crash_quarantine.check(pending.fingerprint, now)
         if state is quarantine.QuarantineState.QUARANTINED:
@@ -384,18 +394,14 @@
 
     def _connection_lost(self, ended: host_call.HostCall) -> None:
         backend = self._backend
-        if backend is None or backend.leaving or ended.fingerprint is None:
+        if backend is None or backend.leaving:
             return
-        running = [
-            other.fingerprint
-            for other in self._calls_by_id.values()
-            if other.fingerprint is not None and other.is_running
-        ]
+        running = [other.fingerprint for other in self._calls_by_id.values() if other.is_running]
         backend_watch.confirm_crash(
             self.reactor,
             backend,
             lambda: self._backend,
-            lambda: self._record_crash([ended.fingerprint, *running]),
+            lambda: self._record_crash([*running, ended.fingerprint]),
         )
 
     def _record_crash(self, fingerprints: list[ids.Fingerprint]) -> None:
--- a/src/anvillug/process/mesh_host.py
+++ b/src/anvillug/process/mesh_host.py
@@ -110,7 +110,7 @@
         if reason:
             return self._reject(reason, on_result)
         # Not computed for jobs that are rejected anyway, since the fingerprint hashes the body.
-        identity = self._crashes.identify(work)
+        identity = self._crashes.identify(work, self._dialect.read_caller(work.head))
         reason = self._crashes.rejection_reason(identity)
         if reason:
             return self._reject(reason, on_result)
--- a/src/anvillug/request/dialect.py
+++ b/src/anvillug/request/dialect.py
@@ -84,6 +84,9 @@
             caller_service: Service from whose host the request was sent.
         """
 
+    def read_caller(self, head: http_head.RequestHead) -> str:
+        """Return the service that `forward_headers` names as the caller; empty if none."""
+
     def dispatch_headers(
         self, deadline_ms: float, instance: ids.InstanceId
     ) -> list[http_head.Header]:
--- a/src/anvillug/request/host_call.py
+++ b/src/anvillug/request/host_call.py
@@ -58,6 +58,13 @@
             response.
         """
 
+    @property
+    def has_suspects(self) -> bool:
+        """Whether requests are suspected of crashing backend servers."""
+
+    def quarantine_reason(self, host_call: HostCall) -> str | None:
+        """Return why a call may not run as it is suspect or quarantined, None if it may."""
+
     def backend_unreachable(self) -> None:
         """Record that a connection to the backend server failed."""
 
@@ -104,14 +111,19 @@
     ) -> None:
         self.request = request
         self.state = HostCallState.RECEIVING
-        self.fingerprint: ids.Fingerprint | None = None
+        self.body_complete = False
+        """Whether the whole body has been received."""
         self.in_flight_at_start = 0
         self.dispatched_at = clock.Milliseconds(0)
         self._context = context
         self._exchange = exchange
         self._connection: http_client.ClientConnection | None = None
         self._body: list[bytes] = []
-        self._body_complete = False
+        self._hash = quarantine.RequestHash(
+            request.properties.service,
+            request.head.method.decode('latin-1'),
+            request.head.target.decode('latin-1'),
+        )
         self._entry_disconnected = False
         self._status = 0
         self._response_copy = response_copy.ResponseCopy(context.kept_answer_bytes)
@@ -126,6 +138,11 @@
         """Whether the call has been sent to the backend server and has not ended."""
         return self.state is HostCallState.RUNNING
 
+    @property
+    def fingerprint(self) -> ids.Fingerprint:
+        """Fingerprint of the request, as far as its body has been received."""
+        return self._hash.fingerprint
+
     def latency_ms(self, now: clock.Milliseconds) -> float:
         """Return the time from the complete request to the head of the response.
 
@@ -148,21 +165,21 @@
     def body_received(self, data: bytes) -> None:
         """Forward or buffer a chunk of the request body."""
         self._made_progress = True
-        if self.state is HostCallState.RUNNING and self._connection is not None:
-            self._connection.send_body(data)
-            return
+        self._hash.update(data)
         self._body.append(data)
-        if self.request.streams_body:
+        if self.state is HostCallState.RUNNING and self._connection is not None:
+            self._forward_body()
+        elif self.request.streams_body:
             self._exchange.pause_request(paused=True)
 
     def request_ended(self) -> None:
         """Process the end of the request body."""
-        self._body_complete = True
+        self.body_complete = True
         self._request_complete_at = self._context.clock.now()
         if not self.request.streams_body:
             self._admit()
         elif self.state is HostCallState.RUNNING and self._connection is not None:
-            self._connection.end_request()
+            self._forward_body()
 
     def request_aborted(self) -> None:
         """Cancel the call, since the entry side disconnected.
@@ -174,7 +191,7 @@
         if self.state in (HostCallState.QUEUED, HostCallState.CONNECTING):
             self._reject('the entry side is gone')
         elif self.state is HostCallState.RUNNING:
-            if self.request.properties.repeatable or not self._body_complete:
+            if self.request.properties.repeatable or not self.body_complete:
                 self._fail('cancelled')
         elif self.state is HostCallState.RECEIVING:
             self.state = HostCallState.DONE
@@ -280,12 +297,6 @@
     # Private
 
     def _admit(self) -> None:
-        self.fingerprint = quarantine.fingerprint(
-            self.request.properties.service,
-            self.request.head.method.decode('latin-1'),
-            self.request.head.target.decode('latin-1'),
-            b''.join(self._body),
-        )
         if not self._context.must_wait_for_config(self):
             self.admit()
 
@@ -297,16 +308,32 @@
         self.dispatched_at = self._context.clock.now()
         self._context.dispatched(self)
         connection.request(host_request.backend_head(self.request, self.dispatched_at), self)
-        for data in self._body:
-            connection.send_body(data)
-        self._body.clear()
-        if self._body_complete:
-            connection.end_request()
-        else:
+        self._forward_body()
+        if not self.body_complete:
             self._exchange.accept_body()
             self._exchange.pause_request(paused=False)
         self._start_progress_timer()
 
+    def _forward_body(self) -> None:
+        """Send what has been received of the body.
+
+        While requests are suspect, the end of a streamed body is sent only once it is known that
+        the request is not one of them: a backend server begins to run it then.
+        """
+        held = 0
+        if self.request.streams_body and self._context.has_suspects:
+            reason = self._context.quarantine_reason(self) if self.body_complete else None
+            if reason is not None:
+                self._fail(reason)
+                return
+            held = 0 if self.body_complete else 1
+        ready = len(self._body) - held
+        for data in self._body[:ready]:
+            self._connection.send_body(data)
+        del self._body[:ready]
+        if self.body_complete:
+            self._connection.end_request()
+
     def _connect_failed(self) -> None:
         if self.state is not HostCallState.DONE:
             self._context.backend_unreachable()
--- a/src/anvillug/request/quarantine.py
+++ b/src/anvillug/request/quarantine.py
@@ -16,9 +16,6 @@
 
 from anvillug import clock, ids
 
-BODY_PREFIX_BYTES = 4096
-"""Bytes of the body that the fingerprint includes; they are available before dispatch."""
-
 _LENGTH_BYTES = 8
 # Two crash ids are enough for a quarantine; a few more are retained so that nodes agree.
 _MAX_CRASH_IDS = 4
@@ -77,27 +74,45 @@
 _DEFAULT_PERIODS = Periods()
 
 
-def fingerprint(
-    service: ids.ServiceName, method: str, path: str, body_prefix: bytes
-) -> ids.Fingerprint:
-    """Return the fingerprint of a call.
+class RequestHash:
+    """Fingerprint of a request, computed while its body passes.
+
+    It covers the whole body: requests that differ only at the end are different ones, and one that
+    finishes must not clear another one of suspicion.
 
     Args:
-        service: Service that the caller named.
-        method: HTTP method.
-        path: Path with the query.
-        body_prefix: Start of the body, of which `BODY_PREFIX_BYTES` are used.
+        parts: What identifies the request besides its body: service, caller, method and path with
+            the query, each as far as it is known.
+    """
 
-    Returns:
-        128 bits in hexadecimal digits.
+    def __init__(self, *parts: str) -> None:
+        self._digest = xxhash.xxh3_128()
+        for part in parts:
+            # The length distinguishes ("a", "bc") from ("ab", "c").
+            encoded = part.encode()
+            self._digest.update(len(encoded).to_bytes(_LENGTH_BYTES, 'big'))
+            self._digest.update(encoded)
+
+    def update(self, data: bytes) -> None:
+        """Add a part of the body."""
+        self._digest.update(data)
+
+    @property
+    def fingerprint(self) -> ids.Fingerprint:
+        """128 bits in hexadecimal digits, of the request as far as its body has passed."""
+        return ids.Fingerprint(self._digest.hexdigest())
+
+
+def fingerprint(*parts: str, body: bytes) -> ids.Fingerprint:
+    """Return the fingerprint of a request whose body is complete.
+
+    Args:
+        parts: See `RequestHash`.
+        body: The whole body.
     """
-    digest = xxhash.xxh3_128()
-    for part in (service.encode(), method.encode(), path.encode()):
-        # The length distinguishes ("a", "bc") from ("ab", "c").
-        digest.update(len(part).to_bytes(_LENGTH_BYTES, 'big'))
-        digest.update(part)
-    digest.update(body_prefix[:BODY_PREFIX_BYTES])
-    return ids.Fingerprint(digest.hexdigest())
+    request_hash = RequestHash(*parts)
+    request_hash.update(body)
+    return request_hash.fingerprint
 
 
 def loss_cause(*, was_leaving: bool, new_incarnation: bool, connect_refused: bool) -> LossCause:
@@ -217,7 +232,9 @@
         at the same time do not become suspect.
 
         Args:
-            fingerprints: Fingerprints of the calls that were running on it.
+            fingerprints: Fingerprints of the calls that were running on it, in the order in which
+                they were sent. A request that crashes a backend server does so when it begins, so
+                the newest are the most likely cause.
             now: Monotonic time.
             cause: Only `CRASHED` creates suspicion.
 
@@ -226,11 +243,11 @@
         """
         if cause is not LossCause.CRASHED:
             return []
-        distinct = sorted(
+        distinct = [
             call_fingerprint
-            for call_fingerprint in set(fingerprints)
+            for call_fingerprint in dict.fromkeys(fingerprints)
             if not self._finished_recently(call_fingerprint, now)
-        )
+        ]
         suspects = [
             call_fingerprint
             for call_fingerprint in distinct
@@ -285,6 +302,16 @@
             if record.state(now) is not QuarantineState.CLEAR
         ]
 
+    def most_suspect(self, now: clock.Milliseconds, count: int) -> list[QuarantineEntry]:
+        """Return the entries that other nodes need most: the quarantined, then the newest.
+
+        Args:
+            now: Monotonic time.
+            count: Max number of entries.
+        """
+        by_need = sorted(self.entries(now), key=lambda entry: entry.quarantine_ms > 0)
+        return by_need[-count:]
+
     def expire(self, now: clock.Milliseconds) -> None:
         """Remove the fingerprints that are clear again."""
         clear = [
--- a/tests/test_host_side.py
+++ b/tests/test_host_side.py
@@ -148,3 +148,94 @@
         running = host_call.HostCall(context, exchange, request)
         running.response_head(http_head.ResponseHead(200, [(b'Anvillug-Call', echoed_id)]))
         assert (exchange.forwarded_statuses, context.ends) == (forwarded_statuses, ends)
+
+
+class _Connection:
+    """Connection to a backend server that records what is sent."""
+
+    def __init__(self):
+        self.sent = b''
+        self.ended = False
+        self.cancelled = False
+
+    def request(self, head, handler):
+        """Ignore the head."""
+
+    def send_body(self, data):
+        """Record a part of the body."""
+        self.sent += data
+
+    def end_request(self):
+        """Record the end of the request."""
+        self.ended = True
+
+    def cancel(self):
+        """Record that the connection is closed."""
+        self.cancelled = True
+
+
+class _StreamContext(FakeContext):
+    """Host side with a free slot and a quarantine."""
+
+    def __init__(self, quarantined):
+        super().__init__()
+        self.reactor = twisted_testing.MemoryReactorClock()
+        self.has_suspects = bool(quarantined)
+        self.connection = _Connection()
+        self._quarantined = quarantined
+
+    def quarantine_reason(self, streamed):
+        """Return a reason for the quarantined requests."""
+        return 'quarantined' if streamed.fingerprint in self._quarantined else None
+
+    def must_wait_for_config(self, streamed):
+        """Return that the call need not wait."""
+        return False
+
+    def admit(self, streamed):
+        """Start the call."""
+        streamed.start()
+
+    def pool(self):
+        """Return a pool of one connection."""
+        return self
+
+    def acquire(self, ready, failed):
+        """Hand out the connection."""
+        ready(self.connection)
+
+    def dispatched(self, streamed):
+        """Do nothing."""
+
+
+class TestStreamedBody:
+    """Guards against a streamed request that crashes backend servers and is never known again."""
+
+    def _stream(self, context, *chunks):
+        headers = [*call_headers(1, 5), (b'Content-Length', b'%d' % (1 << 20))]
+        exchange = FakeExchange(http_head.RequestHead(b'POST', b'/scan', headers))
+        exchange.pause_request = lambda paused: None
+        streamed = host_call.HostCall(context, exchange, host_request.parse(exchange.head, 0))
+        streamed.receive()
+        for chunk in chunks:
+            streamed.body_received(chunk)
+        streamed.request_ended()
+        return streamed
+
+    def test_body_is_forwarded_whole(self):
+        for quarantined in ((), ('another',)):
+            context = _StreamContext(quarantined)
+            self._stream(context, b'1', b'2', b'3')
+            assert (context.connection.sent, context.connection.ended) == (b'123', True)
+
+    def test_quarantined_request_does_not_reach_its_end(self):
+        known = self._stream(_StreamContext(()), b'1', b'2', b'3').fingerprint
+        context = _StreamContext((known,))
+        self._stream(context, b'12', b'3')
+        assert context.connection.sent == b'12'
+        assert not context.connection.ended
+        assert context.connection.cancelled
+
+    def test_fingerprints_differ_by_the_end_of_the_body(self):
+        streamed = [self._stream(_StreamContext(()), b'header', end) for end in (b'1', b'2')]
+        assert streamed[0].fingerprint != streamed[1].fingerprint
