--- a/src/anvillug/process/commands/bench.py
+++ b/src/anvillug/process/commands/bench.py
@@ -13,6 +13,7 @@
 
 _DEFAULT_OUTPUT = pathlib.Path('docs/measurements.md')
 _EXIT_BAD_FILE = 2
+_MIN_SOAK_NODES = 4
 
 
 def demo() -> int:
@@ -95,6 +96,37 @@
     return _reactor.run(functools.partial(scenario_runner.run, file.name, parsed.ok, seed))
 
 
+def soak(  # noqa: WPS211 - each is a flag
+    *,
+    seed: int = 1,
+    seconds: float = 60,
+    nodes: int = 12,
+    rate: float = 1,
+    upload_bytes: int = 60_000,
+    logs: pathlib.Path | None = None,
+) -> int:
+    """Run nodes under traffic and random faults, and check their promises.
+
+    Args:
+        seed: Seed of faults and traffic.
+        seconds: Time during which faults begin.
+        nodes: Number of node processes, at least 4.
+        rate: Traffic as a share of that of the guhachitra-mesh deployment.
+        upload_bytes: Mean size of uploads.
+        logs: Folder for the output of the nodes and the list of broken promises.
+
+    Returns:
+        Exit code: 0 if all promises held, 1 if one was broken, 2 for invalid arguments.
+    """
+    from anvillug.bench import soak as bench_soak  # noqa: PLC0415
+
+    if nodes < _MIN_SOAK_NODES or min(seconds, rate, upload_bytes) <= 0:
+        sys.stderr.write(f'soak: nodes must be {_MIN_SOAK_NODES} or more, the rest above 0\n')
+        return _EXIT_BAD_FILE
+    plan = bench_soak.Plan(seed, seconds, nodes, rate, upload_bytes, logs)
+    return _reactor.run(functools.partial(bench_soak.run, plan))
+
+
 def capacity(
     *,
     parts: Sequence[str] = ('logic', 'memory', 'log', 'nodes'),
--- a/src/anvillug/standin/platform_backend.py
+++ b/src/anvillug/standin/platform_backend.py
@@ -76,6 +76,8 @@
         """Requests that have started to execute, in order."""
         self.state = 'ready'
         """State reported in heartbeats."""
+        self.slots = 4
+        """Slots reported in heartbeats."""
         self.version = 'v1'
         """Version reported in heartbeats."""
         self.instance = instance
@@ -109,7 +111,7 @@
             'Address': self.listen_address,
             'Zone': 'z',
             'Version': self.version,
-            'Slots': 4,
+            'Slots': self.slots,
             'State': self.state,
             'ColdLeftMs': 0,
             'Sequence': self._sequence,
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,96 @@
+"""The fault soak: its checks, and a short run on real processes."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+
+import pytest
+
+from anvillug import clock
+from anvillug.bench import soak_records
+
+
+def _attempt(records, status, *, repeatable=False, body=b'', sent_at=10_000):
+    attempt = soak_records.Attempt('a1', 0, repeatable, clock.Milliseconds(sent_at))
+    attempt.status = status
+    attempt.body = body
+    attempt.ended_at = clock.Milliseconds(sent_at + 100)
+    records.attempts.append(attempt)
+    return attempt
+
+
+def _run(records, node=1, began_at=10_050, left_at=None):
+    records.arrived('a1', soak_records.Run(node, clock.Milliseconds(began_at)), left_at)
+
+
+class TestChecks:
+    """Guards against a soak that cannot fail."""
+
+    @pytest.fixture
+    def records(self):
+        """Return records of nothing."""
+        return soak_records.Records()
+
+    def test_whole_answer_breaks_nothing(self, records):
+        _attempt(records, 200, body=b'a1')
+        _run(records)
+        assert not records.broken()
+
+    def test_foreign_answer(self, records):
+        _attempt(records, 200, body=b'a2')
+        assert records.broken() == ['MIXED a1']
+
+    @pytest.mark.parametrize(('repeatable', 'broken'), [(False, ['TWICE a1']), (True, [])])
+    def test_second_run(self, records, repeatable, broken):
+        _attempt(records, 200, body=b'a1', repeatable=repeatable)
+        _run(records)
+        _run(records, node=2)
+        assert records.broken() == broken
+
+    @pytest.mark.parametrize(('status', 'broken'), [(503, ['REFUSED a1']), (502, [])])
+    def test_refusal_of_a_request_that_ran(self, records, status, broken):
+        _attempt(records, status)
+        _run(records)
+        assert records.broken() == broken
+
+    @pytest.mark.parametrize(
+        ('kind', 'broken'),
+        [
+            (soak_records.Disturbance.PLANNED, ['LOST a1']),
+            (soak_records.Disturbance.UNPLANNED, []),
+        ],
+    )
+    @pytest.mark.parametrize('node', [0, 1])
+    def test_cut_request(self, records, kind, broken, node):
+        _attempt(records, 0)
+        _run(records)
+        records.disturb(node, clock.Milliseconds(9000), kind)
+        assert records.broken() == broken
+
+    @pytest.mark.parametrize(('began_at', 'broken'), [(10_000, []), (12_400, ['DRAIN a1'])])
+    def test_request_after_a_leave(self, records, began_at, broken):
+        _run(records, began_at=began_at, left_at=clock.Milliseconds(10_000))
+        assert records.broken() == broken
+
+    def test_process_that_ends_by_itself(self, records):
+        records.own_ends.append('host-1 ended by itself')
+        assert records.broken() == ['FAULT host-1 ended by itself']
+
+
+class TestShortRun:
+    """Guards against a broken promise under traffic and faults on real processes."""
+
+    def test_promises_hold(self, tmp_path):
+        arguments = ('--seed', '1', '--seconds', '25', '--nodes', '6', '--rate', '0.3')
+        command = (sys.executable, '-m', 'anvillug', 'bench', 'soak', *arguments)
+        finished = subprocess.run(
+            [*command, '--logs', str(tmp_path)], capture_output=True, text=True, timeout=120
+        )
+        assert finished.returncode == 0, finished.stdout
+
+    def test_invalid_argument_is_an_error(self):
+        command = (sys.executable, '-m', 'anvillug', 'bench', 'soak', '--nodes', '1')
+        finished = subprocess.run(command, capture_output=True, text=True, timeout=30)
+        assert finished.returncode == 2
+        assert 'nodes must be 4 or more' in finished.stderr
