Soak: end the nodes when the soak is interrupted

A soak that got SIGTERM left its node processes behind: seen once, twelve processes after a soak that we ended.

--- a/src/anvillug/bench/soak_fleet.py
+++ b/src/anvillug/bench/soak_fleet.py
@@ -200,9 +200,13 @@
             host.start_backend()
             host.start_node()
         self._watch.start(_WATCH_S)
+        # Also ends the nodes when the soak is interrupted.
+        self.reactor.addSystemEventTrigger('before', 'shutdown', self.stop)
 
     def stop(self) -> None:
-        """End all processes that this fleet has started, and its listeners."""
+        """End all processes that this fleet has started, and its listeners, unless it has ended."""
+        if self.stopped:
+            return
         self.stopped = True
         self._watch.stop()
         for host in self.hosts:
