Soak: the end of a process by itself excuses no lost request

The soak excused what such a process held, so it could not show LOST.

It is a regression case in tests/test_soak.py.

--- a/src/anvillug/bench/soak_fleet.py
+++ b/src/anvillug/bench/soak_fleet.py
@@ -291,13 +291,14 @@
             memory_mb = host.memory_mb()
             self.records.peak_mb = max(self.records.peak_mb, memory_mb)
             if memory_mb > MEMORY_LIMIT_MB:
-                self._own_end(host, f'host-{host.number} has {memory_mb:.0f} MB')
-                self.kill(host)
+                self._own_end(f'host-{host.number} has {memory_mb:.0f} MB')
+                host.expected_end = True
+                host.node.send_signal(signal.SIGKILL)
 
     def _ended(self, host: Host) -> None:
         """Record the end of a node process, and start it again after a short delay."""
         if not host.expected_end:
-            self._own_end(host, f'host-{host.number} ended by itself')
+            self._own_end(f'host-{host.number} ended by itself')
         host.outputs.append(host.node.output())
         host.node = None
         self.reactor.callLater(_RESTART_S, self._restart, host)
@@ -306,7 +307,7 @@
         if not self.stopped:
             host.start_node()
 
-    def _own_end(self, host: Host, reason: str) -> None:
+    def _own_end(self, reason: str) -> None:
+        """Record an end that nothing from outside has caused; it excuses no lost request."""
         event_log.warn('node_ended', reason=reason)
         self.records.own_ends.append(reason)
-        self._disturb(host)
--- a/src/anvillug/bench/soak_records.py
+++ b/src/anvillug/bench/soak_records.py
@@ -20,7 +20,7 @@
     PLANNED = 'planned'
     """SIGTERM; it must not cost a request."""
     UNPLANNED = 'unplanned'
-    """SIGKILL, a pause, or the end of the process by itself."""
+    """SIGKILL or a pause."""
 
 
 @dataclasses.dataclass(slots=True)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -81,11 +81,18 @@
 class TestShortRun:
     """Guards against a broken promise under traffic and faults on real processes."""
 
-    def test_promises_hold(self, tmp_path):
-        arguments = ('--seed', '1', '--seconds', '25', '--nodes', '6', '--rate', '0.3')
-        command = (sys.executable, '-m', 'anvillug', 'bench', 'soak', *arguments)
+    @pytest.mark.parametrize(
+        'arguments',
+        [
+            '--seed 1 --seconds 25 --nodes 6 --rate 0.3',
+            # FAULT and LOST: bodies in reference cycles took over 300 MB.
+            '--seed 42 --seconds 50 --rate 0.25 --upload-bytes 4000000',
+        ],
+    )
+    def test_promises_hold(self, tmp_path, arguments):
+        command = (sys.executable, '-m', 'anvillug', 'bench', 'soak', *arguments.split())
         finished = subprocess.run(
-            [*command, '--logs', str(tmp_path)], capture_output=True, text=True, timeout=120
+            [*command, '--logs', str(tmp_path)], capture_output=True, text=True, timeout=200
         )
         assert finished.returncode == 0, finished.stdout
 
