--- a/src/anvillug/bench/soak.py
+++ b/src/anvillug/bench/soak.py
@@ -15,11 +15,9 @@
 from collections.abc import Sequence
 from typing import Any
 
-from twisted.internet import defer, task
+from twisted.internet import task
 
-from anvillug import event_log
-from anvillug.bench import soak_fleet, soak_records, soak_traffic
-from anvillug.standin import platform_store
+from anvillug.bench import soak_faults, soak_fleet, soak_records, soak_traffic
 
 SHEET = soak_traffic.RequestClass('sheet', 'idempotent', 'drawbook', 224, 60, 200, 1200)
 REVISION = soak_traffic.RequestClass('rev', 'non_idempotent', 'drawbook', 76, 78, 250, 1500, 300)
@@ -53,89 +51,6 @@
     """Folder for the output of the nodes; None discards it."""
 
 
-class _Faults:
-    """Begins series of faults at random times."""
-
-    def __init__(self, fleet: soak_fleet.Fleet, callers: soak_traffic.Callers) -> None:
-        self.counts: collections.Counter[str] = collections.Counter()
-        """Faults by kind."""
-        self._fleet = fleet
-        self._callers = callers
-        self._rng = fleet.rng
-        actions = {
-            'roll': self._roll,
-            'terminate': self._terminate,
-            'kill': self._kill,
-            'herd': self._herd,
-            'pause': self._pause,
-            'store': self._store,
-            'config': self._config,
-            'replace': self._replace,
-            'burst': self._burst,
-        }
-        # With few kinds of faults a seed, processes also live long enough to show slow growth.
-        names = self._rng.sample(sorted(actions), self._rng.randint(2, 5))
-        self._actions = {name: actions[name] for name in names}
-
-    def begin(self) -> None:
-        """Begin the next fault and schedule the one after it, until the soak is over."""
-        if self._fleet.stopped or self._callers.stopped:
-            return
-        name = self._rng.choice(sorted(self._actions))
-        self.counts[name] += 1
-        event_log.emit('soak_fault', kind=name)
-        self._actions[name]()
-        self._later(self._rng.expovariate(1 / 1.5), self.begin)
-
-    def _later(self, delay_s: float, action: Any, *arguments: object) -> None:
-        self._fleet.reactor.callLater(delay_s, self._act, action, arguments)
-
-    def _act(self, action: Any, arguments: tuple[object, ...]) -> None:
-        if not self._fleet.stopped:
-            action(*arguments)
-
-    def _host(self) -> soak_fleet.Host:
-        running = [host for host in self._fleet.hosts if host.node is not None]
-        return self._rng.choice(running or self._fleet.hosts)
-
-    def _on_node(self, action: Any, host: soak_fleet.Host, *arguments: object) -> None:
-        if host.node is not None:
-            action(host, *arguments)
-
-    def _roll(self) -> None:
-        for place, host in enumerate(self._rng.sample(self._fleet.hosts, 3)):
-            self._later(place * 1.2, self._on_node, self._fleet.terminate, host)
-
-    def _terminate(self) -> None:
-        self._on_node(self._fleet.terminate, self._host())
-
-    def _kill(self) -> None:
-        self._on_node(self._fleet.kill, self._host())
-
-    def _herd(self) -> None:
-        for host in self._rng.sample(self._fleet.hosts, len(self._fleet.hosts) // 3):
-            self._on_node(self._fleet.kill, host)
-
-    def _pause(self) -> None:
-        self._on_node(self._fleet.pause, self._host(), self._rng.uniform(0.2, 3.0))
-
-    def _store(self) -> None:
-        fault = self._rng.choice(('outage', 'silent'))
-        faults = platform_store.StoreFaults(**{fault: True})
-        self._fleet.fail_store(self._rng.uniform(0.5, 6.0), faults)
-
-    def _config(self) -> None:
-        for place in range(self._rng.randint(1, 4)):
-            self._later(place * 0.3, self._fleet.change_config)
-
-    def _replace(self) -> None:
-        defer.ensureDeferred(self._host().replace_backend())
-
-    def _burst(self) -> None:
-        for number in range(100):
-            self._later(number * 0.01, self._callers.send, self._rng.choice(CLASSES))
-
-
 async def run(plan: Plan, reactor: Any) -> int:
     """Run a soak and print what it has found.
 
@@ -154,7 +69,7 @@
         fleet = soak_fleet.Fleet(reactor, path, services, _SLOTS, classes, records, rng)
         addresses = [host.address(2) for host in fleet.hosts]
         callers = soak_traffic.Callers(reactor, addresses, records, rng)
-        faults = _Faults(fleet, callers)
+        faults = soak_faults.Faults(fleet, callers, classes)
         try:
             await _play(plan, fleet, callers, faults, classes)
         finally:
@@ -166,7 +81,7 @@
     plan: Plan,
     fleet: soak_fleet.Fleet,
     callers: soak_traffic.Callers,
-    faults: _Faults,
+    faults: soak_faults.Faults,
     classes: Sequence[soak_traffic.RequestClass],
 ) -> None:
     fleet.start()
