Test of a forged heartbeat: demand the real instance where it is the only one

Trace of the latter: the heartbeat was refused, i-0 kept serving, and all twelve requests went to i-1 within 100 ms, since the choice between two idle hosts stays with the one whose load is known. So the test demanded a choice that nothing promises. Now the other instance leaves, and all requests have to be answered by the real one, which is stricter.

--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -325,7 +325,8 @@
         forged = platform_backend.PlatformBackend(reactor, 'none', 'i-9', 1_800_000_000_000)
         forged.listen_address = mesh.backends[0].listen_address
         assert reactor_thread.wait_for(forged.send_heartbeat(mesh.control_address(0))) == 400
-        assert b'i-0' in mesh.responding_instances(0)
+        mesh.backends[1].state = 'draining'
+        reactor_thread.eventually(lambda: mesh.responding_instances(0) == {b'i-0'})
 
 
 def _check_unused(mesh):
