Soak: drop state that nothing reads

Read-through: Run.answered was written and never read; one condition had needless parentheses and one pause was in milliseconds only to be converted. No change of behaviour.

--- a/src/anvillug/bench/soak_fleet.py
+++ b/src/anvillug/bench/soak_fleet.py
@@ -26,7 +26,7 @@
 _ZONES = 3
 _RESTART_S = 0.5
 _WATCH_S = 0.1
-_BACK_MS = 2000
+_BACK_S = 2.0
 _ORDERS = 'keyed.op'
 _LEAVE_RETRY_S = 0.5
 _LEAVE_TRIES = 5
@@ -108,7 +108,7 @@
             await task.deferLater(self._fleet.reactor, _LEAVE_RETRY_S)
         await task.deferLater(self._fleet.reactor, _SERVED_AFTER_LEAVE_S)
         await defer.maybeDeferred(self._port.stopListening)
-        await task.deferLater(self._fleet.reactor, clock.to_seconds(_BACK_MS))
+        await task.deferLater(self._fleet.reactor, _BACK_S)
         if not self._fleet.stopped:
             self.start_backend()
 
--- a/src/anvillug/bench/soak_records.py
+++ b/src/anvillug/bench/soak_records.py
@@ -53,8 +53,6 @@
     """Number of the node beside the backend server."""
     began_at: clock.Milliseconds
     """When it began."""
-    answered: bool = False
-    """Whether the backend server has sent its whole answer."""
 
 
 _Disturbed = list[tuple[clock.Milliseconds, Disturbance]]
--- a/src/anvillug/bench/soak_traffic.py
+++ b/src/anvillug/bench/soak_traffic.py
@@ -133,18 +133,16 @@
         route = exchange.head.path.split(b'/')[1].decode()
         work_ms = self._rng.expovariate(1 / self._work_ms_by_route[route])
         self._reactor.callLater(
-            clock.to_seconds(work_ms), self._respond, exchange, run, attempt_id, headers
+            clock.to_seconds(work_ms), self._respond, exchange, attempt_id, headers
         )
 
     def _respond(
         self,
         exchange: http_exchange.ServerExchange,
-        run: soak_records.Run,
         attempt_id: bytes,
         headers: tuple[http_head.Header, ...],
     ) -> None:
         self._busy -= 1
-        run.answered = True
         exchange.respond(_STATUS_OK, attempt_id, headers)
 
 
@@ -212,11 +210,8 @@
     def send(self, request_class: RequestClass) -> None:
         """Send one request to a random node."""
         node = self._rng.randrange(len(self._pools))
-        size = (
-            int(self._rng.expovariate(1 / request_class.body_bytes))
-            if (request_class.body_bytes)
-            else 0
-        )
+        mean_bytes = request_class.body_bytes
+        size = int(self._rng.expovariate(1 / mean_bytes)) if mean_bytes else 0
         request = _CallerRequest(
             self._reactor, self._records, request_class, node, f'a{next(self._numbers)}', size
         )
