--- a/src/anvillug/bench/processes.py
+++ b/src/anvillug/bench/processes.py
@@ -45,6 +45,8 @@
         arguments: Arguments that follow `program`.
         program: Executable and its first arguments.
         environment: Environment variables; None to inherit those of this process.
+        output: File for its output, such as the writing end of a pipe; None for a temporary one,
+            which is the only kind that can be read back.
     """
 
     def __init__(
@@ -52,9 +54,10 @@
         arguments: Sequence[str],
         program: Sequence[str] = PROGRAM,
         environment: Mapping[str, str] | None = None,
+        output: IO[bytes] | None = None,
     ) -> None:
         self.arguments = tuple(arguments)
-        self._output: IO[bytes] = tempfile.TemporaryFile()  # noqa: SIM115 lives as long as the object
+        self._output: IO[bytes] = output or tempfile.TemporaryFile()  # noqa: SIM115 lives as long as the object
         self._process = subprocess.Popen(  # noqa: S603 the arguments are the bench's own
             [*program, *arguments],
             env=environment,
--- a/tests/test_log_writer.py
+++ b/tests/test_log_writer.py
@@ -51,3 +51,36 @@
         assert writer.admit('other') == 0
         time.advance(1000)
         assert writer.admit('busy') == 600
+
+
+class TestFailedOutput:
+    """Guards against log lines that raise errors into the code that logs them."""
+
+    def test_closed_reader_does_not_raise(self):
+        # LOST: the line about dropped lines was dropped itself, without end.
+        reader, descriptor = os.pipe()
+        writer = log_writer.LineWriter(descriptor, clock.ManualClock())
+        os.close(reader)
+        for _ in range(3):
+            writer.write('line')
+        os.close(descriptor)
+        assert writer.dropped >= 3
+
+    def test_full_device_does_not_raise(self):
+        # FAULT: the process ended at its first line.
+        descriptor = os.open('/dev/full', os.O_WRONLY)
+        writer = log_writer.LineWriter(descriptor, clock.ManualClock())
+        writer.write('line')
+        os.close(descriptor)
+        assert writer.dropped >= 1
+
+    def test_dropped_lines_are_reported_once_the_output_works_again(self, pipe):
+        reader, descriptor = os.pipe()
+        writer = log_writer.LineWriter(descriptor, clock.ManualClock())
+        os.close(reader)
+        writer.write('one')
+        writer.write('two')
+        os.dup2(pipe[1], descriptor)
+        writer.write('three')
+        os.close(descriptor)
+        assert os.read(pipe[0], 100) == b'three\nevent=log_lines_dropped count=2\n'
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -4,11 +4,13 @@
 
 import itertools
 import json
+import os
 import pathlib
 import re
 import signal
 import threading
 from http import client as http_client
+from typing import IO
 
 import pytest
 from twisted.internet import reactor
@@ -102,9 +104,9 @@
         """Stop the heartbeats of a backend server."""
         self._loops.pop(number).stop()
 
-    def restart(self, number: int) -> None:
+    def restart(self, number: int, output: IO[bytes] | None = None) -> None:
         """Start a stopped node again."""
-        self.nodes[number] = self._start(number, self._listening[0].getHost().port)
+        self.nodes[number] = self._start(number, self._listening[0].getHost().port, output)
 
     def kill_and_restart(self, number: int) -> None:
         """Kill a node, start it again and wait until it is ready."""
@@ -191,7 +193,9 @@
         """Return the settings file of a node."""
         return self._folder / f'node-{number}.json'
 
-    def _start(self, number: int, store_port: int) -> processes.ChildProcess:
+    def _start(
+        self, number: int, store_port: int, output: IO[bytes] | None = None
+    ) -> processes.ChildProcess:
         ip = _IPS[number]
         backend, *listeners = [f'{ip}:{port}' for port in self.ports[:5]]
         names = ('Inbound', 'Outbound', 'ReadyAddr', 'Control')
@@ -212,7 +216,7 @@
         }
         path = self.settings_path(number)
         path.write_text(json.dumps(document))
-        return processes.ChildProcess(('mesh', str(path)))
+        return processes.ChildProcess(('mesh', str(path)), output=output)
 
 
 @pytest.fixture
@@ -381,6 +385,27 @@
         reactor_thread.eventually(lambda: not mesh.nodes[0].running)
         assert mesh.responding_instances(1) == {b'i-1'}
 
+    def test_closed_reader_of_the_log_costs_no_answer(self, mesh):
+        # LOST: requests ran and were never answered, and SIGTERM did not end the node.
+        reader, writer = os.pipe()
+        mesh.nodes[0].stop()
+        with open(writer, 'wb') as output:
+            reactor_thread.call(mesh.restart, 0, output)
+            reactor_thread.eventually(lambda: mesh.is_ready(0))
+        os.close(reader)
+        statuses = {mesh.status(f'/once/{number}', method='POST', body=b'1') for number in range(3)}
+        assert statuses == {200}
+        assert mesh.nodes[0].stop() == 0
+
+    def test_full_device_as_output_costs_no_answer(self, mesh):
+        # FAULT: the node ended at its first log line.
+        mesh.nodes[0].stop()
+        with open('/dev/full', 'wb') as output:
+            reactor_thread.call(mesh.restart, 0, output)
+        reactor_thread.eventually(lambda: mesh.is_ready(0))
+        reactor_thread.eventually(lambda: mesh.status('/get/x') == 200)
+        assert mesh.nodes[0].stop() == 0
+
     def test_store_outage_does_not_stop_calls(self, mesh):
         mesh.store.faults = platform_store.StoreFaults(outage=True)
         assert {mesh.status(f'/get/{number}') for number in range(20)} == {200}
