--- a/src/anvillug/log_writer.py
+++ b/src/anvillug/log_writer.py
@@ -41,7 +41,7 @@
         self._buffered_bytes = 0
         self._buckets_by_event: dict[str, _TokenBucket] = {}
         self.dropped = 0
-        """Number of lines dropped because the buffer was full or the reading end was closed."""
+        """Number of lines dropped because the buffer was full or the output failed."""
         self._reported_dropped = 0
 
     def admit(self, event: str) -> int | None:
@@ -68,34 +68,51 @@
         return suppressed
 
     def write(self, line: str) -> None:
-        """Write a line, buffer it while the reader is slow, or drop it if the buffer is full."""
-        data = f'{line}\n'.encode()
+        """Write a line, buffer it while the reader is slow, or drop it; never raises an error.
+
+        Lines are dropped while the buffer is full, and while the output fails, for instance since
+        its reader is gone or its device is full.
+        """
+        self._append(line)
+        unreported = self.dropped - self._reported_dropped
+        if self._flush() and unreported:
+            self._report_dropped(unreported)
+
+    # Private
+
+    def _report_dropped(self, count: int) -> None:
+        self._reported_dropped += count
+        self._append(f'event=log_lines_dropped count={count}')
+        self._flush()
+        if self.dropped > self._reported_dropped:
+            # The report itself was dropped.
+            self._reported_dropped -= count
+
+    def _append(self, line: str) -> None:
+        data = f'{line}\n'.encode(errors='backslashreplace')
         if self._buffered_bytes + len(data) > _MAX_BUFFERED_BYTES:
             self.dropped += 1
         else:
             self._buffer.append(data)
             self._buffered_bytes += len(data)
-        self._flush()
-        if self.dropped > self._reported_dropped and not self._buffer:
-            count = self.dropped - self._reported_dropped
-            self._reported_dropped = self.dropped
-            self.write(f'event=log_lines_dropped count={count}')
 
-    def _flush(self) -> None:
+    def _flush(self) -> bool:
+        """Write buffered lines; return whether all of them were written."""
         while self._buffer:
             data = self._buffer[0]
             try:
                 sent = os.write(self._descriptor, data)
             except BlockingIOError:
-                return
+                return False
             except OSError:
-                # The reading end is closed, so the error cannot be logged.
+                # The error cannot be logged, since the log is what fails.
                 self.dropped += len(self._buffer)
                 self._buffer.clear()
                 self._buffered_bytes = 0
-                return
+                return False
             self._buffered_bytes -= sent
             if sent < len(data):
                 self._buffer[0] = data[sent:]
-                return
+                return False
             self._buffer.popleft()
+        return True
--- a/tests/test_log_writer.py
+++ b/tests/test_log_writer.py
@@ -84,3 +84,8 @@
         writer.write('three')
         os.close(descriptor)
         assert os.read(pipe[0], 100) == b'three\nevent=log_lines_dropped count=2\n'
+
+    def test_text_that_is_not_unicode_does_not_raise(self, pipe):
+        # A path or header may hold bytes that cannot be decoded.
+        log_writer.LineWriter(pipe[1], clock.ManualClock()).write('path=\udcff')
+        assert b'udcff' in os.read(pipe[0], 100)
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -114,6 +114,16 @@
         reactor_thread.call(self.restart, number)
         reactor_thread.eventually(lambda: self.is_ready(number))
 
+    def stop(self, number: int) -> int:
+        """Stop a node and return its exit status."""
+        return self.nodes[number].stop()
+
+    def restart_with_output(self, number: int, output: IO[bytes]) -> None:
+        """Stop a node, start it with another output and wait until it is ready."""
+        self.stop(number)
+        reactor_thread.call(self.restart, number, output)
+        reactor_thread.eventually(lambda: self.is_ready(number))
+
     def is_stored(self, key: str) -> bool:
         """Return whether the nodes have written a record to the store."""
         return any(name == key.encode() for name, _ in self.store.topic(_MEMBERS).records)
@@ -388,23 +398,19 @@
     def test_closed_reader_of_the_log_costs_no_answer(self, mesh):
         # LOST: requests ran and were never answered, and SIGTERM did not end the node.
         reader, writer = os.pipe()
-        mesh.nodes[0].stop()
         with open(writer, 'wb') as output:
-            reactor_thread.call(mesh.restart, 0, output)
-            reactor_thread.eventually(lambda: mesh.is_ready(0))
+            mesh.restart_with_output(0, output)
         os.close(reader)
         statuses = {mesh.status(f'/once/{number}', method='POST', body=b'1') for number in range(3)}
         assert statuses == {200}
-        assert mesh.nodes[0].stop() == 0
+        assert mesh.stop(0) == 0
 
     def test_full_device_as_output_costs_no_answer(self, mesh):
         # FAULT: the node ended at its first log line.
-        mesh.nodes[0].stop()
         with open('/dev/full', 'wb') as output:
-            reactor_thread.call(mesh.restart, 0, output)
-        reactor_thread.eventually(lambda: mesh.is_ready(0))
+            mesh.restart_with_output(0, output)
         reactor_thread.eventually(lambda: mesh.status('/get/x') == 200)
-        assert mesh.nodes[0].stop() == 0
+        assert mesh.stop(0) == 0
 
     def test_store_outage_does_not_stop_calls(self, mesh):
         mesh.store.faults = platform_store.StoreFaults(outage=True)
