--- a/src/anvillug/process/commands/node.py
+++ b/src/anvillug/process/commands/node.py
@@ -7,7 +7,7 @@
 
 import expression
 
-from anvillug import clock, findings
+from anvillug import clock, event_log, findings
 from anvillug.process import plain_tcp, settings
 
 _EXIT_BAD_INPUT = 2
@@ -26,6 +26,8 @@
     if isinstance(loaded, expression.Result) and loaded.is_error():
         sys.stderr.write(f'{findings.report(loaded.error)}\n')
         return _EXIT_BAD_INPUT
+    time = clock.SystemClock()
+    event_log.set_up_bounded(sys.stderr.fileno(), time)
     plain_tcp.disable_tls()
     # Importing the reactor installs it, and the node imports most of the program.
     from twisted.internet import error, reactor  # noqa: PLC0415
@@ -35,7 +37,7 @@
 
     error_reports.forward_twisted_errors()
 
-    process = node_process.Node(reactor, loaded.ok, clock.SystemClock())
+    process = node_process.Node(reactor, loaded.ok, time)
     try:
         process.start()
     except error.CannotListenError as problem:
