--- a/src/anvillug/connection/http_listener.py
+++ b/src/anvillug/connection/http_listener.py
@@ -55,5 +55,9 @@
 def stop_listening(port: interfaces.IListeningPort) -> None:
     """Stop accepting connections, after accepting those that wait in the listen queue."""
     if isinstance(port, tcp.Port):
-        port.doRead()
+        # One pass accepts only as many connections as Twisted expects.
+        accepted = -1
+        while accepted < port.sessionno:
+            accepted = port.sessionno
+            port.doRead()
     port.stopListening()
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -11,6 +11,8 @@
 from tests import reactor_thread
 
 _REQUEST = b'GET /one HTTP/1.1\r\nHost: a\r\n\r\n'
+# No more than the listen queue of the test server holds.
+_QUEUED_CONNECTIONS = 45
 # Data that was sent on the loopback interface has arrived after this time.
 _ARRIVAL_S = 0.2
 
@@ -66,6 +68,13 @@
     return b''.join(received)
 
 
+def _is_answered(connection: socket.socket) -> bool:
+    try:
+        return _receive_all(connection).endswith(b'whole')
+    except ConnectionResetError:
+        return False
+
+
 class TestPlannedStop:
     """Guards against a request that has been accepted and is cut off without an answer."""
 
@@ -90,6 +99,22 @@
         assert response.endswith(b'whole')
         assert b'Connection: close' in response
 
+    # Guards against resets of the connections that one pass over the listen queue left in it.
+    def test_requests_on_a_long_listen_queue_are_answered(self, server):
+        # Twisted accepts at most as many connections at once as it did last time.
+        server.connect().close()
+        reactor_thread.eventually(lambda: reactor_thread.call(lambda: server.port.sessionno))
+        connections = []
+
+        def connect_and_send() -> None:
+            for _ in range(_QUEUED_CONNECTIONS):
+                connections.append(server.connect())
+                connections[-1].sendall(_REQUEST)
+
+        server.stop_after(connect_and_send)
+        answered = [_is_answered(connection) for connection in connections]
+        assert answered.count(True) == _QUEUED_CONNECTIONS
+
     def test_connection_that_awaits_its_request_stays_open(self, server):
         connections = []
         server.stop_after(lambda: connections.append(server.connect()))
