--- a/src/anvillug/connection/http_head.py
+++ b/src/anvillug/connection/http_head.py
@@ -185,6 +185,11 @@
     return _join_head([b'HTTP/1.1 %d %b' % (head.status, reason)], head.headers)
 
 
+def announce_close(serialized: bytes) -> bytes:
+    """Return a serialized head with a further header that announces the close."""
+    return b'%bConnection: close\r\n\r\n' % serialized.removesuffix(b'\r\n')
+
+
 def chunk(data: bytes) -> bytes:
     """Encode data as one chunk of the chunked transfer coding."""
     return b'%x\r\n%b\r\n' % (len(data), data)
--- a/src/anvillug/connection/http_listener.py
+++ b/src/anvillug/connection/http_listener.py
@@ -29,12 +29,16 @@
         self._max_head_bytes = max_head_bytes
         self._may_overlap = may_overlap
         self._open_connections: set[http_server.ServerConnection] = set()
+        self._closes_after_responses = False
 
     def buildProtocol(self, addr: object) -> http_server.ServerConnection:  # noqa: N802
         """Return the protocol of a new connection; see Twisted."""
-        return http_server.ServerConnection(
+        connection = http_server.ServerConnection(
             self._on_request, self._max_head_bytes, self._open_connections, self._may_overlap
         )
+        if self._closes_after_responses:
+            connection.close_after_responses()
+        return connection
 
     @property
     def open_count(self) -> int:
@@ -46,8 +50,15 @@
         """Number of connections with a request in progress or unsent bytes."""
         return sum(connection.is_busy for connection in self._open_connections)
 
+    def close_after_responses(self) -> None:
+        """Close each connection, also those to come, after its current or next responses."""
+        self._closes_after_responses = True
+        for connection in self._open_connections:
+            connection.close_after_responses()
+
     def close_when_idle(self) -> None:
         """Close each connection now, or after its current responses."""
+        self._closes_after_responses = True
         for connection in tuple(self._open_connections):
             connection.close_when_idle()
 
--- a/src/anvillug/connection/http_server.py
+++ b/src/anvillug/connection/http_server.py
@@ -10,7 +10,6 @@
 import collections
 import itertools
 from collections.abc import Callable
-from typing import NamedTuple
 
 from twisted.internet import interfaces, protocol, tcp
 from zope.interface import implementer
@@ -21,6 +20,7 @@
     http_head,
     request_parser,
     response_slot,
+    step_queue,
     write_batch,
 )
 
@@ -40,13 +40,6 @@
 """Returns whether a request may be processed while requests before it are unanswered."""
 
 
-class _Step(NamedTuple):
-    """Effect of received bytes that may have to wait for the responses to earlier requests."""
-
-    may_run: Callable[[], bool]
-    run: Callable[[], None]
-
-
 @implementer(interfaces.IPushProducer)
 class ServerConnection(protocol.Protocol):
     """Server side of one HTTP/1.1 connection; see `request_parser.RequestReceiver`.
@@ -76,26 +69,26 @@
         self._slots: collections.deque[response_slot.ResponseSlot] = collections.deque()
         # Slot of the request whose end has not been received; its response may be complete.
         self._receiving: response_slot.ResponseSlot | None = None
-        self._pending: collections.deque[_Step] = collections.deque()
+        self._pending = step_queue.StepQueue(self.receiver_failed)
         self._discards_body = False
         self._discarded_bytes = 0
         self._disconnected = False
         self._closing = False
         self._malformed = False
-        self._running_pending = False
         self._sending_responses = False
         self._reading_paused_by: response_slot.ResponseSlot | None = None
         self._writes_paused = False
         self._is_new = True
         self._asked_to_close = False
-        # Whether the request that begins next is the last one.
-        self._closes_after_next = False
+        # Whether the connection closes once all requests that have arrived are answered.
+        self._closes_after_responses = False
 
     @property
     def is_busy(self) -> bool:
         """Whether a request is in progress or on its way, or response bytes are still unsent."""
-        awaits_first = self._asked_to_close and self._is_new and not self._closing
-        return bool(self._slots) or awaits_first or write_batch.has_unsent_bytes(self.transport)
+        awaits_first = self._asked_to_close and self._is_new
+        awaits_request = not self._closing and (awaits_first or self._parser.is_receiving)
+        return bool(self._slots) or awaits_request or write_batch.has_unsent_bytes(self.transport)
 
     def connectionMade(self) -> None:  # noqa: N802
         """Register for write backpressure; see Twisted."""
@@ -109,8 +102,13 @@
         if self._closing:
             return
         write_batch.BATCH.begin()
+        # The last request gets another response, so it has to be known before the others begin.
+        self._pending.holds_all = self._closes_after_responses
         try:
             self._parser.feed(data)
+            if self._pending.holds_all:
+                self._pending.holds_all = False
+                self._run_pending()
         finally:
             write_batch.BATCH.end()
 
@@ -128,21 +126,28 @@
 
     def head_received(self, head: http_head.RequestHead) -> None:
         """Begin a request; see `request_parser.RequestReceiver`."""
-        self._run_or_queue(lambda: self._may_begin(head), lambda: self._begin(head))
+        self._run_or_queue(
+            step_queue.Step(
+                lambda: self._may_begin(head), lambda: self._begin(head), is_answered=True
+            )
+        )
 
     def body_received(self, data: bytes) -> None:
         """Forward a part of the body to the handler; see `request_parser.RequestReceiver`."""
-        self._run_or_queue(_always, lambda: self._forward_body(data))
+        self._run_or_queue(step_queue.Step(_always, lambda: self._forward_body(data)))
 
     def request_received(self) -> None:
         """End a request; see `request_parser.RequestReceiver`."""
-        self._run_or_queue(_always, self._end_request)
+        self._run_or_queue(step_queue.Step(_always, self._end_request))
 
     def request_malformed(self, status: int, message: str) -> None:
         """Reject malformed input after the responses to the complete requests before it."""
         self._run_or_queue(
-            lambda: self._receiving is not None or not self._slots,
-            lambda: self._reject(status, message),
+            step_queue.Step(
+                lambda: self._receiving is not None or not self._slots,
+                lambda: self._reject(status, message),
+                is_answered=True,
+            )
         )
         self._malformed = True
 
@@ -202,23 +207,31 @@
 
         It does, among others, when the request body was not received completely.
         """
-        body_incomplete = self._receiving is slot and slot.exchange.head.has_body
-        return self._closing or body_incomplete or not slot.exchange.head.keep_alive
+        return self._must_close_after(slot) or self._is_final(slot)
 
     # Calls from the factory
 
+    def close_after_responses(self) -> None:
+        """Close the connection after the response to the last request that has arrived by then.
+
+        That response announces the close. Until then, further requests begin.
+        """
+        self._closes_after_responses = True
+
     def close_when_idle(self) -> None:
-        """Close the connection now, or after the requests that have begun are answered.
+        """Close the connection now, or after the requests that have arrived are answered.
 
-        A request that has arrived but was not read begins first. A connection that has carried no
-        request is closed by the next call, since its first one may be on its way.
+        A connection that has carried no request is closed by the next call, since its first one
+        may be on its way. One on which a part of a request has arrived awaits the rest.
         """
-        if not (self._slots or self._closing or self._disconnected):
+        if self._closing or self._disconnected:
+            return
+        self.close_after_responses()
+        if not self._slots:
             self._read_available()
-        if self._slots:
-            # No request begins after one that ends the connection.
-            self._slots[-1].exchange.head.keep_alive = False
-        elif self._is_new and not self._asked_to_close:
+        if self._slots or self._parser.is_receiving:
+            return
+        if self._is_new and not self._asked_to_close:
             self._asked_to_close = True
         else:
             self._close()
@@ -228,35 +241,42 @@
     def _read_available(self) -> None:
         """Read what has arrived; closing a connection with unread bytes would reset it."""
         if isinstance(self.transport, tcp.Connection):
-            self._closes_after_next = True
             self.transport.doRead()
-            self._closes_after_next = False
 
-    def _run_or_queue(self, may_run: Callable[[], bool], run: Callable[[], None]) -> None:
+    def _is_final(self, slot: response_slot.ResponseSlot) -> bool:
+        """Return whether a stopping connection closes after a response.
+
+        A response before which others are unanswered is not final yet: requests may follow.
+        """
+        if not (self._closes_after_responses and slot.is_first):
+            return False
+        if self._is_newest(slot) and not self._disconnected:
+            self._read_available()
+        return self._is_newest(slot)
+
+    def _is_newest(self, slot: response_slot.ResponseSlot) -> bool:
+        is_last = bool(self._slots) and slot is self._slots[-1]
+        return is_last and not self._pending.has_request
+
+    def _must_close_after(self, slot: response_slot.ResponseSlot) -> bool:
+        body_incomplete = self._receiving is slot and slot.exchange.head.has_body
+        return self._closing or body_incomplete or not slot.exchange.head.keep_alive
+
+    def _run_or_queue(self, step: step_queue.Step) -> None:
         if self._closing or self._malformed:
             return
-        if self._pending or not may_run():
-            self._pending.append(_Step(may_run, run))
+        self._pending.add(step)
+        if not (self._pending.is_empty or self._pending.holds_all):
             self.transport.pauseProducing()
-        else:
-            run()
 
     def _run_pending(self) -> None:
-        # A request that ends within a step calls this again; the outer loop continues then.
-        if self._running_pending:
-            return
-        self._running_pending = True
-        try:
-            while self._pending and not self._closing and self._pending[0].may_run():
-                self._pending.popleft().run()
-        finally:
-            self._running_pending = False
+        self._pending.run()
         self._update_reading()
 
     def _update_reading(self) -> None:
         if self._disconnected or self._closing:
             return
-        if self._pending or self._reading_paused_by is not None:
+        if not self._pending.is_empty or self._reading_paused_by is not None:
             self.transport.pauseProducing()
         else:
             self.transport.resumeProducing()
@@ -272,8 +292,6 @@
 
     def _begin(self, head: http_head.RequestHead) -> None:
         self._is_new = False
-        if self._closes_after_next or self._asked_to_close:
-            head.keep_alive = False
         place = http_exchange.Place(self._number, len(self._slots))
         slot = response_slot.ResponseSlot(self, head, place)
         self._slots.append(slot)
@@ -318,7 +336,7 @@
 
     def _complete(self, slot: response_slot.ResponseSlot) -> None:
         """Remove the first slot, whose response has been sent, and close if nothing may follow."""
-        must_close = self.closes_after(slot)
+        must_close = self._must_close_after(slot)
         must_discard_body = (
             self._receiving is slot and slot.exchange.expects_body and not self._malformed
         )
--- a/src/anvillug/connection/request_parser.py
+++ b/src/anvillug/connection/request_parser.py
@@ -56,6 +56,8 @@
         self._head_bytes = 0
         self._in_head = True
         self._is_malformed = False
+        self.is_receiving = False
+        """Whether a part of a request has been received and its end has not."""
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes."""
@@ -83,6 +85,7 @@
         self._target = b''
         self._headers = []
         self._in_head = True
+        self.is_receiving = True
 
     def on_url(self, url: bytes) -> None:
         """Receive a part of the target; see httptools."""
@@ -126,6 +129,7 @@
     def on_message_complete(self) -> None:
         """Pass the end of the request on; see httptools."""
         self._in_head = True
+        self.is_receiving = False
         if not self._is_malformed:
             self._receiver.request_received()
 
--- a/src/anvillug/connection/response_slot.py
+++ b/src/anvillug/connection/response_slot.py
@@ -56,6 +56,8 @@
         """Bytes of the response that wait for their turn."""
         self._connection = connection
         self._held: list[bytes] = []
+        # Index of the head among the held bytes.
+        self._head_index = 0
         self._is_aborted = False
         self._is_paused = False
 
@@ -70,6 +72,7 @@
             self._connection.abort()
             return
         if self._held:
+            self._announce_close()
             self._connection.send(b''.join(self._held))
             self._held.clear()
             self.held_bytes = 0
@@ -121,4 +124,15 @@
 
     def closes_after(self, exchange: http_exchange.ServerExchange) -> bool:
         """Return whether the connection closes after the response."""
+        self._head_index = len(self._held)
         return self._connection.closes_after(self)
+
+    # Private
+
+    def _announce_close(self) -> None:
+        """Add to the held head that the connection closes, which was not known before."""
+        exchange = self.exchange
+        has_head = exchange.head_sent and exchange.head.keep_alive
+        if has_head and self._connection.closes_after(self):
+            exchange.head.keep_alive = False
+            self._held[self._head_index] = http_head.announce_close(self._held[self._head_index])
--- a/src/anvillug/process/mesh_entry.py
+++ b/src/anvillug/process/mesh_entry.py
@@ -91,7 +91,6 @@
         """Process a caller's request; see `http_exchange.RequestStarted`."""
         if self.closed:
             headers = tuple(self.header_dialect.retry_headers(_STOPPING_RETRY_AFTER_MS))
-            exchange.head.keep_alive = False
             exchange.respond(routed_call.STATUS_UNAVAILABLE, b'node is stopping\n', headers)
             return
         call = routed_call.RoutedCall(self, exchange)
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -36,6 +36,8 @@
 
     def request_ended(self) -> None:
         self.complete = True
+        if self.target == b'/fail':
+            raise ZeroDivisionError
 
     def request_aborted(self) -> None:
         self.aborted = True
@@ -202,16 +204,40 @@
         assert sender.answered == [b'/r1', b'/r2']
         assert sender.transport.disconnecting
 
-    def test_stop_answers_what_has_begun_and_begins_nothing(self, sender):
+    # Guards against dropping requests that were read before the close was announced.
+    def test_stop_answers_what_is_read_before_the_close_is_announced(self, sender):
         sender.send('/r1', '/r2')
         sender.connection.close_when_idle()
         sender.send('/r3')
-        assert sender.targets == [b'/r1', b'/r2']
-        sender.respond(1)
+        sender.respond(2)
+        sender.send('/r4')
+        for index in (3, 1, 0):
+            sender.connection.close_when_idle()
+            assert not sender.transport.disconnecting
+            sender.respond(index)
+        sender.send('/r5')
+        assert sender.answered == [b'/r1', b'/r2', b'/r3', b'/r4']
+        assert sender.transport.value().count(b'Connection: close') == 1
+        assert sender.transport.disconnecting
+
+    def test_nothing_begins_behind_an_announced_close(self, sender):
+        sender.send('/r1')
         sender.connection.close_when_idle()
-        assert not sender.transport.disconnecting
-        sender.respond(0)
-        assert sender.answered == [b'/r1', b'/r2']
+        sender.handlers[0].exchange.send_head(http_head.ResponseHead(200, []))
+        sender.send('/r2')
+        sender.handlers[0].exchange.finish()
+        assert sender.targets == [b'/r1']
+        assert sender.transport.disconnecting
+
+    # Guards against dropping requests that wait for the responses before them.
+    def test_stop_answers_requests_that_wait_for_their_turn(self, sender):
+        sender.send('/o1', '/o2', '/r3')
+        sender.connection.close_when_idle()
+        for index in range(3):
+            sender.connection.close_when_idle()
+            assert not sender.transport.disconnecting
+            sender.respond(index)
+        assert sender.answered == [b'/o1', b'/o2', b'/r3']
         assert sender.transport.value().count(b'Connection: close') == 1
         assert sender.transport.disconnecting
 
@@ -261,6 +287,14 @@
         assert sender.transport.value().count(b'HTTP/1.1 500 ') == 1
         assert sender.transport.disconnecting
 
+    # Guards against a failure that reaches the code which ends the response before.
+    def test_failing_handler_of_a_request_that_waited_is_answered(self, sender):
+        sender.send('/o1', '/fail')
+        sender.handlers[0].respond()
+        assert sender.answered == [b'/o1']
+        assert sender.transport.value().count(b'HTTP/1.1 500 ') == 1
+        assert sender.transport.disconnecting
+
 
 class TestBounds:
     """Guards against a client that makes the process hold any number of requests or bytes."""
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -122,6 +122,43 @@
         connections[0].sendall(_REQUEST)
         assert _receive_all(connections[0]).endswith(b'whole')
 
+    # Guards against dropping requests that were read behind the first one.
+    @pytest.mark.parametrize('count', [3, 3000])
+    def test_pipelined_requests_on_a_kept_connection_are_answered(self, server, count):
+        connection = server.connect()
+        connection.sendall(_REQUEST)
+        assert connection.recv(65536).endswith(b'whole')
+        server.stop_after(lambda: connection.sendall(_REQUEST * count))
+        response = _receive_all(connection)
+        assert response.count(b'whole') == count
+        assert response.count(b'Connection: close') == 1
+
+    # Guards against closing a connection on which part of a head has arrived.
+    def test_request_that_arrives_in_parts_is_answered(self, server):
+        connection = server.connect()
+        connection.sendall(_REQUEST)
+        assert connection.recv(65536).endswith(b'whole')
+        server.stop_after(lambda: connection.sendall(_REQUEST[:9]))
+        reactor_thread.call(server.factory.close_when_idle)
+        assert reactor_thread.call(lambda: server.factory.busy_count) == 1
+        connection.sendall(_REQUEST[9:])
+        assert _receive_all(connection).endswith(b'whole')
+
+    # Guards against connections that are kept until they are closed under a request.
+    def test_responses_announce_the_close_in_advance(self, server):
+        kept, idle, late = (server.connect() for _ in range(3))
+        for connection in (kept, idle):
+            connection.sendall(_REQUEST)
+            assert connection.recv(65536).endswith(b'whole')
+        reactor_thread.call(server.factory.close_after_responses)
+        new = server.connect()
+        for connection in (kept, late, new):
+            connection.sendall(_REQUEST)
+            assert b'Connection: close' in _receive_all(connection)
+        assert reactor_thread.call(lambda: server.factory.open_count) == 1
+        idle.sendall(_REQUEST)
+        assert b'Connection: close' in _receive_all(idle)
+
     def test_silent_connection_does_not_delay_the_stop(self, server):
         connection = server.connect()
         reactor_thread.eventually(lambda: reactor_thread.call(lambda: server.factory.open_count))
