--- a/src/anvillug/connection/http_listener.py
+++ b/src/anvillug/connection/http_listener.py
@@ -66,9 +66,15 @@
 def stop_listening(port: interfaces.IListeningPort) -> None:
     """Stop accepting connections, after accepting those that wait in the listen queue."""
     if isinstance(port, tcp.Port):
-        # One pass accepts only as many connections as Twisted expects.
-        accepted = -1
-        while accepted < port.sessionno:
-            accepted = port.sessionno
-            port.doRead()
+        _accept_all(port)
+        # Twisted closes the socket in the next turn of the reactor, just after this call.
+        port.reactor.callLater(0, _accept_all, port)
     port.stopListening()
+
+
+def _accept_all(port: tcp.Port) -> None:
+    # One pass accepts only as many connections as Twisted expects.
+    accepted = -1
+    while accepted < port.sessionno:
+        accepted = port.sessionno
+        port.doRead()
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -115,6 +115,18 @@
         answered = [_is_answered(connection) for connection in connections]
         assert answered.count(True) == _QUEUED_CONNECTIONS
 
+    # Guards against resets of the connections that arrive before Twisted closes the socket.
+    def test_request_on_a_connection_behind_the_last_pass(self, server):
+        connections = []
+
+        def stop_and_connect() -> None:
+            http_listener.stop_listening(server.port)
+            connections.append(server.connect())
+            connections[0].sendall(_REQUEST)
+
+        reactor_thread.call(stop_and_connect)
+        assert connections[0].recv(65536).endswith(b'whole')
+
     def test_connection_that_awaits_its_request_stays_open(self, server):
         connections = []
         server.stop_after(lambda: connections.append(server.connect()))
