--- a/src/anvillug/process/mesh_host.py
+++ b/src/anvillug/process/mesh_host.py
@@ -68,6 +68,8 @@
         self._crashes = crashes
         self.upstream = backend
         """Backend server of the node."""
+        self.closed = False
+        """Whether the process is about to stop and rejects new jobs."""
         self._reactor = reactor
         self._clock = time
         self._active_directives = active_directives
@@ -180,8 +182,9 @@
         backend = self.upstream
         current = self._active_directives.current
         heartbeat = backend.heartbeat
-        if heartbeat is None or backend.state is not upstream.UpstreamState.SERVING:
-            return f'backend server is {backend.state.value}'
+        is_serving = heartbeat is not None and backend.state is upstream.UpstreamState.SERVING
+        if self.closed or not is_serving:
+            return 'node is stopping' if self.closed else f'backend server is {backend.state.value}'
         if (work.service, work.instance) != (heartbeat.service, heartbeat.instance):
             return 'other instance'
         if self._settings.zone in current.zones_out:
--- a/src/anvillug/process/mesh_node.py
+++ b/src/anvillug/process/mesh_node.py
@@ -20,6 +20,7 @@
     mesh_entry,
     mesh_host,
     mesh_settings,
+    mesh_stop,
     metrics,
     order_feed,
     peer_server,
@@ -31,15 +32,6 @@
 from anvillug.request import dialect
 from anvillug.version import directives, rollouts
 
-# Within two seconds callers detect by the readiness check that the node is not ready, and stop
-# sending requests to it.
-_MIN_STOP_S = 2.3
-# The process stops this long before the end of the grace time even if calls are in progress.
-_STOP_MARGIN_MS = 350.0
-# New requests are rejected from this long before the end of the grace time, since those in
-# progress need up to the timeout of their route.
-_DRAIN_MS = 3000.0
-_STOP_CHECK_S = 0.05
 _STEP_S = 0.1
 # Delay before directives are fetched from another zone: by then a node of the same zone may have
 # them, and bytes between zones are charged.
@@ -104,7 +96,6 @@
         self._log_lines = log_lines
         self._rng = random.Random()
         self._incarnation = ids.Incarnation(int(time.wall()))
-        self._stopping_since: clock.Milliseconds | None = None
         self.active_directives = directives.ActiveDirectives(decode)
         self.rollouts = rollouts.Rollouts(
             time, settings.bounds.exposure, lambda: self._beacons.send_now()
@@ -183,18 +174,26 @@
             self.entry.request_received, may_overlap=self.entry.may_overlap
         )
         self._peer_factory = http_listener.ServerFactory(self._peer_server.request_received)
-        self._caller_port: interfaces.IListeningPort | None = None
+        self._stop = mesh_stop.MeshStop(
+            reactor,
+            time,
+            self.entry,
+            self.host,
+            self._caller_factory,
+            self._peer_factory,
+            lambda: self._settings.bounds.grace_ms,
+        )
 
     @property
     def is_ready(self) -> bool:
         """Whether callers may send requests."""
-        return self._stopping_since is None and self.active_directives.current.routes is not None
+        return not self._stop.has_begun and self.active_directives.current.routes is not None
 
     def start(self) -> None:
         """Open the listeners and start the tasks."""
         settings = self._settings
-        self._listen(settings.peer_address, self._peer_factory)
-        self._caller_port = self._listen(settings.caller_address, self._caller_factory)
+        self._stop.peer_port = self._listen(settings.peer_address, self._peer_factory)
+        self._stop.caller_port = self._listen(settings.caller_address, self._caller_factory)
         self._listen(
             f'{settings.ip}:{settings.metrics_port}',
             http_listener.ServerFactory(self._metrics.serve),
@@ -283,7 +282,7 @@
         backend = self.upstream
         heartbeat = backend.heartbeat
         settings = self._settings
-        state = backend.state if self._stopping_since is None else upstream.UpstreamState.LEAVING
+        state = upstream.UpstreamState.LEAVING if self._stop.has_begun else backend.state
         return peer_table.Announcement(
             host_id=settings.host_id,
             incarnation=self._incarnation,
@@ -349,38 +348,10 @@
         return self._reactor.listenTCP(int(port), factory, backlog=1024, interface=host)
 
     def _signal_received(self, number: int, frame: object) -> None:
-        self._reactor.callFromThread(self._stop)
+        self._reactor.callFromThread(self._begin_stop)
 
-    def _stop(self) -> None:
+    def _begin_stop(self) -> None:
         """Report that the node is not ready, and end once its requests are completed."""
-        if self._stopping_since is not None:
-            return
-        self._stopping_since = self._clock.now()
-        event_log.emit(
-            'node_stopping', calls=len(self.entry.in_progress), running=self.host.running
-        )
-        self._beacons.send_now()
-        self._reactor.callLater(_MIN_STOP_S, self._end_when_idle)
-
-    def _end_when_idle(self) -> None:
-        """End after the last request, or just before the end of the grace time.
-
-        Before that, new requests are rejected so that those in progress can be completed.
-        """
-        self._caller_factory.close_when_idle()
-        busy = self._is_busy()
-        stopped_for_ms = self._clock.now() - self._stopping_since
-        remaining_ms = self._settings.bounds.grace_ms - stopped_for_ms
-        if self.entry.closed and (not busy or remaining_ms < _STOP_MARGIN_MS):
-            calls = len(self.entry.in_progress)
-            event_log.emit('node_stopped', calls=calls, after_ms=int(stopped_for_ms))
-            self._reactor.stop()
-            return
-        if not self.entry.closed and (not busy or remaining_ms < _DRAIN_MS):
-            self.entry.closed = True
-            http_listener.stop_listening(self._caller_port)
-        self._reactor.callLater(_STOP_CHECK_S, self._end_when_idle)
-
-    def _is_busy(self) -> bool:
-        connections = self._caller_factory.busy_count + self._peer_factory.busy_count
-        return bool(self.entry.in_progress or self.host.running or connections)
+        if not self._stop.has_begun:
+            self._stop.begin()
+            self._beacons.send_now()
--- /dev/null
+++ b/src/anvillug/process/mesh_stop.py
@@ -0,0 +1,117 @@
+"""Graceful stop of a mesh node: ends the process once all that arrived is answered."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet import interfaces
+
+from anvillug import clock, event_log
+from anvillug.connection import http_listener
+from anvillug.process import mesh_entry, mesh_host
+
+# Within two seconds callers detect by the readiness check that the node is not ready, and stop
+# sending requests to it.
+_MIN_STOP_S = 2.3
+# The process stops this long before the end of the grace time even if calls are in progress.
+_STOP_MARGIN_MS = 350.0
+# New requests are rejected from this long before the end of the grace time, since those in
+# progress need up to the timeout of their route.
+_DRAIN_MS = 3000.0
+_CHECK_S = 0.05
+# Connections of other nodes stay open this long after the node has begun to reject their jobs. A
+# job that follows an accepted inquiry arrives within this time.
+_REJECTION_MS = 200.0
+
+
+class MeshStop:
+    """Stop of one node.
+
+    Callers are served until the node is idle, then they are rejected, and then other nodes are.
+
+    Args:
+        reactor: Twisted reactor; stopped at the end.
+        time: Clock.
+        entry: Entry side.
+        host: Host side.
+        callers: Connections of callers.
+        peers: Connections of other nodes.
+        grace_ms: Returns the time in milliseconds after which the process is killed.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        time: clock.Clock,
+        entry: mesh_entry.MeshEntry,
+        host: mesh_host.MeshHost,
+        callers: http_listener.ServerFactory,
+        peers: http_listener.ServerFactory,
+        grace_ms: Callable[[], float],
+    ) -> None:
+        self.caller_port: interfaces.IListeningPort | None = None
+        """Listener of callers."""
+        self.peer_port: interfaces.IListeningPort | None = None
+        """Listener of other nodes."""
+        self._reactor = reactor
+        self._clock = time
+        self._entry = entry
+        self._host = host
+        self._callers = callers
+        self._peers = peers
+        self._grace_ms = grace_ms
+        self._began_at: clock.Milliseconds | None = None
+        self._host_closed_at = clock.Milliseconds(0)
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether the node is stopping."""
+        return self._began_at is not None
+
+    def begin(self) -> None:
+        """Tell callers and other nodes to close their connections, and end later."""
+        self._began_at = self._clock.now()
+        event_log.emit(
+            'node_stopping', calls=len(self._entry.in_progress), running=self._host.running
+        )
+        self._callers.close_after_responses()
+        self._peers.close_after_responses()
+        self._reactor.callLater(_MIN_STOP_S, self._check)
+
+    # Private
+
+    def _check(self) -> None:
+        """Take the next step of the stop if the last one is complete, or the time is over."""
+        stopped_for_ms = self._clock.now() - self._began_at
+        remaining_ms = self._grace_ms() - stopped_for_ms
+        is_late = remaining_ms < _STOP_MARGIN_MS
+        self._callers.close_when_idle()
+        if self._rejects_jobs_for_ms() >= _REJECTION_MS or is_late:
+            self._peers.close_when_idle()
+        if self._host.closed and (is_late or self._is_done()):
+            calls = len(self._entry.in_progress)
+            event_log.emit('node_stopped', calls=calls, after_ms=int(stopped_for_ms))
+            self._reactor.stop()
+            return
+        if not self._entry.closed:
+            if remaining_ms < _DRAIN_MS or not self._is_busy():
+                self._entry.closed = True
+                http_listener.stop_listening(self.caller_port)
+        elif not self._host.closed and (is_late or not self._is_busy()):
+            self._host.closed = True
+            self._host_closed_at = self._clock.now()
+            http_listener.stop_listening(self.peer_port)
+        self._reactor.callLater(_CHECK_S, self._check)
+
+    def _is_done(self) -> bool:
+        """Return whether nothing is in progress and no other node can send a job any more."""
+        return not (self._is_busy() or self._peers.open_count)
+
+    def _rejects_jobs_for_ms(self) -> float:
+        """Return for how long the jobs of other nodes have been rejected, 0 if they are not."""
+        return self._clock.now() - self._host_closed_at if self._host.closed else 0
+
+    def _is_busy(self) -> bool:
+        connections = self._callers.busy_count + self._peers.busy_count
+        return bool(self._entry.in_progress or self._host.running or connections)
