--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -11,6 +11,8 @@
 from tests import reactor_thread
 
 _REQUEST = b'GET /one HTTP/1.1\r\nHost: a\r\n\r\n'
+# No more than the listen queue of the test server holds.
+_QUEUED_CONNECTIONS = 45
 # Data that was sent on the loopback interface has arrived after this time.
 _ARRIVAL_S = 0.2
 
@@ -66,6 +68,13 @@
     return b''.join(received)
 
 
+def _is_answered(connection: socket.socket) -> bool:
+    try:
+        return _receive_all(connection).endswith(b'whole')
+    except ConnectionResetError:
+        return False
+
+
 class TestPlannedStop:
     """Guards against a request that has been accepted and is cut off without an answer."""
 
@@ -90,6 +99,34 @@
         assert response.endswith(b'whole')
         assert b'Connection: close' in response
 
+    # Guards against resets of the connections that one pass over the listen queue left in it.
+    def test_requests_on_a_long_listen_queue_are_answered(self, server):
+        # Twisted accepts at most as many connections at once as it did last time.
+        server.connect().close()
+        reactor_thread.eventually(lambda: reactor_thread.call(lambda: server.port.sessionno))
+        connections = []
+
+        def connect_and_send() -> None:
+            for _ in range(_QUEUED_CONNECTIONS):
+                connections.append(server.connect())
+                connections[-1].sendall(_REQUEST)
+
+        server.stop_after(connect_and_send)
+        answered = [_is_answered(connection) for connection in connections]
+        assert answered.count(True) == _QUEUED_CONNECTIONS
+
+    # Guards against resets of the connections that arrive before Twisted closes the socket.
+    def test_request_on_a_connection_behind_the_last_pass(self, server):
+        connections = []
+
+        def stop_and_connect() -> None:
+            http_listener.stop_listening(server.port)
+            connections.append(server.connect())
+            connections[0].sendall(_REQUEST)
+
+        reactor_thread.call(stop_and_connect)
+        assert connections[0].recv(65536).endswith(b'whole')
+
     def test_connection_that_awaits_its_request_stays_open(self, server):
         connections = []
         server.stop_after(lambda: connections.append(server.connect()))
@@ -97,6 +134,43 @@
         connections[0].sendall(_REQUEST)
         assert _receive_all(connections[0]).endswith(b'whole')
 
+    # Guards against dropping requests that were read behind the first one.
+    @pytest.mark.parametrize('count', [3, 3000])
+    def test_pipelined_requests_on_a_kept_connection_are_answered(self, server, count):
+        connection = server.connect()
+        connection.sendall(_REQUEST)
+        assert connection.recv(65536).endswith(b'whole')
+        server.stop_after(lambda: connection.sendall(_REQUEST * count))
+        response = _receive_all(connection)
+        assert response.count(b'whole') == count
+        assert response.count(b'Connection: close') == 1
+
+    # Guards against closing a connection on which part of a head has arrived.
+    def test_request_that_arrives_in_parts_is_answered(self, server):
+        connection = server.connect()
+        connection.sendall(_REQUEST)
+        assert connection.recv(65536).endswith(b'whole')
+        server.stop_after(lambda: connection.sendall(_REQUEST[:9]))
+        reactor_thread.call(server.factory.close_when_idle)
+        assert reactor_thread.call(lambda: server.factory.busy_count) == 1
+        connection.sendall(_REQUEST[9:])
+        assert _receive_all(connection).endswith(b'whole')
+
+    # Guards against connections that are kept until they are closed under a request.
+    def test_responses_announce_the_close_in_advance(self, server):
+        kept, idle, late = (server.connect() for _ in range(3))
+        for connection in (kept, idle):
+            connection.sendall(_REQUEST)
+            assert connection.recv(65536).endswith(b'whole')
+        reactor_thread.call(server.factory.close_after_responses)
+        new = server.connect()
+        for connection in (kept, late, new):
+            connection.sendall(_REQUEST)
+            assert b'Connection: close' in _receive_all(connection)
+        assert reactor_thread.call(lambda: server.factory.open_count) == 1
+        idle.sendall(_REQUEST)
+        assert b'Connection: close' in _receive_all(idle)
+
     def test_silent_connection_does_not_delay_the_stop(self, server):
         connection = server.connect()
         reactor_thread.eventually(lambda: reactor_thread.call(lambda: server.factory.open_count))
