--- a/src/anvillug/bench/soak.py
+++ b/src/anvillug/bench/soak.py
@@ -17,7 +17,7 @@
 
 from twisted.internet import task
 
-from anvillug.bench import soak_faults, soak_fleet, soak_records, soak_traffic
+from anvillug.bench import soak_checks, soak_faults, soak_fleet, soak_records, soak_traffic
 
 SHEET = soak_traffic.RequestClass('sheet', 'idempotent', 'drawbook', 224, 60, 200, 1200)
 REVISION = soak_traffic.RequestClass('rev', 'non_idempotent', 'drawbook', 76, 78, 250, 1500, 300)
@@ -108,7 +108,7 @@
     counts: collections.Counter[str],
 ) -> int:
     statuses = collections.Counter(attempt.status for attempt in records.attempts)
-    broken = records.broken()
+    broken = soak_checks.broken(records)
     answers = dict(sorted(statuses.items()))
     sys.stdout.write(
         f'seed {plan.seed}: {len(records.attempts)} requests, answers {answers}, '
--- a/src/anvillug/bench/soak_fleet.py
+++ b/src/anvillug/bench/soak_fleet.py
@@ -219,6 +219,7 @@
     def change_config(self) -> None:
         """Write the next version of the configuration, whose routes differ in one timeout."""
         self._version += 1
+        self.records.configs.append(self._time.now())
         paths = [
             {
                 'Name': each.route,
@@ -251,7 +252,7 @@
             return
         host.expected_end = True
         node = host.node
-        self.records.disturb(host.number, self._time.now(), soak_records.Disturbance.PLANNED)
+        self._disturb(host, soak_records.Disturbance.PLANNED)
         node.send_signal(signal.SIGTERM)
         self.reactor.callLater(GRACE_S, node.send_signal, signal.SIGKILL)
 
@@ -278,8 +279,10 @@
         self._disturb(host)
         node.send_signal(signal.SIGCONT)
 
-    def _disturb(self, host: Host) -> None:
-        self.records.disturb(host.number, self._time.now(), soak_records.Disturbance.UNPLANNED)
+    def _disturb(
+        self, host: Host, kind: soak_records.Disturbance = soak_records.Disturbance.UNPLANNED
+    ) -> None:
+        self.records.disturb(host.number, self._time.now(), kind)
 
     def _watch_nodes(self) -> None:
         for host in self.hosts:
@@ -305,6 +308,8 @@
 
     def _restart(self, host: Host) -> None:
         if not self.stopped:
+            if host.expected_end:
+                self._disturb(host, soak_records.Disturbance.START)
             host.start_node()
 
     def _own_end(self, reason: str) -> None:
--- a/src/anvillug/bench/soak_traffic.py
+++ b/src/anvillug/bench/soak_traffic.py
@@ -20,6 +20,7 @@
 
 _ATTEMPT_ID = b'Anvillug-Attempt-Id'
 _SEAL = (b'Anvillug-Server-Seal', b'seal')
+_SEAL_NAME = b'anvillug-server-seal'
 _STATUS_OK = 200
 _STATUS_OTHER_INSTANCE = 421
 _STATUS_FULL = 503
@@ -107,6 +108,7 @@
             headers = (load, (b'Anvillug-Instance-Id', self.instance.encode()))
             exchange.respond(_STATUS_OK, b'', headers)
             return
+        self._records.passed_on.add((head.get(_ATTEMPT_ID.lower()) or b'').decode())
         exchange.handler = _BackendExchange(self, exchange, load)
 
     def run(self, exchange: http_exchange.ServerExchange, load: http_head.Header) -> None:
@@ -133,16 +135,18 @@
         route = exchange.head.path.split(b'/')[1].decode()
         work_ms = self._rng.expovariate(1 / self._work_ms_by_route[route])
         self._reactor.callLater(
-            clock.to_seconds(work_ms), self._respond, exchange, attempt_id, headers
+            clock.to_seconds(work_ms), self._respond, exchange, run, attempt_id, headers
         )
 
     def _respond(
         self,
         exchange: http_exchange.ServerExchange,
+        run: soak_records.Run,
         attempt_id: bytes,
         headers: tuple[http_head.Header, ...],
     ) -> None:
         self._busy -= 1
+        run.finished_at = self.time.now()
         exchange.respond(_STATUS_OK, attempt_id, headers)
 
 
@@ -243,13 +247,17 @@
     def connected(self, connection: http_client.ClientConnection) -> None:
         """Send the request."""
         self._connection = connection
-        self._attempt.sent_at = self._time.now()
-        self._records.attempts.append(self._attempt)
+        attempt = self._attempt
         deadline_ms = self._class.deadline_ms
+        attempt.sent_at = self._time.now()
+        attempt.written_at = attempt.sent_at
+        attempt.timeout_ms = deadline_ms
+        attempt.kept = connection.requests_sent > 0
+        self._records.attempts.append(attempt)
         self._reactor.callLater(clock.to_seconds(2 * deadline_ms), self._give_up)
         headers = [
             (b'Host', HOST.encode()),
-            (_ATTEMPT_ID, self._attempt.attempt_id.encode()),
+            (_ATTEMPT_ID, attempt.attempt_id.encode()),
             (b'Anvillug-Deadline-Ms', b'%d' % deadline_ms),
         ]
         method = b'GET' if self._class.repeatable else b'POST'
@@ -267,8 +275,9 @@
         """Ignore status 100."""
 
     def response_head(self, head: http_head.ResponseHead) -> None:
-        """Record the status."""
+        """Record the status, and whether a backend server has sealed the answer."""
         self._attempt.status = head.status
+        self._attempt.sealed = head.get(_SEAL_NAME) is not None
 
     def response_body(self, data: bytes) -> None:
         """Collect the body."""
@@ -285,7 +294,8 @@
             self._attempt.ended_at = self._time.now()
 
     def request_writes_paused(self, paused: bool) -> None:
-        """Ignore backpressure."""
+        """Record when the request was sent completely; while writes are paused, it is not."""
+        self._attempt.written_at = None if paused else self._time.now()
 
     def _give_up(self) -> None:
         if self._attempt.ended_at is None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,7 +8,7 @@
 import pytest
 
 from anvillug import clock
-from anvillug.bench import soak_records
+from anvillug.bench import soak_checks, soak_records
 
 
 def _attempt(records, status, *, repeatable=False, body=b'', sent_at=10_000):
@@ -35,24 +35,24 @@
     def test_whole_answer_breaks_nothing(self, records):
         _attempt(records, 200, body=b'a1')
         _run(records)
-        assert not records.broken()
+        assert not soak_checks.broken(records)
 
     def test_foreign_answer(self, records):
         _attempt(records, 200, body=b'a2')
-        assert records.broken() == ['MIXED a1']
+        assert soak_checks.broken(records) == ['MIXED a1']
 
     @pytest.mark.parametrize(('repeatable', 'broken'), [(False, ['TWICE a1']), (True, [])])
     def test_second_run(self, records, repeatable, broken):
         _attempt(records, 200, body=b'a1', repeatable=repeatable)
         _run(records)
         _run(records, node=2)
-        assert records.broken() == broken
+        assert soak_checks.broken(records) == broken
 
     @pytest.mark.parametrize(('status', 'broken'), [(503, ['REFUSED a1']), (502, [])])
     def test_refusal_of_a_request_that_ran(self, records, status, broken):
         _attempt(records, status)
         _run(records)
-        assert records.broken() == broken
+        assert soak_checks.broken(records) == broken
 
     @pytest.mark.parametrize(
         ('kind', 'broken'),
@@ -66,16 +66,16 @@
         _attempt(records, 0)
         _run(records)
         records.disturb(node, clock.Milliseconds(9000), kind)
-        assert records.broken() == broken
+        assert soak_checks.broken(records) == broken
 
     @pytest.mark.parametrize(('began_at', 'broken'), [(10_000, []), (12_400, ['DRAIN a1'])])
     def test_request_after_a_leave(self, records, began_at, broken):
         _run(records, began_at=began_at, left_at=clock.Milliseconds(10_000))
-        assert records.broken() == broken
+        assert soak_checks.broken(records) == broken
 
     def test_process_that_ends_by_itself(self, records):
         records.own_ends.append('host-1 ended by itself')
-        assert records.broken() == ['FAULT host-1 ended by itself']
+        assert soak_checks.broken(records) == ['FAULT host-1 ended by itself']
 
 
 class TestShortRun:
