--- a/src/anvillug/bench/processes.py
+++ b/src/anvillug/bench/processes.py
@@ -76,6 +76,11 @@
         """Whether the process has not ended."""
         return self._process.poll() is None
 
+    @property
+    def status(self) -> int | None:
+        """Exit status, negative if a signal ended the process; None while it runs."""
+        return self._process.poll()
+
     def output(self) -> str:
         """Return everything that the process has printed so far."""
         size = os.fstat(self._output.fileno()).st_size
--- a/src/anvillug/bench/soak.py
+++ b/src/anvillug/bench/soak.py
@@ -47,6 +47,8 @@
     """Traffic as a share of the table's."""
     upload_bytes: int
     """Mean size of uploads."""
+    faults: Sequence[str]
+    """Kinds of faults; empty to choose them by the seed."""
     logs: pathlib.Path | None
     """Folder for the output of the nodes; None discards it."""
 
@@ -69,7 +71,9 @@
         fleet = soak_fleet.Fleet(reactor, path, services, _SLOTS, classes, records, rng)
         addresses = [host.address(2) for host in fleet.hosts]
         callers = soak_traffic.Callers(reactor, addresses, records, rng)
-        faults = soak_faults.Faults(fleet, callers, classes)
+        faults = soak_faults.Faults(
+            fleet, callers, classes, soak_faults.choose(rng, plan.seed, plan.faults)
+        )
         try:
             await _play(plan, fleet, callers, faults, classes)
         finally:
@@ -114,6 +118,10 @@
         f'seed {plan.seed}: {len(records.attempts)} requests, answers {answers}, '
         f'faults {dict(sorted(counts.items()))}, at most {records.peak_mb:.0f} MB a node\n'
     )
+    slowest = max(records.start_ms, default=(0.0, 'none'))
+    sys.stdout.write(
+        f'{len(records.start_ms)} starts, slowest {slowest[0]:.0f} ms ({slowest[1]})\n'
+    )
     for problem in broken[:_MAX_SHOWN]:
         sys.stdout.write(f'broken: {problem}\n')
     sys.stdout.write(f'seed {plan.seed}: {len(broken)} promises broken\n')
--- /dev/null
+++ b/src/anvillug/bench/soak_host.py
@@ -0,0 +1,273 @@
+"""One host of a soak: a node process, and the backend server beside it."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import pathlib
+import random
+import re
+import signal
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet import defer, task
+
+from anvillug import clock
+from anvillug.bench import processes, soak_launch, soak_output, soak_records, soak_traffic
+
+GRACE_S = 6.0
+"""Time from SIGTERM to SIGKILL."""
+RESTART_S = 0.5
+"""Time from the end of a node process to the next start."""
+PORT_INDEXES = (1, 2, 3, 4, 6)
+"""Indexes of the addresses that a node listens on by TCP; see `Host.address`."""
+CALLER_PORT_INDEX = 2
+"""Index of the address for callers."""
+
+_TOUCH_MS = 3000
+_ZONES = 3
+_BACK_S = 2.0
+_LEAVE_RETRY_S = 0.5
+_LEAVE_TRIES = 5
+_SERVED_AFTER_LEAVE_S = 4.0
+_ANONYMOUS_MEMORY = re.compile(r'^RssAnon:\s+(\d+) kB', re.MULTILINE)
+_KB_PER_MB = 1024
+_PROBES_PER_S = 60
+_STATUS_OK = 200
+
+
+@dataclasses.dataclass(slots=True)
+class Shared:
+    """What all hosts of a soak share."""
+
+    reactor: Any
+    """Twisted reactor."""
+    folder: pathlib.Path
+    """Folder for the settings files."""
+    slots: int
+    """Slots of each backend server."""
+    work_ms_by_route: dict[str, float]
+    """Mean time of work for each route."""
+    records: soak_records.Records
+    """Receives what is seen."""
+    rng: random.Random
+    """Source of random choices."""
+    network: int
+    """Second byte of the addresses."""
+    ports: list[int]
+    """Ports of each host; see `Host.address`."""
+    launch: Callable[[pathlib.Path], soak_launch.Launch] = soak_launch.as_subcommand
+    """How node processes are started."""
+    new_output: Callable[[], soak_output.Output] = soak_output.FileOutput
+    """Creates the output of a node process."""
+    store_address: str = ''
+    """Address of the store."""
+    stopped: bool = False
+    """Whether the soak is over."""
+
+
+class Host:
+    """One host: a node process, and the backend server beside it.
+
+    Args:
+        shared: What all hosts share.
+        number: Number of the host.
+        service: Service of its backend server.
+    """
+
+    def __init__(self, shared: Shared, number: int, service: str) -> None:
+        self.number = number
+        """Number of the host."""
+        self.service = service
+        """Service of its backend server."""
+        self.node: processes.ChildProcess | None = None
+        """Node process."""
+        self.expected_end = False
+        """Whether the end of the node process was caused from outside."""
+        self.terminated_at: clock.Milliseconds | None = None
+        """When the node process received its first SIGTERM."""
+        self.restart_s = RESTART_S
+        """Time from the next end of the node process to its start."""
+        self.before_next_start: list[Callable[[], None]] = []
+        """Actions that come just before the next start of the node process."""
+        self.at_next_start: list[Callable[[], None]] = []
+        """Actions that follow the next start of the node process."""
+        self.output: soak_output.Output | None = None
+        """Output of the node process."""
+        self.outputs: list[str] = []
+        """Output of the node processes that have ended."""
+        self._shared = shared
+        self._time = clock.SystemClock()
+        self._ip = f'127.{shared.network}.0.{number + 11}'
+        self._started_at = clock.Milliseconds(0)
+        self._is_starting = False
+        self._settings_number = 0
+        self._boots = 0
+        self._backend: soak_traffic.Backend | None = None
+        self._port: Any = None
+        self._heartbeats: task.LoopingCall | None = None
+
+    @property
+    def age_ms(self) -> float:
+        """Time since the start of the node process."""
+        return self._time.wall() - self._started_at
+
+    def address(self, index: int) -> str:
+        """Return the address with a port of the host, by the order of `_settings`."""
+        return f'{self._ip}:{self._shared.ports[index]}'
+
+    def start_node(self) -> None:
+        """Start the node process, and do what was to follow its start."""
+        _run_and_clear(self.before_next_start)
+        self.write_settings()
+        self.expected_end = False
+        self.terminated_at = None
+        self.restart_s = RESTART_S
+        self.output = self._shared.new_output()
+        launch = self._shared.launch(self._settings_path)
+        self._started_at = self._time.wall()
+        self._is_starting = True
+        self.node = processes.ChildProcess(
+            (), launch.command, launch.environment, self.output.target
+        )
+        self.output.process_started()
+        _run_and_clear(self.at_next_start)
+
+    def write_settings(self, share: float = 1) -> None:
+        """Write the settings file.
+
+        Args:
+            share: Share of its text that is written, from the start.
+        """
+        text = json.dumps(self._settings())
+        self._settings_path.write_text(text[: int(share * len(text))])
+
+    def change_settings(self) -> None:
+        """Change the settings that the next `write_settings` writes."""
+        self._settings_number += 1
+
+    def note_start(self) -> None:
+        """Record how long the start took, once the node has started."""
+        started_at = soak_output.started_at_ms(self.output) if self._is_starting else None
+        if started_at is not None:
+            self._is_starting = False
+            start_ms = started_at - self._started_at
+            self._shared.records.start_ms.append((start_ms, f'host-{self.number}'))
+
+    def end_problem(self) -> str:
+        """Return what is wrong with the end of the node process, or an empty string.
+
+        After SIGTERM it must end with 0, unless it was killed or suspended.
+        """
+        status = self.node.status
+        if not self.expected_end:
+            return f'host-{self.number} ended by itself with {status}, {self.age_ms:.0f} ms old'
+        if self.terminated_at is None or not status:
+            return ''
+        was_excused = self._shared.records.was_disturbed(
+            self.number,
+            self.terminated_at - _TOUCH_MS,
+            self._time.now(),
+            frozenset((soak_records.Disturbance.UNPLANNED,)),
+        )
+        if was_excused and status == -signal.SIGKILL:
+            return ''
+        return f'host-{self.number} ended with {status} on SIGTERM, {self.age_ms:.0f} ms old'
+
+    def node_ended(self) -> None:
+        """Keep the output of the node process that has ended."""
+        self.note_start()
+        self.outputs.append(self.output.text())
+        self.output.close_reader()
+        self.node = None
+
+    def start_backend(self) -> None:
+        """Start a new instance of the backend server."""
+        shared = self._shared
+        self._boots += 1
+        self._backend = soak_traffic.Backend(
+            shared.reactor,
+            self.number,
+            self.service,
+            f'i-{self.number}-{self._boots}',
+            shared.slots,
+            int(clock.SystemClock().wall()),
+            shared.records,
+            shared.work_ms_by_route,
+            shared.rng,
+        )
+        self._port = self._backend.serve(self.address(0))
+        self._heartbeats = self._backend.start_heartbeats(self.address(4))
+
+    async def replace_backend(self, on_leave: Callable[[], None] | None = None) -> None:
+        """Let the backend server leave, and start another instance at its address.
+
+        Args:
+            on_leave: Called as soon as the leave is acknowledged.
+        """
+        backend = self._backend
+        if backend.left_at is not None or backend.state != 'ready':
+            return
+        if self._shared.rng.choice((True, False)):
+            backend.state = 'draining'
+            await backend.send_heartbeat(self.address(4))
+        self._heartbeats.stop()
+        for _ in range(_LEAVE_TRIES):
+            if await backend.deregister(self.address(4)) == _STATUS_OK:
+                backend.left_at = backend.time.now()
+                if on_leave is not None:
+                    on_leave()
+                break
+            await task.deferLater(self._shared.reactor, _LEAVE_RETRY_S)
+        await task.deferLater(self._shared.reactor, _SERVED_AFTER_LEAVE_S)
+        await defer.maybeDeferred(self._port.stopListening)
+        await task.deferLater(self._shared.reactor, _BACK_S)
+        if not self._shared.stopped:
+            self.start_backend()
+
+    def stop_backend(self) -> None:
+        """Stop the heartbeats and the listener."""
+        if self._heartbeats.running:
+            self._heartbeats.stop()
+        self._port.stopListening()
+
+    def memory_mb(self) -> float:
+        """Return the private memory of the node process."""
+        try:
+            status = pathlib.Path(f'/proc/{self.node.pid}/status').read_text()
+        except OSError:
+            return 0.0
+        found = _ANONYMOUS_MEMORY.search(status)
+        return int(found.group(1)) / _KB_PER_MB if found else 0.0
+
+    @property
+    def _settings_path(self) -> pathlib.Path:
+        return self._shared.folder / f'host-{self.number}.json'
+
+    def _settings(self) -> dict[str, object]:
+        bounds = {'GraceS': GRACE_S, 'ProbesPerS': _PROBES_PER_S + self._settings_number % 2}
+        app, *listeners = (self.address(index) for index in range(5))
+        names = ('Inbound', 'Outbound', 'ReadyAddr', 'Control')
+        return {
+            'Self': {
+                'NodeName': f'host-{self.number}',
+                'Ip': self._ip,
+                'Zone': f'zone-{self.number % _ZONES}',
+                'AppAddr': app,
+                'Service': self.service,
+            },
+            'Network': {
+                'Listen': dict(zip(names, listeners, strict=True)),
+                'InternalPorts': self._shared.ports[5:],
+            },
+            'Platform': {'Platform': {'Address': self._shared.store_address}},
+            'Terms': {'Bounds': bounds},
+        }
+
+
+def _run_and_clear(actions: list[Callable[[], None]]) -> None:
+    pending = tuple(actions)
+    actions.clear()
+    for action in pending:
+        action()
--- /dev/null
+++ b/src/anvillug/bench/soak_launch.py
@@ -0,0 +1,51 @@
+"""Command and environment of the node processes of a soak."""
+
+from __future__ import annotations
+
+import dataclasses
+import os
+import pathlib
+import shlex
+import sys
+import tomllib
+from collections.abc import Mapping
+
+from anvillug.bench import processes
+from anvillug.platform import program
+
+_ROOT = pathlib.Path(__file__).resolve().parents[3]
+_PLATFORM_VARIABLES = ('HOME', 'LANG')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Launch:
+    """How a process is started."""
+
+    command: tuple[str, ...]
+    """Executable and arguments."""
+    environment: Mapping[str, str] | None
+    """Environment variables; None to inherit those of this process."""
+
+
+def as_subcommand(path: pathlib.Path) -> Launch:
+    """Return how `anvillug mesh` is started with a settings file."""
+    return Launch((*processes.PROGRAM, 'mesh', str(path)), None)
+
+
+def as_deployed(path: pathlib.Path) -> Launch:
+    """Return how the run line of the deploy file is started, with the platform's variables only.
+
+    Args:
+        path: Settings file.
+
+    Raises:
+        OSError: If there is no deploy file, as in an installed package.
+    """
+    deploy_file = tomllib.loads((_ROOT / 'deploy' / 'system.toml').read_text())
+    words = shlex.split(deploy_file['roles']['node']['run'])
+    command = tuple(str(_ROOT / word) if (_ROOT / word).is_file() else word for word in words)
+    variables = {name: os.environ[name] for name in _PLATFORM_VARIABLES if name in os.environ}
+    variables['PATH'] = f'{pathlib.Path(sys.executable).parent}:{os.environ["PATH"]}'
+    variables['PYTHONPATH'] = ':'.join(each for each in sys.path if each.endswith('-packages'))
+    variables[program.SETTINGS_VARIABLE] = str(path)
+    return Launch(command, variables)
--- a/src/anvillug/bench/soak_records.py
+++ b/src/anvillug/bench/soak_records.py
@@ -88,6 +88,8 @@
         """Processes that ended by themselves or exceeded their memory, with the reason."""
         self.configs: list[clock.Milliseconds] = []
         """Times at which a configuration was written."""
+        self.foreign_listeners: set[int] = set()
+        """Nodes whose port for callers another process holds."""
         self.start_ms: list[tuple[float, str]] = []
         """Time of each start until the node had started, with the name of the node."""
         self.peak_mb = 0.0
--- a/src/anvillug/bench/soak_traffic.py
+++ b/src/anvillug/bench/soak_traffic.py
@@ -245,7 +245,9 @@
         )
 
     def connected(self, connection: http_client.ClientConnection) -> None:
-        """Send the request."""
+        """Send the request, unless another process holds the port of the node."""
+        if self._attempt.node in self._records.foreign_listeners:
+            return
         self._connection = connection
         attempt = self._attempt
         deadline_ms = self._class.deadline_ms
--- a/src/anvillug/process/commands/bench.py
+++ b/src/anvillug/process/commands/bench.py
@@ -103,6 +103,7 @@
     nodes: int = 12,
     rate: float = 1,
     upload_bytes: int = 60_000,
+    faults: Sequence[str] = (),
     logs: pathlib.Path | None = None,
 ) -> int:
     """Run nodes under traffic and random faults, and check their promises.
@@ -113,17 +114,23 @@
         nodes: Number of node processes, at least 4.
         rate: Traffic as a share of that of the guhachitra-mesh deployment.
         upload_bytes: Mean size of uploads.
+        faults: Kinds of faults, as docs/soak.md names them; chosen by the seed by default.
         logs: Folder for the output of the nodes and the list of broken promises.
 
     Returns:
         Exit code: 0 if all promises held, 1 if one was broken, 2 for invalid arguments.
     """
     from anvillug.bench import soak as bench_soak  # noqa: PLC0415
+    from anvillug.bench import soak_faults  # noqa: PLC0415
 
     if nodes < _MIN_SOAK_NODES or min(seconds, rate, upload_bytes) <= 0:
         sys.stderr.write(f'soak: nodes must be {_MIN_SOAK_NODES} or more, the rest above 0\n')
         return _EXIT_BAD_FILE
-    plan = bench_soak.Plan(seed, seconds, nodes, rate, upload_bytes, logs)
+    unknown = sorted(set(faults) - soak_faults.KINDS)
+    if unknown:
+        sys.stderr.write(f'soak: unknown faults {", ".join(unknown)}\n')
+        return _EXIT_BAD_FILE
+    plan = bench_soak.Plan(seed, seconds, nodes, rate, upload_bytes, faults, logs)
     return _reactor.run(functools.partial(bench_soak.run, plan))
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -78,26 +78,73 @@
         assert soak_checks.broken(records) == ['FAULT host-1 ended by itself']
 
 
+_SOAK = (sys.executable, '-m', 'anvillug', 'bench', 'soak')
+_FIRST_SECOND = '--seed 2 --seconds 8 --nodes 4 --rate 0.15 --faults early'
+_PORT_IN_USE = '--seed 2 --seconds 8 --nodes 4 --rate 0.15 --faults port'
+_READER_GONE = '--seed 2 --seconds 8 --nodes 4 --rate 0.15 --faults reader-gone terminate'
+
+
+class TestIncident:
+    """Guards against processes that end by themselves and requests without an answer.
+
+    The three soaks run at once, with four nodes each.
+    """
+
+    @pytest.fixture(scope='class')
+    def soaks(self):
+        """Return the finished soaks by their arguments, each with exit status and output."""
+        soaks = {
+            arguments: subprocess.Popen(
+                (*_SOAK, *arguments.split()), stdout=subprocess.PIPE, stderr=subprocess.DEVNULL
+            )
+            for arguments in (_FIRST_SECOND, _PORT_IN_USE, _READER_GONE)
+        }
+        outputs = {name: soak.communicate(timeout=100)[0] for name, soak in soaks.items()}
+        return {name: (soaks[name].returncode, outputs[name].decode()) for name in soaks}
+
+    def test_signal_in_the_first_second_of_a_process(self, soaks):
+        # FAULT: until a node had imported itself, signals had their default action.
+        status, output = soaks[_FIRST_SECOND]
+        assert not status, output
+
+    def test_port_in_use_at_the_start(self, soaks):
+        # FAULT: a listen address in use ended the node.
+        status, output = soaks[_PORT_IN_USE]
+        assert not status, output
+
+    def test_requests_without_an_answer_when_the_log_has_no_reader(self, soaks):
+        # LOST: a log line that could not be written raised an error into the path of requests.
+        status, output = soaks[_READER_GONE]
+        assert not status, output
+
+
 class TestShortRun:
     """Guards against a broken promise under traffic and faults on real processes."""
 
     @pytest.mark.parametrize(
         'arguments',
         [
-            '--seed 1 --seconds 25 --nodes 6 --rate 0.3',
+            '--seed 1 --seconds 25 --nodes 6 --rate 0.3 --faults burst config pause',
             # FAULT and LOST: bodies in reference cycles took over 300 MB.
-            '--seed 42 --seconds 50 --rate 0.25 --upload-bytes 4000000',
+            '--seed 42 --seconds 50 --rate 0.25 --upload-bytes 4000000 --faults burst pause',
         ],
     )
     def test_promises_hold(self, tmp_path, arguments):
-        command = (sys.executable, '-m', 'anvillug', 'bench', 'soak', *arguments.split())
+        command = (*_SOAK, *arguments.split())
         finished = subprocess.run(
             [*command, '--logs', str(tmp_path)], capture_output=True, text=True, timeout=200
         )
         assert finished.returncode == 0, finished.stdout
 
-    def test_invalid_argument_is_an_error(self):
-        command = (sys.executable, '-m', 'anvillug', 'bench', 'soak', '--nodes', '1')
+    @pytest.mark.parametrize(
+        ('arguments', 'message'),
+        [
+            ('--nodes 1', 'nodes must be 4 or more'),
+            ('--faults kill quake', 'unknown faults quake'),
+        ],
+    )
+    def test_invalid_argument_is_an_error(self, arguments, message):
+        command = (*_SOAK, *arguments.split())
         finished = subprocess.run(command, capture_output=True, text=True, timeout=30)
         assert finished.returncode == 2
-        assert 'nodes must be 4 or more' in finished.stderr
+        assert message in finished.stderr
