--- a/src/anvillug/bench/soak_fleet.py
+++ b/src/anvillug/bench/soak_fleet.py
@@ -13,7 +13,7 @@
 from twisted.internet import task
 
 from anvillug import clock, event_log
-from anvillug.bench import processes, soak_host, soak_records, soak_traffic
+from anvillug.bench import processes, soak_classes, soak_host, soak_records
 from anvillug.standin import platform_store
 
 MEMORY_LIMIT_MB = 300
@@ -43,7 +43,7 @@
         folder: pathlib.Path,
         services: Sequence[str],
         slots: int,
-        classes: Sequence[soak_traffic.RequestClass],
+        classes: Sequence[soak_classes.RequestClass],
         records: soak_records.Records,
         rng: random.Random,
     ) -> None:
@@ -67,6 +67,10 @@
         self.hosts = [
             soak_host.Host(self.shared, number, service) for number, service in enumerate(services)
         ]
+        self.before_start: list[Callable[[], None]] = []
+        """Actions between the starts of the store and of the hosts."""
+        self.after_stop: list[Callable[[], Any]] = []
+        """Actions once all processes have ended."""
         self._classes = classes
         self._version = 0
         self._time = clock.SystemClock()
@@ -83,6 +87,8 @@
         self._store_port = self.reactor.listenTCP(0, self.store.site(), interface='127.0.0.1')
         self.shared.store_address = f'127.0.0.1:{self._store_port.getHost().port}'
         self.change_config()
+        for prepare in self.before_start:
+            prepare()
         for host in self.hosts:
             host.start_backend()
             host.start_node()
@@ -102,6 +108,8 @@
                 host.node_ended()
             host.stop_backend()
         self._store_port.stopListening()
+        for clean_up in self.after_stop:
+            clean_up()
 
     def later(self, delay_s: float, action: Callable[..., Any], *arguments: object) -> None:
         """Call something after a delay, unless the soak is over by then."""
@@ -133,7 +141,7 @@
             'Version': f'{self._version:08x}',
             'Services': services,
             'Limits': {**limits, 'HeaderTimeoutMs': 3000, 'IdleTimeoutMs': 15000},
-            'VirtualHosts': [{'Host': soak_traffic.HOST, 'Paths': paths}],
+            'VirtualHosts': [{'Host': soak_classes.HOST, 'Paths': paths}],
         }
         self.store.topic(_ORDERS).append(b'config', json.dumps(document).encode())
 
@@ -144,7 +152,7 @@
         host.expected_end = True
         host.terminated_at = self._time.now()
         node = host.node
-        self._disturb(host, soak_records.Disturbance.PLANNED)
+        self.disturb(host, soak_records.Disturbance.PLANNED)
         node.send_signal(signal.SIGTERM)
         self.reactor.callLater(soak_host.GRACE_S, node.send_signal, signal.SIGKILL)
 
@@ -155,19 +163,19 @@
 
     def hang_up(self, host: soak_host.Host) -> None:
         """Send SIGHUP to a node, whose settings file may have changed."""
-        self._disturb(host, soak_records.Disturbance.HANGUP)
+        self.disturb(host, soak_records.Disturbance.HANGUP)
         host.node.send_signal(signal.SIGHUP)
 
     def kill(self, host: soak_host.Host) -> None:
         """Kill a node."""
         host.expected_end = True
-        self._disturb(host)
+        self.disturb(host)
         host.node.send_signal(signal.SIGKILL)
 
     def pause(self, host: soak_host.Host, duration_s: float) -> None:
         """Suspend a node for a time."""
         node = host.node
-        self._disturb(host)
+        self.disturb(host)
         node.send_signal(signal.SIGSTOP)
         self.reactor.callLater(duration_s, self._resume, host, node)
 
@@ -182,14 +190,15 @@
             action(*arguments)
 
     def _resume(self, host: soak_host.Host, node: processes.ChildProcess) -> None:
-        self._disturb(host)
+        self.disturb(host)
         node.send_signal(signal.SIGCONT)
 
-    def _disturb(
+    def disturb(
         self,
         host: soak_host.Host,
         kind: soak_records.Disturbance = soak_records.Disturbance.UNPLANNED,
     ) -> None:
+        """Record what is done to a node."""
         self.records.disturb(host.number, self._time.now(), kind)
 
     def _watch_nodes(self) -> None:
@@ -219,7 +228,7 @@
     def _restart(self, host: soak_host.Host) -> None:
         if not self.stopped:
             if host.expected_end:
-                self._disturb(host, soak_records.Disturbance.START)
+                self.disturb(host, soak_records.Disturbance.START)
             host.start_node()
 
     def _own_end(self, reason: str) -> None:
--- /dev/null
+++ b/src/anvillug/bench/soak_links.py
@@ -0,0 +1,116 @@
+"""Faults of a soak on links: of nodes to the store, and to the backend servers beside them."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet import defer
+
+from anvillug.bench import soak_fleet, soak_host, soak_records, soak_signals
+from anvillug.standin import link as standin_link
+
+STORE_LINK = 'store-link'
+"""Kind of the faults on links to the store."""
+BACKEND_LINK = 'backend-link'
+"""Kind of the faults on links to backend servers."""
+KINDS = frozenset((STORE_LINK, BACKEND_LINK))
+"""Kinds that need links."""
+
+# Shortest and longest time.
+_CUT_S = (0.2, 3.0)
+_DELAYED_S = (0.5, 3.0)
+_DELAY_MS = (20, 300)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _HostLink:
+    """Link of one host."""
+
+    host: soak_host.Host
+    link: standin_link.Link
+    address: str
+
+
+class Links:
+    """Links of the nodes, and faults on them.
+
+    Args:
+        fleet: The processes and stand-ins, not started yet.
+        signals: Chooses nodes.
+        kinds: Kinds of faults; links that have none are not set up.
+    """
+
+    def __init__(
+        self, fleet: soak_fleet.Fleet, signals: soak_signals.Signals, kinds: frozenset[str]
+    ) -> None:
+        self.actions_by_kind: dict[str, Callable[[], Any]] = {
+            STORE_LINK: lambda: self._disturb_link(self._store_links),
+            BACKEND_LINK: lambda: self._disturb_link(self._backend_links),
+        }
+        """Begins a fault of each kind."""
+        self._fleet = fleet
+        self._rng = fleet.rng
+        self._signals = signals
+        self._store_links: dict[int, _HostLink] = {}
+        self._backend_links: dict[int, _HostLink] = {}
+        if STORE_LINK in kinds:
+            fleet.before_start.append(self._link_store)
+        if BACKEND_LINK in kinds:
+            fleet.before_start.append(self._link_backends)
+
+    def _link_store(self) -> None:
+        for host in self._fleet.hosts:
+            target = self._fleet.shared.store_address
+            host_link = self._link(host, target, '127.0.0.1:0')
+            host.store_address = host_link.address
+            self._store_links[host.number] = host_link
+
+    def _link_backends(self) -> None:
+        for host in self._fleet.hosts:
+            host.backend_address = host.second_address(0)
+            host_link = self._link(host, host.backend_address, host.address(0))
+            self._backend_links[host.number] = host_link
+
+    def _link(self, host: soak_host.Host, target: str, address: str) -> _HostLink:
+        link = standin_link.Link(self._fleet.reactor, target)
+        self._fleet.after_stop.append(link.stop)
+        return _HostLink(host, link, link.listen(address))
+
+    def _disturb_link(self, links: dict[int, _HostLink]) -> None:
+        """Cut, delay, reset or silence the link of one node."""
+        host_link = links[self._signals.running_host().number]
+        action = self._rng.choice((self._cut, self._delay, self._reset, self._silence))
+        self._mark(host_link)
+        action(host_link)
+
+    def _cut(self, host_link: _HostLink) -> None:
+        host_link.link.stop()
+        self._fleet.later(self._rng.uniform(*_CUT_S), self._restore, host_link)
+
+    def _delay(self, host_link: _HostLink) -> None:
+        delay_ms = self._rng.uniform(*_DELAY_MS)
+        host_link.link.faults = standin_link.LinkFaults(delay_ms=delay_ms)
+        self._fleet.later(self._rng.uniform(*_DELAYED_S), self._speed_up, host_link)
+
+    def _reset(self, host_link: _HostLink) -> None:
+        stopped = defer.maybeDeferred(host_link.link.stop)
+        stopped.addCallback(lambda _: self._restore(host_link))
+
+    def _silence(self, host_link: _HostLink) -> None:
+        host_link.link.silence_open_connections()
+
+    def _restore(self, host_link: _HostLink) -> None:
+        if not self._fleet.stopped and not host_link.link.is_listening:
+            host_link.link.listen(host_link.address)
+        self._mark(host_link)
+
+    def _speed_up(self, host_link: _HostLink) -> None:
+        host_link.link.faults = standin_link.LinkFaults()
+        self._mark(host_link)
+
+    def _mark(self, host_link: _HostLink) -> None:
+        """Record trouble on a link; that of the store alone excuses nothing."""
+        if self._backend_links.get(host_link.host.number) is host_link:
+            self._fleet.disturb(host_link.host, soak_records.Disturbance.LINK)
--- a/src/anvillug/bench/soak_output.py
+++ b/src/anvillug/bench/soak_output.py
@@ -80,7 +80,9 @@
         reactor.addReader(self)
 
     def text(self) -> str:
-        """Return everything that was read of it so far."""
+        """Return everything that was read of it so far, and what waits in the pipe if it is."""
+        if self._is_read:
+            self.doRead()
         return self._text.decode(errors='replace')
 
     def process_started(self) -> None:
--- a/src/anvillug/bench/soak_surroundings.py
+++ b/src/anvillug/bench/soak_surroundings.py
@@ -16,6 +16,7 @@
 _STORE_FAULT_S = (0.5, 6.0)
 _HALF_WRITTEN_S = (0.02, 0.3)
 _PORT_HELD_S = (0.5, 2.0)
+_LATE_HEARTBEATS_S = (1.8, 2.6, 3.4)
 _MAX_CONFIGS = 4
 _CONFIG_STEP_S = 0.3
 _BEACON_PORT_INDEX = 5
@@ -66,13 +67,18 @@
         defer.ensureDeferred(self._signals.running_host().replace_backend())
 
     def _kill_all_at_ack(self) -> None:
-        """Kill all nodes as soon as the leave of a backend server is acknowledged."""
+        """Kill all nodes as soon as the leave of a backend server is acknowledged.
+
+        Heartbeats that were sent before the leave arrive seconds late, at the next processes.
+        """
         host = self._signals.running_host()
-        defer.ensureDeferred(host.replace_backend(self._kill_all))
+        defer.ensureDeferred(host.replace_backend(functools.partial(self._kill_all, host)))
 
-    def _kill_all(self) -> None:
+    def _kill_all(self, left: soak_host.Host) -> None:
         for host in self._fleet.hosts:
             self._signals.on_node(self._fleet.kill, host)
+        for delay_s in _LATE_HEARTBEATS_S:
+            self._fleet.later(delay_s, left.repeat_heartbeat)
 
     def _settings(self) -> None:
         """Change a settings file, which is half written for a moment, with SIGHUP or without."""
--- a/src/anvillug/standin/link.py
+++ b/src/anvillug/standin/link.py
@@ -183,6 +183,11 @@
         self._address = http_api.split_address(bound)
         return bound
 
+    @property
+    def is_listening(self) -> bool:
+        """Whether new connections are accepted."""
+        return self._port is not None
+
     def stop(self) -> defer.Deferred[None]:
         """Stop listening and reset the open connections."""
         for connection in tuple(self.open_connections):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -73,6 +73,17 @@
         _run(records, began_at=began_at, left_at=clock.Milliseconds(10_000))
         assert soak_checks.broken(records) == broken
 
+    @pytest.mark.parametrize(('link_at', 'broken'), [(9400, ['DRAIN a1']), (9401, [])])
+    def test_request_that_a_link_held_up(self, records, link_at, broken):
+        records.disturb(1, clock.Milliseconds(link_at), soak_records.Disturbance.LINK)
+        _run(records, began_at=12_400, left_at=clock.Milliseconds(10_000))
+        assert soak_checks.broken(records) == broken
+
+    def test_kill_does_not_excuse_a_request_after_a_leave(self, records):
+        records.disturb(1, clock.Milliseconds(11_000), soak_records.Disturbance.UNPLANNED)
+        _run(records, began_at=12_400, left_at=clock.Milliseconds(10_000))
+        assert soak_checks.broken(records) == ['DRAIN a1']
+
     def test_process_that_ends_by_itself(self, records):
         records.own_ends.append('host-1 ended by itself')
         assert soak_checks.broken(records) == ['FAULT host-1 ended by itself']
