--- a/src/anvillug/bench/soak_backend.py
+++ b/src/anvillug/bench/soak_backend.py
@@ -20,6 +20,8 @@
 _STATUS_FULL = 503
 _HEALTH_PATH = b'/health'
 _MAX_QUEUED = 4
+# Heartbeats that were sent after a late one.
+_LATE_BY = 3
 # Share of the runs that make calls, among those of a route with calls.
 _CALL_SHARE = 0.7
 
@@ -96,6 +98,11 @@
         self.listen_address = named_address
         return self._reactor.listenTCP(int(port), self._factory, interface=host)
 
+    def predate_heartbeat(self) -> None:
+        """Let the next heartbeat be as one that was sent before the leave."""
+        self.state = 'ready'
+        self._sequence = max(0, self._sequence - _LATE_BY)
+
     def _received(self, exchange: http_exchange.ServerExchange) -> None:
         head = exchange.head
         load = (b'Anvillug-Server-Load', b'%d,0,%d,100' % (self._busy, self.slots))
--- a/src/anvillug/bench/soak_host.py
+++ b/src/anvillug/bench/soak_host.py
@@ -211,11 +211,14 @@
         self._port = self._backend.serve(self.backend_address or self.address(0), self.address(0))
         self._heartbeats = self._backend.start_heartbeats(self.address(4))
 
-    async def replace_backend(self, on_leave: Callable[[], None] | None = None) -> None:
+    async def replace_backend(
+        self, on_leave: Callable[[], None] | None = None, served_s: float = _SERVED_AFTER_LEAVE_S
+    ) -> None:
         """Let the backend server leave, and start another instance at its address.
 
         Args:
             on_leave: Called as soon as the leave is acknowledged.
+            served_s: Time in seconds for which it serves after its leave.
         """
         backend = self._backend
         if backend.left_at is not None or backend.state != 'ready':
@@ -231,14 +234,15 @@
                     on_leave()
                 break
             await task.deferLater(self._shared.reactor, _LEAVE_RETRY_S)
-        await task.deferLater(self._shared.reactor, _SERVED_AFTER_LEAVE_S)
+        await task.deferLater(self._shared.reactor, served_s)
         await defer.maybeDeferred(self._port.stopListening)
         await task.deferLater(self._shared.reactor, _BACK_S)
         if not self._shared.stopped:
             self.start_backend()
 
     def repeat_heartbeat(self) -> None:
-        """Send a heartbeat of the backend server, though it may have left."""
+        """Deliver a heartbeat that the backend server has sent before it left."""
+        self._backend.predate_heartbeat()
         defer.ensureDeferred(self._backend.send_heartbeat(self.address(4)))
 
     def stop_backend(self) -> None:
--- a/src/anvillug/bench/soak_surroundings.py
+++ b/src/anvillug/bench/soak_surroundings.py
@@ -16,7 +16,8 @@
 _STORE_FAULT_S = (0.5, 6.0)
 _HALF_WRITTEN_S = (0.02, 0.3)
 _PORT_HELD_S = (0.5, 2.0)
-_LATE_HEARTBEATS_S = (1.8, 2.6, 3.4)
+_LATE_HEARTBEATS_S = (1.8, 2.6, 3.4, 4.2, 5.0)
+_SERVED_AFTER_KILL_S = 8.0
 _MAX_CONFIGS = 4
 _CONFIG_STEP_S = 0.3
 _BEACON_PORT_INDEX = 5
@@ -72,7 +73,8 @@
         Heartbeats that were sent before the leave arrive seconds late, at the next processes.
         """
         host = self._signals.running_host()
-        defer.ensureDeferred(host.replace_backend(functools.partial(self._kill_all, host)))
+        on_leave = functools.partial(self._kill_all, host)
+        defer.ensureDeferred(host.replace_backend(on_leave, _SERVED_AFTER_KILL_S))
 
     def _kill_all(self, left: soak_host.Host) -> None:
         for host in self._fleet.hosts:
