--- a/src/anvillug/process/node.py
+++ b/src/anvillug/process/node.py
@@ -174,6 +174,7 @@
     def withdraw(self) -> None:
         """Announce the leave, reject new calls later, then drain; see `life_cycle.Actions`."""
         event_log.emit('node_leaving', calls=self._calls_in_progress())
+        self._caller_factory.close_after_responses()
         self._update_local_member()
         self._reactor.callLater(_REJECTION_DELAY_S, self._reject_new_calls)
         self._reactor.callLater(_LISTENER_CLOSE_DELAY_S, self._close_caller_listener)
@@ -416,4 +417,6 @@
         return self.host.calls_in_progress + len(self.entry.in_progress)
 
     def _busy_connections(self) -> int:
+        # Closes connections whose last response did not announce the close.
+        self._caller_factory.close_when_idle()
         return self._caller_factory.busy_count + self._peer_factory.busy_count
--- a/tests/test_mesh_stop.py
+++ b/tests/test_mesh_stop.py
@@ -22,14 +22,14 @@
 mesh = test_mesh_path.mesh
 
 _TIMEOUT_S = 10
-_CALLERS = 6
+CALLERS = 6
 _CALLER_PORT = 2
 _PEER_PORT = 1
 _PAUSE_S = 0.01
 
 
 @dataclasses.dataclass
-class _Message:
+class Message:
     """A request that is sent again and again."""
 
     method: str
@@ -38,10 +38,10 @@
     headers: dict[str, str]
 
 
-class _Sender:
+class Sender:
     """Sends requests on a kept connection until the node refuses connections."""
 
-    def __init__(self, address: tuple[str, int], message: _Message) -> None:
+    def __init__(self, address: tuple[str, int], message: Message) -> None:
         self.outcomes: collections.Counter[str] = collections.Counter()
         """Numbers of statuses and of requests without an answer."""
         self._address = address
@@ -50,6 +50,7 @@
         self._thread.start()
 
     def join(self) -> None:
+        """Wait until the node refuses connections."""
         self._thread.join()
 
     def _send_all(self) -> None:
@@ -77,7 +78,8 @@
         self.outcomes[str(response.status)] += 1
 
 
-def _outcomes(senders: list[_Sender]) -> collections.Counter[str]:
+def outcomes(senders: list[Sender]) -> collections.Counter[str]:
+    """Return the numbers of outcomes, once all senders are refused."""
     for sender in senders:
         sender.join()
     return sum((each.outcomes for each in senders), collections.Counter())
@@ -100,8 +102,8 @@
     return job_wire.pack_job(work, clock.Milliseconds(0))
 
 
-_CALL = _Message('POST', '/once/x', b'1', {'Host': 'a.example', 'Anvillug-Deadline-Ms': '4000'})
-_INQUIRY = _Message('POST', job_wire.INQUIRY_PATH.decode(), _inquiry(), {'Host': 'node'})
+_CALL = Message('POST', '/once/x', b'1', {'Host': 'a.example', 'Anvillug-Deadline-Ms': '4000'})
+_INQUIRY = Message('POST', job_wire.INQUIRY_PATH.decode(), _inquiry(), {'Host': 'node'})
 
 
 def _address(mesh, port: int, node: int = 0) -> tuple[str, int]:
@@ -113,9 +115,9 @@
 
     # Guards against kept connections that are closed under a request.
     def test_kept_connections_of_callers_lose_no_request(self, mesh):
-        senders = [_Sender(_address(mesh, _CALLER_PORT), _CALL) for _ in range(_CALLERS)]
+        senders = [Sender(_address(mesh, _CALLER_PORT), _CALL) for _ in range(CALLERS)]
         mesh.nodes[0].send_signal(signal.SIGTERM)
-        assert set(_outcomes(senders)) <= {'200', '503'}
+        assert set(outcomes(senders)) <= {'200', '503'}
 
     # Guards against callers that are not told to leave before idle connections are closed.
     def test_responses_announce_the_close_from_the_signal_on(self, mesh):
@@ -127,15 +129,15 @@
     # Guards against jobs of other nodes that are cut at the end of the process, and which their
     # callers are told may have run.
     def test_jobs_of_other_nodes_are_answered_until_the_end(self, mesh):
-        senders = [_Sender(_address(mesh, _PEER_PORT), _INQUIRY) for _ in range(_CALLERS)]
+        senders = [Sender(_address(mesh, _PEER_PORT), _INQUIRY) for _ in range(CALLERS)]
         mesh.nodes[0].send_signal(signal.SIGTERM)
-        assert set(_outcomes(senders)) == {'200'}
+        assert set(outcomes(senders)) == {'200'}
         assert mesh.nodes[0].stop() == 0
 
     # Guards against a stop in which timers run before sockets are read.
     @pytest.mark.parametrize('pause_s', [1.0, 2.2])
     def test_suspended_node_answers_what_arrived_meanwhile(self, mesh, pause_s):
-        kept = [socket.create_connection(_address(mesh, _CALLER_PORT)) for _ in range(_CALLERS)]
+        kept = [socket.create_connection(_address(mesh, _CALLER_PORT)) for _ in range(CALLERS)]
         for connection in kept:
             assert _exchange(connection, 'kept').startswith(b'HTTP/1.1 200')
         mesh.nodes[0].send_signal(signal.SIGTERM)
