--- a/src/anvillug/process/mesh_entry.py
+++ b/src/anvillug/process/mesh_entry.py
@@ -160,6 +160,10 @@
         now = self.clock.now()
         peer = attempt.peer
         work = attempt.work
+        # The next attempt of the call needs this, even if recording the result fails.
+        if result.node_failed:
+            peer.avoid(now)
+        peer.record_load(result.load, now)
         self._metrics.count('tries', result.kind.value)
         self._count_for_rollout(attempt, result, now)
         event_log.emit(
@@ -180,9 +184,6 @@
             host_position=result.position,
             took_ms=int(now - attempt.started_at),
         )
-        if result.node_failed:
-            peer.avoid(now)
-        peer.record_load(result.load, now)
         if result.position > self._active_directives.current.position:
             self._fetch.start(self.pool(peer.announcement.peer_address))
 
--- a/src/anvillug/process/mesh_host.py
+++ b/src/anvillug/process/mesh_host.py
@@ -259,6 +259,18 @@
         on_result: upstream_run.ResultReady,
     ) -> None:
         self._runs.discard(run)
+        try:
+            self._record(run, identity, result)
+        finally:
+            # A failure to record the run must not cost the caller the answer.
+            on_result(self._with_host_state(result))
+
+    def _record(
+        self,
+        run: upstream_run.UpstreamRun,
+        identity: crash_watch.JobIdentity,
+        result: job.Result,
+    ) -> None:
         run.work.release_body()
         self._crashes.job_ended(identity, result)
         self.upstream.record_load(run.load)
@@ -281,7 +293,6 @@
             cold_ms=int(self.upstream.cold_ms),
             took_ms=int(self._clock.now() - run.sent_at) if run.sent_at else 0,
         )
-        on_result(self._with_host_state(result))
 
     def _with_host_state(self, result: job.Result) -> job.Result:
         """Return the result with the load and directives position of this host."""
--- a/src/anvillug/process/pending_attempt.py
+++ b/src/anvillug/process/pending_attempt.py
@@ -107,9 +107,12 @@
         if self._ended:
             return
         self._finish()
-        self._owner.attempt_ended(self, result)
-        self.work.release_body()
-        self._on_result(result)
+        try:
+            self._owner.attempt_ended(self, result)
+        finally:
+            # A failure to record the attempt must not cost the caller the answer.
+            self.work.release_body()
+            self._on_result(result)
 
     def cancel(self) -> None:
         """Cancel the attempt; no result is reported."""
--- a/src/anvillug/request/routed_call.py
+++ b/src/anvillug/request/routed_call.py
@@ -374,16 +374,24 @@
     def _forward(self, result: job.Result) -> None:
         head = result.head
         head.headers.append((b'Content-Length', b'%d' % len(result.body)))
-        self._end(head.status, result.reason)
+        try:
+            self._end(head.status, result.reason)
+        finally:
+            # A failure to record the call must not cost the caller the answer.
+            self._send(head, result.body)
+
+    def _send(self, head: http_head.ResponseHead, body: bytes) -> None:
         self._exchange.send_head(head)
-        self._exchange.send_body(result.body)
+        self._exchange.send_body(body)
         self._exchange.finish()
 
     def _respond(
         self, status: int, reason: str, headers: tuple[http_head.Header, ...] = ()
     ) -> None:
-        self._end(status, reason)
-        self._exchange.respond(status, f'{reason}\n'.encode(), headers)
+        try:
+            self._end(status, reason)
+        finally:
+            self._exchange.respond(status, f'{reason}\n'.encode(), headers)
 
     def _seconds_left(self) -> float:
         return max(0.0, clock.to_seconds(self.deadline - self._context.clock.now()))
@@ -396,10 +404,15 @@
             if timer is not None and timer.active():
                 timer.cancel()
         self._pending_attempts.clear()
-        for cancel in tuple(self._cancels_by_attempt.values()):
-            cancel()
-        self._cancels_by_attempt.clear()
+        try:
+            for cancel in tuple(self._cancels_by_attempt.values()):
+                cancel()
+        finally:
+            self._release()
+            self._context.call_ended(self, status, reason)
+
+    def _release(self) -> None:
         # The exchange and the call refer to each other, and may be collected much later.
+        self._cancels_by_attempt.clear()
         self._body.clear()
         self._context.reserve(-self._reserved)
-        self._context.call_ended(self, status, reason)
--- a/tests/test_mesh_entry.py
+++ b/tests/test_mesh_entry.py
@@ -109,6 +109,23 @@
         assert not entry_side.entry.has_faster_host(entry_side.call)
 
 
+class TestFailedRecord:
+    """Guards against a failure to count an attempt that costs its caller the answer."""
+
+    def test_result_is_reported(self, entry_side, monkeypatch):
+        monkeypatch.setattr(entry_side.entry._metrics, 'count', _fail)  # noqa: SLF001
+        attempt = next(iter(entry_side.entry._pending_attempts))  # noqa: SLF001
+        failed = job.Result(job.ResultKind.UNKNOWN, 'lost', node_failed=True)
+        with pytest.raises(ZeroDivisionError):
+            attempt.result(failed)
+        assert entry_side.outcomes == [(job.ResultKind.UNKNOWN, 'lost')]
+        assert attempt.peer.avoid_until > entry_side.time.now()
+
+
+def _fail(*arguments: object) -> None:
+    raise ZeroDivisionError
+
+
 class TestRestartedNode:
     """Guards against waiting for the response of a process that has ended."""
 
--- a/tests/test_mesh_host.py
+++ b/tests/test_mesh_host.py
@@ -6,7 +6,7 @@
 from twisted.internet import testing
 
 from anvillug import clock, ids
-from anvillug.connection import http_head
+from anvillug.connection import http_client, http_head
 from anvillug.platform import headers
 from anvillug.process import crash_watch, mesh_host, mesh_settings, metrics, upstream
 from anvillug.request import dialect, job
@@ -153,6 +153,25 @@
         assert not host_side.rejection_reason()
 
 
+class TestFailedRecord:
+    """Guards against a failure to count a run that costs its caller the answer."""
+
+    def test_result_is_reported(self, monkeypatch):
+        host_side = _HostSide(cold_ms=0)
+        results: list[job.Result] = []
+        host_side.host.submit(host_side.job(), results.append)
+        monkeypatch.setattr(host_side.host._metrics, 'count', _fail)  # noqa: SLF001
+        run = next(iter(host_side.host._runs))  # noqa: SLF001
+        with pytest.raises(ZeroDivisionError):
+            run.response_failed(http_client.ClientFailure.LOST)
+        assert [result.kind for result in results] == [job.ResultKind.UNKNOWN]
+        assert host_side.host.running == 0
+
+
+def _fail(*arguments: object) -> None:
+    raise ZeroDivisionError
+
+
 class TestInquiry:
     """Guards against sending bodies to a host that rejects them."""
 
--- a/tests/test_routed_call.py
+++ b/tests/test_routed_call.py
@@ -195,6 +195,32 @@
         assert routed.connection.status == 413
 
 
+class TestFailedRecord:
+    """Guards against a failure to count or log a call that costs its caller the answer."""
+
+    @pytest.mark.parametrize(('result', 'status'), [(_make_answered(), 200), (_UNKNOWN, 502)])
+    def test_caller_is_answered(self, result, status):
+        routed = _RoutedRequest(_ONCE)
+        routed.context.call_ended = _fail
+        with pytest.raises(ZeroDivisionError):
+            routed.begin(result)
+        assert routed.connection.status == status
+
+    def test_call_ends_although_an_attempt_is_not_cancelled(self):
+        routed = _RoutedRequest()
+        ended = []
+        routed.context.call_ended = lambda call, status, reason: ended.append(status)
+        routed.begin()
+        routed.call._cancels_by_attempt = {1: _fail}  # noqa: SLF001
+        with pytest.raises(ZeroDivisionError):
+            routed.call.request_aborted()
+        assert ended == [0]
+
+
+def _fail(*arguments: object) -> None:
+    raise ZeroDivisionError
+
+
 class TestRetries:
     """Guards against requests that run twice, and against "not run" for one that may have run."""
 
