--- a/tests/test_mesh_stop.py
+++ b/tests/test_mesh_stop.py
@@ -5,6 +5,7 @@
 import collections
 import dataclasses
 import itertools
+import json
 import signal
 import socket
 import threading
@@ -155,7 +156,45 @@
         statuses = collections.Counter(_receive(each)[9:12] for each in late)
         assert set(statuses) <= {b'200', b'503'}
 
+    # Guards against jobs of nodes that stop at the same time, and answers of a node's own in place
+    # of those that backend servers are working on.
+    @pytest.mark.parametrize(('work_ms', 'body_size'), [(2, 1), (700, 1), (100, 1 << 20)])
+    def test_nodes_that_stop_together_answer_all(self, mesh, work_ms, body_size):
+        mesh.inject_faults(work_ms=work_ms)
+        call = dataclasses.replace(_CALL, body=bytes(body_size))
+        senders = [
+            Sender(_address(mesh, _CALLER_PORT, node), call)
+            for node in range(len(mesh.nodes))
+            for _ in range(CALLERS)
+        ]
+        time.sleep(_BEFORE_STOP_S)
+        for process in mesh.nodes:
+            process.send_signal(signal.SIGTERM)
+        assert set(outcomes(senders)) <= {'200', '503'}
+        assert [process.stop() for process in mesh.nodes] == [0, 0]
+
+    # Guards against requests that are cut while settings and directives change.
+    def test_changes_under_load_cut_nothing(self, mesh):
+        mesh.inject_faults(work_ms=100)
+        senders = [Sender(_address(mesh, _CALLER_PORT), _CALL) for _ in range(CALLERS)]
+        path = mesh.settings_path(0)
+        document = json.loads(path.read_text())
+        for number in range(_CHANGES):
+            document['Self']['Service'] = ('two', 'one')[number % 2]
+            path.write_text(json.dumps(document))
+            mesh.nodes[0].send_signal(signal.SIGHUP)
+            mesh.order(
+                b'config',
+                test_mesh_path._config(6 + number, *test_mesh_path._PATHS),  # noqa: SLF001
+            )
+            time.sleep(_CHANGE_S)
+        mesh.nodes[0].send_signal(signal.SIGTERM)
+        assert set(outcomes(senders)) <= {'200', '503'}
+
 
+_BEFORE_STOP_S = 0.5
+_CHANGES = 10
+_CHANGE_S = 0.15
 _QUEUED = 50
 _SUSPENDED_S = 1.5
 
