--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -93,59 +93,62 @@
 _FIRST_SECOND = '--seed 2 --seconds 8 --nodes 4 --rate 0.15 --faults early'
 _PORT_IN_USE = '--seed 2 --seconds 8 --nodes 4 --rate 0.15 --faults port'
 _READER_GONE = '--seed 2 --seconds 8 --nodes 4 --rate 0.15 --faults reader-gone terminate'
+_FEW_NODES = '--seed 1 --seconds 25 --nodes 6 --rate 0.3 --faults burst config pause'
+# FAULT and LOST: bodies in reference cycles took over 300 MB.
+_LARGE_BODIES = '--seed 42 --seconds 50 --rate 0.25 --upload-bytes 4000000 --faults burst pause'
+
+
+def _start(arguments, folder):
+    return subprocess.Popen(
+        (*_SOAK, *arguments.split(), '--logs', str(folder)),
+        stdout=subprocess.PIPE,
+        stderr=subprocess.DEVNULL,
+        text=True,
+    )
+
+
+def _assert_held(soak):
+    output, _ = soak.communicate(timeout=200)
+    assert soak.returncode == 0, output
+
+
+@pytest.fixture(scope='module')
+def soaks(tmp_path_factory):
+    """Yield four short soaks by their arguments, which run at once to save time."""
+    processes = {
+        arguments: _start(arguments, tmp_path_factory.mktemp('soak'))
+        for arguments in (_FIRST_SECOND, _PORT_IN_USE, _READER_GONE, _FEW_NODES)
+    }
+    yield processes
+    for soak in processes.values():
+        soak.terminate()
+        soak.wait()
 
 
 class TestIncident:
-    """Guards against processes that end by themselves and requests without an answer.
-
-    The three soaks run at once, with four nodes each.
-    """
-
-    @pytest.fixture(scope='class')
-    def soaks(self):
-        """Return the finished soaks by their arguments, each with exit status and output."""
-        soaks = {
-            arguments: subprocess.Popen(
-                (*_SOAK, *arguments.split()), stdout=subprocess.PIPE, stderr=subprocess.DEVNULL
-            )
-            for arguments in (_FIRST_SECOND, _PORT_IN_USE, _READER_GONE)
-        }
-        outputs = {name: soak.communicate(timeout=100)[0] for name, soak in soaks.items()}
-        return {name: (soaks[name].returncode, outputs[name].decode()) for name in soaks}
+    """Guards against processes that end by themselves and requests without an answer."""
 
     def test_signal_in_the_first_second_of_a_process(self, soaks):
         # FAULT: until a node had imported itself, signals had their default action.
-        status, output = soaks[_FIRST_SECOND]
-        assert not status, output
+        _assert_held(soaks[_FIRST_SECOND])
 
     def test_port_in_use_at_the_start(self, soaks):
         # FAULT: a listen address in use ended the node.
-        status, output = soaks[_PORT_IN_USE]
-        assert not status, output
+        _assert_held(soaks[_PORT_IN_USE])
 
     def test_requests_without_an_answer_when_the_log_has_no_reader(self, soaks):
         # LOST: a log line that could not be written raised an error into the path of requests.
-        status, output = soaks[_READER_GONE]
-        assert not status, output
+        _assert_held(soaks[_READER_GONE])
 
 
 class TestShortRun:
     """Guards against a broken promise under traffic and faults on real processes."""
 
-    @pytest.mark.parametrize(
-        'arguments',
-        [
-            '--seed 1 --seconds 25 --nodes 6 --rate 0.3 --faults burst config pause',
-            # FAULT and LOST: bodies in reference cycles took over 300 MB.
-            '--seed 42 --seconds 50 --rate 0.25 --upload-bytes 4000000 --faults burst pause',
-        ],
-    )
-    def test_promises_hold(self, tmp_path, arguments):
-        command = (*_SOAK, *arguments.split())
-        finished = subprocess.run(
-            [*command, '--logs', str(tmp_path)], capture_output=True, text=True, timeout=200
-        )
-        assert finished.returncode == 0, finished.stdout
+    def test_promises_hold_on_few_nodes(self, soaks):
+        _assert_held(soaks[_FEW_NODES])
+
+    def test_promises_hold_with_large_bodies(self, tmp_path):
+        _assert_held(_start(_LARGE_BODIES, tmp_path))
 
     @pytest.mark.parametrize(
         ('arguments', 'message'),
