--- a/src/anvillug/bench/soak_checks.py
+++ b/src/anvillug/bench/soak_checks.py
@@ -150,7 +150,7 @@
         answered_at = attempt.ended_at
         if answered_at is None or attempt.sealed or not attempt.status or attempt.gave_up:
             return False
-        if attempt.status in _SUCCESS or self._has_expired(attempt):
+        if attempt.status in _SUCCESS or self._has_expired(attempt) or self._broke_off(attempt):
             return False
         at_work = [
             run
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -50,6 +50,11 @@
         records.disturb(1, soak_examples.STOP_AT, soak_examples.PLANNED)
         assert soak_examples.broken(records) == ['LOST replaced a1']
 
+    def test_backend_server_that_broke_off(self, records):
+        soak_examples.run(records)
+        records.runs_by_attempt_id['a1'][0].broke_off = True
+        soak_examples.assert_held(records)
+
     def test_timeout(self, records):
         soak_examples.run(records)
         records.attempts[0].timeout_ms = 100
--- /dev/null
+++ b/tests/test_soak_faults.py
@@ -0,0 +1,137 @@
+"""Faults of the fault soak: their choice, the start, the output and the end of node processes."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+import random
+import signal
+import types
+
+import pytest
+
+from anvillug import clock
+from anvillug.bench import soak_faults, soak_host, soak_launch, soak_output, soak_records
+
+
+class TestChoice:
+    """Guards against kinds that no seed chooses, and against seeds that change their meaning."""
+
+    def test_each_kind_is_chosen_by_a_seed(self):
+        chosen = {kind for seed in range(100) for kind in _choose(seed)}
+        assert chosen == soak_faults.KINDS
+
+    def test_named_kinds(self):
+        assert _choose(1, ('hangup',)) == {'hangup'}
+
+    def test_named_kinds_leave_the_source_of_choices_alike(self):
+        sources = [random.Random(42), random.Random(42)]
+        soak_faults.choose(sources[0], 42, ())
+        soak_faults.choose(sources[1], 42, ('burst', 'pause'))
+        assert sources[0].random() == sources[1].random()
+
+    @pytest.mark.parametrize(
+        ('seed', 'kinds'), [(1, {'burst', 'config', 'pause'}), (42, {'burst', 'pause'})]
+    )
+    def test_first_kinds_of_the_seeds_in_ci(self, seed, kinds):
+        assert kinds < _choose(seed)
+
+
+class TestDeployedLaunch:
+    """Guards against a start that works only with variables that the platform does not give."""
+
+    def test_environment(self):
+        launch = soak_launch.as_deployed(pathlib.Path('settings.json'))
+        names = {'PATH', 'HOME', 'LANG', 'PYTHONPATH', 'ANVILLUG_NODE_FILE'}
+        assert set(launch.environment) <= names
+        assert launch.environment['ANVILLUG_NODE_FILE'] == 'settings.json'
+
+    def test_command(self):
+        command = soak_launch.as_deployed(pathlib.Path('settings.json')).command
+        assert command[0] == 'python3'
+        assert pathlib.Path(command[1]).is_file()
+
+
+class TestPipeOutput:
+    """Guards against faults of the output's reader that a node cannot notice."""
+
+    @pytest.fixture
+    def output(self):
+        """Yield an output without a reactor, whose writing end does not block."""
+        reactor = types.SimpleNamespace(addReader=lambda _: None, removeReader=lambda _: None)
+        output = soak_output.PipeOutput(reactor)
+        os.set_blocking(output.target.fileno(), False)
+        yield output
+        output.close_reader()
+        output.target.close()
+
+    def test_time_of_the_start(self, output):
+        output.target.write(b'time_ms=17 level=info event=other\n')
+        assert soak_output.started_at_ms(output) is None
+        output.target.write(b'time_ms=23 level=info event=node_started host=a\n')
+        assert soak_output.started_at_ms(output) == 23
+
+    def test_closed_reader(self, output):
+        output.close_reader()
+        with pytest.raises(BrokenPipeError):
+            output.target.write(b'line\n')
+
+    def test_stopped_reader(self, output):
+        output.stop_reading()
+        assert output.target.write(bytes(8192)) == 4096
+        assert not output.text()
+
+
+class TestEnd:
+    """Guards against ends of node processes that are not counted as faults."""
+
+    @pytest.fixture
+    def host(self):
+        """Return a host whose node was stopped by SIGTERM five seconds ago."""
+        records = soak_records.Records()
+        shared = soak_host.Shared(None, pathlib.Path(), 1, {}, records, random.Random(1), 20, [])
+        host = soak_host.Host(shared, 3, 'drawbook')
+        host.expected_end = True
+        host.terminated_at = clock.Milliseconds(clock.SystemClock().now() - 5000)
+        return host
+
+    @pytest.mark.parametrize('status', [0, 1, -signal.SIGHUP])
+    def test_end_by_itself(self, host, status):
+        host.expected_end = False
+        host.node = types.SimpleNamespace(status=status)
+        assert f'host-3 ended by itself with {status},' in host.end_problem()
+
+    @pytest.mark.parametrize('status', [1, -signal.SIGTERM, -signal.SIGKILL])
+    def test_status_after_sigterm(self, host, status):
+        host.node = types.SimpleNamespace(status=status)
+        assert f'host-3 ended with {status:d} on SIGTERM,' in host.end_problem()
+
+    def test_graceful_stop(self, host):
+        host.node = types.SimpleNamespace(status=0)
+        assert not host.end_problem()
+
+    def test_kill(self, host):
+        host.terminated_at = None
+        host.node = types.SimpleNamespace(status=-signal.SIGKILL)
+        assert not host.end_problem()
+
+    @pytest.mark.parametrize(
+        ('status', 'before_stop_ms', 'is_fault'),
+        [
+            (-signal.SIGKILL, -1000, False),
+            (-signal.SIGKILL, 2999, False),
+            (-signal.SIGKILL, 3000, True),
+            (-signal.SIGTERM, -1000, True),
+        ],
+    )
+    def test_suspension_excuses_only_the_end_of_the_grace_time(
+        self, host, status, before_stop_ms, is_fault
+    ):
+        paused_at = clock.Milliseconds(host.terminated_at - before_stop_ms)
+        host._shared.records.disturb(3, paused_at, soak_records.Disturbance.UNPLANNED)
+        host.node = types.SimpleNamespace(status=status)
+        assert bool(host.end_problem()) is is_fault
+
+
+def _choose(seed, names=()):
+    return soak_faults.choose(random.Random(seed), seed, names)
