--- a/src/anvillug/process/beacon.py
+++ b/src/anvillug/process/beacon.py
@@ -90,6 +90,8 @@
         extra_state: Returns the extra state to send.
         on_extra_state: Called with the announcement and extra state of another node.
         need: Returns how soon the other nodes need the extra state.
+        reply: Called with the host and the extra state of another node; returns state that it
+            lacks, which is sent to it at once.
     """
 
     def __init__(  # noqa: WPS211 - callbacks keep the task independent of what it sends
@@ -102,6 +104,7 @@
         extra_state: Callable[[], ExtraState],
         on_extra_state: Callable[[peer_table.Announcement, ExtraState], None],
         need: Callable[[], Need],
+        reply: Callable[[ids.HostId, ExtraState], ExtraState],
     ) -> None:
         self._reactor = reactor
         self._clock = time
@@ -111,6 +114,7 @@
         self._extra_state = extra_state
         self._on_extra_state = on_extra_state
         self._need = need
+        self._reply = reply
         self._sequence = 0
         self._malformed_count = 0
         self._last_sent_load: dialect.ReportedLoad | None = None
@@ -163,12 +167,15 @@
             if host_id is not None:
                 self._peers.receive_load(peer_table.LoadNotice(host_id, *message))
             return
-        was_known = self._peers.is_known_process(message[0])
-        self._peers.receive_announcement(message[0])
+        announcement, extra_state = message
+        was_known = self._peers.is_known_process(announcement)
+        self._peers.receive_announcement(announcement)
         # Processes that are not accepted, such as this one, would be introduced again and again.
-        if not was_known and self._peers.is_known_process(message[0]):
-            self._introduce(message[0].beacon_address)
-        self._on_extra_state(*message)
+        if self._peers.is_known_process(announcement):
+            reply = self._reply(announcement.host_id, extra_state)
+            if reply or not was_known:
+                self._introduce(announcement.beacon_address, reply)
+        self._on_extra_state(announcement, extra_state)
 
     @property
     def _min_interval_ms(self) -> float:
@@ -212,12 +219,18 @@
         self._last_sent_load = announcement.load
         return announcement
 
-    def _introduce(self, address: str) -> None:
-        """Send a full beacon to a process that has just been heard for the first time."""
+    def _introduce(self, address: str, reply: ExtraState) -> None:
+        """Send a full beacon to a process that has just been heard for the first time.
+
+        Args:
+            address: Address for its beacons.
+            reply: Extra state for this process only.
+        """
         self._update_targets()
         is_far = address in self._targets.far
         pace_ms = _FAR_INTERVAL_MS if is_far else peer_table.NEAR_BEACON_INTERVAL_MS
-        self._send(encode(self._next_announcement(pace_ms), self._extra_state()), [address])
+        extra_state = {**self._extra_state(), **reply}
+        self._send(encode(self._next_announcement(pace_ms), extra_state), [address])
 
     def _send_load_if_due(self, now: clock.Milliseconds) -> None:
         """Send the load if it has changed, or if the pace of beacons requires it."""
--- a/src/anvillug/process/leave_record.py
+++ b/src/anvillug/process/leave_record.py
@@ -12,6 +12,10 @@
 _REPEAT_MS = 10_000
 # A host has one backend server at a time, so few of its instances leave before they are known.
 _MAX_UNKNOWN_INSTANCES = 8
+# Limits of the form in beacons, which takes at most 120 bytes.
+_MAX_BRIEF_INSTANCES = 1
+_MAX_BRIEF_ID_BYTES = 40
+_MAX_BRIEF_INTEGER = 2**63 - 1
 # Keys of the stored form.
 _STARTED_AT = 'started_at'
 _DRAINING = 'draining'
@@ -72,6 +76,23 @@
         )
         return merged._with_instances(left_at_by_instance)  # noqa: SLF001 - same class
 
+    def brief(self) -> LeaveRecord:
+        """Return the record within the limits of beacons: with the newest instance only."""
+        started_at, draining_at, sequence = (
+            min(max(integer, 0), _MAX_BRIEF_INTEGER)
+            for integer in (self.started_at, *self.draining)
+        )
+        left_at_by_instance = {
+            instance: left_at
+            for instance, left_at in self.left_at_by_instance.items()
+            if len(instance.encode()) <= _MAX_BRIEF_ID_BYTES
+        }
+        return LeaveRecord(
+            ids.Incarnation(started_at),
+            (ids.Incarnation(draining_at), sequence),
+            _newest(left_at_by_instance, _MAX_BRIEF_INSTANCES),
+        )
+
     def to_data(self) -> object:
         """Return the stored form: a start time if nothing else is known, else a mapping."""
         if self.draining == _NO_ORDER and not self.left_at_by_instance:
@@ -83,8 +104,7 @@
         }
 
     def _with_instances(self, left_at_by_instance: Mapping[ids.InstanceId, int]) -> LeaveRecord:
-        by_age = sorted(left_at_by_instance.items(), key=lambda entry: entry[1])
-        newest = dict(by_age[-_MAX_UNKNOWN_INSTANCES:])
+        newest = _newest(left_at_by_instance, _MAX_UNKNOWN_INSTANCES)
         return dataclasses.replace(self, left_at_by_instance=newest)
 
 
@@ -117,6 +137,14 @@
     return record.merge(LeaveRecord(left_at_by_instance=left_at_by_instance))
 
 
+def _newest(
+    left_at_by_instance: Mapping[ids.InstanceId, int], count: int
+) -> dict[ids.InstanceId, int]:
+    """Return the entries that left last, in an order that does not depend on the given one."""
+    by_age = sorted(left_at_by_instance.items(), key=lambda entry: (entry[1], entry[0]))
+    return dict(by_age[-count:])
+
+
 def _integer(content: Any, name: str) -> int:
     if isinstance(content, bool) or not isinstance(content, int):
         raise ValueError(f'{name} must be an integer, got {type(content).__name__}')
--- a/src/anvillug/process/member_records.py
+++ b/src/anvillug/process/member_records.py
@@ -16,15 +16,13 @@
 
 from anvillug import event_log, ids, validation
 from anvillug.connection import keyed_log
-from anvillug.process import leave_record, peer_table, upstream
+from anvillug.process import leave_record, leave_recovery, peer_table, upstream
 from anvillug.version import directives
 
 _RETRY_INTERVAL_S = 0.4
 # Interval of reads while the log stays away.
 _MAX_RETRY_INTERVAL_S = 1.5
 _RETRY_FACTOR = 1.5
-# Time for the first read; without the store, backend servers serve after it.
-_LEAVE_TIMEOUT_S = 1.0
 # The backend server has to receive the acknowledgement of its leave within a second.
 _ACKNOWLEDGE_TIMEOUT_S = 0.6
 _FIRST_READ_POLL_S = 0.05
@@ -53,7 +51,8 @@
         peers: Other nodes.
         backend: Backend server of the node.
         rng: Source of the jitter of delays.
-        on_contacts: Called after the addresses of other nodes have been read.
+        on_contacts: Called after the addresses of other nodes have been read, or when the backend
+            server may accept requests by what they remember.
     """
 
     def __init__(  # noqa: WPS211 - each is a component of the process
@@ -77,6 +76,7 @@
         self._upstream = backend
         self._rng = rng
         self._on_contacts = on_contacts
+        self._recovery = leave_recovery.LeaveRecovery(reactor, backend, on_contacts)
         self._leave_key = f'{_LEFT_PREFIX}{host_id}'
         self._address_written = False
         # Newest known era of the log, and the era up to which the records have been read.
@@ -95,12 +95,11 @@
     def start(self) -> None:
         """Write the address of this node, and read those of the others until the process ends.
 
-        The backend server accepts no requests until its last leave is known, or has not been read
-        in time.
+        The backend server accepts no requests until its last leave is known; see
+        `leave_recovery.LeaveRecovery`.
         """
         self._awaits_first_read = True
-        self._upstream.await_leave()
-        self._reactor.callLater(_LEAVE_TIMEOUT_S, self._upstream.leave_known)
+        self._recovery.start()
         defer.ensureDeferred(self._follow())
 
     def notice_era(self, era: int) -> None:
@@ -116,6 +115,14 @@
         if self._pause is not None and self._pause.active():
             self._pause.reset(self._jitter_s())
 
+    def receive_remembered(self, leaves: leave_record.LeaveRecord) -> None:
+        """Restore leaves of this node that a peer remembers, and store those that were lost."""
+        previous = self._upstream.leaves
+        self._recovery.peer_responded(leaves)
+        # Before the first read, the read shows whether the log has them.
+        if self._upstream.leaves != previous and not self._awaits_first_read:
+            defer.ensureDeferred(self._write_leaves(self._upstream.leaves))
+
     def store_leaves(self) -> defer.Deferred[None]:
         """Store the leaves of the backend server for the next process of this node.
 
@@ -164,7 +171,7 @@
         for key, record in batch.changes:
             self._apply(key, record)
         self._awaits_first_read = False
-        self._upstream.leave_known()
+        self._recovery.log_read()
         self._on_contacts()
         # Records of an earlier era do not show what is missing now; they are read again soon.
         if self._read_era == self._era:
--- a/src/anvillug/process/mesh_node.py
+++ b/src/anvillug/process/mesh_node.py
@@ -16,6 +16,7 @@
     beacon,
     crash_watch,
     follower_duty,
+    leave_exchange,
     member_records,
     mesh_entry,
     mesh_host,
@@ -139,6 +140,9 @@
             self._announcement,
             self._duty.require_position,
         )
+        self._leaves = leave_exchange.LeaveExchange(
+            self.upstream, self.peers, lambda leaves: self._records.receive_remembered(leaves)
+        )
         self._beacons = beacon.BeaconTask(
             reactor,
             time,
@@ -148,6 +152,7 @@
             self._beacon_extra_state,
             self._beacon_received,
             self._beacon_need,
+            self._leaves.receive,
         )
         self.active_directives.add_listener(self._directives_changed)
         self._probe = upstream_probe.UpstreamProbe(
@@ -303,7 +308,11 @@
         )
 
     def _beacon_extra_state(self) -> beacon.ExtraState:
-        return {_ROLLOUTS: self.rollouts.encode_report(), _CRASHES: self._crashes.encode_entries()}
+        return {
+            _ROLLOUTS: self.rollouts.encode_report(),
+            _CRASHES: self._crashes.encode_entries(),
+            **self._leaves.announced(),
+        }
 
     def _beacon_need(self) -> beacon.Need:
         if self.rollouts.shifting:
--- a/src/anvillug/process/peer_table.py
+++ b/src/anvillug/process/peer_table.py
@@ -8,7 +8,7 @@
 from collections.abc import Sequence
 
 from anvillug import clock, event_log, ids
-from anvillug.process import upstream
+from anvillug.process import leave_record, upstream
 from anvillug.request import dialect
 from anvillug.version import directives
 
@@ -124,6 +124,8 @@
             maxlen=_MAX_FORMER_INCARNATIONS
         )
         """Processes of the node that newer ones have replaced; their beacons may be delayed."""
+        self.leaves: leave_record.LeaveRecord | None = None
+        """Leaves that its processes have announced; None if none has announced any record."""
         self.outstanding = 0
         """Jobs that this node has sent there and that have no result yet."""
 
--- a/src/anvillug/process/upstream.py
+++ b/src/anvillug/process/upstream.py
@@ -121,8 +121,13 @@
         self.state = self._state_of(heartbeat)
         return ()
 
+    @property
+    def knows_leaves(self) -> bool:
+        """Whether this process awaits no leaves of previous ones."""
+        return not self._awaits_leave
+
     def await_leave(self) -> None:
-        """Accept no requests until `leave_known` is called.
+        """Accept no requests until `leave_known` or `leave_unknown` is called.
 
         A heartbeat that arrives meanwhile may be a late one of an instance that has left while the
         previous process of this node was running.
@@ -130,7 +135,7 @@
         self._awaits_leave = True
 
     def leave_known(self) -> None:
-        """Accept requests, since a leave that was stored has been restored."""
+        """Accept requests, since leaves that previous processes knew have been restored."""
         if not self._awaits_leave:
             return
         self._awaits_leave = False
@@ -141,6 +146,13 @@
                 'upstream_accepted', instance=heartbeat.instance, state=heartbeat.state.value
             )
 
+    def leave_unknown(self) -> None:
+        """Accept requests from the next heartbeat on, since the leaves have not become known.
+
+        Heartbeats that have arrived so far may be late ones of an instance that has left.
+        """
+        self._awaits_leave = False
+
     def record_leave(self, instance: ids.InstanceId) -> None:
         """Record that an instance of the backend server leaves and accepts no more requests.
 
@@ -157,11 +169,18 @@
         self.state = UpstreamState.LEAVING
         event_log.emit('upstream_left', instance=instance)
 
-    def restore_leaves(self, record: leave_record.LeaveRecord) -> None:
-        """Restore the leaves that a previous process of this node has stored."""
+    def restore_leaves(self, record: leave_record.LeaveRecord, source: str = 'the log') -> None:
+        """Restore the leaves that a previous process of this node has known.
+
+        Args:
+            record: The leaves.
+            source: Where they were kept, for the log.
+        """
         self.leaves = self.leaves.merge(record)
         if self.heartbeat is not None and self._has_left(self.heartbeat):
-            event_log.emit('upstream_left', instance=self.instance, reason='restored from the log')
+            event_log.emit(
+                'upstream_left', instance=self.instance, reason=f'restored from {source}'
+            )
             self.state = UpstreamState.LEAVING
 
     def mark_lost(self, reason: str) -> None:
--- a/tests/test_beacon.py
+++ b/tests/test_beacon.py
@@ -208,6 +208,7 @@
         self.time = clock.ManualClock(1000)
         self.need = beacon.Need.NONE
         self.table = peer_table.PeerTable(_LOCAL_HOST, self.time)
+        self.reply: beacon.ExtraState = {}
         self.sent: list[tuple[str, beacon.Message]] = []
         self.task = beacon.BeaconTask(
             self.reactor,
@@ -218,6 +219,7 @@
             dict,
             lambda *_: None,
             lambda: self.need,
+            lambda *_: self.reply,
         )
         self.task.transport = self
         self.task.start('10.0.0.1')
@@ -346,6 +348,17 @@
         sender.receive('a', 'z', sequence=9)
         assert sender.counts('a') == (0, 0)
 
+    # A process that starts while the log is away learns from its peers which instances have left.
+    def test_state_that_another_node_lacks_is_sent_at_once(self):
+        sender = _Sender()
+        sender.receive('a', 'z')
+        sender.receive('b', 'z')
+        sender.sent.clear()
+        sender.reply = {'x': 1}
+        sender.receive('a', 'z', sequence=2)
+        (receiver, (_, extra_state)) = sender.sent.pop()
+        assert (receiver, extra_state, sender.sent) == ('a', {'x': 1}, [])
+
     def test_far_process_is_told_the_pace_of_far_beacons(self):
         sender = _Sender()
         for number in range(7):
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -118,6 +118,10 @@
         """Return whether the nodes have written a record to the store."""
         return any(name == key.encode() for name, _ in self.store.topic(_MEMBERS).records)
 
+    def log_count(self, number: int, text: str) -> int:
+        """Return how often a text occurs in the log lines of a node."""
+        return self.nodes[number].output().count(text)
+
     def control_address(self, number: int) -> str:
         """Return the address where a node receives heartbeats."""
         return f'{_IPS[number]}:{self.ports[4]}'
@@ -340,6 +344,32 @@
     assert len(mesh.backends[0].executed_requests) == before
 
 
+class TestRestartWithoutStore:
+    """Guards against a leave that is in the store only, which is out when the node restarts."""
+
+    @pytest.fixture
+    def backend(self, mesh):
+        """Return the backend server of the node that restarts."""
+        beside_restarted, _ = mesh.backends
+        return beside_restarted
+
+    def test_leave_stays_in_effect(self, mesh, backend):
+        reactor_thread.call(mesh.stop_heartbeats, 0)
+        assert reactor_thread.wait_for(backend.deregister(mesh.control_address(0))) == 200
+        mesh.store.faults = platform_store.StoreFaults(silent=True)
+        mesh.kill_and_restart(0)
+        # Two reads take longer than a node waits for the store if peers remember its leaves.
+        reactor_thread.eventually(lambda: mesh.log_count(0, 'event=members_not_read') == 2)
+        assert reactor_thread.wait_for(backend.send_heartbeat(mesh.control_address(0))) == 200
+        _check_unused(mesh)
+
+    def test_backend_server_that_has_not_left_serves(self, mesh):
+        mesh.store.faults = platform_store.StoreFaults(silent=True)
+        mesh.kill_and_restart(0)
+        reactor_thread.eventually(lambda: b'i-0' in mesh.responding_instances(0))
+        assert mesh.log_count(0, 'event=leaves_known source=peers') == 1
+
+
 class TestFaults:
     """Guards against responses that are not the backend server's, and requests that run twice."""
 
