--- /dev/null
+++ b/tests/test_process_start.py
@@ -0,0 +1,453 @@
+"""Tests of the first and the last second of real processes."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import pytest
+
+from anvillug.bench import processes
+
+_ROOT = pathlib.Path(__file__).resolve().parent.parent
+_IP = '127.77.3.11'
+_REFUSING_ADDRESS = '127.0.0.1:9'
+_GRACE_S = 0.5
+# Signals at these times after the first line arrive during the imports, the set-up and later.
+_DELAYS_S = (0.0, 0.1, 0.3, 0.8)
+_KINDS = ('platform', 'mesh', 'node', 'standin')
+_MESH_KINDS = ('platform', 'mesh')
+_ENDING_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+_IN_USE_S = 1.5
+# The process must end at once, not after a time limit of its own.
+_AT_ONCE_MS = 3000.0
+_FIRST_LINE_TIMEOUT_MS = 5000.0
+_MESH_ADDRESSES = ('Inbound', 'Outbound', 'ReadyAddr', 'Control', 'beacons', 'metrics')
+_NODE_ADDRESSES = ('caller_address', 'peer_address', 'control_address', 'operator_address')
+
+
+class _Program:
+    """Starts one kind of process, with ports of its own."""
+
+    def __init__(self, kind: str, folder: pathlib.Path) -> None:
+        self.kind = kind
+        self.path = folder / 'settings.json'
+        names = _MESH_ADDRESSES if kind in _MESH_KINDS else _NODE_ADDRESSES
+        addresses = processes.free_addresses(len(names), _IP)
+        self.addresses_by_name = dict(zip(names, addresses, strict=True))
+        self.started_event = 'listening' if kind == 'standin' else 'node_started'
+        self.write_settings()
+
+    def settings(self, grace_s: float = _GRACE_S, service: str = 'one') -> str:
+        """Return the text of the settings file."""
+        addresses = self.addresses_by_name
+        if self.kind not in _MESH_KINDS:
+            identity = {'host_id': 'h1', 'zone': 'z', 'region': 'r'}
+            return json.dumps({**identity, **addresses, 'log_address': _REFUSING_ADDRESS})
+        ports = [int(addresses[name].rpartition(':')[2]) for name in ('beacons', 'metrics')]
+        listen = {name: addresses[name] for name in _MESH_ADDRESSES[:4]}
+        node = {'NodeName': 'h1', 'Ip': _IP, 'Zone': 'z', 'AppAddr': f'{_IP}:9'}
+        document = {
+            'Self': {**node, 'Service': service},
+            'Network': {'Listen': listen, 'InternalPorts': ports},
+            'Platform': {'Platform': {'Address': _REFUSING_ADDRESS}},
+            'Terms': {'Bounds': {'GraceS': grace_s}},
+        }
+        return json.dumps(document)
+
+    def write_settings(self, **arguments: object) -> None:
+        """Write the settings file."""
+        self.path.write_text(self.settings(**arguments))
+
+    def command(self) -> list[str]:
+        """Return the command line."""
+        if self.kind == 'platform':
+            return [sys.executable, 'deploy/node.py']
+        if self.kind == 'standin':
+            address = self.addresses_by_name['caller_address']
+            return [*processes.PROGRAM, 'standin', 'log', '--address', address]
+        return [*processes.PROGRAM, self.kind, str(self.path)]
+
+    def environment(self) -> dict[str, str]:
+        """Return the variables that the platform passes, and the path of the sources."""
+        variables = {'PATH': os.environ['PATH'], 'PYTHONDONTWRITEBYTECODE': '1'}
+        if self.kind == 'platform':
+            return {**variables, 'ANVILLUG_NODE_FILE': str(self.path)}
+        return {**variables, 'PYTHONPATH': str(_ROOT / 'src')}
+
+
+class _Starter:
+    """Starts processes of a program, and kills them at the end of the test."""
+
+    def __init__(self, program: _Program, group: list[processes.ChildProcess]) -> None:
+        self.program = program
+        self._group = group
+
+    def start(self, prefix: tuple[str, ...] = ()) -> processes.ChildProcess:
+        """Start a process; a prefix is put before its command line."""
+        child = processes.ChildProcess(
+            self.program.command(), prefix, environment=self.program.environment()
+        )
+        self._group.append(child)
+        return child
+
+    def start_to_first_line(self) -> processes.ChildProcess:
+        """Start a process and wait for its first line."""
+        child = self.start()
+        child.wait_for_event('process_starting', _FIRST_LINE_TIMEOUT_MS)
+        return child
+
+    def start_to_end_of_start(self) -> processes.ChildProcess:
+        """Start a process and wait until it is started."""
+        child = self.start()
+        child.wait_for_event(self.program.started_event)
+        return child
+
+
+@pytest.fixture
+def starter(request, tmp_path, monkeypatch):
+    """Yield a starter of the kind of process that the test names."""
+    monkeypatch.chdir(_ROOT)
+    with processes.group() as group:
+        yield _Starter(_Program(request.param, tmp_path), group)
+
+
+def _each(kinds=_KINDS):
+    return pytest.mark.parametrize('starter', kinds, indirect=True)
+
+
+def _end(child: processes.ChildProcess, timeout_ms: float = processes.STOP_TIMEOUT_MS) -> int:
+    """Return the exit status of a process that ends without a further signal."""
+    end = time.monotonic() + timeout_ms / 1000
+    while child.running and time.monotonic() < end:
+        time.sleep(processes.POLL_S)
+    assert not child.running, f'still running: {child.output()}'
+    return child.kill()
+
+
+def _lines(child: processes.ChildProcess, event: str) -> list[str]:
+    return [line for line in child.output().splitlines() if f'event={event}' in line.split()]
+
+
+@contextlib.contextmanager
+def _in_use(address: str, kind: socket.SocketKind = socket.SOCK_STREAM):
+    """Occupy an address."""
+    ip, _, port = address.rpartition(':')
+    with socket.socket(socket.AF_INET, kind) as other:
+        other.bind((ip, int(port)))
+        if kind is socket.SOCK_STREAM:
+            other.listen()
+        yield
+
+
+def _kind_of(name: str) -> socket.SocketKind:
+    return socket.SOCK_DGRAM if name == 'beacons' else socket.SOCK_STREAM
+
+
+class TestStartLines:
+    """Guards against a start that leaves no trace of its time and of what came meanwhile."""
+
+    @_each()
+    def test_first_line_names_the_process(self, starter):
+        child = starter.start()
+        fields = child.wait_for_event('process_starting', _FIRST_LINE_TIMEOUT_MS)
+        assert fields['pid'] == str(child.pid)
+        if starter.program.kind != 'standin':
+            assert fields['settings'] == str(starter.program.path)
+
+    @_each()
+    def test_end_of_the_start_has_its_duration(self, starter):
+        before = time.monotonic()
+        fields = starter.start().wait_for_event(starter.program.started_event)
+        assert 0 < float(fields['start_ms']) <= (time.monotonic() - before) * 1000
+
+    @_each(_MESH_KINDS)
+    def test_age_of_the_process_is_a_metric(self, starter):
+        starter.start_to_end_of_start()
+        ip, _, port = starter.program.addresses_by_name['metrics'].rpartition(':')
+        with socket.create_connection((ip, int(port)), timeout=5) as connection:
+            connection.sendall(b'GET /metrics HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n')
+            text = b''.join(iter(lambda: connection.recv(65536), b''))
+        assert b'anvillug_uptime_ms ' in text
+
+
+class TestSignalsAtStart:
+    """Guards against processes that end by a signal which comes before their start is done."""
+
+    @_each()
+    @pytest.mark.parametrize('delay_s', _DELAYS_S)
+    def test_reload_ends_no_process(self, starter, delay_s):
+        # FAULT: SIGHUP in the first 600 ms ended the process with status -1.
+        child = starter.start_to_first_line()
+        time.sleep(delay_s)
+        child.send_signal(signal.SIGHUP)
+        child.wait_for_event(starter.program.started_event)
+        time.sleep(0.1)
+        assert child.running
+
+    @_each()
+    @pytest.mark.parametrize('number', _ENDING_SIGNALS)
+    @pytest.mark.parametrize('delay_s', _DELAYS_S)
+    def test_termination_ends_with_0(self, starter, number, delay_s):
+        # FAULT: SIGTERM or SIGINT in the first 400 ms ended the process with the signal's status.
+        child = starter.start_to_first_line()
+        time.sleep(delay_s)
+        child.send_signal(number)
+        assert _end(child) == 0
+
+    @_each(_MESH_KINDS)
+    def test_kept_reload_is_done_after_the_start(self, starter):
+        child = starter.start_to_first_line()
+        child.send_signal(signal.SIGHUP)
+        child.wait_for_event('settings_applied')
+        events = child.output()
+        assert events.index('event=node_started') < events.index('event=settings_applied')
+        assert 'signal=SIGHUP action=kept' in events
+
+    @_each(_MESH_KINDS)
+    def test_settings_changed_during_the_start_are_applied(self, starter):
+        child = starter.start_to_first_line()
+        starter.program.write_settings(service='two')
+        child.send_signal(signal.SIGHUP)
+        child.wait_for_event('settings_applied')
+        lines = _lines(child, 'settings_applied')
+        started = child.wait_for_event('node_started')
+        assert started['service'] == 'two' or 'changed=service' in lines[0]
+
+    @_each()
+    def test_termination_before_the_start_is_done_is_logged(self, starter):
+        child = starter.start_to_first_line()
+        child.send_signal(signal.SIGTERM)
+        assert _end(child, _AT_ONCE_MS) == 0
+        assert 'signal=SIGTERM action=ended' in child.output()
+
+    @_each(('node', 'standin'))
+    def test_reload_of_a_process_without_reload_is_ignored(self, starter):
+        # FAULT: SIGHUP ended these processes at any time.
+        child = starter.start_to_end_of_start()
+        child.send_signal(signal.SIGHUP)
+        time.sleep(0.3)
+        assert child.running
+        assert 'signal=SIGHUP action=ignored' in child.output()
+        assert child.stop() == 0
+
+
+class TestSignalsAtEnd:
+    """Guards against processes that end by a signal which comes while they stop."""
+
+    @_each()
+    @pytest.mark.parametrize('number', (signal.SIGHUP, *_ENDING_SIGNALS))
+    def test_signal_while_stopping_does_nothing(self, starter, number):
+        child = starter.start_to_end_of_start()
+        child.send_signal(signal.SIGTERM)
+        for _ in range(10):
+            time.sleep(0.02)
+            child.send_signal(number)
+        assert _end(child) == 0
+
+    @_each(_MESH_KINDS)
+    def test_signal_while_stopping_is_logged(self, starter):
+        child = starter.start_to_end_of_start()
+        child.send_signal(signal.SIGTERM)
+        child.wait_for_event('node_stopping')
+        child.send_signal(signal.SIGHUP)
+        child.send_signal(signal.SIGINT)
+        assert _end(child) == 0
+        assert 'signal=SIGTERM action=applied' in child.output()
+        assert 'signal=SIGHUP action=ignored' in child.output()
+        assert 'signal=SIGINT action=ignored' in child.output()
+
+    @_each((*_MESH_KINDS, 'node'))
+    @pytest.mark.parametrize('number', (signal.SIGHUP, *_ENDING_SIGNALS))
+    def test_signal_after_the_stop_does_nothing(self, starter, number):
+        # FAULT: the shutdown of the interpreter resets handlers to the default action.
+        child = starter.start_to_end_of_start()
+        child.send_signal(signal.SIGTERM)
+        child.wait_for_event('node_stopped')
+        while child.running:
+            child.send_signal(number)
+            time.sleep(0.0005)
+        assert child.kill() == 0
+
+
+class TestAddressInUse:
+    """Guards against processes that end because the former one still holds an address."""
+
+    def _starts_once_free(self, starter, name: str) -> None:
+        address = starter.program.addresses_by_name[name]
+        with _in_use(address, _kind_of(name)):
+            child = starter.start()
+            time.sleep(_IN_USE_S)
+        child.wait_for_event(starter.program.started_event)
+        lines = _lines(child, 'listen_failed')
+        assert lines
+        assert all(f'address={address}' in line and 'in use' in line for line in lines)
+        assert child.running
+
+    @_each(_MESH_KINDS)
+    @pytest.mark.parametrize('name', _MESH_ADDRESSES)
+    def test_mesh_node_starts_once_the_address_is_free(self, starter, name):
+        # FAULT: the node ended with a traceback and status 1.
+        starter.program.write_settings(grace_s=6)
+        self._starts_once_free(starter, name)
+
+    @_each(('node',))
+    @pytest.mark.parametrize('name', _NODE_ADDRESSES)
+    def test_node_starts_once_the_address_is_free(self, starter, name):
+        # FAULT: the node ended with status 2, or with a traceback for the control address.
+        self._starts_once_free(starter, name)
+
+    @_each(('standin',))
+    def test_standin_starts_once_the_address_is_free(self, starter):
+        # FAULT: the stand-in ended with status 2.
+        self._starts_once_free(starter, 'caller_address')
+
+    @_each()
+    def test_address_in_use_for_good_is_an_error(self, starter):
+        program = starter.program
+        name = 'Inbound' if program.kind in _MESH_KINDS else 'caller_address'
+        address = program.addresses_by_name[name]
+        with _in_use(address):
+            child = starter.start()
+            assert _end(child) == 2
+        message = child.output().splitlines()[-1]
+        place = address if program.kind == 'standin' else f'{program.path}: {address}'
+        assert message == f'{place}: cannot listen: Address already in use'
+        assert 'Traceback' not in child.output()
+
+    @_each()
+    def test_termination_while_waiting_ends_at_once(self, starter):
+        program = starter.program
+        program.write_settings(grace_s=60)
+        name = 'Inbound' if program.kind in _MESH_KINDS else 'caller_address'
+        with _in_use(program.addresses_by_name[name]):
+            child = starter.start()
+            child.wait_for_event('listen_failed')
+            child.send_signal(signal.SIGTERM)
+            assert _end(child, _AT_ONCE_MS) == 0
+
+    @_each((*_MESH_KINDS, 'node'))
+    def test_no_address_accepts_connections_while_one_is_in_use(self, starter):
+        # A node that cannot serve accepted callers, or let readiness checks wait in its queue.
+        program = starter.program
+        program.write_settings(grace_s=60)
+        names = [name for name in program.addresses_by_name if name != 'beacons']
+        for in_use_name in (names[-1], names[0]):
+            with _in_use(program.addresses_by_name[in_use_name]):
+                child = starter.start()
+                child.wait_for_event('listen_failed')
+                for name in set(names) - {in_use_name}:
+                    ip, _, port = program.addresses_by_name[name].rpartition(':')
+                    with pytest.raises(ConnectionRefusedError):
+                        socket.create_connection((ip, int(port)), timeout=1).close()
+                child.kill()
+
+    @_each(('platform',))
+    def test_restart_beside_a_stopping_process(self, starter):
+        # A platform may start the next process before the former has ended.
+        starter.program.write_settings(grace_s=6)
+        former = starter.start_to_end_of_start()
+        former.send_signal(signal.SIGTERM)
+        child = starter.start()
+        child.wait_for_event('node_started')
+        assert _end(former) == 0
+        assert child.running
+
+
+class TestSettingsAtStart:
+    """Guards against processes that end because their settings file is being written."""
+
+    @_each(_MESH_KINDS)
+    @pytest.mark.parametrize('length', [None, 0, 40])
+    def test_file_that_is_completed_soon_is_read(self, starter, length):
+        # FAULT: the node ended with status 2.
+        program = starter.program
+        text = program.path.read_text()
+        program.path.unlink()
+        if length is not None:
+            program.path.write_text(text[:length])
+        child = starter.start()
+        child.wait_for_event('settings_not_read')
+        time.sleep(0.3)
+        program.path.write_text(text)
+        child.wait_for_event('node_started')
+
+    @_each(('platform', 'mesh', 'node'))
+    @pytest.mark.parametrize('text', [None, '', '{'])
+    def test_file_that_stays_incomplete_is_an_error(self, starter, text):
+        path = starter.program.path
+        path.unlink()
+        if text is not None:
+            path.write_text(text)
+        child = starter.start()
+        assert _end(child) == 2
+        assert str(path) in child.output().splitlines()[-1]
+        assert 'Traceback' not in child.output()
+
+    @_each(_MESH_KINDS)
+    def test_termination_while_waiting_ends_at_once(self, starter):
+        starter.program.path.unlink()
+        child = starter.start()
+        child.wait_for_event('settings_not_read')
+        child.send_signal(signal.SIGTERM)
+        assert _end(child, _AT_ONCE_MS) == 0
+
+    def test_check_answers_at_once(self, tmp_path):
+        command = [*processes.PROGRAM, 'mesh', '--check', str(tmp_path / 'none')]
+        done = subprocess.run(command, capture_output=True, text=True, check=False)
+        assert done.returncode == 2
+        assert 'settings_not_read' not in done.stdout + done.stderr
+
+
+class TestStandardStreams:
+    """Guards against processes that end because a standard stream is closed or full."""
+
+    @_each()
+    @pytest.mark.parametrize('closed', ['>&-', '2>&-', '<&- >&- 2>&-'])
+    def test_closed_streams_end_no_process(self, starter, closed):
+        # FAULT: without standard output the node ended with a traceback and status 1.
+        child = starter.start(('/bin/sh', '-c', f'exec "$0" "$@" {closed}'))
+        addresses = starter.program.addresses_by_name
+        name = 'Outbound' if starter.program.kind in _MESH_KINDS else 'caller_address'
+        ip, _, port = addresses[name].rpartition(':')
+        end = time.monotonic() + processes.START_TIMEOUT_MS / 1000
+        while True:
+            assert child.running, child.output()
+            assert time.monotonic() < end
+            try:
+                socket.create_connection((ip, int(port)), timeout=1).close()
+            except ConnectionRefusedError:
+                time.sleep(processes.POLL_S)
+            else:
+                break
+        time.sleep(0.3)
+        assert child.stop() == 0
+
+    @_each(('node', 'standin'))
+    def test_full_device_ends_no_process(self, starter):
+        child = starter.start(('/bin/sh', '-c', 'exec "$0" "$@" >/dev/full 2>&1'))
+        time.sleep(2)
+        assert child.running
+        assert child.stop() == 0
+
+
+class TestOtherCommands:
+    """Guards against commands that can no longer be ended as usual."""
+
+    @pytest.mark.parametrize('number', [signal.SIGTERM, signal.SIGHUP])
+    def test_signals_of_other_commands_have_their_default_action(self, number):
+        with processes.group() as group:
+            address = processes.free_addresses(1)[0]
+            with _in_use(address):
+                child = processes.ChildProcess(['state', address])
+                group.append(child)
+                time.sleep(0.2)
+                child.send_signal(number)
+                assert _end(child) == -number
