--- a/src/anvillug/connection/control_server.py
+++ b/src/anvillug/connection/control_server.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import errno
 import importlib
 from collections.abc import Callable
 from concurrent import futures
@@ -70,7 +71,7 @@
             The port that is listened on.
 
         Raises:
-            RuntimeError: If the address can't be bound.
+            OSError: If the address can't be bound.
         """
         # Imported here, so that programs that use only the logic do not load gRPC (9 MB).
         grpc = importlib.import_module('grpc')
@@ -85,9 +86,10 @@
             maximum_concurrent_rpcs=MAX_CONCURRENT_EXCHANGES,
         )
         stubs.add_ControlServicer_to_server(self, self._server)
-        port = self._server.add_insecure_port(address)
-        if not port:
-            raise RuntimeError(f'cannot bind control address {address}')
+        try:
+            port = self._server.add_insecure_port(address)
+        except RuntimeError as error:
+            raise OSError(errno.EADDRINUSE, str(error)) from error
         self._server.start()
         return port
 
--- a/src/anvillug/platform/program.py
+++ b/src/anvillug/platform/program.py
@@ -2,18 +2,14 @@
 
 from __future__ import annotations
 
-import os
 import pathlib
 import sys
 
 from anvillug import clock, event_log, findings, ids
 from anvillug.platform import documents, headers, settings
-from anvillug.process import plain_tcp
+from anvillug.process import lifetime, plain_tcp
 from anvillug.version import rollout
 
-SETTINGS_VARIABLE = 'ANVILLUG_NODE_FILE'
-"""Environment variable with the path of the settings file."""
-
 _EXIT_BAD_INPUT = 2
 
 
@@ -36,11 +32,6 @@
         return documents.decode_status(service, value)
 
 
-def settings_path() -> pathlib.Path:
-    """Return the path of the settings file from the environment."""
-    return pathlib.Path(os.environ.get(SETTINGS_VARIABLE, ''))
-
-
 def check(path: pathlib.Path) -> int:
     """Check a settings file and print the findings.
 
@@ -64,10 +55,10 @@
         path: Settings file.
 
     Returns:
-        Exit code: 0 after a graceful stop, 2 for invalid settings.
+        Exit code: 0 after a graceful stop, 2 for invalid settings or an address in use.
     """
     time = clock.SystemClock()
-    log_lines = event_log.set_up_bounded(sys.stdout.fileno(), time)
+    log_lines = event_log.set_up_bounded(lifetime.STANDARD_OUTPUT, time)
     loaded = settings.load(path)
     if loaded.is_error():
         sys.stderr.write(f'{findings.report(loaded.error)}\n')
@@ -77,7 +68,12 @@
     from twisted.internet import reactor  # noqa: PLC0415
 
     from anvillug.platform import control, store  # noqa: PLC0415
-    from anvillug.process import error_reports, mesh_node, settings_watch  # noqa: PLC0415
+    from anvillug.process import (  # noqa: PLC0415
+        error_reports,
+        listeners,
+        mesh_node,
+        settings_watch,
+    )
 
     error_reports.forward_twisted_errors()
     node = mesh_node.MeshNode(
@@ -94,7 +90,12 @@
     requests = control.Control(node)
     node.listen(loaded.ok.ready_address, requests.readiness)
     node.listen(loaded.ok.control_address, requests.control)
-    node.start()
-    settings_watch.SettingsWatch(reactor, path, settings.load, node.apply, loaded.ok).start()
+    watch = settings_watch.SettingsWatch(reactor, path, settings.load, node.apply, loaded.ok)
+    try:
+        node.start(watch.reload)
+    except listeners.ListenError as problem:
+        sys.stderr.write(f'{path}: {problem}\n')
+        return _EXIT_BAD_INPUT
+    watch.start()
     reactor.run(installSignalHandlers=False)
     return 0
--- a/src/anvillug/process/beacon.py
+++ b/src/anvillug/process/beacon.py
@@ -41,8 +41,8 @@
 _MAX_BEACONS_PER_SECOND = 120.0  # bounds the CPU time as nodes are added
 _MS_PER_SECOND = 1000.0
 _PERCENT = 100
-# Datagrams up to this size are not fragmented.
-_MAX_BYTES = 1200
+MAX_BYTES = 2400
+"""Maximum size of a datagram; it is fragmented above 1200 bytes."""
 _MALFORMED_ERRORS = (ValueError, TypeError, LookupError, msgpack.UnpackException)
 
 
@@ -86,7 +86,6 @@
         local_announcement: Returns the announcement of this node; the task sets its sequence and
             pace.
         peers: Other nodes.
-        port: UDP port.
         extra_state: Returns the extra state to send.
         on_extra_state: Called with the announcement and extra state of another node.
         need: Returns how soon the other nodes need the extra state.
@@ -98,7 +97,6 @@
         time: clock.Clock,
         local_announcement: Callable[[], peer_table.Announcement],
         peers: peer_table.PeerTable,
-        port: int,
         extra_state: Callable[[], ExtraState],
         on_extra_state: Callable[[peer_table.Announcement, ExtraState], None],
         need: Callable[[], Need],
@@ -107,7 +105,6 @@
         self._clock = time
         self._local_announcement = local_announcement
         self._peers = peers
-        self._port = port
         self._extra_state = extra_state
         self._on_extra_state = on_extra_state
         self._need = need
@@ -121,9 +118,8 @@
         # Updated for each full beacon, and reused for the load beacons between them.
         self._targets = peer_table.BeaconTargets([], [], [])
 
-    def start(self, ip: str) -> None:
-        """Open the port and start sending."""
-        self._reactor.listenUDP(self._port, self, interface=ip, maxPacketSize=2 * _MAX_BYTES)
+    def start(self) -> None:
+        """Start sending; the port is open."""
         self._tick()
 
     def send_now(self) -> None:
--- a/src/anvillug/process/commands/node.py
+++ b/src/anvillug/process/commands/node.py
@@ -20,7 +20,7 @@
         settings_file: Settings file, JSON with comments.
 
     Returns:
-        Exit code: 0 after a graceful stop, 2 for invalid settings.
+        Exit code: 0 after a graceful stop, 2 for invalid settings or an address in use.
     """
     loaded = settings.load(settings_file)
     if isinstance(loaded, expression.Result) and loaded.is_error():
@@ -28,9 +28,9 @@
         return _EXIT_BAD_INPUT
     plain_tcp.disable_tls()
     # Importing the reactor installs it, and the node imports most of the program.
-    from twisted.internet import error, reactor  # noqa: PLC0415
+    from twisted.internet import reactor  # noqa: PLC0415
 
-    from anvillug.process import error_reports  # noqa: PLC0415
+    from anvillug.process import error_reports, listeners  # noqa: PLC0415
     from anvillug.process import node as node_process  # noqa: PLC0415
 
     error_reports.forward_twisted_errors()
@@ -38,9 +38,8 @@
     process = node_process.Node(reactor, loaded.ok, clock.SystemClock())
     try:
         process.start()
-    except error.CannotListenError as problem:
-        place = f'{settings_file}: {problem.interface}:{problem.port}'
-        sys.stderr.write(f'{place}: cannot listen: {problem.socketError}\n')
+    except listeners.ListenError as problem:
+        sys.stderr.write(f'{settings_file}: {problem}\n')
         return _EXIT_BAD_INPUT
     reactor.run(installSignalHandlers=False)
     return 0
--- a/src/anvillug/process/commands/standin.py
+++ b/src/anvillug/process/commands/standin.py
@@ -7,17 +7,19 @@
 from collections.abc import Sequence
 
 from absl import logging
-from twisted.internet import error, interfaces, protocol, reactor
+from twisted.internet import reactor
 
 from anvillug import clock, event_log
+from anvillug.process import lifetime, listeners
 from anvillug.process.commands import arguments
 from anvillug.standin import backend_model, http_api, log_model
 from anvillug.standin import backend_server as standin_backend_server
 from anvillug.standin import link as standin_link
 from anvillug.standin import log as standin_log
 
-LISTEN_BACKLOG = 1024
 _EXIT_BAD_INPUT = 2
+# A former process that is still stopping closes its listener after its drain notice.
+_ADDRESS_TIMEOUT_MS = 10_000.0
 _ANY_PORT = arguments.ListenAddress('127.0.0.1:0')
 
 
@@ -93,7 +95,10 @@
     system_clock = clock.SystemClock()
     model = backend_model.BackendModel(settings)
     factory = standin_backend_server.BackendFactory(model, reactor, system_clock)
-    port = _listen(address, factory)
+    opened = _listeners()
+    listener = opened.add(address, factory)
+    _open(opened)
+    port = listener.port
     if announce_address:
         incarnation = int(system_clock.wall())
         announcer = standin_backend_server.Announcer(
@@ -127,8 +132,10 @@
     """
     settings = log_model.LogSettings(retention_ms, append_limit_per_second)
     model = log_model.LogModel(settings, clock.SystemClock())
-    port = _listen(address, standin_log.LogServer(model, reactor).site())
-    _run('log', http_api.bound_address(port))
+    opened = _listeners()
+    listener = opened.add(address, standin_log.LogServer(model, reactor).site())
+    _open(opened)
+    _run('log', http_api.bound_address(listener.port))
 
 
 def link(
@@ -147,21 +154,36 @@
         delay_ms: One-way delay.
     """
     relay = standin_link.Link(reactor, target, delay_ms)
-    bound = relay.listen(address)
-    control = http_api.bound_address(_listen(control_address, relay.site()))
-    _run('link', bound, control_address=control)
+    opened = _listeners()
+    listener = opened.add(address, relay)
+    control = opened.add(control_address, relay.site())
+    _open(opened)
+    bound = relay.use_port(listener.port)
+    _run('link', bound, control_address=http_api.bound_address(control.port))
 
 
-def _listen(address: str, factory: protocol.Factory) -> interfaces.IListeningPort:
-    host, port = http_api.split_address(address)
+def _listeners() -> listeners.Listeners:
+    return listeners.Listeners(reactor, clock.SystemClock(), _ADDRESS_TIMEOUT_MS)
+
+
+def _open(opened: listeners.Listeners) -> None:
     try:
-        return reactor.listenTCP(port, factory, backlog=LISTEN_BACKLOG, interface=host)
-    except error.CannotListenError as problem:
-        sys.stderr.write(f'{address}: cannot listen: {problem.socketError}\n')
+        opened.open(_take_over)
+    except listeners.ListenError as problem:
+        sys.stderr.write(f'{problem}\n')
         sys.exit(_EXIT_BAD_INPUT)
 
 
+def _take_over() -> None:
+    lifetime.PROCESS.take_over(reactor.callFromThread, event_log.emit, reactor.stop)
+    reactor.addSystemEventTrigger('after', 'shutdown', lifetime.PROCESS.ignore_signals)
+
+
 def _run(kind: str, address: str, **fields: object) -> None:
     logging.set_verbosity(logging.INFO)
-    reactor.callWhenRunning(event_log.emit, 'listening', kind=kind, address=address, **fields)
-    reactor.run()
+    reactor.callWhenRunning(_report_listening, kind=kind, address=address, **fields)
+    reactor.run(installSignalHandlers=False)
+
+
+def _report_listening(**fields: object) -> None:
+    event_log.emit('listening', **fields, start_ms=int(lifetime.PROCESS.age_ms))
--- a/src/anvillug/process/life_cycle.py
+++ b/src/anvillug/process/life_cycle.py
@@ -21,7 +21,7 @@
     """Actions of a node at the transitions of its life cycle."""
 
     def listen(self) -> None:
-        """Open the listeners and start the tasks."""
+        """Start the tasks; the listeners are open."""
 
     def withdraw(self) -> None:
         """Announce to the peers that this node is leaving."""
--- /dev/null
+++ b/src/anvillug/process/listeners.py
@@ -0,0 +1,188 @@
+"""Opens all listeners of a process together, and waits for addresses that are in use.
+
+No address accepts connections until all are bound: a process that can't serve yet would accept
+callers, or leave them in a listen queue. A platform may start a process before the former one has
+released its addresses, so an address in use is tried again for a limited time.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import errno
+import functools
+import os
+import socket
+import time as system_time
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet import interfaces
+
+from anvillug import clock, event_log
+from anvillug.process import lifetime
+
+BACKLOG = 1024
+"""Maximum number of connections that wait to be accepted, for each address."""
+
+_RETRY_INTERVAL_S = 0.2
+# The address may be configured on the host, or released by another process, later.
+_TEMPORARY_ERRORS = frozenset((errno.EADDRINUSE, errno.EADDRNOTAVAIL))
+
+Opener = Callable[[str], object]
+"""Listens on an address by other means than the reactor; raises OSError if it can't."""
+
+
+class ListenError(Exception):
+    """An address can't be listened on; the message names it and the reason."""
+
+
+@dataclasses.dataclass(slots=True)
+class Listener:
+    """An address, the socket that is bound to it, and the port once it is open."""
+
+    address: str
+    """IP:port."""
+    kind: socket.SocketKind
+    """TCP or UDP."""
+    adopt: Callable[[int], interfaces.IListeningPort | None]
+    """Passes the descriptor of the socket on to the reactor."""
+    listens: bool = True
+    """Whether the socket accepts connections; otherwise it only reserves the address."""
+    bound: socket.socket | None = None
+    port: interfaces.IListeningPort | None = None
+    """Port of the reactor, from `Listeners.open` on."""
+
+    def bind(self) -> None:
+        """Bind a socket, unless this is done."""
+        if self.bound is not None:
+            return
+        host, _, port = self.address.rpartition(':')
+        new_socket = socket.socket(socket.AF_INET, self.kind)
+        try:
+            new_socket.setblocking(False)  # noqa: FBT003 - the argument has no name
+            if self.kind is socket.SOCK_STREAM:
+                new_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            new_socket.bind((host, int(port)))
+        except OSError:
+            new_socket.close()
+            raise
+        self.bound = new_socket
+
+    def listen(self) -> None:
+        """Listen for connections; fails if another socket that was bound before listens by now."""
+        if self.kind is socket.SOCK_STREAM and self.listens:
+            self.bound.listen(BACKLOG)
+
+    def pass_on(self) -> None:
+        """Pass the socket on to the reactor, which uses a descriptor of its own."""
+        self.port = self.adopt(self.bound.fileno())
+        self.close()
+
+    def close(self) -> None:
+        """Close the socket."""
+        if self.bound is not None:
+            self.bound.close()
+            self.bound = None
+
+
+class Listeners:
+    """The listeners of a process.
+
+    Args:
+        reactor: Twisted reactor, which does not run yet.
+        time: Clock.
+        timeout_ms: Time in milliseconds for which addresses in use are tried again.
+    """
+
+    def __init__(self, reactor: Any, time: clock.Clock, timeout_ms: float) -> None:
+        self._reactor = reactor
+        self._clock = time
+        self._timeout_ms = timeout_ms
+        self._listeners: list[Listener] = []
+        self._openers: list[tuple[Listener, Opener]] = []
+
+    def add(self, address: str, factory: interfaces.IProtocolFactory) -> Listener:
+        """Add a TCP address, as IP:port; port 0 selects a free one."""
+
+        def adopt(descriptor: int) -> interfaces.IListeningPort:
+            return self._reactor.adoptStreamPort(descriptor, socket.AF_INET, factory)
+
+        return self._add(Listener(address, socket.SOCK_STREAM, adopt))
+
+    def add_datagrams(self, address: str, protocol: Any, max_bytes: int) -> Listener:
+        """Add a UDP address, as IP:port, and the maximum size of a datagram."""
+
+        def adopt(descriptor: int) -> interfaces.IListeningPort:
+            return self._reactor.adoptDatagramPort(descriptor, socket.AF_INET, protocol, max_bytes)
+
+        return self._add(Listener(address, socket.SOCK_DGRAM, adopt))
+
+    def add_opener(self, address: str, opener: Opener) -> None:
+        """Add a TCP address that a library listens on by itself."""
+        reserved = Listener(address, socket.SOCK_STREAM, lambda _: None, listens=False)
+        self._openers.append((self._add(reserved), opener))
+
+    def open(self, take_over: Callable[[], None]) -> None:
+        """Listen on all addresses.
+
+        Args:
+            take_over: Called once nothing can fail any more, before signals that come meanwhile
+                are handled.
+
+        Raises:
+            ListenError: If an address is still in use after the time limit, or can't be used.
+        """
+        deadline = self._clock.now() + self._timeout_ms
+        while not self._try_to_open(take_over, deadline):
+            system_time.sleep(_RETRY_INTERVAL_S)
+        for listener in self._listeners:
+            listener.pass_on()
+
+    def _add(self, listener: Listener) -> Listener:
+        self._listeners.append(listener)
+        return listener
+
+    def _try_to_open(self, take_over: Callable[[], None], deadline: float) -> bool:
+        with lifetime.PROCESS.signals_held():
+            # All are tried, so that the log shows each address that is in use.
+            bound = [self._try(each, each.bind, deadline) for each in self._listeners]
+            if not all(bound):
+                return False
+            if not self._listen(deadline):
+                # Connections in the listen queues would wait for the next try.
+                for listener in self._listeners:
+                    listener.close()
+                return False
+            take_over()
+        return True
+
+    def _listen(self, deadline: float) -> bool:
+        return all(self._try(each, each.listen, deadline) for each in self._listeners) and all(
+            self._try(reserved, functools.partial(opener, reserved.address), deadline)
+            for reserved, opener in self._openers
+        )
+
+    def _try(self, listener: Listener, step: Callable[[], object], deadline: float) -> bool:
+        """Take a step of a listener.
+
+        Returns:
+            Whether it succeeded; a temporary failure is logged.
+
+        Raises:
+            ListenError: If the failure is not temporary or no time is left.
+        """
+        try:
+            step()
+        except OSError as error:
+            reason = os.strerror(error.errno) if error.errno else str(error)
+            remaining_ms = deadline - self._clock.now()
+            if remaining_ms <= 0 or error.errno not in _TEMPORARY_ERRORS:
+                raise ListenError(f'{listener.address}: cannot listen: {reason}') from error
+            event_log.warn(
+                'listen_failed',
+                address=listener.address,
+                reason=reason,
+                remaining_ms=int(remaining_ms),
+            )
+            return False
+        return True
--- a/src/anvillug/process/mesh_node.py
+++ b/src/anvillug/process/mesh_node.py
@@ -5,7 +5,7 @@
 import dataclasses
 import gc
 import random
-import signal
+from collections.abc import Callable
 from typing import Any
 
 from twisted.internet import defer, interfaces, task
@@ -16,6 +16,8 @@
     beacon,
     crash_watch,
     follower_duty,
+    lifetime,
+    listeners,
     member_records,
     mesh_entry,
     mesh_host,
@@ -41,6 +43,9 @@
 _DRAIN_MS = 3000.0
 _STOP_CHECK_S = 0.05
 _STEP_S = 0.1
+# A former process that is still stopping holds its addresses until the end of the grace time; the
+# platform ends it then.
+_RELEASE_MARGIN_MS = 1000.0
 # Delay before directives are fetched from another zone: by then a node of the same zone may have
 # them, and bytes between zones are charged.
 _OTHER_ZONE_FETCH_DELAY_S = 0.15
@@ -144,7 +149,6 @@
             time,
             self._announcement,
             self.peers,
-            settings.beacon_port,
             self._beacon_extra_state,
             self._beacon_received,
             self._beacon_need,
@@ -184,28 +188,41 @@
         )
         self._peer_factory = http_listener.ServerFactory(self._peer_server.request_received)
         self._caller_port: interfaces.IListeningPort | None = None
+        self._listeners = listeners.Listeners(
+            reactor, time, settings.bounds.grace_ms + _RELEASE_MARGIN_MS
+        )
 
     @property
     def is_ready(self) -> bool:
         """Whether callers may send requests."""
         return self._stopping_since is None and self.active_directives.current.routes is not None
 
-    def start(self) -> None:
-        """Open the listeners and start the tasks."""
+    def start(self, reload: Callable[[], None]) -> None:
+        """Open the listeners and start the tasks.
+
+        Args:
+            reload: Reloads the settings on SIGHUP.
+
+        Raises:
+            ListenError: If an address can't be listened on.
+        """
         settings = self._settings
-        self._listen(settings.peer_address, self._peer_factory)
-        self._caller_port = self._listen(settings.caller_address, self._caller_factory)
-        self._listen(
-            f'{settings.ip}:{settings.metrics_port}',
-            http_listener.ServerFactory(self._metrics.serve),
+        add = self._listeners.add
+        caller_listener = add(settings.caller_address, self._caller_factory)
+        add(settings.peer_address, self._peer_factory)
+        metrics_address = f'{settings.ip}:{settings.metrics_port}'
+        add(metrics_address, http_listener.ServerFactory(self._metrics.serve))
+        self._listeners.add_datagrams(
+            f'{settings.ip}:{settings.beacon_port}', self._beacons, beacon.MAX_BYTES
         )
-        self._beacons.start(settings.ip)
+        self._listeners.open(lambda: self._take_over(reload))
+        self._caller_port = caller_listener.port
+        self._beacons.start()
         self._feed.start()
         self._writer.start()
         self._probe.start()
         self._records.start()
         task.LoopingCall(self._step).start(_STEP_S)
-        signal.signal(signal.SIGTERM, self._signal_received)
         # Long-lived objects are frozen, since collecting them would delay calls.
         gc.collect()
         gc.freeze()
@@ -216,11 +233,12 @@
             zone=settings.zone,
             service=settings.service,
             incarnation=self._incarnation,
+            start_ms=int(lifetime.PROCESS.age_ms),
         )
 
     def listen(self, address: str, handler: http_exchange.RequestStarted) -> None:
-        """Open an additional HTTP listener."""
-        self._listen(address, http_listener.ServerFactory(handler))
+        """Add an HTTP listener, which `start` opens."""
+        self._listeners.add(address, http_listener.ServerFactory(handler))
 
     def heartbeat(self, heartbeat: upstream.Heartbeat) -> defer.Deferred[findings.Findings]:
         """Process a heartbeat of the backend server.
@@ -277,6 +295,7 @@
             'directives_era': position.era,
             'directives_position': position.offset,
             'log_lines_dropped': self._log_lines.dropped,
+            'uptime_ms': lifetime.PROCESS.age_ms,
         }
 
     def _announcement(self) -> peer_table.Announcement:
@@ -344,12 +363,9 @@
             for host_id, peer in self.peers.by_host_id.items()
         )
 
-    def _listen(self, address: str, factory: Any) -> interfaces.IListeningPort:
-        host, _, port = address.rpartition(':')
-        return self._reactor.listenTCP(int(port), factory, backlog=1024, interface=host)
-
-    def _signal_received(self, number: int, frame: object) -> None:
-        self._reactor.callFromThread(self._stop)
+    def _take_over(self, reload: Callable[[], None]) -> None:
+        lifetime.PROCESS.take_over(self._reactor.callFromThread, event_log.emit, self._stop, reload)
+        self._reactor.addSystemEventTrigger('after', 'shutdown', lifetime.PROCESS.ignore_signals)
 
     def _stop(self) -> None:
         """Report that the node is not ready, and end once its requests are completed."""
--- a/src/anvillug/process/node.py
+++ b/src/anvillug/process/node.py
@@ -5,7 +5,6 @@
 import dataclasses
 import gc
 import random
-import signal
 from typing import Any
 
 import xxhash
@@ -24,6 +23,8 @@
     host_side,
     keyed_calls,
     life_cycle,
+    lifetime,
+    listeners,
     membership,
     membership_log,
     move_judge,
@@ -45,6 +46,8 @@
 # A configuration is requested from a peer if the log has not delivered it within this time.
 _PEER_REQUEST_DELAY_S = 0.12
 _SNAPSHOT_HOST_COUNT = 2
+# A former process that is still stopping closes its last listener once its calls have ended.
+_ADDRESS_TIMEOUT_MS = 10_000.0
 # Entry sides add headers to a request head whose size may already be at the limit for callers.
 _MAX_ADDED_HEADER_BYTES = 4096
 # Maximum size of a retained response; each running call may buffer this much until it ends.
@@ -138,23 +141,28 @@
             config.limits.max_header_bytes + _MAX_ADDED_HEADER_BYTES,
         )
         self._caller_port: interfaces.IListeningPort | None = None
+        self._listeners = listeners.Listeners(reactor, time, _ADDRESS_TIMEOUT_MS)
 
     def start(self) -> None:
-        """Open the listeners and stop gracefully on SIGTERM and SIGINT."""
+        """Open the listeners and stop gracefully on SIGTERM and SIGINT.
+
+        Raises:
+            ListenError: If an address can't be listened on.
+        """
+        config = self._settings
+        self._listeners.add(config.peer_address, self._peer_factory)
+        caller_listener = self._listeners.add(config.caller_address, self._caller_factory)
+        self._listeners.add(config.operator_address, operator_api.OperatorApi(self).site())
+        self._listeners.add_opener(config.control_address, self._control.start)
+        self._listeners.open(self._take_over)
+        self._caller_port = caller_listener.port
         self._life_cycle.start()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, self._signal_received)
 
     # Actions of the life cycle
 
     def listen(self) -> None:
-        """Open the listeners and start the tasks; see `life_cycle.Actions`."""
+        """Start the tasks of a node that listens; see `life_cycle.Actions`."""
         config = self._settings
-        site = operator_api.OperatorApi(self).site()
-        self._listen(config.peer_address, self._peer_factory)
-        self._caller_port = self._listen(config.caller_address, self._caller_factory)
-        self._listen(config.operator_address, site)
-        self._control.start(config.control_address)
         self.config.start()
         self._membership_log.start()
         self.gossip_task.start()
@@ -169,6 +177,7 @@
             zone=config.zone,
             caller_address=config.caller_address,
             operator_address=config.operator_address,
+            start_ms=int(lifetime.PROCESS.age_ms),
         )
 
     def withdraw(self) -> None:
@@ -336,12 +345,11 @@
         if self.config_number() < number:
             self.gossip_task.exchange_with(host_id)
 
-    def _listen(self, address: str, factory: Any) -> interfaces.IListeningPort:
-        host, _, port = address.rpartition(':')
-        return self._reactor.listenTCP(int(port), factory, backlog=1024, interface=host)
-
-    def _signal_received(self, number: int, frame: object) -> None:
-        self._reactor.callFromThread(self._life_cycle.leave)
+    def _take_over(self) -> None:
+        lifetime.PROCESS.take_over(
+            self._reactor.callFromThread, event_log.emit, self._life_cycle.leave
+        )
+        self._reactor.addSystemEventTrigger('after', 'shutdown', lifetime.PROCESS.ignore_signals)
 
     def _backend_changed(self, backend: backend_watch.Backend | None) -> None:
         self.host.backend_changed(backend)
--- a/src/anvillug/process/settings_watch.py
+++ b/src/anvillug/process/settings_watch.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import pathlib
-import signal
 from collections.abc import Callable
 from typing import Any
 
@@ -45,16 +44,26 @@
 
     def start(self) -> None:
         """Watch the file until the process ends."""
-        signal.signal(signal.SIGHUP, self._signal_received)
         self._reactor.callLater(_CHECK_INTERVAL_S, self._check)
 
-    def _signal_received(self, number: int, frame: object) -> None:
-        self._reactor.callFromThread(self._reload)
+    def reload(self) -> None:
+        """Read the file and apply its changes; an invalid file changes nothing."""
+        self._version = self._file_version()
+        loaded = self._load(self._path)
+        if loaded.is_error():
+            for finding in loaded.error:
+                event_log.warn('settings_rejected', place=finding.place, reason=finding.message)
+            return
+        changed = mesh_settings.differences(self._current, loaded.ok)
+        event_log.emit('settings_applied', changed=','.join(changed))
+        if changed:
+            self._current = loaded.ok
+            self._apply(loaded.ok)
 
     def _check(self) -> None:
         version = self._file_version()
         if version != self._version:
-            self._reload()
+            self.reload()
         self._reactor.callLater(_CHECK_INTERVAL_S, self._check)
 
     def _file_version(self) -> tuple[int, int]:
@@ -65,16 +74,3 @@
             event_log.warn('settings_not_found', path=self._path, reason=error.strerror)
             return (0, 0)
         return (status.st_mtime_ns, status.st_size)
-
-    def _reload(self) -> None:
-        self._version = self._file_version()
-        loaded = self._load(self._path)
-        if loaded.is_error():
-            for finding in loaded.error:
-                event_log.warn('settings_rejected', place=finding.place, reason=finding.message)
-            return
-        changed = mesh_settings.differences(self._current, loaded.ok)
-        event_log.emit('settings_applied', changed=','.join(changed))
-        if changed:
-            self._current = loaded.ok
-            self._apply(loaded.ok)
--- a/src/anvillug/standin/link.py
+++ b/src/anvillug/standin/link.py
@@ -179,7 +179,12 @@
         """
         self._address = http_api.split_address(address)
         self._start_listening()
-        bound = http_api.bound_address(self._port)
+        return self.use_port(self._port)
+
+    def use_port(self, port: interfaces.IListeningPort) -> str:
+        """Accept connections on a port that is open, and return its address."""
+        self._port = port
+        bound = http_api.bound_address(port)
         self._address = http_api.split_address(bound)
         return bound
 
--- a/tests/test_beacon.py
+++ b/tests/test_beacon.py
@@ -204,7 +204,6 @@
 
     def __init__(self) -> None:
         self.reactor = task.Clock()
-        self.reactor.listenUDP = lambda *args, **options: None
         self.time = clock.ManualClock(1000)
         self.need = beacon.Need.NONE
         self.table = peer_table.PeerTable(_LOCAL_HOST, self.time)
@@ -214,13 +213,12 @@
             self.time,
             lambda: announcement(host_id=_LOCAL_HOST, zone='z'),
             self.table,
-            70,
             dict,
             lambda *_: None,
             lambda: self.need,
         )
         self.task.transport = self
-        self.task.start('10.0.0.1')
+        self.task.start()
 
     def write(self, datagram: bytes, address: tuple[str, int]) -> None:
         self.sent.append((address[0], beacon.decode(datagram)))
--- /dev/null
+++ b/tests/test_listeners.py
@@ -0,0 +1,112 @@
+"""Tests of listeners that are opened together."""
+
+from __future__ import annotations
+
+import contextlib
+import errno
+import socket
+
+import pytest
+
+from anvillug import clock
+from anvillug.bench import processes
+from anvillug.process import listeners
+
+_TIMEOUT_MS = 300
+
+
+class _Reactor:
+    """Records the addresses of the sockets that are passed on."""
+
+    def __init__(self) -> None:
+        self.addresses: list[str] = []
+
+    def adoptStreamPort(self, descriptor, family, factory):  # noqa: N802
+        with socket.socket(fileno=socket.dup(descriptor)) as passed_on:
+            host, port = passed_on.getsockname()
+        self.addresses.append(f'{host}:{port}')
+        return factory
+
+
+class _Opened:
+    """Listeners whose take-over is recorded."""
+
+    def __init__(self) -> None:
+        self.reactor = _Reactor()
+        self.listeners = listeners.Listeners(self.reactor, clock.SystemClock(), _TIMEOUT_MS)
+        self.taken_over = 0
+
+    def open(self) -> None:
+        self.listeners.open(self._take_over)
+
+    def _take_over(self) -> None:
+        assert not self.reactor.addresses
+        self.taken_over += 1
+
+
+@pytest.fixture
+def opened():
+    """Return listeners without an address."""
+    return _Opened()
+
+
+def _accepts(address: str) -> bool:
+    host, _, port = address.rpartition(':')
+    with contextlib.suppress(ConnectionRefusedError):
+        socket.create_connection((host, int(port)), timeout=1).close()
+        return True
+    return False
+
+
+class TestOpen:
+    """Guards against listeners that accept connections although the process can't serve."""
+
+    def test_take_over_comes_before_the_first_connection(self, opened):
+        addresses = processes.free_addresses(2)
+        for address in addresses:
+            opened.listeners.add(address, address)
+        opened.open()
+        assert opened.taken_over == 1
+        assert opened.reactor.addresses == addresses
+
+    def test_failure_to_listen_closes_all(self, opened):
+        # Sockets that are bound to the same address fail only when the second one listens.
+        addresses = processes.free_addresses(2)
+        for address in (addresses[0], addresses[1], addresses[1]):
+            opened.listeners.add(address, address)
+        with pytest.raises(listeners.ListenError, match=f'^{addresses[1]}: cannot listen: Address'):
+            opened.open()
+        assert not opened.taken_over
+
+    def test_failure_of_a_library_closes_all(self, opened):
+        # gRPC listened on its address although another one of the node was in use.
+        addresses = processes.free_addresses(2)
+        tries: list[bool] = []
+
+        def fail_once(address: str) -> None:
+            tries.append(_accepts(addresses[0]))
+            if len(tries) == 1:
+                raise OSError(errno.EADDRINUSE, 'in use')
+
+        opened.listeners.add(addresses[0], addresses[0])
+        opened.listeners.add_opener(addresses[1], fail_once)
+        opened.open()
+        assert len(tries) == 2
+        assert opened.taken_over == 1
+
+    def test_address_that_is_never_available_is_an_error(self, opened):
+        opened.listeners.add('192.0.2.1:4000', '')
+        with pytest.raises(listeners.ListenError, match='Cannot assign requested address'):
+            opened.open()
+
+    def test_permanent_failure_is_an_error_at_once(self, opened):
+        tries: list[str] = []
+
+        def refuse(address: str) -> None:
+            tries.append(address)
+            raise PermissionError(errno.EACCES, 'denied')
+
+        opened.listeners.add_opener(processes.free_addresses(1)[0], refuse)
+        with pytest.raises(listeners.ListenError, match='Permission denied'):
+            opened.open()
+        assert len(tries) == 1
--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -147,6 +147,15 @@
         yield
 
 
+def _refuses_connections(address: str) -> bool:
+    ip, _, port = address.rpartition(':')
+    try:
+        socket.create_connection((ip, int(port)), timeout=1).close()
+    except ConnectionRefusedError:
+        return True
+    return False
+
+
 def _kind_of(name: str) -> socket.SocketKind:
     return socket.SOCK_DGRAM if name == 'beacons' else socket.SOCK_STREAM
 
@@ -195,7 +204,7 @@
     @_each()
     @pytest.mark.parametrize('number', _ENDING_SIGNALS)
     @pytest.mark.parametrize('delay_s', _DELAYS_S)
-    def test_termination_ends_with_0(self, starter, number, delay_s):
+    def test_termination_ends_without_failure(self, starter, number, delay_s):
         # FAULT: SIGTERM or SIGINT in the first 400 ms ended the process with the signal's status.
         child = starter.start_to_first_line()
         time.sleep(delay_s)
@@ -284,6 +293,7 @@
         address = starter.program.addresses_by_name[name]
         with _in_use(address, _kind_of(name)):
             child = starter.start()
+            child.wait_for_event('listen_failed')
             time.sleep(_IN_USE_S)
         child.wait_for_event(starter.program.started_event)
         lines = _lines(child, 'listen_failed')
@@ -344,9 +354,7 @@
                 child = starter.start()
                 child.wait_for_event('listen_failed')
                 for name in set(names) - {in_use_name}:
-                    ip, _, port = program.addresses_by_name[name].rpartition(':')
-                    with pytest.raises(ConnectionRefusedError):
-                        socket.create_connection((ip, int(port)), timeout=1).close()
+                    assert _refuses_connections(program.addresses_by_name[name])
                 child.kill()
 
     @_each(('platform',))
