--- a/src/anvillug/bench/soak_launch.py
+++ b/src/anvillug/bench/soak_launch.py
@@ -11,7 +11,7 @@
 from collections.abc import Mapping
 
 from anvillug.bench import processes
-from anvillug.platform import program
+from anvillug.platform import location
 
 _ROOT = pathlib.Path(__file__).resolve().parents[3]
 _PLATFORM_VARIABLES = ('HOME', 'LANG')
@@ -47,5 +47,5 @@
     variables = {name: os.environ[name] for name in _PLATFORM_VARIABLES if name in os.environ}
     variables['PATH'] = f'{pathlib.Path(sys.executable).parent}:{os.environ["PATH"]}'
     variables['PYTHONPATH'] = ':'.join(each for each in sys.path if each.endswith('-packages'))
-    variables[program.SETTINGS_VARIABLE] = str(path)
+    variables[location.SETTINGS_VARIABLE] = str(path)
     return Launch(command, variables)
