--- a/src/anvillug/connection/http_server.py
+++ b/src/anvillug/connection/http_server.py
@@ -18,6 +18,7 @@
 from anvillug.connection import (
     http_exchange,
     http_head,
+    late_close,
     request_parser,
     response_slot,
     step_queue,
@@ -87,8 +88,8 @@
     def is_busy(self) -> bool:
         """Whether a request is in progress or on its way, or response bytes are still unsent."""
         awaits_first = self._asked_to_close and self._is_new
-        awaits_request = not self._closing and (awaits_first or self._parser.is_receiving)
-        return bool(self._slots) or awaits_request or write_batch.has_unsent_bytes(self.transport)
+        is_in_use = self._closing or awaits_first or self._parser.is_receiving
+        return bool(self._slots) or is_in_use or write_batch.has_unsent_bytes(self.transport)
 
     def connectionMade(self) -> None:  # noqa: N802
         """Register for write backpressure; see Twisted."""
@@ -393,6 +394,13 @@
         if not self._disconnected:
             write_batch.BATCH.flush(self.transport)
             self.transport.unregisterProducer()
+            self._lose_connection()
+
+    def _lose_connection(self) -> None:
+        if self._closes_after_responses and isinstance(self.transport, tcp.Connection):
+            # Further requests may be on their way.
+            late_close.LateClose(self.transport).check()
+        else:
             self.transport.loseConnection()
 
 
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -7,12 +7,15 @@
 
 import pytest
 
-from anvillug.connection import http_listener
+from anvillug.connection import http_exchange, http_listener
 from tests import reactor_thread
 
 _REQUEST = b'GET /one HTTP/1.1\r\nHost: a\r\n\r\n'
 # No more than the listen queue of the test server holds.
 _QUEUED_CONNECTIONS = 45
+_LARGE_RESPONSE_BYTES = 2_000_000
+# A caller that reads slowly, so that the end of the response is still unsent at the close.
+_READ_PAUSE_S = 0.001
 # Data that was sent on the loopback interface has arrived after this time.
 _ARRIVAL_S = 0.2
 
@@ -21,11 +24,15 @@
     """Server in the reactor thread that answers each request at once."""
 
     def __init__(self, running_reactor) -> None:
-        self.factory = http_listener.ServerFactory(lambda exchange: exchange.respond(200, b'whole'))
+        self.factory = http_listener.ServerFactory(self._respond)
+        self.response = b'whole'
         self.port = reactor_thread.call(
             lambda: running_reactor.listenTCP(0, self.factory, interface='127.0.0.1')
         )
 
+    def _respond(self, exchange: http_exchange.ServerExchange) -> None:
+        exchange.respond(200, self.response)
+
     def connect(self) -> socket.socket:
         connection = socket.create_connection(('127.0.0.1', self.port.getHost().port))
         connection.settimeout(reactor_thread.TIMEOUT_S)
@@ -171,6 +178,21 @@
         idle.sendall(_REQUEST)
         assert b'Connection: close' in _receive_all(idle)
 
+    # Guards against a reset that discards the end of a response because of a request behind it.
+    def test_request_behind_an_announced_close_costs_no_response(self, server):
+        server.response = bytes(_LARGE_RESPONSE_BYTES)
+        reactor_thread.call(server.factory.close_when_idle)
+        connection = server.connect()
+        connection.sendall(_REQUEST)
+        received = len(connection.recv(1024))
+        connection.sendall(_REQUEST)
+        reactor_thread.call(server.factory.close_when_idle)
+        with connection:
+            while piece := connection.recv(4096):
+                received += len(piece)
+                time.sleep(_READ_PAUSE_S)
+        assert received > _LARGE_RESPONSE_BYTES
+
     def test_silent_connection_does_not_delay_the_stop(self, server):
         connection = server.connect()
         reactor_thread.eventually(lambda: reactor_thread.call(lambda: server.factory.open_count))
