--- a/src/anvillug/platform/program.py
+++ b/src/anvillug/platform/program.py
@@ -7,7 +7,7 @@
 
 from anvillug import clock, event_log, findings, ids
 from anvillug.platform import documents, headers, settings
-from anvillug.process import lifetime, plain_tcp
+from anvillug.process import lifetime, plain_tcp, settings_watch
 from anvillug.version import rollout
 
 _EXIT_BAD_INPUT = 2
@@ -59,7 +59,7 @@
     """
     time = clock.SystemClock()
     log_lines = event_log.set_up_bounded(lifetime.STANDARD_OUTPUT, time)
-    loaded = settings.load(path)
+    version, loaded = settings_watch.load_at_start(path, settings.load, time)
     if loaded.is_error():
         sys.stderr.write(f'{findings.report(loaded.error)}\n')
         return _EXIT_BAD_INPUT
@@ -72,7 +72,6 @@
         error_reports,
         listeners,
         mesh_node,
-        settings_watch,
     )
 
     error_reports.forward_twisted_errors()
@@ -90,7 +89,9 @@
     requests = control.Control(node)
     node.listen(loaded.ok.ready_address, requests.readiness)
     node.listen(loaded.ok.control_address, requests.control)
-    watch = settings_watch.SettingsWatch(reactor, path, settings.load, node.apply, loaded.ok)
+    watch = settings_watch.SettingsWatch(
+        reactor, path, settings.load, node.apply, loaded.ok, version
+    )
     try:
         node.start(watch.reload)
     except listeners.ListenError as problem:
--- a/src/anvillug/process/settings_watch.py
+++ b/src/anvillug/process/settings_watch.py
@@ -1,21 +1,68 @@
-"""Reloads the settings file when it changes, or on SIGHUP."""
+"""Reads the settings file at the start, and again when it changes or on SIGHUP."""
 
 from __future__ import annotations
 
 import pathlib
+import time as system_time
 from collections.abc import Callable
-from typing import Any
+from typing import Any, NewType
 
 import expression
 
-from anvillug import event_log, findings
+from anvillug import clock, event_log, findings
 from anvillug.process import mesh_settings
 
 _CHECK_INTERVAL_S = 1.0  # maximum delay until a change is detected without a signal
+# The platform may still be writing the file when it starts the process.
+_START_TIMEOUT_MS = 2000.0
+_START_RETRY_S = 0.1
+
+Version = NewType('Version', tuple[int, int])
+"""Time of modification and size of the file, which identify a version."""
+
+_NO_FILE = Version((0, 0))
 
 Loader = Callable[[pathlib.Path], expression.Result[mesh_settings.MeshSettings, findings.Findings]]
 
 
+def load_at_start(
+    path: pathlib.Path, load: Loader, time: clock.Clock
+) -> tuple[Version, expression.Result[mesh_settings.MeshSettings, findings.Findings]]:
+    """Read the settings file, and try again for a limited time while it is missing or invalid.
+
+    Args:
+        path: Settings file.
+        load: Reads and validates the file.
+        time: Clock.
+
+    Returns:
+        The version of the file before it was read, and the settings or the findings.
+    """
+    deadline = time.now() + _START_TIMEOUT_MS
+    while True:
+        version = _version_of(path)
+        loaded = load(path)
+        remaining_ms = deadline - time.now()
+        if loaded.is_ok() or remaining_ms <= 0:
+            return version, loaded
+        first = loaded.error[0]
+        event_log.warn(
+            'settings_not_read',
+            place=first.place,
+            reason=first.message,
+            remaining_ms=int(remaining_ms),
+        )
+        system_time.sleep(_START_RETRY_S)
+
+
+def _version_of(path: pathlib.Path) -> Version:
+    try:
+        status = path.stat()
+    except OSError:
+        return _NO_FILE
+    return Version((status.st_mtime_ns, status.st_size))
+
+
 class SettingsWatch:
     """Reloads the settings file when it changes.
 
@@ -25,6 +72,7 @@
         load: Reads and validates the file.
         apply: Called with valid settings that differ from those in effect.
         current: Settings in effect.
+        version: Version of the file with these settings.
     """
 
     def __init__(
@@ -34,13 +82,14 @@
         load: Loader,
         apply: Callable[[mesh_settings.MeshSettings], None],
         current: mesh_settings.MeshSettings,
+        version: Version,
     ) -> None:
         self._reactor = reactor
         self._path = path
         self._load = load
         self._apply = apply
         self._current = current
-        self._version = self._file_version()
+        self._version = version
 
     def start(self) -> None:
         """Watch the file until the process ends."""
@@ -48,7 +97,7 @@
 
     def reload(self) -> None:
         """Read the file and apply its changes; an invalid file changes nothing."""
-        self._version = self._file_version()
+        self._version = _version_of(self._path)
         loaded = self._load(self._path)
         if loaded.is_error():
             for finding in loaded.error:
@@ -61,16 +110,9 @@
             self._apply(loaded.ok)
 
     def _check(self) -> None:
-        version = self._file_version()
+        version = _version_of(self._path)
+        if version == _NO_FILE:
+            event_log.warn('settings_not_found', path=self._path)
         if version != self._version:
             self.reload()
         self._reactor.callLater(_CHECK_INTERVAL_S, self._check)
-
-    def _file_version(self) -> tuple[int, int]:
-        """Return time of modification and size, which identify a version; zeros without a file."""
-        try:
-            status = self._path.stat()
-        except OSError as error:
-            event_log.warn('settings_not_found', path=self._path, reason=error.strerror)
-            return (0, 0)
-        return (status.st_mtime_ns, status.st_size)
--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -407,6 +407,16 @@
         child.send_signal(signal.SIGTERM)
         assert _end(child, _AT_ONCE_MS) == 0
 
+    @_each(('platform',))
+    @pytest.mark.parametrize('delay_s', [0.2, 0.35, 0.4, 0.45, 0.5])
+    def test_change_without_a_signal_during_the_start_is_applied(self, starter, delay_s):
+        # A change between the first read and the start of the watch was not noticed.
+        child = starter.start_to_first_line()
+        time.sleep(delay_s)
+        starter.program.write_settings(service='two')
+        if child.wait_for_event('node_started')['service'] != 'two':
+            assert child.wait_for_event('settings_applied')['changed'] == 'service'
+
     def test_check_answers_at_once(self, tmp_path):
         command = [*processes.PROGRAM, 'mesh', '--check', str(tmp_path / 'none')]
         done = subprocess.run(command, capture_output=True, text=True, check=False)
