--- a/src/anvillug/connection/http_pool.py
+++ b/src/anvillug/connection/http_pool.py
@@ -5,9 +5,10 @@
 import collections
 import dataclasses
 import math
+import socket
 from collections.abc import Callable
 
-from twisted.internet import interfaces, protocol
+from twisted.internet import interfaces, protocol, tcp
 
 from anvillug.connection import http_client
 
@@ -55,6 +56,9 @@
 
     def connectionMade(self) -> None:  # noqa: N802
         super().connectionMade()
+        if isinstance(self.transport, tcp.Connection):
+            # Without this, no process can listen on the local port while the connection is open.
+            self.transport.getHandle().setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         ready = self.ready
         self.ready = None
         if ready is not None:
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -10,7 +10,9 @@
 
 from anvillug import clock
 from anvillug.bench import processes
+from anvillug.connection import http_pool
 from anvillug.process import listeners
+from tests import reactor_thread
 
 _TIMEOUT_MS = 300
 
@@ -110,3 +112,22 @@
         with pytest.raises(listeners.ListenError, match='Permission denied'):
             opened.open()
         assert len(tries) == 1
+
+
+class TestOutgoingConnections:
+    """Guards against outgoing connections whose local port a process can no longer listen on."""
+
+    def test_port_of_an_outgoing_connection_can_be_listened_on(self, running_reactor, opened):
+        # FAULT: an outgoing connection of another node had taken the port of a node.
+        with socket.create_server(('127.0.0.1', 0)) as server:
+            pool = http_pool.Pool(running_reactor, *server.getsockname())
+            reactor_thread.call(pool.preconnect)
+            accepted, peer = server.accept()
+            try:
+                reactor_thread.eventually(lambda: pool.idle_count)
+                opened.listeners.add(f'{peer[0]}:{peer[1]}', '')
+                opened.open()
+            finally:
+                accepted.close()
+                reactor_thread.call(pool.close)
+        assert opened.taken_over == 1
