--- a/src/anvillug/connection/http_pool.py
+++ b/src/anvillug/connection/http_pool.py
@@ -5,12 +5,11 @@
 import collections
 import dataclasses
 import math
-import socket
 from collections.abc import Callable
 
-from twisted.internet import interfaces, protocol, tcp
+from twisted.internet import interfaces, protocol
 
-from anvillug.connection import http_client
+from anvillug.connection import http_client, local_port
 
 ConnectionReady = Callable[[http_client.ClientConnection], None]
 ConnectFailed = Callable[[], None]
@@ -56,9 +55,7 @@
 
     def connectionMade(self) -> None:  # noqa: N802
         super().connectionMade()
-        if isinstance(self.transport, tcp.Connection):
-            # Without this, no process can listen on the local port while the connection is open.
-            self.transport.getHandle().setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        local_port.allow_listeners(self.transport)
         ready = self.ready
         self.ready = None
         if ready is not None:
--- a/src/anvillug/connection/tcp_liveness.py
+++ b/src/anvillug/connection/tcp_liveness.py
@@ -13,6 +13,8 @@
 from twisted.web import iweb
 from zope.interface import implementer
 
+from anvillug.connection import local_port
+
 # Keep-alive probes are sent on a connection that has received nothing for this long.
 _IDLE_S = 1
 # A probe without a response for this long closes the connection: a new one costs less than a
@@ -70,4 +72,5 @@
 
 def _detect_silence_of(protocol: interfaces.IProtocol) -> interfaces.IProtocol:
     detect_silence(protocol.transport)
+    local_port.allow_listeners(protocol.transport)
     return protocol
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -7,10 +7,12 @@
 import socket
 
 import pytest
+from twisted.internet import protocol
+from twisted.web import client as web_client
 
 from anvillug import clock
 from anvillug.bench import processes
-from anvillug.connection import http_pool
+from anvillug.connection import http_pool, tcp_liveness
 from anvillug.process import listeners
 from tests import reactor_thread
 
@@ -131,3 +133,20 @@
                 accepted.close()
                 reactor_thread.call(pool.close)
         assert opened.taken_over == 1
+
+    def test_port_of_a_connection_to_the_store_can_be_listened_on(self, running_reactor, opened):
+        # FAULT: as above.
+        with socket.create_server(('127.0.0.1', 0)) as server:
+            host, port = server.getsockname()
+            uri = web_client.URI.fromBytes(f'http://{host}:{port}/'.encode())
+            factory = tcp_liveness.EndpointFactory(running_reactor, 1)
+            connecting = protocol.Factory.forProtocol(protocol.Protocol)
+            connection = reactor_thread.call(factory.endpointForURI(uri).connect, connecting)
+            accepted, peer = server.accept()
+            try:
+                opened.listeners.add(f'{peer[0]}:{peer[1]}', '')
+                opened.open()
+            finally:
+                accepted.close()
+                reactor_thread.call(connection.transport.abortConnection)
+        assert opened.taken_over == 1
