--- a/src/anvillug/connection/http_pool.py
+++ b/src/anvillug/connection/http_pool.py
@@ -9,7 +9,7 @@
 
 from twisted.internet import interfaces, protocol
 
-from anvillug.connection import http_client
+from anvillug.connection import http_client, local_port
 
 ConnectionReady = Callable[[http_client.ClientConnection], None]
 ConnectFailed = Callable[[], None]
@@ -55,6 +55,7 @@
 
     def connectionMade(self) -> None:  # noqa: N802
         super().connectionMade()
+        local_port.allow_listeners(self.transport)
         ready = self.ready
         self.ready = None
         if ready is not None:
