--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -92,7 +92,7 @@
 _SOAK = (sys.executable, '-m', 'anvillug', 'bench', 'soak')
 _FIRST_SECOND = '--seed 2 --seconds 8 --nodes 4 --rate 0.15 --faults early'
 _PORT_IN_USE = '--seed 2 --seconds 8 --nodes 4 --rate 0.15 --faults port'
-_READER_GONE = '--seed 2 --seconds 8 --nodes 4 --rate 0.15 --faults reader-gone terminate'
+_READER_GONE = '--seed 2 --seconds 14 --nodes 4 --rate 0.15 --faults reader-gone terminate'
 _FEW_NODES = '--seed 1 --seconds 25 --nodes 6 --rate 0.3 --faults burst config pause'
 # FAULT and LOST: bodies in reference cycles took over 300 MB.
 _LARGE_BODIES = '--seed 42 --seconds 50 --rate 0.25 --upload-bytes 4000000 --faults burst pause'
