--- a/src/anvillug/process/lifetime.py
+++ b/src/anvillug/process/lifetime.py
@@ -10,6 +10,7 @@
 import contextlib
 import enum
 import os
+import select
 import signal
 import sys
 import time
@@ -194,9 +195,11 @@
         pairs = [f'time_ms={time.time_ns() // _NS_PER_MS} level=info event={event}']
         pairs.extend(f'{key}={_quoted(str(value))}' for key, value in fields.items())
         line = ' '.join(pairs)
-        # A log that can't be written must not end the process.
+        # A log that can't be written must neither end the process nor hold it up.
         with contextlib.suppress(OSError):
-            os.write(self._descriptor, f'{line}\n'.encode(errors='backslashreplace'))
+            _, writable, _ = select.select((), (self._descriptor,), (), 0)
+            if writable:
+                os.write(self._descriptor, f'{line}\n'.encode(errors='backslashreplace'))
 
 
 def _quoted(text: str) -> str:
--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import fcntl
 import json
 import os
 import pathlib
@@ -11,6 +12,7 @@
 import subprocess
 import sys
 import time
+from typing import IO
 
 import pytest
 
@@ -90,10 +92,12 @@
         self.program = program
         self._group = group
 
-    def start(self, prefix: tuple[str, ...] = ()) -> processes.ChildProcess:
+    def start(
+        self, prefix: tuple[str, ...] = (), output: IO[bytes] | None = None
+    ) -> processes.ChildProcess:
         """Start a process; a prefix is put before its command line."""
         child = processes.ChildProcess(
-            self.program.command(), prefix, environment=self.program.environment()
+            self.program.command(), prefix, self.program.environment(), output
         )
         self._group.append(child)
         return child
@@ -156,6 +160,28 @@
     return False
 
 
+def _await_listener(program: _Program, child: processes.ChildProcess) -> None:
+    """Wait until a process accepts callers."""
+    name = 'Outbound' if program.kind in _MESH_KINDS else 'caller_address'
+    end = time.monotonic() + processes.START_TIMEOUT_MS / 1000
+    while _refuses_connections(program.addresses_by_name[name]):
+        assert child.running
+        assert time.monotonic() < end
+        time.sleep(processes.POLL_S)
+
+
+@contextlib.contextmanager
+def _full_pipe():
+    """Yield the writing end of a pipe that nobody reads and that has no room."""
+    reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    os.write(writer, bytes(fcntl.fcntl(writer, fcntl.F_GETPIPE_SZ)))
+    os.set_blocking(writer, True)
+    with open(writer, 'wb') as output:
+        yield output
+    os.close(reader)
+
+
 def _kind_of(name: str) -> socket.SocketKind:
     return socket.SOCK_DGRAM if name == 'beacons' else socket.SOCK_STREAM
 
@@ -432,22 +458,18 @@
     def test_closed_streams_end_no_process(self, starter, closed):
         # FAULT: without standard output the node ended with a traceback and status 1.
         child = starter.start(('/bin/sh', '-c', f'exec "$0" "$@" {closed}'))
-        addresses = starter.program.addresses_by_name
-        name = 'Outbound' if starter.program.kind in _MESH_KINDS else 'caller_address'
-        ip, _, port = addresses[name].rpartition(':')
-        end = time.monotonic() + processes.START_TIMEOUT_MS / 1000
-        while True:
-            assert child.running, child.output()
-            assert time.monotonic() < end
-            try:
-                socket.create_connection((ip, int(port)), timeout=1).close()
-            except ConnectionRefusedError:
-                time.sleep(processes.POLL_S)
-            else:
-                break
+        _await_listener(starter.program, child)
         time.sleep(0.3)
         assert child.stop() == 0
 
+    @_each(('platform', 'mesh', 'node'))
+    def test_full_pipe_holds_up_no_start(self, starter):
+        # A first line that waits for the reader would keep the process from starting.
+        with _full_pipe() as output:
+            child = starter.start(output=output)
+            _await_listener(starter.program, child)
+            assert child.stop() == 0
+
     @_each(('node', 'standin'))
     def test_full_device_ends_no_process(self, starter):
         child = starter.start(('/bin/sh', '-c', 'exec "$0" "$@" >/dev/full 2>&1'))
