--- a/src/anvillug/connection/http_server.py
+++ b/src/anvillug/connection/http_server.py
@@ -35,6 +35,8 @@
 # No further request begins while responses of this size wait for their turn.
 _MAX_HELD_BYTES = 1024 * 1024
 _STATUS_SERVER_ERROR = 500
+# A stopping node checks its connections every 50 ms; the rest of a request is awaited for a second.
+_MAX_CHECKS_WITHOUT_BYTES = 20
 _numbers = itertools.count(1)
 
 MayOverlap = Callable[[http_head.RequestHead], bool]
@@ -83,6 +85,8 @@
         self._asked_to_close = False
         # Whether the connection closes once all requests that have arrived are answered.
         self._closes_after_responses = False
+        # Calls of `close_when_idle` since bytes were received.
+        self._checks_without_bytes = 0
 
     @property
     def is_busy(self) -> bool:
@@ -102,6 +106,7 @@
         """Parse bytes; see Twisted."""
         if self._closing:
             return
+        self._checks_without_bytes = 0
         write_batch.BATCH.begin()
         # The last request gets another response, so it has to be known before the others begin.
         self._pending.holds_all = self._closes_after_responses
@@ -230,7 +235,7 @@
         self.close_after_responses()
         if not self._slots:
             self._read_available()
-        if self._slots or self._parser.is_receiving:
+        if self._slots or self._may_receive_rest():
             return
         if self._is_new and not self._asked_to_close:
             self._asked_to_close = True
@@ -239,6 +244,12 @@
 
     # Private
 
+    def _may_receive_rest(self) -> bool:
+        """Return whether a part of a request has arrived and the rest may follow."""
+        self._checks_without_bytes += 1
+        is_stalled = self._checks_without_bytes > _MAX_CHECKS_WITHOUT_BYTES
+        return self._parser.is_receiving and not is_stalled
+
     def _read_available(self) -> None:
         """Read what has arrived; closing a connection with unread bytes would reset it."""
         if isinstance(self.transport, tcp.Connection):
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -16,6 +16,7 @@
 _LARGE_RESPONSE_BYTES = 2_000_000
 # A caller that reads slowly, so that the end of the response is still unsent at the close.
 _READ_PAUSE_S = 0.001
+_CHECKS_IN_A_SECOND = 20
 # Data that was sent on the loopback interface has arrived after this time.
 _ARRIVAL_S = 0.2
 
@@ -163,6 +164,18 @@
         connection.sendall(_REQUEST[9:])
         assert _receive_all(connection).endswith(b'whole')
 
+    # Guards against a part of a request that holds the stop until the end of the grace time.
+    def test_rest_of_a_request_is_awaited_for_a_limited_time(self, server):
+        connection = server.connect()
+        server.stop_after(lambda: connection.sendall(_REQUEST[:9]))
+        for _ in range(_CHECKS_IN_A_SECOND):
+            reactor_thread.call(server.factory.close_when_idle)
+        assert reactor_thread.call(lambda: server.factory.busy_count) == 1
+        reactor_thread.call(server.factory.close_when_idle)
+        reactor_thread.eventually(
+            lambda: not reactor_thread.call(lambda: server.factory.open_count)
+        )
+
     # Guards against connections that are kept until they are closed under a request.
     def test_responses_announce_the_close_in_advance(self, server):
         kept, idle, late = (server.connect() for _ in range(3))
