--- a/src/anvillug/platform/program.py
+++ b/src/anvillug/platform/program.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import pathlib
-import sys
 
 from anvillug import clock, event_log, findings, ids
 from anvillug.platform import documents, headers, settings
@@ -44,7 +43,7 @@
     loaded = settings.load(path)
     if loaded.is_ok():
         return 0
-    sys.stderr.write(f'{findings.report(loaded.error)}\n')
+    lifetime.print_error(findings.report(loaded.error))
     return _EXIT_BAD_INPUT
 
 
@@ -61,7 +60,7 @@
     log_lines = event_log.set_up_bounded(lifetime.STANDARD_OUTPUT, time)
     version, loaded = settings_watch.load_at_start(path, settings.load, time)
     if loaded.is_error():
-        sys.stderr.write(f'{findings.report(loaded.error)}\n')
+        lifetime.print_error(findings.report(loaded.error))
         return _EXIT_BAD_INPUT
     plain_tcp.disable_tls()
     # Importing the reactor installs it.
@@ -95,7 +94,7 @@
     try:
         node.start(watch.reload)
     except listeners.ListenError as problem:
-        sys.stderr.write(f'{path}: {problem}\n')
+        lifetime.print_error(f'{path}: {problem}')
         return _EXIT_BAD_INPUT
     watch.start()
     reactor.run(installSignalHandlers=False)
--- a/src/anvillug/process/commands/node.py
+++ b/src/anvillug/process/commands/node.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import pathlib
-import sys
 
 import expression
 
 from anvillug import clock, event_log, findings
-from anvillug.process import plain_tcp, settings
+from anvillug.process import lifetime, plain_tcp, settings
 
 _EXIT_BAD_INPUT = 2
 
@@ -24,10 +23,10 @@
     """
     loaded = settings.load(settings_file)
     if isinstance(loaded, expression.Result) and loaded.is_error():
-        sys.stderr.write(f'{findings.report(loaded.error)}\n')
+        lifetime.print_error(findings.report(loaded.error))
         return _EXIT_BAD_INPUT
     time = clock.SystemClock()
-    event_log.set_up_bounded(sys.stderr.fileno(), time)
+    event_log.set_up_bounded(lifetime.STANDARD_ERROR, time)
     plain_tcp.disable_tls()
     # Importing the reactor installs it, and the node imports most of the program.
     from twisted.internet import reactor  # noqa: PLC0415
@@ -41,7 +40,7 @@
     try:
         process.start()
     except listeners.ListenError as problem:
-        sys.stderr.write(f'{settings_file}: {problem}\n')
+        lifetime.print_error(f'{settings_file}: {problem}')
         return _EXIT_BAD_INPUT
     reactor.run(installSignalHandlers=False)
     return 0
--- a/src/anvillug/process/commands/standin.py
+++ b/src/anvillug/process/commands/standin.py
@@ -170,7 +170,7 @@
     try:
         opened.open(_take_over)
     except listeners.ListenError as problem:
-        sys.stderr.write(f'{problem}\n')
+        lifetime.print_error(str(problem))
         sys.exit(_EXIT_BAD_INPUT)
 
 
--- a/src/anvillug/process/lifetime.py
+++ b/src/anvillug/process/lifetime.py
@@ -166,7 +166,8 @@
             self._apply(number)
 
     def _release_held(self) -> None:
-        held = self._held or ()
+        # The handler may add to the list until the next statement is done.
+        held = self._held
         self._held = None
         for number in held:
             self._received(number, None)
@@ -202,6 +203,12 @@
                 os.write(self._descriptor, f'{line}\n'.encode(errors='backslashreplace'))
 
 
+def print_error(text: str) -> None:
+    """Print a line on standard error; one that can't be written must not change the exit status."""
+    with contextlib.suppress(OSError):
+        sys.stderr.write(f'{text}\n')
+
+
 def _quoted(text: str) -> str:
     if text and not _TO_QUOTE & set(text):
         return text
--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -473,6 +473,12 @@
             _await_listener(starter.program, child)
             assert child.stop() == 0
 
+    @_each(('platform', 'mesh', 'node'))
+    def test_status_of_an_error_that_cannot_be_printed(self, starter):
+        starter.program.path.write_text('{')
+        child = starter.start(('/bin/sh', '-c', 'exec "$0" "$@" 2>/dev/full'))
+        assert _end(child) == 2
+
     @_each(('node', 'standin'))
     def test_full_device_ends_no_process(self, starter):
         child = starter.start(('/bin/sh', '-c', 'exec "$0" "$@" >/dev/full 2>&1'))
