--- a/src/anvillug/process/backend_probe.py
+++ b/src/anvillug/process/backend_probe.py
@@ -76,11 +76,12 @@
         self._probed(result)
 
     def _check(self) -> None:
+        # First, so that a failure does not end the task.
+        self._reactor.callLater(_CHECK_INTERVAL_S, self._check)
         pool = self._pool()
         if pool is not None and self.budget.start_probe(self._clock.now()):
             self.counters.sent += 1
             _Probe(self._reactor, self._clock, self.ended).start(pool)
-        self._reactor.callLater(_CHECK_INTERVAL_S, self._check)
 
 
 class _Probe:
--- a/src/anvillug/process/backend_watch.py
+++ b/src/anvillug/process/backend_watch.py
@@ -81,12 +81,13 @@
         self._changed(backend)
 
     def _check(self) -> None:
+        # First, so that a failure does not end the task.
+        self._reactor.callLater(_CHECK_INTERVAL_S, self._check)
         silent_ms = self._clock.now() - self._announced_at
         if self.backend is not None and silent_ms > ANNOUNCEMENT_TIMEOUT_MS:
             event_log.warn('backend_server_silent', silent_ms=round(silent_ms))
             self.backend = None
             self._changed(None)
-        self._reactor.callLater(_CHECK_INTERVAL_S, self._check)
 
 
 class _ConnectCheckFactory:
--- a/src/anvillug/process/beacon.py
+++ b/src/anvillug/process/beacon.py
@@ -12,6 +12,7 @@
 from typing import Any, NamedTuple
 
 import msgpack
+from twisted.internet import error as net_error
 from twisted.internet import protocol
 
 from anvillug import clock, event_log, ids
@@ -43,6 +44,7 @@
 _PERCENT = 100
 MAX_BYTES = 2400
 """Maximum size of a datagram; it is fragmented above 1200 bytes."""
+_SEND_ERRORS = (OSError, ValueError, net_error.MessageLengthError)
 _MALFORMED_ERRORS = (ValueError, TypeError, LookupError, msgpack.UnpackException)
 
 
@@ -179,6 +181,8 @@
         return len(self._targets.near) * _MS_PER_SECOND / _MAX_BEACONS_PER_SECOND
 
     def _tick(self) -> None:
+        # First, so that a failure does not end the task.
+        self._reactor.callLater(clock.to_seconds(_TICK_MS), self._tick)
         now = self._clock.now()
         need = self._need()
         urgent = need is Need.AT_ONCE
@@ -194,7 +198,6 @@
             self._send_load_if_due(now)
         if now - self._far_sent_at >= (_FAR_ROLLOUT_INTERVAL_MS if urgent else _FAR_INTERVAL_MS):
             self.send_far()
-        self._reactor.callLater(clock.to_seconds(_TICK_MS), self._tick)
 
     def _send_near_by_zone(self) -> None:
         """Send a full beacon to nodes of this zone, and the load to near ones of other zones."""
@@ -255,8 +258,9 @@
             host, _, port = address.rpartition(':')
             try:
                 self.transport.write(datagram, (host, int(port)))
-            except OSError as error:
-                # A full buffer or a missing route: the next beacon replaces this one soon.
+            except _SEND_ERRORS as error:
+                # A full buffer, a missing route or an unusable address; the next beacon replaces
+                # this one soon, and the other nodes get theirs.
                 event_log.warn('beacon_not_sent', peer=host, reason=error)
 
 
--- a/src/anvillug/process/entry_side.py
+++ b/src/anvillug/process/entry_side.py
@@ -322,11 +322,12 @@
         return (host_id, member.incarnation)
 
     def _request_samples(self) -> None:
+        # First, so that a failure does not end the task.
+        self.reactor.callLater(_SAMPLE_INTERVAL_S, self._request_samples)
         now = self.clock.now()
         for router in self._routers_by_service.values():
             for host_id in router.hosts_to_sample(now):
                 self._request_sample(router, host_id)
-        self.reactor.callLater(_SAMPLE_INTERVAL_S, self._request_samples)
 
     def _request_sample(self, router: service_router.ServiceRouter, host_id: ids.HostId) -> None:
         pool = self._pools.get(host_id)
--- a/src/anvillug/process/gossip.py
+++ b/src/anvillug/process/gossip.py
@@ -13,6 +13,7 @@
 from typing import Any, Protocol
 
 from twisted.internet import defer, interfaces, task
+from twisted.python import failure as twisted_failure
 
 from anvillug import clock, event_log, ids
 from anvillug.connection import control_client, control_messages
@@ -190,7 +191,7 @@
 
     def start(self) -> None:
         """Start exchanging; the first exchange is sent immediately."""
-        self._loop.start(INTERVAL_S)
+        self._loop.start(INTERVAL_S).addErrback(self._tick_failed)
 
     def stop(self) -> None:
         """Stop starting exchanges; requests of peers are still handled."""
@@ -271,6 +272,11 @@
             pull_incomplete=incomplete,
         )
 
+    def _tick_failed(self, failure: twisted_failure.Failure) -> None:
+        """Go on after a failed tick."""
+        event_log.error('gossip_tick_failed', failure.value)
+        self._loop.start(INTERVAL_S, now=False).addErrback(self._tick_failed)
+
     def _request_missing(self, request: control_messages.Request) -> None:
         """Request state from a peer whose request shows that it has newer state."""
         config = self._sources.config
--- a/src/anvillug/process/host_side.py
+++ b/src/anvillug/process/host_side.py
@@ -415,7 +415,8 @@
         self._pool = pool
 
     def _expire_periodically(self) -> None:
+        # First, so that a failure does not end the task.
+        self.reactor.callLater(_EXPIRY_INTERVAL_S, self._expire_periodically)
         now = self.clock.now()
         self._table.expire(now)
         self._crash_quarantine.expire(now)
-        self.reactor.callLater(_EXPIRY_INTERVAL_S, self._expire_periodically)
--- a/src/anvillug/process/keyed_calls.py
+++ b/src/anvillug/process/keyed_calls.py
@@ -169,8 +169,9 @@
             self._table.reject(call_id, self._clock.now())
 
     def _expire_periodically(self) -> None:
-        self._table.expire(self._clock.now())
+        # First, so that a failure does not end the task.
         self._reactor.callLater(_EXPIRY_INTERVAL_S, self._expire_periodically)
+        self._table.expire(self._clock.now())
 
 
 class _Headers:
--- a/src/anvillug/process/mesh_node.py
+++ b/src/anvillug/process/mesh_node.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from twisted.internet import defer, task
+from twisted.internet import defer
 
 from anvillug import clock, event_log, findings, ids, log_writer
 from anvillug.connection import http_exchange, http_listener, keyed_log
@@ -227,7 +227,7 @@
         self._writer.start()
         self._probe.start()
         self._records.start()
-        task.LoopingCall(self._step).start(_STEP_S)
+        self._step()
         # Long-lived objects are frozen, since collecting them would delay calls.
         gc.collect()
         gc.freeze()
@@ -360,6 +360,8 @@
         self._beacons.send_near()
 
     def _step(self) -> None:
+        # First, so that a failure does not end the task.
+        self._reactor.callLater(_STEP_S, self._step)
         self.entry.count_overdue()
         self.rollouts.step()
         self.entry.abort_lost_attempts()
--- a/src/anvillug/process/mesh_stop.py
+++ b/src/anvillug/process/mesh_stop.py
@@ -83,6 +83,8 @@
 
     def _check(self) -> None:
         """Take the next step of the stop if the last one is complete, or the time is over."""
+        # First, so that a failure does not end the task.
+        next_check = self._reactor.callLater(_CHECK_S, self._check)
         stopped_for_ms = self._clock.now() - self._began_at
         remaining_ms = self._grace_ms() - stopped_for_ms
         is_late = remaining_ms < _STOP_MARGIN_MS
@@ -92,17 +94,20 @@
         if self._host.closed and (is_late or self._is_done()):
             calls = len(self._entry.in_progress)
             event_log.emit('node_stopped', calls=calls, after_ms=int(stopped_for_ms))
+            next_check.cancel()
             self._reactor.stop()
-            return
+        elif remaining_ms < _DRAIN_MS or not self._is_busy():
+            self._close_next_side(is_late=is_late)
+
+    def _close_next_side(self, *, is_late: bool) -> None:
+        """Reject callers; once they are rejected and nothing is in progress, also other nodes."""
         if not self._entry.closed:
-            if remaining_ms < _DRAIN_MS or not self._is_busy():
-                self._entry.closed = True
-                http_listener.stop_listening(self.caller_port)
+            self._entry.closed = True
+            http_listener.stop_listening(self.caller_port)
         elif not self._host.closed and (is_late or not self._is_busy()):
             self._host.closed = True
             self._host_closed_at = self._clock.now()
             http_listener.stop_listening(self.peer_port)
-        self._reactor.callLater(_CHECK_S, self._check)
 
     def _is_done(self) -> bool:
         """Return whether nothing is in progress and no other node can send a job any more."""
--- a/src/anvillug/process/move_judge.py
+++ b/src/anvillug/process/move_judge.py
@@ -113,6 +113,8 @@
     # Private
 
     def _review_rollouts(self) -> None:
+        # First, so that a failure does not end the task.
+        self._reactor.callLater(_REVIEW_INTERVAL_S, self._review_rollouts)
         wall = self._clock.wall()
         config = self._config()
         for name, move in config.moves_by_service.items():
@@ -128,7 +130,6 @@
         self._scheduled_proposals = {
             key for key in self._scheduled_proposals if _is_current(key, config)
         }
-        self._reactor.callLater(_REVIEW_INTERVAL_S, self._review_rollouts)
 
     def _is_reviewed(self, move: config_state.MoveStatus, wall: float) -> bool:
         if move.state is config_state.MoveState.TAKEN_BACK:
--- a/src/anvillug/process/settings_watch.py
+++ b/src/anvillug/process/settings_watch.py
@@ -110,9 +110,10 @@
             self._apply(loaded.ok)
 
     def _check(self) -> None:
+        # First, so that a failure does not end the task.
+        self._reactor.callLater(_CHECK_INTERVAL_S, self._check)
         version = _version_of(self._path)
         if version == _NO_FILE:
             event_log.warn('settings_not_found', path=self._path)
         if version != self._version:
             self.reload()
-        self._reactor.callLater(_CHECK_INTERVAL_S, self._check)
--- a/src/anvillug/process/upstream_probe.py
+++ b/src/anvillug/process/upstream_probe.py
@@ -52,6 +52,10 @@
         self._reactor.callLater(clock.to_seconds(self._interval_ms), self._tick)
 
     def _tick(self) -> None:
+        # If health checks report no load, they are sent once per second.
+        pause_ms = self._interval_ms if self._reports_load else _MS_PER_SECOND
+        # First, so that a failure does not end the task.
+        self._reactor.callLater(clock.to_seconds(pause_ms), self._tick)
         backend = self._host.upstream
         policy = self._host.policy()
         now = self._clock.now()
@@ -62,9 +66,6 @@
             self._request = _HealthRequest(self, policy.health_path, policy.name)
             self._host.pool().acquire(self._request.connected, self._request.unreachable)
             self._reactor.callLater(_TIMEOUT_S, self._request.expire)
-        # If health checks report no load, they are sent once per second.
-        pause_ms = self._interval_ms if self._reports_load else _MS_PER_SECOND
-        self._reactor.callLater(clock.to_seconds(pause_ms), self._tick)
 
     def is_copy(self, head: http_head.ResponseHead) -> bool:
         """Return whether a response is a late copy of the response to a call."""
--- a/tests/test_beacon.py
+++ b/tests/test_beacon.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 import pytest
+from twisted.internet import error as net_error
 from twisted.internet import task
 
 from anvillug import clock, ids
@@ -13,6 +14,7 @@
 from anvillug.version import directives
 
 _LOCAL_HOST = ids.HostId('own')
+_NO_ADDRESS = 'no-address'
 _PEER_HOST = ids.HostId('peer')
 _SERVICE = ids.ServiceName('one')
 
@@ -223,6 +225,8 @@
         self.task.start()
 
     def write(self, datagram: bytes, address: tuple[str, int]) -> None:
+        if address[0] == _NO_ADDRESS:
+            raise net_error.InvalidAddressError(address[0], 'not an IP address')
         self.sent.append((address[0], beacon.decode(datagram)))
 
     def receive(self, name: str, zone: str, **changes: object) -> None:
@@ -244,6 +248,19 @@
         return len(messages) - loads, loads
 
 
+class TestUnusableAddress:
+    """Guards against an address of one node that keeps beacons from the others."""
+
+    def test_other_nodes_get_their_beacons(self):
+        sender = _Sender()
+        for name in (_NO_ADDRESS, 'b'):
+            sender.receive(name, 'z')
+        sender.counts('b')
+        sender.advance(2000)
+        full, _ = sender.counts('b')
+        assert full >= 3
+
+
 class TestLoadBeacons:
     """Guards against a load that is taken for that of another node or process."""
 
