--- a/src/anvillug/connection/http_server.py
+++ b/src/anvillug/connection/http_server.py
@@ -35,7 +35,8 @@
 # No further request begins while responses of this size wait for their turn.
 _MAX_HELD_BYTES = 1024 * 1024
 _STATUS_SERVER_ERROR = 500
-# A stopping node checks its connections every 50 ms; the rest of a request is awaited for a second.
+# Nodes check their connections every 50 or 100 ms while they stop, so that the rest of a request is
+# awaited for one or two seconds.
 _MAX_CHECKS_WITHOUT_BYTES = 20
 _numbers = itertools.count(1)
 
