--- a/src/anvillug/process/commands/bench.py
+++ b/src/anvillug/process/commands/bench.py
@@ -134,6 +134,45 @@
     return _reactor.run(functools.partial(bench_soak.run, plan))
 
 
+def stops(  # noqa: WPS211 - each is a flag
+    *,
+    habit: str = 'goes-on',
+    connections: int = 60,
+    pause_ms: float = 100,
+    stops: int = 4,
+    busy: int = 0,
+    code: pathlib.Path | None = None,
+    seed: int = 1,
+) -> int:
+    """Stop a node again and again under callers that keep their connections open.
+
+    Args:
+        habit: What callers do when a response announces the close: `honours-close` or `goes-on`.
+        connections: Connections to the node.
+        pause_ms: Mean time between the end of a request and the next one.
+        stops: Number of stops, 9 s apart.
+        busy: Number of busy processes beside.
+        code: Checkout whose code the nodes run; this one by default.
+        seed: Seed of the work and the pauses.
+
+    Returns:
+        Exit code: 0 if no request was passed on or older than 200 ms when it was cut, and each
+        caller that goes on had at most one cut by a stop, the others none; 1 otherwise, 2 for
+        invalid arguments.
+    """
+    from anvillug.bench import socket_callers  # noqa: PLC0415
+    from anvillug.bench import stops as bench_stops  # noqa: PLC0415
+
+    known = sorted(each.value for each in socket_callers.Habit)
+    if habit not in known or min(connections, stops) < 1 or min(pause_ms, busy) < 0:
+        sys.stderr.write(f'stops: habits are {", ".join(known)}; 1 connection and stop or more\n')
+        return _EXIT_BAD_FILE
+    plan = bench_stops.Plan(
+        socket_callers.Habit(habit), connections, pause_ms, stops, busy=busy, code=code, seed=seed
+    )
+    return _reactor.run(functools.partial(bench_stops.run, plan))
+
+
 def capacity(
     *,
     parts: Sequence[str] = ('logic', 'memory', 'log', 'nodes'),
--- /dev/null
+++ b/tests/test_stops.py
@@ -0,0 +1,38 @@
+"""Planned stops of a real node under callers of their own process."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+
+import pytest
+
+_STOPS = (sys.executable, '-m', 'anvillug', 'bench', 'stops')
+
+
+def _run(arguments):
+    return subprocess.run(
+        (*_STOPS, *arguments.split()), capture_output=True, text=True, timeout=100
+    )
+
+
+class TestStops:
+    """Guards against requests that a planned stop leaves without an answer."""
+
+    # LOST: callers that use their connection until the process is gone were cut up to 15 times.
+    @pytest.mark.parametrize('pause_ms', [100, 600])
+    def test_caller_that_goes_on_loses_at_most_one_request_by_a_stop(self, pause_ms):
+        finished = _run(f'--stops 2 --connections 30 --pause-ms {pause_ms}')
+        assert finished.returncode == 0, finished.stdout
+
+    # LOST: connections were closed while their next request was on its way.
+    @pytest.mark.parametrize('pause_ms', [100, 600])
+    def test_caller_that_honours_the_close_loses_none(self, pause_ms):
+        finished = _run(f'--habit honours-close --stops 2 --connections 30 --pause-ms {pause_ms}')
+        assert finished.returncode == 0, finished.stdout
+
+    @pytest.mark.parametrize('arguments', ['--habit quiet', '--stops 0', '--pause-ms -1'])
+    def test_invalid_argument_is_an_error(self, arguments):
+        finished = _run(arguments)
+        assert finished.returncode == 2
+        assert 'habits are goes-on, honours-close' in finished.stderr
