--- a/src/anvillug/connection/http_server.py
+++ b/src/anvillug/connection/http_server.py
@@ -109,13 +109,12 @@
             return
         self._checks_without_bytes = 0
         write_batch.BATCH.begin()
-        # The last request gets another response, so it has to be known before the others begin.
-        self._pending.holds_all = self._closes_after_responses
+        # Whether a body is complete, and which request is the last one, decides on the response.
+        self._pending.holds_all = True
         try:
             self._parser.feed(data)
-            if self._pending.holds_all:
-                self._pending.holds_all = False
-                self._run_pending()
+            self._pending.holds_all = False
+            self._run_pending()
         finally:
             write_batch.BATCH.end()
 
@@ -145,7 +144,7 @@
 
     def request_received(self) -> None:
         """End a request; see `request_parser.RequestReceiver`."""
-        self._run_or_queue(step_queue.Step(_always, self._end_request))
+        self._run_or_queue(step_queue.Step(_always, self._end_request, ends_request=True))
 
     def request_malformed(self, status: int, message: str) -> None:
         """Reject malformed input after the responses to the complete requests before it."""
@@ -272,7 +271,8 @@
         return is_last and not self._pending.has_request
 
     def _must_close_after(self, slot: response_slot.ResponseSlot) -> bool:
-        body_incomplete = self._receiving is slot and slot.exchange.head.has_body
+        is_receiving = self._receiving is slot and not self._pending.has_request_end
+        body_incomplete = is_receiving and slot.exchange.head.has_body
         return self._closing or body_incomplete or not slot.exchange.head.keep_alive
 
     def _run_or_queue(self, step: step_queue.Step) -> None:
--- a/src/anvillug/connection/step_queue.py
+++ b/src/anvillug/connection/step_queue.py
@@ -16,6 +16,8 @@
     run: Callable[[], None]
     is_answered: bool = False
     """Whether it leads to a response."""
+    ends_request: bool = False
+    """Whether it is the end of a request."""
 
 
 class StepQueue:
@@ -43,6 +45,11 @@
         """Whether one of the steps that wait leads to a response."""
         return any(step.is_answered for step in self._steps)
 
+    @property
+    def has_request_end(self) -> bool:
+        """Whether one of the steps that wait is the end of a request."""
+        return any(step.ends_request for step in self._steps)
+
     def add(self, step: Step) -> None:
         """Run a step, or let it wait."""
         if self.holds_all or self._steps or not step.may_run():
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -177,6 +177,13 @@
         )
         assert exchanges[0].head.get(b'idempotency-key') is None
 
+    # Guards against a close after the rejection of a request that has arrived completely.
+    def test_rejection_of_a_complete_request_keeps_the_connection(self):
+        connection, transport, _received = _make_connection(lambda exchange: exchange.respond(503))
+        connection.dataReceived(b'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nab' * 2)
+        assert transport.value().count(b'503') == 2
+        assert b'Connection: close' not in transport.value()
+
     def test_early_response_announces_the_close(self):
         connection, transport, _received = _make_connection(lambda exchange: exchange.respond(503))
         connection.dataReceived(b'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nab')
