--- a/src/anvillug/connection/http_listener.py
+++ b/src/anvillug/connection/http_listener.py
@@ -25,6 +25,8 @@
         max_head_bytes: int = http_server.MAX_HEAD_BYTES,
         may_overlap: http_server.MayOverlap | None = None,
     ) -> None:
+        self.request_count = 0
+        """Number of requests that have begun."""
         self._on_request = on_request
         self._max_head_bytes = max_head_bytes
         self._may_overlap = may_overlap
@@ -34,7 +36,7 @@
     def buildProtocol(self, addr: object) -> http_server.ServerConnection:  # noqa: N802
         """Return the protocol of a new connection; see Twisted."""
         connection = http_server.ServerConnection(
-            self._on_request, self._max_head_bytes, self._open_connections, self._may_overlap
+            self._begin_request, self._max_head_bytes, self._open_connections, self._may_overlap
         )
         if self._closes_after_responses:
             connection.close_after_responses()
@@ -42,8 +44,8 @@
 
     @property
     def open_count(self) -> int:
-        """Number of open connections."""
-        return len(self._open_connections)
+        """Number of connections whose clients may await something or send a request."""
+        return sum(not connection.is_over for connection in self._open_connections)
 
     @property
     def busy_count(self) -> int:
@@ -62,6 +64,12 @@
         for connection in tuple(self._open_connections):
             connection.close_when_idle()
 
+    # Private
+
+    def _begin_request(self, exchange: http_exchange.ServerExchange) -> None:
+        self.request_count += 1
+        self._on_request(exchange)
+
 
 def stop_listening(port: interfaces.IListeningPort) -> None:
     """Stop accepting connections, after accepting those that wait in the listen queue."""
--- a/src/anvillug/connection/http_server.py
+++ b/src/anvillug/connection/http_server.py
@@ -88,14 +88,22 @@
         self._closes_after_responses = False
         # Calls of `close_when_idle` since bytes were received.
         self._checks_without_bytes = 0
+        self._late_close: late_close.LateClose | None = None
 
     @property
     def is_busy(self) -> bool:
         """Whether a request is in progress or on its way, or response bytes are still unsent."""
+        if self._closing:
+            return not self.is_over
         awaits_first = self._asked_to_close and self._is_new
-        is_in_use = self._closing or awaits_first or self._parser.is_receiving
+        is_in_use = awaits_first or self._parser.is_receiving
         return bool(self._slots) or is_in_use or write_batch.has_unsent_bytes(self.transport)
 
+    @property
+    def is_over(self) -> bool:
+        """Whether the client has received all responses and the end of the connection."""
+        return self._late_close is not None and self._late_close.is_received
+
     def connectionMade(self) -> None:  # noqa: N802
         """Register for write backpressure; see Twisted."""
         self._open_connections.add(self)
@@ -409,9 +417,10 @@
             self._lose_connection()
 
     def _lose_connection(self) -> None:
-        if self._closes_after_responses and isinstance(self.transport, tcp.Connection):
+        if isinstance(self.transport, tcp.Connection):
             # Further requests may be on their way.
-            late_close.LateClose(self.transport).check()
+            self._late_close = late_close.LateClose(self.transport)
+            self._late_close.begin()
         else:
             self.transport.loseConnection()
 
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -187,7 +187,9 @@
         for connection in (kept, late, new):
             connection.sendall(_REQUEST)
             assert b'Connection: close' in _receive_all(connection)
-        assert reactor_thread.call(lambda: server.factory.open_count) == 1
+        reactor_thread.eventually(
+            lambda: reactor_thread.call(lambda: server.factory.open_count) == 1
+        )
         idle.sendall(_REQUEST)
         assert b'Connection: close' in _receive_all(idle)
 
