--- a/src/anvillug/bench/processes.py
+++ b/src/anvillug/bench/processes.py
@@ -47,6 +47,7 @@
         environment: Environment variables; None to inherit those of this process.
         output: File for its output, such as the writing end of a pipe; None for a temporary one,
             which is the only kind that can be read back.
+        has_input: Whether `write` can be used.
     """
 
     def __init__(
@@ -55,13 +56,15 @@
         program: Sequence[str] = PROGRAM,
         environment: Mapping[str, str] | None = None,
         output: IO[bytes] | None = None,
+        *,
+        has_input: bool = False,
     ) -> None:
         self.arguments = tuple(arguments)
         self._output: IO[bytes] = output or tempfile.TemporaryFile()  # noqa: SIM115 lives as long as the object
         self._process = subprocess.Popen(  # noqa: S603 the arguments are the bench's own
             [*program, *arguments],
             env=environment,
-            stdin=subprocess.DEVNULL,
+            stdin=subprocess.PIPE if has_input else subprocess.DEVNULL,
             stdout=self._output,
             stderr=subprocess.STDOUT,
         )
@@ -81,6 +84,12 @@
         """Exit status, negative if a signal ended the process; None while it runs."""
         return self._process.poll()
 
+    def write(self, text: str) -> None:
+        """Write to the standard input of the process, unless it has ended."""
+        with contextlib.suppress(BrokenPipeError):
+            self._process.stdin.write(text.encode())
+            self._process.stdin.flush()
+
     def output(self) -> str:
         """Return everything that the process has printed so far."""
         size = os.fstat(self._output.fileno()).st_size
--- a/src/anvillug/bench/soak_surroundings.py
+++ b/src/anvillug/bench/soak_surroundings.py
@@ -8,7 +8,7 @@
 
 from twisted.internet import defer, error, interfaces, protocol
 
-from anvillug import event_log
+from anvillug import clock, event_log
 from anvillug.bench import soak_fleet, soak_host, soak_signals
 from anvillug.standin import platform_store
 
@@ -115,12 +115,12 @@
             event_log.warn('soak_port_not_held', reason=problem)
             return
         if index == soak_host.CALLER_PORT_INDEX:
-            self._fleet.records.foreign_listeners.add(host.number)
+            self._fleet.records.hold_port(host.number, clock.SystemClock().now())
         reactor.callLater(duration_s, self._release, host, holder)
 
     def _release(self, host: soak_host.Host, holder: interfaces.IListeningPort) -> None:
         holder.stopListening()
-        self._fleet.records.foreign_listeners.discard(host.number)
+        self._fleet.records.release_port(host.number, clock.SystemClock().now())
 
     def _reader_gone(self) -> None:
         """Close the reading end of a node's output."""
