--- a/src/anvillug/bench/soak_checks.py
+++ b/src/anvillug/bench/soak_checks.py
@@ -86,7 +86,10 @@
     def broken_by(self, attempt: soak_records.Attempt) -> str:
         """Return the promise that a single attempt shows to be broken, or an empty string."""
         runs = self._records.runs(attempt)
-        if attempt.status in _SUCCESS and attempt.body != attempt.attempt_id.encode():
+        is_own = attempt.sealed and attempt.body == attempt.attempt_id.encode()
+        if attempt.echoed_id not in {'', attempt.attempt_id} or (
+            attempt.status in _SUCCESS and not is_own
+        ):
             return 'MIXED'
         if not attempt.repeatable and len(runs) > 1:
             return 'TWICE'
--- a/src/anvillug/bench/soak_records.py
+++ b/src/anvillug/bench/soak_records.py
@@ -57,6 +57,8 @@
     """Whether its connection had carried a request before."""
     sealed: bool = False
     """Whether the answer bears the seal of a backend server."""
+    echoed_id: str = ''
+    """Attempt id that the answer names; empty without one."""
     judge: str = ''
     """Process that took the times: a caller's name, or that of the soak's own loop."""
     stalled_ms: float = 0
@@ -104,7 +106,8 @@
         """Times at which a configuration was written."""
         self.stalls = stalls.Stalls()
         """Stand-stills of the soak's own loop, which runs the backend servers and the store."""
-        self._foreign_spans: list[tuple[int, float, float]] = []
+        self.foreign_spans: list[tuple[int, float, float]] = []
+        """Nodes whose port for callers another process held, with begin and end."""
         self.start_ms: list[tuple[float, str]] = []
         """Time of each start until the node had started, with the name of the node."""
         self.peak_mb = 0.0
@@ -118,20 +121,20 @@
 
     def hold_port(self, node: int, begin: clock.Milliseconds) -> None:
         """Record that another process holds the port of a node for callers."""
-        self._foreign_spans.append((node, begin, math.inf))
+        self.foreign_spans.append((node, begin, math.inf))
 
     def release_port(self, node: int, end: clock.Milliseconds) -> None:
         """Record that the port of a node for callers is free again."""
-        self._foreign_spans = [
+        self.foreign_spans = [
             (held, begin, end if held == node and math.isinf(until) else until)
-            for held, begin, until in self._foreign_spans
+            for held, begin, until in self.foreign_spans
         ]
 
     def is_foreign(self, node: int, begin: float, end: float) -> bool:
         """Return whether another process held a node's port for callers between two times."""
         return any(
             held == node and held_from <= end and begin <= held_until
-            for held, held_from, held_until in self._foreign_spans
+            for held, held_from, held_until in self.foreign_spans
         )
 
     def arrived(self, attempt_id: str, run: Run, left_at: clock.Milliseconds | None) -> None:
--- a/src/anvillug/bench/soak_report.py
+++ b/src/anvillug/bench/soak_report.py
@@ -96,5 +96,7 @@
     for node, disturbed in sorted(records.disturbed_by_node.items()):
         for disturbed_at, kind in disturbed:
             yield f'{disturbed_at:.0f} host-{node} {kind.value}'
+    for node, begin, end in records.foreign_spans:
+        yield f'{begin:.0f} host-{node} port held until {end:.0f}'
     for config_at in records.configs:
         yield f'{config_at:.0f} configuration'
--- a/src/anvillug/bench/soak_surroundings.py
+++ b/src/anvillug/bench/soak_surroundings.py
@@ -116,10 +116,11 @@
             return
         if index == soak_host.CALLER_PORT_INDEX:
             self._fleet.records.hold_port(host.number, clock.SystemClock().now())
-        reactor.callLater(duration_s, self._release, host, holder)
+        reactor.callLater(duration_s, lambda: defer.ensureDeferred(self._release(host, holder)))
 
-    def _release(self, host: soak_host.Host, holder: interfaces.IListeningPort) -> None:
-        holder.stopListening()
+    async def _release(self, host: soak_host.Host, holder: interfaces.IListeningPort) -> None:
+        # The port is free only after a turn of the loop, which may stand still before it.
+        await defer.maybeDeferred(holder.stopListening)
         self._fleet.records.release_port(host.number, clock.SystemClock().now())
 
     def _reader_gone(self) -> None:
--- a/src/anvillug/bench/soak_traffic.py
+++ b/src/anvillug/bench/soak_traffic.py
@@ -138,6 +138,7 @@
             request_class.deadline_ms,
             sent.kept,
             sent.sealed,
+            sent.echoed_id,
             sent.caller,
             sent.stalled_ms,
             sent.habit,
@@ -246,6 +247,7 @@
         """Record the status, and whether a backend server has sealed the answer."""
         self._attempt.status = head.status
         self._attempt.sealed = head.get(_SEAL_NAME) is not None
+        self._attempt.echoed_id = (head.get(_ATTEMPT_ID.lower()) or b'').decode('latin-1')
 
     def response_body(self, data: bytes) -> None:
         """Collect the body."""
--- a/tests/soak_examples.py
+++ b/tests/soak_examples.py
@@ -26,6 +26,7 @@
     attempt = soak_records.Attempt('a1', 0, repeatable=False, sent_at=sent_at)
     attempt.status = status
     attempt.body = body
+    attempt.sealed = status == 200
     attempt.ended_at = clock.Milliseconds(sent_at + 100)
     records.attempts.append(attempt)
     return attempt
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,6 +15,7 @@
     attempt = soak_records.Attempt('a1', 0, repeatable, clock.Milliseconds(sent_at))
     attempt.status = status
     attempt.body = body
+    attempt.sealed = status == 200
     attempt.ended_at = clock.Milliseconds(sent_at + 100)
     records.attempts.append(attempt)
     return attempt
@@ -41,6 +42,15 @@
         _attempt(records, 200, body=b'a2')
         assert soak_checks.broken(records) == ['MIXED a1']
 
+    def test_success_without_seal(self, records):
+        _attempt(records, 200, body=b'a1').sealed = False
+        assert soak_checks.broken(records) == ['MIXED a1']
+
+    @pytest.mark.parametrize(('echoed_id', 'broken'), [('a1', []), ('a2', ['MIXED a1'])])
+    def test_failure_of_another_request(self, records, echoed_id, broken):
+        _attempt(records, 502).echoed_id = echoed_id
+        assert soak_checks.broken(records) == broken
+
     @pytest.mark.parametrize(('repeatable', 'broken'), [(False, ['TWICE a1']), (True, [])])
     def test_second_run(self, records, repeatable, broken):
         _attempt(records, 200, body=b'a1', repeatable=repeatable)
