--- a/src/anvillug/bench/soak_checks.py
+++ b/src/anvillug/bench/soak_checks.py
@@ -56,6 +56,14 @@
     return is_over and not attempt.status and not attempt.closed_own_end
 
 
+def _is_mixed(attempt: soak_records.Attempt) -> bool:
+    """Return whether an attempt got what is not its own whole answer."""
+    if attempt.garbled or attempt.echoed_id not in {'', attempt.attempt_id}:
+        return True
+    is_own = attempt.sealed and attempt.body == attempt.attempt_id.encode()
+    return attempt.status in _SUCCESS and not is_own
+
+
 def unjudged(records: soak_records.Records) -> list[str]:
     """Return what can't be judged, since its judge stood still, with the attempt that shows it.
 
@@ -86,10 +94,7 @@
     def broken_by(self, attempt: soak_records.Attempt) -> str:
         """Return the promise that a single attempt shows to be broken, or an empty string."""
         runs = self._records.runs(attempt)
-        is_own = attempt.sealed and attempt.body == attempt.attempt_id.encode()
-        if attempt.echoed_id not in {'', attempt.attempt_id} or (
-            attempt.status in _SUCCESS and not is_own
-        ):
+        if _is_mixed(attempt):
             return 'MIXED'
         if not attempt.repeatable and len(runs) > 1:
             return 'TWICE'
--- a/src/anvillug/bench/soak_records.py
+++ b/src/anvillug/bench/soak_records.py
@@ -59,6 +59,8 @@
     """Whether the answer bears the seal of a backend server."""
     echoed_id: str = ''
     """Attempt id that the answer names; empty without one."""
+    garbled: bool = False
+    """Whether something came that is no answer."""
     judge: str = ''
     """Process that took the times: a caller's name, or that of the soak's own loop."""
     stalled_ms: float = 0
--- a/src/anvillug/bench/soak_traffic.py
+++ b/src/anvillug/bench/soak_traffic.py
@@ -139,6 +139,7 @@
             sent.kept,
             sent.sealed,
             sent.echoed_id,
+            sent.ending == socket_exchange.Ending.GARBLED.value,
             sent.caller,
             sent.stalled_ms,
             sent.habit,
--- a/src/anvillug/bench/socket_exchange.py
+++ b/src/anvillug/bench/socket_exchange.py
@@ -62,6 +62,8 @@
     ANSWERED = 'answered'
     CLOSED = 'closed'
     """The connection was closed without a whole response."""
+    GARBLED = 'garbled'
+    """Something came that is no response."""
     RESET = 'reset'
     TIMEOUT = 'timeout'
 
@@ -170,8 +172,10 @@
                 _end(waiting.popleft(), ending)
         except TimeoutError:
             ending = Ending.TIMEOUT
-        except (OSError, http_client.HTTPException):
+        except OSError:
             ending = Ending.RESET
+        except (ValueError, http_client.HTTPException):
+            ending = Ending.GARBLED
         for sent in waiting:
             _end(sent, ending)
 
@@ -237,10 +241,13 @@
         return True
 
     def _receive(self, sent: Sent) -> Ending:
-        words = (self._status_line or self._reader.readline()).split()
+        line = self._status_line or self._reader.readline()
         self._status_line = b''
-        if len(words) < 2:
+        if not line.endswith(b'\n'):
             return Ending.CLOSED
+        words = line.split()
+        if len(words) < 2 or not line.startswith(b'HTTP/1.'):
+            return Ending.GARBLED
         headers = http_client.parse_headers(self._reader)
         if _STATUS_CONTINUE <= int(words[1]) < _STATUS_FINAL:
             return self._receive(sent)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -46,6 +46,10 @@
         _attempt(records, 200, body=b'a1').sealed = False
         assert soak_checks.broken(records) == ['MIXED a1']
 
+    def test_bytes_that_are_no_answer(self, records):
+        _attempt(records, 0).garbled = True
+        assert soak_checks.broken(records) == ['MIXED a1']
+
     @pytest.mark.parametrize(('echoed_id', 'broken'), [('a1', []), ('a2', ['MIXED a1'])])
     def test_failure_of_another_request(self, records, echoed_id, broken):
         _attempt(records, 502).echoed_id = echoed_id
