--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -28,6 +28,7 @@
 _KINDS = ('platform', 'mesh', 'node', 'standin')
 _MESH_KINDS = ('platform', 'mesh')
 _ENDING_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+_OTHER_SIGNALS = (signal.SIGTERM, signal.SIGHUP)
 _IN_USE_S = 1.5
 # The process must end at once, not after a time limit of its own.
 _AT_ONCE_MS = 3000.0
@@ -154,6 +155,26 @@
         yield
 
 
+def _listening() -> socket.socket:
+    listener = socket.create_server(('127.0.0.1', 0))
+    listener.settimeout(processes.START_TIMEOUT_MS / 1000)
+    return listener
+
+
+def _address_of(listener: socket.socket) -> str:
+    ip, port = listener.getsockname()
+    return f'{ip}:{port}'
+
+
+def _await_output(child: processes.ChildProcess, text: str) -> None:
+    """Wait until a process has printed a text."""
+    end = time.monotonic() + processes.START_TIMEOUT_MS / 1000
+    while text not in child.output():
+        assert child.running
+        assert time.monotonic() < end
+        time.sleep(processes.POLL_S)
+
+
 def _refuses_connections(address: str) -> bool:
     ip, _, port = address.rpartition(':')
     try:
@@ -487,16 +508,26 @@
         assert child.stop() == 0
 
 
+@pytest.fixture
+def default_action():
+    """Give ending signals their default action, which a child inherits, even under `nohup`."""
+    actions_by_number = {number: signal.signal(number, signal.SIG_DFL) for number in _OTHER_SIGNALS}
+    yield
+    for number, action in actions_by_number.items():
+        signal.signal(number, action)
+
+
 class TestOtherCommands:
     """Guards against commands that can no longer be ended as usual."""
 
-    @pytest.mark.parametrize('number', [signal.SIGTERM, signal.SIGHUP])
-    def test_signals_of_other_commands_have_their_default_action(self, number):
-        with processes.group() as group:
-            address = processes.free_addresses(1)[0]
-            with _in_use(address):
-                child = processes.ChildProcess(['state', address])
-                group.append(child)
-                time.sleep(0.2)
-                child.send_signal(number)
-                assert _end(child) == -number
+    @pytest.mark.parametrize('number', _OTHER_SIGNALS)
+    @pytest.mark.usefixtures('default_action')
+    def test_signal_during_the_imports_has_its_default_action(self, number):
+        # Server commands handle signals by now; the event log is imported after that.
+        program = (sys.executable, '-X', 'importtime', '-m', 'anvillug')
+        with processes.group() as group, _listening() as listener:
+            child = processes.ChildProcess(['state', _address_of(listener)], program)
+            group.append(child)
+            _await_output(child, ' anvillug.event_log\n')
+            child.send_signal(number)
+            assert _end(child, _AT_ONCE_MS) == -number
