--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -531,3 +531,14 @@
             _await_output(child, ' anvillug.event_log\n')
             child.send_signal(number)
             assert _end(child, _AT_ONCE_MS) == -number
+
+    # The reactor's own handler of SIGTERM and SIGINT ended the command with a traceback.
+    @pytest.mark.parametrize('number', [*_OTHER_SIGNALS, signal.SIGINT])
+    @pytest.mark.usefixtures('default_action')
+    def test_signal_during_the_request_has_its_default_action(self, number):
+        with processes.group() as group, _listening() as listener:
+            child = processes.ChildProcess(['state', _address_of(listener)])
+            group.append(child)
+            with listener.accept()[0]:
+                child.send_signal(number)
+                assert _end(child, _AT_ONCE_MS) == -number
