--- a/tests/test_mesh_entry.py
+++ b/tests/test_mesh_entry.py
@@ -2,17 +2,19 @@
 
 from __future__ import annotations
 
+import re
 import types
 
 import pytest
 from twisted.internet import testing
 
 from anvillug import clock, ids
+from anvillug.connection import http_server
 from anvillug.platform import headers
 from anvillug.process import mesh_entry, metrics, peer_table
 from anvillug.request import dialect, job
 from anvillug.version import directives, rollout, rollout_call, rollout_counts, rollouts
-from tests import test_beacon, test_mesh_host
+from tests import test_bad_input, test_beacon, test_mesh_host
 
 _SERVICE = ids.ServiceName('one')
 _ZONE = ids.ZoneName('z')
@@ -212,3 +214,46 @@
         entry_side.time.advance(250)
         entry_side.entry.count_overdue()
         assert not entry_side.new_counts.calls
+
+
+class TestRejectedBody:
+    """Guards against requests that are lost behind one that a node rejects before its body came."""
+
+    # Guards against a close after each rejection whose body comes in a later segment.
+    @pytest.mark.parametrize('stops', [False, True])
+    def test_rejection_keeps_the_connection(self, stops):
+        entry = _EntrySide().entry
+        entry.closed = stops
+        transport = _receive(entry.request_received, *_split(b'/1'), *_split(b'/2'))
+        assert transport.value().count(b'HTTP/1.1 503') == 2
+        assert b'Connection: close' not in transport.value()
+
+    # Guards against requests that wait behind it until those ahead are answered, and are dropped.
+    def test_requests_sent_behind_it_are_answered(self):
+        entry = _EntrySide().entry
+        entry.closed = True
+        first = []
+        transport = _receive(
+            lambda exchange: (entry.request_received if first else first.append)(exchange),
+            *_split(b'/1'),
+            *_split(b'/2'),
+            *_split(b'/3'),
+        )
+        first[0].respond(200)
+        assert re.findall(rb'HTTP/1.1 (\d+)', transport.value()) == [b'200', b'503', b'503']
+
+
+def _split(target: bytes) -> tuple[bytes, bytes]:
+    """Return a request whose body comes in a segment of its own."""
+    head = b'POST %b HTTP/1.1\r\nHost: a.example\r\nContent-Length: 2\r\n\r\n' % target
+    return head, b'ab'
+
+
+def _receive(on_request, *segments: bytes) -> testing.StringTransport:
+    """Receive the segments on a connection whose requests may overlap."""
+    connection = http_server.ServerConnection(on_request, 65536, set(), lambda head: True)
+    transport = test_bad_input.make_transport()
+    connection.makeConnection(transport)
+    for segment in segments:
+        connection.dataReceived(segment)
+    return transport
