--- a/src/anvillug/process/mesh_entry.py
+++ b/src/anvillug/process/mesh_entry.py
@@ -18,7 +18,7 @@
     pending_attempt,
     upstream,
 )
-from anvillug.request import dialect, job, remote_run, retry_share, routed_call
+from anvillug.request import dialect, job, rejection, remote_run, retry_share, routed_call
 from anvillug.version import directives, rollout_counts, rollouts
 
 # Limit for all buffered bodies together; a host has a few hundred MB for the process.
@@ -91,7 +91,13 @@
         """Process a caller's request; see `http_exchange.RequestStarted`."""
         if self.closed:
             headers = tuple(self.header_dialect.retry_headers(_STOPPING_RETRY_AFTER_MS))
-            exchange.respond(routed_call.STATUS_UNAVAILABLE, b'node is stopping\n', headers)
+            rejection.Rejection(
+                self.reactor,
+                exchange,
+                lambda: exchange.respond(
+                    routed_call.STATUS_UNAVAILABLE, b'node is stopping\n', headers
+                ),
+            )
             return
         call = routed_call.RoutedCall(self, exchange)
         self.in_progress.add(call)
--- a/src/anvillug/request/routed_call.py
+++ b/src/anvillug/request/routed_call.py
@@ -16,7 +16,7 @@
 
 from anvillug import clock, ids
 from anvillug.connection import http_exchange, http_head
-from anvillug.request import dialect, job
+from anvillug.request import dialect, job, rejection
 from anvillug.version import directives, route_table
 
 STATUS_BAD_GATEWAY = 502
@@ -24,6 +24,7 @@
 STATUS_GATEWAY_TIMEOUT = 504
 STATUS_NOT_FOUND = 404
 STATUS_TOO_LARGE = 413
+_REJECTIONS = (STATUS_UNAVAILABLE, STATUS_NOT_FOUND)
 
 # Rejections by hosts after which the next host must accept the job even while it is slow.
 _MAX_HOST_REJECTIONS = 3
@@ -388,10 +389,23 @@
     def _respond(
         self, status: int, reason: str, headers: tuple[http_head.Header, ...] = ()
     ) -> None:
+        # A body that is too large or too late is not awaited.
+        awaits_body = self._state is CallState.READING and status in _REJECTIONS
         try:
             self._end(status, reason)
         finally:
-            self._exchange.respond(status, f'{reason}\n'.encode(), headers)
+            self._answer(status, f'{reason}\n'.encode(), headers, awaits_body=awaits_body)
+
+    def _answer(
+        self, status: int, body: bytes, headers: tuple[http_head.Header, ...], *, awaits_body: bool
+    ) -> None:
+        exchange = self._exchange
+        if awaits_body:
+            rejection.Rejection(
+                self._context.reactor, exchange, lambda: exchange.respond(status, body, headers)
+            )
+        else:
+            exchange.respond(status, body, headers)
 
     def _seconds_left(self) -> float:
         return max(0.0, clock.to_seconds(self.deadline - self._context.clock.now()))
