--- a/tests/test_mesh_stop.py
+++ b/tests/test_mesh_stop.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import contextlib
 import dataclasses
 import itertools
 import json
@@ -156,6 +157,20 @@
         kept.sendall(_encoded('late'))
         assert kept.recv(1) == b''
 
+    # Guards against one caller that holds up the loop, so that the node is killed and cuts others.
+    def test_caller_that_sends_without_pause_does_not_delay_the_end(self, mesh):
+        process = mesh.nodes[0]
+        process.send_signal(signal.SIGTERM)
+        killed_at_s = time.monotonic() + _GRACE_S + _KILL_MARGIN_S
+        flood = threading.Thread(
+            target=_send_without_pause, args=(_address(mesh, _CALLER_PORT), killed_at_s)
+        )
+        flood.start()
+        while process.running and time.monotonic() < killed_at_s:
+            time.sleep(_PAUSE_S)
+        assert not process.running
+        flood.join()
+
     # Guards against jobs of other nodes that are cut at the end of the process, and which their
     # callers are told may have run.
     def test_jobs_of_other_nodes_are_answered_until_the_end(self, mesh):
@@ -257,6 +272,27 @@
     return time.monotonic() - began_at_s, statuses
 
 
+# For the scheduler of a busy machine.
+_KILL_MARGIN_S = 1.5
+_SENT_AT_ONCE = 100
+
+
+def _send_without_pause(address: tuple[str, int], end_s: float) -> None:
+    with socket.create_connection(address) as connection:
+        reader = threading.Thread(target=_read_all, args=(connection,))
+        reader.start()
+        with contextlib.suppress(OSError):
+            while time.monotonic() < end_s:
+                connection.sendall(_encoded('flood') * _SENT_AT_ONCE)
+            connection.shutdown(socket.SHUT_RDWR)
+        reader.join()
+
+
+def _read_all(connection: socket.socket) -> None:
+    with contextlib.suppress(OSError):
+        collections.deque(iter(lambda: connection.recv(1 << 20), b''), maxlen=0)
+
+
 _BEFORE_STOP_S = 0.5
 _CHANGES = 10
 _CHANGE_S = 0.15
