--- a/src/anvillug/bench/soak_backend.py
+++ b/src/anvillug/bench/soak_backend.py
@@ -85,7 +85,8 @@
         self._rng = rng
         self._behavior = behavior
         self._busy = 0
-        self._factory = http_listener.ServerFactory(self._received)
+        self._factory = _Factory(self._received)
+        self._works: set[_Work] = set()
 
     def serve(self, address: str, named_address: str) -> Any:
         """Start to listen on an address.
@@ -98,6 +99,12 @@
         self.listen_address = named_address
         return self._reactor.listenTCP(int(port), self._factory, interface=host)
 
+    def end(self) -> None:
+        """Reset all connections; the requests at work are cut by the backend server."""
+        for work in self._works:
+            work.run.broke_off = True
+        self._factory.reset_connections()
+
     def predate_heartbeat(self) -> None:
         """Let the next heartbeat be as one that was sent before the leave."""
         self.state = 'ready'
@@ -133,6 +140,7 @@
     def work_ended(self, work: _Work) -> None:
         """Respond to a request, or break off."""
         self._busy -= 1
+        self._works.discard(work)
         work.run.finished_at = self.time.now()
         share = self._behavior.break_off_share
         if share > 0 and self._rng.random() < share:
@@ -154,6 +162,7 @@
         self._busy += 1
         route = exchange.head.path.split(b'/')[1].decode()
         work = _Work(self, exchange, run, attempt_id, headers)
+        self._works.add(work)
         work_ms = self._rng.expovariate(1 / self._work_ms_by_route[route])
         self._reactor.callLater(clock.to_seconds(work_ms), work.part_ended, True)  # noqa: FBT003
         calls = self._behavior.calls_by_route.get(route, 0)
@@ -163,6 +172,15 @@
                 self._behavior.call(self._node, work.part_ended)
 
 
+class _Factory(http_listener.ServerFactory):
+    """Builds the connections of a backend server, which its end resets."""
+
+    def reset_connections(self) -> None:
+        """Reset all open connections."""
+        for connection in tuple(self._open_connections):
+            connection.transport.abortConnection()
+
+
 class _Work:
     """Work on one request, which ends with the last of its parts."""
 
--- a/src/anvillug/bench/soak_faults.py
+++ b/src/anvillug/bench/soak_faults.py
@@ -15,6 +15,7 @@
     soak_launch,
     soak_links,
     soak_output,
+    soak_scaling,
     soak_signals,
     soak_surroundings,
     soak_traffic,
@@ -52,13 +53,15 @@
     *sorted(soak_links.KINDS),
     *sorted(_LASTING_KINDS),
 )
-KINDS = frozenset((*_BASE_KINDS, *_MORE_KINDS))
+_FURTHER_KINDS = ('scale-in',)
+KINDS = frozenset((*_BASE_KINDS, *_MORE_KINDS, *_FURTHER_KINDS))
 """Names of all kinds."""
 _READER_KINDS = frozenset(('reader-gone', 'reader-stuck'))
 
 _MIN_KINDS = 2
 _MAX_KINDS = 5
 _MAX_MORE_KINDS = 3
+_MAX_FURTHER_KINDS = 2
 _FAULT_INTERVAL_S = 1.5
 _BREAK_OFF_SHARE = 0.02
 _EARLY_SHARE = 0.2
@@ -79,9 +82,17 @@
     chosen = rng.sample(sorted(_BASE_KINDS), rng.randint(_MIN_KINDS, _MAX_KINDS))
     if names:
         return frozenset(names)
-    # A source of their own, so that a seed with named kinds plays as before there were more.
+    # Sources of their own, so that a seed with named kinds plays as before there were more.
     more = random.Random(f'{seed} more')
-    return frozenset((*chosen, *more.sample(_MORE_KINDS, more.randint(1, _MAX_MORE_KINDS))))
+    further = random.Random(f'{seed} further')
+    further_count = further.randint(0, min(_MAX_FURTHER_KINDS, len(_FURTHER_KINDS)))
+    return frozenset(
+        (
+            *chosen,
+            *more.sample(_MORE_KINDS, more.randint(1, _MAX_MORE_KINDS)),
+            *further.sample(_FURTHER_KINDS, further_count),
+        )
+    )
 
 
 class Faults:
@@ -112,6 +123,7 @@
             **signals.actions_by_kind,
             **soak_surroundings.Surroundings(fleet, signals).actions_by_kind,
             **soak_links.Links(fleet, signals, kinds).actions_by_kind,
+            **soak_scaling.Scaling(fleet, signals).actions_by_kind,
             'burst': self._burst,
         }
         self._actions = {name: actions[name] for name in sorted(kinds - _LASTING_KINDS)}
--- a/src/anvillug/bench/soak_host.py
+++ b/src/anvillug/bench/soak_host.py
@@ -8,7 +8,7 @@
 import random
 import re
 import signal
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from twisted.internet import defer, task
@@ -31,6 +31,8 @@
 _LEAVE_RETRY_S = 0.5
 _LEAVE_TRIES = 5
 _SERVED_AFTER_LEAVE_S = 4.0
+# Shortest and longest time that a backend server serves on once its leave is acknowledged.
+_SERVED_BEFORE_END_S = (2.3, 6.0)
 _ANONYMOUS_MEMORY = re.compile(r'^RssAnon:\s+(\d+) kB', re.MULTILINE)
 _KB_PER_MB = 1024
 _PROBES_PER_S = 60
@@ -110,6 +112,7 @@
         self._is_starting = False
         self._settings_number = 0
         self._boots = 0
+        self._is_leaving = False
         self._backend: soak_backend.Backend | None = None
         self._port: Any = None
         self._heartbeats: task.LoopingCall | None = None
@@ -193,8 +196,11 @@
         self.node = None
 
     def start_backend(self) -> None:
-        """Start a new instance of the backend server."""
+        """Start a new instance of the backend server, unless one runs."""
         shared = self._shared
+        if self._port is not None or shared.stopped:
+            return
+        self._is_leaving = False
         self._boots += 1
         self._backend = soak_backend.Backend(
             shared.reactor,
@@ -220,25 +226,66 @@
             on_leave: Called as soon as the leave is acknowledged.
             served_s: Time in seconds for which it serves after its leave.
         """
-        backend = self._backend
-        if backend.left_at is not None or backend.state != 'ready':
+        backend, port = self._backend, self._port
+        if not self._begins_to_leave():
             return
         if self._shared.rng.choice((True, False)):
             backend.state = 'draining'
             await backend.send_heartbeat(self.address(4))
-        self._heartbeats.stop()
-        for _ in range(_LEAVE_TRIES):
-            if await backend.deregister(self.address(4)) == _STATUS_OK:
-                backend.left_at = backend.time.now()
-                if on_leave is not None:
-                    on_leave()
-                break
-            await task.deferLater(self._shared.reactor, _LEAVE_RETRY_S)
+        self._stop_heartbeats()
+        if await self._acknowledged(backend, backend.deregister) and on_leave is not None:
+            on_leave()
         await task.deferLater(self._shared.reactor, served_s)
-        await defer.maybeDeferred(self._port.stopListening)
+        await defer.maybeDeferred(port.stopListening)
+        if self._port is port:
+            self._port = None
         await task.deferLater(self._shared.reactor, _BACK_S)
-        if not self._shared.stopped:
-            self.start_backend()
+        self.start_backend()
+
+    async def remove_backend(self) -> bool:
+        """Let the backend server leave, serve on for a time, and end with its connections.
+
+        It reports that it drains and deregisters at its end, or deregisters first.
+
+        Returns:
+            Whether it has ended; False if there is none, or it was leaving already.
+        """
+        backend = self._backend
+        if not self._begins_to_leave():
+            return False
+        served_s = self._shared.rng.uniform(*_SERVED_BEFORE_END_S)
+        reports_draining = self._shared.rng.choice((True, False))
+        if reports_draining:
+            backend.state = 'draining'
+            await self._acknowledged(backend, backend.send_heartbeat)
+        else:
+            self._stop_heartbeats()
+            await self._acknowledged(backend, backend.deregister)
+        await task.deferLater(self._shared.reactor, served_s)
+        if reports_draining:
+            self._stop_heartbeats()
+            await self._acknowledged(backend, backend.deregister)
+        self.stop_backend()
+        return True
+
+    async def _acknowledged(
+        self,
+        backend: soak_backend.Backend,
+        call: Callable[[str], Coroutine[Any, Any, int]],
+    ) -> bool:
+        """Repeat a call with which a backend server leaves until it is acknowledged."""
+        for _ in range(_LEAVE_TRIES):
+            if await call(self.address(4)) == _STATUS_OK:
+                backend.left_at = backend.left_at or backend.time.now()
+                return True
+            await task.deferLater(self._shared.reactor, _LEAVE_RETRY_S)
+        return False
+
+    def _begins_to_leave(self) -> bool:
+        if self._port is None or self._is_leaving:
+            return False
+        self._is_leaving = True
+        return True
 
     def repeat_heartbeat(self) -> None:
         """Deliver a heartbeat that the backend server has sent before it left."""
@@ -246,10 +293,17 @@
         defer.ensureDeferred(self._backend.send_heartbeat(self.address(4)))
 
     def stop_backend(self) -> None:
-        """Stop the heartbeats and the listener."""
-        if self._heartbeats.running:
+        """End the backend server and its connections, if there is one."""
+        self._stop_heartbeats()
+        port = self._port
+        self._port = None
+        if port is not None:
+            port.stopListening()
+            self._backend.end()
+
+    def _stop_heartbeats(self) -> None:
+        if self._heartbeats is not None and self._heartbeats.running:
             self._heartbeats.stop()
-        self._port.stopListening()
 
     def memory_mb(self) -> float:
         """Return the private memory of the node process."""
