--- a/src/anvillug/bench/soak_checks.py
+++ b/src/anvillug/bench/soak_checks.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable
 
-from anvillug.bench import soak_records
+from anvillug.bench import soak_order_checks, soak_records
 
 _TOUCH_MS = 3000
 # A request that is cut unread no later than this after its last byte crosses the close.
@@ -38,6 +38,7 @@
             problems.append(f'{name} {attempt.attempt_id}')
     return [
         *problems,
+        *soak_order_checks.broken(records),
         *_named('LOST kept connection', checks.cut_on_kept_connections()),
         *_named('LOST unread beside a configuration', checks.cut_beside_configs()),
         *_named('CONFIG unanswered', checks.unanswered()),
--- a/src/anvillug/bench/soak_faults.py
+++ b/src/anvillug/bench/soak_faults.py
@@ -14,6 +14,7 @@
     soak_fleet,
     soak_launch,
     soak_links,
+    soak_orders,
     soak_output,
     soak_scaling,
     soak_signals,
@@ -53,7 +54,7 @@
     *sorted(soak_links.KINDS),
     *sorted(_LASTING_KINDS),
 )
-_FURTHER_KINDS = ('scale-in',)
+_FURTHER_KINDS = ('scale-in', 'evacuate')
 KINDS = frozenset((*_BASE_KINDS, *_MORE_KINDS, *_FURTHER_KINDS))
 """Names of all kinds."""
 _READER_KINDS = frozenset(('reader-gone', 'reader-stuck'))
@@ -123,6 +124,7 @@
             **signals.actions_by_kind,
             **soak_surroundings.Surroundings(fleet, signals).actions_by_kind,
             **soak_links.Links(fleet, signals, kinds).actions_by_kind,
+            **soak_orders.Orders(fleet).actions_by_kind,
             **soak_scaling.Scaling(fleet, signals).actions_by_kind,
             'burst': self._burst,
         }
--- a/src/anvillug/bench/soak_fleet.py
+++ b/src/anvillug/bench/soak_fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 import os
 import pathlib
 import random
@@ -21,6 +22,8 @@
 
 _PORTS_PER_HOST = 7
 _WATCH_S = 0.1
+# Interval at which a failure of the store is recorded while it lasts.
+_STORE_MARK_S = 1.0
 _ORDERS = 'keyed.op'
 
 
@@ -143,7 +146,12 @@
             'Limits': {**limits, 'HeaderTimeoutMs': 3000, 'IdleTimeoutMs': 15000},
             'VirtualHosts': [{'Host': soak_classes.HOST, 'Paths': paths}],
         }
-        self.store.topic(_ORDERS).append(b'config', json.dumps(document).encode())
+        self.order('config', document)
+
+    def order(self, name: str, document: dict[str, object] | None) -> None:
+        """Write an order of the operator to the store; None takes it back."""
+        content = b'' if document is None else json.dumps(document).encode()
+        self.store.topic(_ORDERS).append(name.encode(), content)
 
     def terminate(self, host: soak_host.Host) -> None:
         """Stop a node as planned, and kill it after the grace time."""
@@ -184,6 +192,9 @@
         self.store.faults = faults
         sound = platform_store.StoreFaults()
         self.reactor.callLater(duration_s, setattr, self.store, 'faults', sound)
+        for number in range(math.ceil(duration_s / _STORE_MARK_S)):
+            self.later(number * _STORE_MARK_S, self._disturb_all, soak_records.Disturbance.STORE)
+        self.later(duration_s, self._disturb_all, soak_records.Disturbance.STORE)
 
     def _act(self, action: Callable[..., Any], arguments: tuple[object, ...]) -> None:
         if not self.stopped:
@@ -201,6 +212,10 @@
         """Record what is done to a node."""
         self.records.disturb(host.number, self._time.now(), kind)
 
+    def _disturb_all(self, kind: soak_records.Disturbance) -> None:
+        for host in self.hosts:
+            self.disturb(host, kind)
+
     def _watch_nodes(self) -> None:
         for host in self.hosts:
             if host.node is None:
--- a/src/anvillug/bench/soak_host.py
+++ b/src/anvillug/bench/soak_host.py
@@ -117,6 +117,11 @@
         self._port: Any = None
         self._heartbeats: task.LoopingCall | None = None
 
+    @property
+    def zone(self) -> str:
+        """Zone of the host."""
+        return f'zone-{self.number % _ZONES}'
+
     @property
     def age_ms(self) -> float:
         """Time since the start of the node process."""
@@ -327,7 +332,7 @@
             'Self': {
                 'NodeName': f'host-{self.number}',
                 'Ip': self._ip,
-                'Zone': f'zone-{self.number % _ZONES}',
+                'Zone': self.zone,
                 'AppAddr': app,
                 'Service': self.service,
             },
--- a/src/anvillug/bench/soak_links.py
+++ b/src/anvillug/bench/soak_links.py
@@ -31,6 +31,7 @@
     host: soak_host.Host
     link: standin_link.Link
     address: str
+    disturbance: soak_records.Disturbance
 
 
 class Links:
@@ -63,20 +64,28 @@
     def _link_store(self) -> None:
         for host in self._fleet.hosts:
             target = self._fleet.shared.store_address
-            host_link = self._link(host, target, '127.0.0.1:0')
+            disturbance = soak_records.Disturbance.STORE
+            host_link = self._link(host, target, '127.0.0.1:0', disturbance)
             host.store_address = host_link.address
             self._store_links[host.number] = host_link
 
     def _link_backends(self) -> None:
         for host in self._fleet.hosts:
             host.backend_address = host.second_address(0)
-            host_link = self._link(host, host.backend_address, host.address(0))
+            disturbance = soak_records.Disturbance.LINK
+            host_link = self._link(host, host.backend_address, host.address(0), disturbance)
             self._backend_links[host.number] = host_link
 
-    def _link(self, host: soak_host.Host, target: str, address: str) -> _HostLink:
+    def _link(
+        self,
+        host: soak_host.Host,
+        target: str,
+        address: str,
+        disturbance: soak_records.Disturbance,
+    ) -> _HostLink:
         link = standin_link.Link(self._fleet.reactor, target)
         self._fleet.after_stop.append(link.stop)
-        return _HostLink(host, link, link.listen(address))
+        return _HostLink(host, link, link.listen(address), disturbance)
 
     def _disturb_link(self, links: dict[int, _HostLink]) -> None:
         """Cut, delay, reset or silence the link of one node."""
@@ -111,6 +120,4 @@
         self._mark(host_link)
 
     def _mark(self, host_link: _HostLink) -> None:
-        """Record trouble on a link; that of the store alone excuses nothing."""
-        if self._backend_links.get(host_link.host.number) is host_link:
-            self._fleet.disturb(host_link.host, soak_records.Disturbance.LINK)
+        self._fleet.disturb(host_link.host, host_link.disturbance)
--- a/src/anvillug/bench/soak_records.py
+++ b/src/anvillug/bench/soak_records.py
@@ -26,6 +26,8 @@
     """SIGKILL or a pause."""
     LINK = 'link'
     """Trouble on the link to the backend server beside the node."""
+    STORE = 'store'
+    """Trouble of the store or on the link to it; it excuses only what orders demand in time."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -72,6 +74,18 @@
     """Whether the backend server closed the connection instead of responding."""
 
 
+@dataclasses.dataclass(slots=True)
+class Evacuation:
+    """Order that nothing be sent to the backend servers of a zone."""
+
+    nodes: frozenset[int]
+    """Numbers of the nodes of the zone."""
+    began_at: clock.Milliseconds
+    """When the store had the order, which acknowledges it."""
+    ended_at: float = math.inf
+    """When it was taken back."""
+
+
 _Disturbed = list[tuple[clock.Milliseconds, Disturbance]]
 
 
@@ -91,6 +105,8 @@
         """Processes that ended by themselves or exceeded their memory, with the reason."""
         self.configs: list[clock.Milliseconds] = []
         """Times at which a configuration was written."""
+        self.evacuations: list[Evacuation] = []
+        """Orders to evacuate a zone."""
         self.foreign_listeners: set[int] = set()
         """Nodes whose port for callers another process holds."""
         self.start_ms: list[tuple[float, str]] = []
