--- a/src/anvillug/bench/soak_backend.py
+++ b/src/anvillug/bench/soak_backend.py
@@ -157,7 +157,7 @@
         attempt_id: bytes,
         headers: tuple[http_head.Header, ...],
     ) -> None:
-        run = soak_records.Run(self._node, self.time.now())
+        run = soak_records.Run(self._node, self.time.now(), service=self._service)
         self._records.arrived(attempt_id.decode(), run, self.left_at)
         self._busy += 1
         route = exchange.head.path.split(b'/')[1].decode()
--- a/src/anvillug/bench/soak_fleet.py
+++ b/src/anvillug/bench/soak_fleet.py
@@ -14,7 +14,7 @@
 from twisted.internet import task
 
 from anvillug import clock, event_log
-from anvillug.bench import processes, soak_classes, soak_host, soak_records
+from anvillug.bench import processes, soak_classes, soak_config, soak_host, soak_records
 from anvillug.standin import platform_store
 
 MEMORY_LIMIT_MB = 300
@@ -74,6 +74,8 @@
         """Actions between the starts of the store and of the hosts."""
         self.after_stop: list[Callable[[], Any]] = []
         """Actions once all processes have ended."""
+        self.changes = soak_config.Changes()
+        """Changes of the usual configuration."""
         self._classes = classes
         self._version = 0
         self._time = clock.SystemClock()
@@ -119,33 +121,14 @@
         self.reactor.callLater(delay_s, self._act, action, arguments)
 
     def change_config(self) -> None:
-        """Write the next version of the configuration, whose routes differ in one timeout."""
+        """Write the next version of the configuration, with `changes`."""
         self._version += 1
         self.records.configs.append(self._time.now())
-        paths = [
-            {
-                'Name': each.route,
-                'PathPrefix': f'/{each.route}/',
-                'Kind': each.kind,
-                'Service': each.service,
-                'TimeoutMs': each.deadline_ms + self._version % 2,
-                'TargetLatencyMs': each.target_ms,
-                'Priority': 1,
-                'MaxAttempts': 2,
-            }
-            for each in self._classes
-        ]
-        services = [
-            {'Name': name, 'HealthPath': '/health', 'MaxConnections': 260, 'ColdPerS': 43}
-            for name in sorted({host.service for host in self.hosts})
-        ]
-        limits = {'MaxHeaderBytes': 16384, 'MaxBodyBytes': 64 << 20}
-        document = {
-            'Version': f'{self._version:08x}',
-            'Services': services,
-            'Limits': {**limits, 'HeaderTimeoutMs': 3000, 'IdleTimeoutMs': 15000},
-            'VirtualHosts': [{'Host': soak_classes.HOST, 'Paths': paths}],
-        }
+        services = {host.service for host in self.hosts}
+        self.records.services_by_route.append(
+            soak_config.services_by_route(self._classes, self.changes)
+        )
+        document = soak_config.document(self._classes, services, self._version, self.changes)
         self.order('config', document)
 
     def order(self, name: str, document: dict[str, object] | None) -> None:
--- a/src/anvillug/bench/soak_records.py
+++ b/src/anvillug/bench/soak_records.py
@@ -58,6 +58,8 @@
     """Whether its connection had carried a request before."""
     sealed: bool = False
     """Whether the answer bears the seal of a backend server."""
+    route: str = ''
+    """Name of its route; empty if it is not recorded."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -72,6 +74,8 @@
     """When the backend server responded; None while it works."""
     broke_off: bool = False
     """Whether the backend server closed the connection instead of responding."""
+    service: str = ''
+    """Service of the backend server; empty if it is not recorded."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -105,6 +109,8 @@
         """Processes that ended by themselves or exceeded their memory, with the reason."""
         self.configs: list[clock.Milliseconds] = []
         """Times at which a configuration was written."""
+        self.services_by_route: list[dict[str, str]] = []
+        """Routes of each configuration, with their services."""
         self.evacuations: list[Evacuation] = []
         """Orders to evacuate a zone."""
         self.foreign_listeners: set[int] = set()
--- a/src/anvillug/bench/soak_traffic.py
+++ b/src/anvillug/bench/soak_traffic.py
@@ -109,6 +109,7 @@
         self._attempt = soak_records.Attempt(
             attempt_id, node, request_class.repeatable, self._time.now()
         )
+        self._attempt.route = request_class.route
 
     def connected(self, connection: http_client.ClientConnection) -> None:
         """Send the request, unless another process holds the port of the node."""
