--- a/src/anvillug/bench/soak_backend.py
+++ b/src/anvillug/bench/soak_backend.py
@@ -4,9 +4,11 @@
 
 import dataclasses
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Coroutine, Mapping
 from typing import Any
 
+from twisted.internet import task
+
 from anvillug import clock
 from anvillug.bench import soak_records, soak_traffic
 from anvillug.connection import http_exchange, http_head, http_listener
@@ -20,6 +22,8 @@
 _STATUS_FULL = 503
 _HEALTH_PATH = b'/health'
 _MAX_QUEUED = 4
+_LEAVE_RETRY_S = 0.5
+_LEAVE_TRIES = 5
 # Heartbeats that were sent after a late one.
 _LATE_BY = 3
 # Share of the runs that make calls, among those of a route with calls.
@@ -76,6 +80,8 @@
         super().__init__(reactor, service, instance, born_ms)
         self.left_at: clock.Milliseconds | None = None
         """When its leave was acknowledged."""
+        self.failing_share: float = 0
+        """Share of the runs that respond with a failure."""
         self.time = clock.SystemClock()
         """Clock."""
         self._node = node
@@ -99,6 +105,25 @@
         self.listen_address = named_address
         return self._reactor.listenTCP(int(port), self._factory, interface=host)
 
+    async def acknowledged(
+        self, call: Callable[[str], Coroutine[Any, Any, int]], address: str
+    ) -> bool:
+        """Repeat a call with which this instance leaves until it is acknowledged.
+
+        Args:
+            call: The call; returns the status of the response.
+            address: Address for control of the node.
+
+        Returns:
+            Whether it was acknowledged; the instance leaves in any case.
+        """
+        for _ in range(_LEAVE_TRIES):
+            if await call(address) == _STATUS_OK:
+                self.left_at = self.left_at or self.time.now()
+                return True
+            await task.deferLater(self._reactor, _LEAVE_RETRY_S)
+        return False
+
     def end(self) -> None:
         """Reset all connections; the requests at work are cut by the backend server."""
         for work in self._works:
@@ -146,7 +171,8 @@
         if share > 0 and self._rng.random() < share:
             work.run.broke_off = True
             work.exchange.abort()
-        elif work.failed:
+        elif work.failed or (self.failing_share > 0 and self._rng.random() < self.failing_share):
+            work.run.failed_at = work.run.finished_at
             work.exchange.respond(_STATUS_FAILED, b'', work.headers)
         else:
             work.exchange.respond(_STATUS_OK, work.attempt_id, work.headers)
@@ -157,7 +183,9 @@
         attempt_id: bytes,
         headers: tuple[http_head.Header, ...],
     ) -> None:
-        run = soak_records.Run(self._node, self.time.now(), service=self._service)
+        run = soak_records.Run(
+            self._node, self.time.now(), service=self._service, version=self.version
+        )
         self._records.arrived(attempt_id.decode(), run, self.left_at)
         self._busy += 1
         route = exchange.head.path.split(b'/')[1].decode()
--- a/src/anvillug/bench/soak_faults.py
+++ b/src/anvillug/bench/soak_faults.py
@@ -16,6 +16,7 @@
     soak_links,
     soak_orders,
     soak_output,
+    soak_rollouts,
     soak_routes,
     soak_scaling,
     soak_signals,
@@ -55,7 +56,7 @@
     *sorted(soak_links.KINDS),
     *sorted(_LASTING_KINDS),
 )
-_FURTHER_KINDS = ('scale-in', 'evacuate', 'routes')
+_FURTHER_KINDS = ('scale-in', 'evacuate', 'routes', soak_rollouts.ROLLOUT)
 KINDS = frozenset((*_BASE_KINDS, *_MORE_KINDS, *_FURTHER_KINDS))
 """Names of all kinds."""
 _READER_KINDS = frozenset(('reader-gone', 'reader-stuck'))
@@ -126,6 +127,7 @@
             **soak_surroundings.Surroundings(fleet, signals).actions_by_kind,
             **soak_links.Links(fleet, signals, kinds).actions_by_kind,
             **soak_orders.Orders(fleet).actions_by_kind,
+            **soak_rollouts.Rollouts(fleet, kinds).actions_by_kind,
             **soak_routes.Routes(fleet).actions_by_kind,
             **soak_scaling.Scaling(fleet, signals).actions_by_kind,
             'burst': self._burst,
--- a/src/anvillug/bench/soak_fleet.py
+++ b/src/anvillug/bench/soak_fleet.py
@@ -25,6 +25,7 @@
 # Interval at which a failure of the store is recorded while it lasts.
 _STORE_MARK_S = 1.0
 _ORDERS = 'keyed.op'
+_STATUSES = 'keyed.status'
 
 
 class Fleet:
@@ -106,6 +107,7 @@
         if self.stopped:
             return
         self.shared.stopped = True
+        self.records.ended_at = self._time.now()
         self._watch.stop()
         for host in self.hosts:
             if host.node is not None:
@@ -136,6 +138,13 @@
         content = b'' if document is None else json.dumps(document).encode()
         self.store.topic(_ORDERS).append(name.encode(), content)
 
+    def status(self, name: str) -> dict[str, str]:
+        """Return a status that the nodes have written to the store; empty without one."""
+        for key, content, _ in self.store.topic(_STATUSES).newest():
+            if key == name.encode():
+                return json.loads(content)
+        return {}
+
     def terminate(self, host: soak_host.Host) -> None:
         """Stop a node as planned, and kill it after the grace time."""
         if host.expected_end:
--- a/src/anvillug/bench/soak_host.py
+++ b/src/anvillug/bench/soak_host.py
@@ -8,7 +8,7 @@
 import random
 import re
 import signal
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from typing import Any
 
 from twisted.internet import defer, task
@@ -28,15 +28,12 @@
 _TOUCH_MS = 3000
 _ZONES = 3
 _BACK_S = 2.0
-_LEAVE_RETRY_S = 0.5
-_LEAVE_TRIES = 5
 _SERVED_AFTER_LEAVE_S = 4.0
 # Shortest and longest time that a backend server serves on once its leave is acknowledged.
 _SERVED_BEFORE_END_S = (2.3, 6.0)
 _ANONYMOUS_MEMORY = re.compile(r'^RssAnon:\s+(\d+) kB', re.MULTILINE)
 _KB_PER_MB = 1024
 _PROBES_PER_S = 60
-_STATUS_OK = 200
 
 
 @dataclasses.dataclass(slots=True)
@@ -101,6 +98,12 @@
         """Output of the node process."""
         self.outputs: list[str] = []
         """Output of the node processes that have ended."""
+        self.has_backend = True
+        """Whether a backend server is to run."""
+        self.version = 'v1'
+        """Version of the next backend server."""
+        self.failing_share: float = 0
+        """Share of the runs of the next backend server that respond with a failure."""
         self.store_address = ''
         """Address of a link to the store; empty without one."""
         self.backend_address = ''
@@ -203,7 +206,7 @@
     def start_backend(self) -> None:
         """Start a new instance of the backend server, unless one runs."""
         shared = self._shared
-        if self._port is not None or shared.stopped:
+        if self._port is not None or shared.stopped or not self.has_backend:
             return
         self._is_leaving = False
         self._boots += 1
@@ -219,6 +222,8 @@
             shared.rng,
             shared.behavior,
         )
+        self._backend.version = self.version
+        self._backend.failing_share = self.failing_share
         self._port = self._backend.serve(self.backend_address or self.address(0), self.address(0))
         self._heartbeats = self._backend.start_heartbeats(self.address(4))
 
@@ -238,7 +243,7 @@
             backend.state = 'draining'
             await backend.send_heartbeat(self.address(4))
         self._stop_heartbeats()
-        if await self._acknowledged(backend, backend.deregister) and on_leave is not None:
+        if await backend.acknowledged(backend.deregister, self.address(4)) and on_leave is not None:
             on_leave()
         await task.deferLater(self._shared.reactor, served_s)
         await defer.maybeDeferred(port.stopListening)
@@ -262,30 +267,19 @@
         reports_draining = self._shared.rng.choice((True, False))
         if reports_draining:
             backend.state = 'draining'
-            await self._acknowledged(backend, backend.send_heartbeat)
+            await backend.acknowledged(backend.send_heartbeat, self.address(4))
         else:
             self._stop_heartbeats()
-            await self._acknowledged(backend, backend.deregister)
+            await backend.acknowledged(backend.deregister, self.address(4))
         await task.deferLater(self._shared.reactor, served_s)
+        if self._backend is not backend or self._port is None:
+            return False
         if reports_draining:
             self._stop_heartbeats()
-            await self._acknowledged(backend, backend.deregister)
+            await backend.acknowledged(backend.deregister, self.address(4))
         self.stop_backend()
         return True
 
-    async def _acknowledged(
-        self,
-        backend: soak_backend.Backend,
-        call: Callable[[str], Coroutine[Any, Any, int]],
-    ) -> bool:
-        """Repeat a call with which a backend server leaves until it is acknowledged."""
-        for _ in range(_LEAVE_TRIES):
-            if await call(self.address(4)) == _STATUS_OK:
-                backend.left_at = backend.left_at or backend.time.now()
-                return True
-            await task.deferLater(self._shared.reactor, _LEAVE_RETRY_S)
-        return False
-
     def _begins_to_leave(self) -> bool:
         if self._port is None or self._is_leaving:
             return False
@@ -294,6 +288,8 @@
 
     def repeat_heartbeat(self) -> None:
         """Deliver a heartbeat that the backend server has sent before it left."""
+        if self._backend is None:
+            return
         self._backend.predate_heartbeat()
         defer.ensureDeferred(self._backend.send_heartbeat(self.address(4)))
 
--- a/src/anvillug/bench/soak_order_checks.py
+++ b/src/anvillug/bench/soak_order_checks.py
@@ -11,6 +11,12 @@
 _EVACUATE_MS = 5000
 _CONFIG_APPLY_MS = 2000
 _STATUS_NOT_FOUND = 404
+_EXPOSURE_SHARE = 0.1
+_EXPOSURE_SLACK = 50
+_MAX_FAILED = 50
+_ROLLBACK_MS = 5000
+# Time after its deadline in which a roll-out gets its final state.
+_STATUS_SLACK_MS = 2000
 # A SIGHUP takes no node out of touch.
 _OUT_OF_TOUCH = frozenset(soak_records.Disturbance) - {soak_records.Disturbance.HANGUP}
 
@@ -20,6 +26,11 @@
     return [
         *(f'EVAC {attempt_id}' for attempt_id in _late_in_zone(records)),
         *_against_configs(records),
+        *(
+            problem
+            for rollout in records.rollouts
+            for problem in (*_exposed(records, rollout), *_without_end(records, rollout))
+        ),
     ]
 
 
@@ -80,6 +91,54 @@
     return {each.get(route) for each in records.services_by_route[first:last]}
 
 
+def _exposed(records: soak_records.Records, rollout: soak_records.Rollout) -> Iterator[str]:
+    """Yield what a bad version got beyond its share, or long after its 50th failure."""
+    if rollout.is_good:
+        return
+    runs = [
+        run
+        for each in records.runs_by_attempt_id.values()
+        for run in each
+        if run.service == rollout.service and rollout.ordered_at <= run.began_at <= rollout.due_at
+    ]
+    new = [
+        run
+        for run in runs
+        if run.version == rollout.version
+        and _in_touch(records, run.node, run.began_at, run.began_at)
+    ]
+    if len(new) > _EXPOSURE_SHARE * len(runs) + _EXPOSURE_SLACK:
+        yield f'EXPOSURE {rollout.version}: {len(new)} of {len(runs)} requests'
+    failed = sorted(
+        run.failed_at
+        for run in runs
+        if run.version == rollout.version and run.failed_at is not None
+    )
+    if len(failed) < _MAX_FAILED:
+        return
+    limit = failed[_MAX_FAILED - 1] + _ROLLBACK_MS
+    for attempt in records.attempts:
+        for run in records.runs(attempt):
+            is_new = run.service == rollout.service and run.version == rollout.version
+            is_late = attempt.sent_at > limit
+            if (
+                is_new
+                and is_late
+                and _in_touch(records, run.node, rollout.ordered_at, run.began_at)
+            ):
+                yield f'EXPOSURE after the roll-back {attempt.attempt_id}'
+
+
+def _without_end(records: soak_records.Records, rollout: soak_records.Rollout) -> Iterator[str]:
+    """Yield a roll-out without a final state after its deadline, though some node was in touch."""
+    limit = rollout.due_at + _STATUS_SLACK_MS
+    is_over = limit < records.ended_at
+    nodes = {attempt.node for attempt in records.attempts}
+    in_touch = any(_in_touch(records, node, rollout.due_at, limit) for node in nodes)
+    if is_over and in_touch and rollout.ended_at > limit:
+        yield f'ROLLOUT without an end {rollout.version}'
+
+
 def _in_touch(records: soak_records.Records, node: int, begin: float, end: float) -> bool:
     """Return whether a node was in touch from `begin` to `end`."""
     return not records.was_disturbed(node, begin - _TOUCH_MS, end, _OUT_OF_TOUCH)
--- a/src/anvillug/bench/soak_records.py
+++ b/src/anvillug/bench/soak_records.py
@@ -76,6 +76,10 @@
     """Whether the backend server closed the connection instead of responding."""
     service: str = ''
     """Service of the backend server; empty if it is not recorded."""
+    version: str = ''
+    """Version of the backend server."""
+    failed_at: clock.Milliseconds | None = None
+    """When the backend server responded with a failure."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -90,6 +94,26 @@
     """When it was taken back."""
 
 
+@dataclasses.dataclass(slots=True)
+class Rollout:
+    """Order that the traffic of a service be moved to a new version."""
+
+    service: str
+    """The service."""
+    version: str
+    """The new version."""
+    is_good: bool
+    """Whether the new version works as well as the old one."""
+    ordered_at: clock.Milliseconds
+    """When the store had the order."""
+    due_at: float
+    """Deadline."""
+    state: str = ''
+    """Final state in the status; empty before."""
+    ended_at: float = math.inf
+    """When the status was final."""
+
+
 _Disturbed = list[tuple[clock.Milliseconds, Disturbance]]
 
 
@@ -113,10 +137,14 @@
         """Routes of each configuration, with their services."""
         self.evacuations: list[Evacuation] = []
         """Orders to evacuate a zone."""
+        self.rollouts: list[Rollout] = []
+        """Roll-outs that were ordered."""
         self.foreign_listeners: set[int] = set()
         """Nodes whose port for callers another process holds."""
         self.start_ms: list[tuple[float, str]] = []
         """Time of each start until the node had started, with the name of the node."""
+        self.ended_at = math.inf
+        """When the soak ended."""
         self.peak_mb = 0.0
         """Most memory that a node process had."""
         self.disturbed_by_node: dict[int, _Disturbed] = collections.defaultdict(list)
--- a/src/anvillug/bench/soak_report.py
+++ b/src/anvillug/bench/soak_report.py
@@ -39,6 +39,10 @@
         f'seed {seed}: {len(records.attempts)} requests, answers {dict(sorted(statuses.items()))}, '
         f'faults {dict(sorted(counts.items()))}, at most {records.peak_mb:.0f} MB a node',
         f'{len(records.start_ms)} starts, slowest {slowest_ms:.0f} ms ({slowest_node})',
+        *(
+            f'roll-out of {each.version}, good: {each.is_good}, {each.state or "open"}'
+            for each in records.rollouts
+        ),
         *(f'broken: {problem}' for problem in broken[:_MAX_SHOWN]),
         f'seed {seed}: {len(broken)} promises broken',
     ]
--- a/tests/test_soak_scaling.py
+++ b/tests/test_soak_scaling.py
@@ -13,13 +13,12 @@
 from anvillug.bench import soak_backend, soak_host, soak_records, soak_scaling
 
 
-class _Backend:
-    """Backend server whose calls a node acknowledges."""
+class _Backend(soak_backend.Backend):
+    """Backend server whose calls get a status."""
 
     def __init__(self, events, status=200) -> None:
-        self.left_at = None
-        self.state = 'ready'
-        self.time = clock.SystemClock()
+        behavior = soak_backend.Behavior()
+        super().__init__(_Reactor(), 3, 'drawbook', 'i', 1, 0, None, {}, random.Random(1), behavior)
         self.events = events
         self.status = status
 
@@ -35,6 +34,7 @@
 
     def end(self):
         """Record the end."""
+        super().end()
         self.events.append('end')
 
 
@@ -117,9 +117,7 @@
 
 
 def _backend_at_work():
-    backend = soak_backend.Backend(
-        None, 3, 'drawbook', 'i', 1, 0, None, {}, random.Random(1), soak_backend.Behavior()
-    )
+    backend = _Backend([])
     run = soak_records.Run(3, clock.Milliseconds(0))
     work = soak_backend._Work(backend, None, run, b'', ())
     backend._works.add(work)
