--- a/src/anvillug/bench/soak.py
+++ b/src/anvillug/bench/soak.py
@@ -87,7 +87,7 @@
     classes: Sequence[soak_classes.RequestClass],
 ) -> None:
     fleet.start()
-    await task.deferLater(fleet.reactor, _START_S)
+    await task.deferLater(fleet.reactor, _START_S + fleet.groups_s)
     for request_class in classes:
         callers.start(request_class)
     faults.begin()
--- a/src/anvillug/bench/soak_checks.py
+++ b/src/anvillug/bench/soak_checks.py
@@ -21,7 +21,13 @@
 _MAX_UNANSWERED_SHARE = 0.5
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 _SUCCESS = range(200, 300)
-_UNPLANNED = frozenset((soak_records.Disturbance.UNPLANNED, soak_records.Disturbance.LINK))
+_UNPLANNED = frozenset(
+    (
+        soak_records.Disturbance.UNPLANNED,
+        soak_records.Disturbance.LINK,
+        soak_records.Disturbance.NETWORK,
+    )
+)
 _STOP = frozenset((soak_records.Disturbance.PLANNED,))
 _HANGUP = frozenset((soak_records.Disturbance.HANGUP,))
 _OUT_OF_TOUCH = _UNPLANNED | _STOP | {soak_records.Disturbance.START}
--- a/src/anvillug/bench/soak_faults.py
+++ b/src/anvillug/bench/soak_faults.py
@@ -56,7 +56,13 @@
     *sorted(soak_links.KINDS),
     *sorted(_LASTING_KINDS),
 )
-_FURTHER_KINDS = ('scale-in', 'evacuate', 'routes', soak_rollouts.ROLLOUT)
+_FURTHER_KINDS = (
+    'scale-in',
+    'evacuate',
+    'routes',
+    soak_rollouts.ROLLOUT,
+    *sorted(soak_links.LISTENER_KINDS),
+)
 KINDS = frozenset((*_BASE_KINDS, *_MORE_KINDS, *_FURTHER_KINDS))
 """Names of all kinds."""
 _READER_KINDS = frozenset(('reader-gone', 'reader-stuck'))
@@ -156,7 +162,7 @@
             behavior.break_off_share = _BREAK_OFF_SHARE
         if _EARLY_ANSWERS in kinds:
             behavior.early_share = _EARLY_SHARE
-        if _DEPLOYED in kinds:
+        if _DEPLOYED in kinds and not kinds & soak_links.LISTENER_KINDS:
             shared.launch = soak_launch.as_deployed
         if kinds & _READER_KINDS:
             shared.new_output = functools.partial(soak_output.PipeOutput, shared.reactor)
--- a/src/anvillug/bench/soak_fleet.py
+++ b/src/anvillug/bench/soak_fleet.py
@@ -14,7 +14,7 @@
 from twisted.internet import task
 
 from anvillug import clock, event_log
-from anvillug.bench import processes, soak_classes, soak_config, soak_host, soak_records
+from anvillug.bench import processes, soak_classes, soak_config, soak_host, soak_records, usage
 from anvillug.standin import platform_store
 
 MEMORY_LIMIT_MB = 300
@@ -22,12 +22,34 @@
 
 _PORTS_PER_HOST = 7
 _WATCH_S = 0.1
+# Nodes start in groups, because a start takes half a second of a processor.
+_GROUP_NODES = 12
+_GROUP_S = 2.5
+_NODE_MB = 50
+_BYTES_PER_MB = 1 << 20
+_MAX_NODES = 240
+# Above this size the heartbeats are less frequent.
+_HEARTBEAT_NODES = 24
 # Interval at which a failure of the store is recorded while it lasts.
 _STORE_MARK_S = 1.0
 _ORDERS = 'keyed.op'
 _STATUSES = 'keyed.status'
 
 
+def size_problem(nodes: int) -> str:
+    """Return why a fleet of this size cannot run on this machine, or an empty string."""
+    pages = os.sysconf('SC_PHYS_PAGES') * os.sysconf('SC_PAGE_SIZE')
+    allowed_mb = pages / _BYTES_PER_MB / 2
+    if nodes > _MAX_NODES:
+        return f'{nodes} nodes exceed the {_MAX_NODES} addresses'
+    if nodes * _NODE_MB > allowed_mb:
+        return (
+            f'{nodes} nodes of {_NODE_MB} MB exceed half of the memory of this machine, '
+            f'{allowed_mb:.0f} MB'
+        )
+    return ''
+
+
 class Fleet:
     """All processes and stand-ins of a soak.
 
@@ -67,6 +89,7 @@
                 for address in processes.free_addresses(_PORTS_PER_HOST)
             ],
         )
+        self.shared.heartbeat_factor = max(1, len(services) / _HEARTBEAT_NODES)
         self.store = platform_store.PlatformStore(reactor)
         self.hosts = [
             soak_host.Host(self.shared, number, service) for number, service in enumerate(services)
@@ -96,12 +119,20 @@
         for prepare in self.before_start:
             prepare()
         for host in self.hosts:
-            host.start_backend()
-            host.start_node()
+            group = host.number // _GROUP_NODES
+            if group:
+                self.later(group * _GROUP_S, self._start_host, host)
+            else:
+                self._start_host(host)
         self._watch.start(_WATCH_S)
         # Also ends the nodes when the soak is interrupted.
         self.reactor.addSystemEventTrigger('before', 'shutdown', self.stop)
 
+    @property
+    def groups_s(self) -> float:
+        """Time in seconds from the start of the first group of nodes to that of the last one."""
+        return (len(self.hosts) - 1) // _GROUP_NODES * _GROUP_S
+
     def stop(self) -> None:
         """End all processes that this fleet has started, and its listeners, unless it has ended."""
         if self.stopped:
@@ -208,7 +239,12 @@
         for host in self.hosts:
             self.disturb(host, kind)
 
+    def _start_host(self, host: soak_host.Host) -> None:
+        host.start_backend()
+        host.start_node()
+
     def _watch_nodes(self) -> None:
+        fleet_mb = 0.0
         for host in self.hosts:
             if host.node is None:
                 continue
@@ -216,13 +252,15 @@
                 self._ended(host)
                 continue
             host.note_start()
-            memory_mb = host.memory_mb()
+            memory_mb = usage.anonymous_mb(host.node.pid)
+            fleet_mb += memory_mb
             self.records.peak_mb = max(self.records.peak_mb, memory_mb)
             if memory_mb > MEMORY_LIMIT_MB:
                 self._own_end(f'host-{host.number} has {memory_mb:.0f} MB')
                 host.expected_end = True
                 host.terminated_at = None
                 host.node.send_signal(signal.SIGKILL)
+        self.records.peak_fleet_mb = max(self.records.peak_fleet_mb, fleet_mb)
 
     def _ended(self, host: soak_host.Host) -> None:
         """Record the end of a node process, and start it again after a short delay."""
--- a/src/anvillug/bench/soak_launch.py
+++ b/src/anvillug/bench/soak_launch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import json
 import os
 import pathlib
 import shlex
@@ -14,6 +15,7 @@
 from anvillug.platform import location
 
 _ROOT = pathlib.Path(__file__).resolve().parents[3]
+_LINKED_NODE = 'anvillug.bench.soak_node'
 _PLATFORM_VARIABLES = ('HOME', 'LANG')
 
 
@@ -32,6 +34,25 @@
     return Launch((*processes.PROGRAM, 'mesh', str(path)), None)
 
 
+def behind_links(launch: Launch, bound_addresses: Mapping[str, str]) -> Launch:
+    """Return how a node is started that listens behind links.
+
+    Args:
+        launch: How it is started without links, as a module.
+        bound_addresses: Addresses that it listens on, by those that its settings name.
+
+    Raises:
+        ValueError: If the node is not started as a module.
+    """
+    if not bound_addresses:
+        return launch
+    python, option, *arguments = launch.command
+    if option != '-m':
+        raise ValueError(f'cannot listen behind links: {" ".join(launch.command)}')
+    command = (python, option, _LINKED_NODE, json.dumps(dict(bound_addresses)), *arguments)
+    return Launch(command, launch.environment)
+
+
 def as_deployed(path: pathlib.Path) -> Launch:
     """Return how the run line of the deploy file is started, with the platform's variables only.
 
--- a/src/anvillug/bench/soak_records.py
+++ b/src/anvillug/bench/soak_records.py
@@ -26,6 +26,8 @@
     """SIGKILL or a pause."""
     LINK = 'link'
     """Trouble on the link to the backend server beside the node."""
+    NETWORK = 'network'
+    """Trouble on the links to other nodes or to callers; it excuses what a kill excuses."""
     STORE = 'store'
     """Trouble of the store or on the link to it; it excuses only what orders demand in time."""
 
@@ -147,6 +149,8 @@
         """When the soak ended."""
         self.peak_mb = 0.0
         """Most memory that a node process had."""
+        self.peak_fleet_mb = 0.0
+        """Most memory that all node processes had at once."""
         self.disturbed_by_node: dict[int, _Disturbed] = collections.defaultdict(list)
         """What was done to each node, in order; a pause stands for its begin and its end."""
 
--- a/src/anvillug/bench/soak_report.py
+++ b/src/anvillug/bench/soak_report.py
@@ -37,7 +37,8 @@
     slowest_ms, slowest_node = max(records.start_ms, default=(0.0, 'none'))
     lines = [
         f'seed {seed}: {len(records.attempts)} requests, answers {dict(sorted(statuses.items()))}, '
-        f'faults {dict(sorted(counts.items()))}, at most {records.peak_mb:.0f} MB a node',
+        f'faults {dict(sorted(counts.items()))}, at most {records.peak_mb:.0f} MB a node, '
+        f'{records.peak_fleet_mb:.0f} MB all nodes',
         f'{len(records.start_ms)} starts, slowest {slowest_ms:.0f} ms ({slowest_node})',
         *(
             f'roll-out of {each.version}, good: {each.is_good}, {each.state or "open"}'
--- a/src/anvillug/bench/usage.py
+++ b/src/anvillug/bench/usage.py
@@ -5,8 +5,10 @@
 import dataclasses
 import os
 import pathlib
+import re
 
 _KB_PER_MB = 1024
+_ANONYMOUS_MEMORY = re.compile(r'^RssAnon:\s+(\d+) kB', re.MULTILINE)
 _PROC = pathlib.Path('/proc')
 _TICKS_PER_SECOND = os.sysconf('SC_CLK_TCK')
 _USER_TIME_FIELD = 11  # utime, counted after the program name, see proc(5)
@@ -41,3 +43,13 @@
     fields = text.rpartition(')')[2].split()
     ticks = int(fields[_USER_TIME_FIELD]) + int(fields[_USER_TIME_FIELD + 1])
     return ticks / _TICKS_PER_SECOND
+
+
+def anonymous_mb(pid: int) -> float:
+    """Return the memory of a process that no file backs, in MB; 0 if it has ended."""
+    try:
+        status = (_PROC / str(pid) / 'status').read_text()
+    except OSError:
+        return 0
+    found = _ANONYMOUS_MEMORY.search(status)
+    return int(found.group(1)) / _KB_PER_MB if found else 0
