--- a/src/anvillug/bench/soak.py
+++ b/src/anvillug/bench/soak.py
@@ -87,7 +87,8 @@
     classes: Sequence[soak_classes.RequestClass],
 ) -> None:
     fleet.start()
-    await task.deferLater(fleet.reactor, _START_S + fleet.groups_s)
+    await task.deferLater(fleet.reactor, _START_S)
+    await fleet.wait_for_start()
     for request_class in classes:
         callers.start(request_class)
     faults.begin()
--- a/src/anvillug/bench/soak_fleet.py
+++ b/src/anvillug/bench/soak_fleet.py
@@ -128,10 +128,10 @@
         # Also ends the nodes when the soak is interrupted.
         self.reactor.addSystemEventTrigger('before', 'shutdown', self.stop)
 
-    @property
-    def groups_s(self) -> float:
-        """Time in seconds from the start of the first group of nodes to that of the last one."""
-        return (len(self.hosts) - 1) // _GROUP_NODES * _GROUP_S
+    async def wait_for_start(self) -> None:
+        """Wait until all nodes have started, or one has ended."""
+        while any(host.is_starting for host in self.hosts) and not self.records.own_ends:
+            await task.deferLater(self.reactor, _WATCH_S)
 
     def stop(self) -> None:
         """End all processes that this fleet has started, and its listeners, unless it has ended."""
--- a/src/anvillug/bench/soak_host.py
+++ b/src/anvillug/bench/soak_host.py
@@ -121,6 +121,11 @@
         self._port: Any = None
         self._heartbeats: task.LoopingCall | None = None
 
+    @property
+    def is_starting(self) -> bool:
+        """Whether the node process has not started, or not been started, yet."""
+        return self.node is None or self._is_starting
+
     @property
     def zone(self) -> str:
         """Zone of the host."""
--- a/tests/test_soak_links.py
+++ b/tests/test_soak_links.py
@@ -11,6 +11,7 @@
 import types
 
 import pytest
+from twisted.internet import defer, task
 
 from anvillug import clock
 from anvillug.bench import processes, soak_fleet, soak_launch, soak_links, soak_records
@@ -148,6 +149,28 @@
         assert soak_fleet.size_problem(241) == '241 nodes exceed the 240 addresses'
 
 
+class TestStart:
+    """Guards against traffic that begins before the nodes have started."""
+
+    @pytest.mark.parametrize('own_ends', [[], ['host-1 ended by itself']])
+    def test_wait_for_all_nodes(self, own_ends):
+        reactor = task.Clock()
+        hosts = [types.SimpleNamespace(is_starting=True) for _ in range(2)]
+        records = soak_records.Records()
+        fleet = types.SimpleNamespace(hosts=hosts, records=records, reactor=reactor)
+        started = []
+        waiting = defer.ensureDeferred(soak_fleet.Fleet.wait_for_start(fleet))
+        waiting.addCallback(started.append)
+        hosts[0].is_starting = False
+        reactor.advance(0.1)
+        assert not started
+        # A node that ends at its start must not keep the soak from its report.
+        records.own_ends += own_ends
+        hosts[1].is_starting = bool(own_ends)
+        reactor.advance(0.1)
+        assert started
+
+
 def _listened(monkeypatch):
     listened = []
 
