--- a/src/anvillug/bench/soak_backend.py
+++ b/src/anvillug/bench/soak_backend.py
@@ -4,9 +4,11 @@
 
 import dataclasses
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Coroutine, Mapping
 from typing import Any
 
+from twisted.internet import task
+
 from anvillug import clock
 from anvillug.bench import soak_records, soak_traffic
 from anvillug.connection import http_exchange, http_head, http_listener
@@ -20,6 +22,8 @@
 _STATUS_FULL = 503
 _HEALTH_PATH = b'/health'
 _MAX_QUEUED = 4
+_LEAVE_RETRY_S = 0.5
+_LEAVE_TRIES = 5
 # Heartbeats that were sent after a late one.
 _LATE_BY = 3
 # Share of the runs that make calls, among those of a route with calls.
@@ -76,6 +80,8 @@
         super().__init__(reactor, service, instance, born_ms)
         self.left_at: clock.Milliseconds | None = None
         """When its leave was acknowledged."""
+        self.failing_share: float = 0
+        """Share of the runs that respond with a failure."""
         self.time = clock.SystemClock()
         """Clock."""
         self._node = node
@@ -85,7 +91,8 @@
         self._rng = rng
         self._behavior = behavior
         self._busy = 0
-        self._factory = http_listener.ServerFactory(self._received)
+        self._factory = _Factory(self._received)
+        self._works: set[_Work] = set()
 
     def serve(self, address: str, named_address: str) -> Any:
         """Start to listen on an address.
@@ -98,6 +105,31 @@
         self.listen_address = named_address
         return self._reactor.listenTCP(int(port), self._factory, interface=host)
 
+    async def acknowledged(
+        self, call: Callable[[str], Coroutine[Any, Any, int]], address: str
+    ) -> bool:
+        """Repeat a call with which this instance leaves until it is acknowledged.
+
+        Args:
+            call: The call; returns the status of the response.
+            address: Address for control of the node.
+
+        Returns:
+            Whether it was acknowledged; the instance leaves in any case.
+        """
+        for _ in range(_LEAVE_TRIES):
+            if await call(address) == _STATUS_OK:
+                self.left_at = self.left_at or self.time.now()
+                return True
+            await task.deferLater(self._reactor, _LEAVE_RETRY_S)
+        return False
+
+    def end(self) -> None:
+        """Reset all connections; the requests at work are cut by the backend server."""
+        for work in self._works:
+            work.run.broke_off = True
+        self._factory.reset_connections()
+
     def predate_heartbeat(self) -> None:
         """Let the next heartbeat be as one that was sent before the leave."""
         self.state = 'ready'
@@ -133,12 +165,14 @@
     def work_ended(self, work: _Work) -> None:
         """Respond to a request, or break off."""
         self._busy -= 1
+        self._works.discard(work)
         work.run.finished_at = self.time.now()
         share = self._behavior.break_off_share
         if share > 0 and self._rng.random() < share:
             work.run.broke_off = True
             work.exchange.abort()
-        elif work.failed:
+        elif work.failed or (self.failing_share > 0 and self._rng.random() < self.failing_share):
+            work.run.failed_at = work.run.finished_at
             work.exchange.respond(_STATUS_FAILED, b'', work.headers)
         else:
             work.exchange.respond(_STATUS_OK, work.attempt_id, work.headers)
@@ -149,11 +183,14 @@
         attempt_id: bytes,
         headers: tuple[http_head.Header, ...],
     ) -> None:
-        run = soak_records.Run(self._node, self.time.now())
+        run = soak_records.Run(
+            self._node, self.time.now(), service=self._service, version=self.version
+        )
         self._records.arrived(attempt_id.decode(), run, self.left_at)
         self._busy += 1
         route = exchange.head.path.split(b'/')[1].decode()
         work = _Work(self, exchange, run, attempt_id, headers)
+        self._works.add(work)
         work_ms = self._rng.expovariate(1 / self._work_ms_by_route[route])
         self._reactor.callLater(clock.to_seconds(work_ms), work.part_ended, True)  # noqa: FBT003
         calls = self._behavior.calls_by_route.get(route, 0)
@@ -163,6 +200,15 @@
                 self._behavior.call(self._node, work.part_ended)
 
 
+class _Factory(http_listener.ServerFactory):
+    """Builds the connections of a backend server, which its end resets."""
+
+    def reset_connections(self) -> None:
+        """Reset all open connections."""
+        for connection in tuple(self._open_connections):
+            connection.transport.abortConnection()
+
+
 class _Work:
     """Work on one request, which ends with the last of its parts."""
 
--- a/src/anvillug/bench/soak_fleet.py
+++ b/src/anvillug/bench/soak_fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 import os
 import pathlib
 import random
@@ -13,7 +14,7 @@
 from twisted.internet import task
 
 from anvillug import clock, event_log
-from anvillug.bench import processes, soak_classes, soak_host, soak_records
+from anvillug.bench import processes, soak_classes, soak_config, soak_host, soak_records, usage
 from anvillug.standin import platform_store
 
 MEMORY_LIMIT_MB = 300
@@ -21,7 +22,32 @@
 
 _PORTS_PER_HOST = 7
 _WATCH_S = 0.1
+# Nodes start in groups, because a start takes half a second of a processor.
+_GROUP_NODES = 12
+_GROUP_S = 2.5
+_NODE_MB = 50
+_BYTES_PER_MB = 1 << 20
+_MAX_NODES = 240
+# Above this size the heartbeats are less frequent.
+_HEARTBEAT_NODES = 24
+# Interval at which a failure of the store is recorded while it lasts.
+_STORE_MARK_S = 1.0
 _ORDERS = 'keyed.op'
+_STATUSES = 'keyed.status'
+
+
+def size_problem(nodes: int) -> str:
+    """Return why a fleet of this size cannot run on this machine, or an empty string."""
+    pages = os.sysconf('SC_PHYS_PAGES') * os.sysconf('SC_PAGE_SIZE')
+    allowed_mb = pages / _BYTES_PER_MB / 2
+    if nodes > _MAX_NODES:
+        return f'{nodes} nodes exceed the {_MAX_NODES} addresses'
+    if nodes * _NODE_MB > allowed_mb:
+        return (
+            f'{nodes} nodes of {_NODE_MB} MB exceed half of the memory of this machine, '
+            f'{allowed_mb:.0f} MB'
+        )
+    return ''
 
 
 class Fleet:
@@ -63,6 +89,7 @@
                 for address in processes.free_addresses(_PORTS_PER_HOST)
             ],
         )
+        self.shared.heartbeat_factor = max(1, len(services) / _HEARTBEAT_NODES)
         self.store = platform_store.PlatformStore(reactor)
         self.hosts = [
             soak_host.Host(self.shared, number, service) for number, service in enumerate(services)
@@ -71,6 +98,8 @@
         """Actions between the starts of the store and of the hosts."""
         self.after_stop: list[Callable[[], Any]] = []
         """Actions once all processes have ended."""
+        self.changes = soak_config.Changes()
+        """Changes of the usual configuration."""
         self._classes = classes
         self._version = 0
         self._time = clock.SystemClock()
@@ -90,17 +119,26 @@
         for prepare in self.before_start:
             prepare()
         for host in self.hosts:
-            host.start_backend()
-            host.start_node()
+            group = host.number // _GROUP_NODES
+            if group:
+                self.later(group * _GROUP_S, self._start_host, host)
+            else:
+                self._start_host(host)
         self._watch.start(_WATCH_S)
         # Also ends the nodes when the soak is interrupted.
         self.reactor.addSystemEventTrigger('before', 'shutdown', self.stop)
 
+    async def wait_for_start(self) -> None:
+        """Wait until all nodes have started, or one has ended."""
+        while any(host.is_starting for host in self.hosts) and not self.records.own_ends:
+            await task.deferLater(self.reactor, _WATCH_S)
+
     def stop(self) -> None:
         """End all processes that this fleet has started, and its listeners, unless it has ended."""
         if self.stopped:
             return
         self.shared.stopped = True
+        self.records.ended_at = self._time.now()
         self._watch.stop()
         for host in self.hosts:
             if host.node is not None:
@@ -116,34 +154,27 @@
         self.reactor.callLater(delay_s, self._act, action, arguments)
 
     def change_config(self) -> None:
-        """Write the next version of the configuration, whose routes differ in one timeout."""
+        """Write the next version of the configuration, with `changes`."""
         self._version += 1
         self.records.configs.append(self._time.now())
-        paths = [
-            {
-                'Name': each.route,
-                'PathPrefix': f'/{each.route}/',
-                'Kind': each.kind,
-                'Service': each.service,
-                'TimeoutMs': each.deadline_ms + self._version % 2,
-                'TargetLatencyMs': each.target_ms,
-                'Priority': 1,
-                'MaxAttempts': 2,
-            }
-            for each in self._classes
-        ]
-        services = [
-            {'Name': name, 'HealthPath': '/health', 'MaxConnections': 260, 'ColdPerS': 43}
-            for name in sorted({host.service for host in self.hosts})
-        ]
-        limits = {'MaxHeaderBytes': 16384, 'MaxBodyBytes': 64 << 20}
-        document = {
-            'Version': f'{self._version:08x}',
-            'Services': services,
-            'Limits': {**limits, 'HeaderTimeoutMs': 3000, 'IdleTimeoutMs': 15000},
-            'VirtualHosts': [{'Host': soak_classes.HOST, 'Paths': paths}],
-        }
-        self.store.topic(_ORDERS).append(b'config', json.dumps(document).encode())
+        services = {host.service for host in self.hosts}
+        self.records.services_by_route.append(
+            soak_config.services_by_route(self._classes, self.changes)
+        )
+        document = soak_config.document(self._classes, services, self._version, self.changes)
+        self.order('config', document)
+
+    def order(self, name: str, document: dict[str, object] | None) -> None:
+        """Write an order of the operator to the store; None takes it back."""
+        content = b'' if document is None else json.dumps(document).encode()
+        self.store.topic(_ORDERS).append(name.encode(), content)
+
+    def status(self, name: str) -> dict[str, str]:
+        """Return a status that the nodes have written to the store; empty without one."""
+        for key, content, _ in self.store.topic(_STATUSES).newest():
+            if key == name.encode():
+                return json.loads(content)
+        return {}
 
     def terminate(self, host: soak_host.Host) -> None:
         """Stop a node as planned, and kill it after the grace time."""
@@ -184,6 +215,9 @@
         self.store.faults = faults
         sound = platform_store.StoreFaults()
         self.reactor.callLater(duration_s, setattr, self.store, 'faults', sound)
+        for number in range(math.ceil(duration_s / _STORE_MARK_S)):
+            self.later(number * _STORE_MARK_S, self._disturb_all, soak_records.Disturbance.STORE)
+        self.later(duration_s, self._disturb_all, soak_records.Disturbance.STORE)
 
     def _act(self, action: Callable[..., Any], arguments: tuple[object, ...]) -> None:
         if not self.stopped:
@@ -201,7 +235,16 @@
         """Record what is done to a node."""
         self.records.disturb(host.number, self._time.now(), kind)
 
+    def _disturb_all(self, kind: soak_records.Disturbance) -> None:
+        for host in self.hosts:
+            self.disturb(host, kind)
+
+    def _start_host(self, host: soak_host.Host) -> None:
+        host.start_backend()
+        host.start_node()
+
     def _watch_nodes(self) -> None:
+        fleet_mb = 0.0
         for host in self.hosts:
             if host.node is None:
                 continue
@@ -209,13 +252,15 @@
                 self._ended(host)
                 continue
             host.note_start()
-            memory_mb = host.memory_mb()
+            memory_mb = usage.anonymous_mb(host.node.pid)
+            fleet_mb += memory_mb
             self.records.peak_mb = max(self.records.peak_mb, memory_mb)
             if memory_mb > MEMORY_LIMIT_MB:
                 self._own_end(f'host-{host.number} has {memory_mb:.0f} MB')
                 host.expected_end = True
                 host.terminated_at = None
                 host.node.send_signal(signal.SIGKILL)
+        self.records.peak_fleet_mb = max(self.records.peak_fleet_mb, fleet_mb)
 
     def _ended(self, host: soak_host.Host) -> None:
         """Record the end of a node process, and start it again after a short delay."""
--- a/src/anvillug/bench/soak_records.py
+++ b/src/anvillug/bench/soak_records.py
@@ -27,6 +27,10 @@
     """SIGKILL or a pause."""
     LINK = 'link'
     """Trouble on the link to the backend server beside the node."""
+    NETWORK = 'network'
+    """Trouble on the links to other nodes or to callers; it excuses what a kill excuses."""
+    STORE = 'store'
+    """Trouble of the store or on the link to it; it excuses only what orders demand in time."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -69,6 +73,8 @@
     """Whether its caller closed its own end after it; a node can't tell this from a caller that
     has left.
     """
+    route: str = ''
+    """Name of its route; empty if it is not recorded."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -83,6 +89,44 @@
     """When the backend server responded; None while it works."""
     broke_off: bool = False
     """Whether the backend server closed the connection instead of responding."""
+    service: str = ''
+    """Service of the backend server; empty if it is not recorded."""
+    version: str = ''
+    """Version of the backend server."""
+    failed_at: clock.Milliseconds | None = None
+    """When the backend server responded with a failure."""
+
+
+@dataclasses.dataclass(slots=True)
+class Evacuation:
+    """Order that nothing be sent to the backend servers of a zone."""
+
+    nodes: frozenset[int]
+    """Numbers of the nodes of the zone."""
+    began_at: clock.Milliseconds
+    """When the store had the order, which acknowledges it."""
+    ended_at: float = math.inf
+    """When it was taken back."""
+
+
+@dataclasses.dataclass(slots=True)
+class Rollout:
+    """Order that the traffic of a service be moved to a new version."""
+
+    service: str
+    """The service."""
+    version: str
+    """The new version."""
+    is_good: bool
+    """Whether the new version works as well as the old one."""
+    ordered_at: clock.Milliseconds
+    """When the store had the order."""
+    due_at: float
+    """Deadline."""
+    state: str = ''
+    """Final state in the status; empty before."""
+    ended_at: float = math.inf
+    """When the status was final."""
 
 
 _Disturbed = list[tuple[clock.Milliseconds, Disturbance]]
@@ -108,10 +152,20 @@
         """Stand-stills of the soak's own loop, which runs the backend servers and the store."""
         self.foreign_spans: list[tuple[int, float, float]] = []
         """Nodes whose port for callers another process held, with begin and end."""
+        self.services_by_route: list[dict[str, str]] = []
+        """Routes of each configuration, with their services."""
+        self.evacuations: list[Evacuation] = []
+        """Orders to evacuate a zone."""
+        self.rollouts: list[Rollout] = []
+        """Roll-outs that were ordered."""
         self.start_ms: list[tuple[float, str]] = []
         """Time of each start until the node had started, with the name of the node."""
+        self.ended_at = math.inf
+        """When the soak ended."""
         self.peak_mb = 0.0
         """Most memory that a node process had."""
+        self.peak_fleet_mb = 0.0
+        """Most memory that all node processes had at once."""
         self.disturbed_by_node: dict[int, _Disturbed] = collections.defaultdict(list)
         """What was done to each node, in order; a pause stands for its begin and its end."""
 
--- a/src/anvillug/bench/soak_traffic.py
+++ b/src/anvillug/bench/soak_traffic.py
@@ -143,6 +143,7 @@
             sent.stalled_ms,
             sent.habit,
             sent.habit == socket_exchange.Habit.HALF_CLOSES.value,
+            route=request_class.route,
         )
 
 
@@ -209,6 +210,7 @@
         self._attempt = soak_records.Attempt(
             attempt_id, node, request_class.repeatable, self._time.now()
         )
+        self._attempt.route = request_class.route
 
     def connected(self, connection: http_client.ClientConnection) -> None:
         """Send the request, unless another process holds the port of the node."""
