--- a/src/anvillug/connection/http_server.py
+++ b/src/anvillug/connection/http_server.py
@@ -38,6 +38,7 @@
 # Nodes check their connections every 50 or 100 ms while they stop, so that the rest of a request is
 # awaited for one or two seconds.
 _MAX_CHECKS_WITHOUT_BYTES = 20
+_MAX_READS_IN_TURN = 4
 _numbers = itertools.count(1)
 
 MayOverlap = Callable[[http_head.RequestHead], bool]
@@ -89,6 +90,8 @@
         # Calls of `close_when_idle` since bytes were received.
         self._checks_without_bytes = 0
         self._late_close: late_close.LateClose | None = None
+        # Reads for responses in this turn of the reactor.
+        self._reads_in_turn = 0
 
     @property
     def is_busy(self) -> bool:
@@ -263,6 +266,17 @@
         if isinstance(self.transport, tcp.Connection):
             self.transport.doRead()
 
+    def _read_ahead(self) -> None:
+        """Read what has arrived, and count the reads of this turn of the reactor."""
+        if isinstance(self.transport, tcp.Connection):
+            if not self._reads_in_turn:
+                self.transport.reactor.callLater(0, self._end_turn)
+            self._reads_in_turn += 1
+            self._read_available()
+
+    def _end_turn(self) -> None:
+        self._reads_in_turn = 0
+
     def _is_final(self, slot: response_slot.ResponseSlot) -> bool:
         """Return whether a stopping connection closes after a response.
 
@@ -271,7 +285,10 @@
         if not (self._closes_after_responses and slot.is_first):
             return False
         if self._is_newest(slot) and not self._disconnected:
-            self._read_available()
+            # A client that sends without pause must not hold up the other connections.
+            if self._reads_in_turn >= _MAX_READS_IN_TURN:
+                return False
+            self._read_ahead()
         return self._is_newest(slot)
 
     def _is_newest(self, slot: response_slot.ResponseSlot) -> bool:
