--- a/src/anvillug/bench/soak_faults.py
+++ b/src/anvillug/bench/soak_faults.py
@@ -18,7 +18,6 @@
     soak_output,
     soak_rollouts,
     soak_routes,
-    soak_scaling,
     soak_signals,
     soak_surroundings,
     soak_traffic,
@@ -57,7 +56,7 @@
     *sorted(_LASTING_KINDS),
 )
 _FURTHER_KINDS = (
-    'scale-in',
+    soak_signals.SCALE_IN,
     'evacuate',
     'routes',
     soak_rollouts.ROLLOUT,
@@ -135,7 +134,6 @@
             **soak_orders.Orders(fleet).actions_by_kind,
             **soak_rollouts.Rollouts(fleet, kinds).actions_by_kind,
             **soak_routes.Routes(fleet).actions_by_kind,
-            **soak_scaling.Scaling(fleet, signals).actions_by_kind,
             'burst': self._burst,
         }
         self._actions = {name: actions[name] for name in sorted(kinds - _LASTING_KINDS)}
--- a/src/anvillug/bench/soak_order_checks.py
+++ b/src/anvillug/bench/soak_order_checks.py
@@ -24,7 +24,7 @@
 def broken(records: soak_records.Records) -> list[str]:
     """Return the promises that were broken, each with the attempt that shows it."""
     return [
-        *(f'EVAC {attempt_id}' for attempt_id in _late_in_zone(records)),
+        *_late_in_zones(records),
         *_against_configs(records),
         *(
             problem
@@ -34,11 +34,11 @@
     ]
 
 
-def _late_in_zone(records: soak_records.Records) -> Iterator[str]:
+def _late_in_zones(records: soak_records.Records) -> Iterator[str]:
     """Yield the attempts that reached an evacuated zone too late, from a node in touch."""
     for attempt_id, runs in records.runs_by_attempt_id.items():
         if any(_is_late_in_zone(records, run) for run in runs):
-            yield attempt_id
+            yield f'EVAC {attempt_id}'
 
 
 def _is_late_in_zone(records: soak_records.Records, run: soak_records.Run) -> bool:
--- a/src/anvillug/bench/soak_signals.py
+++ b/src/anvillug/bench/soak_signals.py
@@ -1,12 +1,17 @@
-"""Faults of a soak by signals: at any moment of the life of a node process."""
+"""Faults of a soak by signals, at any moment of the life of a node process, and by scale-in."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 from typing import Any
 
+from twisted.internet import defer
+
 from anvillug.bench import soak_fleet, soak_host
 
+SCALE_IN = 'scale-in'
+"""Kind of the faults that remove a backend server before its node."""
+
 _ROLLED_HOSTS = 3
 _ROLL_STEP_S = 1.2
 _HERD_DIVISOR = 3
@@ -16,6 +21,7 @@
 _EARLY_S = (0.0, 1.0)
 # A stop takes 2.3 s without requests.
 _LATE_S = (1.3, 2.5)
+_AWAY_S = (0.5, 5.0)
 
 
 class Signals:
@@ -39,6 +45,7 @@
             'late': self._late,
             'at-once': self._at_once,
             'terminate-all': self._terminate_all,
+            SCALE_IN: self._scale_in,
         }
         """Begins a fault of each kind."""
 
@@ -100,6 +107,16 @@
         for host in self._fleet.hosts:
             self.on_node(self._fleet.terminate, host)
 
+    def _scale_in(self) -> None:
+        defer.ensureDeferred(self._remove(self.running_host()))
+
+    async def _remove(self, host: soak_host.Host) -> None:
+        """Stop a node once its backend server has ended; a new instance comes with the node."""
+        if await host.remove_backend():
+            host.at_next_start.append(host.start_backend)
+            host.restart_s = self._rng.uniform(*_AWAY_S)
+            self.on_node(self._fleet.terminate, host)
+
     def _end(self, host: soak_host.Host) -> None:
         end = self._rng.choice((self._fleet.kill, self._fleet.terminate))
         self.on_node(end, host)
--- a/tests/test_soak_scaling.py
+++ b/tests/test_soak_scaling.py
@@ -10,7 +10,7 @@
 from twisted.internet import defer
 
 from anvillug import clock
-from anvillug.bench import soak_backend, soak_host, soak_records, soak_scaling
+from anvillug.bench import soak_backend, soak_host, soak_records, soak_signals
 
 
 class _Backend(soak_backend.Backend):
@@ -102,10 +102,8 @@
         fleet = types.SimpleNamespace(
             rng=random.Random(1), terminate=lambda _: events.append('SIGTERM')
         )
-        signals = types.SimpleNamespace(
-            running_host=lambda: host, on_node=lambda action, host: action(host)
-        )
-        soak_scaling.Scaling(fleet, signals).actions_by_kind['scale-in']()
+        fleet.hosts = [host]
+        soak_signals.Signals(fleet).actions_by_kind[soak_signals.SCALE_IN]()
         assert events[-3:] == ['closed', 'end', 'SIGTERM']
         assert host.at_next_start == [host.start_backend]
 
