--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -154,6 +154,7 @@
         ('arguments', 'message'),
         [
             ('--nodes 1', 'nodes must be 4 or more'),
+            ('--nodes 241', '241 nodes exceed the 240 addresses'),
             ('--faults kill quake', 'unknown faults quake'),
         ],
     )
