--- a/src/anvillug/bench/soak.py
+++ b/src/anvillug/bench/soak.py
@@ -93,6 +93,7 @@
     fleet.start()
     fleet.records.stalls.tick_in_loop(fleet.reactor)
     await task.deferLater(fleet.reactor, _START_S)
+    await fleet.wait_for_start()
     outside.start()
     faults.begin()
     await task.deferLater(fleet.reactor, plan.duration_s)
--- a/src/anvillug/bench/soak_checks.py
+++ b/src/anvillug/bench/soak_checks.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable
 
 from anvillug import clock
-from anvillug.bench import soak_records
+from anvillug.bench import soak_order_checks, soak_records
 
 _TOUCH_MS = 3000
 # A request that is cut unread no later than this after its last byte crosses the close.
@@ -23,7 +23,13 @@
 _MAX_UNANSWERED_SHARE = 0.5
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 _SUCCESS = range(200, 300)
-_UNPLANNED = frozenset((soak_records.Disturbance.UNPLANNED, soak_records.Disturbance.LINK))
+_UNPLANNED = frozenset(
+    (
+        soak_records.Disturbance.UNPLANNED,
+        soak_records.Disturbance.LINK,
+        soak_records.Disturbance.NETWORK,
+    )
+)
 _STOP = frozenset((soak_records.Disturbance.PLANNED,))
 _HANGUP = frozenset((soak_records.Disturbance.HANGUP,))
 _OUT_OF_TOUCH = _UNPLANNED | _STOP | {soak_records.Disturbance.START}
@@ -40,6 +46,7 @@
             problems.append(f'{name} {attempt.attempt_id}')
     return [
         *problems,
+        *soak_order_checks.broken(records),
         *_named('LOST kept connection', checks.cut_on_kept_connections()),
         *_named('LOST unread beside a configuration', checks.cut_beside_configs()),
         *_named('CONFIG unanswered', checks.unanswered()),
--- a/src/anvillug/bench/soak_faults.py
+++ b/src/anvillug/bench/soak_faults.py
@@ -14,7 +14,10 @@
     soak_fleet,
     soak_launch,
     soak_links,
+    soak_orders,
     soak_output,
+    soak_rollouts,
+    soak_routes,
     soak_signals,
     soak_surroundings,
     soak_traffic,
@@ -52,13 +55,21 @@
     *sorted(soak_links.KINDS),
     *sorted(_LASTING_KINDS),
 )
-KINDS = frozenset((*_BASE_KINDS, *_MORE_KINDS))
+_FURTHER_KINDS = (
+    soak_signals.SCALE_IN,
+    'evacuate',
+    'routes',
+    soak_rollouts.ROLLOUT,
+    *sorted(soak_links.LISTENER_KINDS),
+)
+KINDS = frozenset((*_BASE_KINDS, *_MORE_KINDS, *_FURTHER_KINDS))
 """Names of all kinds."""
 _READER_KINDS = frozenset(('reader-gone', 'reader-stuck'))
 
 _MIN_KINDS = 2
 _MAX_KINDS = 5
 _MAX_MORE_KINDS = 3
+_MAX_FURTHER_KINDS = 2
 _FAULT_INTERVAL_S = 1.5
 _BREAK_OFF_SHARE = 0.02
 _EARLY_SHARE = 0.2
@@ -78,9 +89,17 @@
     chosen = rng.sample(sorted(_BASE_KINDS), rng.randint(_MIN_KINDS, _MAX_KINDS))
     if names:
         return frozenset(names)
-    # A source of their own, so that a seed with named kinds plays as before there were more.
+    # Sources of their own, so that a seed with named kinds plays as before there were more.
     more = random.Random(f'{seed} more')
-    return frozenset((*chosen, *more.sample(_MORE_KINDS, more.randint(1, _MAX_MORE_KINDS))))
+    further = random.Random(f'{seed} further')
+    further_count = further.randint(0, min(_MAX_FURTHER_KINDS, len(_FURTHER_KINDS)))
+    return frozenset(
+        (
+            *chosen,
+            *more.sample(_MORE_KINDS, more.randint(1, _MAX_MORE_KINDS)),
+            *further.sample(_FURTHER_KINDS, further_count),
+        )
+    )
 
 
 class Faults:
@@ -111,6 +130,9 @@
             **signals.actions_by_kind,
             **soak_surroundings.Surroundings(fleet, signals).actions_by_kind,
             **soak_links.Links(fleet, signals, kinds).actions_by_kind,
+            **soak_orders.Orders(fleet).actions_by_kind,
+            **soak_rollouts.Rollouts(fleet, kinds).actions_by_kind,
+            **soak_routes.Routes(fleet).actions_by_kind,
             'burst': self._burst,
         }
         self._actions = {name: actions[name] for name in sorted(kinds - _LASTING_KINDS)}
@@ -137,7 +159,7 @@
             behavior.break_off_share = _BREAK_OFF_SHARE
         if _EARLY_ANSWERS in kinds:
             behavior.early_share = _EARLY_SHARE
-        if _DEPLOYED in kinds:
+        if _DEPLOYED in kinds and not kinds & soak_links.LISTENER_KINDS:
             shared.launch = soak_launch.as_deployed
         if kinds & _READER_KINDS:
             shared.new_output = functools.partial(soak_output.PipeOutput, shared.reactor)
--- a/src/anvillug/bench/soak_host.py
+++ b/src/anvillug/bench/soak_host.py
@@ -6,7 +6,6 @@
 import json
 import pathlib
 import random
-import re
 import signal
 from collections.abc import Callable
 from typing import Any
@@ -28,13 +27,10 @@
 _TOUCH_MS = 3000
 _ZONES = 3
 _BACK_S = 2.0
-_LEAVE_RETRY_S = 0.5
-_LEAVE_TRIES = 5
 _SERVED_AFTER_LEAVE_S = 4.0
-_ANONYMOUS_MEMORY = re.compile(r'^RssAnon:\s+(\d+) kB', re.MULTILINE)
-_KB_PER_MB = 1024
+# Shortest and longest time that a backend server serves on once its leave is acknowledged.
+_SERVED_BEFORE_END_S = (2.3, 6.0)
 _PROBES_PER_S = 60
-_STATUS_OK = 200
 
 
 @dataclasses.dataclass(slots=True)
@@ -63,6 +59,8 @@
     """Creates the output of a node process."""
     behavior: soak_backend.Behavior = dataclasses.field(default_factory=soak_backend.Behavior)
     """What all backend servers do besides running requests."""
+    heartbeat_factor: float = 1
+    """Factor of the interval of heartbeats."""
     store_address: str = ''
     """Address of the store."""
     stopped: bool = False
@@ -99,10 +97,18 @@
         """Output of the node process."""
         self.outputs: list[str] = []
         """Output of the node processes that have ended."""
+        self.has_backend = True
+        """Whether a backend server is to run."""
+        self.version = 'v1'
+        """Version of the next backend server."""
+        self.failing_share: float = 0
+        """Share of the runs of the next backend server that respond with a failure."""
         self.store_address = ''
         """Address of a link to the store; empty without one."""
         self.backend_address = ''
         """Address of the backend server behind a link; empty without one."""
+        self.bound_addresses: dict[str, str] = {}
+        """Addresses that the node listens on behind links, by those that it names."""
         self._shared = shared
         self._time = clock.SystemClock()
         self._ip = f'127.{shared.network}.0.{number + 11}'
@@ -110,10 +116,21 @@
         self._is_starting = False
         self._settings_number = 0
         self._boots = 0
+        self._is_leaving = False
         self._backend: soak_backend.Backend | None = None
         self._port: Any = None
         self._heartbeats: task.LoopingCall | None = None
 
+    @property
+    def is_starting(self) -> bool:
+        """Whether the node process has not started, or not been started, yet."""
+        return self.node is None or self._is_starting
+
+    @property
+    def zone(self) -> str:
+        """Zone of the host."""
+        return f'zone-{self.number % _ZONES}'
+
     @property
     def age_ms(self) -> float:
         """Time since the start of the node process."""
@@ -135,7 +152,9 @@
         self.terminated_at = None
         self.restart_s = RESTART_S
         self.output = self._shared.new_output()
-        launch = self._shared.launch(self._settings_path)
+        launch = soak_launch.behind_links(
+            self._shared.launch(self._settings_path), self.bound_addresses
+        )
         self._started_at = self._time.wall()
         self._is_starting = True
         self.node = processes.ChildProcess(
@@ -193,8 +212,11 @@
         self.node = None
 
     def start_backend(self) -> None:
-        """Start a new instance of the backend server."""
+        """Start a new instance of the backend server, unless one runs."""
         shared = self._shared
+        if self._port is not None or shared.stopped or not self.has_backend:
+            return
+        self._is_leaving = False
         self._boots += 1
         self._backend = soak_backend.Backend(
             shared.reactor,
@@ -208,8 +230,12 @@
             shared.rng,
             shared.behavior,
         )
+        self._backend.version = self.version
+        self._backend.failing_share = self.failing_share
         self._port = self._backend.serve(self.backend_address or self.address(0), self.address(0))
         self._heartbeats = self._backend.start_heartbeats(self.address(4))
+        # All backend servers are in one process.
+        self._heartbeats.interval *= shared.heartbeat_factor
 
     async def replace_backend(
         self, on_leave: Callable[[], None] | None = None, served_s: float = _SERVED_AFTER_LEAVE_S
@@ -220,45 +246,75 @@
             on_leave: Called as soon as the leave is acknowledged.
             served_s: Time in seconds for which it serves after its leave.
         """
-        backend = self._backend
-        if backend.left_at is not None or backend.state != 'ready':
+        backend, port = self._backend, self._port
+        if not self._begins_to_leave():
             return
         if self._shared.rng.choice((True, False)):
             backend.state = 'draining'
             await backend.send_heartbeat(self.address(4))
-        self._heartbeats.stop()
-        for _ in range(_LEAVE_TRIES):
-            if await backend.deregister(self.address(4)) == _STATUS_OK:
-                backend.left_at = backend.time.now()
-                if on_leave is not None:
-                    on_leave()
-                break
-            await task.deferLater(self._shared.reactor, _LEAVE_RETRY_S)
+        self._stop_heartbeats()
+        if await backend.acknowledged(backend.deregister, self.address(4)) and on_leave is not None:
+            on_leave()
         await task.deferLater(self._shared.reactor, served_s)
-        await defer.maybeDeferred(self._port.stopListening)
+        await defer.maybeDeferred(port.stopListening)
+        if self._port is port:
+            self._port = None
         await task.deferLater(self._shared.reactor, _BACK_S)
-        if not self._shared.stopped:
-            self.start_backend()
+        self.start_backend()
+
+    async def remove_backend(self) -> bool:
+        """Let the backend server leave, serve on for a time, and end with its connections.
+
+        It reports that it drains and deregisters at its end, or deregisters first.
+
+        Returns:
+            Whether it has ended; False if there is none, or it was leaving already.
+        """
+        backend = self._backend
+        if not self._begins_to_leave():
+            return False
+        served_s = self._shared.rng.uniform(*_SERVED_BEFORE_END_S)
+        reports_draining = self._shared.rng.choice((True, False))
+        if reports_draining:
+            backend.state = 'draining'
+            await backend.acknowledged(backend.send_heartbeat, self.address(4))
+        else:
+            self._stop_heartbeats()
+            await backend.acknowledged(backend.deregister, self.address(4))
+        await task.deferLater(self._shared.reactor, served_s)
+        if self._backend is not backend or self._port is None:
+            return False
+        if reports_draining:
+            self._stop_heartbeats()
+            await backend.acknowledged(backend.deregister, self.address(4))
+        self.stop_backend()
+        return True
+
+    def _begins_to_leave(self) -> bool:
+        if self._port is None or self._is_leaving:
+            return False
+        self._is_leaving = True
+        return True
 
     def repeat_heartbeat(self) -> None:
         """Deliver a heartbeat that the backend server has sent before it left."""
+        if self._backend is None:
+            return
         self._backend.predate_heartbeat()
         defer.ensureDeferred(self._backend.send_heartbeat(self.address(4)))
 
     def stop_backend(self) -> None:
-        """Stop the heartbeats and the listener."""
-        if self._heartbeats.running:
+        """End the backend server and its connections, if there is one."""
+        self._stop_heartbeats()
+        port = self._port
+        self._port = None
+        if port is not None:
+            port.stopListening()
+            self._backend.end()
+
+    def _stop_heartbeats(self) -> None:
+        if self._heartbeats is not None and self._heartbeats.running:
             self._heartbeats.stop()
-        self._port.stopListening()
-
-    def memory_mb(self) -> float:
-        """Return the private memory of the node process."""
-        try:
-            status = pathlib.Path(f'/proc/{self.node.pid}/status').read_text()
-        except OSError:
-            return 0.0
-        found = _ANONYMOUS_MEMORY.search(status)
-        return int(found.group(1)) / _KB_PER_MB if found else 0.0
 
     @property
     def _settings_path(self) -> pathlib.Path:
@@ -273,7 +329,7 @@
             'Self': {
                 'NodeName': f'host-{self.number}',
                 'Ip': self._ip,
-                'Zone': f'zone-{self.number % _ZONES}',
+                'Zone': self.zone,
                 'AppAddr': app,
                 'Service': self.service,
             },
