--- a/src/anvillug/bench/soak_links.py
+++ b/src/anvillug/bench/soak_links.py
@@ -108,6 +108,9 @@
         disturbance: soak_records.Disturbance,
     ) -> _HostLink:
         link = standin_link.Link(self._fleet.reactor, target)
+        if disturbance is soak_records.Disturbance.NETWORK:
+            # The link has accepted what the node would have refused.
+            link.on_refused = functools.partial(self._fleet.disturb, host, disturbance)
         self._fleet.after_stop.append(link.stop)
         return _HostLink(host, link, link.listen(address), disturbance)
 
--- a/src/anvillug/standin/link.py
+++ b/src/anvillug/standin/link.py
@@ -23,6 +23,10 @@
 """Time in seconds at which the action is due, and the action."""
 
 
+def _ignore() -> None:
+    """Ignore an event."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LinkFaults:
     """Active faults."""
@@ -136,6 +140,7 @@
                 link.target_endpoint(), RelayConnection(link)
             )
         except error.ConnectError:
+            link.on_refused()
             self.transport.abortConnection()
             return
         if self not in link.open_connections:
@@ -155,15 +160,23 @@
         reactor: Source of connections and timers.
         target: Address to connect to.
         delay_ms: One-way delay.
+        on_refused: Called when an accepted connection is reset because the target takes none.
     """
 
     app = klein.Klein()
 
-    def __init__(self, reactor: Any, target: str, delay_ms: float = 0) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        target: str,
+        delay_ms: float = 0,
+        on_refused: Callable[[], None] = _ignore,
+    ) -> None:
         self.reactor = reactor
         self.faults = LinkFaults(delay_ms=delay_ms)
         self.open_connections: set[RelayConnection] = set()
         """Accepted connections and connections to the target."""
+        self.on_refused = on_refused
         self._target = http_api.split_address(target)
         self._address: tuple[str, int] = ('', 0)
         self._port: interfaces.IListeningPort | None = None
