--- a/tests/test_mesh_stop.py
+++ b/tests/test_mesh_stop.py
@@ -157,6 +157,22 @@
         kept.sendall(_encoded('late'))
         assert kept.recv(1) == b''
 
+    # Guards against requests that are passed on too late to be answered before the end.
+    def test_request_whose_work_outlasts_the_stop_is_rejected(self, mesh):
+        kept = [socket.create_connection(_address(mesh, _CALLER_PORT)) for _ in range(_LATE)]
+        assert all(_exchange(each, 'kept').startswith(b'HTTP/1.1 200') for each in kept)
+        mesh.inject_faults(work_ms=_LONG_WORK_MS)
+        mesh.nodes[0].send_signal(signal.SIGTERM)
+        began_at_s = time.monotonic()
+        time.sleep(_LATE_S / 2)
+        # Without a request in progress, the node would find that its callers have left.
+        in_progress = socket.create_connection(_address(mesh, _CALLER_PORT))
+        in_progress.sendall(_encoded('long'))
+        for number, connection in enumerate(kept):
+            time.sleep(max(0, began_at_s + _LATE_S + number * _PAUSE_S - time.monotonic()))
+            connection.sendall(_encoded('late'))
+        assert {_receive(each)[9:12] for each in (*kept, in_progress)} <= {b'200', b'503'}
+
     # Guards against one caller that holds up the loop, so that the node is killed and cuts others.
     def test_caller_that_sends_without_pause_does_not_delay_the_end(self, mesh):
         process = mesh.nodes[0]
@@ -272,6 +288,11 @@
     return time.monotonic() - began_at_s, statuses
 
 
+# Requests sent later than 3 s after SIGTERM must be answered whatever their work takes.
+_LATE_S = 3.0
+_LATE = 10
+_LONG_WORK_MS = 2800
+
 # For the scheduler of a busy machine.
 _KILL_MARGIN_S = 1.5
 _SENT_AT_ONCE = 100
