--- a/src/anvillug/process/mesh_stop.py
+++ b/src/anvillug/process/mesh_stop.py
@@ -21,10 +21,10 @@
 # The process stops this long before the end of the grace time even if calls are in progress.
 _STOP_MARGIN_MS = 350.0
 # New requests are rejected from this long before the end of the grace time, since those in
-# progress need up to the timeout of their route.
-_DRAIN_MS = 3000.0
+# progress need up to the timeout of their route, and the signal and each check may be late.
+_DRAIN_MS = 3300.0
 # A shorter grace time is divided between serving and draining.
-_MAX_DRAIN_SHARE = 0.5
+_MAX_DRAIN_SHARE = 0.55
 _CHECK_S = 0.05
 # Connections of other nodes stay open this long after the node has begun to reject their jobs. A
 # job that follows an accepted inquiry arrives within this time.
