--- a/src/anvillug/bench/soak_report.py
+++ b/src/anvillug/bench/soak_report.py
@@ -12,7 +12,8 @@
 from anvillug.bench import soak_checks, soak_records
 
 _MAX_SHOWN = 20
-_JUDGED_BY_LOOP = frozenset(('DRAIN',))
+# These are judged by the times of the backend servers, the store and the watcher.
+_JUDGED_BY_LOOP = ('FAULT', 'DRAIN', 'EVAC', 'ROUTE', 'EXPOSURE', 'ROLLOUT', 'CONFIG old service')
 
 
 def write(
@@ -75,9 +76,8 @@
     attempts_by_id = {attempt.attempt_id: attempt for attempt in records.attempts}
     lines = []
     for problem in problems:
-        name, _, subject = problem.rpartition(' ')
-        attempt = attempts_by_id.get(subject)
-        if attempt is None or name in _JUDGED_BY_LOOP:
+        attempt = attempts_by_id.get(problem.rpartition(' ')[2])
+        if attempt is None or problem.startswith(_JUDGED_BY_LOOP):
             # The soak's own loop saw these, at times that are not kept.
             stalled_ms = records.stalls.longest_ms(0, math.inf)
             lines.append(f'{problem} (own loop stood still for at most {stalled_ms:.0f} ms)')
--- a/tests/test_soak_judge.py
+++ b/tests/test_soak_judge.py
@@ -146,6 +146,13 @@
         assert 'stalled_ms=42' in attempts
         assert 'stalled_ms=290' in attempts
 
+    def test_late_arrival_is_judged_by_the_loop(self, records, capsys):
+        soak_examples.answered(records, 200, body=b'a1').judge = 'c0-0-1'
+        records.late_arrivals.append('a1')
+        soak_report.write(1, records, {}, {}, None)
+        line = 'broken: DRAIN a1 (own loop stood still for at most 0 ms)'
+        assert line in capsys.readouterr().out
+
     def test_end_of_a_process(self, records, capsys):
         records.own_ends.append('host-1 ended by itself')
         soak_report.write(1, records, {}, {}, None)
