--- a/src/anvillug/bench/soak_fleet.py
+++ b/src/anvillug/bench/soak_fleet.py
@@ -22,6 +22,7 @@
 
 _PORTS_PER_HOST = 7
 _WATCH_S = 0.1
+_MAX_STANDSTILL_MS = 500
 # Nodes start in groups, because a start takes half a second of a processor.
 _GROUP_NODES = 12
 _GROUP_S = 2.5
@@ -104,6 +105,7 @@
         self._version = 0
         self._time = clock.SystemClock()
         self._store_port: Any = None
+        self._watched_at = self._time.now()
         self._watch = task.LoopingCall(self._watch_nodes)
 
     @property
@@ -124,6 +126,7 @@
                 self.later(group * _GROUP_S, self._start_host, host)
             else:
                 self._start_host(host)
+        self._watched_at = self._time.now()
         self._watch.start(_WATCH_S)
         # Also ends the nodes when the soak is interrupted.
         self.reactor.addSystemEventTrigger('before', 'shutdown', self.stop)
@@ -243,7 +246,17 @@
         host.start_backend()
         host.start_node()
 
+    def _note_standstill(self) -> None:
+        """Record that the process of the soak, which is also the store, stood still."""
+        now = self._time.now()
+        standstill_ms = now - self._watched_at
+        self._watched_at = now
+        self.records.longest_standstill_ms = max(self.records.longest_standstill_ms, standstill_ms)
+        if standstill_ms > _MAX_STANDSTILL_MS:
+            self._disturb_all(soak_records.Disturbance.STORE)
+
     def _watch_nodes(self) -> None:
+        self._note_standstill()
         fleet_mb = 0.0
         for host in self.hosts:
             if host.node is None:
--- a/src/anvillug/bench/soak_records.py
+++ b/src/anvillug/bench/soak_records.py
@@ -145,6 +145,8 @@
         """Nodes whose port for callers another process holds."""
         self.start_ms: list[tuple[float, str]] = []
         """Time of each start until the node had started, with the name of the node."""
+        self.longest_standstill_ms = 0.0
+        """Longest time for which the process of the soak, which is also the store, stood still."""
         self.ended_at = math.inf
         """When the soak ended."""
         self.peak_mb = 0.0
--- a/src/anvillug/bench/soak_report.py
+++ b/src/anvillug/bench/soak_report.py
@@ -39,7 +39,8 @@
         f'seed {seed}: {len(records.attempts)} requests, answers {dict(sorted(statuses.items()))}, '
         f'faults {dict(sorted(counts.items()))}, at most {records.peak_mb:.0f} MB a node, '
         f'{records.peak_fleet_mb:.0f} MB all nodes',
-        f'{len(records.start_ms)} starts, slowest {slowest_ms:.0f} ms ({slowest_node})',
+        f'{len(records.start_ms)} starts, slowest {slowest_ms:.0f} ms ({slowest_node}), '
+        f'this process stood still for up to {records.longest_standstill_ms:.0f} ms',
         *(
             f'roll-out of {each.version}, good: {each.is_good}, {each.state or "open"}'
             for each in records.rollouts
--- a/tests/test_soak_links.py
+++ b/tests/test_soak_links.py
@@ -152,6 +152,24 @@
         assert soak_examples.broken(records) == ['DRAIN a1']
 
 
+class TestStandstill:
+    """Guards against orders that count though the store, a part of the soak, stood still."""
+
+    # EVAC: with 100 nodes at load 100 the process of the soak stood still for up to 11 s.
+    @pytest.mark.parametrize(('standstill_ms', 'is_recorded'), [(500, False), (501, True)])
+    def test_store_is_disturbed(self, standstill_ms, is_recorded):
+        disturbances = []
+        fleet = types.SimpleNamespace(
+            records=soak_records.Records(),
+            _time=types.SimpleNamespace(now=lambda: 1000 + standstill_ms),
+            _watched_at=1000,
+            _disturb_all=disturbances.append,
+        )
+        soak_fleet.Fleet._note_standstill(fleet)
+        assert disturbances == ([soak_records.Disturbance.STORE] if is_recorded else [])
+        assert fleet.records.longest_standstill_ms == standstill_ms
+
+
 class TestSize:
     """Guards against a fleet that takes the memory of other processes."""
 
