--- a/src/anvillug/process/mesh_node.py
+++ b/src/anvillug/process/mesh_node.py
@@ -220,7 +220,7 @@
             f'{settings.ip}:{settings.beacon_port}', self._beacons, beacon.MAX_BYTES
         )
         self._listeners.open(lambda: self._take_over(reload))
-        self._stop.caller_port = caller_listener.port
+        self._stop.callers.port = caller_listener.port
         self._stop.peer_port = peer_listener.port
         self._beacons.start()
         self._feed.start()
--- a/src/anvillug/process/mesh_stop.py
+++ b/src/anvillug/process/mesh_stop.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import enum
 from collections.abc import Callable
 from typing import Any
 
@@ -10,14 +9,8 @@
 
 from anvillug import clock, event_log
 from anvillug.connection import http_listener
-from anvillug.process import mesh_entry, mesh_host
-
-# Within two seconds callers detect by the readiness check that the node is not ready, and stop
-# sending requests to it.
-_MIN_SERVE_MS = 2300.0
-# Callers that have sent no request for this long are taken to have left, or to use their
-# connections too seldom to wait for them.
-_QUIET_MS = 1000.0
+from anvillug.process import caller_close, mesh_entry, mesh_host
+
 # The process stops this long before the end of the grace time even if calls are in progress.
 _STOP_MARGIN_MS = 350.0
 # New requests are rejected from this long before the end of the grace time, since those in
@@ -31,23 +24,11 @@
 _REJECTION_MS = 200.0
 
 
-class _Phase(enum.Enum):
-    """What a stopping node does with the requests of callers."""
-
-    SERVING = 'serving'
-    """It serves them as usual, while callers detect that it is not ready."""
-    CLOSING = 'closing'
-    """It accepts no connection, and each closes after its next response."""
-    CLOSED = 'closed'
-    """It rejects the last requests, and then the jobs of other nodes."""
-
-
 class MeshStop:
     """Stop of one node.
 
-    Callers are served as usual until they have left or the grace time runs out. Then each
-    connection closes after the response that announces it, so that a caller that uses its
-    connection all the same loses one request at most. Other nodes are rejected last.
+    Callers are served as usual until they have left or the grace time runs out; see
+    `caller_close`. Other nodes are rejected last.
 
     Args:
         reactor: Twisted reactor; stopped at the end.
@@ -69,38 +50,34 @@
         peers: http_listener.ServerFactory,
         grace_ms: Callable[[], float],
     ) -> None:
-        self.caller_port: interfaces.IListeningPort | None = None
-        """Listener of callers."""
+        self.callers = caller_close.CallerClose(time, callers, self._is_busy)
+        """Close of the connections of callers."""
         self.peer_port: interfaces.IListeningPort | None = None
         """Listener of other nodes."""
         self._reactor = reactor
         self._clock = time
         self._entry = entry
         self._host = host
-        self._callers = callers
+        self._caller_connections = callers
         self._peers = peers
         self._grace_ms = grace_ms
-        self._began_at: clock.Milliseconds | None = None
-        self._phase = _Phase.SERVING
-        self._request_count = 0
-        self._last_request_at = clock.Milliseconds(0)
+        self._has_begun = False
         self._host_closed_at = clock.Milliseconds(0)
 
     @property
     def has_begun(self) -> bool:
         """Whether the node is stopping."""
-        return self._began_at is not None
+        return self._has_begun
 
     def begin(self) -> None:
         """Tell other nodes to close their connections, and end later."""
-        now = self._clock.now()
-        self._began_at = now
-        self._last_request_at = now
+        self._has_begun = True
+        self.callers.begin()
         event_log.emit(
             'node_stopping',
             calls=len(self._entry.in_progress),
             running=self._host.running,
-            connections=self._callers.open_count,
+            connections=self._caller_connections.open_count,
         )
         self._peers.close_after_responses()
         self._check()
@@ -111,9 +88,7 @@
         """Take the next step of the stop if the last one is complete, or the time is over."""
         # First, so that a failure does not end the task.
         next_check = self._reactor.callLater(_CHECK_S, self._check)
-        now = self._clock.now()
-        self._note_requests(now)
-        stopped_for_ms = now - self._began_at
+        stopped_for_ms = self.callers.stopped_for_ms
         remaining_ms = self._grace_ms() - stopped_for_ms
         is_late = remaining_ms < _STOP_MARGIN_MS
         if self._host.closed and (is_late or self._is_done()):
@@ -121,42 +96,14 @@
             next_check.cancel()
             return
         must_drain = remaining_ms < min(_DRAIN_MS, self._grace_ms() * _MAX_DRAIN_SHARE)
-        may_close = stopped_for_ms >= _MIN_SERVE_MS and self._is_quiet(now)
-        if self._phase is _Phase.SERVING and (must_drain or may_close):
-            self._begin_closing(rejects=must_drain)
-        elif self._phase is _Phase.CLOSING:
-            self._entry.closed = self._entry.closed or must_drain
-            if is_late or self._is_quiet(now) or not self._callers.open_count:
-                self._phase = _Phase.CLOSED
-        if self._phase is _Phase.CLOSED:
+        self._entry.closed = self._entry.closed or must_drain
+        self.callers.check(must_close=must_drain, must_end=is_late)
+        if self.callers.phase is caller_close.Phase.CLOSED:
             self._close_rest(is_late=is_late)
 
-    def _note_requests(self, now: clock.Milliseconds) -> None:
-        if self._request_count != self._callers.request_count:
-            self._request_count = self._callers.request_count
-            self._last_request_at = now
-
-    def _is_quiet(self, now: clock.Milliseconds) -> bool:
-        """Return whether callers have sent nothing for a while and await nothing."""
-        return now - self._last_request_at >= _QUIET_MS and not self._is_busy()
-
-    def _begin_closing(self, *, rejects: bool) -> None:
-        """Accept no more connections, and announce the close of the others."""
-        self._phase = _Phase.CLOSING
-        self._entry.closed = rejects
-        http_listener.stop_listening(self.caller_port)
-        self._callers.close_after_responses()
-        event_log.emit(
-            'node_closing',
-            connections=self._callers.open_count,
-            rejects=rejects,
-            quiet_ms=int(self._clock.now() - self._last_request_at),
-        )
-
     def _close_rest(self, *, is_late: bool) -> None:
-        """Close idle connections of callers; once nothing is in progress, reject other nodes."""
+        """Reject callers, and once nothing is in progress, other nodes."""
         self._entry.closed = True
-        self._callers.close_when_idle()
         if self._rejects_jobs_for_ms() >= _REJECTION_MS or is_late:
             self._peers.close_when_idle()
         if not self._host.closed and (is_late or not self._is_busy()):
@@ -168,7 +115,7 @@
         event_log.emit(
             'node_stopped',
             calls=len(self._entry.in_progress),
-            connections=self._callers.open_count,
+            connections=self._caller_connections.open_count,
             after_ms=int(stopped_for_ms),
         )
         self._reactor.stop()
@@ -182,5 +129,5 @@
         return self._clock.now() - self._host_closed_at if self._host.closed else 0
 
     def _is_busy(self) -> bool:
-        connections = self._callers.busy_count + self._peers.busy_count
+        connections = self._caller_connections.busy_count + self._peers.busy_count
         return bool(self._entry.in_progress or self._host.running or connections)
--- a/src/anvillug/process/node.py
+++ b/src/anvillug/process/node.py
@@ -8,12 +8,12 @@
 from typing import Any
 
 import xxhash
-from twisted.internet import interfaces
 
 from anvillug import clock, event_log, ids
 from anvillug.connection import control_client, control_server, http_listener, log_client
 from anvillug.process import (
     backend_watch,
+    caller_close,
     claim_coordinator,
     config_follower,
     drain,
@@ -35,9 +35,12 @@
 from anvillug.request import call_table, quarantine
 from anvillug.version import config_state, document, evidence_pool, targets, verdict_set
 
-# Delays after the announcement of a leave, in which peers and callers can react to it.
+# Delay after the announcement of a leave, in which peers can react to it.
 _REJECTION_DELAY_S = 1.0
-_LISTENER_CLOSE_DELAY_S = 2.0
+# Callers that send requests for this long after the announcement do not leave by themselves.
+_MAX_SERVE_MS = 4000.0
+# Connections that are in use now and then are used once more within this time.
+_MAX_CLOSE_MS = 3000.0
 # Calls create few reference cycles; the default threshold of 700 causes several collections per
 # 100 calls.
 _GC_THRESHOLDS = (20_000, 20, 20)
@@ -140,7 +143,11 @@
             self.host.request_received,
             config.limits.max_header_bytes + _MAX_ADDED_HEADER_BYTES,
         )
-        self._caller_port: interfaces.IListeningPort | None = None
+        self._caller_close = caller_close.CallerClose(
+            time,
+            self._caller_factory,
+            lambda: bool(self.entry.in_progress or self._caller_factory.busy_count),
+        )
         self._listeners = listeners.Listeners(reactor, time, _ADDRESS_TIMEOUT_MS)
 
     def start(self) -> None:
@@ -155,7 +162,7 @@
         self._listeners.add(config.operator_address, operator_api.OperatorApi(self).site())
         self._listeners.add_opener(config.control_address, self._control.start)
         self._listeners.open(self._take_over)
-        self._caller_port = caller_listener.port
+        self._caller_close.port = caller_listener.port
         self._life_cycle.start()
 
     # Actions of the life cycle
@@ -181,12 +188,12 @@
         )
 
     def withdraw(self) -> None:
-        """Announce the leave, reject new calls later, then drain; see `life_cycle.Actions`."""
+        """Announce the leave, let callers leave, then drain; see `life_cycle.Actions`."""
         event_log.emit('node_leaving', calls=self._calls_in_progress())
-        self._caller_factory.close_after_responses()
+        self._caller_close.begin()
         self._update_local_member()
         self._reactor.callLater(_REJECTION_DELAY_S, self._reject_new_calls)
-        self._reactor.callLater(_LISTENER_CLOSE_DELAY_S, self._close_caller_listener)
+        self._close_callers()
 
     def shut_down(self) -> None:
         """Publish the final state and end the process; see `life_cycle.Actions`."""
@@ -406,13 +413,17 @@
         if self.members.local.state is membership.MemberState.LEAVING:
             self.host.admission.leaving = True
 
-    def _close_caller_listener(self) -> None:
+    def _close_callers(self) -> None:
         # The peer listener stays open, since entry sides resolve running calls through it.
-        if self._caller_port is not None:
-            http_listener.stop_listening(self._caller_port)
-        self._caller_factory.close_when_idle()
-        # Closes connections that have carried no request by then.
-        self._reactor.callLater(drain.CHECK_INTERVAL_S, self._caller_factory.close_when_idle)
+        check = self._reactor.callLater(drain.CHECK_INTERVAL_S, self._close_callers)
+        stopped_for_ms = self._caller_close.stopped_for_ms
+        self._caller_close.check(
+            must_close=stopped_for_ms >= _MAX_SERVE_MS,
+            must_end=stopped_for_ms >= _MAX_SERVE_MS + _MAX_CLOSE_MS,
+        )
+        if self._caller_close.phase is not caller_close.Phase.CLOSED:
+            return
+        check.cancel()
         drain.Drain(
             self._reactor,
             self._clock,
