--- a/src/anvillug/connection/http_listener.py
+++ b/src/anvillug/connection/http_listener.py
@@ -2,10 +2,33 @@
 
 from __future__ import annotations
 
-from twisted.internet import interfaces, protocol, tcp
+import array
+import contextlib
+import itertools
+import socket
+import struct
+
+from twisted.internet import error, interfaces, protocol, tcp
+from twisted.python import failure
 
 from anvillug.connection import http_exchange, http_server
 
+# Option of Linux, which the module socket doesn't name.
+_SO_ATTACH_FILTER = 26
+# Classic BPF on the TCP header: drops a segment that opens a connection, keeps all others.
+_FILTER = tuple(
+    itertools.starmap(
+        struct.Struct('HBBI').pack,
+        (
+            (0x30, 0, 0, 13),  # load the byte of the flags
+            (0x54, 0, 0, 0x12),  # keep SYN and ACK of them
+            (0x15, 0, 1, 0x2),  # unless only SYN is set, skip one instruction
+            (0x6, 0, 0, 0),  # drop
+            (0x6, 0, 0, 0xFFFF),  # keep
+        ),
+    )
+)
+
 
 class ServerFactory(protocol.Factory):
     """Builds server connections and tracks the open ones.
@@ -74,10 +97,28 @@
 def stop_listening(port: interfaces.IListeningPort) -> None:
     """Stop accepting connections, after accepting those that wait in the listen queue."""
     if isinstance(port, tcp.Port):
+        port.stopReading()
+        _refuse_handshakes(port)
         _accept_all(port)
-        # Twisted closes the socket in the next turn of the reactor, just after this call.
-        port.reactor.callLater(0, _accept_all, port)
-    port.stopListening()
+        # Twisted would close the socket in a later turn of the reactor.
+        port.connectionLost(failure.Failure(error.ConnectionDone()))
+    else:
+        port.stopListening()
+
+
+def _refuse_handshakes(port: tcp.Port) -> None:
+    """Drop the first segments of further connections, which would be reset after the last accept.
+
+    Their callers repeat them after a second, and are refused then. Some systems have no filters.
+    """
+    program = array.array('B', b''.join(_FILTER))
+    address, size = program.buffer_info()
+    with contextlib.suppress(OSError):
+        port.socket.setsockopt(
+            socket.SOL_SOCKET,
+            _SO_ATTACH_FILTER,
+            struct.pack('HP', size // len(_FILTER[0]), address),
+        )
 
 
 def _accept_all(port: tcp.Port) -> None:
