--- a/src/anvillug/connection/http_server.py
+++ b/src/anvillug/connection/http_server.py
@@ -38,6 +38,9 @@
 # Nodes check their connections every 50 or 100 ms while they stop, so that the rest of a request is
 # awaited for one or two seconds.
 _MAX_CHECKS_WITHOUT_BYTES = 20
+# A connection that closes after its responses reads this many pieces of up to 64 KB; then it drops
+# requests behind an unanswered one. A caller that never pauses would keep it open otherwise.
+_MAX_CLOSING_READS = 20
 _numbers = itertools.count(1)
 
 MayOverlap = Callable[[http_head.RequestHead], bool]
@@ -86,6 +89,9 @@
         self._asked_to_close = False
         # Whether the connection closes once all requests that have arrived are answered.
         self._closes_after_responses = False
+        # Pieces received since the connection was told to close, and whether more are dropped.
+        self._closing_reads = 0
+        self._behind_last = False
         # Calls of `close_when_idle` since bytes were received.
         self._checks_without_bytes = 0
         self._late_close: late_close.LateClose | None = None
@@ -116,6 +122,7 @@
         if self._closing:
             return
         self._checks_without_bytes = 0
+        self._closing_reads += self._closes_after_responses
         write_batch.BATCH.begin()
         # Whether a body is complete, and which request is the last one, decides on the response.
         self._pending.holds_all = True
@@ -140,6 +147,8 @@
 
     def head_received(self, head: http_head.RequestHead) -> None:
         """Begin a request; see `request_parser.RequestReceiver`."""
+        if self._closing_reads > _MAX_CLOSING_READS and self._awaits_announcement():
+            self._behind_last = True
         self._run_or_queue(
             step_queue.Step(
                 lambda: self._may_begin(head), lambda: self._begin(head), is_answered=True
@@ -228,7 +237,8 @@
     def close_after_responses(self) -> None:
         """Close the connection after the response to the last request that has arrived by then.
 
-        That response announces the close. Until then, further requests begin.
+        That response announces the close. Until then, further requests begin, except those of a
+        caller that pipelines without a pause.
         """
         self._closes_after_responses = True
 
@@ -278,13 +288,19 @@
         is_last = bool(self._slots) and slot is self._slots[-1]
         return is_last and not self._pending.has_request
 
+    def _awaits_announcement(self) -> bool:
+        """Return whether the response to the newest request can announce the close."""
+        if self._pending.has_request:
+            return True
+        return bool(self._slots) and not self._slots[-1].exchange.head_sent
+
     def _must_close_after(self, slot: response_slot.ResponseSlot) -> bool:
         is_receiving = self._receiving is slot and not self._pending.has_request_end
         body_incomplete = is_receiving and slot.exchange.head.has_body
         return self._closing or body_incomplete or not slot.exchange.head.keep_alive
 
     def _run_or_queue(self, step: step_queue.Step) -> None:
-        if self._closing or self._malformed:
+        if self._closing or self._malformed or self._behind_last:
             return
         self._pending.add(step)
         if not (self._pending.is_empty or self._pending.holds_all):
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import contextlib
 import functools
 import socket
 import threading
@@ -22,6 +23,7 @@
 _CHECKS_IN_A_SECOND = 20
 # Data that was sent on the loopback interface has arrived after this time.
 _ARRIVAL_S = 0.2
+_PIPELINED = 300
 _STOPS = 60
 _CALLERS = 6
 _CONNECTING_S = 0.03
@@ -103,6 +105,12 @@
         seen['answered' if answered else 'reset'] += 1
 
 
+def _send_until_closed(connection: socket.socket) -> None:
+    with contextlib.suppress(OSError):
+        while True:  # noqa: WPS457 - the server closes the connection
+            connection.sendall(_REQUEST * _PIPELINED)
+
+
 class TestPlannedStop:
     """Guards against a request that has been accepted and is cut off without an answer."""
 
@@ -192,6 +200,20 @@
         assert response.count(b'whole') == count
         assert response.count(b'Connection: close') == 1
 
+    # Guards against a caller that keeps its connection open since it never pauses.
+    def test_connection_that_pipelines_without_a_pause_ends(self, server):
+        connection = server.connect()
+        threading.Thread(target=_send_until_closed, args=(connection,), daemon=True).start()
+        received = collections.deque(maxlen=2)
+        received.append(connection.recv(65536))
+        reactor_thread.call(server.factory.close_after_responses)
+        end_s = time.monotonic() + reactor_thread.TIMEOUT_S
+        while received[-1]:
+            assert time.monotonic() < end_s
+            received.append(connection.recv(65536))
+        assert received[0].count(b'Connection: close') == 1
+        assert received[0].endswith(b'whole')
+
     # Guards against closing a connection on which part of a head has arrived.
     def test_request_that_arrives_in_parts_is_answered(self, server):
         connection = server.connect()
