--- a/src/anvillug/connection/http_server.py
+++ b/src/anvillug/connection/http_server.py
@@ -38,7 +38,12 @@
 # Nodes check their connections every 50 or 100 ms while they stop, so that the rest of a request is
 # awaited for one or two seconds.
 _MAX_CHECKS_WITHOUT_BYTES = 20
+# Before the last response, a connection reads what has arrived this many times in a turn of the
+# reactor, so that a client that never pauses does not hold up the others.
 _MAX_READS_IN_TURN = 4
+# After this many such turns, it drops requests behind an unanswered one, whose response announces
+# the close.
+_MAX_FULL_TURNS = 20
 _numbers = itertools.count(1)
 
 MayOverlap = Callable[[http_head.RequestHead], bool]
@@ -87,6 +92,9 @@
         self._asked_to_close = False
         # Whether the connection closes once all requests that have arrived are answered.
         self._closes_after_responses = False
+        # Turns in which the client was still sending, and whether further requests are dropped.
+        self._full_turns = 0
+        self._behind_last = False
         # Calls of `close_when_idle` since bytes were received.
         self._checks_without_bytes = 0
         self._late_close: late_close.LateClose | None = None
@@ -143,6 +151,8 @@
 
     def head_received(self, head: http_head.RequestHead) -> None:
         """Begin a request; see `request_parser.RequestReceiver`."""
+        if self._full_turns >= _MAX_FULL_TURNS and self._awaits_announcement():
+            self._behind_last = True
         self._run_or_queue(
             step_queue.Step(
                 lambda: self._may_begin(head), lambda: self._begin(head), is_answered=True
@@ -231,7 +241,8 @@
     def close_after_responses(self) -> None:
         """Close the connection after the response to the last request that has arrived by then.
 
-        That response announces the close. Until then, further requests begin.
+        That response announces the close. Until then, further requests begin, except those of a
+        caller that pipelines without a pause.
         """
         self._closes_after_responses = True
 
@@ -275,6 +286,7 @@
             self._read_available()
 
     def _end_turn(self) -> None:
+        self._full_turns += self._reads_in_turn >= _MAX_READS_IN_TURN
         self._reads_in_turn = 0
 
     def _is_final(self, slot: response_slot.ResponseSlot) -> bool:
@@ -285,7 +297,6 @@
         if not (self._closes_after_responses and slot.is_first):
             return False
         if self._is_newest(slot) and not self._disconnected:
-            # A client that sends without pause must not hold up the other connections.
             if self._reads_in_turn >= _MAX_READS_IN_TURN:
                 return False
             self._read_ahead()
@@ -295,13 +306,19 @@
         is_last = bool(self._slots) and slot is self._slots[-1]
         return is_last and not self._pending.has_request
 
+    def _awaits_announcement(self) -> bool:
+        """Return whether the response to the newest request can announce the close."""
+        if self._pending.has_request:
+            return True
+        return bool(self._slots) and not self._slots[-1].exchange.head_sent
+
     def _must_close_after(self, slot: response_slot.ResponseSlot) -> bool:
         is_receiving = self._receiving is slot and not self._pending.has_request_end
         body_incomplete = is_receiving and slot.exchange.head.has_body
         return self._closing or body_incomplete or not slot.exchange.head.keep_alive
 
     def _run_or_queue(self, step: step_queue.Step) -> None:
-        if self._closing or self._malformed:
+        if self._closing or self._malformed or self._behind_last:
             return
         self._pending.add(step)
         if not (self._pending.is_empty or self._pending.holds_all):
