--- a/src/anvillug/process/order_feed.py
+++ b/src/anvillug/process/order_feed.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import random
 from collections.abc import Callable
 from typing import Any
@@ -91,17 +92,21 @@
         return defer.ensureDeferred(self._follow())
 
     async def _follow(self) -> None:
-        while True:
-            try:
-                await self._step()
-            except keyed_log.LogUnavailableError as error:
-                await self._back_off(error)
-            except defer.CancelledError:
-                return
-            except Exception as error:
-                # A record that cannot be decoded must not end the task.
-                event_log.error('order_feed_failed', error)
-                await self._back_off(error)
+        with contextlib.suppress(defer.CancelledError):
+            while True:
+                await self._follow_once()
+
+    async def _follow_once(self) -> None:
+        try:
+            await self._step()
+        except defer.CancelledError:
+            raise
+        except keyed_log.LogUnavailableError as error:
+            await self._back_off(error)
+        except Exception as error:
+            # A record that cannot be decoded must not end the task.
+            event_log.error('order_feed_failed', error)
+            await self._back_off(error)
 
     async def _step(self) -> None:
         """Read the newest records the first time, and later only records that follow them."""
@@ -207,16 +212,23 @@
         if not self._log_reachable:
             self._log_reachable = True
             event_log.emit('store_regained')
-            self._on_reach_changed()
+            self._notify_reach_changed()
 
     async def _back_off(self, error: Exception) -> None:
         if self._log_reachable:
             self._log_reachable = False
             event_log.warn('store_lost', reason=error)
-            self._on_reach_changed()
+            self._notify_reach_changed()
         delay_ms = self._backoff_ms * (1 + self._rng.random()) / 2
         self._backoff_ms = min(_MAX_BACKOFF_MS, self._backoff_ms * _BACKOFF_FACTOR)
         await self._sleep(delay_ms)
 
+    def _notify_reach_changed(self) -> None:
+        try:
+            self._on_reach_changed()
+        except Exception as error:
+            # Raised while a failure is handled, it would end the task.
+            event_log.error('reach_not_announced', error)
+
     async def _sleep(self, duration_ms: float) -> None:
         await task.deferLater(self._reactor, clock.to_seconds(duration_ms))
--- a/tests/test_order_feed.py
+++ b/tests/test_order_feed.py
@@ -58,9 +58,11 @@
             lambda: self.has_duty,
             lambda: self.may_retry,
             lambda: None,
-            lambda: None,
+            self._reach_changed,
         )
-        self.feed.start()
+        self.reach_error: Exception | None = None
+        self.failures: list[object] = []
+        self.following = self.feed.start().addErrback(self.failures.append)
         self.calls_in(1_000)
 
     def calls_in(self, duration_ms: int) -> int:
@@ -70,6 +72,10 @@
             self.reactor.advance(0.005)
         return self.log.calls - before
 
+    def _reach_changed(self) -> None:
+        if self.reach_error is not None:
+            raise self.reach_error
+
 
 @pytest.fixture
 def feed_setup():
@@ -125,3 +131,29 @@
         feed_setup.may_retry = True
         feed_setup.calls_in(1_000)
         assert feed_setup.feed.reaches_log
+
+
+class TestFailures:
+    """Guards against a feed that ends for good, or with an error, while it handles a failure."""
+
+    # FAULT: an error of the beacon that announces the lost store ended the feed.
+    def test_error_while_a_failure_is_handled_does_not_end_it(self, feed_setup):
+        feed_setup.has_duty = True
+        feed_setup.may_retry = True
+        feed_setup.reach_error = ValueError('beacon')
+        feed_setup.log.is_up = False
+        feed_setup.calls_in(3_000)
+        feed_setup.log.is_up = True
+        feed_setup.calls_in(1_000)
+        assert feed_setup.feed.reaches_log
+        assert not feed_setup.failures
+
+    # An "Unhandled error in Deferred" was printed at the end of test runs.
+    def test_cancel_while_it_backs_off_is_no_error(self, feed_setup):
+        feed_setup.has_duty = True
+        feed_setup.log.is_up = False
+        while feed_setup.feed.reaches_log:
+            feed_setup.calls_in(5)
+        feed_setup.following.cancel()
+        assert not feed_setup.failures
+        assert feed_setup.calls_in(5_000) == 0
