--- a/deploy/node.py
+++ b/deploy/node.py
@@ -2,17 +2,20 @@
 
 from __future__ import annotations
 
-import os
 import sys
 
-_ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
-sys.path.insert(0, os.path.join(_ROOT, 'src'))
+# Without `os`, which takes a millisecond to import.
+sys.path.insert(0, f'{__file__.rpartition("/")[0]}/../src')
 
-from anvillug.platform import location  # noqa: E402 - needs the path above
-from anvillug.process import lifetime  # noqa: E402
+from anvillug import early_signals  # noqa: E402 - needs the path above
 
 
 def _main() -> None:
+    early_signals.keep()
+    # Signals are kept from here on.
+    from anvillug.platform import location  # noqa: PLC0415
+    from anvillug.process import lifetime  # noqa: PLC0415
+
     settings_file = location.settings_file()
     lifetime.PROCESS.begin(lifetime.STANDARD_OUTPUT, settings=settings_file)
     # Signals are handled from here on; the modules of the node take long to import.
--- a/src/anvillug/__main__.py
+++ b/src/anvillug/__main__.py
@@ -4,7 +4,7 @@
 
 import sys
 
-from anvillug.process import lifetime
+from anvillug import early_signals
 
 # Commands that run a server; the others keep the default action of signals.
 _SERVERS = frozenset(('node', 'mesh', 'standin'))
@@ -17,17 +17,22 @@
     command = arguments[0] if arguments else ''
     is_server = command in _SERVERS and _CHECK_OPTION not in arguments
     if is_server:
+        early_signals.keep()
         _begin(command, arguments[1:])
     # Signals are handled from here on; the modules of the commands take long to import.
     from anvillug.process import command_line  # noqa: PLC0415
 
     status = command_line.run(arguments)
     if is_server:
+        from anvillug.process import lifetime  # noqa: PLC0415
+
         lifetime.PROCESS.end(status)
     sys.exit(status)
 
 
 def _begin(command: str, arguments: list[str]) -> None:
+    from anvillug.process import lifetime  # noqa: PLC0415
+
     is_mesh = command == 'mesh'
     descriptor = lifetime.STANDARD_OUTPUT if is_mesh else lifetime.STANDARD_ERROR
     field = 'kind' if command == 'standin' else 'settings'
--- a/src/anvillug/process/lifetime.py
+++ b/src/anvillug/process/lifetime.py
@@ -1,8 +1,8 @@
 """Life of a server process from its first line to its end: signals, standard streams and age.
 
 A platform may send a signal at any moment. Until a process handles it, the signal has its default
-action and ends the process. This module imports nothing that takes long, so that handlers are
-installed before the imports of the server.
+action and ends the process. The entry points let `early_signals` keep signals before they import
+this module, which imports little, so that handlers are installed before the imports of the server.
 """
 
 from __future__ import annotations
@@ -15,12 +15,13 @@
 import sys
 import time
 
+from anvillug import early_signals
+
 STANDARD_OUTPUT = 1
 """File descriptor of standard output."""
 STANDARD_ERROR = 2
 """File descriptor of standard error."""
 
-_NUMBERS = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
 _MS_PER_SECOND = 1000.0
 _NS_PER_MS = 1_000_000
 _TO_QUOTE = frozenset(' \t\n="\\')
@@ -75,7 +76,7 @@
         return (time.monotonic() - self._began_at_s) * _MS_PER_SECOND
 
     def begin(self, descriptor: int, **fields: object) -> None:
-        """Handle signals, and log that the process starts; call this before the long imports.
+        """Handle signals, also those kept, and log the start; call this before the long imports.
 
         Args:
             descriptor: File descriptor of the log until `take_over`.
@@ -87,6 +88,8 @@
         with contextlib.suppress(OSError):
             _open_standard_streams()
         self._write('process_starting', pid=os.getpid(), **fields)
+        for number in early_signals.take():
+            self._received(number, None)
 
     def take_over(
         self,
@@ -126,7 +129,7 @@
         The interpreter's shutdown resets handlers to the default action, which would end the
         process with the signal's status. Ignored signals stay ignored.
         """
-        for number in _NUMBERS:
+        for number in early_signals.NUMBERS:
             signal.signal(number, signal.SIG_IGN)
 
     def end(self, status: int) -> None:
@@ -144,7 +147,7 @@
         os._exit(status)
 
     def _install_handlers(self) -> None:
-        for number in _NUMBERS:
+        for number in early_signals.NUMBERS:
             signal.signal(number, self._received)
 
     def _received(self, number: int, frame: object) -> None:
--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -37,6 +37,17 @@
 _NODE_ADDRESSES = ('caller_address', 'peer_address', 'control_address', 'operator_address')
 
 
+# Sends a signal to its own process when it is imported, and then makes way for the real module.
+_SIGNALLING_MODULE = """
+import posix, sys
+posix.kill(posix.getpid(), {})
+sys.path.remove(__file__.rpartition('/')[0])
+del sys.modules['select']
+import select
+sys.modules['select'] = select
+"""
+
+
 class _Program:
     """Starts one kind of process, with ports of its own."""
 
@@ -97,12 +108,16 @@
         self._group = group
 
     def start(
-        self, prefix: tuple[str, ...] = (), output: IO[bytes] | None = None
+        self,
+        prefix: tuple[str, ...] = (),
+        output: IO[bytes] | None = None,
+        path: pathlib.Path | None = None,
     ) -> processes.ChildProcess:
-        """Start a process; a prefix is put before its command line."""
-        child = processes.ChildProcess(
-            self.program.command(), prefix, self.program.environment(), output
-        )
+        """Start a process; a prefix is put before its command line, a path before its modules."""
+        environment = self.program.environment()
+        if path is not None:
+            environment['PYTHONPATH'] = f'{path}:{environment["PYTHONPATH"]}'
+        child = processes.ChildProcess(self.program.command(), prefix, environment, output)
         self._group.append(child)
         return child
 
@@ -206,6 +221,14 @@
     os.close(reader)
 
 
+def _imported(arguments: list[str]) -> list[str]:
+    """Return the modules that Python imports with these arguments, in their order."""
+    command = [sys.executable, '-X', 'importtime', *arguments]
+    done = subprocess.run(command, cwd=_ROOT, env={}, capture_output=True, text=True, check=False)
+    lines = [line for line in done.stderr.splitlines() if line.startswith('import time:')]
+    return [line.rpartition('|')[2].strip() for line in lines]
+
+
 def _kind_of(name: str) -> socket.SocketKind:
     return socket.SOCK_DGRAM if name == 'beacons' else socket.SOCK_STREAM
 
@@ -298,6 +321,32 @@
         assert child.stop() == 0
 
 
+class TestFirstImports:
+    """Guards against processes that end by a signal which comes during their first imports."""
+
+    @_each(_MESH_KINDS)
+    @pytest.mark.parametrize('number', [signal.SIGHUP, *_ENDING_SIGNALS])
+    def test_signal_during_an_import_of_the_handlers_module_is_kept(
+        self, starter, tmp_path, number
+    ):
+        # FAULT: the process ended with the signal's status. The module takes the place of one that
+        # the module of the handlers imports.
+        (tmp_path / 'select.py').write_text(_SIGNALLING_MODULE.format(number.value))
+        child = starter.start(path=tmp_path)
+        if number == signal.SIGHUP:
+            child.wait_for_event('settings_applied')
+        else:
+            assert _end(child) == 0
+            assert f'signal={number.name} action=ended' in child.output()
+
+    def test_signals_are_kept_before_any_further_import(self):
+        # FAULT: 13 ms of imports came before the handlers.
+        base = _imported(['-S', '-c', 'pass'])
+        names = _imported(['-S', 'deploy/node.py'])
+        before = names[: names.index('anvillug.early_signals')]
+        assert set(before) - set(base) == {'__future__', 'anvillug'}
+
+
 class TestSignalsAtEnd:
     """Guards against processes that end by a signal which comes while they stop."""
 
