--- a/tests/test_mesh_stop.py
+++ b/tests/test_mesh_stop.py
@@ -112,13 +112,17 @@
     return test_mesh_path._IPS[node], mesh.ports[port]  # noqa: SLF001
 
 
+def _signal(mesh, number: signal.Signals) -> None:
+    mesh.nodes[0].send_signal(number)
+
+
 class TestStop:
     """Guards against requests that a stopping node leaves without an answer."""
 
     # Guards against kept connections that are closed under a request.
     def test_kept_connections_of_callers_lose_no_request(self, mesh):
         senders = [Sender(_address(mesh, _CALLER_PORT), _CALL) for _ in range(CALLERS)]
-        mesh.nodes[0].send_signal(signal.SIGTERM)
+        _signal(mesh, signal.SIGTERM)
         assert set(outcomes(senders)) <= {'200', '503'}
 
     # Guards against callers that are not told to leave before their connection is closed, and
@@ -153,7 +157,7 @@
         _use(connection)
         kept = connection.sock
         _use_until_announced(connection, mesh.nodes[0])
-        mesh.nodes[0].send_signal(signal.SIGSTOP)
+        _signal(mesh, signal.SIGSTOP)
         kept.sendall(_encoded('late'))
         assert kept.recv(1) == b''
 
@@ -162,7 +166,7 @@
         kept = [socket.create_connection(_address(mesh, _CALLER_PORT)) for _ in range(_LATE)]
         assert all(_exchange(each, 'kept').startswith(b'HTTP/1.1 200') for each in kept)
         mesh.inject_faults(work_ms=_LONG_WORK_MS)
-        mesh.nodes[0].send_signal(signal.SIGTERM)
+        _signal(mesh, signal.SIGTERM)
         began_at_s = time.monotonic()
         time.sleep(_LATE_S / 2)
         # Without a request in progress, the node would find that its callers have left.
@@ -191,7 +195,7 @@
     # callers are told may have run.
     def test_jobs_of_other_nodes_are_answered_until_the_end(self, mesh):
         senders = [Sender(_address(mesh, _PEER_PORT), _INQUIRY) for _ in range(CALLERS)]
-        mesh.nodes[0].send_signal(signal.SIGTERM)
+        _signal(mesh, signal.SIGTERM)
         assert set(outcomes(senders)) == {'200'}
         assert mesh.nodes[0].stop() == 0
 
@@ -201,10 +205,10 @@
         kept = [socket.create_connection(_address(mesh, _CALLER_PORT)) for _ in range(CALLERS)]
         for connection in kept:
             assert _exchange(connection, 'kept').startswith(b'HTTP/1.1 200')
-        mesh.nodes[0].send_signal(signal.SIGTERM)
+        _signal(mesh, signal.SIGTERM)
         reactor_thread.eventually(lambda: not mesh.is_ready(0))
         time.sleep(pause_s)
-        mesh.nodes[0].send_signal(signal.SIGSTOP)
+        _signal(mesh, signal.SIGSTOP)
         late = [
             *kept,
             *(socket.create_connection(_address(mesh, _CALLER_PORT)) for _ in range(_QUEUED)),
@@ -212,7 +216,7 @@
         for connection in late:
             connection.sendall(_encoded('late'))
         time.sleep(_SUSPENDED_S)
-        mesh.nodes[0].send_signal(signal.SIGCONT)
+        _signal(mesh, signal.SIGCONT)
         statuses = collections.Counter(_receive(each)[9:12] for each in late)
         assert set(statuses) <= {b'200', b'503'}
 
@@ -242,13 +246,13 @@
         for number in range(_CHANGES):
             document['Self']['Service'] = ('two', 'one')[number % 2]
             path.write_text(json.dumps(document))
-            mesh.nodes[0].send_signal(signal.SIGHUP)
+            _signal(mesh, signal.SIGHUP)
             mesh.order(
                 b'config',
                 test_mesh_path._config(6 + number, *test_mesh_path._PATHS),  # noqa: SLF001
             )
             time.sleep(_CHANGE_S)
-        mesh.nodes[0].send_signal(signal.SIGTERM)
+        _signal(mesh, signal.SIGTERM)
         assert set(outcomes(senders)) <= {'200', '503'}
 
 
