--- a/src/anvillug/connection/late_close.py
+++ b/src/anvillug/connection/late_close.py
@@ -43,6 +43,10 @@
     def begin(self) -> None:
         """Send the end of the stream, and close the connection later."""
         if write_batch.has_unsent_bytes(self._transport):
+            # The last bytes and the end of the stream go out together. Otherwise the peer may see
+            # the one long before the other, if this process is suspended between them.
+            with contextlib.suppress(OSError):
+                self._transport.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_CORK, 1)
             self._transport.loseWriteConnection()
         else:
             # Otherwise the end of the stream would be sent by a later turn of the reactor.
