--- a/tests/test_socket_callers.py
+++ b/tests/test_socket_callers.py
@@ -82,7 +82,7 @@
         [
             (_OK, Ending.ANSWERED, 200),
             (b'HTTP/1.1 200 OK\r\n\r\na0', Ending.ANSWERED, 200),
-            (b'HTTP/1.1 100 Continue\r\n\r\n' + _OK, Ending.ANSWERED, 200),
+            (b''.join((b'HTTP/1.1 100 Continue\r\n\r\n', _OK)), Ending.ANSWERED, 200),
             (_OK[:-1], Ending.CLOSED, 0),
             (b'', Ending.CLOSED, 0),
             (b'HTTP/1.1 2', Ending.CLOSED, 0),
