--- a/deploy/node.py
+++ b/deploy/node.py
@@ -4,8 +4,10 @@
 
 import sys
 
-# Without `os`, which takes a millisecond to import.
-sys.path.insert(0, f'{__file__.rpartition("/")[0]}/../src')
+# Without `os`, which takes a millisecond to import, and without `..`, since folders that are linked
+# or mapped into place may not have the expected parent.
+_ROOT = __file__.rpartition('/')[0].rpartition('/')[0]
+sys.path.insert(0, f'{_ROOT}/src')
 
 from anvillug import early_signals  # noqa: E402 - needs the path above
 
--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -339,6 +339,13 @@
             assert _end(child) == 0
             assert f'signal={number.name} action=ended' in child.output()
 
+    def test_modules_are_found_by_a_plain_path(self):
+        # FAULT: on the users' bench no node started, since it had no file behind `deploy/..`.
+        code = 'import runpy, sys; runpy.run_path(sys.argv[1]); print(sys.path[0])'
+        command = (sys.executable, '-S', '-c', code, str(_ROOT / 'deploy' / 'node.py'))
+        found = subprocess.run(command, capture_output=True, text=True, check=True, timeout=30)
+        assert found.stdout == f'{_ROOT / "src"}\n'
+
     def test_signals_are_kept_before_any_further_import(self):
         # FAULT: 13 ms of imports came before the handlers.
         base = _imported(['-S', '-c', 'pass'])
