--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -566,8 +566,12 @@
 
 @pytest.fixture
 def default_action():
-    """Give ending signals their default action, which a child inherits, even under `nohup`."""
-    actions_by_number = {number: signal.signal(number, signal.SIG_DFL) for number in _OTHER_SIGNALS}
+    """Give ending signals their default action, which a child inherits.
+
+    It inherits that they are ignored under `nohup`, or in the background of a script.
+    """
+    numbers = (*_OTHER_SIGNALS, signal.SIGINT)
+    actions_by_number = {number: signal.signal(number, signal.SIG_DFL) for number in numbers}
     yield
     for number, action in actions_by_number.items():
         signal.signal(number, action)
