--- a/src/anvillug/bench/soak_launch.py
+++ b/src/anvillug/bench/soak_launch.py
@@ -14,7 +14,9 @@
 from anvillug.bench import processes
 from anvillug.platform import location
 
-_ROOT = pathlib.Path(__file__).resolve().parents[3]
+ROOT = pathlib.Path(__file__).resolve().parents[3]
+"""This checkout."""
+
 _LINKED_NODE = 'anvillug.bench.soak_node'
 _PLATFORM_VARIABLES = ('HOME', 'LANG')
 
@@ -53,18 +55,19 @@
     return Launch(command, launch.environment)
 
 
-def as_deployed(path: pathlib.Path) -> Launch:
+def as_deployed(path: pathlib.Path, checkout: pathlib.Path = ROOT) -> Launch:
     """Return how the run line of the deploy file is started, with the platform's variables only.
 
     Args:
         path: Settings file.
+        checkout: Checkout with the deploy file and the code.
 
     Raises:
         OSError: If there is no deploy file, as in an installed package.
     """
-    deploy_file = tomllib.loads((_ROOT / 'deploy' / 'system.toml').read_text())
+    deploy_file = tomllib.loads((checkout / 'deploy' / 'system.toml').read_text())
     words = shlex.split(deploy_file['roles']['node']['run'])
-    command = tuple(str(_ROOT / word) if (_ROOT / word).is_file() else word for word in words)
+    command = tuple(str(checkout / word) if (checkout / word).is_file() else word for word in words)
     variables = {name: os.environ[name] for name in _PLATFORM_VARIABLES if name in os.environ}
     variables['PATH'] = f'{pathlib.Path(sys.executable).parent}:{os.environ["PATH"]}'
     variables['PYTHONPATH'] = ':'.join(each for each in sys.path if each.endswith('-packages'))
--- a/src/anvillug/bench/stops.py
+++ b/src/anvillug/bench/stops.py
@@ -32,7 +32,11 @@
 _SLOTS = 40
 _START_S = 6.0
 _BEFORE_STOP_S = 2.0
-HABITS = (socket_exchange.Habit.GOES_ON, socket_exchange.Habit.HONOURS_CLOSE)
+HABITS = (
+    socket_exchange.Habit.GOES_ON,
+    socket_exchange.Habit.HONOURS_CLOSE,
+    socket_exchange.Habit.HALF_CLOSES,
+)
 """Habits that the callers may have."""
 _BUSY_PROGRAM = (sys.executable, '-c', 'while True: pass')
 SLACK_MS = 200.0
--- a/src/anvillug/process/commands/bench.py
+++ b/src/anvillug/process/commands/bench.py
@@ -151,7 +151,8 @@
     """Stop a node again and again under callers that keep their connections open.
 
     Args:
-        habit: What callers do when a response announces the close: `honours-close` or `goes-on`.
+        habit: What callers do when a response announces the close: `honours-close` or
+            `goes-on`; or `half-closes` after each request, with a connection for each.
         connections: Connections to the node.
         pause_ms: Mean time between the end of a request and the next one.
         stops: Number of stops, 9 s apart.
@@ -177,6 +178,38 @@
     return _reactor.run(functools.partial(bench_stops.run, plan))
 
 
+def starts(
+    *,
+    trouble: str = 'port',
+    hold_s: float = 25,
+    repeats: int = 20,
+    code: pathlib.Path | None = None,
+) -> int:
+    """Start a node under trouble again and again, by the run line of the deploy file.
+
+    Args:
+        trouble: What it meets: `port` (each of its addresses is held), `settings` (the file is half
+            written), `mask` (signals are blocked) or `early` (a signal in the first milliseconds).
+        hold_s: Time in seconds for which an address is held or the file is half written.
+        repeats: Starts for each signal and delay of `early`.
+        code: Checkout whose code the nodes run; this one by default.
+
+    Returns:
+        Exit code: 0 if no node ended otherwise than it was told to, 1 otherwise, 2 for invalid
+        arguments.
+    """
+    from anvillug.bench import soak_launch  # noqa: PLC0415
+    from anvillug.bench import starts as bench_starts  # noqa: PLC0415
+
+    known = [each.value for each in bench_starts.Trouble]
+    if trouble not in known or hold_s <= 0 or repeats < 1:
+        sys.stderr.write(f'starts: troubles are {", ".join(known)}; the rest above 0\n')
+        return _EXIT_BAD_FILE
+    checkout = soak_launch.ROOT if code is None else code.resolve()
+    plan = bench_starts.Plan(bench_starts.Trouble(trouble), hold_s, repeats=repeats, code=checkout)
+    return _reactor.run(functools.partial(bench_starts.run, plan))
+
+
 def capacity(
     *,
     parts: Sequence[str] = ('logic', 'memory', 'log', 'nodes'),
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -35,4 +35,15 @@
     def test_invalid_argument_is_an_error(self, arguments):
         finished = _run(arguments)
         assert finished.returncode == 2
-        assert 'habits are goes-on, honours-close' in finished.stderr
+        assert 'habits are goes-on, half-closes, honours-close' in finished.stderr
+
+
+class TestStarts:
+    """Guards against a reproduction of failed starts that accepts whatever it is asked for."""
+
+    @pytest.mark.parametrize('arguments', ['--trouble none', '--hold-s 0', '--repeats 0'])
+    def test_invalid_argument_is_an_error(self, arguments):
+        command = (sys.executable, '-m', 'anvillug', 'bench', 'starts', *arguments.split())
+        finished = subprocess.run(command, capture_output=True, text=True, timeout=100)
+        assert finished.returncode == 2
+        assert 'troubles are port, settings, mask, early' in finished.stderr
