--- a/src/anvillug/bench/soak_backend.py
+++ b/src/anvillug/bench/soak_backend.py
@@ -91,7 +91,7 @@
         self._rng = rng
         self._behavior = behavior
         self._busy = 0
-        self._factory = _Factory(self._received)
+        self._factory = _Factory(self._received, answers_half_closed=False)
         self._works: set[_Work] = set()
 
     def serve(self, address: str, named_address: str) -> Any:
--- /dev/null
+++ b/src/anvillug/connection/half_close.py
@@ -0,0 +1,153 @@
+"""Clients that have closed their end of a connection before they were answered.
+
+The end of the stream is the same whether a client reads on or has left. One that has left resets
+the connection as soon as something is sent to it: the response, or, if that takes long, an interim
+response, which any other client of HTTP/1.1 ignores.
+"""
+
+from __future__ import annotations
+
+import enum
+import socket
+from collections.abc import Callable
+
+from twisted.internet import interfaces, tcp
+
+from anvillug import event_log
+
+_CHECK_S = 0.05
+_PAUSED_CHECK_S = 0.1
+# Most responses are complete by then.
+_PROBE_AFTER_S = 0.25
+# Requests of a client that has left are cancelled within half a second.
+_GIVE_UP_AFTER_S = 0.4
+
+
+class Verdict(enum.Enum):
+    """What is known of a client that has closed its end."""
+
+    PROBED = 'probed'
+    """It would have been reset if it has left."""
+    LEFT = 'left'
+    """It has left."""
+    UNKNOWN = 'unknown'
+    """It has not been sent anything that would tell."""
+
+
+class HalfClose:
+    """Watch of one connection whose client has closed its end.
+
+    Args:
+        transport: Connection.
+        number: Number of the connection, for the log.
+        probe: Sends an interim response; returns False if the client must not be sent one.
+        on_left: Called if the client has left.
+        on_unknown: Called if the client can't be probed and has not been answered for some time.
+    """
+
+    def __init__(
+        self,
+        transport: tcp.Connection,
+        number: int,
+        probe: Callable[[], bool],
+        on_left: Callable[[], None],
+        on_unknown: Callable[[], None],
+    ) -> None:
+        self._transport = transport
+        self._number = number
+        self._probe = probe
+        self._on_left = on_left
+        self._on_unknown = on_unknown
+        self._began_at_s = transport.reactor.seconds()
+        self._has_probed = False
+        self._can_tell = False
+        self._next_check: interfaces.IDelayedCall | None = None
+
+    def begin(self) -> None:
+        """Begin to watch."""
+        self._next_check = self._transport.reactor.callLater(_CHECK_S, self._check)
+
+    def end(self) -> None:
+        """End the watch, since the connection is closed or will be."""
+        if self._next_check is not None and self._next_check.active():
+            self._next_check.cancel()
+
+    # Private
+
+    def _check(self) -> None:
+        """Take the next step of the watch."""
+        waited_s = self._transport.reactor.seconds() - self._began_at_s
+        if _has_failed(self._transport.socket):
+            self._decide(Verdict.LEFT, self._on_left)
+        elif waited_s >= _GIVE_UP_AFTER_S and self._has_probed and not self._can_tell:
+            self._decide(Verdict.UNKNOWN, self._on_unknown)
+        else:
+            self.begin()
+            if waited_s >= _PROBE_AFTER_S and not self._has_probed:
+                self._has_probed = True
+                self._can_tell = self._probe()
+                if self._can_tell:
+                    self._log(Verdict.PROBED)
+
+    def _decide(self, verdict: Verdict, act: Callable[[], None]) -> None:
+        self._log(verdict)
+        act()
+
+    def _log(self, verdict: Verdict) -> None:
+        waited_s = self._transport.reactor.seconds() - self._began_at_s
+        event_log.emit(
+            'caller_closed_its_end',
+            connection=self._number,
+            verdict=verdict.value,
+            waited_ms=int(waited_s * 1000),
+        )
+
+
+class PausedWatch:
+    """Notices the end of the stream of a connection that is not read.
+
+    The reactor reports it only for connections that it reads.
+
+    Args:
+        on_end: Called once the client has closed its end and everything before it is read.
+    """
+
+    def __init__(self, on_end: Callable[[], None]) -> None:
+        self._on_end = on_end
+        self._next_check: interfaces.IDelayedCall | None = None
+
+    def begin(self, transport: tcp.Connection) -> None:
+        """Watch the connection until `end`, unless it is watched."""
+        if self._next_check is None:
+            self._next_check = transport.reactor.callLater(_PAUSED_CHECK_S, self._check, transport)
+
+    def end(self) -> None:
+        """End the watch, since the connection is read or closed."""
+        if self._next_check is not None:
+            self._next_check.cancel()
+            self._next_check = None
+
+    def _check(self, transport: tcp.Connection) -> None:
+        self._next_check = None
+        if _has_ended(transport.socket):
+            self._on_end()
+        else:
+            self.begin(transport)
+
+
+def _has_ended(connection: socket.socket) -> bool:
+    """Return whether the next thing to read is the end of the stream, or an error."""
+    try:
+        return not connection.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
+def _has_failed(connection: socket.socket) -> bool:
+    """Return whether a connection has been reset, or has failed otherwise."""
+    try:
+        return connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
+    except OSError:
+        return True
--- a/src/anvillug/connection/http_listener.py
+++ b/src/anvillug/connection/http_listener.py
@@ -38,6 +38,8 @@
         max_head_bytes: Maximum size of a request head in bytes.
         may_overlap: Tells which requests may be processed while those before them on their
             connection are unanswered; without it, none may.
+        answers_half_closed: Whether a client that closes its end may still await responses;
+            otherwise it has left.
     """
 
     noisy = False
@@ -47,19 +49,26 @@
         on_request: http_exchange.RequestStarted,
         max_head_bytes: int = http_server.MAX_HEAD_BYTES,
         may_overlap: http_server.MayOverlap | None = None,
+        *,
+        answers_half_closed: bool = True,
     ) -> None:
         self.request_count = 0
         """Number of requests that have begun."""
         self._on_request = on_request
         self._max_head_bytes = max_head_bytes
         self._may_overlap = may_overlap
+        self._answers_half_closed = answers_half_closed
         self._open_connections: set[http_server.ServerConnection] = set()
         self._closes_after_responses = False
 
     def buildProtocol(self, addr: object) -> http_server.ServerConnection:  # noqa: N802
         """Return the protocol of a new connection; see Twisted."""
         connection = http_server.ServerConnection(
-            self._begin_request, self._max_head_bytes, self._open_connections, self._may_overlap
+            self._begin_request,
+            self._max_head_bytes,
+            self._open_connections,
+            self._may_overlap,
+            answers_half_closed=self._answers_half_closed,
         )
         if self._closes_after_responses:
             connection.close_after_responses()
--- a/src/anvillug/connection/http_server.py
+++ b/src/anvillug/connection/http_server.py
@@ -11,11 +11,13 @@
 import itertools
 from collections.abc import Callable
 
-from twisted.internet import interfaces, protocol, tcp
+from twisted.internet import error, interfaces, protocol, tcp
+from twisted.python import failure
 from zope.interface import implementer
 
 from anvillug import event_log
 from anvillug.connection import (
+    half_close,
     http_exchange,
     http_head,
     late_close,
@@ -34,7 +36,9 @@
 """Maximum number of requests of one connection that are in progress."""
 # No further request begins while responses of this size wait for their turn.
 _MAX_HELD_BYTES = 1024 * 1024
+_STATUS_BAD_REQUEST = 400
 _STATUS_SERVER_ERROR = 500
+_STATUS_GATEWAY_TIMEOUT = 504
 # Nodes check their connections every 50 or 100 ms while they stop, so that the rest of a request is
 # awaited for one or two seconds.
 _MAX_CHECKS_WITHOUT_BYTES = 20
@@ -50,7 +54,7 @@
 """Returns whether a request may be processed while requests before it are unanswered."""
 
 
-@implementer(interfaces.IPushProducer)
+@implementer(interfaces.IPushProducer, interfaces.IHalfCloseableProtocol)
 class ServerConnection(protocol.Protocol):
     """Server side of one HTTP/1.1 connection; see `request_parser.RequestReceiver`.
 
@@ -61,6 +65,8 @@
         may_overlap: Tells which requests begin before those ahead of them are answered. Only
             requests that may be repeated should: if the connection is lost, the client sends all
             that are unanswered again.
+        answers_half_closed: Whether a client that closes its end may still await responses; see
+            `half_close`. Otherwise it has left.
     """
 
     def __init__(
@@ -69,6 +75,8 @@
         max_head_bytes: int,
         open_connections: set[ServerConnection],
         may_overlap: MayOverlap | None = None,
+        *,
+        answers_half_closed: bool = True,
     ) -> None:
         self._number = next(_numbers)
         self._on_request = on_request
@@ -98,6 +106,10 @@
         # Calls of `close_when_idle` since bytes were received.
         self._checks_without_bytes = 0
         self._late_close: late_close.LateClose | None = None
+        self._answers_half_closed = answers_half_closed
+        # Set once the client has closed its end.
+        self._half_close: half_close.HalfClose | None = None
+        self._paused_watch = half_close.PausedWatch(self.readConnectionLost)
         # Reads for responses in this turn of the reactor.
         self._reads_in_turn = 0
 
@@ -137,9 +149,41 @@
         finally:
             write_batch.BATCH.end()
 
+    def readConnectionLost(self) -> None:  # noqa: N802
+        """Answer the requests that have arrived, since the client has closed its end; see Twisted.
+
+        A request that has not arrived completely is rejected.
+        """
+        is_in_use = bool(self._slots) or self._closing or self._parser.is_receiving
+        if not self._answers_half_closed or not (
+            is_in_use or write_batch.has_unsent_bytes(self.transport)
+        ):
+            self.transport.connectionLost(failure.Failure(error.ConnectionDone()))
+            return
+        self._paused_watch.end()
+        self._half_close = half_close.HalfClose(
+            self.transport, self._number, self._probe, self.abort, self._end_unanswered
+        )
+        self._closes_after_responses = True
+        if self._closing:
+            self._lose_connection()
+            return
+        if self._parser.is_receiving and not self._discards_body:
+            self.request_malformed(_STATUS_BAD_REQUEST, 'the request ends early')
+        if self._slots and not self._discards_body:
+            self._half_close.begin()
+        else:
+            self._close()
+
+    def writeConnectionLost(self) -> None:  # noqa: N802
+        """Do nothing: this end has closed the connection; see Twisted."""
+
     def connectionLost(self, reason: object = None) -> None:  # noqa: N802
         """Notify the handlers of unfinished requests; see Twisted."""
         self._disconnected = True
+        self._paused_watch.end()
+        if self._half_close is not None:
+            self._half_close.end()
         self._open_connections.discard(self)
         self._pending.clear()
         slots = tuple(self._slots)
@@ -228,6 +272,8 @@
             self._reading_paused_by = None
         self._send_responses()
         self._run_pending()
+        if self._half_close is not None and not self._slots:
+            self._close()
 
     def closes_after(self, slot: response_slot.ResponseSlot) -> bool:
         """Return whether the connection closes after a response.
@@ -266,6 +312,22 @@
 
     # Private
 
+    def _probe(self) -> bool:
+        """Send an interim response; see `half_close.HalfClose`."""
+        exchange = self._slots[0].exchange
+        if not (exchange.head.supports_chunked or exchange.head_sent):
+            return False
+        exchange.send_continue()
+        return True
+
+    def _end_unanswered(self) -> None:
+        """Answer the first request, since its client may have left; there are no others."""
+        exchange = self._slots[0].exchange
+        if exchange.handler is not None:
+            exchange.handler.request_aborted()
+            exchange.handler = None
+        exchange.respond(_STATUS_GATEWAY_TIMEOUT, b'timeout\n')
+
     def _may_receive_rest(self) -> bool:
         """Return whether a part of a request has arrived and the rest may follow."""
         self._checks_without_bytes += 1
@@ -329,11 +391,14 @@
         self._update_reading()
 
     def _update_reading(self) -> None:
-        if self._disconnected or self._closing:
+        if self._disconnected or self._closing or self._half_close is not None:
             return
         if not self._pending.is_empty or self._reading_paused_by is not None:
             self.transport.pauseProducing()
+            if isinstance(self.transport, tcp.Connection):
+                self._paused_watch.begin(self.transport)
         else:
+            self._paused_watch.end()
             self.transport.resumeProducing()
 
     def _may_begin(self, head: http_head.RequestHead) -> bool:
@@ -441,6 +506,9 @@
             return
         self._closing = True
         self._pending.clear()
+        self._paused_watch.end()
+        if self._half_close is not None:
+            self._half_close.end()
         unanswered = tuple(self._slots)
         self._slots.clear()
         for slot in unanswered:
@@ -451,7 +519,7 @@
             self._lose_connection()
 
     def _lose_connection(self) -> None:
-        if isinstance(self.transport, tcp.Connection):
+        if isinstance(self.transport, tcp.Connection) and self._half_close is None:
             # Further requests may be on their way.
             self._late_close = late_close.LateClose(self.transport)
             self._late_close.begin()
--- a/src/anvillug/process/mesh_node.py
+++ b/src/anvillug/process/mesh_node.py
@@ -182,7 +182,9 @@
         self._caller_factory = http_listener.ServerFactory(
             self.entry.request_received, may_overlap=self.entry.may_overlap
         )
-        self._peer_factory = http_listener.ServerFactory(self._peer_server.request_received)
+        self._peer_factory = http_listener.ServerFactory(
+            self._peer_server.request_received, answers_half_closed=False
+        )
         self._stop = mesh_stop.MeshStop(
             reactor,
             time,
--- a/src/anvillug/process/node.py
+++ b/src/anvillug/process/node.py
@@ -142,6 +142,7 @@
         self._peer_factory = http_listener.ServerFactory(
             self.host.request_received,
             config.limits.max_header_bytes + _MAX_ADDED_HEADER_BYTES,
+            answers_half_closed=False,
         )
         self._caller_close = caller_close.CallerClose(
             time,
--- /dev/null
+++ b/tests/test_half_close.py
@@ -0,0 +1,241 @@
+"""Tests of clients that close their end of a connection before they are answered."""
+
+from __future__ import annotations
+
+import contextlib
+import functools
+import socket
+import struct
+import time
+
+import pytest
+
+from anvillug.connection import http_exchange, http_listener
+from tests import reactor_thread
+
+_HEAD = b'GET /one HTTP/1.1\r\nHost: a\r\n'
+_GET = b''.join((_HEAD, b'\r\n'))
+_OLD_GET = b'GET /one HTTP/1.0\r\nHost: a\r\n\r\n'
+_POST = b'POST /one HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody'
+_CHUNKED = (
+    b'POST /one HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n'
+)
+_CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+_SHORT_S = 0.05
+# Longer than the time after which a client that has left must be noticed.
+_LONG_S = 0.9
+_GONE_S = 0.5
+_LARGE_RESPONSE_BYTES = 2_000_000
+
+
+class _Server:
+    """Server in the reactor thread that answers each request after a time."""
+
+    def __init__(self, running_reactor, delay_s: float = _SHORT_S, **arguments: object) -> None:
+        self.factory = http_listener.ServerFactory(
+            self._begin, may_overlap=lambda head: head.method == b'GET', **arguments
+        )
+        self.delay_s = delay_s
+        self.response = b'whole'
+        self.begun = 0
+        self.ended = 0
+        self.aborted_at: list[float] = []
+        self.reactor = running_reactor
+        self.port = reactor_thread.call(
+            lambda: running_reactor.listenTCP(0, self.factory, interface='127.0.0.1')
+        )
+
+    def connect(self) -> socket.socket:
+        connection = socket.create_connection(('127.0.0.1', self.port.getHost().port))
+        connection.settimeout(reactor_thread.TIMEOUT_S)
+        return connection
+
+    def is_empty(self) -> bool:
+        return not reactor_thread.call(lambda: self.factory.open_count)
+
+    def _begin(self, exchange: http_exchange.ServerExchange) -> None:
+        self.begun += 1
+        exchange.handler = _Handler(self, exchange)
+
+
+class _Handler:
+    """Answers one request some time after its end."""
+
+    def __init__(self, server: _Server, exchange: http_exchange.ServerExchange) -> None:
+        self._server = server
+        self._exchange = exchange
+
+    def body_received(self, data: bytes) -> None:
+        """Discard a part of the body."""
+
+    def request_ended(self) -> None:
+        self._server.ended += 1
+        self._timer = self._server.reactor.callLater(
+            self._server.delay_s, self._exchange.respond, 200, self._server.response
+        )
+
+    def request_aborted(self) -> None:
+        self._server.aborted_at.append(time.monotonic())
+
+    def response_writes_paused(self, paused: bool) -> None:
+        """Ignore backpressure."""
+
+
+@pytest.fixture
+def serve(running_reactor):
+    """Yield a function that starts a server."""
+    with contextlib.ExitStack() as stack:
+
+        def start(*arguments: float, **named: object) -> _Server:
+            server = _Server(running_reactor, *arguments, **named)
+            stack.callback(reactor_thread.call, server.port.stopListening)
+            return server
+
+        yield start
+
+
+def _receive_all(connection: socket.socket) -> bytes:
+    return b''.join(iter(functools.partial(connection.recv, 65536), b''))
+
+
+def _exchange(server: _Server, request: bytes) -> bytes:
+    """Send bytes, close the own end and return what comes."""
+    with server.connect() as connection:
+        connection.sendall(request)
+        connection.shutdown(socket.SHUT_WR)
+        return _receive_all(connection)
+
+
+def _send_and_leave(server: _Server, request: bytes) -> float:
+    """Send bytes, and close the connection as soon as the request has begun; return when."""
+    with server.connect() as connection:
+        connection.sendall(request)
+        reactor_thread.eventually(lambda: server.begun)
+    return time.monotonic()
+
+
+class TestCallerThatReadsOn:
+    """Guards against callers that close their end of a connection and get no answer."""
+
+    # LOST: the end of the stream was taken for a caller that has left.
+    @pytest.mark.parametrize('request_bytes', [_GET, _OLD_GET, _POST, _CHUNKED])
+    def test_request_is_answered(self, serve, request_bytes):
+        received = _exchange(serve(), request_bytes)
+        assert received.startswith(b'HTTP/1.1 200 ')
+        assert received.endswith(b'whole')
+        assert b'Connection: close' in received
+
+    def test_request_that_names_the_close_is_answered(self, serve):
+        received = _exchange(serve(), b'%bConnection: close\r\n\r\n' % _HEAD)
+        assert received.endswith(b'whole')
+
+    def test_requests_sent_ahead_are_all_answered(self, serve):
+        received = _exchange(serve(), _GET * 3 + _POST * 2 + _GET)
+        assert received.count(b'whole') == 6
+        assert received.count(b'Connection: close') == 1
+
+    def test_long_request_is_answered(self, serve):
+        received = _exchange(serve(_LONG_S), _GET)
+        assert received.removeprefix(_CONTINUE).startswith(b'HTTP/1.1 200 ')
+        assert received.endswith(b'whole')
+
+    def test_long_requests_sent_ahead_are_all_answered(self, serve):
+        received = _exchange(serve(_LONG_S), _POST * 2)
+        assert received.count(b'whole') == 2
+
+    def test_old_client_is_sent_no_interim_response(self, serve):
+        # It might take it for the response. What came of its request is not known.
+        server = serve(_LONG_S)
+        received = _exchange(server, _OLD_GET)
+        assert received.startswith(b'HTTP/1.1 504 ')
+        assert len(server.aborted_at) == 1
+
+    def test_large_response_is_whole(self, serve):
+        # Bytes that were still unsent at the end of the stream were dropped.
+        server = serve()
+        server.response = bytes(_LARGE_RESPONSE_BYTES)
+        with server.connect() as connection:
+            connection.sendall(_GET)
+            first = connection.recv(1000)
+            connection.shutdown(socket.SHUT_WR)
+            time.sleep(_SHORT_S)
+            received = first + _receive_all(connection)
+        assert received.endswith(server.response)
+
+    def test_close_while_the_response_is_sent_ends_the_connection(self, serve):
+        server = serve()
+        server.response = bytes(_LARGE_RESPONSE_BYTES)
+        received = _exchange(server, _GET)
+        assert received.endswith(server.response)
+        reactor_thread.eventually(server.is_empty)
+
+    def test_stopping_server_answers(self, serve):
+        server = serve(_LONG_S)
+        with server.connect() as connection:
+            connection.sendall(_GET)
+            connection.shutdown(socket.SHUT_WR)
+            reactor_thread.eventually(lambda: server.begun)
+            time.sleep(_SHORT_S)
+            reactor_thread.call(server.factory.close_when_idle)
+            assert reactor_thread.call(lambda: server.factory.busy_count) == 1
+            assert _receive_all(connection).endswith(b'whole')
+        reactor_thread.eventually(server.is_empty)
+
+
+class TestIncompleteRequest:
+    """Guards against incomplete requests that are processed, or held for good."""
+
+    @pytest.mark.parametrize('cut', [10, len(_POST) - 2])
+    def test_it_is_rejected(self, serve, cut):
+        server = serve()
+        received = _exchange(server, _POST[:cut])
+        assert received.startswith(b'HTTP/1.1 400 ')
+        assert server.ended == 0
+        reactor_thread.eventually(server.is_empty)
+
+    def test_those_before_it_are_answered(self, serve):
+        server = serve()
+        received = _exchange(server, _GET * 2 + _POST[:-2])
+        assert received.count(b'whole') == 2
+        assert b'HTTP/1.1 400 ' in received
+        assert server.ended == 2
+
+
+class TestCallerThatLeft:
+    """Guards against work for callers that have left (GONE)."""
+
+    # An interim response meets a reset.
+    @pytest.mark.parametrize('request_bytes', [_GET, _POST, _GET * 3, _POST * 3, _OLD_GET])
+    def test_request_is_cancelled_in_time(self, serve, request_bytes):
+        server = serve(2 * _LONG_S)
+        left_at = _send_and_leave(server, request_bytes)
+        reactor_thread.eventually(lambda: server.aborted_at)
+        assert server.aborted_at[-1] - left_at < _GONE_S
+        begun = server.begun
+        reactor_thread.eventually(server.is_empty)
+        assert server.begun == begun
+
+    def test_reset_cancels_at_once(self, serve):
+        server = serve(2 * _LONG_S)
+        with server.connect() as connection:
+            connection.sendall(_GET)
+            reactor_thread.eventually(lambda: server.begun)
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
+        left_at = time.monotonic()
+        reactor_thread.eventually(lambda: server.aborted_at)
+        assert server.aborted_at[-1] - left_at < _SHORT_S * 2
+
+    def test_close_of_an_idle_connection_closes_it(self, serve):
+        server = serve()
+        with server.connect() as connection:
+            connection.sendall(_GET)
+            reactor_thread.eventually(lambda: server.ended)
+            assert connection.recv(1000)
+        reactor_thread.eventually(server.is_empty)
+
+    def test_node_that_closes_its_end_has_left(self, serve):
+        # Nodes cancel a job by closing its connection; the time to tell the two apart would add up.
+        server = serve(2 * _LONG_S, answers_half_closed=False)
+        left_at = _send_and_leave(server, _GET)
+        reactor_thread.eventually(lambda: server.aborted_at)
+        assert server.aborted_at[-1] - left_at < _SHORT_S * 2
