--- a/src/anvillug/connection/half_close.py
+++ b/src/anvillug/connection/half_close.py
@@ -15,10 +15,12 @@
 
 from anvillug import event_log
 
-_CHECK_S = 0.05
 _PAUSED_CHECK_S = 0.1
-# Most responses are complete by then.
+# Most responses are complete by then. Later on the client may leave as well, without a further
+# segment that would tell, so that the probe is repeated.
 _PROBE_AFTER_S = 0.25
+# A reset follows a probe within this time, as a rule.
+_RESET_S = 0.05
 # Requests of a client that has left are cancelled within half a second.
 _GIVE_UP_AFTER_S = 0.4
 
@@ -59,13 +61,17 @@
         self._on_left = on_left
         self._on_unknown = on_unknown
         self._began_at_s = transport.reactor.seconds()
+        self._sent_at_s = self._began_at_s
         self._has_probed = False
-        self._can_tell = False
         self._next_check: interfaces.IDelayedCall | None = None
 
     def begin(self) -> None:
         """Begin to watch."""
-        self._next_check = self._transport.reactor.callLater(_CHECK_S, self._check)
+        self._check_after(_PROBE_AFTER_S)
+
+    def bytes_sent(self) -> None:
+        """Note that bytes were sent, which meet a reset if the client has left."""
+        self._sent_at_s = self._transport.reactor.seconds()
 
     def end(self) -> None:
         """End the watch, since the connection is closed or will be."""
@@ -74,20 +80,26 @@
 
     # Private
 
+    def _check_after(self, delay_s: float) -> None:
+        self._next_check = self._transport.reactor.callLater(delay_s, self._check)
+
     def _check(self) -> None:
         """Take the next step of the watch."""
-        waited_s = self._transport.reactor.seconds() - self._began_at_s
+        silent_s = self._transport.reactor.seconds() - self._sent_at_s
         if _has_failed(self._transport.socket):
             self._decide(Verdict.LEFT, self._on_left)
-        elif waited_s >= _GIVE_UP_AFTER_S and self._has_probed and not self._can_tell:
-            self._decide(Verdict.UNKNOWN, self._on_unknown)
-        else:
-            self.begin()
-            if waited_s >= _PROBE_AFTER_S and not self._has_probed:
+        elif silent_s < _PROBE_AFTER_S:
+            self._check_after(_PROBE_AFTER_S - silent_s)
+        elif self._probe():
+            self.bytes_sent()
+            self._check_after(_RESET_S)
+            if not self._has_probed:
                 self._has_probed = True
-                self._can_tell = self._probe()
-                if self._can_tell:
-                    self._log(Verdict.PROBED)
+                self._log(Verdict.PROBED)
+        elif silent_s < _GIVE_UP_AFTER_S:
+            self._check_after(_GIVE_UP_AFTER_S - silent_s)
+        else:
+            self._decide(Verdict.UNKNOWN, self._on_unknown)
 
     def _decide(self, verdict: Verdict, act: Callable[[], None]) -> None:
         self._log(verdict)
--- a/src/anvillug/connection/http_server.py
+++ b/src/anvillug/connection/http_server.py
@@ -248,6 +248,8 @@
         """Write bytes to the connection."""
         if not self._disconnected:
             write_batch.BATCH.write(self.transport, data)
+            if self._half_close is not None:
+                self._half_close.bytes_sent()
 
     def abort(self) -> None:
         """Close the connection with a reset."""
@@ -314,6 +316,8 @@
 
     def _probe(self) -> bool:
         """Send an interim response; see `half_close.HalfClose`."""
+        if write_batch.has_unsent_bytes(self.transport):
+            return True
         exchange = self._slots[0].exchange
         if not (exchange.head.supports_chunked or exchange.head_sent):
             return False
