--- a/src/anvillug/connection/http_server.py
+++ b/src/anvillug/connection/http_server.py
@@ -319,14 +319,17 @@
         if write_batch.has_unsent_bytes(self.transport):
             return True
         exchange = self._slots[0].exchange
-        if not (exchange.head.supports_chunked or exchange.head_sent):
+        if exchange.head_sent or not exchange.head.supports_chunked:
             return False
         exchange.send_continue()
         return True
 
     def _end_unanswered(self) -> None:
-        """Answer the first request, since its client may have left; there are no others."""
+        """End the first response, since its client may have left and can't be probed."""
         exchange = self._slots[0].exchange
+        if exchange.head_sent:
+            self.abort()
+            return
         if exchange.handler is not None:
             exchange.handler.request_aborted()
             exchange.handler = None
--- a/tests/test_half_close.py
+++ b/tests/test_half_close.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from anvillug.connection import http_exchange, http_listener
+from anvillug.connection import http_exchange, http_head, http_listener
 from tests import reactor_thread
 
 _HEAD = b'GET /one HTTP/1.1\r\nHost: a\r\n'
@@ -37,6 +37,7 @@
         )
         self.delay_s = delay_s
         self.response = b'whole'
+        self.streams = False
         self.begun = 0
         self.ended = 0
         self.aborted_at: list[float] = []
@@ -70,6 +71,10 @@
 
     def request_ended(self) -> None:
         self._server.ended += 1
+        if self._server.streams:
+            self._exchange.send_head(http_head.ResponseHead(200, []))
+            self._send_parts()
+            return
         self._timer = self._server.reactor.callLater(
             self._server.delay_s, self._exchange.respond, 200, self._server.response
         )
@@ -77,6 +82,15 @@
     def request_aborted(self) -> None:
         self._server.aborted_at.append(time.monotonic())
 
+    def _send_parts(self) -> None:
+        """Send a part of the response, and the rest some time later."""
+        self._exchange.send_body(b'part')
+        self._timer = self._server.reactor.callLater(self._server.delay_s, self._send_rest)
+
+    def _send_rest(self) -> None:
+        self._exchange.send_body(self._server.response)
+        self._exchange.finish()
+
     def response_writes_paused(self, paused: bool) -> None:
         """Ignore backpressure."""
 
@@ -169,6 +183,12 @@
             received = first + _receive_all(connection)
         assert received.endswith(server.response)
 
+    def test_streamed_response_is_whole(self, serve):
+        server = serve(_SHORT_S)
+        server.streams = True
+        received = _exchange(server, _GET)
+        assert received.endswith(b'\r\n4\r\npart\r\n5\r\nwhole\r\n0\r\n\r\n')
+
     def test_close_while_the_response_is_sent_ends_the_connection(self, serve):
         server = serve()
         server.response = bytes(_LARGE_RESPONSE_BYTES)
@@ -222,6 +242,20 @@
         reactor_thread.eventually(server.is_empty)
         assert server.begun == begun
 
+    # A response that had begun counted as a probe, although nothing was sent any more.
+    def test_caller_that_leaves_a_response_that_pauses(self, serve):
+        server = serve(2 * _LONG_S)
+        server.streams = True
+        with server.connect() as connection:
+            connection.sendall(_GET)
+            received = b''
+            while not received.endswith(b'part\r\n'):
+                received += connection.recv(1000)
+        left_at = time.monotonic()
+        reactor_thread.eventually(server.is_empty)
+        assert len(server.aborted_at) == 1
+        assert server.aborted_at[0] - left_at < _GONE_S
+
     # Only the first 250 ms were looked at: a client that left later was answered for in full.
     def test_caller_that_reads_on_and_leaves_later(self, serve):
         server = serve(2 * _LONG_S)
