--- a/src/anvillug/connection/half_close.py
+++ b/src/anvillug/connection/half_close.py
@@ -23,6 +23,9 @@
 _RESET_S = 0.05
 # Requests of a client that has left are cancelled within half a second.
 _GIVE_UP_AFTER_S = 0.4
+# States of Linux, which the module socket doesn't name: reset, and closed by the peer only.
+_TCP_CLOSE = 7
+_TCP_CLOSE_WAIT = 8
 
 
 class Verdict(enum.Enum):
@@ -86,7 +89,7 @@
     def _check(self) -> None:
         """Take the next step of the watch."""
         silent_s = self._transport.reactor.seconds() - self._sent_at_s
-        if _has_failed(self._transport.socket):
+        if _tcp_state(self._transport.socket) == _TCP_CLOSE:
             self._decide(Verdict.LEFT, self._on_left)
         elif silent_s < _PROBE_AFTER_S:
             self._check_after(_PROBE_AFTER_S - silent_s)
@@ -116,16 +119,26 @@
 
 
 class PausedWatch:
-    """Notices the end of the stream of a connection that is not read.
+    """Notices the end of the stream, or a reset, of a connection that is not read.
 
-    The reactor reports it only for connections that it reads.
+    The reactor reports them only for connections that it reads.
 
     Args:
         on_end: Called once the client has closed its end and everything before it is read.
+        on_unread_end: Called if the client has closed its end, but not everything is read; again
+            and again until it is.
+        on_failed: Called if the connection was reset.
     """
 
-    def __init__(self, on_end: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        on_end: Callable[[], None],
+        on_unread_end: Callable[[], None],
+        on_failed: Callable[[], None],
+    ) -> None:
         self._on_end = on_end
+        self._on_unread_end = on_unread_end
+        self._on_failed = on_failed
         self._next_check: interfaces.IDelayedCall | None = None
 
     def begin(self, transport: tcp.Connection) -> None:
@@ -141,25 +154,28 @@
 
     def _check(self, transport: tcp.Connection) -> None:
         self._next_check = None
-        if _has_ended(transport.socket):
+        state = _tcp_state(transport.socket)
+        if state == _TCP_CLOSE:
+            self._on_failed()
+        elif state == _TCP_CLOSE_WAIT and _is_read(transport.socket):
             self._on_end()
         else:
             self.begin(transport)
+            if state == _TCP_CLOSE_WAIT:
+                self._on_unread_end()
 
 
-def _has_ended(connection: socket.socket) -> bool:
-    """Return whether the next thing to read is the end of the stream, or an error."""
+def _tcp_state(connection: socket.socket) -> int:
+    """Return the state of a connection, also after its error was read or before its bytes are."""
     try:
-        return not connection.recv(1, socket.MSG_PEEK)
-    except BlockingIOError:
-        return False
+        return connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
     except OSError:
-        return True
+        return _TCP_CLOSE
 
 
-def _has_failed(connection: socket.socket) -> bool:
-    """Return whether a connection has been reset, or has failed otherwise."""
+def _is_read(connection: socket.socket) -> bool:
+    """Return whether all received bytes are read, or the connection has failed."""
     try:
-        return connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
+        return not connection.recv(1, socket.MSG_PEEK)
     except OSError:
         return True
--- a/src/anvillug/connection/http_server.py
+++ b/src/anvillug/connection/http_server.py
@@ -107,9 +107,13 @@
         self._checks_without_bytes = 0
         self._late_close: late_close.LateClose | None = None
         self._answers_half_closed = answers_half_closed
+        # Whether the client has closed its end and everything before it is read.
+        self._input_ended = False
         # Set once the client has closed its end.
         self._half_close: half_close.HalfClose | None = None
-        self._paused_watch = half_close.PausedWatch(self.readConnectionLost)
+        self._paused_watch = half_close.PausedWatch(
+            self.readConnectionLost, self._watch_half_close, self.abort
+        )
         # Reads for responses in this turn of the reactor.
         self._reads_in_turn = 0
 
@@ -161,9 +165,7 @@
             self.transport.connectionLost(failure.Failure(error.ConnectionDone()))
             return
         self._paused_watch.end()
-        self._half_close = half_close.HalfClose(
-            self.transport, self._number, self._probe, self.abort, self._end_unanswered
-        )
+        self._input_ended = True
         self._closes_after_responses = True
         if self._closing:
             self._lose_connection()
@@ -171,7 +173,7 @@
         if self._parser.is_receiving and not self._discards_body:
             self.request_malformed(_STATUS_BAD_REQUEST, 'the request ends early')
         if self._slots and not self._discards_body:
-            self._half_close.begin()
+            self._watch_half_close()
         else:
             self._close()
 
@@ -274,7 +276,7 @@
             self._reading_paused_by = None
         self._send_responses()
         self._run_pending()
-        if self._half_close is not None and not self._slots:
+        if self._input_ended and not self._slots:
             self._close()
 
     def closes_after(self, slot: response_slot.ResponseSlot) -> bool:
@@ -314,9 +316,19 @@
 
     # Private
 
+    def _watch_half_close(self) -> None:
+        """Begin to find out whether a client that has closed its end has left."""
+        if not self._answers_half_closed:
+            self.abort()
+        elif self._half_close is None:
+            self._half_close = half_close.HalfClose(
+                self.transport, self._number, self._probe, self.abort, self._end_unanswered
+            )
+            self._half_close.begin()
+
     def _probe(self) -> bool:
         """Send an interim response; see `half_close.HalfClose`."""
-        if write_batch.has_unsent_bytes(self.transport):
+        if not self._slots or write_batch.has_unsent_bytes(self.transport):
             return True
         exchange = self._slots[0].exchange
         if exchange.head_sent or not exchange.head.supports_chunked:
@@ -398,7 +410,7 @@
         self._update_reading()
 
     def _update_reading(self) -> None:
-        if self._disconnected or self._closing or self._half_close is not None:
+        if self._disconnected or self._closing or self._input_ended:
             return
         if not self._pending.is_empty or self._reading_paused_by is not None:
             self.transport.pauseProducing()
@@ -526,7 +538,7 @@
             self._lose_connection()
 
     def _lose_connection(self) -> None:
-        if isinstance(self.transport, tcp.Connection) and self._half_close is None:
+        if isinstance(self.transport, tcp.Connection) and not self._input_ended:
             # Further requests may be on their way.
             self._late_close = late_close.LateClose(self.transport)
             self._late_close.begin()
--- a/tests/test_half_close.py
+++ b/tests/test_half_close.py
@@ -127,6 +127,10 @@
         return _receive_all(connection)
 
 
+def _reset_on_close(connection: socket.socket) -> None:
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
+
+
 def _send_and_leave(server: _Server, request: bytes) -> float:
     """Send bytes, and close the connection as soon as the request has begun; return when."""
     with server.connect() as connection:
@@ -268,12 +272,50 @@
         assert len(server.aborted_at) == 1
         assert server.aborted_at[0] - left_at < _GONE_S
 
+    # Bytes that were not read, since requests wait, hid the end of the stream or the reset.
+    @pytest.mark.parametrize('is_reset', [False, True])
+    def test_caller_that_leaves_behind_unread_bytes(self, serve, is_reset):
+        server = serve(2 * _LONG_S)
+        with server.connect() as connection:
+            connection.sendall(_POST * 2)
+            reactor_thread.eventually(lambda: server.ended)
+            connection.sendall(_POST)
+            time.sleep(_SHORT_S)
+            if is_reset:
+                _reset_on_close(connection)
+        left_at = time.monotonic()
+        reactor_thread.eventually(server.is_empty)
+        assert len(server.aborted_at) == server.begun == 1
+        assert server.aborted_at[0] - left_at < _GONE_S
+
+    def test_unread_requests_are_answered_after_the_half_close(self, serve):
+        server = serve(_GONE_S)
+        with server.connect() as connection:
+            connection.sendall(_POST * 2)
+            reactor_thread.eventually(lambda: server.ended)
+            connection.sendall(_POST)
+            connection.shutdown(socket.SHUT_WR)
+            assert _receive_all(connection).count(b'whole') == 3
+        reactor_thread.eventually(server.is_empty)
+
+    # It was taken for an end of the stream, and looked at 250 ms later.
+    def test_reset_of_a_connection_that_is_not_read(self, serve):
+        server = serve(2 * _LONG_S)
+        with server.connect() as connection:
+            connection.sendall(_POST * 2)
+            reactor_thread.eventually(lambda: server.ended)
+            time.sleep(_SHORT_S)
+            _reset_on_close(connection)
+        left_at = time.monotonic()
+        reactor_thread.eventually(lambda: server.aborted_at)
+        assert server.aborted_at[0] - left_at < _GONE_S / 2
+
     def test_reset_cancels_at_once(self, serve):
         server = serve(2 * _LONG_S)
         with server.connect() as connection:
             connection.sendall(_GET)
             reactor_thread.eventually(lambda: server.begun)
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
+            _reset_on_close(connection)
         left_at = time.monotonic()
         reactor_thread.eventually(lambda: server.aborted_at)
         assert server.aborted_at[-1] - left_at < _SHORT_S * 2
