--- a/src/anvillug/process/operator_api.py
+++ b/src/anvillug/process/operator_api.py
@@ -8,9 +8,9 @@
 
 import klein
 import pydantic
-from twisted.web import server
 
 from anvillug import event_log, ids, validation
+from anvillug.connection import web_site
 from anvillug.process import backend_watch
 
 _STATUS_ACCEPTED = 202
@@ -69,9 +69,9 @@
     def __init__(self, node: NodeView) -> None:
         self._node = node
 
-    def site(self) -> server.Site:
+    def site(self) -> web_site.Site:
         """Return the protocol factory for the listener."""
-        return server.Site(self.app.resource())
+        return web_site.Site(self.app.resource())
 
     @app.route('/state', methods=['GET'])
     def state(self, request: Any) -> bytes:
--- a/tests/test_half_close.py
+++ b/tests/test_half_close.py
@@ -11,6 +11,7 @@
 import pytest
 
 from anvillug.connection import http_exchange, http_head, http_listener
+from anvillug.process import operator_api
 from tests import reactor_thread
 
 _HEAD = b'GET /one HTTP/1.1\r\nHost: a\r\n'
@@ -334,3 +335,35 @@
         left_at = _send_and_leave(server, _GET)
         reactor_thread.eventually(lambda: server.aborted_at)
         assert server.aborted_at[-1] - left_at < _SHORT_S * 2
+
+
+class _View:
+    """Node of which the operator interface shows some state."""
+
+    def dump(self) -> dict[str, str]:
+        return {'state': 'x' * _LARGE_RESPONSE_BYTES}
+
+    def is_serving(self) -> bool:
+        return True
+
+
+class TestOperatorInterface:
+    """Guards against operators' commands that close their end and get no answer."""
+
+    # The unsent response was dropped at the end of the stream, as by `nc -N`.
+    @pytest.mark.parametrize('path', [b'/health', b'/state'])
+    def test_request_is_answered(self, running_reactor, path):
+        site = operator_api.OperatorApi(_View()).site()
+        port = reactor_thread.call(
+            lambda: running_reactor.listenTCP(0, site, interface='127.0.0.1')
+        )
+        try:
+            with socket.create_connection(('127.0.0.1', port.getHost().port)) as connection:
+                connection.settimeout(reactor_thread.TIMEOUT_S)
+                connection.sendall(b'GET %b HTTP/1.1\r\nHost: a\r\n\r\n' % path)
+                connection.shutdown(socket.SHUT_WR)
+                received = _receive_all(connection)
+        finally:
+            reactor_thread.call(port.stopListening)
+        assert received.startswith(b'HTTP/1.1 200 ')
+        assert received.endswith((b'}\n', b'}\n\r\n0\r\n\r\n'))
