--- a/src/anvillug/standin/link.py
+++ b/src/anvillug/standin/link.py
@@ -11,6 +11,7 @@
 from twisted.internet import defer, endpoints, error, interfaces, protocol, task
 from twisted.python import failure as twisted_failure
 from twisted.web import http, iweb, server
+from zope.interface import implementer
 
 from anvillug import clock
 from anvillug.standin import http_api
@@ -64,10 +65,14 @@
     def close(self, reason: twisted_failure.Failure) -> None:
         """Close the target after the pending chunks; reset it unless the source closed cleanly."""
         if reason.check(error.ConnectionDone):
-            self._schedule(self._target.loseConnection)
+            self._schedule(self._close_target)
         else:
             self._schedule(self._target.abortConnection)
 
+    def end(self) -> None:
+        """Close the target's sending direction after the pending chunks."""
+        self._schedule(self._end_target)
+
     def stop_forwarding(self) -> None:
         """Discard pending and all further data."""
         self._is_stopped = True
@@ -76,6 +81,15 @@
         self._target.unregisterProducer()
         self._source.resumeProducing()
 
+    def _close_target(self) -> None:
+        # A producer that is paused would keep the connection from being closed.
+        self._target.unregisterProducer()
+        self._target.loseConnection()
+
+    def _end_target(self) -> None:
+        self._target.unregisterProducer()
+        self._target.loseWriteConnection()
+
     def _schedule(self, action: Callable[[], None]) -> None:
         if self._is_stopped:
             return
@@ -95,6 +109,7 @@
             )
 
 
+@implementer(interfaces.IHalfCloseableProtocol)
 class RelayConnection(protocol.Protocol):
     """One of the two connections of a relayed pair.
 
@@ -106,12 +121,28 @@
         self.link = link
         self.forwarder: Forwarder | None = None
         """Forwards received data to the other connection; None until that is open."""
+        self._input_ended = False
+        self._output_ended = False
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802 the name is Twisted's
         """Forward received bytes to the other connection."""
         if self.forwarder is not None:
             self.forwarder.forward(data)
 
+    def readConnectionLost(self) -> None:  # noqa: N802 the name is Twisted's
+        """Pass on that the peer has closed its end; it may still receive."""
+        if self._output_ended or self.forwarder is None:
+            self.transport.loseConnection()
+        elif not self._input_ended:
+            self.forwarder.end()
+        self._input_ended = True
+
+    def writeConnectionLost(self) -> None:  # noqa: N802 the name is Twisted's
+        """Close the connection once both directions have ended."""
+        self._output_ended = True
+        if self._input_ended:
+            self.transport.loseConnection()
+
     def connectionLost(  # noqa: N802 the name is Twisted's
         self, reason: twisted_failure.Failure = protocol.connectionDone
     ) -> None:
--- a/tests/test_standin_link.py
+++ b/tests/test_standin_link.py
@@ -4,9 +4,10 @@
 
 import pytest
 import treq
-from twisted.internet import defer, endpoints, error, protocol, reactor, task
+from twisted.internet import defer, endpoints, error, interfaces, protocol, reactor, task
 from twisted.trial import unittest
 from twisted.web import client
+from zope.interface import implementer
 
 from anvillug.standin import http_api, link
 
@@ -18,6 +19,25 @@
         self.transport.write(data)
 
 
+@implementer(interfaces.IHalfCloseableProtocol)
+class LateEcho(protocol.Protocol):
+    """Sends the received data back once the peer has closed its end."""
+
+    def connectionMade(self) -> None:  # noqa: N802 Twisted's name
+        self.received = b''
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802 Twisted's name
+        self.received += data
+
+    def readConnectionLost(self) -> None:  # noqa: N802 Twisted's name
+        self.transport.write(self.received)
+        self.transport.loseConnection()
+
+    def writeConnectionLost(self) -> None:  # noqa: N802 Twisted's name
+        """Do nothing."""
+
+
+@implementer(interfaces.IHalfCloseableProtocol)
 class Recorder(protocol.Protocol):
     """Collects the received data."""
 
@@ -31,6 +51,12 @@
     def connectionLost(self, reason=protocol.connectionDone) -> None:  # noqa: N802 Twisted's name
         self.closed.callback(reason.type)
 
+    def readConnectionLost(self) -> None:  # noqa: N802 Twisted's name
+        self.transport.loseConnection()
+
+    def writeConnectionLost(self) -> None:  # noqa: N802 Twisted's name
+        """Do nothing."""
+
     async def wait_for(self, expected: bytes) -> None:
         while self.received != expected:
             await task.deferLater(reactor, 0.002)
@@ -82,6 +108,27 @@
         connection.transport.loseConnection()
         await connection.closed
 
+    def test_half_close_is_passed_on(self):
+        return defer.ensureDeferred(self.check_half_close())
+
+    # The link closed both directions, so that callers that close their end got no answer from a
+    # node behind it, whatever the node did.
+    async def check_half_close(self):
+        late_echo = protocol.Factory.forProtocol(LateEcho)
+        target = reactor.listenTCP(0, late_echo, interface='127.0.0.1')
+        self.addCleanup(target.stopListening)
+        relay = link.Link(reactor, http_api.bound_address(target), delay_ms=5)
+        self.address = relay.listen('127.0.0.1:0')
+        self.addCleanup(relay.stop)
+        connection = await self.connect()
+        sent = bytes(1_000_000)
+        connection.transport.write(sent)
+        connection.transport.loseWriteConnection()
+        assert await connection.closed is error.ConnectionDone
+        assert connection.received == sent
+        while relay.open_connections:
+            await task.deferLater(reactor, 0.002)
+
     def test_cut_resets_open_and_refuses_new_connections(self):
         return defer.ensureDeferred(self.check_cut())
 
