--- a/src/anvillug/connection/http_client.py
+++ b/src/anvillug/connection/http_client.py
@@ -96,6 +96,7 @@
         self._skips_response = False
         self._reusable = True
         self._disconnected = False
+        self._was_reset = False
         self._paused = False
         self._parsing = False
 
@@ -197,12 +198,17 @@
     def connectionLost(self, reason: failure.Failure | None = None) -> None:  # noqa: N802
         """Notify the handler of an unfinished response; see Twisted."""
         self._disconnected = True
-        clean = reason is not None and reason.check(error.ConnectionDone) is not None
-        if clean and self._head_received and self._framing is http_head.Framing.UNTIL_CLOSE:
+        is_done = reason is not None and reason.check(error.ConnectionDone) is not None
+        is_regular = is_done and not self._was_reset
+        if is_regular and self._head_received and self._framing is http_head.Framing.UNTIL_CLOSE:
             self._complete_response()
         self._fail_request(ClientFailure.LOST)
         self._pool.connection_lost(self)
 
+    def reset_noticed(self) -> None:
+        """Note that a write has met a reset; see `write_batch`."""
+        self._was_reset = True
+
     # Parser callbacks
 
     def on_message_begin(self) -> None:
--- a/src/anvillug/connection/write_batch.py
+++ b/src/anvillug/connection/write_batch.py
@@ -65,6 +65,9 @@
     if len(data) <= _MAX_DIRECT_BYTES and _can_send_directly(transport):
         try:
             sent = transport.socket.send(data)
+        except ConnectionResetError:
+            # The system reports it once; the next read would look like a regular end.
+            _notify_of_reset(transport.protocol)
         except OSError:
             # The socket buffer may be full; the transport will report actual errors.
             sent = 0
@@ -72,6 +75,12 @@
         transport.write(data[sent:] if sent else data)
 
 
+def _notify_of_reset(protocol: Any) -> None:
+    notify = getattr(protocol, 'reset_noticed', None)
+    if notify is not None:
+        notify()
+
+
 def has_unsent_bytes(transport: Any) -> bool:
     """Return whether a TCP transport has unsent bytes; False for other transports."""
     try:
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
+import contextlib
+import socket
+import struct
+import time
+
 import pytest
 from twisted.internet import error
 from twisted.internet import testing as twisted_testing
 from twisted.python import failure
 
-from anvillug.connection import http_client, http_head, http_pool
+from anvillug.connection import http_client, http_head, http_pool, write_batch
+from tests import reactor_thread
 
 
 class Recorder:
@@ -200,3 +206,39 @@
             pool.acquire(failures.append, failed)
         reactor.tcpClients[0][2].clientConnectionFailed(None, None)
         assert failures == ['failed', 'failed', 'failed']
+
+
+class TestReset:
+    """Guards against responses that are cut short by a reset and look complete (MIXED)."""
+
+    # The write had read the error of the socket, so that the next read was a regular end.
+    def test_reset_that_a_write_notices_is_a_failure(self, running_reactor):
+        with contextlib.closing(socket.create_server(('127.0.0.1', 0))) as listener:
+            port = listener.getsockname()[1]
+            real_pool = http_pool.Pool(running_reactor, '127.0.0.1', port)
+            recorder = Recorder()
+            connections = []
+
+            def begin(connection):
+                connections.append(connection)
+                headers = [(b'Host', b'x'), (b'Transfer-Encoding', b'chunked')]
+                connection.request(http_head.RequestHead(b'POST', b'/', headers), recorder)
+
+            reactor_thread.call(real_pool.acquire, begin, _ignore)
+            server = listener.accept()[0]
+            assert server.recv(1000)
+            server.sendall(b'HTTP/1.1 200 OK\r\n\r\npart')
+            reactor_thread.eventually(lambda: recorder.body)
+            reactor_thread.call(_reset_and_send, server, connections[0])
+            reactor_thread.eventually(lambda: len(recorder.events) > 1)
+        assert recorder.events == [200, http_client.ClientFailure.LOST]
+
+
+def _reset_and_send(server, connection):
+    """Reset a connection, and send on it before anything is read."""
+    server.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
+    server.close()
+    time.sleep(0.05)
+    write_batch.BATCH.begin()
+    connection.send_body(b'more')
+    write_batch.BATCH.end()
