--- a/src/anvillug/bench/soak_checks.py
+++ b/src/anvillug/bench/soak_checks.py
@@ -60,7 +60,7 @@
 def _is_cut(attempt: soak_records.Attempt) -> bool:
     """Return whether a node ended an attempt without an answer, and not its caller."""
     is_over = attempt.ended_at is not None and not attempt.gave_up
-    return is_over and not attempt.status and not attempt.closed_own_end
+    return is_over and not attempt.status
 
 
 def _is_mixed(attempt: soak_records.Attempt) -> bool:
--- a/src/anvillug/bench/soak_records.py
+++ b/src/anvillug/bench/soak_records.py
@@ -71,10 +71,6 @@
     """Longest stand-still of the judge while it waited for the answer."""
     habit: str = ''
     """How its caller uses connections."""
-    closed_own_end: bool = False
-    """Whether its caller closed its own end after it; a node can't tell this from a caller that
-    has left.
-    """
     route: str = ''
     """Name of its route; empty if it is not recorded."""
 
--- a/src/anvillug/bench/soak_traffic.py
+++ b/src/anvillug/bench/soak_traffic.py
@@ -143,7 +143,6 @@
             sent.caller,
             sent.stalled_ms,
             sent.habit,
-            sent.habit == socket_exchange.Habit.HALF_CLOSES.value,
             route=request_class.route,
         )
 
--- a/tests/test_soak_judge.py
+++ b/tests/test_soak_judge.py
@@ -5,7 +5,7 @@
 import pytest
 
 from anvillug import clock
-from anvillug.bench import soak_checks, soak_records, soak_report, stalls
+from anvillug.bench import soak_checks, soak_records, soak_report, socket_exchange, stalls
 from tests import soak_examples
 
 
@@ -102,16 +102,16 @@
 
 
 class TestOwnEnd:
-    """Guards against a caller that closes its end and is taken for one that was cut."""
+    """Guards against a caller that closes its end and is never taken for one that was cut."""
 
     def test_caller_that_closed_its_end(self, records):
-        soak_examples.cut(records, number=1, closed_own_end=True)
+        soak_examples.cut(records, number=1, habit=socket_exchange.Habit.HALF_CLOSES.value)
         soak_examples.run(records)
-        soak_examples.assert_held(records)
+        assert soak_examples.broken(records) == ['LOST a1']
 
     def test_foreign_answer(self, records):
         attempt = soak_examples.answered(records, 200, body=b'a2')
-        attempt.closed_own_end = True
+        attempt.habit = socket_exchange.Habit.HALF_CLOSES.value
         assert soak_examples.broken(records) == ['MIXED a1']
 
 
