--- a/tests/test_half_close.py
+++ b/tests/test_half_close.py
@@ -10,7 +10,8 @@
 
 import pytest
 
-from anvillug.connection import http_exchange, http_listener
+from anvillug.connection import http_exchange, http_head, http_listener
+from anvillug.process import operator_api
 from tests import reactor_thread
 
 _HEAD = b'GET /one HTTP/1.1\r\nHost: a\r\n'
@@ -37,6 +38,7 @@
         )
         self.delay_s = delay_s
         self.response = b'whole'
+        self.streams = False
         self.begun = 0
         self.ended = 0
         self.aborted_at: list[float] = []
@@ -70,6 +72,10 @@
 
     def request_ended(self) -> None:
         self._server.ended += 1
+        if self._server.streams:
+            self._exchange.send_head(http_head.ResponseHead(200, []))
+            self._send_parts()
+            return
         self._timer = self._server.reactor.callLater(
             self._server.delay_s, self._exchange.respond, 200, self._server.response
         )
@@ -77,6 +83,15 @@
     def request_aborted(self) -> None:
         self._server.aborted_at.append(time.monotonic())
 
+    def _send_parts(self) -> None:
+        """Send a part of the response, and the rest some time later."""
+        self._exchange.send_body(b'part')
+        self._timer = self._server.reactor.callLater(self._server.delay_s, self._send_rest)
+
+    def _send_rest(self) -> None:
+        self._exchange.send_body(self._server.response)
+        self._exchange.finish()
+
     def response_writes_paused(self, paused: bool) -> None:
         """Ignore backpressure."""
 
@@ -98,6 +113,13 @@
     return b''.join(iter(functools.partial(connection.recv, 65536), b''))
 
 
+def _final(received: bytes) -> bytes:
+    """Return what follows the interim responses."""
+    while received.startswith(_CONTINUE):
+        received = received.removeprefix(_CONTINUE)
+    return received
+
+
 def _exchange(server: _Server, request: bytes) -> bytes:
     """Send bytes, close the own end and return what comes."""
     with server.connect() as connection:
@@ -106,6 +128,10 @@
         return _receive_all(connection)
 
 
+def _reset_on_close(connection: socket.socket) -> None:
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
+
+
 def _send_and_leave(server: _Server, request: bytes) -> float:
     """Send bytes, and close the connection as soon as the request has begun; return when."""
     with server.connect() as connection:
@@ -136,7 +162,7 @@
 
     def test_long_request_is_answered(self, serve):
         received = _exchange(serve(_LONG_S), _GET)
-        assert received.removeprefix(_CONTINUE).startswith(b'HTTP/1.1 200 ')
+        assert _final(received).startswith(b'HTTP/1.1 200 ')
         assert received.endswith(b'whole')
 
     def test_long_requests_sent_ahead_are_all_answered(self, serve):
@@ -162,6 +188,12 @@
             received = first + _receive_all(connection)
         assert received.endswith(server.response)
 
+    def test_streamed_response_is_whole(self, serve):
+        server = serve(_SHORT_S)
+        server.streams = True
+        received = _exchange(server, _GET)
+        assert received.endswith(b'\r\n4\r\npart\r\n5\r\nwhole\r\n0\r\n\r\n')
+
     def test_close_while_the_response_is_sent_ends_the_connection(self, serve):
         server = serve()
         server.response = bytes(_LARGE_RESPONSE_BYTES)
@@ -215,12 +247,76 @@
         reactor_thread.eventually(server.is_empty)
         assert server.begun == begun
 
+    # A response that had begun counted as a probe, although nothing was sent any more.
+    def test_caller_that_leaves_a_response_that_pauses(self, serve):
+        server = serve(2 * _LONG_S)
+        server.streams = True
+        with server.connect() as connection:
+            connection.sendall(_GET)
+            received = b''
+            while not received.endswith(b'part\r\n'):
+                received += connection.recv(1000)
+        left_at = time.monotonic()
+        reactor_thread.eventually(server.is_empty)
+        assert len(server.aborted_at) == 1
+        assert server.aborted_at[0] - left_at < _GONE_S
+
+    # Only the first 250 ms were looked at: a client that left later was answered for in full.
+    def test_caller_that_reads_on_and_leaves_later(self, serve):
+        server = serve(2 * _LONG_S)
+        with server.connect() as connection:
+            connection.sendall(_GET)
+            connection.shutdown(socket.SHUT_WR)
+            assert connection.recv(1000) == _CONTINUE
+        left_at = time.monotonic()
+        reactor_thread.eventually(server.is_empty)
+        assert len(server.aborted_at) == 1
+        assert server.aborted_at[0] - left_at < _GONE_S
+
+    # Bytes that were not read, since requests wait, hid the end of the stream or the reset.
+    @pytest.mark.parametrize('is_reset', [False, True])
+    def test_caller_that_leaves_behind_unread_bytes(self, serve, is_reset):
+        server = serve(2 * _LONG_S)
+        with server.connect() as connection:
+            connection.sendall(_POST * 2)
+            reactor_thread.eventually(lambda: server.ended)
+            connection.sendall(_POST)
+            time.sleep(_SHORT_S)
+            if is_reset:
+                _reset_on_close(connection)
+        left_at = time.monotonic()
+        reactor_thread.eventually(server.is_empty)
+        assert len(server.aborted_at) == server.begun == 1
+        assert server.aborted_at[0] - left_at < _GONE_S
+
+    def test_unread_requests_are_answered_after_the_half_close(self, serve):
+        server = serve(_GONE_S)
+        with server.connect() as connection:
+            connection.sendall(_POST * 2)
+            reactor_thread.eventually(lambda: server.ended)
+            connection.sendall(_POST)
+            connection.shutdown(socket.SHUT_WR)
+            assert _receive_all(connection).count(b'whole') == 3
+        reactor_thread.eventually(server.is_empty)
+
+    # It was taken for an end of the stream, and looked at 250 ms later.
+    def test_reset_of_a_connection_that_is_not_read(self, serve):
+        server = serve(2 * _LONG_S)
+        with server.connect() as connection:
+            connection.sendall(_POST * 2)
+            reactor_thread.eventually(lambda: server.ended)
+            time.sleep(_SHORT_S)
+            _reset_on_close(connection)
+        left_at = time.monotonic()
+        reactor_thread.eventually(lambda: server.aborted_at)
+        assert server.aborted_at[0] - left_at < _GONE_S / 2
+
     def test_reset_cancels_at_once(self, serve):
         server = serve(2 * _LONG_S)
         with server.connect() as connection:
             connection.sendall(_GET)
             reactor_thread.eventually(lambda: server.begun)
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
+            _reset_on_close(connection)
         left_at = time.monotonic()
         reactor_thread.eventually(lambda: server.aborted_at)
         assert server.aborted_at[-1] - left_at < _SHORT_S * 2
@@ -239,3 +335,35 @@
         left_at = _send_and_leave(server, _GET)
         reactor_thread.eventually(lambda: server.aborted_at)
         assert server.aborted_at[-1] - left_at < _SHORT_S * 2
+
+
+class _View:
+    """Node of which the operator interface shows some state."""
+
+    def dump(self) -> dict[str, str]:
+        return {'state': 'x' * _LARGE_RESPONSE_BYTES}
+
+    def is_serving(self) -> bool:
+        return True
+
+
+class TestOperatorInterface:
+    """Guards against operators' commands that close their end and get no answer."""
+
+    # The unsent response was dropped at the end of the stream, as by `nc -N`.
+    @pytest.mark.parametrize('path', [b'/health', b'/state'])
+    def test_request_is_answered(self, running_reactor, path):
+        site = operator_api.OperatorApi(_View()).site()
+        port = reactor_thread.call(
+            lambda: running_reactor.listenTCP(0, site, interface='127.0.0.1')
+        )
+        try:
+            with socket.create_connection(('127.0.0.1', port.getHost().port)) as connection:
+                connection.settimeout(reactor_thread.TIMEOUT_S)
+                connection.sendall(b'GET %b HTTP/1.1\r\nHost: a\r\n\r\n' % path)
+                connection.shutdown(socket.SHUT_WR)
+                received = _receive_all(connection)
+        finally:
+            reactor_thread.call(port.stopListening)
+        assert received.startswith(b'HTTP/1.1 200 ')
+        assert received.endswith((b'}\n', b'}\n\r\n0\r\n\r\n'))
