--- a/src/anvillug/early_signals.py
+++ b/src/anvillug/early_signals.py
@@ -11,13 +11,20 @@
 NUMBERS = (_signal.SIGHUP, _signal.SIGTERM, _signal.SIGINT)
 """Numbers of the signals that a server handles."""
 
+# The interpreter itself ignores these.
+_IGNORED_BY_PYTHON = frozenset((_signal.SIGPIPE, _signal.SIGXFSZ))
+
 _kept: list[int] = []
+_blocked: set[int] = set()
+_ignored: set[int] = set()
 
 
 def keep() -> None:
     """Keep signals from now on, until other handlers are installed."""
     for number in NUMBERS:
-        _signal.signal(number, _received)
+        if _signal.signal(number, _received) == _signal.SIG_IGN:
+            _ignored.add(number)
+    _blocked.update(_signal.pthread_sigmask(_signal.SIG_BLOCK, ()))
 
 
 def take() -> list[int]:
@@ -27,5 +34,17 @@
     return numbers
 
 
+def blocked_by_parent() -> list[int]:
+    """Return the numbers of the signals that the parent process left blocked."""
+    return sorted(_blocked)
+
+
+def ignored_by_parent() -> list[int]:
+    """Return the numbers of the signals that the parent process left ignored."""
+    others = _signal.valid_signals().difference(NUMBERS, _IGNORED_BY_PYTHON)
+    ignored = {number for number in others if _signal.getsignal(number) == _signal.SIG_IGN}
+    return sorted(ignored | _ignored)
+
+
 def _received(number: int, frame: object) -> None:
     _kept.append(number)
--- a/src/anvillug/process/lifetime.py
+++ b/src/anvillug/process/lifetime.py
@@ -87,7 +87,13 @@
         # Without a free descriptor or a null device the server may still be able to run.
         with contextlib.suppress(OSError):
             _open_standard_streams()
-        self._write('process_starting', pid=os.getpid(), **fields)
+        self._write(
+            'process_starting',
+            pid=os.getpid(),
+            **fields,
+            blocked=_names(early_signals.blocked_by_parent()),
+            ignored=_names(early_signals.ignored_by_parent()),
+        )
         for number in early_signals.take():
             self._received(number, None)
 
@@ -212,6 +218,12 @@
         sys.stderr.write(f'{text}\n')
 
 
+def _names(numbers: list[int]) -> str:
+    # Signals of real time have no names.
+    names_by_number = {number.value: number.name for number in signal.Signals}
+    return ','.join(names_by_number.get(number, str(number)) for number in numbers) or 'none'
+
+
 def _quoted(text: str) -> str:
     if text and not _TO_QUOTE & set(text):
         return text
--- a/src/anvillug/process/listeners.py
+++ b/src/anvillug/process/listeners.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
 import errno
 import functools
 import os
@@ -25,6 +26,8 @@
 """Maximum number of connections that wait to be accepted, for each address."""
 
 _RETRY_INTERVAL_S = 0.2
+# An address may stay in use for as long as another process runs.
+_LOG_INTERVAL_MS = 10_000.0
 # The address may be configured on the host, or released by another process, later.
 _TEMPORARY_ERRORS = frozenset((errno.EADDRINUSE, errno.EADDRNOTAVAIL))
 
@@ -36,6 +39,26 @@
     """An address can't be listened on; the message names it and the reason."""
 
 
+class _Step(enum.Enum):
+    """Step until an address is open."""
+
+    BIND = 'bind'
+    LISTEN = 'listen'
+    OPEN = 'open'
+    """A library listens on the address by itself."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Failure:
+    """Temporary failure of an address."""
+
+    step: _Step
+    reason: str
+    since: float
+    """Time of the first failure."""
+    logged_at: float
+
+
 @dataclasses.dataclass(slots=True)
 class Listener:
     """An address, the socket that is bound to it, and the port once it is open."""
@@ -51,6 +74,8 @@
     bound: socket.socket | None = None
     port: interfaces.IListeningPort | None = None
     """Port of the reactor, from `Listeners.open` on."""
+    failure: _Failure | None = None
+    """Failure of the last step, until the same step succeeds."""
 
     def bind(self) -> None:
         """Bind a socket, unless this is done."""
@@ -145,7 +170,7 @@
     def _try_to_open(self, take_over: Callable[[], None], deadline: float) -> bool:
         with lifetime.PROCESS.signals_held():
             # All are tried, so that the log shows each address that is in use.
-            bound = [self._try(each, each.bind, deadline) for each in self._listeners]
+            bound = [self._try(each, _Step.BIND, each.bind, deadline) for each in self._listeners]
             if not all(bound):
                 return False
             if not self._listen(deadline):
@@ -157,12 +182,16 @@
         return True
 
     def _listen(self, deadline: float) -> bool:
-        return all(self._try(each, each.listen, deadline) for each in self._listeners) and all(
-            self._try(reserved, functools.partial(opener, reserved.address), deadline)
-            for reserved, opener in self._openers
+        return all(
+            self._try(each, _Step.LISTEN, each.listen, deadline) for each in self._listeners
+        ) and all(
+            self._try(each, _Step.OPEN, functools.partial(opener, each.address), deadline)
+            for each, opener in self._openers
         )
 
-    def _try(self, listener: Listener, step: Callable[[], object], deadline: float) -> bool:
+    def _try(
+        self, listener: Listener, step: _Step, action: Callable[[], object], deadline: float
+    ) -> bool:
         """Take a step of a listener.
 
         Returns:
@@ -172,17 +201,37 @@
             ListenError: If the failure is not temporary or no time is left.
         """
         try:
-            step()
+            action()
         except OSError as error:
             reason = os.strerror(error.errno) if error.errno else str(error)
             remaining_ms = deadline - self._clock.now()
             if remaining_ms <= 0 or error.errno not in _TEMPORARY_ERRORS:
                 raise ListenError(f'{listener.address}: cannot listen: {reason}') from error
+            self._log_failure(listener, step, reason, remaining_ms)
+            return False
+        if listener.failure is not None and listener.failure.step is step:
+            in_use_ms = int(self._clock.now() - listener.failure.since)
+            event_log.emit('address_free', address=listener.address, in_use_ms=in_use_ms)
+            listener.failure = None
+        return True
+
+    def _log_failure(
+        self, listener: Listener, step: _Step, reason: str, remaining_ms: float
+    ) -> None:
+        """Log a failure at once, and again now and then while it lasts."""
+        now = self._clock.now()
+        former = listener.failure
+        is_due = (
+            former is None or former.reason != reason or now - former.logged_at >= _LOG_INTERVAL_MS
+        )
+        since = now if former is None else former.since
+        logged_at = now if is_due else former.logged_at
+        listener.failure = _Failure(step, reason, since, logged_at)
+        if is_due:
             event_log.warn(
                 'listen_failed',
                 address=listener.address,
                 reason=reason,
+                in_use_ms=int(now - since),
                 remaining_ms=int(remaining_ms),
             )
-            return False
-        return True
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -7,6 +7,7 @@
 import pathlib
 import socket
 from collections.abc import Callable
+from typing import NamedTuple
 
 import pytest
 from twisted.internet import protocol
@@ -119,6 +120,61 @@
         assert len(tries) == 1
 
 
+class _Event(NamedTuple):
+    """A log line."""
+
+    name: str
+    fields: dict[str, object]
+
+
+def _fails_twice() -> listeners.Opener:
+    errors = [OSError(errno.EADDRINUSE, 'in use') for _ in range(2)]
+
+    def listen(address: str) -> None:
+        if errors:
+            raise errors.pop()
+
+    return listen
+
+
+@pytest.fixture
+def events(monkeypatch):
+    """Return a list of the events that are logged, with their fields."""
+    logged: list[_Event] = []
+
+    def log(event: str, **fields: object) -> None:
+        logged.append(_Event(event, fields))
+
+    monkeypatch.setattr(listeners.event_log, 'emit', log)
+    monkeypatch.setattr(listeners.event_log, 'warn', log)
+    return logged
+
+
+class TestLog:
+    """Guards against lines that hide for how long an address has been in use, or that flood."""
+
+    def test_failure_is_logged_once_and_its_end_with_its_duration(self, opened, events):
+        address = processes.free_addresses(1)[0]
+        opened.listeners.add_opener(address, _fails_twice())
+        opened.open()
+        assert [event.name for event in events] == ['listen_failed', 'address_free']
+        assert all(event.fields['address'] == address for event in events)
+        assert events[0].fields['in_use_ms'] == 0
+        assert 150 <= events[1].fields['in_use_ms'] <= 10_000
+
+    def test_failure_is_logged_again_now_and_then(self, opened, events, monkeypatch):
+        monkeypatch.setattr(listeners, '_LOG_INTERVAL_MS', 0)
+        address = processes.free_addresses(1)[0]
+        opened.listeners.add_opener(address, _fails_twice())
+        opened.open()
+        assert [event.name for event in events] == [
+            'listen_failed',
+            'listen_failed',
+            'address_free',
+        ]
+        assert events[1].fields['in_use_ms'] >= 150
+
+
 def _holders(port: int) -> int:
     """Return the number of sockets of this machine with a local port of 127.0.0.1, in any state."""
     lines = pathlib.Path('/proc/net/tcp').read_text().splitlines()[1:]
--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -58,6 +58,15 @@
 """
 
 
+# Starts a program with two signals ignored, one of which a server handles.
+_IGNORING_PROGRAM = """
+import os, signal, sys
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+signal.signal(signal.SIGUSR2, signal.SIG_IGN)
+os.execvp(sys.argv[1], sys.argv[1:])
+"""
+
+
 class _Program:
     """Starts one kind of process, with ports of its own."""
 
@@ -254,6 +263,20 @@
         if starter.program.kind != 'standin':
             assert fields['settings'] == str(starter.program.path)
 
+    @_each()
+    @pytest.mark.usefixtures('default_action')
+    def test_first_line_tells_what_the_parent_left_of_signals(self, starter):
+        # FAULT: nothing told that a node did not stop since its parent had blocked SIGTERM.
+        child = starter.start()
+        fields = child.wait_for_event('process_starting', _FIRST_LINE_TIMEOUT_MS)
+        assert (fields['blocked'], fields['ignored']) == ('none', 'none')
+        child = starter.start((sys.executable, '-c', _BLOCKING_PROGRAM))
+        fields = child.wait_for_event('process_starting', _FIRST_LINE_TIMEOUT_MS)
+        assert (fields['blocked'], fields['ignored']) == ('SIGHUP,SIGINT,SIGTERM', 'none')
+        child = starter.start((sys.executable, '-c', _IGNORING_PROGRAM))
+        fields = child.wait_for_event('process_starting', _FIRST_LINE_TIMEOUT_MS)
+        assert (fields['blocked'], fields['ignored']) == ('none', 'SIGHUP,SIGUSR2')
+
     @_each()
     def test_end_of_the_start_has_its_duration(self, starter):
         before = time.monotonic()
