--- a/src/anvillug/__main__.py
+++ b/src/anvillug/__main__.py
@@ -19,6 +19,9 @@
     if is_server:
         early_signals.keep()
         _begin(command, arguments[1:])
+    else:
+        # With their default action, so that the command can be ended.
+        early_signals.unblock()
     # Signals are handled from here on; the modules of the commands take long to import.
     from anvillug.process import command_line  # noqa: PLC0415
 
--- a/src/anvillug/early_signals.py
+++ b/src/anvillug/early_signals.py
@@ -20,11 +20,21 @@
 
 
 def keep() -> None:
-    """Keep signals from now on, until other handlers are installed."""
+    """Keep signals from now on, until other handlers are installed, also those blocked before."""
     for number in NUMBERS:
         if _signal.signal(number, _received) == _signal.SIG_IGN:
             _ignored.add(number)
-    _blocked.update(_signal.pthread_sigmask(_signal.SIG_BLOCK, ()))
+    # Pending ones reach the handlers now. Threads that are started later inherit the mask.
+    _blocked.update(unblock())
+
+
+def unblock() -> set[int]:
+    """Unblock the signals that a server handles, which a parent process may have blocked.
+
+    Returns:
+        Numbers of all signals that were blocked.
+    """
+    return _signal.pthread_sigmask(_signal.SIG_UNBLOCK, NUMBERS)
 
 
 def take() -> list[int]:
--- a/src/anvillug/process/lifetime.py
+++ b/src/anvillug/process/lifetime.py
@@ -155,6 +155,7 @@
     def _install_handlers(self) -> None:
         for number in early_signals.NUMBERS:
             signal.signal(number, self._received)
+        early_signals.unblock()
 
     def _received(self, number: int, frame: object) -> None:
         if self._held is not None:
--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -698,3 +698,15 @@
             with listener.accept()[0]:
                 child.send_signal(number)
                 assert _end(child, _AT_ONCE_MS) == -number
+
+    @pytest.mark.parametrize('number', [*_OTHER_SIGNALS, signal.SIGINT])
+    @pytest.mark.usefixtures('default_action')
+    def test_signal_that_the_parent_blocked_ends_the_command(self, number):
+        # The command went on and could only be killed.
+        program = (sys.executable, '-c', _BLOCKING_PROGRAM, *processes.PROGRAM)
+        with processes.group() as group, _listening() as listener:
+            child = processes.ChildProcess(['state', _address_of(listener)], program)
+            group.append(child)
+            with listener.accept()[0]:
+                child.send_signal(number)
+                assert _end(child, _AT_ONCE_MS) == -number
