--- /dev/null
+++ b/src/anvillug/platform/node_start.py
@@ -0,0 +1,87 @@
+"""Starts a node once its addresses are free; until then its settings may be replaced."""
+
+from __future__ import annotations
+
+import pathlib
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet import defer
+from twisted.python import failure
+
+from anvillug import event_log
+from anvillug.connection import http_exchange
+from anvillug.platform import control, settings
+from anvillug.process import lifetime, listeners, mesh_node, mesh_settings, settings_watch
+
+_EXIT_FAILURE = 1
+_EXIT_BAD_INPUT = 2
+
+Build = Callable[[mesh_settings.MeshSettings], mesh_node.MeshNode]
+"""Creates a node."""
+
+
+class NodeStart:
+    """Start of the node of this process.
+
+    Args:
+        reactor: Twisted reactor; stopped if the start fails.
+        path: Settings file.
+        build: Creates a node.
+        current: Settings.
+        version: Version of the file with these settings.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        path: pathlib.Path,
+        build: Build,
+        current: mesh_settings.MeshSettings,
+        version: settings_watch.Version,
+    ) -> None:
+        self.status = 0
+        """Exit status of the process."""
+        self._reactor = reactor
+        self._path = path
+        self._build = build
+        self._watch = settings_watch.SettingsWatch(
+            reactor, path, settings.load, self._apply, current, version
+        )
+        self._begin(current)
+        self._watch.start()
+
+    # Private
+
+    def _begin(self, current: mesh_settings.MeshSettings) -> None:
+        self._node = self._build(current)
+        self._requests = control.Control(self._node)
+        # The readiness check is answered as not ready while other addresses are in use.
+        self._node.listen(current.ready_address, self._readiness, is_early=True)
+        self._node.listen(current.control_address, self._requests.control)
+        self._starting = defer.ensureDeferred(self._node.start(self._watch.reload))
+        self._starting.addErrback(self._failed)
+
+    def _readiness(self, exchange: http_exchange.ServerExchange) -> None:
+        # Connections of the check outlast a node that is replaced.
+        self._requests.readiness(exchange)
+
+    def _apply(self, changed: mesh_settings.MeshSettings) -> None:
+        """Apply changed settings; an address that can't be used may be replaced by them."""
+        if self._node.has_started:
+            self._node.apply(changed)
+        else:
+            self._starting.cancel()
+            self._begin(changed)
+
+    def _failed(self, reason: failure.Failure) -> None:
+        if reason.check(defer.CancelledError):
+            return
+        if reason.check(listeners.ListenError):
+            self.status = _EXIT_BAD_INPUT
+            lifetime.print_error(f'{self._path}: {reason.getErrorMessage()}')
+        else:
+            self.status = _EXIT_FAILURE
+            event_log.error('start_failed', reason.value)
+        if self._reactor.running:
+            self._reactor.stop()
--- a/src/anvillug/platform/program.py
+++ b/src/anvillug/platform/program.py
@@ -6,7 +6,7 @@
 
 from anvillug import clock, event_log, findings, ids
 from anvillug.platform import documents, headers, settings
-from anvillug.process import lifetime, plain_tcp, settings_watch
+from anvillug.process import lifetime, mesh_settings, plain_tcp, settings_watch
 from anvillug.version import rollout
 
 _EXIT_BAD_INPUT = 2
@@ -54,7 +54,8 @@
         path: Settings file.
 
     Returns:
-        Exit code: 0 after a graceful stop, 2 for invalid settings or an address in use.
+        Exit code: 0 after a graceful stop, 2 for invalid settings or an address that can never be
+            used.
     """
     time = clock.SystemClock()
     log_lines = event_log.set_up_bounded(lifetime.STANDARD_OUTPUT, time)
@@ -66,36 +67,25 @@
     # Importing the reactor installs it.
     from twisted.internet import reactor  # noqa: PLC0415
 
-    from anvillug.platform import control, store  # noqa: PLC0415
-    from anvillug.process import (  # noqa: PLC0415
-        error_reports,
-        listeners,
-        mesh_node,
-    )
+    from anvillug.platform import node_start, store  # noqa: PLC0415
+    from anvillug.process import error_reports, mesh_node  # noqa: PLC0415
 
     error_reports.forward_twisted_errors()
-    node = mesh_node.MeshNode(
-        reactor,
-        loaded.ok,
-        time,
-        store.Store(reactor, loaded.ok.store_address),
-        mesh_node.Topics(store.OPERATOR_TOPIC, store.STATUS_TOPIC, store.MEMBER_TOPIC),
-        headers.PlatformDialect(),
-        documents.decode_directives,
-        _StatusCodec(),
-        log_lines,
-    )
-    requests = control.Control(node)
-    node.listen(loaded.ok.ready_address, requests.readiness)
-    node.listen(loaded.ok.control_address, requests.control)
-    watch = settings_watch.SettingsWatch(
-        reactor, path, settings.load, node.apply, loaded.ok, version
-    )
-    try:
-        node.start(watch.reload)
-    except listeners.ListenError as problem:
-        lifetime.print_error(f'{path}: {problem}')
-        return _EXIT_BAD_INPUT
-    watch.start()
-    reactor.run(installSignalHandlers=False)
-    return 0
+
+    def build(current: mesh_settings.MeshSettings) -> mesh_node.MeshNode:
+        return mesh_node.MeshNode(
+            reactor,
+            current,
+            time,
+            store.Store(reactor, current.store_address),
+            mesh_node.Topics(store.OPERATOR_TOPIC, store.STATUS_TOPIC, store.MEMBER_TOPIC),
+            headers.PlatformDialect(),
+            documents.decode_directives,
+            _StatusCodec(),
+            log_lines,
+        )
+
+    start = node_start.NodeStart(reactor, path, build, loaded.ok, version)
+    if not start.status:
+        reactor.run(installSignalHandlers=False)
+    return start.status
--- a/src/anvillug/process/mesh_node.py
+++ b/src/anvillug/process/mesh_node.py
@@ -36,9 +36,6 @@
 from anvillug.version import directives, rollouts
 
 _STEP_S = 0.1
-# A former process that is still stopping holds its addresses until the end of the grace time; the
-# platform ends it then.
-_RELEASE_MARGIN_MS = 1000.0
 # Delay before directives are fetched from another zone: by then a node of the same zone may have
 # them, and bytes between zones are charged.
 _OTHER_ZONE_FETCH_DELAY_S = 0.15
@@ -194,23 +191,27 @@
             self._peer_factory,
             lambda: self._settings.bounds.grace_ms,
         )
-        self._listeners = listeners.Listeners(
-            reactor, time, settings.bounds.grace_ms + _RELEASE_MARGIN_MS
-        )
+        self._listeners = listeners.Listeners(reactor, time)
+        self._has_started = False
+
+    @property
+    def has_started(self) -> bool:
+        """Whether all listeners are open."""
+        return self._has_started
 
     @property
     def is_ready(self) -> bool:
         """Whether callers may send requests."""
         return not self._stop.has_begun and self.active_directives.current.routes is not None
 
-    def start(self, reload: Callable[[], None]) -> None:
-        """Open the listeners and start the tasks.
+    async def start(self, reload: Callable[[], None]) -> None:
+        """Open the listeners once their addresses are free, and start the tasks.
 
         Args:
             reload: Reloads the settings on SIGHUP.
 
         Raises:
-            ListenError: If an address can't be listened on.
+            ListenError: If an address can never be listened on.
         """
         settings = self._settings
         add = self._listeners.add
@@ -221,7 +222,8 @@
         self._listeners.add_datagrams(
             f'{settings.ip}:{settings.beacon_port}', self._beacons, beacon.MAX_BYTES
         )
-        self._listeners.open(lambda: self._take_over(reload))
+        await self._listeners.open_when_free(lambda: self._take_over(reload))
+        self._has_started = True
         self._stop.callers.port = caller_listener.port
         self._stop.peer_port = peer_listener.port
         self._beacons.start()
@@ -243,9 +245,11 @@
             start_ms=int(lifetime.PROCESS.age_ms),
         )
 
-    def listen(self, address: str, handler: http_exchange.RequestStarted) -> None:
-        """Add an HTTP listener, which `start` opens."""
-        self._listeners.add(address, http_listener.ServerFactory(handler))
+    def listen(
+        self, address: str, handler: http_exchange.RequestStarted, *, is_early: bool = False
+    ) -> None:
+        """Add an HTTP listener, which `start` opens; see `Listeners.add`."""
+        self._listeners.add(address, http_listener.ServerFactory(handler), is_early=is_early)
 
     def heartbeat(self, heartbeat: upstream.Heartbeat) -> defer.Deferred[findings.Findings]:
         """Process a heartbeat of the backend server.
