--- a/deploy/node.py
+++ b/deploy/node.py
@@ -11,6 +11,8 @@
 
 from anvillug import early_signals  # noqa: E402 - needs the path above
 
+_EXIT_BAD_INPUT = 2
+
 
 def _main() -> None:
     early_signals.keep()
@@ -20,6 +22,9 @@
 
     settings_file = location.settings_file()
     lifetime.PROCESS.begin(lifetime.STANDARD_OUTPUT, settings=settings_file)
+    if not settings_file:
+        lifetime.print_error(f'{location.SETTINGS_VARIABLE}: not set, must name the settings file')
+        lifetime.PROCESS.end(_EXIT_BAD_INPUT)
     # Signals are handled from here on; the modules of the node take long to import.
     import pathlib  # noqa: PLC0415
 
--- a/src/anvillug/platform/program.py
+++ b/src/anvillug/platform/program.py
@@ -48,21 +48,17 @@
 
 
 def run(path: pathlib.Path) -> int:
-    """Run a node until SIGTERM.
+    """Run a node until SIGTERM; it waits for valid settings and for addresses in use.
 
     Args:
         path: Settings file.
 
     Returns:
-        Exit code: 0 after a graceful stop, 2 for invalid settings or an address that can never be
-            used.
+        Exit code: 0 after a graceful stop, 2 for an address that can never be used.
     """
     time = clock.SystemClock()
     log_lines = event_log.set_up_bounded(lifetime.STANDARD_OUTPUT, time)
-    version, loaded = settings_watch.load_at_start(path, settings.load, time)
-    if loaded.is_error():
-        lifetime.print_error(findings.report(loaded.error))
-        return _EXIT_BAD_INPUT
+    version, valid = settings_watch.load_at_start(path, settings.load, time)
     plain_tcp.disable_tls()
     # Importing the reactor installs it.
     from twisted.internet import reactor  # noqa: PLC0415
@@ -85,7 +81,7 @@
             log_lines,
         )
 
-    start = node_start.NodeStart(reactor, path, build, loaded.ok, version)
+    start = node_start.NodeStart(reactor, path, build, valid, version)
     if not start.status:
         reactor.run(installSignalHandlers=False)
     return start.status
--- a/src/anvillug/process/settings_watch.py
+++ b/src/anvillug/process/settings_watch.py
@@ -14,8 +14,10 @@
 
 _CHECK_INTERVAL_S = 1.0  # maximum delay until a change is detected without a signal
 # The platform may still be writing the file when it starts the process.
-_START_TIMEOUT_MS = 2000.0
-_START_RETRY_S = 0.1
+_WRITING_MS = 2000.0
+_WRITING_CHECK_S = 0.1
+# An invalid file may stay for as long as nobody corrects it.
+_LOG_INTERVAL_MS = 10_000.0
 
 Version = NewType('Version', tuple[int, int])
 """Time of modification and size of the file, which identify a version."""
@@ -27,8 +29,8 @@
 
 def load_at_start(
     path: pathlib.Path, load: Loader, time: clock.Clock
-) -> tuple[Version, expression.Result[mesh_settings.MeshSettings, findings.Findings]]:
-    """Read the settings file, and try again for a limited time while it is missing or invalid.
+) -> tuple[Version, mesh_settings.MeshSettings]:
+    """Read the settings file, and try again until it is valid.
 
     Args:
         path: Settings file.
@@ -36,23 +38,57 @@
         time: Clock.
 
     Returns:
-        The version of the file before it was read, and the settings or the findings.
+        The version of the file before it was read, and the settings.
     """
-    deadline = time.now() + _START_TIMEOUT_MS
+    log = _FindingsLog(time)
     while True:
         version = _version_of(path)
         loaded = load(path)
-        remaining_ms = deadline - time.now()
-        if loaded.is_ok() or remaining_ms <= 0:
-            return version, loaded
-        first = loaded.error[0]
-        event_log.warn(
-            'settings_not_read',
-            place=first.place,
-            reason=first.message,
-            remaining_ms=int(remaining_ms),
-        )
-        system_time.sleep(_START_RETRY_S)
+        if loaded.is_ok():
+            log.write_end()
+            return version, loaded.ok
+        log.write(loaded.error)
+        is_being_written = log.duration_ms < _WRITING_MS
+        system_time.sleep(_WRITING_CHECK_S if is_being_written else _CHECK_INTERVAL_S)
+
+
+class _FindingsLog:
+    """Logs each finding of the start at once, and again now and then while it lasts.
+
+    Args:
+        time: Clock.
+    """
+
+    def __init__(self, time: clock.Clock) -> None:
+        self._clock = time
+        self._began_at = time.now()
+        self._logged_at_by_finding: dict[findings.Finding, float] = {}
+
+    @property
+    def duration_ms(self) -> float:
+        """Time in milliseconds since the first try."""
+        return self._clock.now() - self._began_at
+
+    def write(self, found: findings.Findings) -> None:
+        """Log the findings of a try that are due."""
+        now = self._clock.now()
+        # Those that are gone are logged at once if they come back.
+        former = self._logged_at_by_finding
+        self._logged_at_by_finding = {finding: former.get(finding, now) for finding in found}
+        for finding, logged_at in self._logged_at_by_finding.items():
+            if finding not in former or now - logged_at >= _LOG_INTERVAL_MS:
+                self._logged_at_by_finding[finding] = now
+                event_log.warn(
+                    'settings_not_read',
+                    place=finding.place,
+                    reason=finding.message,
+                    invalid_ms=int(self.duration_ms),
+                )
+
+    def write_end(self) -> None:
+        """Log that the settings are valid, if they were not."""
+        if self._logged_at_by_finding:
+            event_log.emit('settings_valid', invalid_ms=int(self.duration_ms))
 
 
 def _version_of(path: pathlib.Path) -> Version:
