--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -7,9 +7,10 @@
 import pathlib
 import socket
 from collections.abc import Callable
+from typing import NamedTuple
 
 import pytest
-from twisted.internet import protocol
+from twisted.internet import defer, protocol, task
 from twisted.web import client as web_client
 
 from anvillug import clock
@@ -22,10 +23,11 @@
 _MAX_CONNECTIONS = 20
 
 
-class _Reactor:
+class _Reactor(task.Clock):
     """Records the addresses of the sockets that are passed on."""
 
     def __init__(self) -> None:
+        super().__init__()
         self.addresses: list[str] = []
 
     def adoptStreamPort(self, descriptor, family, factory):  # noqa: N802
@@ -46,6 +48,9 @@
     def open(self) -> None:
         self.listeners.open(self._take_over)
 
+    def open_when_free(self) -> defer.Deferred[None]:
+        return defer.ensureDeferred(self.listeners.open_when_free(self._take_over))
+
     def _take_over(self) -> None:
         assert not self.reactor.addresses
         self.taken_over += 1
@@ -119,6 +124,114 @@
         assert len(tries) == 1
 
 
+def _is_free(address: str, kind: socket.SocketKind = socket.SOCK_STREAM) -> bool:
+    host, _, port = address.rpartition(':')
+    with socket.socket(socket.AF_INET, kind) as other, contextlib.suppress(OSError):
+        other.bind((host, int(port)))
+        return True
+    return False
+
+
+class TestWait:
+    """Guards against processes that wait for addresses for ever, or act on what came meanwhile."""
+
+    def test_addresses_behind_one_in_use_are_free(self, opened):
+        # Two processes that start would each hold what the other one waits for.
+        addresses = processes.free_addresses(3)
+        for address in addresses:
+            opened.listeners.add(address, address)
+        host, _, port = addresses[1].rpartition(':')
+        with socket.create_server((host, int(port))):
+            waiting = opened.open_when_free()
+            assert not _is_free(addresses[0])
+            assert _is_free(addresses[2])
+            assert not opened.taken_over
+        opened.reactor.advance(1)
+        assert waiting.called
+        assert opened.reactor.addresses == addresses
+
+    def test_datagrams_that_came_during_the_wait_are_gone(self, opened):
+        # Old beacons would be taken for those of nodes that run.
+        datagrams, address = processes.free_addresses(2)
+        opened.listeners.add_datagrams(datagrams, None, 100)
+        opened.listeners.add(address, address)
+        host, _, port = address.rpartition(':')
+        with socket.create_server((host, int(port))):
+            waiting = opened.open_when_free()
+            assert _is_free(datagrams, socket.SOCK_DGRAM)
+            waiting.cancel()
+        assert waiting.called
+        waiting.addErrback(lambda reason: reason.trap(defer.CancelledError))
+
+    def test_cancelled_wait_releases_all(self, opened):
+        addresses = processes.free_addresses(2)
+        for address in addresses:
+            opened.listeners.add(address, address)
+        host, _, port = addresses[1].rpartition(':')
+        with socket.create_server((host, int(port))):
+            waiting = opened.open_when_free()
+            waiting.addErrback(lambda reason: reason.trap(defer.CancelledError))
+            waiting.cancel()
+        assert all(_is_free(address) for address in addresses)
+        assert not opened.taken_over
+        assert not opened.reactor.getDelayedCalls()
+
+
+class _Event(NamedTuple):
+    """A log line."""
+
+    name: str
+    fields: dict[str, object]
+
+
+def _fails_twice() -> listeners.Opener:
+    errors = [OSError(errno.EADDRINUSE, 'in use') for _ in range(2)]
+
+    def listen(address: str) -> None:
+        if errors:
+            raise errors.pop()
+
+    return listen
+
+
+@pytest.fixture
+def events(monkeypatch):
+    """Return a list of the events that are logged, with their fields."""
+    logged: list[_Event] = []
+
+    def log(event: str, **fields: object) -> None:
+        logged.append(_Event(event, fields))
+
+    monkeypatch.setattr(listeners.event_log, 'emit', log)
+    monkeypatch.setattr(listeners.event_log, 'warn', log)
+    return logged
+
+
+class TestLog:
+    """Guards against lines that hide for how long an address has been in use, or that flood."""
+
+    def test_failure_is_logged_once_and_its_end_with_its_duration(self, opened, events):
+        address = processes.free_addresses(1)[0]
+        opened.listeners.add_opener(address, _fails_twice())
+        opened.open()
+        assert [event.name for event in events] == ['listen_failed', 'address_free']
+        assert all(event.fields['address'] == address for event in events)
+        assert events[0].fields['in_use_ms'] == 0
+        assert 150 <= events[1].fields['in_use_ms'] <= 10_000
+
+    def test_failure_is_logged_again_now_and_then(self, opened, events, monkeypatch):
+        monkeypatch.setattr(listeners, '_LOG_INTERVAL_MS', 0)
+        address = processes.free_addresses(1)[0]
+        opened.listeners.add_opener(address, _fails_twice())
+        opened.open()
+        assert [event.name for event in events] == [
+            'listen_failed',
+            'listen_failed',
+            'address_free',
+        ]
+        assert events[1].fields['in_use_ms'] >= 150
+
+
 def _holders(port: int) -> int:
     """Return the number of sockets of this machine with a local port of 127.0.0.1, in any state."""
     lines = pathlib.Path('/proc/net/tcp').read_text().splitlines()[1:]
