--- a/src/anvillug/connection/http_server.py
+++ b/src/anvillug/connection/http_server.py
@@ -331,17 +331,15 @@
         if not self._slots or write_batch.has_unsent_bytes(self.transport):
             return True
         exchange = self._slots[0].exchange
-        if exchange.head_sent or not exchange.head.supports_chunked:
+        if not (exchange.head_sent or exchange.head.supports_chunked):
             return False
+        # Within a response, the next part of its body tells.
         exchange.send_continue()
         return True
 
     def _end_unanswered(self) -> None:
-        """End the first response, since its client may have left and can't be probed."""
+        """Answer the first request, since its client may have left and can't be probed."""
         exchange = self._slots[0].exchange
-        if exchange.head_sent:
-            self.abort()
-            return
         if exchange.handler is not None:
             exchange.handler.request_aborted()
             exchange.handler = None
