--- a/src/anvillug/early_signals.py
+++ b/src/anvillug/early_signals.py
@@ -8,7 +8,7 @@
 
 import _signal
 
-NUMBERS = (_signal.SIGHUP, _signal.SIGTERM, _signal.SIGINT)
+NUMBERS = (_signal.SIGHUP, _signal.SIGTERM, _signal.SIGINT, _signal.SIGUSR1)
 """Numbers of the signals that a server handles."""
 
 # The interpreter itself ignores these.
--- a/src/anvillug/process/lifetime.py
+++ b/src/anvillug/process/lifetime.py
@@ -43,11 +43,11 @@
     """What is done with a signal that was received."""
 
     APPLIED = 'applied'
-    """The process stops, or reloads its settings."""
+    """The process stops, reloads its settings, or logs its state."""
     KEPT = 'kept'
     """The settings are reloaded once the process is started."""
     IGNORED = 'ignored'
-    """The process is stopping, or has nothing to reload."""
+    """The process is stopping, or has nothing to reload or no state to log."""
     ENDED = 'ended'
     """The process was not started and has ended at once."""
 
@@ -56,7 +56,8 @@
     """Signals and age of this process.
 
     SIGHUP reloads the settings. SIGTERM and SIGINT stop the process: before `take_over` at once
-    with status 0, since it has accepted nothing. A stopping process ignores all of them.
+    with status 0, since it has accepted nothing. A stopping process ignores all of them. SIGUSR1
+    logs the state of a process that has taken over, also while it stops.
     """
 
     def __init__(self) -> None:
@@ -65,6 +66,7 @@
         self._schedule: Callable[..., Any] | None = None
         self._terminate: Callable[[], None] | None = None
         self._reload: Callable[[], None] | None = None
+        self._log_state: Callable[[], None] | None = None
         self._log: Log | None = None
         self._reload_kept = False
         self._stopping = False
@@ -103,6 +105,7 @@
         log: Log,
         terminate: Callable[[], None],
         reload: Callable[[], None] | None = None,
+        log_state: Callable[[], None] | None = None,
     ) -> None:
         """Pass signals on to the server, also a reload that was requested during the start.
 
@@ -111,10 +114,12 @@
             log: Logs an event.
             terminate: Starts a graceful stop; called once.
             reload: Reloads the settings; None if the server can't.
+            log_state: Logs the state of the server; None if it can't.
         """
         self._log = log
         self._terminate = terminate
         self._reload = reload
+        self._log_state = log_state
         self._schedule = schedule
         self._install_handlers()
         if self._reload_kept and reload is not None:
@@ -183,6 +188,8 @@
             self._received(number, None)
 
     def _action_of(self, number: int) -> _Action:
+        if number == signal.SIGUSR1:
+            return _Action.IGNORED if self._log_state is None else _Action.APPLIED
         if self._stopping:
             return _Action.IGNORED
         if number == signal.SIGHUP:
@@ -194,6 +201,8 @@
     def _apply(self, number: int) -> None:
         if number == signal.SIGHUP:
             self._schedule(self._reload)
+        elif number == signal.SIGUSR1:
+            self._schedule(self._log_state)
         else:
             self._stopping = True
             self._schedule(self._terminate)
--- a/src/anvillug/process/mesh_node.py
+++ b/src/anvillug/process/mesh_node.py
@@ -382,10 +382,27 @@
 
     def _take_over(self, reload: Callable[[], None]) -> None:
         lifetime.PROCESS.take_over(
-            self._reactor.callFromThread, event_log.emit, self._begin_stop, reload
+            self._reactor.callFromThread,
+            event_log.emit,
+            self._begin_stop,
+            reload,
+            self._log_state,
         )
         self._reactor.addSystemEventTrigger('after', 'shutdown', lifetime.PROCESS.ignore_signals)
 
+    def _log_state(self) -> None:
+        backend = self.upstream
+        event_log.emit(
+            'node_state',
+            ready=self.is_ready,
+            stopping=self._stop.has_begun,
+            backend=backend.state.value,
+            instance=backend.instance,
+            reaches_log=self._feed.reaches_log,
+            follows=self._duty.is_follower(),
+            **{name: int(number) for name, number in self._gauges().items()},
+        )
+
     def _begin_stop(self) -> None:
         """Report that the node is not ready, and end once its requests are completed."""
         if not self._stop.has_begun:
--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -426,6 +426,31 @@
         assert _end(child, _AT_ONCE_MS) == 0
 
 
+class TestStateOnRequest:
+    """Guards against processes that end by the signal that asks for their state."""
+
+    @_each(_MESH_KINDS)
+    def test_state_of_a_mesh_node_is_logged(self, starter):
+        # SIGUSR1 ended the process.
+        child = starter.start_to_end_of_start()
+        child.send_signal(signal.SIGUSR1)
+        fields = child.wait_for_event('node_state')
+        assert (fields['ready'], fields['stopping']) == ('False', 'False')
+        assert (fields['calls_in_progress'], fields['peers_known']) == ('0', '0')
+        assert child.stop() == 0
+
+    @_each()
+    def test_request_during_the_start_ends_no_process(self, starter):
+        child = starter.start_to_first_line()
+        child.send_signal(signal.SIGUSR1)
+        _await_output(child, 'signal=SIGUSR1 action=')
+        child.wait_for_event(starter.program.started_event)
+        child.send_signal(signal.SIGUSR1)
+        time.sleep(0.3)
+        assert child.running
+        assert child.stop() == 0
+
+
 class TestSignalsBeforeTheFirstLine:
     """Guards against processes that end by a signal which comes before the program runs."""
 
--- a/tests/test_settings_watch.py
+++ b/tests/test_settings_watch.py
@@ -7,7 +7,7 @@
 import expression
 import pytest
 
-from anvillug import event_log, findings
+from anvillug import clock, event_log, findings
 from anvillug.process import settings_watch
 
 _PATH = pathlib.Path('local.json')
@@ -15,18 +15,15 @@
 _SECOND = findings.Finding('local.json: Terms', 'required key is missing')
 
 
-class _Time:
+class _Time(clock.ManualClock):
     """Clock that goes on only while the start sleeps."""
 
     def __init__(self) -> None:
-        self.milliseconds = 0.0
+        super().__init__()
         self.sleeps_s: list[float] = []
 
-    def now(self) -> float:
-        return self.milliseconds
-
     def sleep(self, duration_s: float) -> None:
-        self.milliseconds += duration_s * 1000
+        self.advance(duration_s * 1000)
         self.sleeps_s.append(duration_s)
 
 
@@ -68,8 +65,8 @@
     def test_file_is_read_until_it_is_valid(self, time, lines):
         load = _load(time, 600_000, _FIRST)
         assert settings_watch.load_at_start(_PATH, load, time)[1] == 'settings'
-        assert time.milliseconds >= 600_000
-        assert lines[-1] == f'event=settings_valid invalid_ms={int(time.milliseconds)}'
+        assert time.now() >= 600_000
+        assert lines[-1] == f'event=settings_valid invalid_ms={int(time.now())}'
 
     def test_file_is_read_each_second_after_the_first_two(self, time, lines):
         settings_watch.load_at_start(_PATH, _load(time, 10_000, _FIRST), time)
