Stopping node: the wait for a response is no time without a request (LOST)

Cause: `CallerClose` counted quiet time from the last request's begin. After a response that took over a second, callers counted as gone at once, and the connection was closed 50 to 100 ms later without an announcement.

Change: quiet time begins once no connection of a caller has a request in progress or unsent bytes.

--- a/src/anvillug/process/caller_close.py
+++ b/src/anvillug/process/caller_close.py
@@ -17,8 +17,8 @@
 # Within two seconds callers detect by the readiness check that the node is not ready, and stop
 # sending requests to it.
 _MIN_SERVE_MS = 2300.0
-# Callers that have sent no request for this long are taken to have left, or to use their
-# connections too seldom to wait for them.
+# Callers that have sent no request and awaited no response for this long are taken to have left, or
+# to use their connections too seldom to wait for them.
 _QUIET_MS = 1000.0
 
 
@@ -57,7 +57,9 @@
         self._is_busy = is_busy
         self._began_at = clock.Milliseconds(0)
         self._request_count = 0
-        self._last_request_at = clock.Milliseconds(0)
+        self._checked_at = clock.Milliseconds(0)
+        # For how long callers have sent nothing and awaited nothing.
+        self._quiet_ms = 0.0
 
     @property
     def stopped_for_ms(self) -> float:
@@ -67,7 +69,8 @@
     def begin(self) -> None:
         """Begin to wait until callers have left."""
         self._began_at = self._clock.now()
-        self._last_request_at = self._began_at
+        self._checked_at = self._began_at
+        self._quiet_ms = 0
 
     def check(self, *, must_close: bool, must_end: bool) -> None:
         """Take the next step if the last one is complete; call this every 100 ms or more often.
@@ -76,7 +79,7 @@
             must_close: Whether connections close although callers have not left.
             must_end: Whether connections that are idle close although callers use them.
         """
-        self._note_requests()
+        self._update_quiet_time()
         is_quiet = self._is_quiet()
         if self.phase is Phase.SERVING:
             may_close = self.stopped_for_ms >= _MIN_SERVE_MS and is_quiet
@@ -89,14 +92,16 @@
 
     # Private
 
-    def _note_requests(self) -> None:
-        if self._request_count != self._callers.request_count:
-            self._request_count = self._callers.request_count
-            self._last_request_at = self._clock.now()
-
-    @property
-    def _quiet_ms(self) -> float:
-        return self._clock.now() - self._last_request_at
+    def _update_quiet_time(self) -> None:
+        now = self._clock.now()
+        step_ms = now - self._checked_at
+        self._checked_at = now
+        request_count = self._callers.request_count
+        if request_count != self._request_count or self._callers.busy_count:
+            self._quiet_ms = 0
+        else:
+            self._quiet_ms += step_ms
+        self._request_count = request_count
 
     def _is_quiet(self) -> bool:
         """Return whether callers have sent nothing for a while and await nothing."""
--- a/tests/test_mesh_stop.py
+++ b/tests/test_mesh_stop.py
@@ -128,32 +128,38 @@
     # Guards against callers that are not told to leave before their connection is closed, and
     # against a close that begins before callers can detect that the node is not ready.
     def test_close_is_announced_once_callers_could_leave(self, mesh):
-        connection = http_client.HTTPConnection(*_address(mesh, _CALLER_PORT), timeout=_TIMEOUT_S)
+        connection = _connect(mesh)
         announced_s, statuses = _use_until_announced(connection, mesh.nodes[0])
         assert set(statuses) <= {200, 503}
         assert _READINESS_S <= announced_s < _GRACE_S
 
     # Guards against connections that are closed although their caller uses them now and then.
     def test_idle_connection_stays_open_until_it_was_used_once_more(self, mesh):
-        busy, idle = (
-            http_client.HTTPConnection(*_address(mesh, _CALLER_PORT), timeout=_TIMEOUT_S)
-            for _ in range(2)
-        )
+        busy, idle = _connect(mesh), _connect(mesh)
         assert _use(idle) == (200, None)
         _use_until_announced(busy, mesh.nodes[0])
         time.sleep(_SELDOM_S)
         assert _use(idle) in {(200, 'close'), (503, 'close')}
 
+    # LOST: the wait for a response counted as time without a request, so that the connection of a
+    # caller was closed in the pause behind it.
+    def test_caller_of_long_requests_is_told_before_the_close(self, mesh):
+        connection = _connect(mesh)
+        mesh.inject_faults(work_ms=_LONG_REQUEST_MS)
+        _signal(mesh, signal.SIGTERM)
+        while _use(connection)[1] is None:
+            time.sleep(_LONG_PAUSE_S)
+
     # Guards against a caller that is cut again and again since it goes on connecting to the node.
     def test_no_connection_is_accepted_once_the_close_is_announced(self, mesh):
-        connection = http_client.HTTPConnection(*_address(mesh, _CALLER_PORT), timeout=_TIMEOUT_S)
+        connection = _connect(mesh)
         _use_until_announced(connection, mesh.nodes[0])
         with pytest.raises(ConnectionRefusedError):
             socket.create_connection(_address(mesh, _CALLER_PORT))
 
     # Guards against a close that a caller sees late since the node is busy.
     def test_end_of_the_connection_follows_the_last_response(self, mesh):
-        connection = http_client.HTTPConnection(*_address(mesh, _CALLER_PORT), timeout=_TIMEOUT_S)
+        connection = _connect(mesh)
         _use(connection)
         kept = connection.sock
         _use_until_announced(connection, mesh.nodes[0])
@@ -260,6 +266,13 @@
 _READINESS_S = 2.0
 _GRACE_S = 6.0
 _SELDOM_S = 0.6
+# Two requests end just after callers could leave, 2.3 s after SIGTERM.
+_LONG_REQUEST_MS = 1200
+_LONG_PAUSE_S = 0.2
+
+
+def _connect(mesh) -> http_client.HTTPConnection:
+    return http_client.HTTPConnection(*_address(mesh, _CALLER_PORT), timeout=_TIMEOUT_S)
 
 
 def _use(connection: http_client.HTTPConnection) -> tuple[int, str | None]:
