Stopping node: its own stand-still is no time without a request (LOST)

Cause: on a busy machine, node and callers stand still together. A node that goes on first found a second without a request, took its callers as gone, announced to no one (`node_closing`), and closed their connections 50 to 100 ms later. So callers that never paused for over 50 ms lost a request.

Change: a check that comes late counts 100 ms of quiet time at most (checks come every 50 or 100 ms).

--- a/src/anvillug/process/caller_close.py
+++ b/src/anvillug/process/caller_close.py
@@ -20,6 +20,9 @@
 # Callers that have sent no request and awaited no response for this long are taken to have left, or
 # to use their connections too seldom to wait for them.
 _QUIET_MS = 1000.0
+# A check that comes later counts as if it came after this time: while this process stood still, its
+# callers on the same host may have done so too.
+_MAX_QUIET_STEP_MS = 100.0
 
 
 class Phase(enum.Enum):
@@ -94,7 +97,7 @@
 
     def _update_quiet_time(self) -> None:
         now = self._clock.now()
-        step_ms = now - self._checked_at
+        step_ms = min(now - self._checked_at, _MAX_QUIET_STEP_MS)
         self._checked_at = now
         request_count = self._callers.request_count
         if request_count != self._request_count or self._callers.busy_count:
--- a/tests/test_caller_close.py
+++ b/tests/test_caller_close.py
@@ -93,6 +93,21 @@
         stop.use()
         assert stop.is_announced
 
+    # LOST: after a stand-still of the host, the connections of callers that went on later than the
+    # node were closed as unused.
+    @pytest.mark.parametrize('stalled_ms', [1000, 1500, 3000])
+    def test_stand_still_of_the_node_is_no_quiet_time(self, stop, stalled_ms):
+        for _ in range(10):
+            stop.use()
+            stop.pass_time(200)
+        stop.stand_still(stalled_ms)
+        stop.pass_time(300)
+        assert stop.is_open
+        stop.use()
+        stop.pass_time(700)
+        stop.use()
+        assert stop.is_announced or stop.is_open
+
     # Guards against a stop that waits for callers that have left.
     def test_unused_connection_is_closed_after_a_second(self, stop):
         stop.use()
