Host side: a late read by the node is no latency of the backend server

Cause: the latency of a call ended when the event loop read the head of the response. A node that gets the processor late again and again measured its own delay, took its backend server for overloaded and lowered its limit to one call (`queue-full`).

Change: the time since the kernel received the newest data (`tcpi_last_data_recv`, less one unit of the kernel's clock) is left out.

--- a/src/anvillug/connection/http_client.py
+++ b/src/anvillug/connection/http_client.py
@@ -11,7 +11,7 @@
 from zope.interface import implementer
 
 from anvillug import event_log
-from anvillug.connection import carried_ids, http_head, write_batch
+from anvillug.connection import arrival, carried_ids, http_head, write_batch
 
 _MIN_FINAL_STATUS = 200
 _STATUS_CONTINUE = 100
@@ -104,6 +104,11 @@
         """Whether the connection carries no request and can be reused."""
         return self._handler is None and self._reusable and not self._disconnected
 
+    @property
+    def waited_ms(self) -> float:
+        """How long the newest bytes had waited to be read; see `arrival`."""
+        return arrival.waited_ms(self.transport)
+
     def connectionMade(self) -> None:  # noqa: N802
         """Register for write backpressure; see Twisted."""
         self.transport.setTcpNoDelay(True)
--- a/src/anvillug/request/host_call.py
+++ b/src/anvillug/request/host_call.py
@@ -144,7 +144,7 @@
         return self._hash.fingerprint
 
     def latency_ms(self, now: clock.Milliseconds) -> float:
-        """Return the time from the complete request to the head of the response.
+        """Return the time from the complete request to the arrival of the head of the response.
 
         Args:
             now: Monotonic time, used if no head was received.
@@ -253,7 +253,7 @@
             self._shed = True
             return
         self._made_progress = True
-        self._head_received_at = self._context.clock.now()
+        self._note_arrival()
         self._status = head.status
         headers = http_head.end_to_end_headers(head.headers, _REPLACED_HEADERS)
         self._response_copy.start(head.status, headers)
@@ -296,6 +296,11 @@
 
     # Private
 
+    def _note_arrival(self) -> None:
+        # A late read by this process is no latency of the backend server.
+        waited_ms = 0 if self._connection is None else self._connection.waited_ms
+        self._head_received_at = clock.Milliseconds(self._context.clock.now() - waited_ms)
+
     def _admit(self) -> None:
         if not self._context.must_wait_for_config(self):
             self.admit()
--- a/tests/test_host_side.py
+++ b/tests/test_host_side.py
@@ -153,6 +153,8 @@
 class _Connection:
     """Connection to a backend server that records what is sent."""
 
+    waited_ms = 0.0
+
     def __init__(self):
         self.sent = b''
         self.ended = False
