--- /dev/null
+++ b/deploy/interpreter.c
@@ -0,0 +1,34 @@
+/* The interpreter of a node, with the signals of a server blocked from its first line on.
+
+   Until the program installs handlers, a signal has its default action and ends the process. A
+   blocked signal waits; `anvillug.early_signals` unblocks it. `build_interpreter.py` defines
+   INTERPRETER, LIBRARY and NUMBERS, those of the signals. */
+
+#include <dlfcn.h>
+#include <signal.h>
+#include <stdio.h>
+
+static const int numbers[] = {NUMBERS};
+
+typedef int (*MainFunction)(int, char **);
+
+int main(int argument_count, char **arguments)
+{
+    sigset_t blocked;
+    sigemptyset(&blocked);
+    for (size_t index = 0; index < sizeof numbers / sizeof *numbers; index++)
+        sigaddset(&blocked, numbers[index]);
+    sigprocmask(SIG_BLOCK, &blocked, NULL);
+
+    /* Loaded only now, since a library that the program is linked with is loaded before `main`,
+       which takes a millisecond. Extension modules need its symbols. */
+    void *library = dlopen(LIBRARY, RTLD_NOW | RTLD_GLOBAL);
+    MainFunction run = library ? (MainFunction)dlsym(library, "Py_BytesMain") : NULL;
+    if (run == NULL) {
+        fprintf(stderr, "%s\n", dlerror());
+        return 127;
+    }
+    /* The interpreter finds its modules by this path. */
+    arguments[0] = INTERPRETER;
+    return run(argument_count, arguments);
+}
--- a/src/anvillug/bench/soak_faults.py
+++ b/src/anvillug/bench/soak_faults.py
@@ -160,6 +160,8 @@
         if _EARLY_ANSWERS in kinds:
             behavior.early_share = _EARLY_SHARE
         if _DEPLOYED in kinds and not kinds & soak_links.LISTENER_KINDS:
+            # Not with the first start, which would hold up the reactor.
+            soak_launch.build_interpreter(soak_launch.ROOT)
             shared.launch = soak_launch.as_deployed
         if kinds & _READER_KINDS:
             shared.new_output = functools.partial(soak_output.PipeOutput, shared.reactor)
--- a/src/anvillug/bench/soak_launch.py
+++ b/src/anvillug/bench/soak_launch.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import json
 import os
 import pathlib
 import shlex
+import subprocess  # noqa: S404 builds what the run line names
 import sys
 import tomllib
 from collections.abc import Mapping
@@ -19,6 +21,8 @@
 
 _LINKED_NODE = 'anvillug.bench.soak_node'
 _PLATFORM_VARIABLES = ('HOME', 'LANG')
+_BUILDER = pathlib.Path('deploy', 'build_interpreter.py')
+_INTERPRETER = pathlib.Path('target', 'python3')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -58,6 +62,8 @@
 def as_deployed(path: pathlib.Path, checkout: pathlib.Path = ROOT) -> Launch:
     """Return how the run line of the deploy file is started, with the platform's variables only.
 
+    The interpreter that it names is built first, once by each process.
+
     Args:
         path: Settings file.
         checkout: Checkout with the deploy file and the code.
@@ -65,11 +71,32 @@
     Raises:
         OSError: If there is no deploy file, as in an installed package.
     """
+    build_interpreter(checkout)
     deploy_file = tomllib.loads((checkout / 'deploy' / 'system.toml').read_text())
     words = shlex.split(deploy_file['roles']['node']['run'])
     command = tuple(str(checkout / word) if (checkout / word).is_file() else word for word in words)
     variables = {name: os.environ[name] for name in _PLATFORM_VARIABLES if name in os.environ}
-    variables['PATH'] = f'{pathlib.Path(sys.executable).parent}:{os.environ["PATH"]}'
+    variables['PATH'] = _path_variable()
     variables['PYTHONPATH'] = ':'.join(each for each in sys.path if each.endswith('-packages'))
     variables[location.SETTINGS_VARIABLE] = str(path)
     return Launch(command, variables)
+
+
+@functools.cache
+def build_interpreter(checkout: pathlib.Path) -> None:
+    """Build the interpreter of the deploy file; older checkouts have none.
+
+    Raises:
+        subprocess.CalledProcessError: If it can't be built.
+    """
+    if (checkout / _BUILDER).is_file():
+        subprocess.run(  # noqa: S603 the project's own file
+            ['python3', str(checkout / _BUILDER), str(checkout / _INTERPRETER)],  # noqa: S607
+            env={**os.environ, 'PATH': _path_variable()},
+            check=True,
+        )
+
+
+def _path_variable() -> str:
+    """Return the variable PATH with the folder of this interpreter first."""
+    return f'{pathlib.Path(sys.executable).parent}:{os.environ["PATH"]}'
--- a/src/anvillug/early_signals.py
+++ b/src/anvillug/early_signals.py
@@ -18,6 +18,8 @@
     """Keep signals from now on, until other handlers are installed."""
     for number in NUMBERS:
         _signal.signal(number, _received)
+    # The interpreter of the deploy file blocks them until now.
+    _signal.pthread_sigmask(_signal.SIG_UNBLOCK, NUMBERS)
 
 
 def take() -> list[int]:
--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -17,7 +17,7 @@
 
 import pytest
 
-from anvillug.bench import processes
+from anvillug.bench import processes, soak_launch
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 _IP = '127.77.3.11'
@@ -94,8 +94,7 @@
     def command(self) -> list[str]:
         """Return the command line."""
         if self.kind == 'platform':
-            # The run line of deploy/system.toml.
-            return [sys.executable, '-S', 'deploy/node.py']
+            return list(soak_launch.as_deployed(self.path).command)
         if self.kind == 'standin':
             address = self.addresses_by_name['caller_address']
             return [*processes.PROGRAM, 'standin', 'log', '--address', address]
@@ -349,6 +348,15 @@
             assert _end(child) == 0
             assert f'signal={number.name} action=ended' in child.output()
 
+    @_each(('platform',))
+    def test_node_starts_by_hand(self, starter):
+        arguments = ('-S', 'deploy/node.py')
+        environment = starter.program.environment()
+        with processes.group() as group:
+            group.append(processes.ChildProcess(arguments, (sys.executable,), environment))
+            group[0].wait_for_event('node_started')
+            assert group[0].stop() == 0
+
     def test_modules_are_found_by_a_plain_path(self):
         # FAULT: on the users' bench no node started, since it had no file behind `deploy/..`.
         code = 'import runpy, sys; runpy.run_path(sys.argv[1]); print(sys.path[0])'
--- a/tests/test_soak_faults.py
+++ b/tests/test_soak_faults.py
@@ -48,7 +48,9 @@
 
     def test_command(self):
         command = soak_launch.as_deployed(pathlib.Path('settings.json')).command
-        assert command[0] == 'python3'
+        interpreter = soak_launch.ROOT / 'target' / 'python3'
+        assert command[0] == str(interpreter)
+        assert os.access(interpreter, os.X_OK)
         assert pathlib.Path(command[-1]).is_file()
 
 
