--- a/src/anvillug/early_signals.py
+++ b/src/anvillug/early_signals.py
@@ -7,10 +7,13 @@
 from __future__ import annotations
 
 import _signal
+import posix
 
 NUMBERS = (_signal.SIGHUP, _signal.SIGTERM, _signal.SIGINT, _signal.SIGUSR1)
 """Numbers of the signals that a server handles."""
 
+# Numbers of the signals that `deploy/interpreter.c` has blocked, and the parent process has not.
+_BLOCKED_AT_START = b'ANVILLUG_BLOCKED_AT_START'
 # The interpreter itself ignores these.
 _IGNORED_BY_PYTHON = frozenset((_signal.SIGPIPE, _signal.SIGXFSZ))
 
@@ -46,7 +49,8 @@
 
 def blocked_by_parent() -> list[int]:
     """Return the numbers of the signals that the parent process left blocked."""
-    return sorted(_blocked)
+    at_start = posix.environ.get(_BLOCKED_AT_START, b'').split()
+    return sorted(_blocked.difference(int(number) for number in at_start))
 
 
 def ignored_by_parent() -> list[int]:
