Link stand-in: forward the end of a stream, and a reset after it

Cause: a relay closed both connections once a client had closed its end, so that behind caller-link callers that close their end could get no answer, whatever the node did. A client that left was seen as one that had closed its end only, for good: the reactor reports no reset of a connection whose stream has ended.

Change: the end of a stream is forwarded by itself; both connections close once both streams have ended. After bytes to a connection its error is looked at, and a reset is passed on.

--- a/src/anvillug/standin/link.py
+++ b/src/anvillug/standin/link.py
@@ -4,6 +4,7 @@
 
 import collections
 import dataclasses
+import socket
 from collections.abc import Callable
 from typing import Any
 
@@ -11,12 +12,14 @@
 from twisted.internet import defer, endpoints, error, interfaces, protocol, task
 from twisted.python import failure as twisted_failure
 from twisted.web import http, iweb, server
+from zope.interface import implementer
 
 from anvillug import clock
 from anvillug.standin import http_api
 
 CONNECT_TIMEOUT_S = 10
 LISTEN_BACKLOG = 1024
+_RESET_CHECK_S = 0.02
 DELAYS_PER_HANDSHAKE = 2  # SYN and SYN-ACK each cross the link
 
 _ScheduledAction = tuple[float, Callable[[], None]]
@@ -59,7 +62,11 @@
 
     def forward(self, chunk: bytes) -> None:
         """Write a chunk to the target after the delay."""
-        self._schedule(lambda: self._target.write(chunk))
+        self._schedule(lambda: self._write(chunk))
+
+    def end(self) -> None:
+        """End the stream to the target after the pending chunks."""
+        self._schedule(lambda: self._target.connected and self._target.loseWriteConnection())
 
     def close(self, reason: twisted_failure.Failure) -> None:
         """Close the target after the pending chunks; reset it unless the source closed cleanly."""
@@ -76,6 +83,19 @@
         self._target.unregisterProducer()
         self._source.resumeProducing()
 
+    def _write(self, chunk: bytes) -> None:
+        self._target.write(chunk)
+        # The reactor reports no reset of a connection whose stream has ended.
+        self._link.reactor.callLater(_RESET_CHECK_S, self._abort_if_reset)
+
+    def _abort_if_reset(self) -> None:
+        if self._target.connected and self._target.socket.getsockopt(
+            socket.SOL_SOCKET, socket.SO_ERROR
+        ):
+            # The target would close its producer without a reset.
+            self._source.abortConnection()
+            self._target.abortConnection()
+
     def _schedule(self, action: Callable[[], None]) -> None:
         if self._is_stopped:
             return
@@ -95,9 +115,12 @@
             )
 
 
+@implementer(interfaces.IHalfCloseableProtocol)
 class RelayConnection(protocol.Protocol):
     """One of the two connections of a relayed pair.
 
+    The end of a stream is forwarded, so that a client may close its end and read on.
+
     Args:
         link: Link that relays between the pair.
     """
@@ -106,12 +129,23 @@
         self.link = link
         self.forwarder: Forwarder | None = None
         """Forwards received data to the other connection; None until that is open."""
+        self._ended_directions: set[str] = set()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802 the name is Twisted's
         """Forward received bytes to the other connection."""
         if self.forwarder is not None:
             self.forwarder.forward(data)
 
+    def readConnectionLost(self) -> None:  # noqa: N802 the name is Twisted's
+        """Propagate the end of the received stream."""
+        if self.forwarder is not None:
+            self.forwarder.end()
+        self._end_direction('received')
+
+    def writeConnectionLost(self) -> None:  # noqa: N802 the name is Twisted's
+        """Note the end of the sent stream."""
+        self._end_direction('sent')
+
     def connectionLost(  # noqa: N802 the name is Twisted's
         self, reason: twisted_failure.Failure = protocol.connectionDone
     ) -> None:
@@ -120,6 +154,14 @@
         if self.forwarder is not None:
             self.forwarder.close(reason)
 
+    def _end_direction(self, name: str) -> None:
+        self._ended_directions.add(name)
+        if len(self._ended_directions) == 2:
+            # As a registered producer, the other connection would be closed with this one, and
+            # what is to be written to it after the delay would be lost.
+            self.transport.unregisterProducer()
+            self.transport.loseConnection()
+
 
 class AcceptedConnection(RelayConnection):
     """Connection that the link has accepted; opens the connection to the target."""
--- a/tests/test_standin_link.py
+++ b/tests/test_standin_link.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import socket
+
 import pytest
 import treq
-from twisted.internet import defer, endpoints, error, protocol, reactor, task
+from twisted.internet import defer, endpoints, error, interfaces, protocol, reactor, task
 from twisted.trial import unittest
 from twisted.web import client
+from zope.interface import implementer
 
 from anvillug.standin import http_api, link
 
@@ -36,6 +39,20 @@
             await task.deferLater(reactor, 0.002)
 
 
+@implementer(interfaces.IHalfCloseableProtocol)
+class _HalfOpen(protocol.Protocol):
+    """Stays open after the end of the received stream."""
+
+    def __init__(self):
+        self.ended = defer.Deferred()
+
+    def readConnectionLost(self) -> None:  # noqa: N802 Twisted's name
+        self.ended.callback(None)
+
+    def writeConnectionLost(self) -> None:  # noqa: N802 Twisted's name
+        pass
+
+
 class TestLink(unittest.TestCase):
     """Guards against faults that affect connections differently from a real network."""
 
@@ -82,6 +99,45 @@
         connection.transport.loseConnection()
         await connection.closed
 
+    def serve_half_open(self):
+        accepted = _HalfOpen()
+        factory = protocol.Factory()
+        factory.buildProtocol = lambda _: accepted
+        target = reactor.listenTCP(0, factory, interface='127.0.0.1')
+        self.addCleanup(target.stopListening)
+        self.link._target = http_api.split_address(http_api.bound_address(target))
+        return accepted
+
+    # LOST: the link closed the connection of a client that had closed its end.
+    def test_half_closed_connection_is_answered(self):
+        return defer.ensureDeferred(self.check_half_close())
+
+    async def check_half_close(self):
+        accepted = self.serve_half_open()
+        connection = await self.connect()
+        connection.transport.loseWriteConnection()
+        await accepted.ended
+        accepted.transport.write(b'a')
+        accepted.transport.loseConnection()
+        await connection.wait_for(b'a')
+        assert await connection.closed is error.ConnectionDone
+        await task.deferLater(reactor, 0.1)
+        assert not self.link.open_connections
+
+    def test_reset_after_the_end_of_the_stream_reaches_the_target(self):
+        return defer.ensureDeferred(self.check_reset())
+
+    async def check_reset(self):
+        accepted = self.serve_half_open()
+        connection = await self.connect()
+        connection.transport.loseConnection()
+        await accepted.ended
+        accepted.transport.write(b'interim')
+        # What arrives at a client that has left resets the connection.
+        await task.deferLater(reactor, 0.15)
+        assert accepted.transport.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        accepted.transport.abortConnection()
+
     def test_cut_resets_open_and_refuses_new_connections(self):
         return defer.ensureDeferred(self.check_cut())
 
