--- a/src/anvillug/standin/link.py
+++ b/src/anvillug/standin/link.py
@@ -4,6 +4,7 @@
 
 import collections
 import dataclasses
+import socket
 from collections.abc import Callable
 from typing import Any
 
@@ -18,6 +19,7 @@
 
 CONNECT_TIMEOUT_S = 10
 LISTEN_BACKLOG = 1024
+_RESET_CHECK_S = 0.02
 DELAYS_PER_HANDSHAKE = 2  # SYN and SYN-ACK each cross the link
 
 _ScheduledAction = tuple[float, Callable[[], None]]
@@ -60,19 +62,19 @@
 
     def forward(self, chunk: bytes) -> None:
         """Write a chunk to the target after the delay."""
-        self._schedule(lambda: self._target.write(chunk))
+        self._schedule(lambda: self._write(chunk))
+
+    def end(self) -> None:
+        """End the stream to the target after the pending chunks."""
+        self._schedule(self._end_target)
 
     def close(self, reason: twisted_failure.Failure) -> None:
         """Close the target after the pending chunks; reset it unless the source closed cleanly."""
         if reason.check(error.ConnectionDone):
-            self._schedule(self._close_target)
+            self._schedule(self._target.loseConnection)
         else:
             self._schedule(self._target.abortConnection)
 
-    def end(self) -> None:
-        """Close the target's sending direction after the pending chunks."""
-        self._schedule(self._end_target)
-
     def stop_forwarding(self) -> None:
         """Discard pending and all further data."""
         self._is_stopped = True
@@ -81,14 +83,24 @@
         self._target.unregisterProducer()
         self._source.resumeProducing()
 
-    def _close_target(self) -> None:
-        # A producer that is paused would keep the connection from being closed.
-        self._target.unregisterProducer()
-        self._target.loseConnection()
-
     def _end_target(self) -> None:
-        self._target.unregisterProducer()
-        self._target.loseWriteConnection()
+        if self._target.connected:
+            # The source sends no more; paused, it would hold up the end.
+            self._target.unregisterProducer()
+            self._target.loseWriteConnection()
+
+    def _write(self, chunk: bytes) -> None:
+        self._target.write(chunk)
+        # The reactor reports no reset of a connection whose stream has ended.
+        self._link.reactor.callLater(_RESET_CHECK_S, self._abort_if_reset)
+
+    def _abort_if_reset(self) -> None:
+        if self._target.connected and self._target.socket.getsockopt(
+            socket.SOL_SOCKET, socket.SO_ERROR
+        ):
+            # The target would close its producer without a reset.
+            self._source.abortConnection()
+            self._target.abortConnection()
 
     def _schedule(self, action: Callable[[], None]) -> None:
         if self._is_stopped:
@@ -113,6 +125,8 @@
 class RelayConnection(protocol.Protocol):
     """One of the two connections of a relayed pair.
 
+    The end of a stream is forwarded, so that a client may close its end and read on.
+
     Args:
         link: Link that relays between the pair.
     """
@@ -121,8 +135,7 @@
         self.link = link
         self.forwarder: Forwarder | None = None
         """Forwards received data to the other connection; None until that is open."""
-        self._input_ended = False
-        self._output_ended = False
+        self._ended_directions: set[str] = set()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802 the name is Twisted's
         """Forward received bytes to the other connection."""
@@ -130,18 +143,14 @@
             self.forwarder.forward(data)
 
     def readConnectionLost(self) -> None:  # noqa: N802 the name is Twisted's
-        """Pass on that the peer has closed its end; it may still receive."""
-        if self._output_ended or self.forwarder is None:
-            self.transport.loseConnection()
-        elif not self._input_ended:
+        """Propagate the end of the received stream."""
+        if self.forwarder is not None:
             self.forwarder.end()
-        self._input_ended = True
+        self._end_direction('received')
 
     def writeConnectionLost(self) -> None:  # noqa: N802 the name is Twisted's
-        """Close the connection once both directions have ended."""
-        self._output_ended = True
-        if self._input_ended:
-            self.transport.loseConnection()
+        """Note the end of the sent stream."""
+        self._end_direction('sent')
 
     def connectionLost(  # noqa: N802 the name is Twisted's
         self, reason: twisted_failure.Failure = protocol.connectionDone
@@ -151,6 +160,14 @@
         if self.forwarder is not None:
             self.forwarder.close(reason)
 
+    def _end_direction(self, name: str) -> None:
+        self._ended_directions.add(name)
+        if len(self._ended_directions) == 2:
+            # As a registered producer, the other connection would be closed with this one, and
+            # what is to be written to it after the delay would be lost.
+            self.transport.unregisterProducer()
+            self.transport.loseConnection()
+
 
 class AcceptedConnection(RelayConnection):
     """Connection that the link has accepted; opens the connection to the target."""
