--- a/src/anvillug/connection/half_close.py
+++ b/src/anvillug/connection/half_close.py
@@ -21,8 +21,10 @@
 # on more interim responses than these.
 _PROBE_AFTER_S = 0.25
 _MAX_PROBES = 5
-# A reset follows a probe within this time, as a rule.
-_RESET_S = 0.05
+# A reset is looked for at this interval, for so long after a probe: the client may be far away or
+# behind a relay.
+_RESET_CHECK_S = 0.05
+_MAX_RESET_S = 0.2
 # Requests of a client that has left are cancelled within half a second.
 _GIVE_UP_AFTER_S = 0.4
 # States of Linux, which the module socket doesn't name: reset, and closed by the peer only.
@@ -95,7 +97,9 @@
         if _tcp_state(self._transport.socket) == _TCP_CLOSE:
             self._decide(Verdict.LEFT, self._on_left)
         elif silent_s < self._probe_after_s:
-            self._check_after(self._probe_after_s - silent_s)
+            may_be_reset = self._probes and silent_s < _MAX_RESET_S
+            pause_s = _RESET_CHECK_S if may_be_reset else self._probe_after_s - silent_s
+            self._check_after(pause_s)
         elif self._probes < _MAX_PROBES:
             self._probe_or_give_up(silent_s)
 
@@ -103,7 +107,7 @@
         """Send a probe, or wait for the time after which the client is not awaited any more."""
         if self._probe():
             self._count_probe()
-            self._check_after(_RESET_S)
+            self._check_after(_RESET_CHECK_S)
         elif silent_s < _GIVE_UP_AFTER_S:
             self._check_after(_GIVE_UP_AFTER_S - silent_s)
         else:
--- a/tests/test_half_close.py
+++ b/tests/test_half_close.py
@@ -12,6 +12,7 @@
 
 from anvillug.connection import http_exchange, http_head, http_listener
 from anvillug.process import operator_api
+from anvillug.standin import link
 from tests import reactor_thread
 
 _HEAD = b'GET /one HTTP/1.1\r\nHost: a\r\n'
@@ -328,6 +329,22 @@
         reactor_thread.eventually(lambda: server.aborted_at)
         assert server.aborted_at[0] - left_at < _GONE_S / 2
 
+    # The reset was looked for once, 50 ms after the probe, and then with the next probe.
+    def test_distant_caller_is_noticed_in_time(self, serve):
+        server = serve(2 * _LONG_S)
+        delay_s = 0.03
+        relay = link.Link(reactor_thread.reactor, f'127.0.0.1:{server.port.getHost().port}', 30)
+        address = reactor_thread.call(relay.listen, '127.0.0.1:0')
+        try:
+            with socket.create_connection(address.rsplit(':', 1)) as connection:
+                connection.sendall(_GET)
+                reactor_thread.eventually(lambda: server.begun)
+            left_at = time.monotonic()
+            reactor_thread.eventually(lambda: server.aborted_at)
+        finally:
+            reactor_thread.call(relay.stop)
+        assert server.aborted_at[0] - left_at < delay_s + _GONE_S
+
     def test_reset_cancels_at_once(self, serve):
         server = serve(2 * _LONG_S)
         with server.connect() as connection:
