--- a/src/anvillug/process/settings_watch.py
+++ b/src/anvillug/process/settings_watch.py
@@ -126,6 +126,8 @@
         self._apply = apply
         self._current = current
         self._version = version
+        # Findings of the last reading.
+        self._rejected: findings.Findings = ()
 
     def start(self) -> None:
         """Watch the file until the process ends."""
@@ -133,12 +135,19 @@
 
     def reload(self) -> None:
         """Read the file and apply its changes; an invalid file changes nothing."""
+        self._rejected = ()
+        self._read()
+
+    def _read(self) -> None:
         self._version = _version_of(self._path)
         loaded = self._load(self._path)
         if loaded.is_error():
             for finding in loaded.error:
-                event_log.warn('settings_rejected', place=finding.place, reason=finding.message)
+                if finding not in self._rejected:
+                    event_log.warn('settings_rejected', place=finding.place, reason=finding.message)
+            self._rejected = loaded.error
             return
+        self._rejected = ()
         changed = mesh_settings.differences(self._current, loaded.ok)
         event_log.emit('settings_applied', changed=','.join(changed))
         if changed:
@@ -153,3 +162,6 @@
             event_log.warn('settings_not_found', path=self._path)
         if version != self._version:
             self.reload()
+        elif self._rejected:
+            # The file may be readable by now without a change of its version.
+            self._read()
--- a/tests/test_settings_watch.py
+++ b/tests/test_settings_watch.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import dataclasses
 import pathlib
 
 import expression
 import pytest
+from twisted.internet import task
 
 from anvillug import clock, event_log, findings
-from anvillug.process import settings_watch
+from anvillug.process import mesh_settings, settings_watch
+from tests import test_mesh_host
 
 _PATH = pathlib.Path('local.json')
 _FIRST = findings.Finding('local.json: Self', 'required key is missing')
@@ -89,3 +92,65 @@
     def test_valid_file_is_not_mentioned(self, time, lines):
         settings_watch.load_at_start(_PATH, _load(time, 0), time)
         assert not lines
+
+
+class _Watched:
+    """A watched file that can't be read for a time, and changes once meanwhile."""
+
+    def __init__(self, path: pathlib.Path) -> None:
+        path.write_text('changed')
+        self.reactor = task.Clock()
+        self.results: list[expression.Result] = []
+        self.applied: list[mesh_settings.MeshSettings] = []
+        former = test_mesh_host.settings()
+        self.changed = dataclasses.replace(former, service='changed')
+        self.watch = settings_watch.SettingsWatch(
+            self.reactor, path, self._load, self.applied.append, former, (0, 0)
+        )
+
+    def pass_seconds(self, count: int) -> None:
+        """Let whole seconds pass."""
+        for _ in range(count):
+            self.reactor.advance(1)
+
+    def _load(self, path: pathlib.Path) -> expression.Result:
+        return self.results.pop(0) if self.results else expression.Ok(self.changed)
+
+
+def _errors(count: int, *found: findings.Finding) -> list[expression.Result]:
+    return [expression.Error(found) for _ in range(count)]
+
+
+@pytest.fixture
+def watched(tmp_path):
+    """Return a file that is watched."""
+    watched_file = _Watched(tmp_path / 'local.json')
+    watched_file.watch.start()
+    return watched_file
+
+
+class TestWatch:
+    """Guards against changes that are lost since the file could not be read for a moment."""
+
+    def test_file_that_could_not_be_read_is_read_again(self, watched, lines):
+        # The change was lost; a node that waits for an address would wait for ever.
+        watched.results = _errors(3, _FIRST)
+        watched.pass_seconds(3)
+        assert not watched.applied
+        watched.pass_seconds(1)
+        assert watched.applied == [watched.changed]
+        watched.pass_seconds(3)
+        assert len(watched.applied) == 1
+
+    def test_findings_that_last_are_logged_once(self, watched, lines):
+        watched.results = [*_errors(3, _FIRST), *_errors(3, _FIRST, _SECOND)]
+        watched.pass_seconds(6)
+        assert _FIRST.place in lines[0]
+        assert _SECOND.place in lines[1]
+        assert len(lines) == 2
+
+    def test_findings_are_logged_at_each_signal(self, watched, lines):
+        watched.results = _errors(2, _FIRST)
+        watched.watch.reload()
+        watched.watch.reload()
+        assert len(lines) == 2
