--- a/src/anvillug/process/listeners.py
+++ b/src/anvillug/process/listeners.py
@@ -31,12 +31,13 @@
 _RETRY_INTERVAL_S = 0.2
 # An address may stay in use for as long as another process runs.
 _LOG_INTERVAL_MS = 10_000.0
-# The address may be configured on the host, or released by another process, later; the host may be
-# short of memory or descriptors for a time.
+# The address may be configured on the host, or released by another process, later; the host or the
+# process may be short of memory or descriptors for a time.
 _TEMPORARY_ERRORS = frozenset(
     (
         errno.EADDRINUSE,
         errno.EADDRNOTAVAIL,
+        errno.EMFILE,
         errno.ENFILE,
         errno.ENOBUFS,
         errno.ENOMEM,
@@ -58,6 +59,7 @@
     LISTEN = 'listen'
     OPEN = 'open'
     """A library listens on the address by itself."""
+    PASS_ON = 'pass_on'
 
 
 @dataclasses.dataclass(slots=True)
@@ -112,6 +114,11 @@
         if self.port is None and self.kind is socket.SOCK_STREAM and self.listens:
             self.bound.listen(BACKLOG)
 
+    def check_descriptors(self) -> None:
+        """Fail unless a descriptor is free, which `pass_on` needs for a moment."""
+        if self.bound is not None:
+            os.close(os.dup(self.bound.fileno()))
+
     def pass_on(self) -> None:
         """Pass the socket on to the reactor, which uses a descriptor of its own, unless done."""
         if self.port is None:
@@ -252,20 +259,25 @@
                 listener.release()
 
     def _open_early(self, deadline: float) -> None:
-        for listener in self._listeners:
-            if listener.is_early and listener.bound is not None:
-                if self._try(listener, _Step.LISTEN, listener.listen, deadline):
-                    listener.pass_on()
-                else:
-                    listener.release()
+        early = [each for each in self._listeners if each.is_early and each.bound is not None]
+        for listener in early:
+            is_open = self._try(listener, _Step.LISTEN, listener.listen, deadline) and self._try(
+                listener, _Step.PASS_ON, listener.pass_on, deadline
+            )
+            if not is_open:
+                listener.release()
 
     def _listen(self, deadline: float) -> bool:
-        return all(
-            self._try(each, _Step.LISTEN, each.listen, deadline) for each in self._listeners
-        ) and all(
-            self._try(each, _Step.OPEN, functools.partial(opener, each.address), deadline)
-            for each, opener in self._openers
-        )
+        steps = [
+            *[(each, _Step.LISTEN, each.listen) for each in self._listeners],
+            # The process can't go back to waiting once it has taken over.
+            *[(each, _Step.PASS_ON, each.check_descriptors) for each in self._listeners],
+            *[
+                (each, _Step.OPEN, functools.partial(opener, each.address))
+                for each, opener in self._openers
+            ],
+        ]
+        return all(self._try(each, step, action, deadline) for each, step, action in steps)
 
     def _try(
         self, listener: Listener, step: _Step, action: Callable[[], object], deadline: float
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -4,7 +4,9 @@
 
 import contextlib
 import errno
+import os
 import pathlib
+import resource
 import socket
 from collections.abc import Callable
 from typing import NamedTuple
@@ -177,6 +179,70 @@
         assert not opened.reactor.getDelayedCalls()
 
 
+@contextlib.contextmanager
+def _free_descriptors(count: int):
+    """Leave only a number of descriptors free."""
+    with contextlib.ExitStack() as stack:
+        null_device = stack.enter_context(pathlib.Path('/dev/null').open('rb'))
+        limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+        used = [os.dup(null_device.fileno()) for _ in range(count)]
+        stack.callback(resource.setrlimit, resource.RLIMIT_NOFILE, limits)
+        highest = max(int(name) for name in os.listdir('/proc/self/fd'))
+        resource.setrlimit(resource.RLIMIT_NOFILE, (highest, limits[1]))
+        with contextlib.suppress(OSError):
+            # Below the limit until `dup` fails.
+            for _ in range(highest + 1):
+                stack.callback(os.close, os.dup(null_device.fileno()))
+        for descriptor in used:
+            os.close(descriptor)
+        yield
+
+
+class TestDescriptors:
+    """Guards against processes that end because no descriptor is free for a time."""
+
+    # With one descriptor for each of the two sockets, none is left to pass them on.
+    @pytest.mark.parametrize('count', [0, 1, 2])
+    @pytest.mark.parametrize('is_early', [False, True])
+    def test_node_waits_until_descriptors_are_free(self, opened, count, is_early):
+        # FAULT: the node ended with 2, or with 1 if it had bound all addresses.
+        addresses = processes.free_addresses(2)
+        opened.listeners.add(addresses[0], addresses[0], is_early=is_early)
+        opened.listeners.add(addresses[1], addresses[1])
+        with _free_descriptors(count):
+            waiting = opened.open_when_free()
+            opened.reactor.advance(1)
+        assert not waiting.called
+        assert not opened.taken_over
+        opened.reactor.advance(1)
+        assert waiting.called
+        assert opened.taken_over == 1
+        assert opened.reactor.addresses == addresses
+
+    def test_node_with_an_early_address_waits(self, opened):
+        # FAULT: the node ended with 1, since the last descriptor was taken to bind the address.
+        early, in_use = processes.free_addresses(2)
+        opened.listeners.add(early, early, is_early=True)
+        opened.listeners.add(in_use, in_use)
+        # What is open when the node takes over.
+        taken_over: list[list[str]] = []
+        host, _, port = in_use.rpartition(':')
+        with socket.create_server((host, int(port))):
+            waiting = defer.ensureDeferred(
+                opened.listeners.open_when_free(
+                    lambda: taken_over.append(opened.reactor.addresses.copy())
+                )
+            )
+        assert opened.reactor.addresses == [early]
+        with _free_descriptors(1):
+            opened.reactor.advance(1)
+        assert not taken_over
+        opened.reactor.advance(1)
+        assert waiting.called
+        assert taken_over == [[early]]
+        assert opened.reactor.addresses == [early, in_use]
+
+
 class _Event(NamedTuple):
     """A log line."""
 
--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -34,6 +34,7 @@
 _IN_USE_S = 1.5
 # Longer than any time limit of a start.
 _LONG_S = 4.0
+_MAX_DESCRIPTORS = 40
 # The process must end at once, not after a time limit of its own.
 _AT_ONCE_MS = 3000.0
 _FIRST_LINE_TIMEOUT_MS = 5000.0
@@ -606,6 +607,25 @@
             assert _status_of_readiness(program) == 503
         assert child.stop() == 0
 
+    @_each(_MESH_KINDS)
+    def test_mesh_node_stays_while_callers_use_its_descriptors(self, starter):
+        # FAULT: it ended with status 2 once connections to ReadyAddr had used them up.
+        program = starter.program
+        host, _, port = program.addresses_by_name['ReadyAddr'].rpartition(':')
+        with contextlib.ExitStack() as stack:
+            stack.enter_context(_in_use(program.addresses_by_name['Inbound']))
+            child = starter.start(('prlimit', f'--nofile={_MAX_DESCRIPTORS}'))
+            child.wait_for_event('listen_failed')
+            # The readiness check is answered from the next turn of the reactor on.
+            time.sleep(0.3)
+            for _ in range(2 * _MAX_DESCRIPTORS):
+                with contextlib.suppress(OSError):
+                    stack.enter_context(socket.create_connection((host, int(port)), timeout=1))
+            _await_output(child, 'Too many open files')
+            time.sleep(1)
+            assert child.running, child.output()
+        child.wait_for_event('node_started')
+
     @_each(_MESH_KINDS)
     @pytest.mark.parametrize(
         ('table', 'setting', 'replacement', 'reason'),
