--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -626,6 +626,19 @@
             assert child.running, child.output()
         child.wait_for_event('node_started')
 
+    @_each(('mesh',))
+    def test_unusable_replacement_ends_no_node_that_waits(self, starter):
+        # FAULT: it ended with status 2; such settings in the tables of addresses are rejected.
+        program = starter.program
+        with _in_use(program.addresses_by_name['Inbound']):
+            child = starter.start()
+            child.wait_for_event('listen_failed')
+            document = json.loads(program.settings())
+            document['Network']['InternalPorts'] = [77_777, 77_778]
+            program.path.write_text(json.dumps(document))
+            time.sleep(_IN_USE_S + 1)
+            assert child.running, child.output()
+
     @_each(_MESH_KINDS)
     @pytest.mark.parametrize(
         ('table', 'setting', 'replacement', 'reason'),
