--- a/src/anvillug/early_signals.py
+++ b/src/anvillug/early_signals.py
@@ -50,7 +50,9 @@
 def blocked_by_parent() -> list[int]:
     """Return the numbers of the signals that the parent process left blocked."""
     at_start = posix.environ.get(_BLOCKED_AT_START, b'').split()
-    return sorted(_blocked.difference(int(number) for number in at_start))
+    # Another program may have set the variable to something else.
+    numbers = [int(number) for number in at_start if number.isdigit()]
+    return sorted(_blocked.difference(numbers))
 
 
 def ignored_by_parent() -> list[int]:
--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -407,6 +407,15 @@
         found = subprocess.run(command, capture_output=True, text=True, check=True, timeout=30)
         assert found.stdout == f'{_ROOT / "src"}\n'
 
+    def test_foreign_value_of_the_variable_ends_no_process(self):
+        # A value that is no number ended the process with a traceback at its first line.
+        code = 'from anvillug import early_signals as e; e.keep(); print(e.blocked_by_parent())'
+        variables = {'PYTHONPATH': str(_ROOT / 'src'), 'ANVILLUG_BLOCKED_AT_START': 'x 1'}
+        done = subprocess.run(
+            (sys.executable, '-c', code), env=variables, capture_output=True, text=True, check=False
+        )
+        assert done.stdout == '[]\n'
+
     def test_signals_are_kept_before_any_further_import(self):
         # FAULT: 13 ms of imports came before the handlers.
         base = _imported(['-S', '-c', 'pass'])
