--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -213,7 +213,7 @@
             reactor, reactor_thread.call(store_link.listen, '127.0.0.1:0')
         )
         yield store_link
-        reactor_thread.wait_for(store_link.stop())
+        reactor_thread.call(store_link.stop)
 
     def test_waiting_read_does_not_outlast_a_silent_connection(self, store_setup):
         # The kernel's keep-alive timer is the only one that can end the wait early.
