--- a/src/anvillug/bench/starts.py
+++ b/src/anvillug/bench/starts.py
@@ -30,11 +30,12 @@
 _END_SLACK_S = 3.0
 _ADDRESS_NAMES = ('Inbound', 'Outbound', 'ReadyAddr', 'Control', 'beacons', 'metrics')
 _DATAGRAMS = 'beacons'
-_BLOCKING_PROGRAM = """
+BLOCKING_PROGRAM = """
 import os, signal, sys
 signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGTERM, signal.SIGHUP, signal.SIGINT))
 os.execvp(sys.argv[1], sys.argv[1:])
 """
+"""Starts a program with the signals of a server blocked."""
 _EARLY_SIGNALS = (signal.SIGTERM, signal.SIGHUP)
 
 Outcome = NewType('Outcome', str)
@@ -197,7 +198,7 @@
 def _play_masks(plan: Plan, folder: pathlib.Path) -> Iterator[Trial]:
     node = _Node(plan, folder)
     node.write_settings()
-    child = node.start((sys.executable, '-c', _BLOCKING_PROGRAM))
+    child = node.start((sys.executable, '-c', BLOCKING_PROGRAM))
     child.wait_for_event(_STARTED)
     yield Trial('blocked, SIGTERM', node.outcome_of_stop())
 
--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -18,7 +18,7 @@
 import pytest
 
 from anvillug import event_log, findings
-from anvillug.bench import processes, soak_launch
+from anvillug.bench import processes, soak_launch, starts
 from anvillug.platform import settings
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -53,15 +53,6 @@
 sys.modules['select'] = select
 """
 
-
-# Starts a program with the signals of a server blocked.
-_BLOCKING_PROGRAM = """
-import os, signal, sys
-signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGTERM, signal.SIGHUP, signal.SIGINT))
-os.execvp(sys.argv[1], sys.argv[1:])
-"""
-
-
 # Starts a program with two signals ignored, one of which a server handles.
 _IGNORING_PROGRAM = """
 import os, signal, sys
@@ -289,7 +280,7 @@
         child = starter.start()
         fields = child.wait_for_event('process_starting', _FIRST_LINE_TIMEOUT_MS)
         assert (fields['blocked'], fields['ignored']) == ('none', 'none')
-        child = starter.start((sys.executable, '-c', _BLOCKING_PROGRAM))
+        child = starter.start((sys.executable, '-c', starts.BLOCKING_PROGRAM))
         fields = child.wait_for_event('process_starting', _FIRST_LINE_TIMEOUT_MS)
         assert (fields['blocked'], fields['ignored']) == ('SIGHUP,SIGINT,SIGTERM', 'none')
         child = starter.start((sys.executable, '-c', _IGNORING_PROGRAM))
@@ -431,14 +422,14 @@
     @pytest.mark.parametrize('number', _ENDING_SIGNALS)
     def test_blocked_signal_ends_the_process(self, starter, number):
         # FAULT: SIGTERM did nothing, and the process was killed with all requests in progress.
-        child = starter.start((sys.executable, '-c', _BLOCKING_PROGRAM))
+        child = starter.start((sys.executable, '-c', starts.BLOCKING_PROGRAM))
         child.wait_for_event(starter.program.started_event)
         child.send_signal(number)
         assert _end(child) == 0
 
     @_each()
     def test_blocked_signal_is_handled_during_the_start(self, starter):
-        child = starter.start((sys.executable, '-c', _BLOCKING_PROGRAM))
+        child = starter.start((sys.executable, '-c', starts.BLOCKING_PROGRAM))
         child.wait_for_event('process_starting', _FIRST_LINE_TIMEOUT_MS)
         child.send_signal(signal.SIGTERM)
         assert _end(child, _AT_ONCE_MS) == 0
@@ -924,7 +915,7 @@
     @pytest.mark.usefixtures('default_action')
     def test_signal_that_the_parent_blocked_ends_the_command(self, number):
         # The command went on and could only be killed.
-        program = (sys.executable, '-c', _BLOCKING_PROGRAM, *processes.PROGRAM)
+        program = (sys.executable, '-c', starts.BLOCKING_PROGRAM, *processes.PROGRAM)
         with processes.group() as group, _listening() as listener:
             child = processes.ChildProcess(['state', _address_of(listener)], program)
             group.append(child)
