--- a/src/anvillug/bench/soak_backend.py
+++ b/src/anvillug/bench/soak_backend.py
@@ -46,6 +46,10 @@
     """Share of the runs whose connection is reset instead of a response."""
     early_share: float = 0
     """Share of the requests that run before their body is complete."""
+    noise_share: float = 0
+    """Share of the runs that take longer by `noise_factor`."""
+    noise_factor: float = 1
+    """Factor of the time of work of these runs."""
 
 
 class Backend(platform_backend.PlatformBackend):
@@ -199,6 +203,8 @@
         work = _Work(self, exchange, run, attempt_id, headers)
         self._works.add(work)
         work_ms = self._rng.expovariate(1 / self._work_ms_by_route[route])
+        if self._behavior.noise_share > 0 and self._rng.random() < self._behavior.noise_share:
+            work_ms *= self._behavior.noise_factor
         asked_ms = exchange.head.get(socket_exchange.WORK_MS_HEADER.lower().encode())
         if asked_ms is not None:
             work_ms = float(asked_ms)
--- a/src/anvillug/bench/soak_checks.py
+++ b/src/anvillug/bench/soak_checks.py
@@ -229,7 +229,8 @@
         stopping = any(
             self._cuts.was_stopping(node, answered_at) for node in self._cuts.nodes(attempt)
         )
-        return bool(at_work) and stopping and self._cuts.impairment(attempt) is None
+        is_excused = self._cuts.impairment(attempt) or self._cuts.outlasts_stop(attempt)
+        return bool(at_work) and stopping and not is_excused
 
     def _is_beside_config(self, attempt: soak_records.Attempt) -> bool:
         return attempt.ended_at is not None and any(
--- a/src/anvillug/bench/soak_faults.py
+++ b/src/anvillug/bench/soak_faults.py
@@ -28,8 +28,9 @@
 _DEPLOYED = 'deployed'
 _BREAK_OFF = 'break-off'
 _EARLY_ANSWERS = 'early-answers'
+_NOISE = 'noise'
 # These apply during the whole soak.
-_LASTING_KINDS = frozenset((CALLS, _DEPLOYED, _BREAK_OFF, _EARLY_ANSWERS))
+_LASTING_KINDS = frozenset((CALLS, _DEPLOYED, _BREAK_OFF, _EARLY_ANSWERS, _NOISE))
 _BASE_KINDS = (
     'roll',
     'terminate',
@@ -53,7 +54,7 @@
     'reader-stuck',
     'kill-all-at-ack',
     *sorted(soak_links.KINDS),
-    *sorted(_LASTING_KINDS),
+    *sorted(_LASTING_KINDS - {_NOISE}),
 )
 _FURTHER_KINDS = (
     soak_signals.SCALE_IN,
@@ -63,7 +64,7 @@
     *sorted(soak_links.LISTENER_KINDS),
 )
 _START_KINDS = ('mask', 'port-long', 'settings-long')
-KINDS = frozenset((*_BASE_KINDS, *_MORE_KINDS, *_FURTHER_KINDS, *_START_KINDS))
+KINDS = frozenset((*_BASE_KINDS, *_MORE_KINDS, *_FURTHER_KINDS, *_START_KINDS, _NOISE))
 """Names of all kinds."""
 _READER_KINDS = frozenset(('reader-gone', 'reader-stuck'))
 
@@ -74,6 +75,10 @@
 _FAULT_INTERVAL_S = 1.5
 _BREAK_OFF_SHARE = 0.02
 _EARLY_SHARE = 0.2
+_NOISY_SEEDS = 0.25
+# A neighbour takes the processor from a backend server.
+_NOISE_SHARE = 0.25
+_NOISE_FACTOR = 7
 _BURST_REQUESTS = 100
 
 
@@ -94,6 +99,7 @@
     more = random.Random(f'{seed} more')
     further = random.Random(f'{seed} further')
     starts = random.Random(f'{seed} starts')
+    is_noisy = random.Random(f'{seed} noise').random() < _NOISY_SEEDS
     further_count = further.randint(0, min(_MAX_FURTHER_KINDS, len(_FURTHER_KINDS)))
     return frozenset(
         (
@@ -101,6 +107,7 @@
             *more.sample(_MORE_KINDS, more.randint(1, _MAX_MORE_KINDS)),
             *further.sample(_FURTHER_KINDS, further_count),
             *starts.sample(_START_KINDS, starts.randint(0, 1)),
+            *([_NOISE] if is_noisy else ()),
         )
     )
 
@@ -112,6 +119,7 @@
         fleet: The processes and stand-ins; its nodes are not started yet.
         callers: Send additional requests in bursts.
         classes: Kinds of requests in bursts.
+        call: Kind of the calls between services.
         kinds: Kinds of faults.
     """
 
@@ -120,6 +128,7 @@
         fleet: soak_fleet.Fleet,
         callers: soak_traffic.Callers,
         classes: Sequence[soak_classes.RequestClass],
+        call: soak_classes.RequestClass,
         kinds: frozenset[str],
     ) -> None:
         self.counts: collections.Counter[str] = collections.Counter()
@@ -127,6 +136,7 @@
         self._fleet = fleet
         self._callers = callers
         self._classes = classes
+        self._call_class = call
         self._rng = fleet.rng
         signals = soak_signals.Signals(fleet)
         actions: dict[str, Callable[[], Any]] = {
@@ -162,6 +172,9 @@
             behavior.break_off_share = _BREAK_OFF_SHARE
         if _EARLY_ANSWERS in kinds:
             behavior.early_share = _EARLY_SHARE
+        if _NOISE in kinds:
+            behavior.noise_share = _NOISE_SHARE
+            behavior.noise_factor = _NOISE_FACTOR
         if _DEPLOYED in kinds and not kinds & soak_links.LISTENER_KINDS:
             # Not with the first start, which would hold up the reactor.
             soak_launch.build_interpreter(soak_launch.ROOT)
@@ -170,7 +183,7 @@
             shared.new_output = functools.partial(soak_output.PipeOutput, shared.reactor)
 
     def _call(self, node: int, on_end: soak_traffic.OnEnd) -> None:
-        self._callers.send_to(node, soak_classes.CALL, on_end)
+        self._callers.send_to(node, self._call_class, on_end)
 
     def _burst(self) -> None:
         self._callers.burst(_BURST_REQUESTS)
--- a/src/anvillug/process/mesh_entry.py
+++ b/src/anvillug/process/mesh_entry.py
@@ -300,6 +300,11 @@
             ahead=call.place.ahead,
         )
 
+    def cut_calls(self) -> None:
+        """End the calls in progress without a response, since the process ends."""
+        for call in tuple(self.in_progress):
+            call.cut()
+
     def fetch_directives(self, address: str) -> None:
         """Fetch newer directives from another node."""
         self._fetch.start(self.pool(address))
--- a/src/anvillug/process/mesh_host.py
+++ b/src/anvillug/process/mesh_host.py
@@ -163,6 +163,18 @@
             self.upstream.mark_lost(reason)
             self._crashes.backend_lost()
 
+    def log_cut_runs(self) -> None:
+        """Log the runs that the end of the process cuts."""
+        now = self._clock.now()
+        for run in self._runs:
+            event_log.emit(
+                'run_cut',
+                request=run.work.attempt_id,
+                state=run.state.value,
+                took_ms=int(now - run.sent_at) if run.sent_at else 0,
+                left_ms=int(run.work.deadline - now),
+            )
+
     def policy(self) -> Any:
         """Return the operator's policy for the service, None if there is none."""
         routes = self._active_directives.current.routes
--- a/src/anvillug/process/mesh_stop.py
+++ b/src/anvillug/process/mesh_stop.py
@@ -112,9 +112,13 @@
             http_listener.stop_listening(self.peer_port)
 
     def _end(self, stopped_for_ms: float) -> None:
+        calls = len(self._entry.in_progress)
+        self._host.log_cut_runs()
+        self._entry.cut_calls()
         event_log.emit(
             'node_stopped',
-            calls=len(self._entry.in_progress),
+            calls=calls,
+            running=self._host.running,
             connections=self._caller_connections.open_count,
             after_ms=int(stopped_for_ms),
         )
--- a/src/anvillug/request/routed_call.py
+++ b/src/anvillug/request/routed_call.py
@@ -179,6 +179,12 @@
     def response_writes_paused(self, paused: bool) -> None:
         """Ignore backpressure: the whole response is in memory already."""
 
+    # From the node
+
+    def cut(self) -> None:
+        """End the call without a response, since the process ends."""
+        self._end(0, 'node ends')
+
     # Private
 
     def _is_too_large(self, size: int) -> bool:
