--- a/src/anvillug/process/mesh_stop.py
+++ b/src/anvillug/process/mesh_stop.py
@@ -13,11 +13,12 @@
 
 # The process stops this long before the end of the grace time even if calls are in progress.
 _STOP_MARGIN_MS = 350.0
-# New requests are rejected from this long before the end of the grace time, since those in
-# progress need up to the timeout of their route, and the signal and each check may be late.
-_DRAIN_MS = 3300.0
-# A shorter grace time is divided between serving and draining.
-_MAX_DRAIN_SHARE = 0.55
+# New requests and jobs are rejected after this time. What is sent later than 3 s after SIGTERM must
+# be answered, also if it takes longer than the grace time, and the signal and each check may be
+# late. The rest of the grace time is for the work in progress.
+_MAX_SERVE_MS = 2700.0
+# A shorter grace time is divided between both.
+_MAX_SERVE_SHARE = 0.45
 _CHECK_S = 0.05
 # Connections of other nodes stay open this long after the node has begun to reject their jobs. A
 # job that follows an accepted inquiry arrives within this time.
@@ -27,8 +28,8 @@
 class MeshStop:
     """Stop of one node.
 
-    Callers are served as usual until they have left or the grace time runs out; see
-    `caller_close`. Other nodes are rejected last.
+    Callers are served as usual until they have left, but no longer than a part of the grace time;
+    see `caller_close`. Other nodes are rejected last, or after the same time.
 
     Args:
         reactor: Twisted reactor; stopped at the end.
@@ -63,6 +64,8 @@
         self._grace_ms = grace_ms
         self._has_begun = False
         self._host_closed_at = clock.Milliseconds(0)
+        # Whether no connection of another node is accepted any more.
+        self._refuses_peers = False
 
     @property
     def has_begun(self) -> bool:
@@ -89,14 +92,16 @@
         # First, so that a failure does not end the task.
         next_check = self._reactor.callLater(_CHECK_S, self._check)
         stopped_for_ms = self.callers.stopped_for_ms
-        remaining_ms = self._grace_ms() - stopped_for_ms
-        is_late = remaining_ms < _STOP_MARGIN_MS
-        if self._host.closed and (is_late or self._is_done()):
+        grace_ms = self._grace_ms()
+        is_late = grace_ms - stopped_for_ms < _STOP_MARGIN_MS
+        if self._refuses_peers and (is_late or self._is_done()):
             self._end(stopped_for_ms)
             next_check.cancel()
             return
-        must_drain = remaining_ms < min(_DRAIN_MS, self._grace_ms() * _MAX_DRAIN_SHARE)
-        self._entry.closed = self._entry.closed or must_drain
+        must_drain = stopped_for_ms > min(_MAX_SERVE_MS, grace_ms * _MAX_SERVE_SHARE)
+        if must_drain:
+            self._entry.closed = True
+            self._reject_jobs()
         self.callers.check(must_close=must_drain, must_end=is_late)
         if self.callers.phase is caller_close.Phase.CLOSED:
             self._close_rest(is_late=is_late)
@@ -106,10 +111,15 @@
         self._entry.closed = True
         if self._rejects_jobs_for_ms() >= _REJECTION_MS or is_late:
             self._peers.close_when_idle()
-        if not self._host.closed and (is_late or not self._is_busy()):
+        if not self._refuses_peers and (is_late or not self._is_busy()):
+            self._refuses_peers = True
+            self._reject_jobs()
+            http_listener.stop_listening(self.peer_port)
+
+    def _reject_jobs(self) -> None:
+        if not self._host.closed:
             self._host.closed = True
             self._host_closed_at = self._clock.now()
-            http_listener.stop_listening(self.peer_port)
 
     def _end(self, stopped_for_ms: float) -> None:
         calls = len(self._entry.in_progress)
