--- a/tests/test_soak_lost.py
+++ b/tests/test_soak_lost.py
@@ -121,3 +121,33 @@
         soak_examples.cut(records, timeout_ms=1000)
         records.disturb(0, soak_examples.STOP_AT, soak_examples.UNPLANNED)
         soak_examples.assert_held(records)
+
+
+class TestLongWork:
+    """Guards against an excuse for long work that covers more than the end of a stop."""
+
+    # Runs from 10,050 on; the request was sent at 10,000 and cut at 15,500.
+    @pytest.mark.parametrize(
+        ('stop_at', 'finished_at', 'is_lost'),
+        [
+            (10_100, None, False),
+            # Sent 3 s after SIGTERM, and later.
+            (7000, None, False),
+            (6999, None, True),
+            # The last sixth of the grace time begins at 15,100.
+            (10_100, 15_101, False),
+            (10_100, 15_100, True),
+            # Cut before the last sixth.
+            (10_600, None, True),
+        ],
+    )
+    def test_work_that_outlasts_the_grace_time(self, stop_at, finished_at, is_lost):
+        records = soak_records.Records(_GRACE_S)
+        soak_examples.cut(records, ended_at=15_500, timeout_ms=8000)
+        run = soak_records.Run(0, clock.Milliseconds(10_050), finished_at)
+        records.arrived('a0', run, None)
+        records.disturb(0, clock.Milliseconds(stop_at), soak_examples.PLANNED)
+        assert soak_examples.broken(records) == (['LOST a0'] if is_lost else [])
+
+
+_GRACE_S = 6.0
