--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -36,12 +36,24 @@
         finished = _run('--habit half-closes --stops 1 --connections 20')
         assert finished.returncode == 0, finished.stdout
 
+    # LOST: with a grace time of 10 s, requests sent 3 to 6.7 s after SIGTERM were cut.
+    def test_caller_of_long_requests_loses_none(self):
+        long = '--grace-s 10 --timeout-ms 6000 --work-ms 1500'
+        finished = _run(f'--habit honours-close --stops 1 {long}')
+        assert finished.returncode == 0, finished.stdout
+
     @pytest.mark.parametrize('arguments', ['--habit quiet', '--stops 0', '--pause-ms -1'])
     def test_invalid_argument_is_an_error(self, arguments):
         finished = _run(arguments)
         assert finished.returncode == 2
         assert 'habits are goes-on, half-closes, honours-close' in finished.stderr
 
+    @pytest.mark.parametrize('arguments', ['--grace-s 0', '--timeout-ms 0'])
+    def test_time_that_is_not_positive_is_an_error(self, arguments):
+        finished = _run(arguments)
+        assert finished.returncode == 2
+        assert 'grace_s and timeout_ms must be above 0' in finished.stderr
+
 
 class TestStarts:
     """Guards against a reproduction of failed starts that accepts whatever it is asked for."""
