--- a/src/anvillug/platform/node_start.py
+++ b/src/anvillug/platform/node_start.py
@@ -53,7 +53,19 @@
 
     # Private
 
-    def _begin(self, current: mesh_settings.MeshSettings) -> None:
+    def _begin(
+        self,
+        current: mesh_settings.MeshSettings,
+        former: mesh_settings.MeshSettings | None = None,
+    ) -> None:
+        """Start a node.
+
+        Args:
+            current: Its settings.
+            former: Settings to go back to if an address of these can never be used.
+        """
+        self._current = current
+        self._former = former
         self._node = self._build(current)
         self._requests = control.Control(self._node)
         # The readiness check is answered as not ready while other addresses are in use.
@@ -72,11 +84,15 @@
             self._node.apply(changed)
         else:
             self._starting.cancel()
-            self._begin(changed)
+            self._begin(changed, self._current)
 
     def _failed(self, reason: failure.Failure) -> None:
         if reason.check(defer.CancelledError):
             return
+        if reason.check(listeners.ListenError) and self._former is not None:
+            event_log.warn('settings_rejected', place=self._path, reason=reason.getErrorMessage())
+            self._begin(self._former)
+            return
         if reason.check(listeners.ListenError):
             self.status = _EXIT_BAD_INPUT
             lifetime.print_error(f'{self._path}: {reason.getErrorMessage()}')
