--- a/src/anvillug/bench/soak_cuts.py
+++ b/src/anvillug/bench/soak_cuts.py
@@ -96,17 +96,20 @@
 
 
 def outlasts(
-    records: soak_records.Records, attempt_id: str, stopped_at: float, sent_at: float
+    records: soak_records.Records,
+    attempt_id: str,
+    sent_at: float,
+    ended_at: float,
+    stopped_at: float,
 ) -> bool:
-    """Return whether an attempt was sent in time before a stop, but its work outlasts it."""
-    runs = records.runs_by_attempt_id.get(attempt_id, ())
-    last_part_at = stopped_at + _to_last_part_ms(records)
-    is_at_work = any(
-        run.began_at <= last_part_at + records.grace_ms * _LAST_PART
-        and (run.finished_at is None or run.finished_at > last_part_at)
-        for run in runs
+    """Return whether an attempt was sent in time and cut since its work outlasts a stop."""
+    killed_at = stopped_at + records.grace_ms
+    last_part_at = killed_at - records.grace_ms * _LAST_PART
+    is_in_time = sent_at <= stopped_at + _SENT_IN_TIME_MS and ended_at > last_part_at
+    return is_in_time and any(
+        run.began_at <= killed_at and (run.finished_at is None or run.finished_at > last_part_at)
+        for run in records.runs_by_attempt_id.get(attempt_id, ())
     )
-    return is_at_work and sent_at <= stopped_at + _SENT_IN_TIME_MS
 
 
 def has_expired(attempt: soak_records.Attempt) -> bool:
@@ -195,10 +198,11 @@
         return self._records.was_disturbed(node, begin, now, _STOP)
 
     def outlasts_stop(self, attempt: soak_records.Attempt) -> bool:
-        """Return whether an attempt was sent in time before a stop, but its work outlasts it."""
+        """Return whether an attempt was sent in time and cut since its work outlasts a stop."""
         return any(
-            outlasts(self._records, attempt.attempt_id, stopped_at, attempt.sent_at)
-            and attempt.ended_at > stopped_at + _to_last_part_ms(self._records)
+            outlasts(
+                self._records, attempt.attempt_id, attempt.sent_at, attempt.ended_at, stopped_at
+            )
             for node in self.nodes(attempt)
             for stopped_at, kind in self._records.disturbed_by_node[node]
             if kind in _STOP and stopped_at <= attempt.ended_at
@@ -242,7 +246,3 @@
         if not is_planned:
             return Reason.CALM_UNREAD
         return Reason.UNREAD if self.was_cut_late(attempt) else Reason.CROSSED
-
-
-def _to_last_part_ms(records: soak_records.Records) -> float:
-    return records.grace_ms * (1 - _LAST_PART)
--- a/src/anvillug/bench/stops.py
+++ b/src/anvillug/bench/stops.py
@@ -73,6 +73,11 @@
     seed: int = 1
     """Seed of the work and the pauses."""
 
+    @property
+    def interval_s(self) -> float:
+        """Time between two stops."""
+        return self.grace_s + _AFTER_GRACE_S
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Cut:
@@ -191,7 +196,7 @@
     await task.deferLater(fleet.reactor, _BEFORE_STOP_S)
     for _ in range(plan.stops):
         fleet.terminate(fleet.hosts[0])
-        await task.deferLater(fleet.reactor, (plan.grace_s + _AFTER_GRACE_S))
+        await task.deferLater(fleet.reactor, plan.interval_s)
     while callers.running:
         await task.deferLater(fleet.reactor, processes.POLL_S)
     return callers
@@ -206,7 +211,7 @@
         connections=plan.connections,
         habits=[plan.habit.value],
         pause_ms=plan.pause_ms,
-        duration_s=_BEFORE_STOP_S + plan.stops * (plan.grace_s + _AFTER_GRACE_S),
+        duration_s=_BEFORE_STOP_S + plan.stops * plan.interval_s,
         messages=[
             socket_exchange.Message(
                 'GET' if each.repeatable else 'POST',
@@ -234,7 +239,7 @@
             after_ms = sent.ended_at - before[-1] if before else 0
             passed_on = sent.attempt_id in records.passed_on
             outlasts = bool(before) and soak_cuts.outlasts(
-                records, sent.attempt_id, before[-1], sent.sent_at
+                records, sent.attempt_id, sent.sent_at, sent.ended_at, before[-1]
             )
             cuts.append(Cut(sent, passed_on, len(before), after_ms, outlasts))
     return Result(requests, cuts)
--- a/src/anvillug/process/mesh_stop.py
+++ b/src/anvillug/process/mesh_stop.py
@@ -13,11 +13,11 @@
 
 # The process stops this long before the end of the grace time even if calls are in progress.
 _STOP_MARGIN_MS = 350.0
-# New requests and jobs are rejected after this time. What is sent later than 3 s after SIGTERM must
-# be answered, also if it takes longer than the grace time, and the signal and each check may be
-# late. The rest of the grace time is for the work in progress.
+# New requests and jobs are rejected from this time on, and the rest of the grace time is for those
+# in progress. Whatever is sent later than 3 s after SIGTERM must not be cut at the end; the signal
+# and each check may be late.
 _MAX_SERVE_MS = 2700.0
-# A shorter grace time is divided between both.
+# Share of a shorter grace time after which they are rejected.
 _MAX_SERVE_SHARE = 0.45
 _CHECK_S = 0.05
 # Connections of other nodes stay open this long after the node has begun to reject their jobs. A
@@ -122,17 +122,23 @@
             self._host_closed_at = self._clock.now()
 
     def _end(self, stopped_for_ms: float) -> None:
+        try:
+            self._cut_rest(stopped_for_ms)
+        finally:
+            self._reactor.stop()
+
+    def _cut_rest(self, stopped_for_ms: float) -> None:
         calls = len(self._entry.in_progress)
+        running = self._host.running
         self._host.log_cut_runs()
         self._entry.cut_calls()
         event_log.emit(
             'node_stopped',
             calls=calls,
-            running=self._host.running,
+            running=running,
             connections=self._caller_connections.open_count,
             after_ms=int(stopped_for_ms),
         )
-        self._reactor.stop()
 
     def _is_done(self) -> bool:
         """Return whether nothing is in progress and no other node can send a job any more."""
