--- a/src/anvillug/process/mesh_stop.py
+++ b/src/anvillug/process/mesh_stop.py
@@ -95,8 +95,8 @@
         grace_ms = self._grace_ms()
         is_late = grace_ms - stopped_for_ms < _STOP_MARGIN_MS
         if self._refuses_peers and (is_late or self._is_done()):
-            self._end(stopped_for_ms)
             next_check.cancel()
+            self._end(stopped_for_ms)
             return
         must_drain = stopped_for_ms > min(_MAX_SERVE_MS, grace_ms * _MAX_SERVE_SHARE)
         if must_drain:
--- a/tests/test_periodic_tasks.py
+++ b/tests/test_periodic_tasks.py
@@ -87,13 +87,12 @@
             open_count=0,
             request_count=0,
         )
-        sides = [
-            types.SimpleNamespace(in_progress=(), running=0, closed=False),
-            types.SimpleNamespace(in_progress=(), running=0, closed=False),
-        ]
+        # An error in the last step must not keep the process running either.
+        entry = types.SimpleNamespace(in_progress=(), closed=False, cut_calls=_Failing())
+        host = types.SimpleNamespace(running=0, closed=False, log_cut_runs=_Failing())
         stopped = []
         reactor.stop = lambda: stopped.append(reactor.seconds())
-        stop = mesh_stop.MeshStop(reactor, time, *sides, connections, connections, float)
+        stop = mesh_stop.MeshStop(reactor, time, entry, host, connections, connections, float)
         stop.peer_port = types.SimpleNamespace(stopListening=lambda: None)
         stop.begin()
         time.advance(1)
