--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import errno
+import gc
 import os
 import pathlib
 import resource
@@ -181,8 +182,11 @@
 
 @contextlib.contextmanager
 def _free_descriptors(count: int):
-    """Leave only a number of descriptors free."""
+    """Leave only a number of descriptors free, also if other tests have left sockets to collect."""
+    gc.collect()
     with contextlib.ExitStack() as stack:
+        stack.callback(gc.enable)
+        gc.disable()
         null_device = stack.enter_context(pathlib.Path('/dev/null').open('rb'))
         limits = resource.getrlimit(resource.RLIMIT_NOFILE)
         used = [os.dup(null_device.fileno()) for _ in range(count)]
@@ -201,6 +205,19 @@
 class TestDescriptors:
     """Guards against processes that end because no descriptor is free for a time."""
 
+    # Guards against a failure of the tests below: a collection freed descriptors meanwhile.
+    def test_sockets_of_other_tests_free_no_descriptor(self):
+        cycle = [socket.socket()]
+        cycle.append(cycle)
+        # Only a full collection finds it from now on.
+        gc.collect()
+        del cycle
+        with _free_descriptors(0):
+            gc.collect()
+            with pytest.raises(OSError, match='Too many open files'):
+                os.dup(0)
+        assert gc.isenabled()
+
     # With one descriptor for each of the two sockets, none is left to pass them on.
     @pytest.mark.parametrize('count', [0, 1, 2])
     @pytest.mark.parametrize('is_early', [False, True])
