--- a/src/anvillug/process/mesh_entry.py
+++ b/src/anvillug/process/mesh_entry.py
@@ -156,7 +156,7 @@
             # An inquiry guards against a node that has failed: a job that must not be repeated
             # would be lost, whether it has run or not, and others would cost time and retry budget.
             if not work.repeatable or peer.is_overdue(now) or self._has_costly_body(work, peer):
-                run.inquire_first()
+                attempt.inquire_first(run)
             else:
                 run.begin()
         return attempt.cancel
@@ -263,7 +263,7 @@
         return peer.is_unresponsive(now) or current_slowness > mesh_host.SLOWNESS_LIMIT
 
     def abort_lost_attempts(self) -> None:
-        """Abort the attempts whose node has restarted, since it can't respond to them any more.
+        """Abort the attempts whose process was replaced, since it can't respond to them any more.
 
         Attempts whose node has only timed out stay pending: the backend server may still be
         executing the request, and the response may still arrive.
--- a/src/anvillug/process/mesh_node.py
+++ b/src/anvillug/process/mesh_node.py
@@ -175,7 +175,9 @@
         self._writer = rollout_writer.RolloutWriter(
             reactor, time, log, topics.statuses, status_codec, self.rollouts, self._writer_rank
         )
-        self._peer_server = peer_server.PeerServer(self.host, self.active_directives, time)
+        self._peer_server = peer_server.PeerServer(
+            self.host, self.active_directives, time, self._incarnation
+        )
         self._caller_factory = http_listener.ServerFactory(
             self.entry.request_received, may_overlap=self.entry.may_overlap
         )
--- a/src/anvillug/process/peer_server.py
+++ b/src/anvillug/process/peer_server.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from anvillug import clock, event_log
+from anvillug import clock, event_log, ids
 from anvillug.connection import http_exchange
 from anvillug.process import mesh_host
 from anvillug.request import job, job_wire
@@ -23,6 +23,7 @@
         host: Host side of this node.
         active_directives: Directives in effect.
         time: Clock.
+        incarnation: Start time of this process.
     """
 
     def __init__(
@@ -30,11 +31,14 @@
         host: mesh_host.MeshHost,
         active_directives: directives.ActiveDirectives,
         time: clock.Clock,
+        incarnation: ids.Incarnation,
     ) -> None:
         self.host = host
         """Host side of this node."""
         self.clock = time
         """Clock."""
+        self.inquiry_headers = ((job_wire.INCARNATION_HEADER, b'%d' % incarnation),)
+        """Headers of a response to an inquiry."""
         self._active_directives = active_directives
         # Wire form of the most recently requested directives; cached, since the nodes of a zone
         # request them at the same time.
@@ -80,7 +84,8 @@
             return
         self._body.clear()
         if self._exchange.head.path == job_wire.INQUIRY_PATH:
-            self._respond(self._server.host.handle_inquiry(work))
+            result = job_wire.pack_result(self._server.host.handle_inquiry(work))
+            self._exchange.respond(_STATUS_OK, result, self._server.inquiry_headers)
             return
         self._cancel = self._server.host.submit(work, self._respond)
 
--- a/src/anvillug/process/pending_attempt.py
+++ b/src/anvillug/process/pending_attempt.py
@@ -5,9 +5,9 @@
 from collections.abc import Callable
 from typing import Protocol as Interface
 
-from anvillug import clock
+from anvillug import clock, ids
 from anvillug.process import peer_table
-from anvillug.request import dialect, job
+from anvillug.request import dialect, job, remote_run
 from anvillug.version import rollout_call, rollout_counts
 
 
@@ -65,7 +65,8 @@
         self.cancel_run: Callable[[], object] | None = None
         """Cancels the run at the host."""
         self._objective_ms = objective_ms
-        self._incarnation = peer.announcement.incarnation
+        # None while an inquiry has no response, since the job has not been sent.
+        self._receiver: ids.Incarnation | None = peer.announcement.incarnation
         self._owner = owner
         self._on_result = on_result
         self._ended = False
@@ -75,7 +76,20 @@
     @property
     def has_node_restarted(self) -> bool:
         """Whether the process that received the job has been replaced by a newer one."""
-        return self.peer.announcement.incarnation != self._incarnation
+        return self._receiver in self.peer.former_incarnations
+
+    def inquire_first(self, run: remote_run.RemoteRun) -> None:
+        """Send an inquiry before the job, whose response tells which process receives the job.
+
+        The process may be newer than the newest announcement.
+        """
+        announced = self._receiver
+        self._receiver = None
+
+        def found(incarnation: ids.Incarnation | None) -> None:
+            self._receiver = announced if incarnation is None else incarnation
+
+        run.inquire_first(found)
 
     @property
     def counted_name(self) -> str:
--- a/src/anvillug/request/job_wire.py
+++ b/src/anvillug/request/job_wire.py
@@ -8,7 +8,7 @@
 
 import msgpack
 
-from anvillug import clock
+from anvillug import clock, ids
 from anvillug.connection import http_head
 from anvillug.request import dialect, job
 from anvillug.version import directives
@@ -17,6 +17,8 @@
 """Path of the request that sends a job."""
 INQUIRY_PATH = b'/-/inquiry'
 """Path of an inquiry: whether a job, sent without its body, would be accepted."""
+INCARNATION_HEADER = b'Anvillug-Incarnation'
+"""Header of the response to an inquiry that names the process that responded."""
 DIRECTIVES_PATH = b'/-/directives'
 """Path of the request for the directives in effect."""
 
@@ -117,6 +119,12 @@
         raise MalformedError(f'result: {error}') from error
 
 
+def read_incarnation(head: http_head.ResponseHead) -> ids.Incarnation | None:
+    """Return the process that responded to an inquiry; None if its response names none."""
+    digits = head.get(INCARNATION_HEADER.lower())
+    return ids.Incarnation(int(digits)) if digits is not None and digits.isdigit() else None
+
+
 def pack_directives(current: directives.Directives) -> bytes:
     """Encode the directives in effect; the records are left out if they are too large."""
     records = {key: [record.position, record.value] for key, record in current.records.items()}
--- a/src/anvillug/request/remote_run.py
+++ b/src/anvillug/request/remote_run.py
@@ -11,7 +11,7 @@
 
 from twisted.internet import interfaces
 
-from anvillug import clock
+from anvillug import clock, ids
 from anvillug.connection import http_client, http_head, http_pool
 from anvillug.request import job, job_wire
 
@@ -48,6 +48,8 @@
         self._connection: http_client.ClientConnection | None = None
         self._ended = False
         self._status = 0
+        self.incarnation: ids.Incarnation | None = None
+        """Process that responded, if the response names it."""
 
     def begin(self, pool: http_pool.Pool, previous: PeerRequest | None = None) -> None:
         """Get a connection and send the request.
@@ -84,8 +86,9 @@
         """Ignore status 100; see `http_client.ResponseHandler`."""
 
     def response_head(self, head: http_head.ResponseHead) -> None:
-        """Store the status."""
+        """Store the status and the process that responds."""
         self._status = head.status
+        self.incarnation = job_wire.read_incarnation(head)
 
     def response_body(self, data: bytes) -> None:
         """Buffer a chunk of the response."""
@@ -156,13 +159,20 @@
         self._on_result = on_result
         self._request: PeerRequest | None = None
         self._inquiry_timer: interfaces.IDelayedCall | None = None
+        self._on_willing: Callable[[ids.Incarnation | None], None] | None = None
 
     def begin(self) -> None:
         """Send the job."""
         self._send_job(job_wire.RUN_PATH, self._work, self._on_result, job.ResultKind.UNKNOWN)
 
-    def inquire_first(self) -> None:
-        """Send an inquiry, and the job once the node has responded that it would accept it."""
+    def inquire_first(self, on_willing: Callable[[ids.Incarnation | None], None]) -> None:
+        """Send an inquiry, and the job once the node has responded that it would accept it.
+
+        Args:
+            on_willing: Called before the job is sent, with the process that responded; None if
+                its response names none.
+        """
+        self._on_willing = on_willing
         inquiry = dataclasses.replace(self._work, body=b'')
         delay_s = clock.to_seconds(_INQUIRY_TIMEOUT_MS)
         self._inquiry_timer = self._reactor.callLater(delay_s, self._inquiry_timed_out)
@@ -187,6 +197,7 @@
     def _inquiry_ended(self, result: job.Result) -> None:
         self._stop_inquiry_timer()
         if result.kind is job.ResultKind.WILLING:
+            self._on_willing(self._request.incarnation)
             # The inquiry has shown that its connection works; an idle one may be silent.
             self.begin()
         else:
--- a/tests/test_mesh_entry.py
+++ b/tests/test_mesh_entry.py
@@ -12,7 +12,7 @@
 from anvillug.connection import http_server
 from anvillug.platform import headers
 from anvillug.process import mesh_entry, metrics, peer_table
-from anvillug.request import dialect, job
+from anvillug.request import dialect, job, job_wire
 from anvillug.version import directives, rollout, rollout_call, rollout_counts, rollouts
 from tests import test_bad_input, test_beacon, test_mesh_host
 
@@ -24,6 +24,9 @@
 _HOST = ids.HostId('b')
 _OLD = ids.VersionName('v1')
 _NEW = ids.VersionName('v2')
+_FORMER_PROCESS = ids.Incarnation(100)
+_NEW_PROCESS = ids.Incarnation(200)
+_WILLING = job.Result(job.ResultKind.WILLING)
 
 
 class _EntrySide:
@@ -34,8 +37,9 @@
         self.peers = peer_table.PeerTable(ids.HostId('h'), self.time)
         self.rollouts = rollouts.Rollouts(self.time, rollout.Exposure(0.1, 50), lambda: None)
         self.results: list[job.Result] = []
+        self.reactor = testing.MemoryReactorClock()
         self.entry = mesh_entry.MeshEntry(
-            testing.MemoryReactorClock(),
+            self.reactor,
             self.time,
             test_mesh_host.settings(),
             directives.ActiveDirectives(lambda records, position, previous: previous),
@@ -67,6 +71,17 @@
         work = test_mesh_host.job_at(self.time, repeatable=repeatable)
         self.cancel = self.entry.start(self.call, work, self.results.append)
 
+    def respond(self, result: job.Result, incarnation: ids.Incarnation) -> bytes:
+        """Respond to the newest request as a process of the peer; return what is sent after it."""
+        connection = self.reactor.tcpClients[-1][2].buildProtocol(None)
+        transport = test_bad_input.make_transport()
+        connection.makeConnection(transport)
+        transport.clear()
+        head = b'HTTP/1.1 200 OK\r\nAnvillug-Incarnation: %d\r\nContent-Length: %d\r\n\r\n'
+        body = job_wire.pack_result(result)
+        connection.dataReceived(head % (incarnation, len(body)) + body)
+        return transport.value()
+
     @property
     def new_counts(self) -> rollout_counts.Counts:
         evidence = self.rollouts.by_service[_SERVICE].evidence
@@ -134,23 +149,61 @@
     @pytest.mark.parametrize('repeatable', [False, True])
     def test_outcome_is_unknown(self, repeatable):
         entry_side = _EntrySide()
-        entry_side.receive_beacon('a')
+        entry_side.receive_beacon('a', incarnation=_FORMER_PROCESS)
         entry_side.send_job(repeatable=repeatable)
+        if not repeatable:
+            # Such a job is sent once an inquiry was accepted.
+            entry_side.respond(_WILLING, _FORMER_PROCESS)
         entry_side.time.advance(_TIMEOUT_MS)
-        entry_side.receive_beacon('a', incarnation=ids.Incarnation(200))
+        entry_side.receive_beacon('a', incarnation=_NEW_PROCESS)
         entry_side.entry.abort_lost_attempts()
         assert entry_side.outcomes == [(job.ResultKind.UNKNOWN, 'node: restarted')]
         assert not entry_side.peers.by_host_id['a'].outstanding
 
     def test_job_sent_to_the_new_process_stays_pending(self, entry_side):
         entry_side.time.advance(_TIMEOUT_MS)
-        entry_side.receive_beacon('a', incarnation=ids.Incarnation(200))
+        entry_side.receive_beacon('a', incarnation=_NEW_PROCESS)
         entry_side.entry.abort_lost_attempts()
         entry_side.send_job()
         entry_side.entry.abort_lost_attempts()
         assert len(entry_side.results) == 1
 
 
+class TestInquiryBesideARestart:
+    """Guards against giving up a job that the new process of a node is running."""
+
+    @pytest.fixture
+    def entry_side(self):
+        """Return an entry side that sent an inquiry while no beacon came from its only peer."""
+        entry_side = _EntrySide()
+        entry_side.receive_beacon('a', incarnation=_FORMER_PROCESS)
+        entry_side.time.advance(_TIMEOUT_MS)
+        entry_side.send_job(repeatable=False)
+        return entry_side
+
+    # Guards against "node: restarted" as the first beacon of the new process is read after the
+    # response to the inquiry (soak seed 9411).
+    def test_job_that_the_new_process_accepted_stays_pending(self, entry_side):
+        assert job_wire.RUN_PATH in entry_side.respond(_WILLING, _NEW_PROCESS)
+        entry_side.entry.abort_lost_attempts()
+        entry_side.receive_beacon('a', incarnation=_NEW_PROCESS)
+        entry_side.entry.abort_lost_attempts()
+        assert not entry_side.results
+
+    def test_job_that_the_former_process_accepted_is_lost(self, entry_side):
+        entry_side.receive_beacon('a', incarnation=_NEW_PROCESS)
+        entry_side.respond(_WILLING, _FORMER_PROCESS)
+        entry_side.entry.abort_lost_attempts()
+        assert entry_side.outcomes == [(job.ResultKind.UNKNOWN, 'node: restarted')]
+
+    def test_job_that_waits_for_the_inquiry_has_not_run(self, entry_side):
+        entry_side.receive_beacon('a', incarnation=_NEW_PROCESS)
+        entry_side.entry.abort_lost_attempts()
+        assert not entry_side.results
+        entry_side.reactor.advance(0.1)
+        assert entry_side.outcomes == [(job.ResultKind.REFUSED, 'node: silent')]
+
+
 class TestVersionOfCall:
     """Guards against sending calls that the old version rejects to an untrusted version."""
 
@@ -204,7 +257,7 @@
     def test_result_of_a_counted_call_is_not_counted_again(self, entry_side):
         entry_side.time.advance(500)
         entry_side.entry.count_overdue()
-        entry_side.receive_beacon('a', version=_NEW, incarnation=ids.Incarnation(200))
+        entry_side.receive_beacon('a', version=_NEW, incarnation=_NEW_PROCESS)
         entry_side.entry.abort_lost_attempts()
         assert (entry_side.new_counts.calls, entry_side.new_counts.slow) == (1, 1)
 
--- /dev/null
+++ b/tests/test_peer_server.py
@@ -0,0 +1,42 @@
+"""Responses of a mesh node to other nodes."""
+
+from __future__ import annotations
+
+import types
+
+import pytest
+
+from anvillug import clock, ids
+from anvillug.connection import http_server
+from anvillug.process import peer_server
+from anvillug.request import job, job_wire
+from anvillug.version import directives
+from tests import test_bad_input, test_mesh_host
+
+_MAX_HEAD_BYTES = 65536
+_TIME = clock.ManualClock(10_000)
+
+
+def _response(host: types.SimpleNamespace, path: bytes) -> bytes:
+    """Send a job to a node with this host side and return what the node writes."""
+    active = directives.ActiveDirectives(lambda records, position, previous: previous)
+    server = peer_server.PeerServer(host, active, _TIME, ids.Incarnation(200))
+    connection = http_server.ServerConnection(server.request_received, _MAX_HEAD_BYTES, set())
+    transport = test_bad_input.make_transport()
+    connection.makeConnection(transport)
+    body = job_wire.pack_job(test_mesh_host.job_at(_TIME), _TIME.now())
+    head = b'POST %b HTTP/1.1\r\nHost: node\r\nContent-Length: %d\r\n\r\n' % (path, len(body))
+    connection.dataReceived(head + body)
+    return transport.value()
+
+
+class TestInquiry:
+    """Guards against senders that give up a job since they don't know which process runs it."""
+
+    @pytest.mark.parametrize('kind', [job.ResultKind.WILLING, job.ResultKind.REFUSED])
+    def test_response_names_the_process(self, kind):
+        host = types.SimpleNamespace(handle_inquiry=lambda work: job.Result(kind))
+        response = _response(host, job_wire.INQUIRY_PATH)
+        head, _, body = response.partition(b'\r\n\r\n')
+        assert b'Anvillug-Incarnation: 200' in head
+        assert job_wire.unpack_result(body).kind is kind
--- a/tests/test_remote_run.py
+++ b/tests/test_remote_run.py
@@ -37,8 +37,8 @@
     def end_request(self):
         """Ignore the end."""
 
-    def respond(self, result: job.Result):
-        self.handler.response_head(http_head.ResponseHead(200, []))
+    def respond(self, result: job.Result, headers: tuple[http_head.Header, ...] = ()):
+        self.handler.response_head(http_head.ResponseHead(200, list(headers)))
         self.handler.response_body(job_wire.pack_result(result))
         self.handler.response_ended()
 
@@ -51,6 +51,7 @@
         """Connections in the order of use."""
         self.silent: list[Connection] = []
         self.results: list[job.Result] = []
+        self.receivers: list[ids.Incarnation | None] = []
         work = job.Job(
             attempt_id='a1',
             service=ids.ServiceName('one'),
@@ -88,7 +89,7 @@
 def remote_job():
     """Return a job that is preceded by an inquiry."""
     with_inquiry = _RemoteJob()
-    with_inquiry.run.inquire_first()
+    with_inquiry.run.inquire_first(with_inquiry.receivers.append)
     return with_inquiry
 
 
@@ -110,6 +111,21 @@
         job_connection.respond(_ANSWERED)
         assert [result.body for result in remote_job.results] == [b'ok']
 
+    # Guards against giving up a job as its node seems to have restarted, since the process that
+    # received the job is not known. Nodes of older releases don't name theirs.
+    @pytest.mark.parametrize(
+        ('headers', 'receiver'),
+        [
+            (((b'Anvillug-Incarnation', b'200'),), ids.Incarnation(200)),
+            (((b'Anvillug-Incarnation', b'new'),), None),
+            ((), None),
+        ],
+    )
+    def test_process_that_accepts_the_job_is_reported(self, remote_job, headers, receiver):
+        remote_job.connections[0].respond(_WILLING, headers)
+        assert remote_job.receivers == [receiver]
+        assert remote_job.connections[1].path == job_wire.RUN_PATH
+
     def test_failed_inquiry_counts_as_not_run(self, remote_job):
         remote_job.connections[0].handler.response_failed(http_client.ClientFailure.LOST)
         assert remote_job.results[0].kind is job.ResultKind.REFUSED
