--- a/src/anvillug/connection/request_parser.py
+++ b/src/anvillug/connection/request_parser.py
@@ -10,7 +10,7 @@
 from anvillug.connection import http_head
 
 _HTTP11 = '1.1'
-_UPGRADE_NOT_SUPPORTED = 'protocol upgrades are not supported'
+_CONNECT = b'CONNECT'
 _STATUS_BAD_REQUEST = 400
 _STATUS_HEAD_TOO_LARGE = 431
 
@@ -65,16 +65,9 @@
             return
         if self._in_head:
             self._head_bytes += len(data)
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserCallbackError as error:
-            event_log.error('request_handler_failed', error.__context__ or error)
-            self._is_malformed = True
-            self._receiver.receiver_failed()
-        except httptools.HttpParserUpgrade:
-            self._reject(_STATUS_BAD_REQUEST, _UPGRADE_NOT_SUPPORTED)
-        except httptools.HttpParserError as error:
-            self._reject(_STATUS_BAD_REQUEST, f'malformed HTTP request: {error}')
+        remaining = data
+        while remaining:
+            remaining = self._parse(remaining)
         if self._in_head and self._head_bytes > self._max_head_bytes:
             self._reject(_STATUS_HEAD_TOO_LARGE, self._too_large_message())
 
@@ -99,6 +92,8 @@
 
     def on_headers_complete(self) -> None:
         """Pass the head on, or reject it; see httptools."""
+        if self._offers_upgrade():
+            return
         # HTTP/1.0 clients receive one response per connection, as the close may end its body.
         is_http11 = self._parser.get_http_version() == _HTTP11
         head = http_head.RequestHead(
@@ -128,6 +123,8 @@
 
     def on_message_complete(self) -> None:
         """Pass the end of the request on; see httptools."""
+        if self._offers_upgrade():
+            return
         self._in_head = True
         self.is_receiving = False
         if not self._is_malformed:
@@ -135,6 +132,39 @@
 
     # Private
 
+    def _parse(self, data: bytes) -> bytes:
+        """Parse bytes and return those that have to be parsed again."""
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserCallbackError as error:
+            event_log.error('request_handler_failed', error.__context__ or error)
+            self._is_malformed = True
+            self._receiver.receiver_failed()
+        except httptools.HttpParserUpgrade as upgrade:
+            if not self._is_malformed:
+                return self._restart_without_upgrade() + data[upgrade.args[0] :]
+        except httptools.HttpParserError as error:
+            self._reject(_STATUS_BAD_REQUEST, f'malformed HTTP request: {error}')
+        return b''
+
+    def _offers_upgrade(self) -> bool:
+        """Return whether the client offers to switch to another protocol after this head."""
+        return self._parser.should_upgrade() and self._parser.get_method() != _CONNECT
+
+    def _restart_without_upgrade(self) -> bytes:
+        """Replace the parser, which takes what follows a head with an offer for another protocol.
+
+        Returns:
+            The head without the offer, which a server may ignore (RFC 9110, section 7.8).
+        """
+        version = self._parser.get_http_version().encode()
+        lines = [
+            b'%b %b HTTP/%b' % (self._parser.get_method(), self._target, version),
+            *[b'%b: %b' % header for header in self._headers if header[0].lower() != b'upgrade'],
+        ]
+        self._parser = httptools.HttpRequestParser(self)
+        return b'\r\n'.join((*lines, b'', b''))
+
     def _reject(self, status: int, message: str) -> None:
         if not self._is_malformed:
             self._is_malformed = True
@@ -145,8 +175,8 @@
 
     def _head_error(self, head: http_head.RequestHead) -> str:
         """Return why a request head is rejected, or an empty string for a valid head."""
-        if self._parser.should_upgrade():
-            return _UPGRADE_NOT_SUPPORTED
+        if head.method == _CONNECT:
+            return 'method CONNECT: not supported'
         if head.framing is not http_head.Framing.CHUNKED:
             return ''
         if head.get(b'content-length') is not None:
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -77,8 +77,13 @@
     return connection, transport, received
 
 
-def _encode(path: str, body: bytes, *, chunked: bool) -> bytes:
+_UPGRADE = b'Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: AAMA\r\n'
+
+
+def _encode(path: str, body: bytes, *, chunked: bool, upgrades: bool = False) -> bytes:
     line = f'POST /{path} HTTP/1.1\r\nHost: a\r\n'.encode()
+    if upgrades:
+        line += _UPGRADE
     if chunked:
         data = http_head.chunk(body) if body else b''
         return b'%bTransfer-Encoding: chunked\r\n\r\n%b0\r\n\r\n' % (line, data)
@@ -87,7 +92,10 @@
 
 _REQUESTS = strategies.lists(
     strategies.tuples(
-        strategies.text('abc', max_size=5), strategies.binary(max_size=60), strategies.booleans()
+        strategies.text('abc', max_size=5),
+        strategies.binary(max_size=60),
+        strategies.booleans(),
+        strategies.booleans(),
     ),
     min_size=1,
     max_size=5,
@@ -99,12 +107,15 @@
 
     @given(requests=_REQUESTS, cuts=strategies.lists(strategies.integers(0, 900)))
     def test_splits_do_not_change_requests(self, requests, cuts):
-        stream = b''.join(_encode(path, body, chunked=chunked) for path, body, chunked in requests)
+        stream = b''.join(
+            _encode(path, body, chunked=chunked, upgrades=upgrades)
+            for path, body, chunked, upgrades in requests
+        )
         connection, transport, received = _make_connection()
         boundaries = sorted({0, len(stream), *(cut % len(stream) for cut in cuts)})
         for start, end in zip(boundaries, boundaries[1:], strict=False):
             connection.dataReceived(stream[start:end])
-        assert received == [(f'/{path}'.encode(), body) for path, body, _chunked in requests]
+        assert received == [(f'/{path}'.encode(), body) for path, body, *_ in requests]
         assert transport.value().count(b'HTTP/1.1 200 OK') == len(requests)
 
     @given(
@@ -133,6 +144,26 @@
             connection.dataReceived(piece)
         connection.connectionLost()
 
+    # Guards against status 400 for clients that offer another protocol, as some do for HTTP/2.
+    @pytest.mark.parametrize('version', [b'1.0', b'1.1'])
+    def test_offer_of_another_protocol_is_ignored(self, version):
+        exchanges = []
+        connection, transport, _received = _make_connection(exchanges.append)
+        connection.dataReceived(b'GET / HTTP/%b\r\nHost: a\r\n%b\r\n' % (version, _UPGRADE))
+        assert exchanges[0].head.get(b'upgrade') is None
+        assert exchanges[0].head.supports_chunked is (version == b'1.1')
+        exchanges[0].respond(200)
+        assert transport.value().startswith(b'HTTP/1.1 200 OK')
+        assert transport.disconnecting is (version == b'1.0')
+
+    # Guards against a limit that an offer of another protocol evades.
+    def test_large_head_with_an_offer_is_rejected(self):
+        connection, transport, received = _make_connection(max_head_bytes=200)
+        padding = b'X: %b\r\n' % (b'x' * 300)
+        connection.dataReceived(b'GET / HTTP/1.1\r\nHost: a\r\n%b%b\r\n' % (_UPGRADE, padding))
+        assert transport.value().startswith(b'HTTP/1.1 431 ')
+        assert not received
+
     def test_malformed_bytes_do_not_abort_the_previous_request(self):
         exchanges = []
         connection, transport, _received = _make_connection(exchanges.append)
@@ -338,6 +369,19 @@
                 'malformed HTTP request',
             ),
             (_request('GET /x HTTP/1.1', 'Upgrade: websocket'), 200, 'GET'),
+            (_request('GET /x HTTP/1.1', 'Connection: upgrade', 'Upgrade: h2c'), 200, 'GET'),
+            (
+                _request(
+                    'POST /x HTTP/1.1',
+                    'Connection: Upgrade',
+                    'Upgrade: h2c',
+                    'Content-Length: 3',
+                    body=b'abc',
+                ),
+                200,
+                'POST',
+            ),
+            (_request('CONNECT /x HTTP/1.1'), 400, 'method CONNECT: not supported'),
         ],
     )
     def test_status_and_message(self, node, data, status, message):
