--- a/src/anvillug/process/beacon.py
+++ b/src/anvillug/process/beacon.py
@@ -15,7 +15,7 @@
 from twisted.internet import error as net_error
 from twisted.internet import protocol
 
-from anvillug import clock, event_log, ids
+from anvillug import clock, event_log, ids, wire_value
 from anvillug.process import peer_table, upstream
 from anvillug.request import dialect
 from anvillug.version import directives
@@ -318,26 +318,49 @@
     fields, *rest = msgpack.unpackb(datagram)
     if len(rest) > 1:
         sequence, load, load_age_ms = rest
-        return LoadBeacon(fields, sequence, _unpack_rounded_load(load), load_age_ms)
-    fields[_LOAD_INDEX] = _unpack_load(fields[_LOAD_INDEX])
-    fields[_STATE_INDEX] = upstream.UpstreamState(fields[_STATE_INDEX])
-    fields[_POSITION_INDEX] = directives.unpack_position(fields[_POSITION_INDEX])
-    return peer_table.Announcement(*fields), rest[0]
-
-
-def _unpack_load(fields: list[float] | None) -> dialect.ReportedLoad | None:
-    return None if fields is None else dialect.ReportedLoad(*fields)
+        return LoadBeacon(
+            ids.Incarnation(wire_value.integer(fields, 'incarnation')),
+            wire_value.integer(sequence, 'sequence'),
+            _unpack_rounded_load(load),
+            wire_value.number(load_age_ms, 'load_age_ms'),
+        )
+    values = [
+        _DECODERS_BY_NAME[name](content, name)
+        for name, content in zip(_NAMES, fields, strict=False)
+    ]
+    if len(fields) > len(_NAMES):
+        raise ValueError(f'{len(_NAMES)} fields are known, got {len(fields)}')
+    return peer_table.Announcement(*values), wire_value.mapping(rest[0], 'extra state')
 
 
-def _unpack_rounded_load(fields: list[int] | None) -> dialect.ReportedLoad | None:
+def _unpack_rounded_load(fields: list[Any] | None) -> dialect.ReportedLoad | None:
     if fields is None:
         return None
-    *counts, slowness, fault_percent = fields
-    return dialect.ReportedLoad(*counts, float(slowness), fault_percent / _PERCENT)
+    *others, fault_percent = fields
+    return dialect.unpack_load([*others, wire_value.number(fault_percent, 'faults') / _PERCENT])
+
+
+_DECODERS_BY_NAME: dict[str, Callable[[Any, str], Any]] = {
+    'host_id': wire_value.text,
+    'incarnation': wire_value.integer,
+    'sequence': wire_value.integer,
+    'peer_address': wire_value.address,
+    'beacon_address': wire_value.address,
+    'zone': wire_value.text,
+    'service': wire_value.text,
+    'version': wire_value.text,
+    'instance': wire_value.text,
+    'state': lambda content, _: upstream.UpstreamState(content),
+    'cold': wire_value.boolean,
+    'load': lambda content, _: dialect.unpack_load(content),
+    'load_age_ms': wire_value.number,
+    'position': lambda content, _: directives.unpack_position(content),
+    'reaches_log': wire_value.boolean,
+    'pace_ms': wire_value.number,
+}
 
 
 _FIELDS = dataclasses.fields(peer_table.Announcement)
 _NAMES = [field.name for field in _FIELDS]
 _STATE_INDEX = _NAMES.index('state')
 _LOAD_INDEX = _NAMES.index('load')
-_POSITION_INDEX = _NAMES.index('position')
--- a/src/anvillug/process/crash_watch.py
+++ b/src/anvillug/process/crash_watch.py
@@ -10,7 +10,7 @@
 import itertools
 from typing import Any
 
-from anvillug import clock, event_log, ids
+from anvillug import clock, event_log, ids, wire_value
 from anvillug.request import job, quarantine
 
 # A crash breaks connections first, and is detected soon after, when a new connection is refused.
@@ -120,9 +120,18 @@
         ]
 
     def merge_entries(self, packed: list[list[Any]]) -> None:
-        """Merge the entries that another node has sent, in their wire form."""
+        """Merge the entries that another node has sent, in their wire form.
+
+        Raises:
+            ValueError, TypeError: If the entries are malformed; none of them is merged.
+        """
         entries = [
-            quarantine.QuarantineEntry(fingerprint, tuple(crash_ids), *times)
-            for fingerprint, crash_ids, *times in packed
+            quarantine.QuarantineEntry(
+                ids.Fingerprint(wire_value.text(fingerprint, 'fingerprint')),
+                tuple(wire_value.text(crash_id, 'crash id') for crash_id in crash_ids),
+                wire_value.number(quarantine_ms, 'quarantine'),
+                wire_value.number(suspect_ms, 'suspicion'),
+            )
+            for fingerprint, crash_ids, quarantine_ms, suspect_ms in packed
         ]
         self._quarantine.merge(entries, self._clock.now())
--- a/src/anvillug/process/leave_record.py
+++ b/src/anvillug/process/leave_record.py
@@ -4,9 +4,8 @@
 
 import dataclasses
 from collections.abc import Mapping
-from typing import Any
 
-from anvillug import ids
+from anvillug import ids, wire_value
 
 # A leave that is announced again within this time is the same one.
 _REPEAT_MS = 10_000
@@ -119,19 +118,18 @@
         ValueError: If the content has another type; the message names the field.
     """
     if not isinstance(content, dict):
-        return LeaveRecord(ids.Incarnation(_integer(content, 'start time')))
+        return LeaveRecord(ids.Incarnation(wire_value.integer(content, 'start time')))
+    started_at = wire_value.integer(content.get(_STARTED_AT), _STARTED_AT)
     draining = content.get(_DRAINING)
-    instances = content.get(_INSTANCES)
+    instances = wire_value.mapping(content.get(_INSTANCES), _INSTANCES)
     if not isinstance(draining, list) or len(draining) != len(_NO_ORDER):
         raise ValueError(f'{_DRAINING} must be a start time and a sequence number')
-    if not isinstance(instances, dict):
-        raise ValueError(f'{_INSTANCES} must be a mapping, got {type(instances).__name__}')
-    record = LeaveRecord(
-        ids.Incarnation(_integer(content.get(_STARTED_AT), _STARTED_AT)),
-        (ids.Incarnation(_integer(draining[0], _DRAINING)), _integer(draining[1], _DRAINING)),
-    )
+    draining_at, sequence = (wire_value.integer(part, _DRAINING) for part in draining)
+    record = LeaveRecord(ids.Incarnation(started_at), (ids.Incarnation(draining_at), sequence))
     left_at_by_instance = {
-        ids.InstanceId(_text(instance, _INSTANCES)): _integer(left_at, _INSTANCES)
+        ids.InstanceId(wire_value.text(instance, 'instance')): (
+            wire_value.integer(left_at, _INSTANCES)
+        )
         for instance, left_at in instances.items()
     }
     return record.merge(LeaveRecord(left_at_by_instance=left_at_by_instance))
@@ -143,15 +141,3 @@
     """Return the entries that left last, in an order that does not depend on the given one."""
     by_age = sorted(left_at_by_instance.items(), key=lambda entry: (entry[1], entry[0]))
     return dict(by_age[-count:])
-
-
-def _integer(content: Any, name: str) -> int:
-    if isinstance(content, bool) or not isinstance(content, int):
-        raise ValueError(f'{name} must be an integer, got {type(content).__name__}')
-    return content
-
-
-def _text(content: Any, name: str) -> str:
-    if not isinstance(content, str):
-        raise ValueError(f'{name} must be named by strings, got {type(content).__name__}')
-    return content
--- a/src/anvillug/process/mesh_node.py
+++ b/src/anvillug/process/mesh_node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import gc
 import random
 from collections.abc import Callable
@@ -42,6 +43,7 @@
 # Keys of the additional state in beacons.
 _ROLLOUTS = 'r'
 _CRASHES = 'c'
+_MALFORMED_STATE = (ValueError, TypeError, LookupError)
 # Calls create few reference cycles. The default threshold of 700 would trigger several collections
 # per 100 calls.
 _GC_THRESHOLDS = (20_000, 20, 20)
@@ -350,8 +352,17 @@
         self, announcement: peer_table.Announcement, extra_state: beacon.ExtraState
     ) -> None:
         reporter = (announcement.host_id, announcement.incarnation)
-        self.rollouts.receive_report(reporter, extra_state[_ROLLOUTS])
-        self._crashes.merge_entries(extra_state[_CRASHES])
+        merge_by_topic = {
+            _ROLLOUTS: functools.partial(self.rollouts.receive_report, reporter),
+            _CRASHES: self._crashes.merge_entries,
+        }
+        for topic, merge in merge_by_topic.items():
+            try:
+                merge(extra_state[topic])
+            except _MALFORMED_STATE as error:
+                event_log.warn(
+                    'beacon_state_malformed', peer=reporter[0], topic=topic, reason=error
+                )
         self._duty.record_peer_position(announcement.position)
         if announcement.position > self.active_directives.current.position:
             # The first node of a zone fetches for the others.
--- a/src/anvillug/request/dialect.py
+++ b/src/anvillug/request/dialect.py
@@ -7,11 +7,16 @@
 
 import dataclasses
 import enum
+from collections.abc import Sequence
+from typing import Any
 from typing import Protocol as Interface
 
-from anvillug import ids
+from anvillug import ids, wire_value
 from anvillug.connection import http_head
 
+# Fields of a load in messages of all releases.
+_LOAD_FIELDS = 4
+
 
 class ReplyKind(enum.Enum):
     """Meaning of a backend server's response for the call."""
@@ -42,6 +47,29 @@
     """Share of recent runs that failed or were slow; added by the node beside the server."""
 
 
+def unpack_load(packed: Sequence[Any] | None) -> ReportedLoad | None:
+    """Decode a load from a message of another node.
+
+    Args:
+        packed: The fields of `ReportedLoad`, of which the last may be left out; None for no load.
+
+    Raises:
+        ValueError, TypeError: If it is malformed.
+    """
+    if packed is None:
+        return None
+    *counts, slowness = packed[:_LOAD_FIELDS]
+    running, waiting, slots = (wire_value.natural(count, 'load') for count in counts)
+    fault_shares = packed[_LOAD_FIELDS:]
+    return ReportedLoad(
+        running,
+        waiting,
+        slots,
+        wire_value.number(slowness, 'slowness'),
+        *(wire_value.number(share, 'fault share') for share in fault_shares),
+    )
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class HealthReport:
     """Result of the health check of a backend server."""
--- a/src/anvillug/request/job_wire.py
+++ b/src/anvillug/request/job_wire.py
@@ -4,11 +4,12 @@
 
 import dataclasses
 import zlib
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import msgpack
 
-from anvillug import clock, ids
+from anvillug import clock, ids, wire_value
 from anvillug.connection import http_head
 from anvillug.request import dialect, job
 from anvillug.version import directives
@@ -22,10 +23,18 @@
 DIRECTIVES_PATH = b'/-/directives'
 """Path of the request for the directives in effect."""
 
-# Indexes of the fields that are converted between a job and its wire form.
-_HEAD_INDEX = 3
-_DEADLINE_INDEX = 5
-_POSITION_INDEX = 8
+_MIN_STATUS = 100
+_MAX_STATUS = 599
+_CHECKS_BY_FIELD: dict[str, Callable[[Any, str], Any]] = {
+    'attempt_id': wire_value.text,
+    'service': wire_value.text,
+    'route': wire_value.text,
+    'body': wire_value.data,
+    'repeatable': wire_value.boolean,
+    'priority': wire_value.integer,
+    'instance': wire_value.text,
+    'must_accept': wire_value.boolean,
+}
 _DECODE_ERRORS = (
     ValueError,
     TypeError,
@@ -80,13 +89,16 @@
         MalformedError: If the data can't be decoded.
     """
     try:
-        fields = msgpack.unpackb(data)
-        fields[_HEAD_INDEX] = http_head.RequestHead(*_with_header_tuples(fields[_HEAD_INDEX]))
-        fields[_DEADLINE_INDEX] += now
-        fields[_POSITION_INDEX] = directives.unpack_position(fields[_POSITION_INDEX])
-        return job.Job(*fields)
+        work = job.Job(*msgpack.unpackb(data))
+        for name, check in _CHECKS_BY_FIELD.items():
+            check(getattr(work, name), name)
+        work.head = _request_head(work.head)
+        # Negative if the sender stood still.
+        work.deadline = clock.Milliseconds(now + wire_value.finite(work.deadline, 'deadline'))
+        work.position = directives.unpack_position(work.position)
     except _DECODE_ERRORS as error:
         raise MalformedError(f'job: {error}') from error
+    return work
 
 
 def pack_result(result: job.Result) -> bytes:
@@ -109,10 +121,10 @@
         packed_head, body, load, position = rest
         return job.Result(
             job.ResultKind(kind),
-            reason,
+            wire_value.text(reason, 'reason'),
             None if packed_head is None else _response_head(packed_head),
-            body,
-            None if load is None else dialect.ReportedLoad(*load),
+            wire_value.data(body, 'body'),
+            dialect.unpack_load(load),
             directives.unpack_position(position),
         )
     except _DECODE_ERRORS as error:
@@ -146,7 +158,9 @@
             return None, position
         content = msgpack.unpackb(zlib.decompress(packed))
         records = {
-            key: directives.Record(directives.unpack_position(record_position), value)
+            wire_value.text(key, 'key'): directives.Record(
+                directives.unpack_position(record_position), wire_value.data(value, key)
+            )
             for key, (record_position, value) in content.items()
         }
     except _DECODE_ERRORS as error:
@@ -154,12 +168,24 @@
     return records, position
 
 
-def _with_header_tuples(packed_head: list[Any]) -> list[Any]:
-    """Convert the headers, the last field of a head, from lists to tuples."""
-    *fields, headers = packed_head
-    return [*fields, [tuple(header) for header in headers]]
+def _request_head(packed_head: Sequence[Any]) -> http_head.RequestHead:
+    method, target, headers = packed_head
+    return http_head.RequestHead(
+        wire_value.data(method, 'method'), wire_value.data(target, 'target'), _headers(headers)
+    )
+
+
+def _response_head(packed_head: Sequence[Any]) -> http_head.ResponseHead:
+    status, reason, headers = packed_head
+    if not _MIN_STATUS <= wire_value.integer(status, 'status') <= _MAX_STATUS:
+        raise ValueError(f'status must be {_MIN_STATUS} to {_MAX_STATUS}, got {status}')
+    return http_head.ResponseHead(
+        status, _headers(headers), wire_value.data(reason, 'reason phrase')
+    )
 
 
-def _response_head(packed_head: list[Any]) -> http_head.ResponseHead:
-    status, reason, headers = _with_header_tuples(packed_head)
-    return http_head.ResponseHead(status, headers, reason)
+def _headers(packed: Sequence[Any]) -> list[http_head.Header]:
+    return [
+        (wire_value.data(name, 'header'), wire_value.data(content, 'header'))
+        for name, content in packed
+    ]
--- a/src/anvillug/version/directives.py
+++ b/src/anvillug/version/directives.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Mapping, Sequence
 from typing import NamedTuple
 
-from anvillug import ids
+from anvillug import ids, wire_value
 from anvillug.version import route_table
 
 
@@ -41,7 +41,11 @@
         ValueError, TypeError: If it is malformed.
     """
     era, offset, revision = packed
-    return Position(int(era), int(offset), int(revision))
+    return Position(
+        wire_value.integer(era, 'era'),
+        wire_value.integer(offset, 'offset'),
+        wire_value.integer(revision, 'revision'),
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/anvillug/version/rollout_counts.py
+++ b/src/anvillug/version/rollout_counts.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable, Mapping
 from typing import Any, Self
 
-from anvillug import ids
+from anvillug import ids, wire_value
 
 # Maximum number of routes, and of pairs of route and host, that a node counts separately. They must
 # all fit into 1,400 bytes of its beacon.
@@ -158,15 +158,24 @@
             ValueError, TypeError, LookupError: If the wire form is malformed.
         """
         routes, hosts, new_rows, old_rows = packed
+        for name in (*routes, *hosts):
+            wire_value.text(name, 'route or host')
         return cls(
             {
-                (ids.RouteName(routes[route]), ids.HostId(hosts[host])): Counts(*numbers)
+                (ids.RouteName(routes[route]), ids.HostId(hosts[host])): _unpack_row(numbers)
                 for route, host, *numbers in new_rows
             },
-            {ids.RouteName(routes[route]): Counts(*numbers) for route, *numbers in old_rows},
+            {ids.RouteName(routes[route]): _unpack_row(numbers) for route, *numbers in old_rows},
         )
 
 
+def _unpack_row(numbers: list[Any]) -> Counts:
+    counts = Counts(*(wire_value.natural(count, 'count') for count in numbers))
+    if counts.bad > counts.calls:
+        raise ValueError(f'{counts.bad} of {counts.calls} calls failed or were slow')
+    return counts
+
+
 def _add_all(counts_by_key: dict[Any, Counts], added_counts: Mapping[Any, Counts]) -> None:
     for key, counts in added_counts.items():
         counts_by_key.setdefault(key, Counts()).add(counts)
--- a/src/anvillug/version/rollouts.py
+++ b/src/anvillug/version/rollouts.py
@@ -15,7 +15,7 @@
 
 import xxhash
 
-from anvillug import clock, event_log, ids
+from anvillug import clock, event_log, ids, wire_value
 from anvillug.version import (
     directives,
     rollout,
@@ -257,14 +257,14 @@
         return {
             service: rollout_report.Report(
                 current.order.position,
-                current.phase.value,
-                rollout_report.pack_stored(current.stored),
+                current.phase,
+                current.stored,
                 current.settled,
-                int(now - current.started_at),
+                now - current.started_at,
                 current.cancelled_shifts,
-                int(now - current.shifted_at),
-                current.evidence.local.pack() if current is reported else None,
-            )
+                now - current.shifted_at,
+                current.evidence.local if current is reported else None,
+            ).pack()
             for service, current in self.by_service.items()
         }
 
@@ -289,14 +289,16 @@
             packed: Its state as returned by `encode_report`.
 
         Raises:
-            ValueError, TypeError, LookupError: If the state is malformed.
+            ValueError, TypeError, LookupError: If the state is malformed; none of it is merged.
         """
-        for service, fields in packed.items():
-            state = rollout_report.Report(*fields)
+        reports_by_service = {
+            wire_value.text(service, 'service'): rollout_report.unpack(fields)
+            for service, fields in wire_value.mapping(packed, 'rollouts').items()
+        }
+        for service, report in reports_by_service.items():
             current = self.by_service.get(ids.ServiceName(service))
-            order_position = directives.unpack_position(state.order_position)
-            if current is not None and current.order.position == order_position:
-                self._receive_state(current, reporter, state)
+            if current is not None and current.order.position == report.order_position:
+                self._receive_state(current, reporter, report)
 
     def _receive_state(
         self,
@@ -306,9 +308,8 @@
     ) -> None:
         now = self._clock.now()
         current.started_at = min(current.started_at, clock.Milliseconds(now - state.age_ms))
-        counts = state.counts and rollout_counts.VersionCounts.unpack(state.counts)
-        current.evidence.record_report(reporter, counts, now)
-        phase = rollout.Phase(state.phase_name)
+        current.evidence.record_report(reporter, state.counts, now)
+        phase = state.phase
         if state.settled and phase.is_final:
             current.settle(phase, f'reported by {reporter[0]}')
         elif phase is rollout.Phase.REVERTED and not current.phase.is_final:
@@ -317,7 +318,7 @@
             shifted_at = clock.Milliseconds(now - state.shift_age_ms)
             current.adopt_shift(state.cancelled_shifts, shifted_at)
         if state.stored is not None:
-            self._receive_stored(current, rollout_report.unpack_stored(state.stored))
+            self._receive_stored(current, state.stored)
 
     def _receive_stored(self, current: rollout.Rollout, stored: rollout.StoredStatus) -> None:
         self.enter_era(stored.position.era)
