--- a/src/anvillug/platform/control.py
+++ b/src/anvillug/platform/control.py
@@ -21,6 +21,7 @@
 _STATUS_OK = 200
 _STATUS_BAD_REQUEST = 400
 _STATUS_NOT_FOUND = 404
+_STATUS_TOO_LARGE = 413
 _STATUS_UNAVAILABLE = 503
 _MAX_BODY_BYTES = 64 * 1024
 
@@ -84,14 +85,21 @@
         self._control = control
         self._exchange = exchange
         self._body = b''
+        self._is_too_large = False
 
     def body_received(self, data: bytes) -> None:
-        """Collect a part of the body, unless the body would exceed the size limit."""
-        if len(self._body) + len(data) <= _MAX_BODY_BYTES:
+        """Collect a part of the body, up to the size limit."""
+        self._is_too_large |= len(self._body) + len(data) > _MAX_BODY_BYTES
+        if not self._is_too_large:
             self._body += data
 
     def request_ended(self) -> None:
-        """Execute the call and respond."""
+        """Execute the call and respond; one whose body is too large is rejected."""
+        if self._is_too_large:
+            reason = f'body exceeds {_MAX_BODY_BYTES} bytes'
+            event_log.warn('control_call_refused', place='call', reason=reason)
+            self._exchange.respond(_STATUS_TOO_LARGE, f'call: {reason}\n'.encode())
+            return
         executed = self._control.execute(self._exchange.head.target, self._body)
         executed.addCallbacks(self._respond, self._respond_not_stored)
 
--- a/src/anvillug/process/entry_side.py
+++ b/src/anvillug/process/entry_side.py
@@ -17,6 +17,7 @@
     peer_pools,
     service_router,
     service_view,
+    settings,
 )
 from anvillug.request import attempt as attempts
 from anvillug.request import budget, call, entry_call, entry_request
@@ -66,7 +67,7 @@
         observer: Notified of each ended attempt.
         keyed: Claims idempotency keys.
         rng: Source of random numbers.
-        sample_timeout_ms: Timeout of a load sample.
+        timeouts: Timeouts of the settings.
         chooser: Algorithm that selects hosts; see the setting of this name.
     """
 
@@ -81,7 +82,7 @@
         observer: service_router.AttemptObserver,
         keyed: keyed_calls.KeyedCalls,
         rng: random.Random,
-        sample_timeout_ms: float,
+        timeouts: settings.Timeouts,
         chooser: str = service_router.DEFAULT_CHOOSER,
     ) -> None:
         self.reactor = reactor
@@ -96,7 +97,8 @@
         self._keyed = keyed
         self._rng = rng
         self._chooser = chooser
-        self._sample_timeout_s = clock.to_seconds(sample_timeout_ms)
+        self._sample_timeout_s = clock.to_seconds(timeouts.sample_ms)
+        self._max_silence_ms = timeouts.silence_ms
         self._routers_by_service: dict[ids.ServiceName, service_router.ServiceRouter] = {}
         self._sequence = 0
         self._request_samples()
@@ -243,7 +245,9 @@
         """Return the time until the outcome is resolved; see `entry_context.EntryContext`."""
         router = self._router(active_call.request.service, self.clock.now())
         hedge_delay_ms = None if router is None else router.hedges.delay_ms()
-        return max(_MIN_SILENCE_MS, _SILENCE_FACTOR * (hedge_delay_ms or 0))
+        return min(
+            self._max_silence_ms, max(_MIN_SILENCE_MS, _SILENCE_FACTOR * (hedge_delay_ms or 0))
+        )
 
     def call_ended(self, ended: entry_call.EntryCall, status: int, outcome: call.Outcome) -> None:
         """Record the result of a call; see `entry_context.EntryContext`."""
--- a/src/anvillug/process/mesh_entry.py
+++ b/src/anvillug/process/mesh_entry.py
@@ -313,6 +313,7 @@
         """Return the connections to another node."""
         pool = self._pools_by_address.get(address)
         if pool is None:
+            self._close_unused_pools()
             host, _, port = address.rpartition(':')
             pool = http_pool.Pool(
                 self.reactor,
@@ -326,6 +327,12 @@
 
     # Private
 
+    def _close_unused_pools(self) -> None:
+        """Close the pools of addresses that no node has any more."""
+        used = {peer.announcement.peer_address for peer in self._peers.by_host_id.values()}
+        for address in self._pools_by_address.keys() - used:
+            self._pools_by_address.pop(address).close()
+
     def _choose(
         self, call: routed_call.RoutedCall, work: job.Job, now: clock.Milliseconds
     ) -> peer_table.Peer | None:
--- a/src/anvillug/process/node.py
+++ b/src/anvillug/process/node.py
@@ -324,7 +324,7 @@
             self.judge,
             self.keyed,
             self._rng,
-            self._settings.timeouts.sample_ms,
+            self._settings.timeouts,
             self._settings.chooser,
         )
 
--- a/src/anvillug/process/operator_api.py
+++ b/src/anvillug/process/operator_api.py
@@ -15,6 +15,7 @@
 
 _STATUS_ACCEPTED = 202
 _STATUS_BAD_REQUEST = 400
+_STATUS_TOO_LARGE = 413
 _STATUS_UNAVAILABLE = 503
 _MAX_ANNOUNCEMENT_BYTES = 16 * 1024
 
@@ -100,8 +101,13 @@
 
     @app.route('/announce', methods=['POST'])
     def announce(self, request: Any) -> bytes:
-        """Record an announcement, or respond with status 400 and all findings if it is invalid."""
-        body = request.content.read(_MAX_ANNOUNCEMENT_BYTES)
+        """Record an announcement, or respond with all findings if it is invalid or too large."""
+        body = request.content.read(_MAX_ANNOUNCEMENT_BYTES + 1)
+        if len(body) > _MAX_ANNOUNCEMENT_BYTES:
+            request.setResponseCode(_STATUS_TOO_LARGE)
+            event_log.warn('announcement_rejected', faults=1)
+            problem = f'announcement: exceeds {_MAX_ANNOUNCEMENT_BYTES} bytes'
+            return _json(request, {'findings': [problem]})
         try:
             announcement = Announcement.model_validate_json(body)
         except pydantic.ValidationError as error:
--- a/src/anvillug/process/settings.py
+++ b/src/anvillug/process/settings.py
@@ -32,7 +32,7 @@
     """Timeouts in milliseconds."""
 
     silence_ms: _PositiveInt = 30_000
-    """Time without a byte after which a call is resolved on a new connection."""
+    """Maximum time without a byte after which a call is resolved on a new connection."""
     connect_ms: _PositiveInt = 1000
     """Timeout for opening a connection."""
     sample_ms: _PositiveInt = 250
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -424,6 +424,11 @@
         assert status == 400
         assert 'announcement: Invalid JSON' in text
 
+    # Guards against a fault in the text, as if the part within the limit were all.
+    def test_large_announcement_is_rejected(self, node):
+        status, text = node.send_operator_request('POST', '/announce', b'{%s}' % (b' ' * 16_384))
+        assert (status, 'announcement: exceeds 16384 bytes' in text) == (413, True)
+
     def test_unknown_path_and_wrong_method_are_rejected(self, node):
         assert node.send_operator_request('GET', '/stat')[0] == 404
         assert node.send_operator_request('GET', '/drain')[0] == 405
--- a/tests/test_mesh_entry.py
+++ b/tests/test_mesh_entry.py
@@ -204,6 +204,24 @@
         assert entry_side.outcomes == [(job.ResultKind.REFUSED, 'node: silent')]
 
 
+class TestPools:
+    """Guards against connections that are kept for each address that a node has ever had."""
+
+    def test_pool_of_a_forgotten_address_is_closed(self):
+        entry_side = _EntrySide()
+        entry_side.receive_beacon('a', peer_address='10.0.0.1:80')
+        former = entry_side.entry.pool('10.0.0.1:80')
+        used = entry_side.entry.pool('10.0.0.2:80')
+        entry_side.time.advance(1)
+        entry_side.receive_beacon('a', peer_address='10.0.0.2:80')
+        entry_side.entry.pool('10.0.0.3:80')
+        assert entry_side.entry.pool('10.0.0.2:80') is used
+        assert entry_side.entry.pool('10.0.0.1:80') is not former
+        failures = []
+        former.acquire(lambda _: None, lambda: failures.append('closed'))
+        assert failures == ['closed']
+
+
 class TestVersionOfCall:
     """Guards against sending calls that the old version rejects to an untrusted version."""
 
