--- a/src/anvillug/platform/documents.py
+++ b/src/anvillug/platform/documents.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 import math
-from typing import Any
+from typing import Annotated, Any
 
 import pydantic
 
@@ -36,6 +36,9 @@
 }
 
 
+_PositiveMs = Annotated[float, pydantic.Field(gt=0, allow_inf_nan=False)]
+
+
 class _Document(pydantic.BaseModel):
     """Base of the platform's documents; ignores fields that the platform adds."""
 
@@ -51,10 +54,10 @@
 
 
 class _Limits(_Document):
-    MaxHeaderBytes: int
-    MaxBodyBytes: int
-    HeaderTimeoutMs: float
-    IdleTimeoutMs: float
+    MaxHeaderBytes: pydantic.PositiveInt
+    MaxBodyBytes: pydantic.NonNegativeInt
+    HeaderTimeoutMs: _PositiveMs
+    IdleTimeoutMs: _PositiveMs
 
 
 class _Weighted(_Document):
@@ -66,8 +69,8 @@
     Name: str
     PathPrefix: str
     Kind: str
-    TimeoutMs: float
-    TargetLatencyMs: float = 0
+    TimeoutMs: _PositiveMs
+    TargetLatencyMs: float = pydantic.Field(0, ge=0, allow_inf_nan=False)
     Priority: int = 0
     MaxAttempts: int = 1
     # Either `Service` or `WeightedSplit` is set.
@@ -100,7 +103,7 @@
     Version: str
     Slots: int = pydantic.Field(gt=0)
     State: str
-    ColdLeftMs: float = 0
+    ColdLeftMs: float = pydantic.Field(0, allow_inf_nan=False)
     # Increases with each heartbeat of an instance.
     Sequence: int
     # Start time in milliseconds since the epoch.
