--- a/src/anvillug/process/beacon.py
+++ b/src/anvillug/process/beacon.py
@@ -45,7 +45,8 @@
 MAX_BYTES = 2400
 """Maximum size of a datagram; it is fragmented above 1200 bytes."""
 _SEND_ERRORS = (OSError, ValueError, net_error.MessageLengthError)
-_MALFORMED_ERRORS = (ValueError, TypeError, LookupError, msgpack.UnpackException)
+MALFORMED_ERRORS = (ValueError, TypeError, LookupError, msgpack.UnpackException)
+"""Errors of decoding a beacon or a part of one."""
 
 
 class Need(enum.Enum):
@@ -154,7 +155,7 @@
         """Receive a beacon; see Twisted."""
         try:
             message = decode(datagram)
-        except _MALFORMED_ERRORS as error:
+        except MALFORMED_ERRORS as error:
             self._malformed_count += 1
             event_log.warn(
                 'beacon_malformed', sender=addr[0], reason=error, count=self._malformed_count
--- a/src/anvillug/process/member_records.py
+++ b/src/anvillug/process/member_records.py
@@ -14,7 +14,7 @@
 import msgpack
 from twisted.internet import defer, interfaces, task
 
-from anvillug import event_log, ids, validation
+from anvillug import event_log, ids, validation, wire_value
 from anvillug.connection import keyed_log
 from anvillug.process import leave_record, leave_recovery, peer_table, upstream
 from anvillug.version import directives
@@ -260,17 +260,15 @@
         try:
             content = msgpack.unpackb(record.value)
             if not key.startswith(_LEFT_PREFIX):
-                self._peers.add_contact(ids.HostId(key), _check_address(content))
+                self._peers.add_contact(ids.HostId(key), _address(content))
             elif key == self._leave_key:
                 self._upstream.restore_leaves(leave_record.from_data(content))
         except (ValueError, msgpack.UnpackException) as error:
             event_log.warn('member_record_malformed', member=key, reason=error)
 
 
-def _check_address(content: object) -> str:
-    if not isinstance(content, str):
-        raise ValueError(f'address must be a string, got {type(content).__name__}')
-    return validation.check_address(content)
+def _address(content: object) -> str:
+    return validation.check_address(wire_value.text(content, 'address'))
 
 
 def _fail_not_stored(result: object, timeout_s: float) -> None:
--- a/src/anvillug/process/mesh_node.py
+++ b/src/anvillug/process/mesh_node.py
@@ -43,7 +43,6 @@
 # Keys of the additional state in beacons.
 _ROLLOUTS = 'r'
 _CRASHES = 'c'
-_MALFORMED_STATE = (ValueError, TypeError, LookupError)
 # Calls create few reference cycles. The default threshold of 700 would trigger several collections
 # per 100 calls.
 _GC_THRESHOLDS = (20_000, 20, 20)
@@ -359,7 +358,7 @@
         for topic, merge in merge_by_topic.items():
             try:
                 merge(extra_state[topic])
-            except _MALFORMED_STATE as error:
+            except beacon.MALFORMED_ERRORS as error:
                 event_log.warn(
                     'beacon_state_malformed', peer=reporter[0], topic=topic, reason=error
                 )
--- a/src/anvillug/validation.py
+++ b/src/anvillug/validation.py
@@ -58,6 +58,11 @@
     return f'{place}: {path}'
 
 
+def is_port(text: str, lowest: int = 1) -> bool:
+    """Return whether a text is a port number that is not below the lowest valid one."""
+    return text.isascii() and text.isdigit() and lowest <= int(text) <= _MAX_PORT
+
+
 def check_address(text: str, *, lowest_port: int = 1) -> str:
     """Check that an address consists of an IP address and a port.
 
@@ -79,7 +84,7 @@
         raise ValueError('address must be <IP number>:<port>') from None
     if bracketed != (address.version == 6):
         raise ValueError('address must be <IP number>:<port>, with brackets around IPv6 only')
-    if not (port.isascii() and port.isdigit() and lowest_port <= int(port) <= _MAX_PORT):
+    if not is_port(port, lowest_port):
         raise ValueError(f'port must be a number from {lowest_port} to {_MAX_PORT}')
     return text
 
--- a/tests/test_beacon.py
+++ b/tests/test_beacon.py
@@ -59,7 +59,7 @@
 
     @pytest.mark.parametrize('datagram', [b'', b'\xc1', b'\x91\x90', b'\x01'])
     def test_malformed(self, datagram):
-        with pytest.raises(beacon._MALFORMED_ERRORS):  # noqa: SLF001
+        with pytest.raises(beacon.MALFORMED_ERRORS):
             beacon.decode(datagram)
 
 
