Inquiries: read the process from the response when it is needed

Each response of another node was searched for the process that responded, also those to jobs, and a run kept the callback of its inquiry. The head is kept instead of its status, the process is read from that of an inquiry, and the callback goes with the inquiry. Peer server responds in one place.

Lint and the tests of runs, peer server, mesh entry, directive fetch, restarted peer, late copies and grace time pass.

--- a/src/anvillug/process/peer_server.py
+++ b/src/anvillug/process/peer_server.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from anvillug import clock, event_log, ids
-from anvillug.connection import http_exchange
+from anvillug.connection import http_exchange, http_head
 from anvillug.process import mesh_host
 from anvillug.request import job, job_wire
 from anvillug.version import directives
@@ -84,8 +84,7 @@
             return
         self._body.clear()
         if self._exchange.head.path == job_wire.INQUIRY_PATH:
-            result = job_wire.pack_result(self._server.host.handle_inquiry(work))
-            self._exchange.respond(_STATUS_OK, result, self._server.inquiry_headers)
+            self._respond(self._server.host.handle_inquiry(work), self._server.inquiry_headers)
             return
         self._cancel = self._server.host.submit(work, self._respond)
 
@@ -97,5 +96,5 @@
     def response_writes_paused(self, paused: bool) -> None:
         """Ignore backpressure: the whole result is in memory already."""
 
-    def _respond(self, result: job.Result) -> None:
-        self._exchange.respond(_STATUS_OK, job_wire.pack_result(result))
+    def _respond(self, result: job.Result, headers: tuple[http_head.Header, ...] = ()) -> None:
+        self._exchange.respond(_STATUS_OK, job_wire.pack_result(result), headers)
--- a/src/anvillug/request/remote_run.py
+++ b/src/anvillug/request/remote_run.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 from collections.abc import Callable
 
 from twisted.internet import interfaces
@@ -47,9 +48,8 @@
         self._pool: http_pool.Pool | None = None
         self._connection: http_client.ClientConnection | None = None
         self._ended = False
-        self._status = 0
-        self.incarnation: ids.Incarnation | None = None
-        """Process that responded, if the response names it."""
+        self.response: http_head.ResponseHead | None = None
+        """Head of the response; None until it has arrived."""
 
     def begin(self, pool: http_pool.Pool, previous: PeerRequest | None = None) -> None:
         """Get a connection and send the request.
@@ -77,7 +77,7 @@
         self._body = b''
         if self._connection is not None:
             self._connection.cancel()
-            if not self._status:
+            if self.response is None:
                 self._pool.close_idle_without_response_since(self._connection)
 
     # From the connection
@@ -86,9 +86,8 @@
         """Ignore status 100; see `http_client.ResponseHandler`."""
 
     def response_head(self, head: http_head.ResponseHead) -> None:
-        """Store the status and the process that responds."""
-        self._status = head.status
-        self.incarnation = job_wire.read_incarnation(head)
+        """Store the head."""
+        self.response = head
 
     def response_body(self, data: bytes) -> None:
         """Buffer a chunk of the response."""
@@ -98,8 +97,8 @@
         """Report the response."""
         if self._ended:
             return
-        if self._status != _STATUS_OK:
-            self._fail(f'status {self._status}')
+        if self.response.status != _STATUS_OK:
+            self._fail(f'status {self.response.status}')
             return
         self._ended = True
         response = b''.join(self._chunks)
@@ -159,7 +158,6 @@
         self._on_result = on_result
         self._request: PeerRequest | None = None
         self._inquiry_timer: interfaces.IDelayedCall | None = None
-        self._on_willing: Callable[[ids.Incarnation | None], None] | None = None
 
     def begin(self) -> None:
         """Send the job."""
@@ -172,11 +170,15 @@
             on_willing: Called before the job is sent, with the process that responded; None if
                 its response names none.
         """
-        self._on_willing = on_willing
         inquiry = dataclasses.replace(self._work, body=b'')
         delay_s = clock.to_seconds(_INQUIRY_TIMEOUT_MS)
         self._inquiry_timer = self._reactor.callLater(delay_s, self._inquiry_timed_out)
-        self._send_job(job_wire.INQUIRY_PATH, inquiry, self._inquiry_ended, job.ResultKind.REFUSED)
+        self._send_job(
+            job_wire.INQUIRY_PATH,
+            inquiry,
+            functools.partial(self._inquiry_ended, on_willing),
+            job.ResultKind.REFUSED,
+        )
 
     def cancel(self) -> None:
         """Cancel the run; the result is not reported."""
@@ -194,10 +196,12 @@
         if self._inquiry_timer is not None and self._inquiry_timer.active():
             self._inquiry_timer.cancel()
 
-    def _inquiry_ended(self, result: job.Result) -> None:
+    def _inquiry_ended(
+        self, on_willing: Callable[[ids.Incarnation | None], None], result: job.Result
+    ) -> None:
         self._stop_inquiry_timer()
         if result.kind is job.ResultKind.WILLING:
-            self._on_willing(self._request.incarnation)
+            on_willing(job_wire.read_incarnation(self._request.response))
             # The inquiry has shown that its connection works; an idle one may be silent.
             self.begin()
         else:
