Rejections and starts: one path for each

The parser built a request head itself; http_head.serialize_request does it, with the version of the request. A control call and an announcement that are too large were logged and answered beside the code that rejects others; both use it now (the body of the 413 of a control call ends without a line break, like that of its 400). NodeStart asked twice whether an address can't be used.

--- a/src/anvillug/connection/http_head.py
+++ b/src/anvillug/connection/http_head.py
@@ -173,9 +173,9 @@
     return forwarded
 
 
-def serialize_request(head: RequestHead) -> bytes:
+def serialize_request(head: RequestHead, version: bytes = b'1.1') -> bytes:
     """Return a request head as bytes, including the empty line that ends it."""
-    lines = [b'%b %b HTTP/1.1' % (head.method, head.target)]
+    lines = [b'%b %b HTTP/%b' % (head.method, head.target, version)]
     return _join_head(lines, head.headers)
 
 
--- a/src/anvillug/connection/request_parser.py
+++ b/src/anvillug/connection/request_parser.py
@@ -157,13 +157,11 @@
         Returns:
             The head without the offer, which a server may ignore (RFC 9110, section 7.8).
         """
+        headers = [header for header in self._headers if header[0].lower() != b'upgrade']
+        head = http_head.RequestHead(self._parser.get_method(), self._target, headers)
         version = self._parser.get_http_version().encode()
-        lines = [
-            b'%b %b HTTP/%b' % (self._parser.get_method(), self._target, version),
-            *[b'%b: %b' % header for header in self._headers if header[0].lower() != b'upgrade'],
-        ]
         self._parser = httptools.HttpRequestParser(self)
-        return b'\r\n'.join((*lines, b'', b''))
+        return http_head.serialize_request(head, version)
 
     def _reject(self, status: int, message: str) -> None:
         if not self._is_malformed:
--- a/src/anvillug/platform/control.py
+++ b/src/anvillug/platform/control.py
@@ -96,18 +96,19 @@
     def request_ended(self) -> None:
         """Execute the call and respond; one whose body is too large is rejected."""
         if self._is_too_large:
-            reason = f'body exceeds {_MAX_BODY_BYTES} bytes'
-            event_log.warn('control_call_refused', place='call', reason=reason)
-            self._exchange.respond(_STATUS_TOO_LARGE, f'call: {reason}\n'.encode())
+            problems = findings.single('call', f'body exceeds {_MAX_BODY_BYTES} bytes')
+            self._respond(problems, _STATUS_TOO_LARGE)
             return
         executed = self._control.execute(self._exchange.head.target, self._body)
         executed.addCallbacks(self._respond, self._respond_not_stored)
 
-    def _respond(self, problems: findings.Findings) -> None:
+    def _respond(
+        self, problems: findings.Findings, status_of_problems: int = _STATUS_BAD_REQUEST
+    ) -> None:
         for problem in problems:
             event_log.warn('control_call_refused', place=problem.place, reason=problem.message)
         if problems:
-            self._exchange.respond(_STATUS_BAD_REQUEST, findings.report(problems).encode())
+            self._exchange.respond(status_of_problems, findings.report(problems).encode())
         else:
             self._exchange.respond(_STATUS_OK, b'{}', _JSON)
 
--- a/src/anvillug/platform/node_start.py
+++ b/src/anvillug/platform/node_start.py
@@ -89,15 +89,22 @@
     def _failed(self, reason: failure.Failure) -> None:
         if reason.check(defer.CancelledError):
             return
-        if reason.check(listeners.ListenError) and self._former is not None:
-            event_log.warn('settings_rejected', place=self._path, reason=reason.getErrorMessage())
-            self._begin(self._former)
-            return
         if reason.check(listeners.ListenError):
-            self.status = _EXIT_BAD_INPUT
-            lifetime.print_error(f'{self._path}: {reason.getErrorMessage()}')
+            self._reject_address(reason.getErrorMessage())
         else:
-            self.status = _EXIT_FAILURE
             event_log.error('start_failed', reason.value)
+            self._end(_EXIT_FAILURE)
+
+    def _reject_address(self, reason: str) -> None:
+        """Go back to the former settings, or end if there are none."""
+        if self._former is None:
+            lifetime.print_error(f'{self._path}: {reason}')
+            self._end(_EXIT_BAD_INPUT)
+        else:
+            event_log.warn('settings_rejected', place=self._path, reason=reason)
+            self._begin(self._former)
+
+    def _end(self, status: int) -> None:
+        self.status = status
         if self._reactor.running:
             self._reactor.stop()
--- a/src/anvillug/process/operator_api.py
+++ b/src/anvillug/process/operator_api.py
@@ -9,7 +9,7 @@
 import klein
 import pydantic
 
-from anvillug import event_log, ids, validation
+from anvillug import event_log, findings, ids, validation
 from anvillug.connection import web_site
 from anvillug.process import backend_watch
 
@@ -104,19 +104,14 @@
         """Record an announcement, or respond with all findings if it is invalid or too large."""
         body = request.content.read(_MAX_ANNOUNCEMENT_BYTES + 1)
         if len(body) > _MAX_ANNOUNCEMENT_BYTES:
-            request.setResponseCode(_STATUS_TOO_LARGE)
-            event_log.warn('announcement_rejected', faults=1)
-            problem = f'announcement: exceeds {_MAX_ANNOUNCEMENT_BYTES} bytes'
-            return _json(request, {'findings': [problem]})
+            message = f'exceeds {_MAX_ANNOUNCEMENT_BYTES} bytes'
+            problems = findings.single('announcement', message)
+            return _reject_announcement(request, _STATUS_TOO_LARGE, problems)
         try:
             announcement = Announcement.model_validate_json(body)
         except pydantic.ValidationError as error:
-            request.setResponseCode(_STATUS_BAD_REQUEST)
-            event_log.warn('announcement_rejected', faults=error.error_count())
-            finding_texts = [
-                str(finding) for finding in validation.findings_of(error, 'announcement')
-            ]
-            return _json(request, {'findings': finding_texts})
+            problems = validation.findings_of(error, 'announcement')
+            return _reject_announcement(request, _STATUS_BAD_REQUEST, problems)
         self._node.announced(
             backend_watch.Backend(
                 service=ids.ServiceName(announcement.service),
@@ -131,6 +126,12 @@
         return _json(request, {})
 
 
+def _reject_announcement(request: Any, status: int, problems: findings.Findings) -> bytes:
+    request.setResponseCode(status)
+    event_log.warn('announcement_rejected', faults=len(problems))
+    return _json(request, {'findings': [str(problem) for problem in problems]})
+
+
 def _json(request: Any, data: object) -> bytes:
     request.setHeader('Content-Type', 'application/json')
     text = json.dumps(data, indent=1, default=str)
