--- a/src/anvillug/bench/soak_cuts.py
+++ b/src/anvillug/bench/soak_cuts.py
@@ -81,7 +81,7 @@
 def is_cut(attempt: soak_records.Attempt) -> bool:
     """Return whether a node ended an attempt without an answer, and not its caller."""
     is_over = attempt.ended_at is not None and not attempt.gave_up
-    return is_over and not attempt.status and not attempt.has_left
+    return is_over and attempt.is_unanswered
 
 
 def seen_sooner(attempt: soak_records.Attempt) -> soak_records.Attempt:
@@ -130,10 +130,10 @@
         """
         counts: dict[str, HabitCount] = collections.defaultdict(HabitCount)
         for attempt in self._records.attempts:
-            count = counts[attempt.habit or attempt.judge]
+            count = counts[attempt.group]
             count.requests += 1
             count.left += attempt.has_left
-            if not attempt.status and not attempt.has_left:
+            if attempt.is_unanswered:
                 excuse = self.reason(attempt).value
                 why = broken_by_id.get(attempt.attempt_id, excuse)
                 count.unanswered_by_why[why] += 1
--- a/src/anvillug/bench/soak_habits.py
+++ b/src/anvillug/bench/soak_habits.py
@@ -52,9 +52,7 @@
     )
     for attempt in attempts:
         place = (attempt.node, int(attempt.sent_at // _PERIOD_MS))
-        is_unanswered = not attempt.status and not attempt.has_left
-        count = habits_by_place[place][attempt.habit or attempt.judge]
-        count.add(1, int(is_unanswered))
+        habits_by_place[place][attempt.group].add(1, int(attempt.is_unanswered))
     habits = {habit for counts in habits_by_place.values() for habit in counts}
     return [habit for habit in sorted(habits) if _is_starved(habit, habits_by_place.values())]
 
--- a/src/anvillug/bench/soak_records.py
+++ b/src/anvillug/bench/soak_records.py
@@ -80,6 +80,16 @@
     route: str = ''
     """Name of its route; empty if it is not recorded."""
 
+    @property
+    def is_unanswered(self) -> bool:
+        """Whether it has no answer, although its caller has not left."""
+        return not self.status and not self.has_left
+
+    @property
+    def group(self) -> str:
+        """Habit of its caller, or its judge if the caller has none."""
+        return self.habit or self.judge
+
 
 @dataclasses.dataclass(slots=True)
 class Run:
--- a/src/anvillug/bench/soak_report.py
+++ b/src/anvillug/bench/soak_report.py
@@ -122,8 +122,7 @@
     time = clock.SystemClock()
     yield f'add {time.wall() - time.now():.0f} to each time for that of the log lines'
     for attempt in records.attempts:
-        is_unanswered = not attempt.status and not attempt.has_left
-        if is_unanswered or attempt.attempt_id in named:
+        if attempt.is_unanswered or attempt.attempt_id in named:
             yield f'{attempt} {records.runs(attempt)}'
 
 
