Tests: share damaged contents, platform documents and connections

Two test files had the same code that replaces or removes a value at any depth; it is tests/damaged.py. Two had documents of the platform of their own and use those of test_platform_documents; two built a server connection and use that of test_bad_input. The assertions are the same.

--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -68,7 +68,8 @@
     return _Transport()
 
 
-def _make_connection(on_request=None, max_head_bytes: int = _MAX_HEAD_BYTES):
+def make_connection(on_request=None, max_head_bytes: int = _MAX_HEAD_BYTES):
+    """Return a server connection, its transport, and what its requests were."""
     received: list = []
     started = on_request or (lambda exchange: _Recorder(exchange, received))
     connection = http_server.ServerConnection(started, max_head_bytes, set())
@@ -111,7 +112,7 @@
             _encode(path, body, chunked=chunked, upgrades=upgrades)
             for path, body, chunked, upgrades in requests
         )
-        connection, transport, received = _make_connection()
+        connection, transport, received = make_connection()
         boundaries = sorted({0, len(stream), *(cut % len(stream) for cut in cuts)})
         for start, end in zip(boundaries, boundaries[1:], strict=False):
             connection.dataReceived(stream[start:end])
@@ -139,7 +140,7 @@
         ),
     )
     def test_arbitrary_bytes_never_raise(self, pieces):
-        connection, _transport, _received = _make_connection()
+        connection, _transport, _received = make_connection()
         for piece in pieces:
             connection.dataReceived(piece)
         connection.connectionLost()
@@ -148,7 +149,7 @@
     @pytest.mark.parametrize('version', [b'1.0', b'1.1'])
     def test_offer_of_another_protocol_is_ignored(self, version):
         exchanges = []
-        connection, transport, _received = _make_connection(exchanges.append)
+        connection, transport, _received = make_connection(exchanges.append)
         connection.dataReceived(b'GET / HTTP/%b\r\nHost: a\r\n%b\r\n' % (version, _UPGRADE))
         assert exchanges[0].head.get(b'upgrade') is None
         assert exchanges[0].head.supports_chunked is (version == b'1.1')
@@ -158,7 +159,7 @@
 
     # Guards against a limit that an offer of another protocol evades.
     def test_large_head_with_an_offer_is_rejected(self):
-        connection, transport, received = _make_connection(max_head_bytes=200)
+        connection, transport, received = make_connection(max_head_bytes=200)
         padding = b'X: %b\r\n' % (b'x' * 300)
         connection.dataReceived(b'GET / HTTP/1.1\r\nHost: a\r\n%b%b\r\n' % (_UPGRADE, padding))
         assert transport.value().startswith(b'HTTP/1.1 431 ')
@@ -166,7 +167,7 @@
 
     def test_malformed_bytes_do_not_abort_the_previous_request(self):
         exchanges = []
-        connection, transport, _received = _make_connection(exchanges.append)
+        connection, transport, _received = make_connection(exchanges.append)
         connection.dataReceived(b'GET /one HTTP/1.1\r\nHost: a\r\n\r\n\x00nonsense\r\n\r\n')
         assert not transport.value()
         exchanges[0].respond(200, b'whole')
@@ -178,7 +179,7 @@
 
     def test_malformed_chunk_during_the_response_aborts(self):
         exchanges = []
-        connection, transport, _received = _make_connection(exchanges.append)
+        connection, transport, _received = make_connection(exchanges.append)
         connection.dataReceived(b'POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n')
         exchanges[0].send_head(http_head.ResponseHead(200, []))
         connection.dataReceived(b'zz\r\n')
@@ -193,7 +194,7 @@
             if len(exchanges) > 1:
                 exchange.respond(404)
 
-        connection, transport, _received = _make_connection(respond_to_all_but_the_first)
+        connection, transport, _received = make_connection(respond_to_all_but_the_first)
         connection.dataReceived(b'GET / HTTP/1.1\r\nHost: a\r\n\r\n' * 2000)
         exchanges[0].respond(200)
         assert len(exchanges) == 2000
@@ -201,7 +202,7 @@
 
     def test_trailers_are_not_headers(self):
         exchanges = []
-        connection, _transport, _received = _make_connection(exchanges.append)
+        connection, _transport, _received = make_connection(exchanges.append)
         connection.dataReceived(
             b'POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n'
             b'0\r\nIdempotency-Key: late\r\n\r\n',
@@ -210,13 +211,13 @@
 
     # Guards against a close after the rejection of a request that has arrived completely.
     def test_rejection_of_a_complete_request_keeps_the_connection(self):
-        connection, transport, _received = _make_connection(lambda exchange: exchange.respond(503))
+        connection, transport, _received = make_connection(lambda exchange: exchange.respond(503))
         connection.dataReceived(b'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nab' * 2)
         assert transport.value().count(b'503') == 2
         assert b'Connection: close' not in transport.value()
 
     def test_early_response_announces_the_close(self):
-        connection, transport, _received = _make_connection(lambda exchange: exchange.respond(503))
+        connection, transport, _received = make_connection(lambda exchange: exchange.respond(503))
         connection.dataReceived(b'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nab')
         assert b'Connection: close' in transport.value()
         # Closing with unread bytes would reset the connection and lose the response.
@@ -225,7 +226,7 @@
         assert transport.disconnecting
 
     def test_lingering_close_reads_a_bounded_number_of_bytes(self):
-        connection, transport, _received = _make_connection(lambda exchange: exchange.respond(503))
+        connection, transport, _received = make_connection(lambda exchange: exchange.respond(503))
         length = 2 * http_server.MAX_DISCARDED_BODY_BYTES
         head = b'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n' % length
         connection.dataReceived(head)
@@ -235,21 +236,21 @@
         assert transport.disconnecting
 
     def test_head_above_the_limit_is_rejected(self):
-        connection, transport, received = _make_connection(max_head_bytes=100)
+        connection, transport, received = make_connection(max_head_bytes=100)
         connection.dataReceived(b'GET / HTTP/1.1\r\n')
         connection.dataReceived(b'X: %b' % (b'y' * 100))
         assert transport.value().startswith(b'HTTP/1.1 431 ')
         assert not received
 
     def test_complete_head_above_the_limit_is_rejected(self):
-        connection, transport, received = _make_connection(max_head_bytes=100)
+        connection, transport, received = make_connection(max_head_bytes=100)
         connection.dataReceived(b'POST / HTTP/1.1\r\nContent-Length: 0\r\n')
         connection.dataReceived(b'X: %b\r\n\r\n' % (b'y' * 100))
         assert transport.value().startswith(b'HTTP/1.1 431 ')
         assert not received
 
     def test_head_limit_does_not_count_the_body(self):
-        connection, _transport, received = _make_connection(max_head_bytes=100)
+        connection, _transport, received = make_connection(max_head_bytes=100)
         connection.dataReceived(_encode('a', b'b' * 200, chunked=False))
         assert received == [(b'/a', b'b' * 200)]
 
--- a/tests/test_control_call_size.py
+++ b/tests/test_control_call_size.py
@@ -8,11 +8,9 @@
 import pytest
 from twisted.internet import defer
 
-from anvillug.connection import http_server
 from anvillug.platform import control
-from tests import test_bad_input
+from tests import test_bad_input, test_platform_documents
 
-_MAX_HEAD_BYTES = 65536
 _LIMIT = 64 * 1024
 
 
@@ -29,25 +27,13 @@
 
 def _heartbeat(size: int) -> bytes:
     """Return the body of a valid heartbeat, with blanks up to a size."""
-    document = {
-        'Service': 'one',
-        'Address': '127.0.0.1:80',
-        'Zone': 'z',
-        'Version': 'v1',
-        'Slots': 4,
-        'State': 'ready',
-        'Sequence': 1,
-        'born': 1,
-    }
-    encoded = json.dumps(document).encode()
+    encoded = json.dumps(test_platform_documents.HEARTBEAT).encode()
     return b'%b%b}' % (encoded[:-1], b' ' * (size - len(encoded)))
 
 
 def _send(node: _Node, parts: tuple[bytes, ...]) -> bytes:
     requests = control.Control(types.SimpleNamespace(heartbeat=node.heartbeat))
-    connection = http_server.ServerConnection(requests.control, _MAX_HEAD_BYTES, set())
-    transport = test_bad_input.make_transport()
-    connection.makeConnection(transport)
+    connection, transport, _ = test_bad_input.make_connection(requests.control)
     size = sum(map(len, parts))
     connection.dataReceived(
         b'POST /-/rpc?call=instances.heartbeat&of=i HTTP/1.1\r\n'
--- a/tests/test_damaged_documents.py
+++ b/tests/test_damaged_documents.py
@@ -4,8 +4,6 @@
 
 import json
 import math
-from collections.abc import Iterator
-from typing import Any
 
 import msgpack
 from hypothesis import example, given, strategies
@@ -14,47 +12,10 @@
 from anvillug.platform import documents
 from anvillug.process import beacon, upstream
 from anvillug.version import directives
-from tests import test_beacon
+from tests import damaged, test_beacon, test_platform_documents
 
-_ADDRESS = '127.0.0.1:80'
 _START_MS = 100_000
 _POSITION = directives.Position(1, 1)
-_HEARTBEAT = {
-    'Service': 'one',
-    'Address': _ADDRESS,
-    'Zone': 'z',
-    'Version': 'v1',
-    'Slots': 4,
-    'State': 'ready',
-    'ColdLeftMs': 100.0,
-    'Sequence': 1,
-    'born': 1,
-}
-_CONFIG = {
-    'Version': '0000000b',
-    'Services': [{'Name': 'one', 'HealthPath': '/h', 'MaxConnections': 9, 'ColdPerS': 10.0}],
-    'Limits': {
-        'MaxHeaderBytes': 16384,
-        'MaxBodyBytes': 1000,
-        'HeaderTimeoutMs': 3000,
-        'IdleTimeoutMs': 15000,
-    },
-    'VirtualHosts': [
-        {
-            'Host': 'a.example',
-            'Paths': [
-                {
-                    'Name': 'r',
-                    'PathPrefix': '/r/',
-                    'Kind': 'idempotent',
-                    'TimeoutMs': 3000,
-                    'TargetLatencyMs': 100,
-                    'Service': 'one',
-                }
-            ],
-        }
-    ],
-}
 _VALUES = strategies.one_of(
     strategies.sampled_from(['\ud800', '', 'x', '1', 10**400, -1, 0, [], {}, None, True]),
     strategies.floats(),
@@ -62,37 +23,22 @@
 )
 
 
-def _places(content: Any) -> Iterator[tuple[Any, Any]]:
-    """Yield each container at any depth with each of its keys."""
-    keys: Any = ()
-    if isinstance(content, list):
-        keys = range(len(content))
-    elif isinstance(content, dict):
-        keys = tuple(content)
-    for key in keys:
-        yield content, key
-        yield from _places(content[key])
-
-
-@strategies.composite
-def _damaged(draw, document: object) -> bytes:
-    """Return a document in which a value at any depth is replaced or removed."""
-    content = json.loads(json.dumps(document))
-    container, key = draw(strategies.sampled_from(list(_places(content))))
-    if draw(strategies.booleans()):
-        container.pop(key)
-    else:
-        container[key] = draw(_VALUES)
-    return json.dumps(content).encode()
+def _damaged(document: object) -> strategies.SearchStrategy[bytes]:
+    """Return documents in which a value at any depth is replaced or removed."""
+    return damaged.content(document, _VALUES).map(lambda content: json.dumps(content).encode())
 
 
 class TestHeartbeats:
     """Guards against heartbeats that are accepted and can't be sent on, or never end to be cold."""
 
-    @given(body=_damaged(_HEARTBEAT))
-    @example(body=json.dumps({**_HEARTBEAT, 'ColdLeftMs': math.inf}).encode())
+    @given(body=_damaged(test_platform_documents.HEARTBEAT))
+    @example(
+        body=json.dumps({**test_platform_documents.HEARTBEAT, 'ColdLeftMs': math.inf}).encode()
+    )
     def test_what_is_accepted_can_be_announced(self, body):
-        backend = upstream.Upstream(_ADDRESS, clock.ManualClock(_START_MS))
+        backend = upstream.Upstream(
+            test_platform_documents.HEARTBEAT['Address'], clock.ManualClock(_START_MS)
+        )
         decoded = documents.decode_heartbeat('i-1', body)
         if isinstance(decoded, tuple):
             assert all(isinstance(finding, findings.Finding) for finding in decoded)
@@ -116,13 +62,13 @@
 class TestConfigurations:
     """Guards against configurations that are applied and fail at the first request."""
 
-    @given(body=_damaged(_CONFIG))
+    @given(body=_damaged(test_platform_documents.CONFIG))
     def test_what_is_applied_can_be_used(self, body):
         records = {documents.CONFIG_KEY: directives.Record(_POSITION, body)}
         applied = documents.decode_directives(records, _POSITION, directives.Directives())
         if applied.routes is None:
             return
-        route = applied.routes.match(b'a.example', b'/r/x')
+        route = applied.routes.match(b'a.example', b'/p/x')
         limits = applied.routes.limits
         times = [limits.idle_timeout_ms, limits.header_timeout_ms]
         if route is not None:
--- a/tests/test_damaged_messages.py
+++ b/tests/test_damaged_messages.py
@@ -7,7 +7,6 @@
 import random
 import socket
 import types
-from collections.abc import Iterator
 from typing import Any
 
 import msgpack
@@ -20,7 +19,7 @@
 from anvillug.process import beacon, crash_watch, host_choice, peer_table
 from anvillug.request import dialect, job, job_wire
 from anvillug.version import directives, rollout, rollout_call, rollouts
-from tests import reactor_thread, test_beacon, test_mesh_host, test_mesh_path
+from tests import damaged, reactor_thread, test_beacon, test_mesh_host, test_mesh_path
 
 mesh = test_mesh_path.mesh
 
@@ -52,28 +51,9 @@
 )
 
 
-def _places(content: Any) -> Iterator[tuple[Any, Any]]:
-    """Yield each container at any depth with each of its keys."""
-    keys: Any = ()
-    if isinstance(content, list):
-        keys = range(len(content))
-    elif isinstance(content, dict):
-        keys = tuple(content)
-    for key in keys:
-        yield content, key
-        yield from _places(content[key])
-
-
-@strategies.composite
-def _damaged(draw, message: object) -> Any:
-    """Return a message in which a value at any depth is replaced or removed."""
-    content = msgpack.unpackb(msgpack.packb(message))
-    container, key = draw(strategies.sampled_from(list(_places(content))))
-    if draw(strategies.booleans()):
-        container.pop(key)
-    else:
-        container[key] = draw(_VALUES)
-    return content
+def _damaged(message: object) -> strategies.SearchStrategy[Any]:
+    """Return messages in which a value at any depth is replaced or removed."""
+    return damaged.content(msgpack.unpackb(msgpack.packb(message)), _VALUES)
 
 
 class _Receiver:
--- a/tests/test_peer_server.py
+++ b/tests/test_peer_server.py
@@ -7,13 +7,11 @@
 import pytest
 
 from anvillug import clock, ids
-from anvillug.connection import http_server
 from anvillug.process import peer_server
 from anvillug.request import job, job_wire
 from anvillug.version import directives
 from tests import test_bad_input, test_mesh_host
 
-_MAX_HEAD_BYTES = 65536
 _TIME = clock.ManualClock(10_000)
 
 
@@ -21,9 +19,7 @@
     """Send a job to a node with this host side and return what the node writes."""
     active = directives.ActiveDirectives(lambda records, position, previous: previous)
     server = peer_server.PeerServer(host, active, _TIME, ids.Incarnation(200))
-    connection = http_server.ServerConnection(server.request_received, _MAX_HEAD_BYTES, set())
-    transport = test_bad_input.make_transport()
-    connection.makeConnection(transport)
+    connection, transport, _ = test_bad_input.make_connection(server.request_received)
     body = job_wire.pack_job(test_mesh_host.job_at(_TIME), _TIME.now())
     head = b'POST %b HTTP/1.1\r\nHost: node\r\nContent-Length: %d\r\n\r\n' % (path, len(body))
     connection.dataReceived(head + body)
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -41,7 +41,7 @@
         },
     ],
 }
-_HEARTBEAT = {
+HEARTBEAT = {
     'Service': 'one',
     'Address': '10.0.0.1:80',
     'Zone': 'z',
@@ -145,13 +145,13 @@
     """Guards against accepting malformed heartbeats of backend servers."""
 
     def test_valid(self):
-        heartbeat = documents.decode_heartbeat('i-1', _json(_HEARTBEAT))
+        heartbeat = documents.decode_heartbeat('i-1', _json(HEARTBEAT))
         assert heartbeat.state is upstream.UpstreamState.SERVING
         assert (heartbeat.instance, heartbeat.sequence, heartbeat.slots) == ('i-1', 4, 9)
 
-    @pytest.mark.parametrize('field', sorted(set(_HEARTBEAT) - {'ColdLeftMs'}))
+    @pytest.mark.parametrize('field', sorted(set(HEARTBEAT) - {'ColdLeftMs'}))
     def test_missing_field_is_reported(self, field: str):
-        content = {key: value for key, value in _HEARTBEAT.items() if key != field}
+        content = {key: value for key, value in HEARTBEAT.items() if key != field}
         finding = documents.decode_heartbeat('i-1', _json(content))[0]
         assert finding.place == f'heartbeat of i-1: {field}'
 
@@ -160,7 +160,7 @@
         [('State', 'gone'), ('Sequence', 'x'), ('born', 1.5), ('Slots', 0), ('Service', 3)],
     )
     def test_wrong_value_is_rejected(self, field: str, value: object):
-        findings = documents.decode_heartbeat('i-1', _json({**_HEARTBEAT, field: value}))
+        findings = documents.decode_heartbeat('i-1', _json({**HEARTBEAT, field: value}))
         assert findings[0].place.endswith(field)
 
     def test_malformed_json_is_rejected(self):
