--- a/src/anvillug/ids.py
+++ b/src/anvillug/ids.py
@@ -19,6 +19,8 @@
 LogOffset = NewType('LogOffset', int)
 Fingerprint = NewType('Fingerprint', str)
 IdempotencyKey = NewType('IdempotencyKey', str)
+TenantName = NewType('TenantName', str)
+"""Name of a customer whose callers identify themselves with keys; empty if there is none."""
 
 _CALL_ID_PARTS = 3
 
--- a/src/anvillug/process/mesh_entry.py
+++ b/src/anvillug/process/mesh_entry.py
@@ -144,6 +144,7 @@
             return None
         call.attempted_hosts.add(peer.announcement.host_id)
         work.instance = peer.announcement.instance
+        work.origin_zone = self._settings.zone
         attempt = pending_attempt.PendingAttempt(
             self, peer, work, call.route.target_latency_ms, on_result
         )
--- a/src/anvillug/request/job.py
+++ b/src/anvillug/request/job.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import enum
+import math
 
 from anvillug import clock, ids
 from anvillug.connection import http_head
@@ -52,6 +53,17 @@
     """Instance of the backend server that the sender selected."""
     must_accept: bool = False
     """Whether the host must accept the job even while it is slow."""
+    tenant: ids.TenantName = ids.TenantName('')
+    """Tenant whose key the caller sent; empty if the request needs none."""
+    origin_zone: ids.ZoneName = ids.ZoneName('')
+    """Availability zone of the caller."""
+    objective: clock.Milliseconds = clock.Milliseconds(math.inf)
+    """Monotonic time on this host until which the response meets its latency objective."""
+
+    @property
+    def size(self) -> int:
+        """Size of the body in bytes."""
+        return len(self.body)
 
     def release_body(self) -> None:
         """Release the body once it is not sent any more.
--- a/src/anvillug/request/job_wire.py
+++ b/src/anvillug/request/job_wire.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import zlib
 from collections.abc import Callable, Sequence
 from typing import Any
@@ -34,6 +35,8 @@
     'priority': wire_value.integer,
     'instance': wire_value.text,
     'must_accept': wire_value.boolean,
+    'tenant': wire_value.text,
+    'origin_zone': wire_value.text,
 }
 _DECODE_ERRORS = (
     ValueError,
@@ -74,6 +77,9 @@
             work.position,
             work.instance,
             work.must_accept,
+            work.tenant,
+            work.origin_zone,
+            _time_left(work.objective, now),
         ],
     )
 
@@ -96,6 +102,7 @@
         # Negative if the sender stood still.
         work.deadline = clock.Milliseconds(now + wire_value.finite(work.deadline, 'deadline'))
         work.position = directives.unpack_position(work.position)
+        work.objective = _objective(work.objective, now)
     except _DECODE_ERRORS as error:
         raise MalformedError(f'job: {error}') from error
     return work
@@ -168,6 +175,17 @@
     return records, position
 
 
+def _time_left(objective: clock.Milliseconds, now: clock.Milliseconds) -> float | None:
+    return None if math.isinf(objective) else objective - now
+
+
+def _objective(time_left: Any, now: clock.Milliseconds) -> clock.Milliseconds:
+    """Return the time of an objective; without one, or from an older release, it is infinite."""
+    if time_left is None or time_left == math.inf:
+        return clock.Milliseconds(math.inf)
+    return clock.Milliseconds(now + wire_value.finite(time_left, 'objective'))
+
+
 def _request_head(packed_head: Sequence[Any]) -> http_head.RequestHead:
     method, target, headers = packed_head
     return http_head.RequestHead(
--- a/src/anvillug/request/routed_call.py
+++ b/src/anvillug/request/routed_call.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import enum
+import math
 import random
 from collections.abc import Callable
 from typing import Protocol as Interface
@@ -109,6 +110,8 @@
         """Route in effect."""
         self.service = ids.ServiceName('')
         """Service that the request is routed to."""
+        self.tenant = ids.TenantName('')
+        """Tenant whose key the caller sent; empty if the route needs none."""
         self.attempted_hosts: set[ids.HostId] = set()
         """Hosts already selected; cleared when all hosts become eligible again after a pause."""
         self.arrivals = 0
@@ -286,8 +289,15 @@
             position=self._context.directives().position,
             instance=ids.InstanceId(''),
             must_accept=self.host_rejections >= _MAX_HOST_REJECTIONS,
+            tenant=self.tenant,
+            objective=self._objective(),
         )
 
+    def _objective(self) -> clock.Milliseconds:
+        """Return the time until which a response meets the latency objective of the route."""
+        target_ms = self.route.target_latency_ms or math.inf
+        return clock.Milliseconds(self.started_at + target_ms)
+
     def _attempt_ended(self, number: int, result: job.Result) -> None:
         """Process the result of an attempt."""
         self._pending_attempts.discard(number)
