--- a/src/anvillug/platform/settings.py
+++ b/src/anvillug/platform/settings.py
@@ -8,10 +8,17 @@
 import pydantic
 
 from anvillug import findings, ids, validation
-from anvillug.process import mesh_settings
+from anvillug.process import mesh_settings, zone_share
 from anvillug.version import rollout
 
 _MS_PER_SECOND = 1000.0
+# Where links are this wide, crossing zones costs too little to be weighed for each request.
+_WIDE_LINK_MBPS = 1000.0
+# What a request must gain before it leaves its zone: much more than two ways between zones, so that
+# traffic between zones, which is charged, buys time that callers notice.
+_CROSSING_MS = 40.0
+_BITS_PER_KB = 8 * 1024
+_BITS_PER_MS_OF_MBPS = 1000.0
 
 
 class _Table(pydantic.BaseModel):
@@ -20,6 +27,11 @@
     model_config = pydantic.ConfigDict(extra='ignore', frozen=True, strict=True)
 
 
+class _Limits(_Table):
+    # Rate of the host's link, in megabits per second.
+    LinkMbps: float = pydantic.Field(_WIDE_LINK_MBPS, gt=0, allow_inf_nan=False)
+
+
 class _Self(_Table):
     NodeName: str
     Ip: str
@@ -28,6 +40,7 @@
     AppAddr: validation.Address
     # Service of that backend server.
     Service: str
+    Limits: _Limits = _Limits()
 
 
 class _Listen(_Table):
@@ -109,6 +122,7 @@
         beacon_port=content.Network.InternalPorts[0],
         metrics_port=content.Network.InternalPorts[1],
         store_address=content.Platform.Platform.Address,
+        crossing=_crossing(self_table.Limits.LinkMbps),
         bounds=mesh_settings.Bounds(
             grace_ms=bounds.GraceS * _MS_PER_SECOND,
             retry_ratio=bounds.RetryBudgetRatio,
@@ -119,3 +133,10 @@
             probes_per_second=bounds.ProbesPerS,
         ),
     )
+
+
+def _crossing(link_mbps: float) -> zone_share.Crossing | None:
+    """Return what leaving the zone costs a host with a narrow link; None for a wide one."""
+    if link_mbps >= _WIDE_LINK_MBPS:
+        return None
+    return zone_share.Crossing(_CROSSING_MS, _BITS_PER_KB / (link_mbps * _BITS_PER_MS_OF_MBPS))
--- a/src/anvillug/process/host_choice.py
+++ b/src/anvillug/process/host_choice.py
@@ -59,9 +59,7 @@
         now: Monotonic time.
         rng: Random number generator.
     """
-    # Sampling also shuffles, so that equal hosts are selected equally often.
-    sampled = rng.sample(peers, min(len(peers), _SAMPLED_HOSTS))
-    candidates = _available(sampled, now) or _last_resorts(rng.sample(peers, len(peers)), now)
+    candidates = sample(peers, now, rng)
     local = [peer for peer in candidates if peer.announcement.zone == origin.zone]
     remote = [peer for peer in candidates if peer.announcement.zone != origin.zone]
     compared = local[: max(_COMPARED_LOCAL_HOSTS, _COMPARED_HOSTS - len(remote))]
@@ -69,6 +67,18 @@
     return min(compared, key=lambda peer: expected_slowness(peer, origin, now), default=None)
 
 
+def sample(
+    peers: Sequence[peer_table.Peer], now: clock.Milliseconds, rng: random.Random
+) -> Sequence[peer_table.Peer]:
+    """Return a sample of the available hosts, in random order.
+
+    Without an available host in the sample, it consists of all that are, or else of others.
+    """
+    # Sampling also shuffles, so that equal hosts are selected equally often.
+    sampled = rng.sample(peers, min(len(peers), _SAMPLED_HOSTS))
+    return _available(sampled, now) or _last_resorts(rng.sample(peers, len(peers)), now)
+
+
 def _available(
     peers: Sequence[peer_table.Peer], now: clock.Milliseconds
 ) -> Sequence[peer_table.Peer]:
--- a/src/anvillug/process/mesh_entry.py
+++ b/src/anvillug/process/mesh_entry.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
 from anvillug import clock, event_log, ids
@@ -17,6 +17,7 @@
     peer_table,
     pending_attempt,
     upstream,
+    zone_choice,
 )
 from anvillug.request import dialect, job, rejection, remote_run, retry_share, routed_call
 from anvillug.version import directives, rollout_counts, rollouts
@@ -83,6 +84,11 @@
         self._pools_by_address: dict[str, http_pool.Pool] = {}
         self._fetch = directive_fetch.DirectiveFetch(reactor, active_directives, on_too_large)
         bounds = settings.bounds
+        self._zone_choice = (
+            None
+            if settings.crossing is None
+            else zone_choice.ZoneChoice(settings.zone, settings.crossing, process_metrics, self.rng)
+        )
         self._retries = retry_share.RetryShare(
             bounds.retry_ratio, bounds.retry_window_ms, bounds.retry_slack
         )
@@ -112,6 +118,10 @@
         route = None if routes is None else routes.match(head.get(b'host') or b'', head.path)
         return route is not None and route.is_repeatable
 
+    def gauges(self) -> Mapping[str, float]:
+        """Return the gauges of the entry side."""
+        return {} if self._zone_choice is None else self._zone_choice.gauges()
+
     # For calls
 
     def directives(self) -> directives.Directives:
@@ -172,6 +182,8 @@
             peer.avoid(now)
         peer.record_load(result.load, now)
         self._metrics.count('tries', result.kind.value)
+        if self._zone_choice is not None:
+            self._zone_choice.record(work, result, now - attempt.started_at)
         self._count_for_rollout(attempt, result, now)
         event_log.emit(
             'try_over',
@@ -347,6 +359,8 @@
                 and peer.announcement.host_id not in call.attempted_hosts
             ]
         allowed = self._rollouts.allowed(work.service, candidates, call.version_draw)
+        if self._zone_choice is not None:
+            return self._zone_choice.choose(work, allowed, now)
         return host_choice.choose(allowed, self._origin(work), now, self.rng)
 
     def _has_costly_body(self, work: job.Job, peer: peer_table.Peer) -> bool:
--- a/src/anvillug/process/mesh_node.py
+++ b/src/anvillug/process/mesh_node.py
@@ -310,6 +310,7 @@
             'directives_position': position.offset,
             'log_lines_dropped': self._log_lines.dropped,
             'uptime_ms': lifetime.PROCESS.age_ms,
+            **self.entry.gauges(),
         }
 
     def _announcement(self) -> peer_table.Announcement:
--- a/src/anvillug/process/mesh_settings.py
+++ b/src/anvillug/process/mesh_settings.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from anvillug import ids
+from anvillug.process import zone_share
 from anvillug.version import rollout
 
 
@@ -58,6 +59,8 @@
     """IP:port of the store with the records of the operator and of nodes."""
     bounds: Bounds
     """Limits that apply to the whole deployment."""
+    crossing: zone_share.Crossing | None = None
+    """What callers must gain from leaving their zone; None for a fixed preference of it."""
 
 
 def differences(first: MeshSettings, second: MeshSettings) -> list[str]:
--- a/tests/test_host_choice.py
+++ b/tests/test_host_choice.py
@@ -14,7 +14,8 @@
 _ORIGIN = host_choice.Origin(ids.ZoneName('z'), 0)
 
 
-def _peer(name: str, slowness: float = 100, running: int = 0, zone: str = 'z', **changes):
+def make_peer(name: str, slowness: float = 100, running: int = 0, zone: str = 'z', **changes):
+    """Return a serving peer."""
     fields = {
         'host_id': ids.HostId(name),
         'incarnation': ids.Incarnation(1),
@@ -48,40 +49,44 @@
         assert host_choice.choose([], _ORIGIN, _NOW, random.Random(1)) is None
 
     def test_equal_hosts_are_selected_equally_often(self):
-        counts = _selections([_peer('a'), _peer('b')])
+        counts = _selections([make_peer('a'), make_peer('b')])
         assert min(counts['a'], counts['b']) > 150
 
     def test_fast_host_is_selected(self):
-        assert set(_selections([_peer('a', 700), _peer('b', 120), _peer('c', 500)])) == {'b'}
+        assert set(
+            _selections([make_peer('a', 700), make_peer('b', 120), make_peer('c', 500)])
+        ) == {'b'}
 
     def test_old_load_has_little_weight(self):
         later = clock.Milliseconds(_NOW + 5000)
-        peers = [_peer('a', 700), _peer('b', 120)]
+        peers = [make_peer('a', 700), make_peer('b', 120)]
         for peer in peers:
             peer.last_received_at = later
         peers[0].record_load(dialect.ReportedLoad(0, 0, 9, 130), later)
         assert set(_selections(peers, now=later)) == {'a'}
 
     def test_full_host_is_not_selected_while_others_have_free_slots(self):
-        assert set(_selections([_peer('a', running=9), _peer('b', running=2)])) == {'b'}
+        assert set(_selections([make_peer('a', running=9), make_peer('b', running=2)])) == {'b'}
 
     def test_failing_host_with_low_load_is_not_selected(self):
         failing = dialect.ReportedLoad(0, 0, 9, 100, fault_share=0.4)
-        assert set(_selections([_peer('a', load=failing), _peer('b', 190, running=3)])) == {'b'}
+        assert set(_selections([make_peer('a', load=failing), make_peer('b', 190, running=3)])) == {
+            'b'
+        }
 
     def test_cold_host_is_selected_last(self):
-        assert set(_selections([_peer('a', cold=True), _peer('b', 150)])) == {'b'}
+        assert set(_selections([make_peer('a', cold=True), make_peer('b', 150)])) == {'b'}
 
     def test_local_zone_is_preferred_among_equal_hosts(self):
-        assert set(_selections([_peer('a', zone='y'), _peer('b')])) == {'b'}
+        assert set(_selections([make_peer('a', zone='y'), make_peer('b')])) == {'b'}
 
     def test_large_body_leaves_its_zone_only_for_a_much_faster_host(self):
         origin = host_choice.Origin(ids.ZoneName('z'), 60)
-        assert set(_selections([_peer('a', zone='y'), _peer('b', 190)], origin)) == {'b'}
-        assert set(_selections([_peer('a', zone='y'), _peer('b', 700)], origin)) == {'a'}
+        assert set(_selections([make_peer('a', zone='y'), make_peer('b', 190)], origin)) == {'b'}
+        assert set(_selections([make_peer('a', zone='y'), make_peer('b', 700)], origin)) == {'a'}
 
     def test_timed_out_and_avoided_hosts_are_the_last_resort(self):
-        unresponsive, avoided, available = _peer('a'), _peer('b'), _peer('c', 700)
+        unresponsive, avoided, available = make_peer('a'), make_peer('b'), make_peer('c', 700)
         unresponsive.last_received_at = clock.Milliseconds(_NOW - 1000)
         avoided.avoid(_NOW)
         assert set(_selections([unresponsive, avoided, available])) == {'c'}
@@ -89,27 +94,30 @@
         assert set(_selections([avoided])) == {'b'}
 
     def test_only_available_host_is_found_among_many(self):
-        unresponsive = [_peer(f's{number}') for number in range(60)]
+        unresponsive = [make_peer(f's{number}') for number in range(60)]
         for peer in unresponsive:
             peer.last_received_at = clock.Milliseconds(_NOW - 1000)
-        assert set(_selections([*unresponsive, _peer('a', 700)])) == {'a'}
+        assert set(_selections([*unresponsive, make_peer('a', 700)])) == {'a'}
 
 
 class TestZones:
     """Guards against needless calls between zones and against staying in a slow zone."""
 
     def test_few_hosts_of_the_local_zone_are_found_among_many(self):
-        remote = [_peer(f'f{number}', zone='y') for number in range(30)]
-        assert set(_selections([*remote, _peer('a'), _peer('b')])) == {'a', 'b'}
+        remote = [make_peer(f'f{number}', zone='y') for number in range(30)]
+        assert set(_selections([*remote, make_peer('a'), make_peer('b')])) == {'a', 'b'}
 
     def test_fast_hosts_of_other_zones_are_found(self):
-        local = [_peer(f'n{number}', 700) for number in range(30)]
-        assert set(_selections([*local, _peer('a', zone='y'), _peer('b', zone='y')])) == {'a', 'b'}
+        local = [make_peer(f'n{number}', 700) for number in range(30)]
+        assert set(_selections([*local, make_peer('a', zone='y'), make_peer('b', zone='y')])) == {
+            'a',
+            'b',
+        }
 
     def test_hosts_of_other_zones_fill_up_the_compared_set(self):
-        remote = [_peer(f'f{number}', zone='y') for number in range(4)]
-        assert _selections([*remote, _peer('a', 700)])['f0'] > 50
+        remote = [make_peer(f'f{number}', zone='y') for number in range(4)]
+        assert _selections([*remote, make_peer('a', 700)])['f0'] > 50
 
     def test_all_compared_hosts_may_come_from_the_local_zone(self):
-        slow = [_peer(f's{number}', 700) for number in range(4)]
-        assert _selections([*slow, _peer('a')])['a'] == 400
+        slow = [make_peer(f's{number}', 700) for number in range(4)]
+        assert _selections([*slow, make_peer('a')])['a'] == 400
--- a/tests/test_job.py
+++ b/tests/test_job.py
@@ -13,7 +13,7 @@
 from anvillug.request import job, job_wire
 from anvillug.version import directives
 
-_JOB = job.Job(
+JOB = job.Job(
     attempt_id='a',
     service='s',
     route='r',
@@ -59,7 +59,7 @@
 
     def test_host_knows_tenant_zone_and_time_left_to_the_objective(self):
         work = dataclasses.replace(
-            _JOB, tenant='t', origin_zone='z', objective=clock.Milliseconds(600)
+            JOB, tenant='t', origin_zone='z', objective=clock.Milliseconds(600)
         )
         received = job_wire.unpack_job(
             job_wire.pack_job(work, clock.Milliseconds(500)), clock.Milliseconds(9000)
@@ -68,6 +68,6 @@
         assert received.size == 4
 
     def test_job_of_an_older_release_has_no_objective(self):
-        fields = msgpack.unpackb(job_wire.pack_job(_JOB, clock.Milliseconds(500)))[:-3]
+        fields = msgpack.unpackb(job_wire.pack_job(JOB, clock.Milliseconds(500)))[:-3]
         received = job_wire.unpack_job(msgpack.packb(fields), clock.Milliseconds(9000))
         assert (received.tenant, received.origin_zone, received.objective) == ('', '', math.inf)
