--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -878,7 +878,7 @@
 
     It inherits that they are ignored under `nohup`, or in the background of a script.
     """
-    numbers = (*_OTHER_SIGNALS, signal.SIGINT)
+    numbers = (*_OTHER_SIGNALS, signal.SIGINT, signal.SIGQUIT)
     actions_by_number = {number: signal.signal(number, signal.SIG_DFL) for number in numbers}
     yield
     for number, action in actions_by_number.items():
