Zones: the choice of a host can be made without a trace

Cause: an explanation must call the code that decides, and not count or step. Change: ZoneChoice.select has neither effect; choose adds them.

--- a/src/anvillug/process/zone_choice.py
+++ b/src/anvillug/process/zone_choice.py
@@ -99,22 +99,46 @@
         """
         if not peers:
             return None
-        left_ms = max(0.0, min(work.objective, work.deadline) - now)
-        size_kb = self._size_kb(work)
-        share = self._share_of(work, peers, size_kb, left_ms, now)
-        sampled = host_choice.sample(peers, now, self._rng)
+        left_ms = _left_ms(work, now)
+        share = self._share_of(work, peers, left_ms, now)
+        chosen = self.select(work, peers, share, now, self._rng)
+        is_local = chosen.announcement.zone == self._zone
+        self._metrics.count('zone_choices', _STAYED if is_local else _LEFT)
+        return chosen
+
+    def share_of(self, service: ids.ServiceName) -> zone_share.ZoneShare:
+        """Return the share of a service's work that leaves the zone at present."""
+        share = self.shares_by_service.get(service)
+        return zone_share.ZoneShare(self._zone, self._crossing) if share is None else share
+
+    def select(
+        self,
+        work: job.Job,
+        peers: Sequence[peer_table.Peer],
+        share: zone_share.ZoneShare,
+        now: clock.Milliseconds,
+        rng: random.Random,
+    ) -> peer_table.Peer:
+        """Return the host for a job, without a trace of the choice.
+
+        Args:
+            work: The job.
+            peers: Hosts that may be selected, at least one.
+            share: Share of the service's work that leaves the zone.
+            now: Monotonic time.
+            rng: Random number generator.
+        """
+        left_ms = _left_ms(work, now)
+        sampled = host_choice.sample(peers, now, rng)
         local = [peer for peer in sampled if peer.announcement.zone == self._zone]
         remote = [peer for peer in sampled if peer.announcement.zone != self._zone]
+        if remote and rng.random() < share.share:
+            local, remote = [], _of_drawn_zone(share, remote, rng)
         origin = host_choice.Origin(self._zone, 0)
-        if remote and self._rng.random() < share.share:
-            local, remote = [], self._of_drawn_zone(share, remote)
         best_local = _best(local[:_COMPARED_LOCAL_HOSTS], origin, now)
         compared = remote[: _COMPARED_REMOTE_HOSTS if local else _COMPARED_LOCAL_HOSTS]
         best_remote = _best(compared, origin, now)
-        chosen = self._better(best_local, best_remote, work, size_kb, left_ms, now)
-        is_local = chosen.announcement.zone == self._zone
-        self._metrics.count('zone_choices', _STAYED if is_local else _LEFT)
-        return chosen
+        return self._better(best_local, best_remote, work, left_ms, now)
 
     def gauges(self) -> Mapping[str, float]:
         """Return the largest share of a service's work that leaves the zone."""
@@ -128,7 +152,6 @@
         local: peer_table.Peer | None,
         remote: peer_table.Peer | None,
         work: job.Job,
-        size_kb: float,
         left_ms: float,
         now: clock.Milliseconds,
     ) -> peer_table.Peer:
@@ -139,7 +162,9 @@
         if local_ms <= left_ms * _COMFORT_SHARE:
             return local
         remote_ms = work_ms * _slowness(remote, now) / _NORMAL_SLOWNESS
-        return remote if remote_ms + self._crossing.cost_ms(size_kb) < local_ms else local
+        return (
+            remote if remote_ms + self._crossing.cost_ms(self._size_kb(work)) < local_ms else local
+        )
 
     def _work_ms(self, work: job.Job, left_ms: float) -> float:
         usual = self._uses_by_route[work.route].work_ms
@@ -149,21 +174,18 @@
         response_kb = self._uses_by_route[work.route].response_kb
         return _HEADS_KB + work.size / _BYTES_PER_KB + response_kb
 
-    def _share_of(  # noqa: WPS211 - what the share is decided on
+    def _share_of(
         self,
         work: job.Job,
         peers: Sequence[peer_table.Peer],
-        size_kb: float,
         left_ms: float,
         now: clock.Milliseconds,
     ) -> zone_share.ZoneShare:
-        share = self.shares_by_service.get(work.service)
-        if share is None:
-            share = zone_share.ZoneShare(self._zone, self._crossing)
-            self.shares_by_service[work.service] = share
+        share = self.share_of(work.service)
+        self.shares_by_service[work.service] = share
         if share.is_due(now):
             rooms = self._rooms(peers, self._work_ms(work, left_ms), now)
-            share.step(rooms, size_kb, now)
+            share.step(rooms, self._size_kb(work), now)
             self._log_if_changed(work.service, share, rooms)
         return share
 
@@ -176,15 +198,6 @@
                 by_zone[peer.announcement.zone].append(peer)
         return {zone: _room(hosts, work_ms, now) for zone, hosts in by_zone.items()}
 
-    def _of_drawn_zone(
-        self, share: zone_share.ZoneShare, remote: Sequence[peer_table.Peer]
-    ) -> Sequence[peer_table.Peer]:
-        weights = share.weights_by_zone
-        if not weights:
-            return remote
-        zone = self._rng.choices(tuple(weights), tuple(weights.values()))[0]
-        return [peer for peer in remote if peer.announcement.zone == zone] or remote
-
     def _log_if_changed(
         self, service: ids.ServiceName, share: zone_share.ZoneShare, rooms: zone_share.Rooms
     ) -> None:
@@ -203,6 +216,20 @@
         )
 
 
+def _left_ms(work: job.Job, now: clock.Milliseconds) -> float:
+    return max(0.0, min(work.objective, work.deadline) - now)
+
+
+def _of_drawn_zone(
+    share: zone_share.ZoneShare, remote: Sequence[peer_table.Peer], rng: random.Random
+) -> Sequence[peer_table.Peer]:
+    weights = share.weights_by_zone
+    if not weights:
+        return remote
+    zone = rng.choices(tuple(weights), tuple(weights.values()))[0]
+    return [peer for peer in remote if peer.announcement.zone == zone] or remote
+
+
 def _best(
     peers: Sequence[peer_table.Peer], origin: host_choice.Origin, now: clock.Milliseconds
 ) -> peer_table.Peer | None:
