--- a/src/anvillug/process/command_line.py
+++ b/src/anvillug/process/command_line.py
@@ -34,6 +34,7 @@
     'node': _Command('node', 'Run a node beside a backend server.'),
     'mesh': _Command('mesh', "Run a node on the users' platform."),
     'story': _Command('story', 'Print the log lines of one request, ordered by time.'),
+    'explain': _Command('explain', 'Print where a request would go now, and why.'),
     'check': _Command('check', 'Check a settings file or a configuration document.'),
     'patch': _Command('patch', 'Submit a patch of the configuration document.'),
     'config': _Command(
--- /dev/null
+++ b/src/anvillug/process/commands/explain.py
@@ -0,0 +1,91 @@
+"""Subcommand `explain`: prints where a request would go now, and why, without sending it."""
+
+from __future__ import annotations
+
+import json as json_module
+import sys
+from collections.abc import Iterable
+from typing import Any
+from urllib import parse as url_parse
+
+import treq
+from twisted.internet import defer, error
+from twisted.web import client as web_client
+
+from anvillug.process.commands import _reactor, arguments
+
+_TIMEOUT_S = 5
+_STATUS_OK = 200
+_EXIT_UNREACHABLE = 1
+_EXIT_BAD_INPUT = 2
+_CONNECTION_ERRORS = (
+    error.ConnectError,
+    error.TimeoutError,
+    defer.CancelledError,
+    web_client.ResponseFailed,
+)
+
+
+def explain(
+    node: arguments.Address,
+    /,
+    *,
+    host: str,
+    path: str,
+    method: str = 'GET',
+    size: int = 0,
+    json: bool = False,
+) -> int:
+    """Print where a request of a node's callers would go now, and why; nothing is sent.
+
+    Args:
+        node: Address of the node's metrics, IP:port.
+        host: Value of the `Host` header.
+        path: Path of the request.
+        method: Method of the request.
+        size: Size of its body in bytes.
+        json: Whether to print the answer as JSON.
+
+    Returns:
+        Exit code: 0, 1 if the node can't be reached, 2 if the question is malformed.
+    """
+
+    async def main(reactor: Any) -> int:
+        query = url_parse.urlencode({'host': host, 'path': path, 'method': method, 'size': size})
+        url = f'http://{node}/explain?{query}'
+        try:
+            response = await treq.get(url, reactor=reactor, timeout=_TIMEOUT_S)
+            text = await response.text()
+        except _CONNECTION_ERRORS as problem:
+            sys.stderr.write(f'{node}: {problem or type(problem).__name__}\n')
+            return _EXIT_UNREACHABLE
+        if response.code != _STATUS_OK:
+            sys.stderr.write(text)
+            return _EXIT_BAD_INPUT
+        answer = json_module.loads(text)
+        sys.stdout.write(text if json else ''.join(f'{line}\n' for line in describe(answer)))
+        return 0
+
+    return _reactor.run(main)
+
+
+def describe(answer: dict[str, Any]) -> Iterable[str]:
+    """Yield the lines of an answer for people; see `explanation.Explanation.explain`."""
+    yield _fields('node', answer['node'])
+    if 'route' not in answer:
+        yield f'rejected status={answer["status"]} reason="{answer["reason"]}"'
+        return
+    yield _fields('route', answer['route'])
+    for service in answer['services']:
+        hosts = service.pop('hosts')
+        yield _fields('service', service)
+        for host in hosts:
+            excluded = host.pop('excluded')
+            yield _fields('  excluded' if excluded else '  host', host) + (
+                f' reason="{excluded}"' if excluded else ''
+            )
+
+
+def _fields(name: str, content: dict[str, Any]) -> str:
+    pairs = ' '.join(f'{key}={json_module.dumps(value)}' for key, value in content.items())
+    return f'{name} {pairs}'
--- a/src/anvillug/process/mesh_entry.py
+++ b/src/anvillug/process/mesh_entry.py
@@ -122,6 +122,33 @@
         """Return the gauges of the entry side."""
         return {} if self._zone_choice is None else self._zone_choice.gauges()
 
+    # For explanations
+
+    def hosts(self, service: ids.ServiceName, now: clock.Milliseconds) -> list[peer_table.Peer]:
+        """Return all hosts of a service; see `explanation.EntrySide`."""
+        local = self._local_announcement()
+        others = [
+            peer for peer in self._peers.by_host_id.values() if peer.announcement.service == service
+        ]
+        return [*others, self._local_peer(local, now)] if local.service == service else others
+
+    def preview(
+        self, work: job.Job, hosts: list[peer_table.Peer], rng: random.Random
+    ) -> peer_table.Peer | None:
+        """Return the host that a job would be sent to; see `explanation.EntrySide`."""
+        now = self.clock.now()
+        if not hosts or self._zone_choice is None:
+            return host_choice.choose(hosts, self._origin(work), now, rng)
+        share = self._zone_choice.share_of(work.service)
+        return self._zone_choice.select(work, hosts, share, now, rng)
+
+    def zone_share(self, service: ids.ServiceName) -> tuple[float, str]:
+        """Return the share of work that leaves the zone; see `explanation.EntrySide`."""
+        if self._zone_choice is None:
+            return 0.0, 'fixed preference of the own zone'
+        share = self._zone_choice.share_of(service)
+        return share.share, share.reason
+
     # For calls
 
     def directives(self) -> directives.Directives:
@@ -378,9 +405,15 @@
         local = self._local_announcement()
         if local.service != service or local.state is not upstream.UpstreamState.SERVING:
             return others
-        local_peer = peer_table.Peer(local, now)
-        local_peer.outstanding = self._host.running
-        return (*others, local_peer)
+        return (*others, self._local_peer(local, now))
+
+    def _local_peer(
+        self, local: peer_table.Announcement, now: clock.Milliseconds
+    ) -> peer_table.Peer:
+        """Return this node as a host that may be selected."""
+        peer = peer_table.Peer(local, now)
+        peer.outstanding = self._host.running
+        return peer
 
     def _node_count(self) -> int:
         return len(self._peers.by_host_id) + 1
--- a/src/anvillug/process/mesh_node.py
+++ b/src/anvillug/process/mesh_node.py
@@ -16,7 +16,9 @@
 from anvillug.process import (
     beacon,
     crash_watch,
+    explanation,
     follower_duty,
+    inspection,
     leave_exchange,
     lifetime,
     listeners,
@@ -134,6 +136,12 @@
             self._announcement,
             self._duty.require_position,
         )
+        self._inspection = inspection.Inspection(
+            self._metrics,
+            explanation.Explanation(
+                settings, time, self.active_directives, self.rollouts, self.entry
+            ),
+        )
         self._leaves = leave_exchange.LeaveExchange(
             self.upstream, self.peers, lambda leaves: self._records.receive_remembered(leaves)
         )
@@ -221,7 +229,7 @@
         caller_listener = add(settings.caller_address, self._caller_factory)
         peer_listener = add(settings.peer_address, self._peer_factory)
         metrics_address = f'{settings.ip}:{settings.metrics_port}'
-        add(metrics_address, http_listener.ServerFactory(self._metrics.serve))
+        add(metrics_address, http_listener.ServerFactory(self._inspection.serve))
         self._listeners.add_datagrams(
             f'{settings.ip}:{settings.beacon_port}', self._beacons, beacon.MAX_BYTES
         )
