--- a/src/anvillug/platform/settings.py
+++ b/src/anvillug/platform/settings.py
@@ -9,9 +9,12 @@
 
 from anvillug import findings, ids, validation
 from anvillug.process import mesh_settings
+from anvillug.request import room
 from anvillug.version import rollout
 
 _MS_PER_SECOND = 1000.0
+# Contracts under which callers compete for the room of backend servers.
+_COMPETITION = frozenset(('pressure', 'tenants'))
 
 
 class _Table(pydantic.BaseModel):
@@ -64,6 +67,7 @@
 
 
 class _Terms(_Table):
+    Contracts: tuple[str, ...] = pydantic.Field(default=(), strict=False)
     Bounds: _Bounds
 
 
@@ -118,4 +122,5 @@
             cold_factor=bounds.ColdFactor,
             probes_per_second=bounds.ProbesPerS,
         ),
+        room=None if _COMPETITION.isdisjoint(content.Terms.Contracts) else room.Policy(),
     )
--- a/src/anvillug/process/mesh_host.py
+++ b/src/anvillug/process/mesh_host.py
@@ -8,8 +8,23 @@
 
 from anvillug import clock, event_log, ids
 from anvillug.connection import http_pool
-from anvillug.process import crash_watch, fault_share, mesh_settings, metrics, upstream
-from anvillug.request import dialect, job, rate_gate, upstream_run
+from anvillug.process import (
+    crash_watch,
+    fault_share,
+    host_room,
+    mesh_settings,
+    metrics,
+    upstream,
+)
+from anvillug.request import (
+    dialect,
+    full_resets,
+    job,
+    occupancy,
+    rate_gate,
+    room,
+    upstream_run,
+)
 from anvillug.version import directives
 
 SLOWNESS_LIMIT = 180.0
@@ -37,6 +52,8 @@
 _COLD_BURST_SHARE = 0.1
 _CONNECT_TIMEOUT_S = 0.4
 _MAX_WAITING_REQUESTS = 64
+# A backend server that resets a request since it is full does so as soon as it arrives.
+_MAX_FULL_RESET_MS = 100.0
 
 
 class MeshHost:
@@ -75,7 +92,12 @@
         self._active_directives = active_directives
         self._dialect = header_dialect
         self._settings = settings
-        self._runs: set[upstream_run.UpstreamRun] = set()
+        # The ticket is None while jobs have no room of their own.
+        self._runs: dict[upstream_run.UpstreamRun, occupancy.Ticket | None] = {}
+        self._resets = full_resets.FullResets()
+        self._room: host_room.HostRoom | None = None
+        if settings.room is not None:
+            self._room = self._create_room(settings.room)
         self._cold_gate = rate_gate.RateGate(_COLD_BURST_SHARE)
         self._pool: http_pool.Pool | None = None
         self._pool_start = ids.Incarnation(0)
@@ -83,8 +105,8 @@
 
     @property
     def running(self) -> int:
-        """Number of jobs that are running on the backend server."""
-        return len(self._runs)
+        """Number of jobs that run on the backend server or wait for it."""
+        return len(self._runs) + self._waiting
 
     @property
     def load(self) -> dialect.ReportedLoad | None:
@@ -92,7 +114,11 @@
         load = self.upstream.load
         if load is None:
             return None
-        return dataclasses.replace(load, fault_share=self._faults.share(self._clock.now()))
+        return dataclasses.replace(
+            load,
+            waiting=load.waiting + self._waiting,
+            fault_share=self._faults.share(self._clock.now()),
+        )
 
     def submit(
         self, work: job.Job, on_result: upstream_run.ResultReady
@@ -107,14 +133,70 @@
             Function that cancels the job; None if the job is rejected.
         """
         reason = self._rejection_reason(work)
-        if not reason and self.upstream.cold_ms > 0 and not self._take_cold_token():
+        if reason:
+            return self._reject(reason, on_result)
+        if self._room is None:
+            return self._start(work, on_result)
+        # Begins the count of another instance, if there is one.
+        self.pool()
+        return self._room.submit(work, self._usual_ms(work), on_result)
+
+    def handle_inquiry(self, work: job.Job) -> job.Result:
+        """Return whether a job would be accepted, as far as can be determined without its body."""
+        reason = self._rejection_reason(work)
+        wait_ms = 0.0
+        if not reason and self.upstream.cold_ms > 0 and not self._has_cold_token():
             reason = 'cold'
+        if not reason and self._room is not None:
+            outcome = self._room.judge(work, self._usual_ms(work))
+            reason, wait_ms = outcome.reason, outcome.wait_ms
         if reason:
+            return self._rejected(reason, wait_ms)
+        return self._with_host_state(job.Result(job.ResultKind.WILLING))
+
+    def room_gauges(self) -> dict[str, float]:
+        """Return the gauges of the room by name; empty without one."""
+        return {} if self._room is None else self._room.gauges()
+
+    # Private
+
+    def _create_room(self, policy: room.Policy) -> host_room.HostRoom:
+        return host_room.HostRoom(
+            self._reactor,
+            self._clock,
+            policy,
+            self.upstream,
+            self._metrics,
+            self._start_with_room,
+            self._reject,
+        )
+
+    def _start_with_room(
+        self, ticket: occupancy.Ticket, on_result: upstream_run.ResultReady
+    ) -> Callable[[], object] | None:
+        # Much may have changed while the job waited.
+        reason = self._rejection_reason(ticket.work) if ticket.has_waited else ''
+        if reason:
+            self._room.dropped(ticket)
             return self._reject(reason, on_result)
+        return self._start(ticket.work, on_result, ticket)
+
+    def _start(
+        self,
+        work: job.Job,
+        on_result: upstream_run.ResultReady,
+        ticket: occupancy.Ticket | None = None,
+    ) -> Callable[[], object] | None:
+        is_cold = self.upstream.cold_ms > 0
+        reason = 'cold' if is_cold and not self._take_cold_token() else ''
         # Not computed for jobs that are rejected anyway, since the fingerprint hashes the body.
-        identity = self._crashes.identify(work, self._dialect.read_caller(work.head))
-        reason = self._crashes.rejection_reason(identity)
+        identity = None
+        if not reason:
+            identity = self._crashes.identify(work, self._dialect.read_caller(work.head))
+            reason = self._crashes.rejection_reason(identity)
         if reason:
+            if ticket is not None:
+                self._room.dropped(ticket)
             return self._reject(reason, on_result)
         run = upstream_run.UpstreamRun(
             self._reactor,
@@ -123,20 +205,10 @@
             work,
             lambda result: self._done(run, identity, result, on_result),
         )
-        self._runs.add(run)
+        self._runs[run] = ticket
         run.begin(self.pool())
         return lambda: self._cancel(run, identity)
 
-    def handle_inquiry(self, work: job.Job) -> job.Result:
-        """Return whether a job would be accepted, as far as can be determined without its body."""
-        reason = self._rejection_reason(work)
-        if not reason and self.upstream.cold_ms > 0 and not self._has_cold_token():
-            reason = 'cold'
-        if reason:
-            self._metrics.count('refusals', reason)
-            return self._with_host_state(job.Result(job.ResultKind.REFUSED, reason))
-        return self._with_host_state(job.Result(job.ResultKind.WILLING))
-
     def pool(self) -> http_pool.Pool:
         """Return the connections to the current instance of the backend server."""
         heartbeat = self.upstream.heartbeat
@@ -153,8 +225,8 @@
                 max_waiting=_MAX_WAITING_REQUESTS,
                 connect_timeout_s=_CONNECT_TIMEOUT_S,
             )
+            self._new_instance(is_first=self._pool_start == 0)
             self._pool_start = start
-            self._faults = fault_share.FaultShare()
         return self._pool
 
     def backend_lost(self, reason: str) -> None:
@@ -162,6 +234,8 @@
         if self.upstream.state is not upstream.UpstreamState.ABSENT:
             self.upstream.mark_lost(reason)
             self._crashes.backend_lost()
+            if self._room is not None:
+                self._room.reject_all(reason)
 
     def log_cut_runs(self) -> None:
         """Log the runs that the end of the process cuts."""
@@ -183,11 +257,34 @@
             return None
         return routes.services_by_name.get(heartbeat.service)
 
-    # Private
+    def _new_instance(self, *, is_first: bool) -> None:
+        self._faults = fault_share.FaultShare()
+        self._resets = full_resets.FullResets()
+        heartbeat = self.upstream.heartbeat
+        if self._room is not None and heartbeat is not None:
+            now = self._clock.now()
+            self._room.room.new_instance(heartbeat.slots, now, is_first=is_first)
 
-    def _reject(self, reason: str, on_result: upstream_run.ResultReady) -> None:
+    @property
+    def _waiting(self) -> int:
+        return 0 if self._room is None else self._room.waiting
+
+    def _usual_ms(self, work: job.Job) -> float:
+        """Return the usual time of a run at the current slowness, 0 if the route had none."""
+        load = self.upstream.load
+        is_fresh = load is not None and self.upstream.load_age_ms < _MAX_LOAD_AGE_MS
+        slowness = max(_NORMAL_SLOWNESS, load.slowness) if is_fresh else _NORMAL_SLOWNESS
+        return self._faults.baseline_ms(work.route) * slowness / _NORMAL_SLOWNESS
+
+    def _reject(
+        self, reason: str, on_result: upstream_run.ResultReady, wait_ms: float = 0.0
+    ) -> None:
+        on_result(self._rejected(reason, wait_ms))
+
+    def _rejected(self, reason: str, wait_ms: float) -> job.Result:
         self._metrics.count('refusals', reason)
-        on_result(self._with_host_state(job.Result(job.ResultKind.REFUSED, reason)))
+        result = job.Result(job.ResultKind.REFUSED, reason, retry_after_ms=wait_ms)
+        return self._with_host_state(result)
 
     def _rejection_reason(self, work: job.Job) -> str:
         """Return why a job is rejected, empty if it may run."""
@@ -211,7 +308,7 @@
         queue = slots * _QUEUE_SHARE
         if work.priority >= _LOW_PRIORITY:
             queue *= _LOW_PRIORITY_QUEUE_SHARE
-        if len(self._runs) >= slots + queue:
+        if self._room is None and len(self._runs) >= slots + queue:
             return 'full'
         load = self.upstream.load
         is_fresh = load is not None and self.upstream.load_age_ms < _MAX_LOAD_AGE_MS
@@ -258,10 +355,13 @@
 
     def _cancel(self, run: upstream_run.UpstreamRun, identity: crash_watch.JobIdentity) -> None:
         if run in self._runs and (run.work.repeatable or run.state is not _SENT):
-            self._runs.discard(run)
-            run.cancel()
+            ticket = self._runs.pop(run)
+            may_run = run.cancel()
             run.work.release_body()
             self._crashes.job_ended(identity, _CANCELLED)
+            if ticket is not None:
+                self._room.ended(ticket, may_run=may_run)
+                self._room.advance()
 
     def _done(
         self,
@@ -270,12 +370,18 @@
         result: job.Result,
         on_result: upstream_run.ResultReady,
     ) -> None:
-        self._runs.discard(run)
+        ticket = self._runs.pop(run, None)
+        if ticket is not None and result.kind in _RUN_KINDS:
+            self._room.ended(ticket, may_run=result.kind is job.ResultKind.UNKNOWN)
+        elif ticket is not None:
+            self._room.dropped(ticket)
         try:
             self._record(run, identity, result)
         finally:
             # A failure to record the run must not cost the caller the answer.
             on_result(self._with_host_state(result))
+            if self._room is not None:
+                self._room.advance()
 
     def _record(
         self,
@@ -287,6 +393,7 @@
         self._crashes.job_ended(identity, result)
         self.upstream.record_load(run.load)
         self._count_run(run, result)
+        self._learn_from_reset(run, result)
         if run.connect_failed:
             self.backend_lost('no connection')
         if run.wrong_instance:
@@ -306,6 +413,27 @@
             took_ms=int(self._clock.now() - run.sent_at) if run.sent_at else 0,
         )
 
+    def _learn_from_reset(self, run: upstream_run.UpstreamRun, result: job.Result) -> None:
+        """Lower the limit of a backend server that resets requests when it is full."""
+        now = self._clock.now()
+        heartbeat = self.upstream.heartbeat
+        resets = self._resets if self._room is None else self._room.room.resets
+        if run.was_reset and heartbeat is not None and now - run.sent_at < _MAX_FULL_RESET_MS:
+            taken = len(self._runs) if self._room is None else self._room.room.taken(now)
+            resets.reset(taken + (self._room is None), heartbeat.slots, now)
+        elif result.kind is job.ResultKind.ANSWERED and resets.answered(run.sent_at, now):
+            event_log.warn('full_reset', instance=run.work.instance, enough=resets.confirmed)
+            if self._room is None and resets.confirmed:
+                self._enable_room()
+
+    def _enable_room(self) -> None:
+        """Let jobs wait at the node from now on, since the backend server resets when full."""
+        self._room = self._create_room(room.Policy())
+        self._room.room.slots = max(1, self.upstream.heartbeat.slots)
+        for run in self._runs:
+            self._runs[run] = self._room.room.adopt(run.work, run.sent_at or self._clock.now())
+        event_log.emit('room_enabled', instance=self.upstream.instance, running=len(self._runs))
+
     def _with_host_state(self, result: job.Result) -> job.Result:
         """Return the result with the load and directives position of this host."""
         return job.Result(
@@ -315,6 +443,7 @@
             result.body,
             self.load,
             self._active_directives.current.position,
+            result.retry_after_ms,
         )
 
     def _count_run(self, run: upstream_run.UpstreamRun, result: job.Result) -> None:
@@ -329,3 +458,5 @@
 
 _CANCELLED = job.Result(job.ResultKind.REFUSED, 'cancelled')
 _SENT = upstream_run.RunState.SENT
+# Results of jobs that took room at the backend server.
+_RUN_KINDS = (job.ResultKind.ANSWERED, job.ResultKind.UNKNOWN)
--- a/src/anvillug/process/mesh_node.py
+++ b/src/anvillug/process/mesh_node.py
@@ -305,6 +305,7 @@
         return {
             'calls_in_progress': len(self.entry.in_progress),
             'runs_in_progress': self.host.running,
+            **self.host.room_gauges(),
             'peers_known': len(self.peers.by_host_id),
             'directives_era': position.era,
             'directives_position': position.offset,
--- a/src/anvillug/process/mesh_settings.py
+++ b/src/anvillug/process/mesh_settings.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from anvillug import ids
+from anvillug.request import room
 from anvillug.version import rollout
 
 
@@ -58,6 +59,8 @@
     """IP:port of the store with the records of the operator and of nodes."""
     bounds: Bounds
     """Limits that apply to the whole deployment."""
+    room: room.Policy | None = None
+    """Bounds of jobs that wait at the node; None to pass them to the backend server instead."""
 
 
 def differences(first: MeshSettings, second: MeshSettings) -> list[str]:
--- a/src/anvillug/request/job.py
+++ b/src/anvillug/request/job.py
@@ -89,6 +89,8 @@
     """Most recently reported load of the backend server."""
     position: directives.Position = directives.ORIGIN
     """Position of the directives in effect at the host."""
+    retry_after_ms: float = 0.0
+    """Expected time in milliseconds until the host has room for the job; 0 if unknown."""
     node_failed: bool = False
     """Whether the node beside the backend server did not respond or could not be reached."""
 
--- a/src/anvillug/request/job_wire.py
+++ b/src/anvillug/request/job_wire.py
@@ -46,6 +46,8 @@
     zlib.error,
     msgpack.UnpackException,
 )
+# Fields of a result in messages of all releases.
+_RESULT_FIELDS = 6
 _COMPRESSION_LEVEL = 1
 # Larger directives are read from the log: serving them to 20 nodes of a zone over a link of
 # 5 Mbit/s would take more than half a second.
@@ -114,7 +116,11 @@
     packed_head = None if head is None else [head.status, head.reason, head.headers]
     load = None if result.load is None else list(dataclasses.astuple(result.load))
     kind = result.kind.value
-    return msgpack.packb([kind, result.reason, packed_head, result.body, load, result.position])
+    fields = [kind, result.reason, packed_head, result.body, load, result.position]
+    if result.retry_after_ms:
+        # Left out without a value, since nodes of earlier releases reject a further field.
+        fields.append(result.retry_after_ms)
+    return msgpack.packb(fields)
 
 
 def unpack_result(data: bytes) -> job.Result:
@@ -124,7 +130,8 @@
         MalformedError: If the data can't be decoded.
     """
     try:
-        kind, reason, *rest = msgpack.unpackb(data)
+        fields = msgpack.unpackb(data)
+        kind, reason, *rest = fields[:_RESULT_FIELDS]
         packed_head, body, load, position = rest
         return job.Result(
             job.ResultKind(kind),
@@ -133,6 +140,7 @@
             wire_value.data(body, 'body'),
             dialect.unpack_load(load),
             directives.unpack_position(position),
+            _retry_after(fields[_RESULT_FIELDS:]),
         )
     except _DECODE_ERRORS as error:
         raise MalformedError(f'result: {error}') from error
@@ -186,6 +194,12 @@
     return clock.Milliseconds(now + wire_value.finite(time_left, 'objective'))
 
 
+def _retry_after(rest: Sequence[Any]) -> float:
+    if len(rest) > 1:
+        raise ValueError(f'result has {len(rest) - 1} fields too many')
+    return wire_value.number(rest[0], 'retry after') if rest else 0.0
+
+
 def _request_head(packed_head: Sequence[Any]) -> http_head.RequestHead:
     method, target, headers = packed_head
     return http_head.RequestHead(
--- a/src/anvillug/request/routed_call.py
+++ b/src/anvillug/request/routed_call.py
@@ -17,7 +17,7 @@
 
 from anvillug import clock, ids
 from anvillug.connection import http_exchange, http_head
-from anvillug.request import dialect, job, rejection
+from anvillug.request import dialect, job, rejection, retry_advice
 from anvillug.version import directives, route_table
 
 STATUS_BAD_GATEWAY = 502
@@ -36,8 +36,6 @@
 # Delays of the first and of each further check for a hedge, as shares of the latency objective.
 _HEDGE_DELAY_SHARE = 0.4
 _HEDGE_RECHECK_SHARE = 0.15
-# Sent to rejected callers: by then a backend server may have a free slot.
-_RETRY_AFTER_MS = 60.0
 # Pause before the next attempt while no host accepts the call.
 _HOST_RETRY_PAUSE_MS = 15.0
 # Longest wait for a host that accepts the call, as a share of the latency objective.
@@ -127,6 +125,7 @@
         """Attempts that were rejected by a host before dispatch."""
         self.deadline = clock.Milliseconds(self.started_at + self.attributes.deadline_ms)
         """The caller's deadline or the timeout of the route, whichever is earlier."""
+        self._retry_advice = retry_advice.RetryAdvice()
         self._context = context
         self._exchange = exchange
         self._body: list[bytes] = []
@@ -308,6 +307,7 @@
             self._response_received(result)
         elif result.kind is job.ResultKind.REFUSED:
             self.host_rejections += 1
+            self._retry_advice.add(result.retry_after_ms)
             if not self._pending_attempts:
                 self._next_attempt()
         elif result.kind is job.ResultKind.SHED:
@@ -386,7 +386,9 @@
             self._respond_unavailable('timeout')
 
     def _respond_unavailable(self, reason: str) -> None:
-        headers = self._context.header_dialect.retry_headers(_RETRY_AFTER_MS)
+        left_ms = self.deadline - self._context.clock.now()
+        wait_ms = self._retry_advice.wait_ms(left_ms, self._context.rng)
+        headers = self._context.header_dialect.retry_headers(wait_ms)
         self._respond(STATUS_UNAVAILABLE, reason, tuple(headers))
 
     def _forward(self, result: job.Result) -> None:
--- a/src/anvillug/request/upstream_run.py
+++ b/src/anvillug/request/upstream_run.py
@@ -62,6 +62,8 @@
         """Whether the backend server could not be reached."""
         self.wrong_instance = False
         """Whether another instance responded."""
+        self.was_reset = False
+        """Whether the connection closed before anything of a response was received."""
         self.load: dialect.ReportedLoad | None = None
         """Load that the response reported."""
         self.sent_at = clock.Milliseconds(0)
@@ -150,6 +152,7 @@
             # The head of a rejection is enough to know that the job has not run.
             self._finish(job.Result(job.ResultKind.SHED, self._not_run_reason, load=self.load))
         else:
+            self.was_reset = self._head is None and reason is http_client.ClientFailure.LOST
             self._finish(job.Result(job.ResultKind.UNKNOWN, f'backend server: {reason.value}'))
 
     def request_writes_paused(self, paused: bool) -> None:
--- a/tests/test_damaged_messages.py
+++ b/tests/test_damaged_messages.py
@@ -201,6 +201,7 @@
     head=http_head.ResponseHead(200, [(b'Content-Length', b'2')]),
     body=b'ok',
     load=dialect.ReportedLoad(1, 2, 3, 100.0),
+    retry_after_ms=120.0,
 )
 _RECORDS = {'config': directives.Record(directives.Position(1, 1), b'{}')}
 
@@ -230,13 +231,20 @@
         sent = dataclasses.replace(_RESULT, head=http_head.ResponseHead(status, [], b'x'))
         assert job_wire.unpack_result(job_wire.pack_result(sent)) == sent
 
+    # Nodes of earlier releases reject a further field.
+    def test_result_without_a_wait_has_the_earlier_fields(self):
+        sent = dataclasses.replace(_RESULT, retry_after_ms=0)
+        assert len(msgpack.unpackb(job_wire.pack_result(sent))) == 6
+        assert job_wire.unpack_result(job_wire.pack_result(sent)) == sent
+
     @given(content=_damaged(msgpack.unpackb(job_wire.pack_result(_RESULT))))
     def test_result_has_usable_values(self, content):
         try:
             result = job_wire.unpack_result(msgpack.packb(content))
         except job_wire.MalformedError:
             return
-        assert (type(result.reason), type(result.body)) == (str, bytes)
+        values = (type(result.reason), type(result.body), 0 <= result.retry_after_ms < math.inf)
+        assert values == (str, bytes, True)
         assert result.position >= directives.ORIGIN or result.position < directives.ORIGIN
         if result.head is not None:
             assert 100 <= result.head.status < 1000
--- a/tests/test_mesh_host.py
+++ b/tests/test_mesh_host.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import pytest
-from twisted.internet import testing
+from twisted.internet import error, testing
+from twisted.python import failure
 
 from anvillug import clock, ids
 from anvillug.connection import http_client, http_head
 from anvillug.platform import headers
 from anvillug.process import crash_watch, mesh_host, mesh_settings, metrics, upstream
-from anvillug.request import dialect, job
+from anvillug.request import dialect, job, room
 from anvillug.version import directives, rollout, route_table
 
 _SERVICE = ids.ServiceName('one')
@@ -29,7 +30,7 @@
 _STEP_MS = 5
 
 
-def settings() -> mesh_settings.MeshSettings:
+def settings(policy: room.Policy | None = None) -> mesh_settings.MeshSettings:
     """Return the settings of a node."""
     return mesh_settings.MeshSettings(
         host_id=ids.HostId('h'),
@@ -45,6 +46,7 @@
         metrics_port=0,
         store_address='',
         bounds=_BOUNDS,
+        room=policy,
     )
 
 
@@ -65,18 +67,37 @@
     )
 
 
+class _Transport(testing.StringTransportWithDisconnection):
+    """Connection to a backend server."""
+
+    protocol = testing.AccumulatingProtocol()
+
+    def setTcpNoDelay(self, enabled: bool) -> None:  # noqa: N802
+        """Ignore the option of a socket."""
+
+    def setTcpKeepAlive(self, enabled: bool) -> None:  # noqa: N802
+        """Ignore the option of a socket."""
+
+
 class _HostSide:
     """Host side whose backend server never responds."""
 
-    def __init__(self, cold_ms: float, slots: int = 1000) -> None:
+    def __init__(
+        self, cold_ms: float, slots: int = 1000, policy: room.Policy | None = None
+    ) -> None:
         self.time = clock.ManualClock(10_000)
+        self.reactor = testing.MemoryReactorClock()
+        self.last_results: list[job.Result] = []
+        self.connections: list[http_client.ClientConnection] = []
         self.active_directives = directives.ActiveDirectives(
             lambda records, position, previous: previous
         )
-        policy = route_table.ServicePolicy(_SERVICE, b'/health', 100, 3000, _COLD_PER_SECOND)
+        service_policy = route_table.ServicePolicy(
+            _SERVICE, b'/health', 100, 3000, _COLD_PER_SECOND
+        )
         limits = route_table.CallerLimits(16384, 1000, 3000, 15000)
         self.active_directives.current = directives.Directives(
-            routes=route_table.RouteTable((), (policy,), limits)
+            routes=route_table.RouteTable((), (service_policy,), limits)
         )
         backend = upstream.Upstream(_ADDRESS, self.time)
         backend.receive_heartbeat(
@@ -93,12 +114,12 @@
             )
         )
         self.host = mesh_host.MeshHost(
-            testing.MemoryReactorClock(),
+            self.reactor,
             self.time,
             backend,
             self.active_directives,
             headers.PlatformDialect(),
-            settings(),
+            settings(policy),
             metrics.Metrics(dict),
             crash_watch.CrashWatch(ids.HostId('h'), ids.Incarnation(1), self.time),
         )
@@ -109,6 +130,30 @@
     def job(self, *, must_accept: bool = False) -> job.Job:
         return job_at(self.time, must_accept=must_accept)
 
+    def submit_all(self, count: int) -> list[job.Result]:
+        """Submit jobs and return the list to which their results are added."""
+        for _ in range(count):
+            self.host.submit(self.job(), self.last_results.append)
+        return self.last_results
+
+    def connect(self) -> None:
+        """Open the connections to the backend server."""
+        for *_, factory, _, _ in self.reactor.tcpClients:
+            connection = factory.buildProtocol(None)
+            connection.makeConnection(_Transport())
+            self.connections.append(connection)
+
+    def reset(self, index: int) -> None:
+        """Reset a connection."""
+        self.connections[index].connectionLost(failure.Failure(error.ConnectionLost()))
+
+    def respond(self, index: int) -> None:
+        """Send the response of the backend server on a connection."""
+        self.connections[index].dataReceived(
+            b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\nAnvillug-Attempt-Id: a1\r\n'
+            b'Anvillug-Server-Seal: s\r\n\r\n'
+        )
+
     def rejection_reason(self, *, must_accept: bool = False) -> str:
         """Submit a job and return why it was rejected, empty if it was accepted."""
         results: list[job.Result] = []
@@ -211,3 +256,102 @@
     def test_job_that_would_miss_its_deadline_is_rejected(self, host_side):
         host_side.report_slowness(700)
         assert host_side.rejection_reason(must_accept=True) == 'too slow'
+
+
+class TestRoom:
+    """Guards against jobs that wait at the node without an outcome, or that run after all."""
+
+    @pytest.fixture
+    def host_side(self):
+        side = _HostSide(cold_ms=0, slots=_ROOM_SLOTS, policy=room.Policy())
+        side.host.pool()
+        # Runs of a previous process are assumed no longer.
+        side.time.advance(1001)
+        return side
+
+    def test_jobs_beyond_the_slots_wait_and_are_reported(self, host_side):
+        results = host_side.submit_all(_ROOM_SLOTS + 1)
+        assert not results
+        assert host_side.host.room_gauges()['jobs_waiting'] == 1
+        assert host_side.host.running == _ROOM_SLOTS + 1
+        host_side.report_slowness(100)
+        assert host_side.host.load.waiting == 1
+
+    def test_cancelled_run_makes_room_and_cancelled_wait_no_trace(self, host_side):
+        results: list[job.Result] = []
+        cancels = [
+            host_side.host.submit(host_side.job(), results.append) for _ in range(_ROOM_SLOTS + 2)
+        ]
+        cancels[-1]()
+        assert host_side.host.room_gauges()['jobs_waiting'] == 1
+        cancels[0]()
+        assert host_side.host.room_gauges()['jobs_waiting'] == 0
+        assert host_side.host.running == _ROOM_SLOTS
+        assert not results
+
+    def test_waiting_jobs_are_not_run_once_the_server_is_lost(self, host_side):
+        results = host_side.submit_all(_ROOM_SLOTS + 2)
+        host_side.host.backend_lost('test')
+        assert [result.kind for result in results] == [
+            job.ResultKind.REFUSED,
+            job.ResultKind.REFUSED,
+        ]
+        assert host_side.host.running == _ROOM_SLOTS
+
+    def test_wait_ends_by_time_and_tells_the_expected_wait(self, host_side):
+        results = host_side.submit_all(_ROOM_SLOTS + 1)
+        host_side.time.advance(1500)
+        host_side.reactor.advance(1.5)
+        assert [result.reason for result in results] == ['waited too long']
+        assert results[0].retry_after_ms > 0
+
+    def test_waiting_job_is_checked_again_before_it_runs(self, host_side):
+        results: list[job.Result] = []
+        cancel = host_side.host.submit(host_side.job(), results.append)
+        host_side.submit_all(_ROOM_SLOTS)
+        waiting = host_side.host.running - _ROOM_SLOTS
+        assert waiting == 1
+        host_side.host.closed = True
+        cancel()
+        assert host_side.host.running == _ROOM_SLOTS - 1
+        assert host_side.last_results[0].reason == 'node is stopping'
+
+    def test_without_a_policy_jobs_wait_in_the_backend_server(self):
+        host_side = _HostSide(cold_ms=0, slots=10)
+        reasons = {result.reason for result in host_side.submit_all(20)}
+        assert reasons == {'full'}
+        assert host_side.host.running == 14
+        assert not host_side.host.room_gauges()
+
+
+class TestLearnedRoom:
+    """Guards against a backend server that goes on being overfilled, and crashes taken for that."""
+
+    @pytest.fixture
+    def host_side(self):
+        side = _HostSide(cold_ms=0, slots=_ROOM_SLOTS)
+        side.submit_all(_ROOM_SLOTS + 2)
+        side.connect()
+        side.time.advance(1)
+        return side
+
+    def test_jobs_wait_at_the_node_once_resets_are_shown(self, host_side):
+        host_side.reset(-1)
+        host_side.reset(-2)
+        host_side.time.advance(10)
+        host_side.respond(0)
+        assert not host_side.host.room_gauges()['jobs_waiting']
+        assert host_side.host.room_gauges()['room_taken'] == _ROOM_SLOTS - 1
+        assert [result.kind for result in host_side.last_results] == [
+            job.ResultKind.UNKNOWN,
+            job.ResultKind.UNKNOWN,
+            job.ResultKind.ANSWERED,
+        ]
+
+    def test_loss_of_all_connections_shows_nothing(self, host_side):
+        for index in range(_ROOM_SLOTS + 2):
+            host_side.reset(index)
+        assert not host_side.host.room_gauges()
+
+
+_ROOM_SLOTS = 8
