--- a/src/anvillug/process/host_room.py
+++ b/src/anvillug/process/host_room.py
@@ -130,8 +130,8 @@
     def reject_all(self, reason: str) -> None:
         """Reject the jobs that wait, since the backend server is lost."""
         for ticket in self.room.line:
-            self.room.take_back(ticket)
-            self._reject_waiting(ticket, reason)
+            if self.room.take_back(ticket):
+                self._reject_waiting(ticket, reason)
 
     # Private
 
@@ -143,7 +143,10 @@
             waiter.cancel_run()
 
     def _reject_waiting(self, ticket: occupancy.Ticket, reason: str) -> None:
-        waiter = self._waiters_by_ticket.pop(ticket)
+        waiter = self._waiters_by_ticket.pop(ticket, None)
+        if waiter is None:
+            # Cancelled while another result was reported.
+            return
         now = self._clock.now()
         wait_ms = self.room.expected_wait_ms(ticket, now)
         self._count_rejection(ticket.work, reason)
--- a/src/anvillug/process/mesh_host.py
+++ b/src/anvillug/process/mesh_host.py
@@ -14,11 +14,11 @@
     host_room,
     mesh_settings,
     metrics,
+    room_switch,
     upstream,
 )
 from anvillug.request import (
     dialect,
-    full_resets,
     job,
     occupancy,
     rate_gate,
@@ -52,8 +52,6 @@
 _COLD_BURST_SHARE = 0.1
 _CONNECT_TIMEOUT_S = 0.4
 _MAX_WAITING_REQUESTS = 64
-# A backend server that resets a request since it is full does so as soon as it arrives.
-_MAX_FULL_RESET_MS = 100.0
 
 
 class MeshHost:
@@ -94,10 +92,7 @@
         self._settings = settings
         # The ticket is None while jobs have no room of their own.
         self._runs: dict[upstream_run.UpstreamRun, occupancy.Ticket | None] = {}
-        self._resets = full_resets.FullResets()
-        self._room: host_room.HostRoom | None = None
-        if settings.room is not None:
-            self._room = self._create_room(settings.room)
+        self._switch = room_switch.RoomSwitch(time, backend, settings.room, self._create_room)
         self._cold_gate = rate_gate.RateGate(_COLD_BURST_SHARE)
         self._pool: http_pool.Pool | None = None
         self._pool_start = ids.Incarnation(0)
@@ -106,7 +101,7 @@
     @property
     def running(self) -> int:
         """Number of jobs that run on the backend server or wait for it."""
-        return len(self._runs) + self._waiting
+        return len(self._runs) + self._switch.waiting
 
     @property
     def load(self) -> dialect.ReportedLoad | None:
@@ -116,7 +111,7 @@
             return None
         return dataclasses.replace(
             load,
-            waiting=load.waiting + self._waiting,
+            waiting=load.waiting + self._switch.waiting,
             fault_share=self._faults.share(self._clock.now()),
         )
 
@@ -135,11 +130,11 @@
         reason = self._rejection_reason(work)
         if reason:
             return self._reject(reason, on_result)
-        if self._room is None:
+        if self._switch.room is None:
             return self._start(work, on_result)
         # Begins the count of another instance, if there is one.
         self.pool()
-        return self._room.submit(work, self._usual_ms(work), on_result)
+        return self._switch.room.submit(work, self._usual_ms(work), on_result)
 
     def handle_inquiry(self, work: job.Job) -> job.Result:
         """Return whether a job would be accepted, as far as can be determined without its body."""
@@ -147,8 +142,8 @@
         wait_ms = 0.0
         if not reason and self.upstream.cold_ms > 0 and not self._has_cold_token():
             reason = 'cold'
-        if not reason and self._room is not None:
-            outcome = self._room.judge(work, self._usual_ms(work))
+        if not reason and self._switch.room is not None:
+            outcome = self._switch.room.judge(work, self._usual_ms(work))
             reason, wait_ms = outcome.reason, outcome.wait_ms
         if reason:
             return self._rejected(reason, wait_ms)
@@ -156,7 +151,7 @@
 
     def room_gauges(self) -> dict[str, float]:
         """Return the gauges of the room by name; empty without one."""
-        return {} if self._room is None else self._room.gauges()
+        return self._switch.gauges()
 
     # Private
 
@@ -177,7 +172,7 @@
         # Much may have changed while the job waited.
         reason = self._rejection_reason(ticket.work) if ticket.has_waited else ''
         if reason:
-            self._room.dropped(ticket)
+            self._switch.room.dropped(ticket)
             return self._reject(reason, on_result)
         return self._start(ticket.work, on_result, ticket)
 
@@ -196,7 +191,7 @@
             reason = self._crashes.rejection_reason(identity)
         if reason:
             if ticket is not None:
-                self._room.dropped(ticket)
+                self._switch.room.dropped(ticket)
             return self._reject(reason, on_result)
         run = upstream_run.UpstreamRun(
             self._reactor,
@@ -225,7 +220,8 @@
                 max_waiting=_MAX_WAITING_REQUESTS,
                 connect_timeout_s=_CONNECT_TIMEOUT_S,
             )
-            self._new_instance(is_first=self._pool_start == 0)
+            self._faults = fault_share.FaultShare()
+            self._switch.new_instance(is_first=self._pool_start == 0)
             self._pool_start = start
         return self._pool
 
@@ -234,8 +230,8 @@
         if self.upstream.state is not upstream.UpstreamState.ABSENT:
             self.upstream.mark_lost(reason)
             self._crashes.backend_lost()
-            if self._room is not None:
-                self._room.reject_all(reason)
+            if self._switch.room is not None:
+                self._switch.room.reject_all(reason)
 
     def log_cut_runs(self) -> None:
         """Log the runs that the end of the process cuts."""
@@ -257,18 +253,6 @@
             return None
         return routes.services_by_name.get(heartbeat.service)
 
-    def _new_instance(self, *, is_first: bool) -> None:
-        self._faults = fault_share.FaultShare()
-        self._resets = full_resets.FullResets()
-        heartbeat = self.upstream.heartbeat
-        if self._room is not None and heartbeat is not None:
-            now = self._clock.now()
-            self._room.room.new_instance(heartbeat.slots, now, is_first=is_first)
-
-    @property
-    def _waiting(self) -> int:
-        return 0 if self._room is None else self._room.waiting
-
     def _usual_ms(self, work: job.Job) -> float:
         """Return the usual time of a run at the current slowness, 0 if the route had none."""
         load = self.upstream.load
@@ -308,7 +292,7 @@
         queue = slots * _QUEUE_SHARE
         if work.priority >= _LOW_PRIORITY:
             queue *= _LOW_PRIORITY_QUEUE_SHARE
-        if self._room is None and len(self._runs) >= slots + queue:
+        if self._switch.room is None and len(self._runs) >= slots + queue:
             return 'full'
         load = self.upstream.load
         is_fresh = load is not None and self.upstream.load_age_ms < _MAX_LOAD_AGE_MS
@@ -360,8 +344,8 @@
             run.work.release_body()
             self._crashes.job_ended(identity, _CANCELLED)
             if ticket is not None:
-                self._room.ended(ticket, may_run=may_run)
-                self._room.advance()
+                self._switch.room.ended(ticket, may_run=may_run)
+                self._switch.room.advance()
 
     def _done(
         self,
@@ -372,16 +356,16 @@
     ) -> None:
         ticket = self._runs.pop(run, None)
         if ticket is not None and result.kind in _RUN_KINDS:
-            self._room.ended(ticket, may_run=result.kind is job.ResultKind.UNKNOWN)
+            self._switch.room.ended(ticket, may_run=result.kind is job.ResultKind.UNKNOWN)
         elif ticket is not None:
-            self._room.dropped(ticket)
+            self._switch.room.dropped(ticket)
         try:
             self._record(run, identity, result)
         finally:
             # A failure to record the run must not cost the caller the answer.
             on_result(self._with_host_state(result))
-            if self._room is not None:
-                self._room.advance()
+            if self._switch.room is not None:
+                self._switch.room.advance()
 
     def _record(
         self,
@@ -393,7 +377,7 @@
         self._crashes.job_ended(identity, result)
         self.upstream.record_load(run.load)
         self._count_run(run, result)
-        self._learn_from_reset(run, result)
+        self._switch.learn(run, result, self._runs)
         if run.connect_failed:
             self.backend_lost('no connection')
         if run.wrong_instance:
@@ -413,27 +397,6 @@
             took_ms=int(self._clock.now() - run.sent_at) if run.sent_at else 0,
         )
 
-    def _learn_from_reset(self, run: upstream_run.UpstreamRun, result: job.Result) -> None:
-        """Lower the limit of a backend server that resets requests when it is full."""
-        now = self._clock.now()
-        heartbeat = self.upstream.heartbeat
-        resets = self._resets if self._room is None else self._room.room.resets
-        if run.was_reset and heartbeat is not None and now - run.sent_at < _MAX_FULL_RESET_MS:
-            taken = len(self._runs) if self._room is None else self._room.room.taken(now)
-            resets.reset(taken + (self._room is None), heartbeat.slots, now)
-        elif result.kind is job.ResultKind.ANSWERED and resets.answered(run.sent_at, now):
-            event_log.warn('full_reset', instance=run.work.instance, enough=resets.confirmed)
-            if self._room is None and resets.confirmed:
-                self._enable_room()
-
-    def _enable_room(self) -> None:
-        """Let jobs wait at the node from now on, since the backend server resets when full."""
-        self._room = self._create_room(room.Policy())
-        self._room.room.slots = max(1, self.upstream.heartbeat.slots)
-        for run in self._runs:
-            self._runs[run] = self._room.room.adopt(run.work, run.sent_at or self._clock.now())
-        event_log.emit('room_enabled', instance=self.upstream.instance, running=len(self._runs))
-
     def _with_host_state(self, result: job.Result) -> job.Result:
         """Return the result with the load and directives position of this host."""
         return job.Result(
