--- a/src/anvillug/platform/settings.py
+++ b/src/anvillug/platform/settings.py
@@ -9,6 +9,7 @@
 
 from anvillug import findings, ids, validation
 from anvillug.process import mesh_settings, zone_share
+from anvillug.request import room
 from anvillug.version import rollout
 
 _MS_PER_SECOND = 1000.0
@@ -19,6 +20,8 @@
 _CROSSING_MS = 40.0
 _BITS_PER_KB = 8 * 1024
 _BITS_PER_MS_OF_MBPS = 1000.0
+# Contracts under which callers compete for the room of backend servers.
+_COMPETITION = frozenset(('pressure', 'tenants'))
 
 
 class _Table(pydantic.BaseModel):
@@ -77,6 +80,7 @@
 
 
 class _Terms(_Table):
+    Contracts: tuple[str, ...] = pydantic.Field(default=(), strict=False)
     Bounds: _Bounds
 
 
@@ -132,6 +136,7 @@
             cold_factor=bounds.ColdFactor,
             probes_per_second=bounds.ProbesPerS,
         ),
+        room=None if _COMPETITION.isdisjoint(content.Terms.Contracts) else room.Policy(),
     )
 
 
--- a/src/anvillug/process/mesh_host.py
+++ b/src/anvillug/process/mesh_host.py
@@ -8,8 +8,23 @@
 
 from anvillug import clock, event_log, ids
 from anvillug.connection import http_pool
-from anvillug.process import crash_watch, fault_share, mesh_settings, metrics, upstream
-from anvillug.request import dialect, job, rate_gate, upstream_run
+from anvillug.process import (
+    crash_watch,
+    fault_share,
+    host_room,
+    mesh_settings,
+    metrics,
+    room_switch,
+    upstream,
+)
+from anvillug.request import (
+    dialect,
+    job,
+    occupancy,
+    rate_gate,
+    room,
+    upstream_run,
+)
 from anvillug.version import directives
 
 SLOWNESS_LIMIT = 180.0
@@ -75,7 +90,9 @@
         self._active_directives = active_directives
         self._dialect = header_dialect
         self._settings = settings
-        self._runs: set[upstream_run.UpstreamRun] = set()
+        # The ticket is None while jobs have no room of their own.
+        self._runs: dict[upstream_run.UpstreamRun, occupancy.Ticket | None] = {}
+        self._switch = room_switch.RoomSwitch(time, backend, settings.room, self._create_room)
         self._cold_gate = rate_gate.RateGate(_COLD_BURST_SHARE)
         self._pool: http_pool.Pool | None = None
         self._pool_start = ids.Incarnation(0)
@@ -83,8 +100,8 @@
 
     @property
     def running(self) -> int:
-        """Number of jobs that are running on the backend server."""
-        return len(self._runs)
+        """Number of jobs that run on the backend server or wait for it."""
+        return len(self._runs) + self._switch.waiting
 
     @property
     def load(self) -> dialect.ReportedLoad | None:
@@ -92,7 +109,11 @@
         load = self.upstream.load
         if load is None:
             return None
-        return dataclasses.replace(load, fault_share=self._faults.share(self._clock.now()))
+        return dataclasses.replace(
+            load,
+            waiting=load.waiting + self._switch.waiting,
+            fault_share=self._faults.share(self._clock.now()),
+        )
 
     def submit(
         self, work: job.Job, on_result: upstream_run.ResultReady
@@ -107,14 +128,70 @@
             Function that cancels the job; None if the job is rejected.
         """
         reason = self._rejection_reason(work)
-        if not reason and self.upstream.cold_ms > 0 and not self._take_cold_token():
+        if reason:
+            return self._reject(reason, on_result)
+        if self._switch.room is None:
+            return self._start(work, on_result)
+        # Begins the count of another instance, if there is one.
+        self.pool()
+        return self._switch.room.submit(work, self._usual_ms(work), on_result)
+
+    def handle_inquiry(self, work: job.Job) -> job.Result:
+        """Return whether a job would be accepted, as far as can be determined without its body."""
+        reason = self._rejection_reason(work)
+        wait_ms = 0.0
+        if not reason and self.upstream.cold_ms > 0 and not self._has_cold_token():
             reason = 'cold'
+        if not reason and self._switch.room is not None:
+            outcome = self._switch.room.judge(work, self._usual_ms(work))
+            reason, wait_ms = outcome.reason, outcome.wait_ms
+        if reason:
+            return self._rejected(reason, wait_ms)
+        return self._with_host_state(job.Result(job.ResultKind.WILLING))
+
+    def room_gauges(self) -> dict[str, float]:
+        """Return the gauges of the room by name; empty without one."""
+        return self._switch.gauges()
+
+    # Private
+
+    def _create_room(self, policy: room.Policy) -> host_room.HostRoom:
+        return host_room.HostRoom(
+            self._reactor,
+            self._clock,
+            policy,
+            self.upstream,
+            self._metrics,
+            self._start_with_room,
+            self._reject,
+        )
+
+    def _start_with_room(
+        self, ticket: occupancy.Ticket, on_result: upstream_run.ResultReady
+    ) -> Callable[[], object] | None:
+        # Much may have changed while the job waited.
+        reason = self._rejection_reason(ticket.work) if ticket.has_waited else ''
         if reason:
+            self._switch.room.dropped(ticket)
             return self._reject(reason, on_result)
+        return self._start(ticket.work, on_result, ticket)
+
+    def _start(
+        self,
+        work: job.Job,
+        on_result: upstream_run.ResultReady,
+        ticket: occupancy.Ticket | None = None,
+    ) -> Callable[[], object] | None:
+        is_cold = self.upstream.cold_ms > 0
+        reason = 'cold' if is_cold and not self._take_cold_token() else ''
         # Not computed for jobs that are rejected anyway, since the fingerprint hashes the body.
-        identity = self._crashes.identify(work, self._dialect.read_caller(work.head))
-        reason = self._crashes.rejection_reason(identity)
+        identity = None
+        if not reason:
+            identity = self._crashes.identify(work, self._dialect.read_caller(work.head))
+            reason = self._crashes.rejection_reason(identity)
         if reason:
+            if ticket is not None:
+                self._switch.room.dropped(ticket)
             return self._reject(reason, on_result)
         run = upstream_run.UpstreamRun(
             self._reactor,
@@ -123,20 +200,10 @@
             work,
             lambda result: self._done(run, identity, result, on_result),
         )
-        self._runs.add(run)
+        self._runs[run] = ticket
         run.begin(self.pool())
         return lambda: self._cancel(run, identity)
 
-    def handle_inquiry(self, work: job.Job) -> job.Result:
-        """Return whether a job would be accepted, as far as can be determined without its body."""
-        reason = self._rejection_reason(work)
-        if not reason and self.upstream.cold_ms > 0 and not self._has_cold_token():
-            reason = 'cold'
-        if reason:
-            self._metrics.count('refusals', reason)
-            return self._with_host_state(job.Result(job.ResultKind.REFUSED, reason))
-        return self._with_host_state(job.Result(job.ResultKind.WILLING))
-
     def pool(self) -> http_pool.Pool:
         """Return the connections to the current instance of the backend server."""
         heartbeat = self.upstream.heartbeat
@@ -153,8 +220,9 @@
                 max_waiting=_MAX_WAITING_REQUESTS,
                 connect_timeout_s=_CONNECT_TIMEOUT_S,
             )
-            self._pool_start = start
             self._faults = fault_share.FaultShare()
+            self._switch.new_instance(is_first=self._pool_start == 0)
+            self._pool_start = start
         return self._pool
 
     def backend_lost(self, reason: str) -> None:
@@ -162,6 +230,8 @@
         if self.upstream.state is not upstream.UpstreamState.ABSENT:
             self.upstream.mark_lost(reason)
             self._crashes.backend_lost()
+            if self._switch.room is not None:
+                self._switch.room.reject_all(reason)
 
     def log_cut_runs(self) -> None:
         """Log the runs that the end of the process cuts."""
@@ -183,11 +253,22 @@
             return None
         return routes.services_by_name.get(heartbeat.service)
 
-    # Private
+    def _usual_ms(self, work: job.Job) -> float:
+        """Return the usual time of a run at the current slowness, 0 if the route had none."""
+        load = self.upstream.load
+        is_fresh = load is not None and self.upstream.load_age_ms < _MAX_LOAD_AGE_MS
+        slowness = max(_NORMAL_SLOWNESS, load.slowness) if is_fresh else _NORMAL_SLOWNESS
+        return self._faults.baseline_ms(work.route) * slowness / _NORMAL_SLOWNESS
+
+    def _reject(
+        self, reason: str, on_result: upstream_run.ResultReady, wait_ms: float = 0.0
+    ) -> None:
+        on_result(self._rejected(reason, wait_ms))
 
-    def _reject(self, reason: str, on_result: upstream_run.ResultReady) -> None:
+    def _rejected(self, reason: str, wait_ms: float) -> job.Result:
         self._metrics.count('refusals', reason)
-        on_result(self._with_host_state(job.Result(job.ResultKind.REFUSED, reason)))
+        result = job.Result(job.ResultKind.REFUSED, reason, retry_after_ms=wait_ms)
+        return self._with_host_state(result)
 
     def _rejection_reason(self, work: job.Job) -> str:
         """Return why a job is rejected, empty if it may run."""
@@ -211,7 +292,7 @@
         queue = slots * _QUEUE_SHARE
         if work.priority >= _LOW_PRIORITY:
             queue *= _LOW_PRIORITY_QUEUE_SHARE
-        if len(self._runs) >= slots + queue:
+        if self._switch.room is None and len(self._runs) >= slots + queue:
             return 'full'
         load = self.upstream.load
         is_fresh = load is not None and self.upstream.load_age_ms < _MAX_LOAD_AGE_MS
@@ -258,10 +339,13 @@
 
     def _cancel(self, run: upstream_run.UpstreamRun, identity: crash_watch.JobIdentity) -> None:
         if run in self._runs and (run.work.repeatable or run.state is not _SENT):
-            self._runs.discard(run)
-            run.cancel()
+            ticket = self._runs.pop(run)
+            may_run = run.cancel()
             run.work.release_body()
             self._crashes.job_ended(identity, _CANCELLED)
+            if ticket is not None:
+                self._switch.room.ended(ticket, may_run=may_run)
+                self._switch.room.advance()
 
     def _done(
         self,
@@ -270,12 +354,18 @@
         result: job.Result,
         on_result: upstream_run.ResultReady,
     ) -> None:
-        self._runs.discard(run)
+        ticket = self._runs.pop(run, None)
+        if ticket is not None and result.kind in _RUN_KINDS:
+            self._switch.room.ended(ticket, may_run=result.kind is job.ResultKind.UNKNOWN)
+        elif ticket is not None:
+            self._switch.room.dropped(ticket)
         try:
             self._record(run, identity, result)
         finally:
             # A failure to record the run must not cost the caller the answer.
             on_result(self._with_host_state(result))
+            if self._switch.room is not None:
+                self._switch.room.advance()
 
     def _record(
         self,
@@ -287,6 +377,7 @@
         self._crashes.job_ended(identity, result)
         self.upstream.record_load(run.load)
         self._count_run(run, result)
+        self._switch.learn(run, result, self._runs)
         if run.connect_failed:
             self.backend_lost('no connection')
         if run.wrong_instance:
@@ -315,6 +406,7 @@
             result.body,
             self.load,
             self._active_directives.current.position,
+            result.retry_after_ms,
         )
 
     def _count_run(self, run: upstream_run.UpstreamRun, result: job.Result) -> None:
@@ -329,3 +421,5 @@
 
 _CANCELLED = job.Result(job.ResultKind.REFUSED, 'cancelled')
 _SENT = upstream_run.RunState.SENT
+# Results of jobs that took room at the backend server.
+_RUN_KINDS = (job.ResultKind.ANSWERED, job.ResultKind.UNKNOWN)
--- a/src/anvillug/process/mesh_settings.py
+++ b/src/anvillug/process/mesh_settings.py
@@ -6,6 +6,7 @@
 
 from anvillug import ids
 from anvillug.process import zone_share
+from anvillug.request import room
 from anvillug.version import rollout
 
 
@@ -61,6 +62,8 @@
     """Limits that apply to the whole deployment."""
     crossing: zone_share.Crossing | None = None
     """What callers must gain from leaving their zone; None for a fixed preference of it."""
+    room: room.Policy | None = None
+    """Bounds of jobs that wait at the node; None to pass them to the backend server instead."""
 
 
 def differences(first: MeshSettings, second: MeshSettings) -> list[str]:
