--- a/src/anvillug/connection/keyed_log.py
+++ b/src/anvillug/connection/keyed_log.py
@@ -28,6 +28,8 @@
     """Keys with their records; an empty value deletes the key."""
     end: directives.Position
     """Position of the next read."""
+    is_complete: bool = True
+    """Whether the topic ended at that position."""
 
 
 class KeyedLog(Interface):
--- a/src/anvillug/platform/documents.py
+++ b/src/anvillug/platform/documents.py
@@ -9,14 +9,16 @@
 import pydantic
 
 from anvillug import event_log, findings, ids, validation
+from anvillug.platform import tenant_documents
 from anvillug.process import upstream
-from anvillug.version import directives, rollout, route_table
+from anvillug.version import directives, rollout, route_table, tenants
 
 CONFIG_KEY = 'config'
 ROLLOUT_PREFIX = 'rollout/'
 _EVACUATE_PREFIX = 'evacuate/'
 _REVISION_BASE = 16
 _MS_PER_SECOND = 1000.0
+_MAX_FINDINGS = 20
 # Path prefixes begin and end with a slash.
 _SLASH = '/'
 
@@ -73,6 +75,8 @@
     TargetLatencyMs: float = pydantic.Field(0, ge=0, allow_inf_nan=False)
     Priority: int = 0
     MaxAttempts: int = 1
+    # Whether callers need no key; without effect if there are no tenants.
+    Anonymous: bool = False
     # Either `Service` or `WeightedSplit` is set.
     Service: str | None = None
     WeightedSplit: list[_Weighted] | None = None
@@ -88,6 +92,8 @@
     Services: list[_Service]
     Limits: _Limits
     VirtualHosts: list[_VirtualHost]
+    # Decoded by `tenant_documents`, whose findings never contain a key.
+    Tenants: Any = None
 
 
 class _Rollout(_Document):
@@ -115,6 +121,15 @@
     TargetVersion: str
 
 
+class _RejectedError(Exception):
+    """Raised for a configuration that does not come into effect."""
+
+    def __init__(self, problems: findings.Findings) -> None:
+        super().__init__(findings.report(problems))
+        # A configuration of another form could have a finding for each of its values.
+        self.problems = problems[:_MAX_FINDINGS]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _DecodedConfig:
     revision: int
@@ -223,7 +238,12 @@
     try:
         document = _Config.model_validate_json(record.value)
         revision = int(document.Version, _REVISION_BASE)
-        routes = _routes(document)
+        tenant_table = _tenants(document, previous)
+        routes = _routes(document, tenant_table)
+    except _RejectedError as error:
+        for finding in error.problems:
+            event_log.warn('config_rejected', place=finding.place, reason=finding.message)
+        return previous
     except pydantic.ValidationError as error:
         for finding in validation.findings_of(error, CONFIG_KEY):
             event_log.warn('config_rejected', place=finding.place, reason=finding.message)
@@ -237,7 +257,15 @@
     return _DecodedConfig(revision, routes)
 
 
-def _routes(document: _Config) -> route_table.RouteTable:
+def _tenants(document: _Config, previous: directives.Directives) -> tenants.TenantTable | None:
+    in_effect = None if previous.routes is None else previous.routes.tenants
+    decoded = tenant_documents.decode(document.Tenants, in_effect)
+    if isinstance(decoded, tuple):
+        raise _RejectedError(decoded)
+    return decoded
+
+
+def _routes(document: _Config, tenant_table: tenants.TenantTable | None) -> route_table.RouteTable:
     services = [_service(service) for service in document.Services]
     names = {service.name for service in services}
     routes = [
@@ -249,7 +277,7 @@
         document.Limits.HeaderTimeoutMs,
         document.Limits.IdleTimeoutMs,
     )
-    return route_table.RouteTable(routes, services, limits)
+    return route_table.RouteTable(routes, services, limits, tenant_table)
 
 
 def _service(service: _Service) -> route_table.ServicePolicy:
@@ -279,6 +307,7 @@
         priority=path.Priority,
         parts=parts,
         max_attempts=max(1, path.MaxAttempts),
+        is_anonymous=path.Anonymous,
     )
 
 
--- a/src/anvillug/platform/headers.py
+++ b/src/anvillug/platform/headers.py
@@ -6,7 +6,7 @@
 
 from anvillug import event_log, ids
 from anvillug.connection import http_head
-from anvillug.request import dialect
+from anvillug.request import access, dialect
 
 _STATUS_OK = 200
 _STATUS_MISDIRECTED = 421
@@ -27,6 +27,7 @@
 _LOAD = b'anvillug-server-load'
 _INSTANCE = b'anvillug-instance-id'
 _COLD = b'anvillug-cold-ms'
+_TENANT = b'anvillug-tenant-name'
 _HEADERS_SET_BY_NODE = frozenset((_DEADLINE, _CALLER_SERVICE, _EXPECTED_INSTANCE))
 
 
@@ -45,9 +46,14 @@
         self,
         head: http_head.RequestHead,
         caller_service: str,
+        tenant: ids.TenantName | None = None,
     ) -> list[http_head.Header]:
         """Return the headers of a request to the backend server, without the remaining time."""
         headers = http_head.end_to_end_headers(head.headers, _HEADERS_SET_BY_NODE)
+        if tenant is not None:
+            headers = [header for header in headers if not _is_identity(header, tenant)]
+        if tenant:
+            headers.append((b'Anvillug-Tenant-Name', tenant.encode()))
         headers.append((b'Anvillug-Caller-Service', caller_service.encode('latin-1')))
         return headers
 
@@ -109,6 +115,17 @@
         return [(b'Retry-After', b'%.3f' % (wait_ms / _MS_PER_SECOND))]
 
 
+def _is_identity(header: http_head.Header, tenant: ids.TenantName) -> bool:
+    """Return whether a header tells who the caller is, or claims to.
+
+    Without a tenant the caller needs no key: the backend server reads credentials of other forms.
+    """
+    name = header[0].lower()
+    if tenant and name == access.CREDENTIALS_HEADER:
+        return True
+    return name == _TENANT or access.carries_key(header)
+
+
 def _number(text: bytes | None) -> float | None:
     """Parse a non-negative decimal number; return None for anything else."""
     if text is None or len(text) > _MAX_NUMBER_CHARS:
--- a/src/anvillug/platform/settings.py
+++ b/src/anvillug/platform/settings.py
@@ -61,6 +61,9 @@
     ExposureSlack: float = 50
     ColdFactor: float = 1.5
     ProbesPerS: float = 60
+    # Whether a node that can't know which keys were withdrawn rejects requests with keys.
+    RevokeFailClosed: bool = False
+    RevokeMs: float = pydantic.Field(5000, gt=0, allow_inf_nan=False)
 
 
 class _Terms(_Table):
@@ -117,5 +120,6 @@
             exposure=rollout.Exposure(bounds.ExposureShare, bounds.ExposureSlack),
             cold_factor=bounds.ColdFactor,
             probes_per_second=bounds.ProbesPerS,
+            revoke_ms=bounds.RevokeMs if bounds.RevokeFailClosed else None,
         ),
     )
--- a/src/anvillug/platform/store.py
+++ b/src/anvillug/platform/store.py
@@ -148,4 +148,4 @@
         position = directives.Position(position.era, position.offset + 1)
     if not changes:
         position = directives.Position(start.era, min(end, start.offset))
-    return keyed_log.Batch(tuple(changes), position)
+    return keyed_log.Batch(tuple(changes), position, is_complete=position.offset >= end)
--- a/src/anvillug/process/mesh_entry.py
+++ b/src/anvillug/process/mesh_entry.py
@@ -16,6 +16,7 @@
     metrics,
     peer_table,
     pending_attempt,
+    sound_word,
     upstream,
 )
 from anvillug.request import dialect, job, rejection, remote_run, retry_share, routed_call
@@ -46,6 +47,7 @@
         local_announcement: Returns the current announcement of this node.
         on_too_large: Called with the position of directives that are too large to be fetched from
             another node and have to be read from the log.
+        word: Newest word of the log; None if the newest known keys count, however old they are.
     """
 
     def __init__(  # noqa: WPS211 - components with the lifetime of the process
@@ -61,6 +63,7 @@
         process_metrics: metrics.Metrics,
         local_announcement: Callable[[], peer_table.Announcement],
         on_too_large: Callable[[directives.Position], None],
+        word: sound_word.SoundWord | None = None,
     ) -> None:
         self.reactor = reactor
         self.clock = time
@@ -72,6 +75,7 @@
         self.closed = False
         """Whether the process is about to stop and rejects new requests."""
         self._settings = settings
+        self._word = word
         self._active_directives = active_directives
         self._pending_attempts: set[pending_attempt.PendingAttempt] = set()
         self._peers = peers
@@ -118,6 +122,10 @@
         """Return the directives in effect; see `routed_call.CallContext`."""
         return self._active_directives.current
 
+    def has_recent_word(self) -> bool:
+        """Return whether keys can be relied on; see `routed_call.CallContext`."""
+        return self._word is None or self._word.is_recent
+
     def reserve(self, size: int) -> bool:
         """Reserve memory for a body; see `routed_call.CallContext`."""
         if size > 0 and self._buffered_bytes + size > _MAX_BUFFERED_BYTES:
@@ -286,6 +294,8 @@
         held_ms = self.clock.now() - call.started_at
         self._metrics.count('calls', str(status))
         self._metrics.latency('call_latency', held_ms)
+        if call.refusal is not None:
+            self._metrics.count('access_rejections', call.refusal.value)
         event_log.emit(
             'call_over',
             request=call.attributes.attempt_id,
@@ -293,6 +303,7 @@
             reason=reason,
             route='' if call.route is None else call.route.name,
             service=call.service,
+            tenant=call.tenant,
             tries=call.tries,
             arrivals=call.arrivals,
             position=self._active_directives.current.position,
--- a/src/anvillug/process/mesh_host.py
+++ b/src/anvillug/process/mesh_host.py
@@ -8,7 +8,14 @@
 
 from anvillug import clock, event_log, ids
 from anvillug.connection import http_pool
-from anvillug.process import crash_watch, fault_share, mesh_settings, metrics, upstream
+from anvillug.process import (
+    crash_watch,
+    fault_share,
+    mesh_settings,
+    metrics,
+    sound_word,
+    upstream,
+)
 from anvillug.request import dialect, job, rate_gate, upstream_run
 from anvillug.version import directives
 
@@ -51,6 +58,7 @@
         settings: Settings of the node.
         process_metrics: Metrics of the process.
         crashes: Detects requests that crash backend servers.
+        word: Newest word of the log; None if the newest known keys count, however old they are.
     """
 
     def __init__(  # noqa: WPS211 - components with the lifetime of the process
@@ -63,9 +71,11 @@
         settings: mesh_settings.MeshSettings,
         process_metrics: metrics.Metrics,
         crashes: crash_watch.CrashWatch,
+        word: sound_word.SoundWord | None = None,
     ) -> None:
         self._metrics = process_metrics
         self._crashes = crashes
+        self._word = word
         self.upstream = backend
         """Backend server of the node."""
         self.closed = False
@@ -122,6 +132,7 @@
             self._dialect,
             work,
             lambda result: self._done(run, identity, result, on_result),
+            self._key_rejection_reason,
         )
         self._runs.add(run)
         run.begin(self.pool())
@@ -205,7 +216,17 @@
             return 'older directives'
         if work.deadline - self._clock.now() < _MIN_TIME_LEFT_MS:
             return 'deadline'
-        return self._overload_reason(work, heartbeat.slots)
+        return self._key_rejection_reason(work) or self._overload_reason(work, heartbeat.slots)
+
+    def _key_rejection_reason(self, work: job.Job) -> str:
+        """Return why a job may not be sent any more, since its key may have been withdrawn."""
+        if not work.tenant:
+            return ''
+        if work.position < self._active_directives.current.position:
+            return 'older directives'
+        if self._word is not None and not self._word.is_recent:
+            return 'no recent word of the log'
+        return ''
 
     def _overload_reason(self, work: job.Job, slots: int) -> str:
         queue = slots * _QUEUE_SHARE
--- a/src/anvillug/process/mesh_node.py
+++ b/src/anvillug/process/mesh_node.py
@@ -30,8 +30,10 @@
     peer_server,
     peer_table,
     rollout_writer,
+    sound_word,
     upstream,
     upstream_probe,
+    word_task,
 )
 from anvillug.request import dialect
 from anvillug.version import directives, rollouts
@@ -106,6 +108,7 @@
         )
         self.active_directives.add_listener(self.rollouts.apply_orders)
         self.peers = peer_table.PeerTable(settings.host_id, time)
+        self._word = self._sound_word()
         self._duty = follower_duty.FollowerDuty(
             settings.host_id, settings.zone, self.peers, self.active_directives, time
         )
@@ -120,6 +123,7 @@
             settings,
             self._metrics,
             self._crashes,
+            self._word,
         )
         self.entry = mesh_entry.MeshEntry(
             reactor,
@@ -133,6 +137,7 @@
             self._metrics,
             self._announcement,
             self._duty.require_position,
+            self._word,
         )
         self._leaves = leave_exchange.LeaveExchange(
             self.upstream, self.peers, lambda leaves: self._records.receive_remembered(leaves)
@@ -172,12 +177,13 @@
             self._duty.may_retry,
             self._beacons.send_far,
             self._beacons.send_near,
+            self._word,
         )
         self._writer = rollout_writer.RolloutWriter(
             reactor, time, log, topics.statuses, status_codec, self.rollouts, self._writer_rank
         )
         self._peer_server = peer_server.PeerServer(
-            self.host, self.active_directives, time, self._incarnation
+            self.host, self.active_directives, time, self._incarnation, self._word
         )
         self._caller_factory = http_listener.ServerFactory(
             self.entry.request_received, may_overlap=self.entry.may_overlap
@@ -234,6 +240,7 @@
         self._writer.start()
         self._probe.start()
         self._records.start()
+        self._start_word_task()
         self._step()
         # Long-lived objects are frozen, since collecting them would delay calls.
         gc.collect()
@@ -291,6 +298,19 @@
 
     # Private
 
+    def _sound_word(self) -> sound_word.SoundWord | None:
+        revoke_ms = self._settings.bounds.revoke_ms
+        if revoke_ms is None:
+            return None
+        return sound_word.SoundWord(self._clock, self.active_directives, revoke_ms)
+
+    def _start_word_task(self) -> None:
+        if self._word is not None:
+            settings = self._settings
+            word_task.WordTask(
+                self._reactor, self._word, self.peers, settings.zone, self.entry.pool, self._rng
+            ).start()
+
     def _service_findings(self, heartbeat: upstream.Heartbeat) -> findings.Findings:
         """Return an error if the service of a heartbeat is not one of the configuration."""
         routes = self.active_directives.current.routes
@@ -302,7 +322,10 @@
 
     def _gauges(self) -> dict[str, float]:
         position = self.active_directives.current.position
+        word = self._word
+        word_gauges = {} if word is None else {'word_age_ms': word.shown_age_ms}
         return {
+            **word_gauges,
             'calls_in_progress': len(self.entry.in_progress),
             'runs_in_progress': self.host.running,
             'peers_known': len(self.peers.by_host_id),
--- a/src/anvillug/process/order_feed.py
+++ b/src/anvillug/process/order_feed.py
@@ -15,11 +15,14 @@
 
 from anvillug import clock, event_log
 from anvillug.connection import keyed_log
+from anvillug.process import sound_word
 from anvillug.version import directives
 
 # Mean wait of a long poll. A response that never comes is noticed only after the wait, and a change
 # has to be in force two seconds after it was made.
 _POLL_MS = 1200
+# The same where the age of the last read matters: a read is a word as of the time it was sent.
+_WORD_POLL_MS = 700
 # Part of the wait that varies at random: after a change, all followers begin to poll at once.
 _POLL_JITTER_SHARE = 0.25
 # Nodes that have started at the same time hear of each other within this time.
@@ -50,6 +53,7 @@
         may_retry: Returns whether this node should soon try again to reach a log that it has lost.
         on_applied: Called after new directives from the topic have been applied.
         on_reach_changed: Called after `reaches_log` has changed.
+        word: Records how recent the directives are; None if it doesn't matter.
     """
 
     def __init__(  # noqa: WPS211 - callbacks keep the task independent of its users
@@ -63,6 +67,7 @@
         may_retry: Callable[[], bool],
         on_applied: Callable[[], None],
         on_reach_changed: Callable[[], None],
+        word: sound_word.SoundWord | None = None,
     ) -> None:
         self._reactor = reactor
         self._log = log
@@ -73,6 +78,8 @@
         self._may_retry = may_retry
         self._on_applied = on_applied
         self._on_reach_changed = on_reach_changed
+        self._word = word
+        self._poll_ms = _POLL_MS if word is None else _WORD_POLL_MS
         self._log_reachable = True
         self._has_newest = False
         self._follows = False
@@ -125,6 +132,7 @@
             return
         if not self._log_reachable:
             await self._wait_to_retry()
+        sent_at = self._now()
         try:
             batch = await self._log.read(self._topic, position.offset, self._wait_ms())
         except keyed_log.RecordsDeletedError:
@@ -137,6 +145,8 @@
             await self._read_newest()
             return
         self._apply(batch, dict(self._active_directives.current.records), position)
+        if batch.end >= position._replace(revision=0):
+            self._record_word(sent_at, batch)
 
     async def _wait_to_retry(self) -> None:
         """Wait for the turn of this node, or until it has not tried for a while."""
@@ -152,16 +162,27 @@
         if reads_at_once or not self._log_reachable:
             # Whatever was missed is read at once, and the others learn that the log is back.
             return 0
-        return int(_POLL_MS * self._rng.uniform(1 - _POLL_JITTER_SHARE, 1 + _POLL_JITTER_SHARE))
+        return int(
+            self._poll_ms * self._rng.uniform(1 - _POLL_JITTER_SHARE, 1 + _POLL_JITTER_SHARE)
+        )
 
     async def _read_newest(self) -> None:
         position = self._active_directives.current.position
+        sent_at = self._now()
         batch = await self._log.newest(self._topic)
         if batch.end < position._replace(revision=0):
             raise keyed_log.LogUnavailableError(f'ends at {batch.end}, before {position}')
         self._record_success()
         self._has_newest = True
         self._apply(batch, {}, self._active_directives.current.position)
+        self._record_word(sent_at, batch)
+
+    def _now(self) -> clock.Milliseconds:
+        return clock.Milliseconds(0) if self._word is None else self._word.now()
+
+    def _record_word(self, sent_at: clock.Milliseconds, batch: keyed_log.Batch) -> None:
+        if self._word is not None and batch.is_complete:
+            self._word.read_succeeded(sent_at, batch.end)
 
     def _apply(
         self,
--- a/src/anvillug/process/peer_server.py
+++ b/src/anvillug/process/peer_server.py
@@ -6,7 +6,7 @@
 
 from anvillug import clock, event_log, ids
 from anvillug.connection import http_exchange, http_head
-from anvillug.process import mesh_host
+from anvillug.process import mesh_host, sound_word
 from anvillug.request import job, job_wire
 from anvillug.version import directives
 
@@ -24,6 +24,7 @@
         active_directives: Directives in effect.
         time: Clock.
         incarnation: Start time of this process.
+        word: Newest word of the log; None if nodes do not ask for it.
     """
 
     def __init__(
@@ -32,6 +33,7 @@
         active_directives: directives.ActiveDirectives,
         time: clock.Clock,
         incarnation: ids.Incarnation,
+        word: sound_word.SoundWord | None = None,
     ) -> None:
         self.host = host
         """Host side of this node."""
@@ -39,6 +41,7 @@
         """Clock."""
         self.inquiry_headers = ((job_wire.INCARNATION_HEADER, b'%d' % incarnation),)
         """Headers of a response to an inquiry."""
+        self._word = word
         self._active_directives = active_directives
         # Wire form of the most recently requested directives; cached, since the nodes of a zone
         # request them at the same time.
@@ -51,6 +54,8 @@
             exchange.handler = _JobExchange(self, exchange)
         elif path == job_wire.DIRECTIVES_PATH:
             exchange.respond(_STATUS_OK, self._packed_directives())
+        elif path == sound_word.PATH and self._word is not None:
+            exchange.respond(_STATUS_OK, self._word.encode())
         else:
             exchange.respond(_STATUS_NOT_FOUND)
 
--- a/src/anvillug/request/dialect.py
+++ b/src/anvillug/request/dialect.py
@@ -104,12 +104,16 @@
         self,
         head: http_head.RequestHead,
         caller_service: str,
+        tenant: ids.TenantName | None = None,
     ) -> list[http_head.Header]:
         """Return the headers of a request for the backend server, except those of its dispatch.
 
         Args:
             head: Head as the caller sent it.
             caller_service: Service from whose host the request was sent.
+            tenant: Tenant that the headers name as the caller's, whatever the caller sent, in
+                place of its key; empty on a route that needs no key. If it is None, there are no
+                tenants, and the caller's headers stay.
         """
 
     def read_caller(self, head: http_head.RequestHead) -> str:
--- a/src/anvillug/request/routed_call.py
+++ b/src/anvillug/request/routed_call.py
@@ -17,15 +17,17 @@
 
 from anvillug import clock, ids
 from anvillug.connection import http_exchange, http_head
-from anvillug.request import dialect, job, rejection
+from anvillug.request import access, dialect, job, rejection
 from anvillug.version import directives, route_table
 
 STATUS_BAD_GATEWAY = 502
 STATUS_UNAVAILABLE = 503
 STATUS_GATEWAY_TIMEOUT = 504
+STATUS_UNAUTHORIZED = 401
 STATUS_NOT_FOUND = 404
 STATUS_TOO_LARGE = 413
-_REJECTIONS = (STATUS_UNAVAILABLE, STATUS_NOT_FOUND)
+_REJECTIONS = (STATUS_UNAVAILABLE, STATUS_UNAUTHORIZED, STATUS_NOT_FOUND)
+_CHALLENGE = ((b'WWW-Authenticate', b'Bearer'),)
 
 # Rejections by hosts after which the next host must accept the job even while it is slow.
 _MAX_HOST_REJECTIONS = 3
@@ -38,6 +40,8 @@
 _HEDGE_RECHECK_SHARE = 0.15
 # Sent to rejected callers: by then a backend server may have a free slot.
 _RETRY_AFTER_MS = 60.0
+# Sent to callers whose key can't be verified: by then this node may have reached the log again.
+_NO_WORD_RETRY_AFTER_MS = 500.0
 # Pause before the next attempt while no host accepts the call.
 _HOST_RETRY_PAUSE_MS = 15.0
 # Longest wait for a host that accepts the call, as a share of the latency objective.
@@ -69,6 +73,9 @@
     def directives(self) -> directives.Directives:
         """Return the directives in effect."""
 
+    def has_recent_word(self) -> bool:
+        """Return whether the directives are recent enough to rely on the keys in them."""
+
     def reserve(self, size: int) -> bool:
         """Reserve memory for a body; a negative size releases it."""
 
@@ -112,6 +119,9 @@
         """Service that the request is routed to."""
         self.tenant = ids.TenantName('')
         """Tenant whose key the caller sent; empty if the route needs none."""
+        self.refusal: access.Refusal | None = None
+        """Why the caller may not use the route; None if it may."""
+        self._access = access.Access()
         self.attempted_hosts: set[ids.HostId] = set()
         """Hosts already selected; cleared when all hosts become eligible again after a pause."""
         self.arrivals = 0
@@ -214,7 +224,30 @@
             timeout_at = self.started_at + route.timeout_ms
             caller_deadline = self.started_at + self.attributes.deadline_ms
             self.deadline = clock.Milliseconds(min(timeout_at, caller_deadline))
-        return True
+        return self._may_enter()
+
+    def _may_enter(self) -> bool:
+        """Check the caller's key; respond with an error and return False if it may not enter."""
+        self._access = self._decide_access()
+        self.tenant = self._access.tenant or ids.TenantName('')
+        self.refusal = self._access.refusal
+        if self.refusal is None:
+            return True
+        reason = self.refusal.value
+        if self._may_have_run:
+            self._respond_failed(reason)
+        elif self.refusal is access.Refusal.NO_RECENT_WORD:
+            self._respond_unavailable(reason, _NO_WORD_RETRY_AFTER_MS)
+        else:
+            self._respond(STATUS_UNAUTHORIZED, reason, _CHALLENGE)
+        return False
+
+    def _decide_access(self) -> access.Access:
+        context = self._context
+        routes = context.directives().routes
+        return access.decide(
+            routes.tenants, self.route, self._exchange.head, context.has_recent_word
+        )
 
     def _next_attempt(self) -> None:
         """Begin an attempt, or end the call if it has no attempts or no time left."""
@@ -263,6 +296,9 @@
         is_late = left_ms < self.route.target_latency_ms * _HEDGE_DELAY_SHARE
         if not is_waiting or is_late or attempts_used >= self.route.max_attempts:
             return
+        if self._decide_access().refusal is not None:
+            # The key was withdrawn; the attempt in progress began before that.
+            return
         if self._context.has_faster_host(self) and self._context.spend_retry(self.service):
             self._start_attempt()
         else:
@@ -273,7 +309,10 @@
         # All jobs of the call share one copy.
         body = b''.join(self._body)
         self._body = [body]
-        headers = self._context.header_dialect.forward_headers(head, self._context.caller_service)
+        headers = self._context.header_dialect.forward_headers(
+            head, self._context.caller_service, self._access.tenant
+        )
+        priority = self._access.priority
         headers = [header for header in headers if header[0].lower() != b'content-length']
         if head.framing is not http_head.Framing.NONE:
             headers.append((b'Content-Length', b'%d' % len(body)))
@@ -285,7 +324,7 @@
             body=body,
             deadline=self.deadline,
             repeatable=self.route.is_repeatable,
-            priority=self.route.priority,
+            priority=self.route.priority if priority is None else priority,
             position=self._context.directives().position,
             instance=ids.InstanceId(''),
             must_accept=self.host_rejections >= _MAX_HOST_REJECTIONS,
@@ -385,8 +424,8 @@
         else:
             self._respond_unavailable('timeout')
 
-    def _respond_unavailable(self, reason: str) -> None:
-        headers = self._context.header_dialect.retry_headers(_RETRY_AFTER_MS)
+    def _respond_unavailable(self, reason: str, wait_ms: float = _RETRY_AFTER_MS) -> None:
+        headers = self._context.header_dialect.retry_headers(wait_ms)
         self._respond(STATUS_UNAVAILABLE, reason, tuple(headers))
 
     def _forward(self, result: job.Result) -> None:
--- a/src/anvillug/request/upstream_run.py
+++ b/src/anvillug/request/upstream_run.py
@@ -35,6 +35,10 @@
 ResultReady = Callable[[job.Result], None]
 
 
+def _accept(work: job.Job) -> str:
+    return ''
+
+
 class UpstreamRun:
     """The run of one job on the backend server.
 
@@ -44,6 +48,8 @@
         header_dialect: Reads and writes the headers of the backend server.
         work: The job.
         on_done: Called once with the result, unless the run is cancelled.
+        late_rejection: Returns why the job must not be sent any more, empty if it may; called when
+            it has a connection, which may be long after the host accepted it.
     """
 
     def __init__(
@@ -53,6 +59,7 @@
         header_dialect: dialect.Dialect,
         work: job.Job,
         on_done: ResultReady,
+        late_rejection: Callable[[job.Job], str] = _accept,
     ) -> None:
         self.work = work
         """The job."""
@@ -70,6 +77,7 @@
         self._clock = time
         self._dialect = header_dialect
         self._on_done = on_done
+        self._late_rejection = late_rejection
         # Whether the connection has carried another request before.
         self._is_reused = False
         self._connection: http_client.ClientConnection | None = None
@@ -179,8 +187,9 @@
         left_ms = self.work.deadline - now
         if self.state is RunState.DONE:
             return
-        if left_ms <= 0:
-            self._finish(job.Result(job.ResultKind.REFUSED, 'deadline'))
+        reason = 'deadline' if left_ms <= 0 else self._late_rejection(self.work)
+        if reason:
+            self._finish(job.Result(job.ResultKind.REFUSED, reason))
             return
         self._connection = connection
         self.state = RunState.SENT
--- a/src/anvillug/version/route_table.py
+++ b/src/anvillug/version/route_table.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable, Mapping
 
 from anvillug import ids
+from anvillug.version import tenants
 
 _SLASH = b'/'
 
@@ -54,6 +55,8 @@
     """Services that run the requests, at least one."""
     max_attempts: int
     """Maximum number of attempts of one request."""
+    is_anonymous: bool = False
+    """Whether callers need no key, although the configuration has tenants."""
 
     @property
     def is_repeatable(self) -> bool:
@@ -121,6 +124,7 @@
         routes: All routes.
         services: Policies of all services.
         limits: Limits on requests.
+        tenant_table: Tenants; None if requests need no key.
     """
 
     def __init__(
@@ -128,7 +132,10 @@
         routes: Iterable[Route],
         services: Iterable[ServicePolicy],
         limits: CallerLimits,
+        tenant_table: tenants.TenantTable | None = None,
     ) -> None:
+        self.tenants = tenant_table
+        """Tenants; None if requests need no key."""
         self.limits = limits
         """Limits on requests and their connections."""
         self.services_by_name: Mapping[ids.ServiceName, ServicePolicy] = {
--- a/tests/test_mesh_host.py
+++ b/tests/test_mesh_host.py
@@ -8,7 +8,14 @@
 from anvillug import clock, ids
 from anvillug.connection import http_client, http_head
 from anvillug.platform import headers
-from anvillug.process import crash_watch, mesh_host, mesh_settings, metrics, upstream
+from anvillug.process import (
+    crash_watch,
+    mesh_host,
+    mesh_settings,
+    metrics,
+    sound_word,
+    upstream,
+)
 from anvillug.request import dialect, job
 from anvillug.version import directives, rollout, route_table
 
@@ -65,7 +72,7 @@
     )
 
 
-class _HostSide:
+class HostSide:
     """Host side whose backend server never responds."""
 
     def __init__(self, cold_ms: float, slots: int = 1000) -> None:
@@ -78,6 +85,7 @@
         self.active_directives.current = directives.Directives(
             routes=route_table.RouteTable((), (policy,), limits)
         )
+        self.word = sound_word.SoundWord(self.time, self.active_directives, 5000)
         backend = upstream.Upstream(_ADDRESS, self.time)
         backend.receive_heartbeat(
             upstream.Heartbeat(
@@ -101,6 +109,7 @@
             settings(),
             metrics.Metrics(dict),
             crash_watch.CrashWatch(ids.HostId('h'), ids.Incarnation(1), self.time),
+            self.word,
         )
 
     def report_slowness(self, slowness: float) -> None:
@@ -109,10 +118,12 @@
     def job(self, *, must_accept: bool = False) -> job.Job:
         return job_at(self.time, must_accept=must_accept)
 
-    def rejection_reason(self, *, must_accept: bool = False) -> str:
+    def rejection_reason(self, *, must_accept: bool = False, tenant: str = '') -> str:
         """Submit a job and return why it was rejected, empty if it was accepted."""
         results: list[job.Result] = []
-        self.host.submit(self.job(must_accept=must_accept), results.append)
+        work = self.job(must_accept=must_accept)
+        work.tenant = ids.TenantName(tenant)
+        self.host.submit(work, results.append)
         return results[0].reason if results else ''
 
     def accepted_in(self, duration_ms: int) -> int:
@@ -129,7 +140,7 @@
 
     @pytest.fixture
     def host_side(self):
-        return _HostSide(cold_ms=60_000)
+        return HostSide(cold_ms=60_000)
 
     def test_rate_stays_within_the_bound_in_every_second(self, host_side):
         bound = _COLD_PER_SECOND * _BOUNDS.cold_factor + _COLD_SLACK
@@ -157,7 +168,7 @@
     """Guards against a failure to count a run that costs its caller the answer."""
 
     def test_result_is_reported(self, monkeypatch):
-        host_side = _HostSide(cold_ms=0)
+        host_side = HostSide(cold_ms=0)
         results: list[job.Result] = []
         host_side.host.submit(host_side.job(), results.append)
         monkeypatch.setattr(host_side.host._metrics, 'count', _fail)  # noqa: SLF001
@@ -176,13 +187,13 @@
     """Guards against sending bodies to a host that rejects them."""
 
     def test_full_host_rejects(self):
-        host_side = _HostSide(cold_ms=0, slots=2)
+        host_side = HostSide(cold_ms=0, slots=2)
         while not host_side.rejection_reason():
             host_side.time.advance(1)
         assert host_side.host.handle_inquiry(host_side.job()).reason == 'full'
 
     def test_cold_host_without_tokens_rejects(self):
-        host_side = _HostSide(cold_ms=60_000)
+        host_side = HostSide(cold_ms=60_000)
         while host_side.rejection_reason() != 'cold':
             host_side.time.advance(1)
         assert host_side.host.handle_inquiry(host_side.job()).reason == 'cold'
@@ -193,7 +204,7 @@
 
     @pytest.fixture
     def host_side(self):
-        host_side = _HostSide(cold_ms=0)
+        host_side = HostSide(cold_ms=0)
         for _ in range(30):
             host_side.host._faults.record_response(  # noqa: SLF001 - record past runs
                 ids.RouteName('r'), 400, 100, host_side.time.now()
--- a/tests/test_routed_call.py
+++ b/tests/test_routed_call.py
@@ -89,6 +89,10 @@
         self.faster = False
         self.budget = 10
         self.results: list[job.Result] = []
+        self.word_is_recent = True
+
+    def has_recent_word(self) -> bool:
+        return self.word_is_recent
 
     def directives(self) -> directives.Directives:
         return self.current
@@ -124,7 +128,7 @@
         self.reactor.advance(duration_ms / 1000)
 
 
-class _RoutedRequest:
+class RoutedRequest:
     """One request of a caller, processed by the fake entry side."""
 
     def __init__(
@@ -145,7 +149,7 @@
         self.exchange = http_exchange.ServerExchange(self.connection, head)
         self.call = routed_call.RoutedCall(self.context, self.exchange)
 
-    def begin(self, *results: job.Result) -> _RoutedRequest:
+    def begin(self, *results: job.Result) -> RoutedRequest:
         self.context.results = list(results)
         self.call.receive()
         if self.exchange.handler is not None and not self.exchange.ended:
@@ -169,26 +173,26 @@
     """Guards against responses that are altered or made up on the way to the caller."""
 
     def test_response_is_forwarded_unchanged(self):
-        routed = _RoutedRequest().begin(_make_answered())
+        routed = RoutedRequest().begin(_make_answered())
         assert routed.connection.status == 200
         assert routed.connection.sent.endswith(b'\r\n\r\nwhole')
         assert b'Anvillug-Server-Seal: s' in routed.connection.sent
         assert routed.context.jobs[0].head.target == b'/get/x?q=1'
 
     def test_unknown_route_is_not_found(self):
-        assert _RoutedRequest(path=b'/none/').begin().connection.status == 404
+        assert RoutedRequest(path=b'/none/').begin().connection.status == 404
 
     def test_request_without_configuration_is_unavailable(self):
-        routed = _RoutedRequest()
+        routed = RoutedRequest()
         routed.context.current = directives.Directives()
         assert routed.begin().connection.status == 503
 
     def test_body_above_the_limit_is_too_large(self):
-        routed = _RoutedRequest(extra_headers=((b'Content-Length', b'1001'),))
+        routed = RoutedRequest(extra_headers=((b'Content-Length', b'1001'),))
         assert routed.begin().connection.status == 413
 
     def test_chunked_body_above_the_limit_is_too_large(self):
-        routed = _RoutedRequest(extra_headers=((b'Transfer-Encoding', b'chunked'),))
+        routed = RoutedRequest(extra_headers=((b'Transfer-Encoding', b'chunked'),))
         routed.call.receive()
         routed.call.body_received(b'x' * 600)
         routed.call.body_received(b'x' * 600)
@@ -200,14 +204,14 @@
 
     @pytest.mark.parametrize(('result', 'status'), [(_make_answered(), 200), (_UNKNOWN, 502)])
     def test_caller_is_answered(self, result, status):
-        routed = _RoutedRequest(_ONCE)
+        routed = RoutedRequest(_ONCE)
         routed.context.call_ended = _fail
         with pytest.raises(ZeroDivisionError):
             routed.begin(result)
         assert routed.connection.status == status
 
     def test_call_ends_although_an_attempt_is_not_cancelled(self):
-        routed = _RoutedRequest()
+        routed = RoutedRequest()
         ended = []
         routed.context.call_ended = lambda call, status, reason: ended.append(status)
         routed.begin()
@@ -226,59 +230,59 @@
 
     @pytest.mark.parametrize('kind', [_ONCE, _REPEATABLE])
     def test_rejection_by_a_host_needs_no_retry_budget(self, kind):
-        routed = _RoutedRequest(kind)
+        routed = RoutedRequest(kind)
         routed.context.budget = 0
         assert routed.begin(_REFUSED, _REFUSED, _make_answered()).connection.status == 200
 
     @pytest.mark.parametrize('kind', [_ONCE, _REPEATABLE])
     def test_shed_request_is_retried_within_the_budget(self, kind):
-        assert _RoutedRequest(kind).begin(_SHED, _make_answered()).connection.status == 200
+        assert RoutedRequest(kind).begin(_SHED, _make_answered()).connection.status == 200
 
     # A change of weights in the middle of a call would move it to a service with more room.
     def test_retry_after_a_change_of_weights_stays_with_the_service(self):
-        routed = _RoutedRequest(_ONCE)
+        routed = RoutedRequest(_ONCE)
         routed.begin()
         routed.context.current = _directives((_SERVICE, 1), (_OTHER_SERVICE, 1_000_000))
         routed.context.pending.pop()(_SHED)
         assert [work.service for work in routed.context.jobs] == [_SERVICE, _SERVICE]
 
     def test_retry_follows_the_route_to_another_service(self):
-        routed = _RoutedRequest(_ONCE)
+        routed = RoutedRequest(_ONCE)
         routed.begin()
         routed.context.current = _directives((_SERVICE, 0), (_OTHER_SERVICE, 1))
         routed.context.pending.pop()(_SHED)
         assert [work.service for work in routed.context.jobs] == [_SERVICE, _OTHER_SERVICE]
 
     def test_shed_request_without_budget_is_unavailable(self):
-        routed = _RoutedRequest(_ONCE)
+        routed = RoutedRequest(_ONCE)
         routed.context.budget = 0
         assert routed.begin(_SHED).connection.status == 503
         assert b'Retry-After' in routed.connection.sent
 
     def test_unknown_outcome_of_a_repeatable_request_is_retried(self):
-        assert _RoutedRequest().begin(_UNKNOWN, _make_answered()).connection.status == 200
+        assert RoutedRequest().begin(_UNKNOWN, _make_answered()).connection.status == 200
 
     def test_unknown_outcome_of_a_once_only_request_ends_the_call(self):
-        routed = _RoutedRequest(_ONCE).begin(_UNKNOWN, _make_answered())
+        routed = RoutedRequest(_ONCE).begin(_UNKNOWN, _make_answered())
         assert routed.connection.status == 502
         assert len(routed.context.jobs) == 1
 
     def test_shed_after_an_unknown_outcome_is_no_proof_of_not_run(self):
-        routed = _RoutedRequest()
+        routed = RoutedRequest()
         routed.context.budget = 1
         assert routed.begin(_UNKNOWN, _SHED).connection.status == 502
 
     def test_attempts_are_bounded(self):
-        routed = _RoutedRequest().begin(_UNKNOWN, _UNKNOWN, _make_answered())
+        routed = RoutedRequest().begin(_UNKNOWN, _UNKNOWN, _make_answered())
         assert routed.connection.status == 502
         assert len(routed.context.jobs) == 2
 
     def test_failure_response_is_forwarded_after_the_last_attempt(self):
-        routed = _RoutedRequest().begin(_make_answered(500, b'first'), _UNKNOWN)
+        routed = RoutedRequest().begin(_make_answered(500, b'first'), _UNKNOWN)
         assert routed.connection.status == 500
 
     def test_failure_of_a_once_only_request_is_forwarded_at_once(self):
-        routed = _RoutedRequest(_ONCE).begin(_make_answered(500), _make_answered())
+        routed = RoutedRequest(_ONCE).begin(_make_answered(500), _make_answered())
         assert routed.connection.status == 500
         assert len(routed.context.jobs) == 1
 
@@ -287,26 +291,26 @@
     """Guards against callers that wait too long, and work that goes on after the call ended."""
 
     def test_timeout_of_the_route_ends_the_call(self):
-        routed = _RoutedRequest().begin()
+        routed = RoutedRequest().begin()
         routed.context.advance(_TIMEOUT_MS + 1)
         assert routed.connection.status == 504
         assert routed.context.cancelled == 1
 
     def test_disconnect_of_the_caller_cancels_the_job(self):
-        routed = _RoutedRequest().begin()
+        routed = RoutedRequest().begin()
         routed.call.request_aborted()
         assert routed.context.cancelled == 1
         assert not routed.connection.sent
 
     def test_late_result_is_discarded(self):
-        routed = _RoutedRequest().begin()
+        routed = RoutedRequest().begin()
         routed.context.advance(_TIMEOUT_MS + 1)
         sent = routed.connection.sent
         routed.context.pending[0](_make_answered())
         assert routed.connection.sent == sent
 
     def test_without_a_host_the_call_is_rejected_early(self):
-        routed = _RoutedRequest(_ONCE)
+        routed = RoutedRequest(_ONCE)
         routed.context.has_host = False
         routed.begin()
         for _ in range(10):
@@ -315,7 +319,7 @@
         assert routed.context.clock.now() <= _TARGET_LATENCY_MS
 
     def test_host_that_becomes_available_in_time_gets_the_request(self):
-        routed = _RoutedRequest()
+        routed = RoutedRequest()
         routed.context.has_host = False
         routed.begin()
         routed.context.has_host = True
@@ -327,8 +331,8 @@
 class TestHedging:
     """Guards against repeatable requests that wait for a slow host while a fast one is free."""
 
-    def _begin(self, kind=_REPEATABLE, *, faster: bool = True) -> _RoutedRequest:
-        routed = _RoutedRequest(kind).begin()
+    def _begin(self, kind=_REPEATABLE, *, faster: bool = True) -> RoutedRequest:
+        routed = RoutedRequest(kind).begin()
         routed.context.faster = faster
         routed.context.advance(_TARGET_LATENCY_MS / 2 + 1)
         return routed
@@ -355,7 +359,7 @@
         assert routed.connection.status == 200
 
     def test_last_hedge_does_not_end_the_first_attempt(self):
-        routed = _RoutedRequest()
+        routed = RoutedRequest()
         routed.context.faster = True
         routed.begin(*itertools.repeat(_REFUSED, 11))
         routed.context.advance(_TARGET_LATENCY_MS)
@@ -370,7 +374,7 @@
         assert len(self._begin(faster=False).context.jobs) == 1
 
     def test_without_budget_nothing_is_hedged(self):
-        routed = _RoutedRequest().begin()
+        routed = RoutedRequest().begin()
         routed.context.budget = 0
         routed.context.faster = True
         routed.context.advance(_TARGET_LATENCY_MS)
