--- a/src/anvillug/platform/tenant_documents.py
+++ b/src/anvillug/platform/tenant_documents.py
@@ -11,6 +11,8 @@
 _NAME = 'Name'
 _KEYS = 'ApiKeys'
 _PRIORITY = 'Priority'
+# Jobs carry the priority in 64 bits.
+_MAX_PRIORITY = 1_000_000
 
 
 def decode(
@@ -56,9 +58,9 @@
     problems = []
     if not isinstance(entry.get(_NAME), str):
         problems.append(findings.Finding(f'{place}.{_NAME}', 'must be a string'))
-    priority = entry.get(_PRIORITY)
-    if isinstance(priority, bool) or not isinstance(priority, int | None):
-        problems.append(findings.Finding(f'{place}.{_PRIORITY}', 'must be an integer'))
+    if not _is_priority(entry.get(_PRIORITY)):
+        message = f'must be an integer of at most {_MAX_PRIORITY}'
+        problems.append(findings.Finding(f'{place}.{_PRIORITY}', message))
     keys = entry.get(_KEYS)
     if not isinstance(keys, list | None):
         problems.append(findings.Finding(f'{place}.{_KEYS}', 'must be a list'))
@@ -71,6 +73,13 @@
     return problems
 
 
+def _is_priority(content: Any) -> bool:
+    if content is None:
+        return True
+    is_integer = isinstance(content, int) and not isinstance(content, bool)
+    return is_integer and abs(content) <= _MAX_PRIORITY
+
+
 def _tenant(entry: dict[str, Any], previous: tenants.TenantTable | None) -> tenants.Tenant:
     keys = tuple(key.encode(errors='replace') for key in entry.get(_KEYS) or ())
     tenant = tenants.Tenant(ids.TenantName(entry[_NAME]), keys, entry.get(_PRIORITY))
--- a/tests/test_tenants.py
+++ b/tests/test_tenants.py
@@ -53,6 +53,7 @@
             ({'Name': 'x', 'ApiKeys': [9]}, 'Tenants.2.ApiKeys.0'),
             ({'Name': 'x', 'ApiKeys': 'key-9'}, 'Tenants.2.ApiKeys'),
             ({'Name': 'x', 'Priority': True}, 'Tenants.2.Priority'),
+            ({'Name': 'x', 'Priority': 10**400}, 'Tenants.2.Priority'),
             ({'Name': 'small'}, 'Tenants.2'),
             ({'Name': ''}, 'Tenants.2'),
             ({'Name': 'x\r\nHost: y'}, 'Tenants.2'),
