--- a/tests/test_mesh_command.py
+++ b/tests/test_mesh_command.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from anvillug.platform import settings
 from anvillug.process import command_line
 
 _SETTINGS = {
@@ -51,6 +52,13 @@
         assert 'Self.Zone: required key is missing' in output
         assert 'Network.Listen.Control' in output
 
+    @pytest.mark.parametrize(('closed', 'revoke_ms'), [(True, 4000), (False, None)])
+    def test_withdrawal_is_bounded_only_if_it_fails_closed(self, tmp_path, closed, revoke_ms):
+        path = tmp_path / 'local.json'
+        bounds = {'RevokeFailClosed': closed, 'RevokeMs': 4000}
+        path.write_text(json.dumps({**_SETTINGS, 'Terms': {'Bounds': bounds}}))
+        assert settings.load(path).ok.bounds.revoke_ms == revoke_ms
+
     @pytest.mark.parametrize('text', ['', '{', '[]'])
     def test_malformed_file_is_an_error(self, tmp_path, text):
         assert self._check(tmp_path, text) == 2
--- a/tests/test_sound_word.py
+++ b/tests/test_sound_word.py
@@ -4,17 +4,19 @@
 
 import math
 import random
+import types
 
 import msgpack
 import pytest
 from twisted.internet import task
 
 from anvillug import clock, ids
+from anvillug.connection import keyed_log
 from anvillug.platform import headers
-from anvillug.process import peer_table, sound_word, word_task
+from anvillug.process import order_feed, peer_server, peer_table, sound_word, word_task
 from anvillug.request import job, upstream_run
 from anvillug.version import directives
-from tests import test_beacon, test_mesh_host
+from tests import test_bad_input, test_beacon, test_mesh_host
 
 _REVOKE_MS = 5000
 _LIMIT_MS = 4750
@@ -136,6 +138,41 @@
         assert {asking.choose().host_id for _ in range(99)} == {'0', 'a', 'b'}
 
 
+class _Log:
+    """Log whose records may be read only in part."""
+
+    def __init__(self, *, is_complete: bool) -> None:
+        self._batch = keyed_log.Batch((), _POSITION, is_complete)
+
+    async def newest(self, topic: str) -> keyed_log.Batch:
+        return self._batch
+
+
+class TestReads:
+    """Guards against a read that gives a word although it did not reach the end of the log."""
+
+    @pytest.mark.parametrize('is_complete', [True, False])
+    def test_only_a_complete_read_gives_a_word(self, node, is_complete):
+        log = _Log(is_complete=is_complete)
+        callbacks = (lambda: True, lambda: True, lambda: None, lambda: None)
+        feed = order_feed.OrderFeed(
+            task.Clock(), log, 'orders', node.active, random.Random(1), *callbacks, node.word
+        )
+        feed.start()
+        assert node.word.is_recent is is_complete
+
+    def test_another_node_can_ask_for_the_word(self, node):
+        node.read()
+        server = peer_server.PeerServer(
+            types.SimpleNamespace(), node.active, node.time, ids.Incarnation(1), node.word
+        )
+        connection, transport, _ = test_bad_input.make_connection(server.request_received)
+        connection.dataReceived(b'GET %b HTTP/1.1\r\nHost: node\r\n\r\n' % sound_word.PATH)
+        asking = _Node(node.time, _POSITION)
+        assert asking.word.receive(node.time.now(), transport.value().partition(b'\r\n\r\n')[2])
+        assert asking.word.is_recent
+
+
 class _NoPool:
     """Pool whose node can't be reached."""
 
