Usage reports: one holder, agreed through the log

Cause: deployments with a duty of reporting usage had nobody to do it. Change: requests are counted by tenant where they are sent to a backend server, carried to one holder, and reported once; the holder and the content of each report are fixed by conditional appends. Started only where the settings name the duty.

--- a/src/anvillug/platform/program.py
+++ b/src/anvillug/platform/program.py
@@ -63,7 +63,7 @@
     # Importing the reactor installs it.
     from twisted.internet import reactor  # noqa: PLC0415
 
-    from anvillug.platform import node_start, store  # noqa: PLC0415
+    from anvillug.platform import cloud, node_start, store  # noqa: PLC0415
     from anvillug.process import error_reports, mesh_node  # noqa: PLC0415
 
     error_reports.forward_twisted_errors()
@@ -74,11 +74,14 @@
             current,
             time,
             store.Store(reactor, current.store_address),
-            mesh_node.Topics(store.OPERATOR_TOPIC, store.STATUS_TOPIC, store.MEMBER_TOPIC),
+            mesh_node.Topics(
+                store.OPERATOR_TOPIC, store.STATUS_TOPIC, store.MEMBER_TOPIC, store.DUTY_TOPIC
+            ),
             headers.PlatformDialect(),
             documents.decode_directives,
             _StatusCodec(),
             log_lines,
+            lambda duty: cloud.Cloud(reactor, duty),
         )
 
     start = node_start.NodeStart(reactor, path, build, valid, version)
--- a/src/anvillug/platform/settings.py
+++ b/src/anvillug/platform/settings.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import dataclasses
 import pathlib
 
 import expression
 import pydantic
 
 from anvillug import findings, ids, validation
+from anvillug.platform import duty_settings
 from anvillug.process import mesh_settings
 from anvillug.version import rollout
 
@@ -84,12 +86,16 @@
         The settings, or all findings.
     """
     try:
-        content = _File.model_validate_json(path.read_bytes())
+        raw = path.read_bytes()
+        content = _File.model_validate_json(raw)
     except OSError as error:
         return expression.Error(findings.single(str(path), f'cannot be read: {error.strerror}'))
     except pydantic.ValidationError as error:
         return expression.Error(validation.findings_of(error, str(path)))
-    return expression.Ok(_translate(content))
+    translated = _translate(content)
+    return duty_settings.load(raw, str(path)).map(
+        lambda duty: dataclasses.replace(translated, duty=duty)
+    )
 
 
 def _translate(content: _File) -> mesh_settings.MeshSettings:
--- a/src/anvillug/platform/store.py
+++ b/src/anvillug/platform/store.py
@@ -21,6 +21,7 @@
 OPERATOR_TOPIC = 'keyed.op'
 STATUS_TOPIC = 'keyed.status'
 MEMBER_TOPIC = 'keyed.members'
+DUTY_TOPIC = 'keyed.duties'
 
 # Rises by one each time the store is restored from an older copy; older stores do not send it.
 _ERA_HEADER = 'Store-Era'
--- a/src/anvillug/process/mesh_host.py
+++ b/src/anvillug/process/mesh_host.py
@@ -39,6 +39,9 @@
 _MAX_WAITING_REQUESTS = 64
 
 
+RunListener = Callable[[job.Job, clock.Milliseconds], None]
+
+
 class MeshHost:
     """Host side of a mesh node.
 
@@ -70,6 +73,10 @@
         """Backend server of the node."""
         self.closed = False
         """Whether the process is about to stop and rejects new jobs."""
+        self.on_run_sent: RunListener | None = None
+        """Called with the job and the time when a request is sent to the backend server."""
+        self.on_run_not_begun: RunListener | None = None
+        """Called with the same if the backend server reports that it has not run the request."""
         self._reactor = reactor
         self._clock = time
         self._active_directives = active_directives
@@ -123,6 +130,7 @@
             work,
             lambda result: self._done(run, identity, result, on_result),
         )
+        run.on_sent = self.on_run_sent
         self._runs.add(run)
         run.begin(self.pool())
         return lambda: self._cancel(run, identity)
@@ -284,6 +292,8 @@
         result: job.Result,
     ) -> None:
         run.work.release_body()
+        if result.kind is job.ResultKind.SHED and self.on_run_not_begun is not None:
+            self.on_run_not_begun(run.work, run.sent_at)
         self._crashes.job_ended(identity, result)
         self.upstream.record_load(run.load)
         self._count_run(run, result)
--- a/src/anvillug/process/mesh_node.py
+++ b/src/anvillug/process/mesh_node.py
@@ -32,6 +32,7 @@
     rollout_writer,
     upstream,
     upstream_probe,
+    usage_duty,
 )
 from anvillug.request import dialect
 from anvillug.version import directives, rollouts
@@ -55,12 +56,14 @@
         orders: Records of the operator.
         statuses: Statuses of rollouts.
         members: Records of nodes, for their first contact with each other.
+        duties: Record of the holder of the usage reports.
     """
 
-    def __init__(self, orders: str, statuses: str, members: str) -> None:
+    def __init__(self, orders: str, statuses: str, members: str, duties: str) -> None:
         self.orders = orders
         self.statuses = statuses
         self.members = members
+        self.duties = duties
 
 
 class MeshNode:
@@ -76,6 +79,7 @@
         decode: Decodes the operator's records.
         status_codec: Encodes and decodes the status of rollouts.
         log_lines: Writer of the log lines of this process.
+        create_reporter: Creates the client that sends usage reports.
     """
 
     def __init__(  # noqa: WPS211 - components that the platform provides
@@ -89,6 +93,7 @@
         decode: directives.Decoder,
         status_codec: rollout_writer.StatusCodec,
         log_lines: log_writer.LineWriter,
+        create_reporter: usage_duty.ReporterFactory,
     ) -> None:
         self.upstream = upstream.Upstream(settings.backend_address, time)
         """Backend server of the node."""
@@ -195,6 +200,7 @@
             lambda: self._settings.bounds.grace_ms,
         )
         self._listeners = listeners.Listeners(reactor, time)
+        self._usage = self._create_usage_duty(create_reporter)
         self._has_started = False
 
     @property
@@ -234,6 +240,8 @@
         self._writer.start()
         self._probe.start()
         self._records.start()
+        if self._usage is not None:
+            self._usage.start()
         self._step()
         # Long-lived objects are frozen, since collecting them would delay calls.
         gc.collect()
@@ -291,6 +299,29 @@
 
     # Private
 
+    def _create_usage_duty(
+        self, create_reporter: usage_duty.ReporterFactory
+    ) -> usage_duty.UsageDuty | None:
+        settings = self._settings
+        if settings.duty is None:
+            return None
+        usage = usage_duty.UsageDuty(
+            self._reactor,
+            self._clock,
+            self._log,
+            self._topics.duties,
+            settings.duty,
+            (settings.host_id, self._incarnation),
+            self.peers,
+            self.entry.pool,
+            self._writer_rank,
+            create_reporter(settings.duty),
+            self._metrics,
+            self._beacons.send_now,
+        )
+        usage.attach(self.host, self._peer_server)
+        return usage
+
     def _service_findings(self, heartbeat: upstream.Heartbeat) -> findings.Findings:
         """Return an error if the service of a heartbeat is not one of the configuration."""
         routes = self.active_directives.current.routes
@@ -310,6 +341,7 @@
             'directives_position': position.offset,
             'log_lines_dropped': self._log_lines.dropped,
             'uptime_ms': lifetime.PROCESS.age_ms,
+            **({} if self._usage is None else self._usage.gauges()),
         }
 
     def _announcement(self) -> peer_table.Announcement:
@@ -336,7 +368,9 @@
         )
 
     def _beacon_extra_state(self) -> beacon.ExtraState:
+        usage = self._usage
         return {
+            **({} if usage is None else {usage_duty.BEACON_TOPIC: usage.exchange.announced()}),
             _ROLLOUTS: self.rollouts.encode_report(),
             _CRASHES: self._crashes.encode_entries(),
             **self._leaves.announced(),
@@ -355,6 +389,10 @@
             _ROLLOUTS: functools.partial(self.rollouts.receive_report, reporter),
             _CRASHES: self._crashes.merge_entries,
         }
+        if self._usage is not None and usage_duty.BEACON_TOPIC in extra_state:
+            merge_by_topic[usage_duty.BEACON_TOPIC] = functools.partial(
+                self._usage.exchange.beacon_received, announcement
+            )
         for topic, merge in merge_by_topic.items():
             try:
                 merge(extra_state[topic])
--- a/src/anvillug/process/mesh_settings.py
+++ b/src/anvillug/process/mesh_settings.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from anvillug import ids
+from anvillug.process import duty_settings
 from anvillug.version import rollout
 
 
@@ -58,6 +59,8 @@
     """IP:port of the store with the records of the operator and of nodes."""
     bounds: Bounds
     """Limits that apply to the whole deployment."""
+    duty: duty_settings.DutySettings | None = None
+    """Settings of the usage reports; None if the deployment has none."""
 
 
 def differences(first: MeshSettings, second: MeshSettings) -> list[str]:
--- a/src/anvillug/process/peer_server.py
+++ b/src/anvillug/process/peer_server.py
@@ -6,7 +6,7 @@
 
 from anvillug import clock, event_log, ids
 from anvillug.connection import http_exchange, http_head
-from anvillug.process import mesh_host
+from anvillug.process import mesh_host, usage_wire
 from anvillug.request import job, job_wire
 from anvillug.version import directives
 
@@ -39,6 +39,8 @@
         """Clock."""
         self.inquiry_headers = ((job_wire.INCARNATION_HEADER, b'%d' % incarnation),)
         """Headers of a response to an inquiry."""
+        self.usage_received: http_exchange.RequestStarted | None = None
+        """Handles a message with counts of requests; None if they are not reported."""
         self._active_directives = active_directives
         # Wire form of the most recently requested directives; cached, since the nodes of a zone
         # request them at the same time.
@@ -51,6 +53,8 @@
             exchange.handler = _JobExchange(self, exchange)
         elif path == job_wire.DIRECTIVES_PATH:
             exchange.respond(_STATUS_OK, self._packed_directives())
+        elif path == usage_wire.PATH and self.usage_received is not None:
+            self.usage_received(exchange)
         else:
             exchange.respond(_STATUS_NOT_FOUND)
 
--- a/src/anvillug/request/upstream_run.py
+++ b/src/anvillug/request/upstream_run.py
@@ -66,6 +66,8 @@
         """Load that the response reported."""
         self.sent_at = clock.Milliseconds(0)
         """When the request was sent."""
+        self.on_sent: Callable[[job.Job, clock.Milliseconds], None] | None = None
+        """Called with the job and the time when the request is sent."""
         self._reactor = reactor
         self._clock = time
         self._dialect = header_dialect
@@ -192,6 +194,8 @@
         connection.request(http_head.RequestHead(head.method, head.target, headers), self)
         connection.send_body(self.work.body)
         connection.end_request()
+        if self.on_sent is not None:
+            self.on_sent(self.work, now)
 
     def _connection_failed(self) -> None:
         self.connect_failed = True
