--- a/src/anvillug/process/duty_holder.py
+++ b/src/anvillug/process/duty_holder.py
@@ -9,7 +9,7 @@
 
 from twisted.internet import defer, task
 
-from anvillug import clock, event_log
+from anvillug import clock, event_log, ids
 from anvillug.connection import keyed_log
 from anvillug.process import duty_record, duty_settings, duty_state, true_time, usage_counts
 
@@ -59,6 +59,9 @@
     def is_isolated(self) -> bool:
         """Return whether this node hears less than half of the others."""
 
+    def is_silent(self, host_id: ids.HostId) -> bool:
+        """Return whether the beacons of a node have been missing for longer than a lease."""
+
 
 class DutyHolder:
     """Holds the duty, or sees to it that another node does.
@@ -110,6 +113,7 @@
         self._on_outcome = on_outcome
         self._backoff_s = _MIN_BACKOFF_S
         self._read_at = clock.Milliseconds(-1)
+        self._was_silent = False
 
     def start(self) -> None:
         """Start the task, which runs until the process ends."""
@@ -157,16 +161,24 @@
         rank = self._fleet.rank()
         due_at = self.state.check_due_at(rank)
         now = self._time_of_day.now()
-        if rank >= _CANDIDATES or now < due_at:
+        is_silent = self._is_holder_silent()
+        turned_silent = is_silent and not self._was_silent
+        self._was_silent = is_silent
+        if rank >= _CANDIDATES or (now < due_at and not is_silent):
             return
-        if self.state.end is None or self._read_at < due_at:
+        if self.state.end is None or self._read_at < due_at <= now or turned_silent:
             await self._read()
             self._read_at = now
-            if self._time_of_day.now() < self.state.check_due_at(rank):
+            is_overdue = self._time_of_day.now() >= self.state.check_due_at(rank)
+            if not is_overdue and not self._is_holder_silent():
                 return
         if self.state.may_take_over(self._situation()):
             await self._take_token()
 
+    def _is_holder_silent(self) -> bool:
+        record = self.state.record
+        return record is not None and self._fleet.is_silent(record.host_id)
+
     async def _perform(self) -> bool:
         """Fix the reports that are due, and send those that were not accepted."""
         situation = self._situation()
--- a/src/anvillug/process/duty_state.py
+++ b/src/anvillug/process/duty_state.py
@@ -24,9 +24,11 @@
 # A report is overdue when it is not fixed this long after the counts have arrived.
 _OVERDUE_MS = 1500.0
 _ORDER_MS = 500.0
-# A node that hears less than half of the others leaves the duty to better connected ones for this
-# time, since it lacks their counts.
+# A node that hears less than half of the others lacks their counts. It leaves the duty to better
+# connected ones: it takes over later by the first time, and fixes a report only when the second is
+# left before the report is late.
 _ISOLATED_MS = 3000.0
+_ISOLATED_LEFT_MS = 1000.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -161,7 +163,9 @@
         record = self.record
         if record is None:
             return []
-        delay_ms = SETTLE_MS + situation.is_isolated * _ISOLATED_MS
+        delay_ms = SETTLE_MS
+        if situation.is_isolated:
+            delay_ms = max(delay_ms, self._settings.late_ms - _ISOLATED_LEFT_MS)
         if situation.now - self._held_from < SETTLE_MS:
             return []
         window_ms = self._settings.window_ms
--- a/src/anvillug/process/usage_duty.py
+++ b/src/anvillug/process/usage_duty.py
@@ -75,7 +75,7 @@
             self._state,
             settings,
             reporter,
-            _Fleet(peers, time, rank),
+            _Fleet(peers, time, rank, settings.lease_ms),
             self.exchange.total,
             self._changed,
             lambda outcome: process_metrics.count('usage_reports', outcome),
@@ -111,8 +111,13 @@
     """The other nodes as this one hears them; see `duty_holder.Fleet`."""
 
     def __init__(
-        self, peers: peer_table.PeerTable, time: clock.Clock, rank: Callable[[], int]
+        self,
+        peers: peer_table.PeerTable,
+        time: clock.Clock,
+        rank: Callable[[], int],
+        lease_ms: float,
     ) -> None:
+        self._lease_ms = lease_ms
         self._peers = peers
         self._clock = time
         self.rank = rank
@@ -122,3 +127,11 @@
         now = self._clock.now()
         known = self._peers.by_host_id.values()
         return 2 * sum(not peer.is_unresponsive(now) for peer in known) < len(known)
+
+    def is_silent(self, host_id: ids.HostId) -> bool:
+        """Return whether the beacons of a node have been missing for longer than a lease."""
+        peer = self._peers.by_host_id.get(host_id)
+        if peer is None:
+            return True
+        now = self._clock.now()
+        return peer.is_unresponsive(now) and now - peer.last_received_at > self._lease_ms
