--- a/src/anvillug/process/mesh_node.py
+++ b/src/anvillug/process/mesh_node.py
@@ -35,6 +35,7 @@
     sound_word,
     upstream,
     upstream_probe,
+    usage_duty,
     word_task,
 )
 from anvillug.request import dialect
@@ -59,12 +60,14 @@
         orders: Records of the operator.
         statuses: Statuses of rollouts.
         members: Records of nodes, for their first contact with each other.
+        duties: Record of the holder of the usage reports.
     """
 
-    def __init__(self, orders: str, statuses: str, members: str) -> None:
+    def __init__(self, orders: str, statuses: str, members: str, duties: str) -> None:
         self.orders = orders
         self.statuses = statuses
         self.members = members
+        self.duties = duties
 
 
 class MeshNode:
@@ -80,6 +83,7 @@
         decode: Decodes the operator's records.
         status_codec: Encodes and decodes the status of rollouts.
         log_lines: Writer of the log lines of this process.
+        create_reporter: Creates the client that sends usage reports.
     """
 
     def __init__(  # noqa: WPS211 - components that the platform provides
@@ -93,6 +97,7 @@
         decode: directives.Decoder,
         status_codec: rollout_writer.StatusCodec,
         log_lines: log_writer.LineWriter,
+        create_reporter: usage_duty.ReporterFactory,
     ) -> None:
         self.upstream = upstream.Upstream(settings.backend_address, time)
         """Backend server of the node."""
@@ -209,6 +214,7 @@
             lambda: self._settings.bounds.grace_ms,
         )
         self._listeners = listeners.Listeners(reactor, time)
+        self._usage = self._create_usage_duty(create_reporter)
         self._has_started = False
 
     @property
@@ -249,6 +255,8 @@
         self._probe.start()
         self._records.start()
         self._start_word_task()
+        if self._usage is not None:
+            self._usage.start()
         self._step()
         # Long-lived objects are frozen, since collecting them would delay calls.
         gc.collect()
@@ -319,6 +327,29 @@
                 self._reactor, self._word, self.peers, settings.zone, self.entry.pool, self._rng
             ).start()
 
+    def _create_usage_duty(
+        self, create_reporter: usage_duty.ReporterFactory
+    ) -> usage_duty.UsageDuty | None:
+        settings = self._settings
+        if settings.duty is None:
+            return None
+        usage = usage_duty.UsageDuty(
+            self._reactor,
+            self._clock,
+            self._log,
+            self._topics.duties,
+            settings.duty,
+            (settings.host_id, self._incarnation),
+            self.peers,
+            self.entry.pool,
+            self._writer_rank,
+            create_reporter(settings.duty),
+            self._metrics,
+            self._beacons.send_now,
+        )
+        usage.attach(self.host, self._peer_server)
+        return usage
+
     def _service_findings(self, heartbeat: upstream.Heartbeat) -> findings.Findings:
         """Return an error if the service of a heartbeat is not one of the configuration."""
         routes = self.active_directives.current.routes
@@ -343,6 +374,7 @@
             'log_lines_dropped': self._log_lines.dropped,
             'uptime_ms': lifetime.PROCESS.age_ms,
             **self.entry.gauges(),
+            **({} if self._usage is None else self._usage.gauges()),
         }
 
     def _announcement(self) -> peer_table.Announcement:
@@ -369,7 +401,9 @@
         )
 
     def _beacon_extra_state(self) -> beacon.ExtraState:
+        usage = self._usage
         return {
+            **({} if usage is None else {usage_duty.BEACON_TOPIC: usage.exchange.announced()}),
             _ROLLOUTS: self.rollouts.encode_report(),
             _CRASHES: self._crashes.encode_entries(),
             **self._leaves.announced(),
@@ -388,6 +422,10 @@
             _ROLLOUTS: functools.partial(self.rollouts.receive_report, reporter),
             _CRASHES: self._crashes.merge_entries,
         }
+        if self._usage is not None and usage_duty.BEACON_TOPIC in extra_state:
+            merge_by_topic[usage_duty.BEACON_TOPIC] = functools.partial(
+                self._usage.exchange.beacon_received, announcement
+            )
         for topic, merge in merge_by_topic.items():
             try:
                 merge(extra_state[topic])
--- a/src/anvillug/process/mesh_settings.py
+++ b/src/anvillug/process/mesh_settings.py
@@ -5,7 +5,7 @@
 import dataclasses
 
 from anvillug import ids
-from anvillug.process import zone_share
+from anvillug.process import duty_settings, zone_share
 from anvillug.request import room
 from anvillug.version import rollout
 
@@ -67,6 +67,8 @@
     """What callers must gain from leaving their zone; None for a fixed preference of it."""
     room: room.Policy | None = None
     """Bounds of jobs that wait at the node; None to pass them to the backend server instead."""
+    duty: duty_settings.DutySettings | None = None
+    """Settings of the usage reports; None if the deployment has none."""
 
 
 def differences(first: MeshSettings, second: MeshSettings) -> list[str]:
