--- a/tests/test_mesh_host.py
+++ b/tests/test_mesh_host.py
@@ -286,7 +286,8 @@
         assert host_side.host.room_gauges()['jobs_waiting'] == 1
         cancels[0]()
         assert host_side.host.room_gauges()['jobs_waiting'] == 0
-        assert host_side.host.running == _ROOM_SLOTS
+        cancels[1]()
+        assert host_side.host.running == _ROOM_SLOTS - 1
         assert not results
 
     def test_waiting_jobs_are_not_run_once_the_server_is_lost(self, host_side):
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -174,6 +174,14 @@
         assert shares['large'] < 2 / 5
         assert min(shares['small-1'], shares['small-2']) > 2 / 3
 
+    def test_tenants_take_turns_within_a_priority(self, host):
+        host.fill(tenant='large')
+        for _ in range(3):
+            host.offer(tenant='large', objective_ms=900)
+        host.offer(tenant='small')
+        started = [ticket.work.tenant for ticket in host.pass_time(_RUN_MS)]
+        assert started.index('small') <= 1
+
     def test_full_line_gives_way_to_a_higher_priority_only(self):
         host = _Host(room.Policy(max_waiting=2))
         host.fill()
@@ -214,6 +222,15 @@
         host.room.observe(dialect.ReportedLoad(0, 0, _SLOTS, 100), clock.Milliseconds(9))
         assert host.room.taken(clock.Milliseconds(11)) == _SLOTS
 
+    def test_report_that_is_read_again_releases_nothing(self, host):
+        for ticket in host.fill():
+            host.room.ended(ticket, clock.Milliseconds(1), may_run=True)
+        load = dialect.ReportedLoad(2, 0, _SLOTS, 100)
+        host.room.observe(load, clock.Milliseconds(10))
+        host.room.adopt(job_at(), clock.Milliseconds(5))
+        host.room.observe(load, clock.Milliseconds(10))
+        assert host.room.taken(clock.Milliseconds(11)) == 3
+
     def test_cancelled_runs_end_with_their_deadline(self, host):
         for ticket in host.fill():
             host.room.ended(ticket, clock.Milliseconds(1), may_run=True)
