--- a/src/anvillug/event_log.py
+++ b/src/anvillug/event_log.py
@@ -1,16 +1,19 @@
-"""Event log: one line of key=value pairs per event, through `absl.logging`."""
+"""Event log: one line of key=value pairs per event, through Python's `logging`.
+
+Commands print their lines with `absl.logging`. A mesh node writes them itself, without absl: the
+import takes 35 ms of processor time at each start.
+"""
 
 from __future__ import annotations
 
 import json
-import logging as python_logging
+import logging
 import re
 import traceback
 
-from absl import flags, logging
-
 from anvillug import clock, log_writer
 
+_LOGGER = logging.getLogger('anvillug')
 _MS_PER_SECOND = 1000
 _EVENT_PATTERN = re.compile(r'event=(\S+)')
 _PLAIN_VALUE_PATTERN = re.compile(r'[^\s="\\]+')
@@ -18,12 +21,15 @@
 
 def set_up() -> None:
     """Send log lines of level INFO and above to standard error, without a prefix."""
+    from absl import flags  # noqa: PLC0415 - see the module
+    from absl import logging as absl_logging  # noqa: PLC0415
+
     # The command line is parsed by defopt; absl warns until its own flags are marked as parsed.
     flags.FLAGS.mark_as_parsed()
-    logging.set_verbosity(logging.INFO)
-    logging.use_absl_handler()
-    handler = logging.get_absl_handler()
-    handler.setFormatter(_LineFormatter())
+    absl_logging.set_verbosity(absl_logging.INFO)
+    absl_logging.use_absl_handler()
+    absl_logging.get_absl_handler().setFormatter(_LineFormatter())
+    _LOGGER.setLevel(logging.INFO)
 
 
 def set_up_bounded(descriptor: int, time: clock.Clock) -> log_writer.LineWriter:
@@ -36,24 +42,23 @@
     Returns:
         The writer, which counts the dropped lines.
     """
-    set_up()
     writer = log_writer.LineWriter(descriptor, time)
-    python_logger = logging.get_absl_logger()
     handler = _BoundedHandler(writer)
     handler.setFormatter(_LineFormatter())
-    python_logger.handlers = [handler]
-    python_logger.propagate = False
+    _LOGGER.handlers = [handler]
+    _LOGGER.propagate = False
+    _LOGGER.setLevel(logging.INFO)
     return writer
 
 
-class _BoundedHandler(python_logging.Handler):
+class _BoundedHandler(logging.Handler):
     """Sends lines to a writer that does not block."""
 
     def __init__(self, writer: log_writer.LineWriter) -> None:
         super().__init__()
         self._writer = writer
 
-    def emit(self, record: python_logging.LogRecord) -> None:
+    def emit(self, record: logging.LogRecord) -> None:
         """Write a line, unless its event exceeds its rate limit."""
         line = self.format(record)
         event = _EVENT_PATTERN.search(line)
@@ -65,10 +70,10 @@
         self._writer.write(line)
 
 
-class _LineFormatter(python_logging.Formatter):
+class _LineFormatter(logging.Formatter):
     """Prefixes each line with time and level as key=value pairs."""
 
-    def format(self, record: python_logging.LogRecord) -> str:
+    def format(self, record: logging.LogRecord) -> str:
         level = record.levelname.lower()
         return f'time_ms={record.created * _MS_PER_SECOND:.0f} level={level} {record.getMessage()}'
 
@@ -81,12 +86,12 @@
         **fields: Values by key; written as JSON strings if they are empty or contain whitespace,
             quotes, equals signs or backslashes.
     """
-    logging.info('%s', format_line(event, fields))
+    _LOGGER.info('%s', format_line(event, fields))
 
 
 def warn(event: str, **fields: object) -> None:
     """Log an event at level WARNING; see `emit`."""
-    logging.warning('%s', format_line(event, fields))
+    _LOGGER.warning('%s', format_line(event, fields))
 
 
 def error(event: str, cause: BaseException) -> None:
@@ -97,7 +102,7 @@
         cause: The exception.
     """
     trace = ''.join(traceback.format_exception(cause))
-    logging.error('%s', format_line(event, {'error': repr(cause), 'trace': trace}))
+    _LOGGER.error('%s', format_line(event, {'error': repr(cause), 'trace': trace}))
 
 
 def format_line(event: str, fields: dict[str, object]) -> str:
--- a/src/anvillug/findings.py
+++ b/src/anvillug/findings.py
@@ -4,11 +4,8 @@
 
 import dataclasses
 from collections.abc import Iterable
-from typing import TypeVar
 
-import expression
-
-ValueT = TypeVar('ValueT')
+_MAX_VALUE_LENGTH = 200
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -37,8 +34,7 @@
     return '\n'.join(str(finding) for finding in findings)
 
 
-def result_of(value: ValueT, findings: Findings) -> expression.Result[ValueT, Findings]:
-    """Return an error with the findings if there are any, else the value."""
-    if findings:
-        return expression.Error(findings)
-    return expression.Ok(value)
+def shortened(value: object) -> str:
+    """Return the text form of a value, cut if it is long."""
+    text = repr(value)
+    return text if len(text) <= _MAX_VALUE_LENGTH else f'{text[:_MAX_VALUE_LENGTH]}...'
--- a/src/anvillug/platform/documents.py
+++ b/src/anvillug/platform/documents.py
@@ -3,12 +3,10 @@
 from __future__ import annotations
 
 import dataclasses
+import json
 import math
-from typing import Annotated, Any
 
-import pydantic
-
-from anvillug import event_log, findings, ids, validation
+from anvillug import event_log, findings, ids, json_table
 from anvillug.process import upstream
 from anvillug.version import directives, rollout, route_table
 
@@ -36,91 +34,26 @@
 }
 
 
-_PositiveMs = Annotated[float, pydantic.Field(gt=0, allow_inf_nan=False)]
-
-
-class _Document(pydantic.BaseModel):
-    """Base of the platform's documents; ignores fields that the platform adds."""
-
-    model_config = pydantic.ConfigDict(extra='ignore', frozen=True, strict=True)
-
-
-class _Service(_Document):
-    Name: str
-    HealthPath: str
-    MaxConnections: int
-    ColdStartS: float = 0
-    ColdPerS: float = math.inf
-
-
-class _Limits(_Document):
-    MaxHeaderBytes: pydantic.PositiveInt
-    MaxBodyBytes: pydantic.NonNegativeInt
-    HeaderTimeoutMs: _PositiveMs
-    IdleTimeoutMs: _PositiveMs
-
-
-class _Weighted(_Document):
-    Service: str
-    Weight: float
-
-
-class _Path(_Document):
-    Name: str
-    PathPrefix: str
-    Kind: str
-    TimeoutMs: _PositiveMs
-    TargetLatencyMs: float = pydantic.Field(0, ge=0, allow_inf_nan=False)
-    Priority: int = 0
-    MaxAttempts: int = 1
-    # Either `Service` or `WeightedSplit` is set.
-    Service: str | None = None
-    WeightedSplit: list[_Weighted] | None = None
-
-
-class _VirtualHost(_Document):
-    Host: str
-    Paths: list[_Path]
-
-
-class _Config(_Document):
-    Version: str
-    Services: list[_Service]
-    Limits: _Limits
-    VirtualHosts: list[_VirtualHost]
-
-
-class _Rollout(_Document):
-    Service: str
-    TargetVersion: str
-    DurationS: float
-
-
-class _Heartbeat(_Document):
-    Service: str
-    Address: str
-    Zone: str
-    Version: str
-    Slots: int = pydantic.Field(gt=0)
-    State: str
-    ColdLeftMs: float = pydantic.Field(0, allow_inf_nan=False)
-    # Increases with each heartbeat of an instance.
-    Sequence: int
-    # Start time in milliseconds since the epoch.
-    born: int
-
-
-class _Status(_Document):
-    State: str
-    TargetVersion: str
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _DecodedConfig:
     revision: int
     routes: route_table.RouteTable
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Path:
+    """Fields of a path of a virtual host, before they are checked against each other."""
+
+    name: str
+    prefix: str
+    kind: str
+    timeout_ms: float
+    target_latency_ms: float
+    priority: int
+    max_attempts: int
+    parts: tuple[route_table.RoutePart, ...]
+
+
 def decode_directives(
     records: directives.Records,
     position: directives.Position,
@@ -169,46 +102,49 @@
     place = f'heartbeat of {instance or "nobody"}'
     if not instance:
         return findings.single(place, 'the instance id is missing')
-    try:
-        heartbeat = _Heartbeat.model_validate_json(body)
-    except pydantic.ValidationError as error:
-        return validation.findings_of(error, place)
-    state = _STATE_BY_NAME.get(heartbeat.State)
-    if state is None:
-        return findings.single(
-            f'{place}: State', f'{heartbeat.State!r} is not one of {sorted(_STATE_BY_NAME)}'
-        )
-    return upstream.Heartbeat(
+    table = json_table.decode(body, place)
+    state_name = table.text('State')
+    heartbeat = upstream.Heartbeat(
         instance=ids.InstanceId(instance),
-        service=ids.ServiceName(heartbeat.Service),
-        address=heartbeat.Address,
-        version=ids.VersionName(heartbeat.Version),
-        slots=heartbeat.Slots,
-        state=state,
-        cold_ms=heartbeat.ColdLeftMs,
-        started_at=ids.Incarnation(heartbeat.born),
-        sequence=heartbeat.Sequence,
+        service=ids.ServiceName(table.text('Service')),
+        address=table.text('Address'),
+        version=ids.VersionName(table.text('Version')),
+        slots=table.integer('Slots', lowest=1),
+        state=_STATE_BY_NAME.get(state_name, upstream.UpstreamState.LEAVING),
+        cold_ms=table.number('ColdLeftMs', 0),
+        # Milliseconds since the epoch.
+        started_at=ids.Incarnation(table.integer('born')),
+        # Increases with each heartbeat of an instance.
+        sequence=table.integer('Sequence'),
     )
+    # It names no upstream to use without its zone.
+    table.text('Zone')
+    if table.findings:
+        return table.findings
+    if state_name not in _STATE_BY_NAME:
+        return findings.single(
+            f'{place}: State', f'{state_name!r} is not one of {sorted(_STATE_BY_NAME)}'
+        )
+    return heartbeat
 
 
 def encode_status(status: rollout.Status) -> bytes:
     """Return the status document of a rollout."""
-    document = _Status(State=_NAME_BY_PHASE[status.phase], TargetVersion=status.target_version)
-    return document.model_dump_json().encode()
+    document = {'State': _NAME_BY_PHASE[status.phase], 'TargetVersion': status.target_version}
+    return json.dumps(document, separators=(',', ':')).encode()
 
 
 def decode_status(service: ids.ServiceName, body: bytes) -> rollout.Status | None:
     """Decode the status document of a rollout; return None if it is malformed."""
-    try:
-        document = _Status.model_validate_json(body)
-    except pydantic.ValidationError as error:
-        place = f'status of the rollout of {service}'
-        event_log.warn('status_malformed', findings=validation.findings_of(error, place)[0])
+    table = json_table.decode(body, f'status of the rollout of {service}')
+    state, target_version = table.text('State'), table.text('TargetVersion')
+    if table.findings:
+        event_log.warn('status_malformed', findings=table.findings[0])
         return None
     for phase, name in _NAME_BY_PHASE.items():
-        if name == document.State:
-            return rollout.Status(service, ids.VersionName(document.TargetVersion), phase)
-    event_log.warn('status_malformed', service=service, state=document.State)
+        if name == state:
+            return rollout.Status(service, ids.VersionName(target_version), phase)
+    event_log.warn('status_malformed', service=service, state=state)
     return None
 
 
@@ -220,77 +156,110 @@
     in_effect = previous.records.get(CONFIG_KEY)
     if record is None or (in_effect is not None and record.value == in_effect.value):
         return previous
+    table = json_table.decode(record.value, CONFIG_KEY)
     try:
-        document = _Config.model_validate_json(record.value)
-        revision = int(document.Version, _REVISION_BASE)
-        routes = _routes(document)
-    except pydantic.ValidationError as error:
-        for finding in validation.findings_of(error, CONFIG_KEY):
-            event_log.warn('config_rejected', place=finding.place, reason=finding.message)
-        return previous
+        config = _read_config(table)
     except ValueError as error:
         event_log.warn('config_rejected', place=CONFIG_KEY, reason=error)
         return previous
-    if revision <= previous.revision:
-        event_log.warn('config_rejected', place='Version', reason='older', revision=revision)
+    for finding in table.findings:
+        event_log.warn('config_rejected', place=finding.place, reason=finding.message)
+    if table.findings:
         return previous
-    return _DecodedConfig(revision, routes)
+    if config.revision <= previous.revision:
+        event_log.warn('config_rejected', place='Version', reason='older', revision=config.revision)
+        return previous
+    return config
 
 
-def _routes(document: _Config) -> route_table.RouteTable:
-    services = [_service(service) for service in document.Services]
-    names = {service.name for service in services}
-    routes = [
-        _route(host.Host, path, names) for host in document.VirtualHosts for path in host.Paths
+def _read_config(table: json_table.Table) -> _DecodedConfig:
+    """Return a configuration, which is valid if the table has no findings.
+
+    Raises:
+        ValueError: If fields with valid types contradict each other.
+    """
+    version = table.text('Version')
+    services = [_service(entry) for entry in table.tables('Services')]
+    limits = _limits(table.table('Limits'))
+    paths = [
+        (host.text('Host'), _read_path(path))
+        for host in table.tables('VirtualHosts')
+        for path in host.tables('Paths')
     ]
-    limits = route_table.CallerLimits(
-        document.Limits.MaxHeaderBytes,
-        document.Limits.MaxBodyBytes,
-        document.Limits.HeaderTimeoutMs,
-        document.Limits.IdleTimeoutMs,
+    if table.findings:
+        return _DecodedConfig(0, route_table.RouteTable([], [], limits))
+    names = {service.name for service in services}
+    routes = [_route(host, path, names) for host, path in paths]
+    return _DecodedConfig(
+        int(version, _REVISION_BASE), route_table.RouteTable(routes, services, limits)
     )
-    return route_table.RouteTable(routes, services, limits)
 
 
-def _service(service: _Service) -> route_table.ServicePolicy:
+def _limits(table: json_table.Table) -> route_table.CallerLimits:
+    return route_table.CallerLimits(
+        table.integer('MaxHeaderBytes', lowest=1),
+        table.integer('MaxBodyBytes', lowest=0),
+        table.positive('HeaderTimeoutMs'),
+        table.positive('IdleTimeoutMs'),
+    )
+
+
+def _service(table: json_table.Table) -> route_table.ServicePolicy:
     return route_table.ServicePolicy(
-        ids.ServiceName(service.Name),
-        service.HealthPath.encode(),
-        service.MaxConnections,
-        service.ColdStartS * _MS_PER_SECOND,
-        service.ColdPerS,
+        ids.ServiceName(table.text('Name')),
+        table.text('HealthPath').encode(),
+        table.integer('MaxConnections'),
+        table.number('ColdStartS', 0) * _MS_PER_SECOND,
+        table.number('ColdPerS', math.inf, finite=False),
+    )
+
+
+def _read_path(table: json_table.Table) -> _Path:
+    service = table.text('Service') if 'Service' in table else None
+    split = table.tables('WeightedSplit') if 'WeightedSplit' in table else []
+    parts = tuple(
+        route_table.RoutePart(
+            ids.ServiceName(part.text('Service')), part.number('Weight', finite=False)
+        )
+        for part in split
+    )
+    if service is not None:
+        parts = (route_table.RoutePart(ids.ServiceName(service), 1),)
+    return _Path(
+        name=table.text('Name'),
+        prefix=table.text('PathPrefix'),
+        kind=table.text('Kind'),
+        timeout_ms=table.positive('TimeoutMs'),
+        target_latency_ms=table.number('TargetLatencyMs', 0, lowest=0),
+        priority=table.integer('Priority', 0),
+        max_attempts=table.integer('MaxAttempts', 1),
+        parts=parts,
     )
 
 
 def _route(host: str, path: _Path, services: set[ids.ServiceName]) -> route_table.Route:
-    place = f'VirtualHosts.{host}.{path.Name}'
-    parts = _route_parts(place, path, services)
-    if path.Kind not in _KIND_BY_NAME:
-        raise ValueError(f'{place}: Kind {path.Kind!r} is not one of {sorted(_KIND_BY_NAME)}')
-    if not (path.PathPrefix.startswith(_SLASH) and path.PathPrefix.endswith(_SLASH)):
+    place = f'VirtualHosts.{host}.{path.name}'
+    _check_parts(place, path.parts, services)
+    if path.kind not in _KIND_BY_NAME:
+        raise ValueError(f'{place}: Kind {path.kind!r} is not one of {sorted(_KIND_BY_NAME)}')
+    if not (path.prefix.startswith(_SLASH) and path.prefix.endswith(_SLASH)):
         raise ValueError(f'{place}: PathPrefix must begin and end with a slash')
     return route_table.Route(
-        name=ids.RouteName(path.Name),
+        name=ids.RouteName(path.name),
         host=host.lower().encode(),
-        path_prefix=path.PathPrefix.encode(),
-        kind=_KIND_BY_NAME[path.Kind],
-        timeout_ms=path.TimeoutMs,
-        target_latency_ms=path.TargetLatencyMs,
-        priority=path.Priority,
-        parts=parts,
-        max_attempts=max(1, path.MaxAttempts),
+        path_prefix=path.prefix.encode(),
+        kind=_KIND_BY_NAME[path.kind],
+        timeout_ms=path.timeout_ms,
+        target_latency_ms=path.target_latency_ms,
+        priority=path.priority,
+        parts=path.parts,
+        max_attempts=max(1, path.max_attempts),
     )
 
 
-def _route_parts(
-    place: str, path: _Path, services: set[ids.ServiceName]
-) -> tuple[route_table.RoutePart, ...]:
-    parts = tuple(
-        route_table.RoutePart(ids.ServiceName(part.Service), part.Weight)
-        for part in path.WeightedSplit or ()
-    )
-    if path.Service is not None:
-        parts = (route_table.RoutePart(ids.ServiceName(path.Service), 1),)
+def _check_parts(
+    place: str, parts: tuple[route_table.RoutePart, ...], services: set[ids.ServiceName]
+) -> None:
     unknown = [part.service for part in parts if part.service not in services]
     if not parts or unknown:
         raise ValueError(f'{place}: must list configured services, unknown: {unknown}')
@@ -300,19 +269,16 @@
         raise ValueError(f'{place}: Weight {weight} of {service!r} must be 0 or more, and finite')
     if not any(part.weight for part in parts):
         raise ValueError(f'{place}: at least one Weight must be above 0')
-    return parts
 
 
 def _decode_rollout(key: str, record: directives.Record) -> directives.RolloutOrder | None:
-    try:
-        order: Any = _Rollout.model_validate_json(record.value)
-    except pydantic.ValidationError as error:
-        for finding in validation.findings_of(error, key):
-            event_log.warn('rollout_rejected', place=finding.place, reason=finding.message)
-        return None
-    return directives.RolloutOrder(
-        ids.ServiceName(order.Service),
-        ids.VersionName(order.TargetVersion),
-        order.DurationS * _MS_PER_SECOND,
+    table = json_table.decode(record.value, key)
+    order = directives.RolloutOrder(
+        ids.ServiceName(table.text('Service')),
+        ids.VersionName(table.text('TargetVersion')),
+        table.number('DurationS') * _MS_PER_SECOND,
         record.position,
     )
+    for finding in table.findings:
+        event_log.warn('rollout_rejected', place=finding.place, reason=finding.message)
+    return None if table.findings else order
--- a/src/anvillug/platform/program.py
+++ b/src/anvillug/platform/program.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import pathlib
 
 from anvillug import clock, event_log, findings, ids
@@ -41,10 +42,10 @@
         Exit code: 0 for valid settings, else 2.
     """
     loaded = settings.load(path)
-    if loaded.is_ok():
-        return 0
-    lifetime.print_error(findings.report(loaded.error))
-    return _EXIT_BAD_INPUT
+    if isinstance(loaded, tuple):
+        lifetime.print_error(findings.report(loaded))
+        return _EXIT_BAD_INPUT
+    return 0
 
 
 def run(path: pathlib.Path) -> int:
@@ -66,6 +67,9 @@
     from anvillug.platform import node_start, store  # noqa: PLC0415
     from anvillug.process import error_reports, mesh_node  # noqa: PLC0415
 
+    # What was imported stays; later collections don't search it.
+    gc.freeze()
+    gc.enable()
     error_reports.forward_twisted_errors()
 
     def build(current: mesh_settings.MeshSettings) -> mesh_node.MeshNode:
--- a/src/anvillug/platform/store.py
+++ b/src/anvillug/platform/store.py
@@ -3,15 +3,16 @@
 from __future__ import annotations
 
 import base64
+import io
 import json
 import struct
 from typing import Any
 from urllib import parse as url_parse
 
-import treq
-from treq import client as treq_client
-from twisted.internet import interfaces
+from twisted.internet import defer, interfaces, protocol
+from twisted.python import failure
 from twisted.web import client as web_client
+from twisted.web import http
 
 from anvillug import clock
 from anvillug.connection import keyed_log, tcp_liveness
@@ -44,6 +45,27 @@
 }
 
 
+class _BodyReader(protocol.Protocol):
+    """Collects the body of a response; see Twisted."""
+
+    def __init__(self) -> None:
+        self.body: defer.Deferred[bytes] = defer.Deferred()
+        self._parts: list[bytes] = []
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Keep a part of the body; see Twisted."""
+        self._parts.append(data)
+
+    def connectionLost(self, reason: failure.Failure = protocol.connectionDone) -> None:  # noqa: N802
+        """Complete the body, unless its end is missing; see Twisted."""
+        if self.body.called:
+            return
+        if reason.check(web_client.ResponseDone, http.PotentialDataLoss):
+            self.body.callback(b''.join(self._parts))
+        else:
+            self.body.errback(reason)
+
+
 class Store:
     """Client with persistent connections; see `keyed_log.KeyedLog`.
 
@@ -59,8 +81,10 @@
         endpoint_factory = tcp_liveness.EndpointFactory(
             reactor, clock.to_seconds(_CONNECT_TIMEOUT_MS)
         )
-        agent = web_client.Agent.usingEndpointFactory(reactor, endpoint_factory, pool=self._pool)
-        self._http = treq_client.HTTPClient(agent)
+        # Without treq, whose import takes 15 ms of processor time at each start of a node.
+        self._agent = web_client.Agent.usingEndpointFactory(
+            reactor, endpoint_factory, pool=self._pool
+        )
         self._address = address
 
     async def newest(self, topic: str) -> keyed_log.Batch:
@@ -113,12 +137,13 @@
     ) -> tuple[bytes, int]:
         """Return the body of the response and the era of the store."""
         url = f'http://{self._address}/-/{name}?{url_parse.urlencode(arguments)}'
-        timeout = clock.to_seconds(timeout_ms)
+        producer = None if body is None else web_client.FileBodyProducer(io.BytesIO(body))
         try:
-            response = await self._http.request(method, url, data=body, timeout=timeout)
-            body = treq.content(response)
-            body.addTimeout(clock.to_seconds(_BODY_TIMEOUT_MS), self._reactor)
-            content = await body
+            request = self._agent.request(method.encode(), url.encode(), bodyProducer=producer)
+            response = await self._within(request, timeout_ms)
+            reader = _BodyReader()
+            response.deliverBody(reader)
+            content = await self._within(reader.body, _BODY_TIMEOUT_MS)
             era = int(response.headers.getRawHeaders(_ERA_HEADER, ['0'])[0])
         except Exception as error:
             # Twisted has no common base class of request failures.
@@ -131,6 +156,9 @@
             )
         return content, era
 
+    def _within(self, result: defer.Deferred[Any], timeout_ms: float) -> defer.Deferred[Any]:
+        return result.addTimeout(clock.to_seconds(timeout_ms), self._reactor)
+
 
 def _parse_batch(content: bytes, start: directives.Position) -> keyed_log.Batch:
     end, _first = _BOUNDS.unpack_from(content)
--- a/src/anvillug/process/beacon.py
+++ b/src/anvillug/process/beacon.py
@@ -35,12 +35,18 @@
 # above, the traffic of beacons would grow with the square of the number of nodes in a deployment.
 _FAR_INTERVAL_MS = 2000.0
 _FAR_ROLLOUT_INTERVAL_MS = 1000.0
+# Bytes between zones are charged, so far nodes get full beacons only so often while the state stays
+# the same, and this many times in a row after a change, since datagrams may be lost. Between them,
+# short beacons show that the node is live.
+_FAR_UNCHANGED_INTERVAL_MS = 8000.0
+_FAR_REPEATS = 3
 # Relative change of the slowness, and absolute change of the share of faulty runs, above which the
 # load is sent at the next tick.
 _SLOWNESS_CHANGE_RATIO = 0.2
 _FAULT_SHARE_CHANGE = 0.1
 _MAX_BEACONS_PER_SECOND = 120.0  # bounds the CPU time as nodes are added
 _MS_PER_SECOND = 1000.0
+_NEVER = clock.Milliseconds(0)
 _PERCENT = 100
 MAX_BYTES = 2400
 """Maximum size of a datagram; it is fragmented above 1200 bytes."""
@@ -118,10 +124,13 @@
         self._sequence = 0
         self._malformed_count = 0
         self._last_sent_load: dialect.ReportedLoad | None = None
-        self._load_sent_at = clock.Milliseconds(0)
-        self._near_sent_at = clock.Milliseconds(0)
-        self._other_zones_sent_at = clock.Milliseconds(0)
-        self._far_sent_at = clock.Milliseconds(0)
+        self._load_sent_at = _NEVER
+        self._near_sent_at = _NEVER
+        self._other_zones_sent_at = _NEVER
+        self._far_sent_at = _NEVER
+        self._far_full_sent_at = _NEVER
+        self._far_state: Any = None
+        self._far_repeats_left = 0
         # Updated for each full beacon, and reused for the load beacons between them.
         self._targets = peer_table.BeaconTargets([], [], [])
 
@@ -144,12 +153,13 @@
     def send_far(self) -> None:
         """Send a full beacon at once to the nodes that `send_near` leaves out."""
         self._update_targets()
-        self._far_sent_at = self._clock.now()
+        now = self._clock.now()
+        self._far_sent_at = now
+        self._far_full_sent_at = now
         if self._targets.far:
-            self._send(
-                encode(self._next_announcement(_FAR_INTERVAL_MS), self._extra_state()),
-                self._targets.far,
-            )
+            extra_state = self._extra_state()
+            announcement = self._next_announcement(_FAR_INTERVAL_MS)
+            self._send(encode(announcement, extra_state), self._targets.far)
 
     def datagramReceived(self, datagram: bytes, addr: Any) -> None:  # noqa: N802
         """Receive a beacon; see Twisted."""
@@ -177,8 +187,8 @@
         self._on_extra_state(announcement, extra_state)
 
     @property
-    def _min_interval_ms(self) -> float:
-        """Shortest interval between beacons that keeps their rate within the limit."""
+    def min_interval_ms(self) -> float:
+        """Shortest interval in milliseconds between beacons that keeps their rate in the limit."""
         return len(self._targets.near) * _MS_PER_SECOND / _MAX_BEACONS_PER_SECOND
 
     def _tick(self) -> None:
@@ -188,16 +198,36 @@
         need = self._need()
         urgent = need is Need.AT_ONCE
         interval_ms = _ROLLOUT_INTERVAL_MS if urgent else _FULL_INTERVAL_MS
-        if now - self._near_sent_at >= max(interval_ms, self._min_interval_ms):
+        if now - self._near_sent_at >= max(interval_ms, self.min_interval_ms):
             is_due = now - self._other_zones_sent_at >= _OTHER_ZONES_INTERVAL_MS
             if is_due or need is not Need.NONE:
                 self.send_near()
             else:
                 self._send_near_by_zone()
             self._peers.expire_peers()
-        elif now - self._load_sent_at >= self._min_interval_ms:
+        elif now - self._load_sent_at >= self.min_interval_ms:
             self._send_load_if_due(now)
         if now - self._far_sent_at >= (_FAR_ROLLOUT_INTERVAL_MS if urgent else _FAR_INTERVAL_MS):
+            self._repeat_far(now, need)
+
+    def _repeat_far(self, now: clock.Milliseconds, need: Need) -> None:
+        """Send far nodes a full beacon if they may lack a part of the state, else a short one."""
+        state = _far_state(self._local_announcement(), self._extra_state())
+        if state != self._far_state:
+            self._far_state = state
+            self._far_repeats_left = _FAR_REPEATS
+        if (
+            need is Need.NONE
+            and not self._far_repeats_left
+            and now - self._far_full_sent_at < _FAR_UNCHANGED_INTERVAL_MS
+        ):
+            self._update_targets()
+            self._far_sent_at = now
+            # Far nodes select among the hosts of their own zone, so they need no load.
+            announcement = dataclasses.replace(self._next_announcement(), load=None, load_age_ms=0)
+            self._send(encode_load(announcement), self._targets.far)
+        else:
+            self._far_repeats_left = max(0, self._far_repeats_left - 1)
             self.send_far()
 
     def _send_near_by_zone(self) -> None:
@@ -214,7 +244,7 @@
         self._near_sent_at = now
         self._load_sent_at = now
         announcement = self._next_announcement(
-            max(peer_table.NEAR_BEACON_INTERVAL_MS, self._min_interval_ms)
+            max(peer_table.NEAR_BEACON_INTERVAL_MS, self.min_interval_ms)
         )
         self._last_sent_load = announcement.load
         return announcement
@@ -265,6 +295,21 @@
                 event_log.warn('beacon_not_sent', peer=host, reason=error)
 
 
+def _far_state(announcement: peer_table.Announcement, extra_state: ExtraState) -> Any:
+    """Return what far nodes have to learn when it changes: all but the load and the times."""
+    lasting = dataclasses.replace(announcement, sequence=0, load=None, load_age_ms=0)
+    return lasting, _without_times(extra_state)
+
+
+def _without_times(content: Any) -> Any:
+    """Return a content without its floats, which are times that grow or shrink."""
+    if isinstance(content, dict):
+        return {name: _without_times(entry) for name, entry in content.items()}
+    if isinstance(content, (list, tuple)):
+        return [_without_times(entry) for entry in content]
+    return None if isinstance(content, float) else content
+
+
 def _differs_enough(load: dialect.ReportedLoad | None, sent: dialect.ReportedLoad | None) -> bool:
     """Return whether a load differs from the one sent last by enough to be sent at once."""
     if load is None or sent is None:
--- a/src/anvillug/process/commands/arguments.py
+++ b/src/anvillug/process/commands/arguments.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Mapping
 from typing import Any, NewType
 
-from anvillug import validation
+from anvillug import network_address
 
 Address = NewType('Address', str)
 """IP:port of another process."""
@@ -36,7 +36,7 @@
 
 def _checked_address(text: str, lowest_port: int) -> str:
     try:
-        return validation.check_address(text, lowest_port=lowest_port)
+        return network_address.check_address(text, lowest_port=lowest_port)
     except ValueError as error:
         raise argparse.ArgumentTypeError(f'{error}, got {text!r}') from None
 
--- a/src/anvillug/process/member_records.py
+++ b/src/anvillug/process/member_records.py
@@ -14,7 +14,7 @@
 import msgpack
 from twisted.internet import defer, interfaces, task
 
-from anvillug import event_log, ids, validation, wire_value
+from anvillug import event_log, ids, network_address, wire_value
 from anvillug.connection import keyed_log
 from anvillug.process import leave_record, leave_recovery, peer_table, upstream
 from anvillug.version import directives
@@ -268,7 +268,7 @@
 
 
 def _address(content: object) -> str:
-    return validation.check_address(wire_value.text(content, 'address'))
+    return network_address.check_address(wire_value.text(content, 'address'))
 
 
 def _fail_not_stored(result: object, timeout_s: float) -> None:
--- a/src/anvillug/process/mesh_node.py
+++ b/src/anvillug/process/mesh_node.py
@@ -149,7 +149,11 @@
         )
         self.active_directives.add_listener(self._directives_changed)
         self._probe = upstream_probe.UpstreamProbe(
-            reactor, time, self.host, header_dialect, settings.bounds.probes_per_second
+            reactor,
+            time,
+            self.host,
+            header_dialect,
+            settings.bounds.probes_per_second,
         )
         self._records = member_records.MemberRecords(
             reactor,
--- a/src/anvillug/process/settings_watch.py
+++ b/src/anvillug/process/settings_watch.py
@@ -7,8 +7,6 @@
 from collections.abc import Callable
 from typing import Any, NewType
 
-import expression
-
 from anvillug import clock, event_log, findings
 from anvillug.process import mesh_settings
 
@@ -24,7 +22,7 @@
 
 _NO_FILE = Version((0, 0))
 
-Loader = Callable[[pathlib.Path], expression.Result[mesh_settings.MeshSettings, findings.Findings]]
+Loader = Callable[[pathlib.Path], mesh_settings.MeshSettings | findings.Findings]
 
 
 def load_at_start(
@@ -44,10 +42,10 @@
     while True:
         version = _version_of(path)
         loaded = load(path)
-        if loaded.is_ok():
+        if not isinstance(loaded, tuple):
             log.write_end()
-            return version, loaded.ok
-        log.write(loaded.error)
+            return version, loaded
+        log.write(loaded)
         is_being_written = log.duration_ms < _WRITING_MS
         system_time.sleep(_WRITING_CHECK_S if is_being_written else _CHECK_INTERVAL_S)
 
@@ -141,18 +139,18 @@
     def _read(self) -> None:
         self._version = _version_of(self._path)
         loaded = self._load(self._path)
-        if loaded.is_error():
-            for finding in loaded.error:
+        if isinstance(loaded, tuple):
+            for finding in loaded:
                 if finding not in self._rejected:
                     event_log.warn('settings_rejected', place=finding.place, reason=finding.message)
-            self._rejected = loaded.error
+            self._rejected = loaded
             return
         self._rejected = ()
-        changed = mesh_settings.differences(self._current, loaded.ok)
+        changed = mesh_settings.differences(self._current, loaded)
         event_log.emit('settings_applied', changed=','.join(changed))
         if changed:
-            self._current = loaded.ok
-            self._apply(loaded.ok)
+            self._current = loaded
+            self._apply(loaded)
 
     def _check(self) -> None:
         # First, so that a failure does not end the task.
--- a/src/anvillug/process/upstream_probe.py
+++ b/src/anvillug/process/upstream_probe.py
@@ -9,12 +9,16 @@
 from anvillug.process import mesh_host, upstream
 from anvillug.request import dialect
 
-INTERVAL_MS = 50.0
-"""Age of the reported load from which a health check is sent."""
+_MIN_INTERVAL_MS = 50.0
+# Age of the reported load from which a health check is sent. A host judges jobs by a load that is
+# less than 120 ms old, and the response takes some milliseconds.
+_MAX_LOAD_AGE_MS = 100.0
 
 # Interval of health checks while responses report the load: only a health check shows that the
 # backend server has become cold.
 _MAX_INTERVAL_MS = 200.0
+# Shortest pause before the age is checked again: timers that fire early would be busy.
+_MIN_PAUSE_MS = 5.0
 _TIMEOUT_S = 0.5
 _MS_PER_SECOND = 1000.0
 
@@ -42,7 +46,7 @@
         self._clock = time
         self._host = host
         self._dialect = header_dialect
-        self._interval_ms = max(INTERVAL_MS, 2 * _MS_PER_SECOND / max(1.0, max_per_second))
+        self._interval_ms = max(_MIN_INTERVAL_MS, 2 * _MS_PER_SECOND / max(1.0, max_per_second))
         self._request: _HealthRequest | None = None
         self._reports_load = True
         self._sent_at = clock.Milliseconds(0)
@@ -52,21 +56,32 @@
         self._reactor.callLater(clock.to_seconds(self._interval_ms), self._tick)
 
     def _tick(self) -> None:
-        # If health checks report no load, they are sent once per second.
-        pause_ms = self._interval_ms if self._reports_load else _MS_PER_SECOND
+        now = self._clock.now()
+        due_ms = self._due_ms(now)
         # First, so that a failure does not end the task.
-        self._reactor.callLater(clock.to_seconds(pause_ms), self._tick)
+        self._reactor.callLater(clock.to_seconds(self._pause_ms(due_ms)), self._tick)
         backend = self._host.upstream
         policy = self._host.policy()
-        now = self._clock.now()
-        stale = backend.load_age_ms >= self._interval_ms or now - self._sent_at >= _MAX_INTERVAL_MS
         serving = backend.state is upstream.UpstreamState.SERVING
-        if serving and stale and policy is not None and self._request is None:
+        if due_ms <= 0 and serving and policy is not None and self._request is None:
             self._sent_at = now
             self._request = _HealthRequest(self, policy.health_path, policy.name)
             self._host.pool().acquire(self._request.connected, self._request.unreachable)
             self._reactor.callLater(_TIMEOUT_S, self._request.expire)
 
+    def _due_ms(self, now: clock.Milliseconds) -> float:
+        """Return the time until a health check is due; 0 or less if it is."""
+        since_sent_ms = now - self._sent_at
+        age_ms = self._host.upstream.load_age_ms
+        due_ms = min(_MAX_LOAD_AGE_MS - age_ms, _MAX_INTERVAL_MS - since_sent_ms)
+        return max(due_ms, self._interval_ms - since_sent_ms)
+
+    def _pause_ms(self, due_ms: float) -> float:
+        # If health checks report no load, they are sent once per second.
+        if not self._reports_load:
+            return _MS_PER_SECOND
+        return max(due_ms, _MIN_PAUSE_MS) if due_ms > 0 else self._interval_ms
+
     def is_copy(self, head: http_head.ResponseHead) -> bool:
         """Return whether a response is a late copy of the response to a call."""
         return bool(self._dialect.echoed_id(head))
--- a/src/anvillug/wire_value.py
+++ b/src/anvillug/wire_value.py
@@ -9,7 +9,7 @@
 import math
 from typing import Any
 
-from anvillug import validation
+from anvillug import network_address
 
 
 def integer(content: Any, name: str) -> int:
@@ -66,7 +66,7 @@
 def address(content: Any, name: str) -> str:
     """Return an address as IP:port; raises ValueError if it has no port."""
     _, _, port = text(content, name).rpartition(':')
-    if not validation.is_port(port):
+    if not network_address.is_port(port):
         raise ValueError(f'{name} must be IP:port, got {content!r}')
     return content
 
--- a/tests/test_beacon.py
+++ b/tests/test_beacon.py
@@ -210,13 +210,14 @@
         self.need = beacon.Need.NONE
         self.table = peer_table.PeerTable(_LOCAL_HOST, self.time)
         self.reply: beacon.ExtraState = {}
+        self.extra_state: beacon.ExtraState = {}
         self.sent: list[tuple[str, beacon.Message]] = []
         self.task = beacon.BeaconTask(
             self.reactor,
             self.time,
             lambda: announcement(host_id=_LOCAL_HOST, zone='z'),
             self.table,
-            dict,
+            lambda: self.extra_state,
             lambda *_: None,
             lambda: self.need,
             lambda *_: self.reply,
@@ -335,6 +336,46 @@
         assert sender.counts('other') == (1, 0)
 
 
+class TestFarNodes:
+    """Guards against state that is repeated to far nodes, and against changes that they miss."""
+
+    @pytest.fixture
+    def sender(self):
+        """Return a sender that knows a zone of far nodes, and has told them its state."""
+        sender = _Sender()
+        for number in range(7):
+            sender.receive(f'far{number}', 'y')
+        sender.advance(10_000)
+        sender.counts('far6')
+        return sender
+
+    def test_unchanged_state_is_repeated_rarely(self, sender):
+        sender.extra_state = {'age': 1.5}
+        sender.advance(2000)
+        sender.counts('far6')
+        sender.advance(6000)
+        sender.counts('far6')
+        for age in range(16):
+            sender.extra_state = {'age': float(age)}
+            sender.advance(1000)
+        assert sender.counts('far6') == (2, 6)
+
+    def test_change_is_repeated_since_datagrams_may_be_lost(self, sender):
+        sender.extra_state = {'count': 1}
+        sender.advance(6000)
+        assert sender.counts('far6') == (3, 0)
+
+    def test_counts_of_a_rollout_are_always_sent(self, sender):
+        sender.need = beacon.Need.SOON
+        sender.advance(6000)
+        assert sender.counts('far6') == (3, 0)
+
+    def test_node_stays_live(self, sender):
+        for _ in range(10):
+            sender.advance(2000)
+            assert sum(sender.counts('far6')) == 1
+
+
 class TestFirstContact:
     """Guards against a node that learns of its peers only by their next repeated beacon."""
 
--- a/tests/test_settings_watch.py
+++ b/tests/test_settings_watch.py
@@ -5,7 +5,6 @@
 import dataclasses
 import pathlib
 
-import expression
 import pytest
 from twisted.internet import task
 
@@ -54,10 +53,10 @@
 def _load(time: _Time, valid_from_ms: float, *found: findings.Finding):
     """Return a loader of a file that has findings until a time."""
 
-    def load(path: pathlib.Path) -> expression.Result:
+    def load(path: pathlib.Path) -> findings.Findings | str:
         if time.now() < valid_from_ms:
-            return expression.Error(found)
-        return expression.Ok('settings')
+            return found
+        return 'settings'
 
     return load
 
@@ -100,7 +99,7 @@
     def __init__(self, path: pathlib.Path) -> None:
         path.write_text('changed')
         self.reactor = task.Clock()
-        self.results: list[expression.Result] = []
+        self.results: list[findings.Findings | mesh_settings.MeshSettings] = []
         self.applied: list[mesh_settings.MeshSettings] = []
         former = test_mesh_host.settings()
         self.changed = dataclasses.replace(former, service='changed')
@@ -113,12 +112,12 @@
         for _ in range(count):
             self.reactor.advance(1)
 
-    def _load(self, path: pathlib.Path) -> expression.Result:
-        return self.results.pop(0) if self.results else expression.Ok(self.changed)
+    def _load(self, path: pathlib.Path) -> findings.Findings | mesh_settings.MeshSettings:
+        return self.results.pop(0) if self.results else self.changed
 
 
-def _errors(count: int, *found: findings.Finding) -> list[expression.Result]:
-    return [expression.Error(found) for _ in range(count)]
+def _errors(count: int, *found: findings.Finding) -> list[findings.Findings]:
+    return [found for _ in range(count)]
 
 
 @pytest.fixture
