--- a/tests/duty_fleet.py
+++ b/tests/duty_fleet.py
@@ -8,7 +8,7 @@
 
 from anvillug import clock, ids
 from anvillug.connection import keyed_log
-from anvillug.process import duty_holder, duty_settings, duty_state, true_time
+from anvillug.process import duty_holder, duty_record, duty_settings, duty_state, true_time
 from anvillug.version import directives
 
 SETTINGS = duty_settings.DutySettings('10.0.0.1:80', 3000.0, 5000.0, 10_000.0)
@@ -232,3 +232,9 @@
         first = int((START_MS + since_ms) // SETTINGS.window_ms)
         last = int((START_MS + until_ms - SETTINGS.late_ms) // SETTINGS.window_ms)
         return list(range(first, last))
+
+
+def record_of(process: tuple[ids.HostId, ids.Incarnation]) -> duty_record.DutyRecord:
+    """Return the first record of a holder."""
+    end = directives.Position(0, 0)
+    return duty_record.take_over(None, end, process, START_MS, 5000, 10_000)
--- a/tests/test_mesh_host.py
+++ b/tests/test_mesh_host.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from unittest import mock
+
 import pytest
 from twisted.internet import testing
 
@@ -153,6 +155,26 @@
         assert not host_side.rejection_reason()
 
 
+class TestRunListeners:
+    """Guards against usage that counts requests which the backend server has not run."""
+
+    @pytest.mark.parametrize('kind', [job.ResultKind.SHED, job.ResultKind.UNKNOWN])
+    def test_sent_request_is_counted_unless_it_has_not_run(self, kind):
+        host_side = _HostSide(cold_ms=0)
+        sent: list[tuple[job.Job, float]] = []
+        not_begun: list[tuple[job.Job, float]] = []
+        host_side.host.on_run_sent = lambda *run: sent.append(run)
+        host_side.host.on_run_not_begun = lambda *run: not_begun.append(run)
+        work = host_side.job()
+        host_side.host.submit(work, lambda _: None)
+        assert not sent
+        run = next(iter(host_side.host._runs))  # noqa: SLF001
+        run._connected(mock.MagicMock(requests_sent=0))  # noqa: SLF001
+        run._finish(job.Result(kind))  # noqa: SLF001
+        assert sent == [(work, host_side.time.now())]
+        assert not_begun == (sent if kind is job.ResultKind.SHED else [])
+
+
 class TestFailedRecord:
     """Guards against a failure to count a run that costs its caller the answer."""
 
--- a/tests/test_specs.py
+++ b/tests/test_specs.py
@@ -9,10 +9,11 @@
 
 from anvillug import ids
 from anvillug.request import call_table, claim
-from specs import call_outcome, config_fold
+from specs import call_outcome, config_fold, duty_holder
 
 OUTCOME = call_outcome.Mutation
 CONFIG = config_fold.Mutation
+DUTY = duty_holder.Mutation
 KIND = call_table.ResolutionKind
 KEY = ids.IdempotencyKey('k')
 INCARNATION = ids.Incarnation(1)
@@ -35,7 +36,7 @@
 class TestSpecifications:
     """Guards against a protocol that violates an invariant in some order of events."""
 
-    @pytest.mark.parametrize('spec', [call_outcome, config_fold])
+    @pytest.mark.parametrize('spec', [call_outcome, config_fold, duty_holder])
     def test_invariants_hold_in_every_reachable_state(self, spec):
         report = minicheck.check_safety(spec.protocol(), max_states=spec.MAX_STATES)
         print(spec.__name__, 'states:', report['reachable_states'])  # shown by pytest -s
@@ -53,6 +54,11 @@
             (call_outcome, OUTCOME.UNMATCHED_ANSWERS, 'answer_belongs'),
             (config_fold, CONFIG.ANY_SNAPSHOT, 'never_reverts'),
             (config_fold, CONFIG.SNAPSHOT_OFFSET, 'readers_agree'),
+            (duty_holder, DUTY.UNCONDITIONAL_APPEND, 'one_report'),
+            (duty_holder, DUTY.SENT_BEFORE_FIXED, 'one_report'),
+            (duty_holder, DUTY.FIXED_AGAIN, 'one_report'),
+            (duty_holder, DUTY.KEPT_TOKEN, 'tokens_differ'),
+            (duty_holder, DUTY.KEPT_TOKEN, 'tokens_increase'),
         ],
     )
     def test_injected_fault_produces_a_counterexample(self, spec, mutation, invariant):
--- /dev/null
+++ b/tests/test_usage_counts.py
@@ -0,0 +1,161 @@
+"""Tests of the counts of requests, and of how they reach the holder of the duty."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from twisted.internet import task
+
+from anvillug import clock, ids
+from anvillug.platform import cloud, duty_settings
+from anvillug.process import (
+    duty_holder,
+    duty_state,
+    peer_table,
+    true_time,
+    usage_counts,
+    usage_exchange,
+    usage_wire,
+)
+from anvillug.version import directives
+from tests import duty_fleet
+
+_T = duty_fleet.TENANT
+_W = usage_counts.Window(7)
+_FIRST = (ids.HostId('h'), ids.Incarnation(1))
+_SECOND = (ids.HostId('h'), ids.Incarnation(2))
+
+
+class TestCounts:
+    """Guards against requests that are counted twice, or lost with a restarted process."""
+
+    def test_changed_counts_are_totals(self):
+        counts = usage_counts.LocalCounts(2)
+        counts.add(_W, _T)
+        assert counts.take_changed() == {_W: {_T: 1}}
+        counts.add(_W, _T)
+        assert counts.take_changed() == {_W: {_T: 2}}
+        assert counts.take_changed() == {}
+
+    def test_request_that_has_not_run_is_removed(self):
+        counts = usage_counts.LocalCounts(2)
+        counts.add(_W, _T)
+        counts.add(_W, _T, -1)
+        assert counts.take_changed() == {_W: {_T: 0}}
+
+    def test_windows_are_bounded(self):
+        counts = usage_counts.LocalCounts(2)
+        for number in range(9):
+            counts.add(usage_counts.Window(number), _T)
+        assert list(counts.by_window) == [7, 8]
+
+    def test_repeated_and_former_counts(self):
+        collected = usage_counts.CollectedCounts(2)
+        for _ in range(2):
+            collected.receive(_FIRST, {_W: {_T: 3}})
+            collected.receive(_SECOND, {_W: {_T: 4}})
+        assert collected.total(_W) == {_T: 7}
+
+
+class TestTrueTime:
+    """Guards against a node that counts in wrong windows since its clock was set."""
+
+    def test_own_clock_is_outvoted(self):
+        time = clock.ManualClock(100, 1_005_000)
+        estimate = true_time.TrueTime(time)
+        for number in range(3):
+            estimate.record(ids.HostId(str(number)), 1_000_000 + number)
+        assert 1_000_000 < estimate.now() < 1_000_003
+
+    def test_silent_peers_are_left_out(self):
+        time = clock.ManualClock(0, 2000)
+        estimate = true_time.TrueTime(time)
+        estimate.record(ids.HostId('a'), clock.Milliseconds(9_000_000))
+        time.advance(60_000)
+        assert estimate.now() == time.wall()
+
+
+class TestWire:
+    """Guards against malformed counts that fail later, in the task of the holder."""
+
+    def test_unpacked_as_packed(self):
+        counts = {_W: {_T: 3}}
+        assert usage_wire.unpack(usage_wire.pack(_FIRST, counts)) == (_FIRST, counts)
+
+    @pytest.mark.parametrize(
+        'content',
+        [b'', b'\xc0', usage_wire.pack(_FIRST, {_W: {_T: -1}}), usage_wire.pack((1, 2), {})],
+    )
+    def test_malformed(self, content):
+        with pytest.raises(usage_wire.MalformedError):
+            usage_wire.unpack(content)
+
+
+class TestExchange:
+    """Guards against counts that go to a former holder, or that a new one lacks."""
+
+    def test_counts_are_collected_with_the_duty_only(self):
+        time = clock.ManualClock(0, 35_000)
+        state = duty_state.DutyState(_FIRST, duty_fleet.SETTINGS)
+        exchange = usage_exchange.UsageExchange(
+            task.Clock(),
+            true_time.TrueTime(time),
+            duty_fleet.SETTINGS,
+            state,
+            peer_table.PeerTable(_FIRST[0], time),
+            lambda _: None,
+            time.wall,
+        )
+        exchange._count(_T, clock.Milliseconds(10), 1)  # noqa: SLF001 - without a complete job
+        assert not exchange.receive(usage_wire.pack(_SECOND, {_W: {_T: 4}}))
+        end = directives.Position(0, 0)
+        state.observe(None, end, time.now())
+        record = duty_fleet.record_of(_FIRST)
+        state.written(record, end, time.now(), time.now())
+        exchange.holder_changed()
+        assert exchange.announced() == [35_000, record.token]
+        exchange.start()
+        assert exchange.receive(usage_wire.pack(_SECOND, {_W: {_T: 4}}))
+        assert exchange.total(_W) == {_T: 5}
+        state.observe(duty_fleet.record_of(_SECOND), directives.Position(0, 2), time.now())
+        exchange.holder_changed()
+        assert (exchange.total(_W), exchange.announced()) == ({}, [35_000, 0])
+
+
+class TestPlatform:
+    """Guards against settings that are half there, and statuses that are misread."""
+
+    _CLOUD = {'Address': '10.0.0.1:80', 'Duties': ['usage_report']}
+    _BOUNDS = {'LeaseMs': 3000, 'UsageWindowS': 5, 'UsageLateS': 10}
+
+    def test_complete(self):
+        assert self._load(self._CLOUD, self._BOUNDS).ok == duty_fleet.SETTINGS
+
+    @pytest.mark.parametrize('platform_cloud', [None, {'Duties': ['other']}])
+    def test_without_the_duty(self, platform_cloud):
+        assert self._load(platform_cloud, {}).ok is None
+
+    @pytest.mark.parametrize(
+        ('platform_cloud', 'bounds', 'place'),
+        [
+            (7, _BOUNDS, 'Platform.Cloud'),
+            ({**_CLOUD, 'Duties': 7}, _BOUNDS, 'Platform.Cloud.Duties'),
+            ({**_CLOUD, 'Address': 'x'}, _BOUNDS, 'Platform.Cloud.Address'),
+            (_CLOUD, {**_BOUNDS, 'LeaseMs': 0}, 'Terms.Bounds.LeaseMs'),
+            (_CLOUD, {**_BOUNDS, 'UsageLateS': 'x'}, 'Terms.Bounds.UsageLateS'),
+        ],
+    )
+    def test_finding_names_its_place(self, platform_cloud, bounds, place):
+        found = self._load(platform_cloud, bounds).error
+        assert f'node.json: {place}' in [finding.place for finding in found]
+
+    def test_statuses(self):
+        outcome = duty_holder.ReportOutcome
+        outcomes = [cloud.outcome_of(status) for status in (200, 409, 429, 503, 400)]
+        unknown = outcome.UNKNOWN
+        assert outcomes == [outcome.ACCEPTED, outcome.FENCED, unknown, unknown, outcome.REJECTED]
+
+    def _load(self, platform_cloud, bounds):
+        document = {'Platform': {'Cloud': platform_cloud}, 'Terms': {'Bounds': bounds}}
+        return duty_settings.load(json.dumps(document).encode(), 'node.json')
