--- a/tests/test_mesh_host.py
+++ b/tests/test_mesh_host.py
@@ -216,7 +216,7 @@
 
     @pytest.mark.parametrize('kind', [job.ResultKind.SHED, job.ResultKind.UNKNOWN])
     def test_sent_request_is_counted_unless_it_has_not_run(self, kind):
-        host_side = _HostSide(cold_ms=0)
+        host_side = HostSide(cold_ms=0)
         sent: list[tuple[job.Job, float]] = []
         not_begun: list[tuple[job.Job, float]] = []
         host_side.host.on_run_sent = lambda *run: sent.append(run)
