--- a/src/anvillug/standin/platform_backend.py
+++ b/src/anvillug/standin/platform_backend.py
@@ -39,6 +39,8 @@
     """Duration of a request."""
     slowness: int = 100
     """Slowness in the load header, in percent of the typical duration of work."""
+    padding_bytes: int = 0
+    """Bytes that each response to a request that has run holds in addition."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -174,4 +176,4 @@
             request.write(b'half')
             self._reactor.callLater(0.01, request.transport.loseConnection)
             await defer.Deferred()  # klein cancels it when the connection is closed
-        return f'{self.instance} {len(body)}'.encode()
+        return f'{self.instance} {len(body)}'.encode() + bytes(self.faults.padding_bytes)
