Connections: one account of memory, and limits on time and number of clients

Cause: nothing counted what a process holds for all its clients together. A head of short lines took sixteen times its size, requests sent ahead some twenty times theirs; responses that were not read and their buffers stayed until the collector ran; accepted connections used up the descriptors. Change: one account, a quarter of the memory of the machine (64 MB where it is not known), for incomplete heads, requests that wait, responses in turn, unread responses, bodies, and jobs of other nodes. Past it, the connections that hold most for longest are closed, and bodies and jobs are rejected as not run. Heads of over 64 lines are kept as bytes. Reads are of 8 KiB except for bodies. Heads (408), idle connections and readers without progress are limited in time by the configuration with a margin, and callers' connections by half of the descriptors. After a rejection, requests sent ahead don't overlap for a second.

--- a/src/anvillug/connection/http_head.py
+++ b/src/anvillug/connection/http_head.py
@@ -10,7 +10,9 @@
 import enum
 from collections.abc import Collection, Iterable
 
-Header = tuple[bytes, bytes]
+from anvillug.connection import header_lines
+
+Header = header_lines.Header
 
 _HOP_BY_HOP = frozenset(
     (
@@ -66,7 +68,7 @@
 
     method: bytes
     target: bytes
-    headers: list[Header]
+    headers: list[Header] | header_lines.HeaderLines
     keep_alive: bool = True
     supports_chunked: bool = True
     """Whether the sender accepts a chunked response and status 100; False before HTTP/1.1."""
@@ -87,6 +89,8 @@
     def get(self, name: bytes) -> bytes | None:
         """Return the first value of a header, None if it is absent; the name is in lower case."""
         if self._by_name is None:
+            if isinstance(self.headers, header_lines.HeaderLines):
+                return self.headers.first(name)
             self._by_name = _index_by_name(self.headers)
         return self._by_name.get(name)
 
--- a/src/anvillug/connection/http_listener.py
+++ b/src/anvillug/connection/http_listener.py
@@ -11,7 +11,7 @@
 from twisted.internet import error, interfaces, protocol, tcp
 from twisted.python import failure
 
-from anvillug.connection import http_exchange, http_server
+from anvillug.connection import client_guard, http_exchange, http_server
 
 # Option of Linux, which the module socket doesn't name.
 _SO_ATTACH_FILTER = 26
@@ -40,6 +40,7 @@
             connection are unanswered; without it, none may.
         answers_half_closed: Whether a client that closes its end may still await responses;
             otherwise it has left.
+        guard: Limits of the clients; without it, only the size of heads is limited.
     """
 
     noisy = False
@@ -51,24 +52,30 @@
         may_overlap: http_server.MayOverlap | None = None,
         *,
         answers_half_closed: bool = True,
+        guard: client_guard.ClientGuard | None = None,
     ) -> None:
+        self.max_head_bytes = max_head_bytes
+        """Maximum size of a request head in bytes on connections to come."""
+        self._guard = guard
         self.request_count = 0
         """Number of requests that have begun."""
         self._on_request = on_request
-        self._max_head_bytes = max_head_bytes
         self._may_overlap = may_overlap
         self._answers_half_closed = answers_half_closed
         self._open_connections: set[http_server.ServerConnection] = set()
         self._closes_after_responses = False
 
-    def buildProtocol(self, addr: object) -> http_server.ServerConnection:  # noqa: N802
-        """Return the protocol of a new connection; see Twisted."""
+    def buildProtocol(self, addr: object) -> http_server.ServerConnection | None:  # noqa: N802
+        """Return the protocol of a new connection, None to close it; see Twisted."""
+        if self._guard is not None and not self._guard.has_room(self._open_connections):
+            return None
         connection = http_server.ServerConnection(
             self._begin_request,
-            self._max_head_bytes,
+            self.max_head_bytes,
             self._open_connections,
             self._may_overlap,
             answers_half_closed=self._answers_half_closed,
+            account=None if self._guard is None else self._guard.account,
         )
         if self._closes_after_responses:
             connection.close_after_responses()
@@ -96,6 +103,11 @@
         for connection in tuple(self._open_connections):
             connection.close_when_idle()
 
+    def check_clients(self) -> None:
+        """Apply the time limits to the open connections."""
+        if self._guard is not None:
+            self._guard.check(self._open_connections)
+
     # Private
 
     def _begin_request(self, exchange: http_exchange.ServerExchange) -> None:
--- a/src/anvillug/connection/http_server.py
+++ b/src/anvillug/connection/http_server.py
@@ -17,10 +17,12 @@
 
 from anvillug import event_log
 from anvillug.connection import (
+    client_limits,
     half_close,
     http_exchange,
     http_head,
     late_close,
+    memory_account,
     request_parser,
     response_slot,
     step_queue,
@@ -37,6 +39,7 @@
 # No further request begins while responses of this size wait for their turn.
 _MAX_HELD_BYTES = 1024 * 1024
 _STATUS_BAD_REQUEST = 400
+_STATUS_REQUEST_TIMEOUT = 408
 _STATUS_SERVER_ERROR = 500
 _STATUS_GATEWAY_TIMEOUT = 504
 # Nodes check their connections every 50 or 100 ms while they stop, so that the rest of a request is
@@ -48,6 +51,12 @@
 # After this many such turns, it drops requests behind an unanswered one, whose response announces
 # the close.
 _MAX_FULL_TURNS = 20
+# Size of one read. What has been read is parsed at once, and requests that are sent ahead take some
+# twenty times their size until they begin; bodies are read in larger parts.
+_READ_BYTES = 8 * 1024
+_BODY_READ_BYTES = 64 * 1024
+# Estimated memory of one step that waits.
+_STEP_BYTES = 1024
 _numbers = itertools.count(1)
 
 MayOverlap = Callable[[http_head.RequestHead], bool]
@@ -67,6 +76,7 @@
             that are unanswered again.
         answers_half_closed: Whether a client that closes its end may still await responses; see
             `half_close`. Otherwise it has left.
+        account: Account of the memory that is held for the connection.
     """
 
     def __init__(
@@ -77,7 +87,12 @@
         may_overlap: MayOverlap | None = None,
         *,
         answers_half_closed: bool = True,
+        account: memory_account.MemoryAccount | None = None,
     ) -> None:
+        self.wait = client_limits.Wait()
+        """What the connection was seen to wait for; see `client_limits`."""
+        self._account = account
+        self._is_charged = False
         self._number = next(_numbers)
         self._on_request = on_request
         self._open_connections = open_connections
@@ -97,6 +112,8 @@
         self._reading_paused_by: response_slot.ResponseSlot | None = None
         self._writes_paused = False
         self._is_new = True
+        self._begun_count = 0
+        self._reads_body = False
         self._asked_to_close = False
         # Whether the connection closes once all requests that have arrived are answered.
         self._closes_after_responses = False
@@ -134,6 +151,7 @@
     def connectionMade(self) -> None:  # noqa: N802
         """Register for write backpressure; see Twisted."""
         self._open_connections.add(self)
+        self.transport.bufferSize = _READ_BYTES
         self.transport.setTcpNoDelay(True)
         self.transport.setTcpKeepAlive(True)
         self.transport.registerProducer(self, True)  # noqa: FBT003
@@ -152,6 +170,8 @@
             self._run_pending()
         finally:
             write_batch.BATCH.end()
+        if self._is_charged or self._parser.is_receiving or self._pending.count:
+            self.held_changed()
 
     def readConnectionLost(self) -> None:  # noqa: N802
         """Answer the requests that have arrived, since the client has closed its end; see Twisted.
@@ -183,6 +203,8 @@
     def connectionLost(self, reason: object = None) -> None:  # noqa: N802
         """Notify the handlers of unfinished requests; see Twisted."""
         self._disconnected = True
+        write_batch.drop_unsent_bytes(self.transport)
+        self.held_changed()
         self._paused_watch.end()
         if self._half_close is not None:
             self._half_close.end()
@@ -236,10 +258,12 @@
     def pauseProducing(self) -> None:  # noqa: N802
         """Pause the sender of the first response: the write buffer is full; see Twisted."""
         self._pause_writes(paused=True)
+        self.held_changed()
 
     def resumeProducing(self) -> None:  # noqa: N802
         """Resume the sender of the first response: the write buffer has drained; see Twisted."""
         self._pause_writes(paused=False)
+        self.held_changed()
 
     def stopProducing(self) -> None:  # noqa: N802
         """Do nothing: `connectionLost` follows; see Twisted."""
@@ -252,6 +276,8 @@
             write_batch.BATCH.write(self.transport, data)
             if self._half_close is not None:
                 self._half_close.bytes_sent()
+            if self._writes_paused:
+                self.held_changed()
 
     def abort(self) -> None:
         """Close the connection with a reset."""
@@ -286,6 +312,47 @@
         """
         return self._must_close_after(slot) or self._is_final(slot)
 
+    def held_changed(self) -> None:
+        """Report the memory that is held for this connection."""
+        if self._account is None:
+            return
+        held_bytes = 0
+        if not self._disconnected:
+            held_bytes = self._parser.head_bytes + write_batch.unsent_bytes(self.transport)
+            held_bytes += self._pending.count * _STEP_BYTES
+            held_bytes += sum(slot.held_bytes for slot in self._slots)
+        self._is_charged = held_bytes > 0
+        self._account.update(self, held_bytes)
+
+    # Calls from the account and the limits
+
+    def give_up(self) -> None:
+        """Close the connection with a reset, since its client holds too much."""
+        self.abort()
+        # Nothing more is written, and nothing is held.
+        self._disconnected = True
+        write_batch.drop_unsent_bytes(self.transport)
+
+    def waits_for(self) -> tuple[client_limits.Waiting, int]:
+        """Return what the connection waits for, and its progress; see `client_limits.Client`."""
+        unsent_bytes = write_batch.unsent_bytes(self.transport)
+        if unsent_bytes:
+            return client_limits.Waiting.READER, unsent_bytes
+        if self._slots or self._closing:
+            return client_limits.Waiting.RESPONSE, 0
+        if self._parser.awaits_head_end:
+            return client_limits.Waiting.HEAD, self._begun_count
+        return client_limits.Waiting.REQUEST, self._begun_count
+
+    def limit_exceeded(self, waiting: client_limits.Waiting) -> None:
+        """Reject an incomplete head, or close the connection."""
+        if waiting is client_limits.Waiting.HEAD:
+            self.request_malformed(_STATUS_REQUEST_TIMEOUT, 'the head is not complete in time')
+        elif waiting is client_limits.Waiting.READER:
+            self.give_up()
+        else:
+            self._close()
+
     # Calls from the factory
 
     def close_after_responses(self) -> None:
@@ -425,12 +492,19 @@
             return True
         if self._may_overlap is None or len(self._slots) >= MAX_OVERLAPPING_REQUESTS:
             return False
+        if self._account is not None and not self._account.is_ample:
+            return False
         if sum(slot.held_bytes for slot in self._slots) > _MAX_HELD_BYTES:
             return False
         return self._slots[-1].exchange.head.keep_alive and self._may_overlap(head)
 
     def _begin(self, head: http_head.RequestHead) -> None:
         self._is_new = False
+        self._begun_count += 1
+        has_framing = head.framing is not http_head.Framing.NONE
+        if has_framing is not self._reads_body:
+            self._reads_body = has_framing
+            self.transport.bufferSize = _BODY_READ_BYTES if has_framing else _READ_BYTES
         place = http_exchange.Place(self._number, len(self._slots))
         slot = response_slot.ResponseSlot(self, head, place)
         self._slots.append(slot)
--- a/src/anvillug/connection/request_parser.py
+++ b/src/anvillug/connection/request_parser.py
@@ -7,11 +7,13 @@
 import httptools
 
 from anvillug import event_log
-from anvillug.connection import http_head
+from anvillug.connection import header_lines, http_head
 
 _HTTP11 = '1.1'
 _CONNECT = b'CONNECT'
 _STATUS_BAD_REQUEST = 400
+_EMPTY_LINE_BYTES = 2
+_MAX_PAIRS = header_lines.MAX_PAIRS
 _STATUS_HEAD_TOO_LARGE = 431
 
 
@@ -52,7 +54,7 @@
         self._max_head_bytes = max_head_bytes
         self._parser = httptools.HttpRequestParser(self)
         self._target = b''
-        self._headers: list[http_head.Header] = []
+        self._headers: list[http_head.Header] | header_lines.HeaderLines = []
         self._head_bytes = 0
         self._in_head = True
         self._is_malformed = False
@@ -70,6 +72,18 @@
             remaining = self._parse(remaining)
         if self._in_head and self._head_bytes > self._max_head_bytes:
             self._reject(_STATUS_HEAD_TOO_LARGE, self._too_large_message())
+        elif self._in_head and len(self._headers) > _MAX_PAIRS:
+            self._pack_headers()
+
+    @property
+    def head_bytes(self) -> int:
+        """Bytes of a head whose end has not been received."""
+        return self._head_bytes
+
+    @property
+    def awaits_head_end(self) -> bool:
+        """Whether a part of a head has been received, or more than one empty line before it."""
+        return self._in_head and (self.is_receiving or self._head_bytes > _EMPTY_LINE_BYTES)
 
     # Callbacks of httptools
 
@@ -96,6 +110,8 @@
             return
         # HTTP/1.0 clients receive one response per connection, as the close may end its body.
         is_http11 = self._parser.get_http_version() == _HTTP11
+        if len(self._headers) > _MAX_PAIRS:
+            self._pack_headers()
         head = http_head.RequestHead(
             self._parser.get_method(),
             self._target,
@@ -163,9 +179,14 @@
         self._parser = httptools.HttpRequestParser(self)
         return http_head.serialize_request(head, version)
 
+    def _pack_headers(self) -> None:
+        if isinstance(self._headers, list):
+            self._headers = header_lines.HeaderLines(self._headers)
+
     def _reject(self, status: int, message: str) -> None:
         if not self._is_malformed:
             self._is_malformed = True
+            self._headers = []
             self._receiver.request_malformed(status, message)
 
     def _too_large_message(self) -> str:
--- a/src/anvillug/connection/response_slot.py
+++ b/src/anvillug/connection/response_slot.py
@@ -29,6 +29,9 @@
     def response_ended(self, slot: ResponseSlot) -> None:
         """Send the responses whose turn it is."""
 
+    def held_changed(self) -> None:
+        """Note that more is held for a response, or nothing any more."""
+
     def closes_after(self, slot: ResponseSlot) -> bool:
         """Return whether the connection closes after a response."""
 
@@ -76,6 +79,7 @@
             self._connection.send(b''.join(self._held))
             self._held.clear()
             self.held_bytes = 0
+            self._connection.held_changed()
         self.pause_writes(paused=writes_paused)
 
     def pause_writes(self, *, paused: bool) -> None:
@@ -103,6 +107,7 @@
             return
         self._held.append(data)
         self.held_bytes += len(data)
+        self._connection.held_changed()
         if self.held_bytes > _MAX_HELD_BYTES:
             self.pause_writes(paused=True)
 
--- a/src/anvillug/connection/step_queue.py
+++ b/src/anvillug/connection/step_queue.py
@@ -40,6 +40,11 @@
         """Whether no step waits."""
         return not self._steps
 
+    @property
+    def count(self) -> int:
+        """Number of steps that wait."""
+        return len(self._steps)
+
     @property
     def has_request(self) -> bool:
         """Whether one of the steps that wait leads to a response."""
--- a/src/anvillug/connection/write_batch.py
+++ b/src/anvillug/connection/write_batch.py
@@ -81,6 +81,23 @@
         notify()
 
 
+def unsent_bytes(transport: Any) -> int:
+    """Return how many bytes a TCP transport has not sent; 0 for other transports."""
+    try:
+        return len(transport.dataBuffer) - transport.offset + transport._tempDataLen  # noqa: SLF001
+    except AttributeError:
+        return 0
+
+
+def drop_unsent_bytes(transport: Any) -> None:
+    """Drop what a closed TCP transport has not sent; the collector may free it much later."""
+    if unsent_bytes(transport):
+        transport.dataBuffer = b''
+        transport.offset = 0
+        transport._tempDataBuffer = []  # noqa: SLF001
+        transport._tempDataLen = 0  # noqa: SLF001
+
+
 def has_unsent_bytes(transport: Any) -> bool:
     """Return whether a TCP transport has unsent bytes; False for other transports."""
     try:
--- a/src/anvillug/platform/settings.py
+++ b/src/anvillug/platform/settings.py
@@ -12,6 +12,7 @@
 from anvillug.version import rollout
 
 _MS_PER_SECOND = 1000.0
+_BYTES_PER_MB = 1024 * 1024
 
 
 class _Table(pydantic.BaseModel):
@@ -20,6 +21,12 @@
     model_config = pydantic.ConfigDict(extra='ignore', frozen=True, strict=True)
 
 
+class _MachineLimits(_Table):
+    MemoryMb: float = 0
+    # Descriptors that the process may open.
+    MaxFds: int = 0
+
+
 class _Self(_Table):
     NodeName: str
     Ip: str
@@ -28,6 +35,7 @@
     AppAddr: validation.Address
     # Service of that backend server.
     Service: str
+    Limits: _MachineLimits = _MachineLimits()
 
 
 class _Listen(_Table):
@@ -118,4 +126,6 @@
             cold_factor=bounds.ColdFactor,
             probes_per_second=bounds.ProbesPerS,
         ),
+        memory_bytes=int(self_table.Limits.MemoryMb * _BYTES_PER_MB),
+        max_descriptors=self_table.Limits.MaxFds,
     )
--- a/src/anvillug/process/mesh_entry.py
+++ b/src/anvillug/process/mesh_entry.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from anvillug import clock, event_log, ids
-from anvillug.connection import http_exchange, http_head, http_pool
+from anvillug.connection import http_exchange, http_head, http_pool, memory_account
 from anvillug.process import (
     directive_fetch,
     host_choice,
@@ -21,9 +21,10 @@
 from anvillug.request import dialect, job, rejection, remote_run, retry_share, routed_call
 from anvillug.version import directives, rollout_counts, rollouts
 
-# Limit for all buffered bodies together; a host has a few hundred MB for the process.
-_MAX_BUFFERED_BYTES = 64 * 1024 * 1024
 _MAX_CONNECTIONS = 256
+# After a call was rejected, a request begins only once those ahead of it on its connection are
+# answered, so that callers that send ahead leave room for the others.
+_NO_OVERLAP_MS = 1000.0
 _CONNECT_TIMEOUT_S = 0.25
 # A body of this size or more is sent to another zone only after an inquiry, which costs a round
 # trip, so that it isn't sent between zones only to be rejected.
@@ -44,6 +45,7 @@
         rollouts: Rollouts in progress.
         process_metrics: Metrics of the process.
         local_announcement: Returns the current announcement of this node.
+        account: Account of the memory that is held for clients.
         on_too_large: Called with the position of directives that are too large to be fetched from
             another node and have to be read from the log.
     """
@@ -60,6 +62,7 @@
         rollouts: rollouts.Rollouts,
         process_metrics: metrics.Metrics,
         local_announcement: Callable[[], peer_table.Announcement],
+        account: memory_account.MemoryAccount,
         on_too_large: Callable[[directives.Position], None],
     ) -> None:
         self.reactor = reactor
@@ -79,7 +82,8 @@
         self._rollouts = rollouts
         self._local_announcement = local_announcement
         self._metrics = process_metrics
-        self._buffered_bytes = 0
+        self._account = account
+        self._no_overlap_until = clock.Milliseconds(0)
         self._pools_by_address: dict[str, http_pool.Pool] = {}
         self._fetch = directive_fetch.DirectiveFetch(reactor, active_directives, on_too_large)
         bounds = settings.bounds
@@ -108,6 +112,8 @@
 
         See `http_server.MayOverlap`.
         """
+        if self.clock.now() < self._no_overlap_until:
+            return False
         routes = self._active_directives.current.routes
         route = None if routes is None else routes.match(head.get(b'host') or b'', head.path)
         return route is not None and route.is_repeatable
@@ -118,12 +124,9 @@
         """Return the directives in effect; see `routed_call.CallContext`."""
         return self._active_directives.current
 
-    def reserve(self, size: int) -> bool:
+    def reserve(self, size: int, reserved: int = 0) -> bool:
         """Reserve memory for a body; see `routed_call.CallContext`."""
-        if size > 0 and self._buffered_bytes + size > _MAX_BUFFERED_BYTES:
-            return False
-        self._buffered_bytes += size
-        return True
+        return self._account.reserve_more(size, reserved)
 
     def spend_retry(self, service: ids.ServiceName) -> bool:
         """Spend the retry budget; see `routed_call.CallContext`."""
@@ -283,7 +286,10 @@
     def call_ended(self, call: routed_call.RoutedCall, status: int, reason: str) -> None:
         """Record the result of a call; see `routed_call.CallContext`."""
         self.in_progress.discard(call)
-        held_ms = self.clock.now() - call.started_at
+        now = self.clock.now()
+        held_ms = now - call.started_at
+        if status == routed_call.STATUS_UNAVAILABLE:
+            self._no_overlap_until = clock.Milliseconds(now + _NO_OVERLAP_MS)
         self._metrics.count('calls', str(status))
         self._metrics.latency('call_latency', held_ms)
         event_log.emit(
--- a/src/anvillug/process/mesh_node.py
+++ b/src/anvillug/process/mesh_node.py
@@ -12,7 +12,14 @@
 from twisted.internet import defer
 
 from anvillug import clock, event_log, findings, ids, log_writer
-from anvillug.connection import http_exchange, http_listener, keyed_log
+from anvillug.connection import (
+    client_guard,
+    client_limits,
+    http_exchange,
+    http_listener,
+    keyed_log,
+    memory_account,
+)
 from anvillug.process import (
     beacon,
     crash_watch,
@@ -34,9 +41,12 @@
     upstream_probe,
 )
 from anvillug.request import dialect
-from anvillug.version import directives, rollouts
+from anvillug.version import directives, rollouts, route_table
 
 _STEP_S = 0.1
+_TIME_MARGIN = 1.25
+# A head of short lines grows by a quarter when it is serialized with a space after each colon.
+_HEAD_MARGIN = 1.5
 # Delay before directives are fetched from another zone: by then a node of the same zone may have
 # them, and bytes between zones are charged.
 _OTHER_ZONE_FETCH_DELAY_S = 0.15
@@ -110,6 +120,13 @@
             settings.host_id, settings.zone, self.peers, self.active_directives, time
         )
         self._metrics = metrics.Metrics(self._gauges)
+        self._account = memory_account.MemoryAccount(
+            memory_account.limit_for(settings.memory_bytes), time, self._count_limit
+        )
+        self._caller_guard = client_guard.ClientGuard(
+            'callers', self._account, time, self._count_limit
+        )
+        self._peer_guard = client_guard.ClientGuard('nodes', self._account, time)
         self._crashes = crash_watch.CrashWatch(settings.host_id, self._incarnation, time)
         self.host = mesh_host.MeshHost(
             reactor,
@@ -132,6 +149,7 @@
             self.rollouts,
             self._metrics,
             self._announcement,
+            self._account,
             self._duty.require_position,
         )
         self._leaves = leave_exchange.LeaveExchange(
@@ -177,13 +195,15 @@
             reactor, time, log, topics.statuses, status_codec, self.rollouts, self._writer_rank
         )
         self._peer_server = peer_server.PeerServer(
-            self.host, self.active_directives, time, self._incarnation
+            self.host, self.active_directives, time, self._incarnation, self._account
         )
         self._caller_factory = http_listener.ServerFactory(
-            self.entry.request_received, may_overlap=self.entry.may_overlap
+            self.entry.request_received,
+            may_overlap=self.entry.may_overlap,
+            guard=self._caller_guard,
         )
         self._peer_factory = http_listener.ServerFactory(
-            self._peer_server.request_received, answers_half_closed=False
+            self._peer_server.request_received, answers_half_closed=False, guard=self._peer_guard
         )
         self._stop = mesh_stop.MeshStop(
             reactor,
@@ -309,6 +329,7 @@
             'directives_era': position.era,
             'directives_position': position.offset,
             'log_lines_dropped': self._log_lines.dropped,
+            'client_memory_bytes': self._account.used_bytes,
             'uptime_ms': lifetime.PROCESS.age_ms,
         }
 
@@ -375,11 +396,27 @@
 
     def _directives_changed(self, current: directives.Directives) -> None:
         self._records.notice_era(current.position.era)
+        if current.routes is not None:
+            self._apply_limits(current.routes.limits)
         self._beacons.send_near()
 
+    def _apply_limits(self, limits: route_table.CallerLimits) -> None:
+        """Apply the limits of the configuration to callers, with a margin for a late event loop."""
+        self._caller_factory.max_head_bytes = int(limits.max_header_bytes * _HEAD_MARGIN)
+        self._caller_guard.limits = client_limits.ClientLimits(
+            head_ms=limits.header_timeout_ms * _TIME_MARGIN,
+            idle_ms=limits.idle_timeout_ms * _TIME_MARGIN,
+            reader_ms=limits.idle_timeout_ms,
+            connections=client_limits.connections_for(self._settings.max_descriptors),
+        )
+
+    def _count_limit(self, limit: str) -> None:
+        self._metrics.count('client_limits', limit)
+
     def _step(self) -> None:
         # First, so that a failure does not end the task.
         self._reactor.callLater(_STEP_S, self._step)
+        self._caller_factory.check_clients()
         self.entry.count_overdue()
         self.rollouts.step()
         self.entry.abort_lost_attempts()
--- a/src/anvillug/process/mesh_settings.py
+++ b/src/anvillug/process/mesh_settings.py
@@ -58,6 +58,10 @@
     """IP:port of the store with the records of the operator and of nodes."""
     bounds: Bounds
     """Limits that apply to the whole deployment."""
+    memory_bytes: int = 0
+    """Memory of the machine in bytes; 0 if it is not known."""
+    max_descriptors: int = 0
+    """Descriptors that the process may open; 0 if their number is not known."""
 
 
 def differences(first: MeshSettings, second: MeshSettings) -> list[str]:
--- a/src/anvillug/process/peer_server.py
+++ b/src/anvillug/process/peer_server.py
@@ -5,12 +5,13 @@
 from collections.abc import Callable
 
 from anvillug import clock, event_log, ids
-from anvillug.connection import http_exchange, http_head
+from anvillug.connection import http_exchange, http_head, memory_account
 from anvillug.process import mesh_host
 from anvillug.request import job, job_wire
 from anvillug.version import directives
 
 _JOB_PATHS = (job_wire.RUN_PATH, job_wire.INQUIRY_PATH)
+_NO_MEMORY = 'no memory for the job'
 _STATUS_OK = 200
 _STATUS_BAD_REQUEST = 400
 _STATUS_NOT_FOUND = 404
@@ -24,6 +25,7 @@
         active_directives: Directives in effect.
         time: Clock.
         incarnation: Start time of this process.
+        account: Account of the memory that is held for clients and other nodes.
     """
 
     def __init__(
@@ -32,7 +34,10 @@
         active_directives: directives.ActiveDirectives,
         time: clock.Clock,
         incarnation: ids.Incarnation,
+        account: memory_account.MemoryAccount,
     ) -> None:
+        self.account = account
+        """Account of the memory that is held for clients and other nodes."""
         self.host = host
         """Host side of this node."""
         self.clock = time
@@ -68,18 +73,31 @@
         self._server = server
         self._exchange = exchange
         self._body: list[bytes] = []
+        self._reserved = 0
+        self._is_rejected = False
         self._cancel: Callable[[], object] | None = None
 
     def body_received(self, data: bytes) -> None:
-        """Buffer a chunk of the job."""
+        """Buffer a chunk of the job, or reject it if there is no memory for it."""
+        if self._is_rejected:
+            return
+        if not self._server.account.reserve_more(len(data), self._reserved):
+            self._is_rejected = True
+            self._release()
+            return
+        self._reserved += len(data)
         self._body.append(data)
 
     def request_ended(self) -> None:
         """Run the job or respond to the inquiry, since the request is complete."""
+        if self._is_rejected:
+            self._respond(job.Result(job.ResultKind.REFUSED, _NO_MEMORY))
+            return
         try:
             work = job_wire.unpack_job(b''.join(self._body), self._server.clock.now())
         except job_wire.MalformedError as error:
             event_log.warn('job_malformed', reason=error)
+            self._release()
             self._exchange.respond(_STATUS_BAD_REQUEST, f'{error}\n'.encode())
             return
         self._body.clear()
@@ -90,11 +108,18 @@
 
     def request_aborted(self) -> None:
         """Cancel the job, since its sender has cancelled it or disconnected."""
+        self._release()
         if self._cancel is not None:
             self._cancel()
 
     def response_writes_paused(self, paused: bool) -> None:
         """Ignore backpressure: the whole result is in memory already."""
 
+    def _release(self) -> None:
+        self._body.clear()
+        self._server.account.reserve(-self._reserved)
+        self._reserved = 0
+
     def _respond(self, result: job.Result, headers: tuple[http_head.Header, ...] = ()) -> None:
+        self._release()
         self._exchange.respond(_STATUS_OK, job_wire.pack_result(result), headers)
--- a/src/anvillug/request/routed_call.py
+++ b/src/anvillug/request/routed_call.py
@@ -69,8 +69,13 @@
     def directives(self) -> directives.Directives:
         """Return the directives in effect."""
 
-    def reserve(self, size: int) -> bool:
-        """Reserve memory for a body; a negative size releases it."""
+    def reserve(self, size: int, reserved: int = 0) -> bool:
+        """Reserve memory for a part of a body; a negative size releases it.
+
+        Args:
+            size: Size of the part in bytes.
+            reserved: What is reserved for the body already.
+        """
 
     def start(
         self, call: RoutedCall, work: job.Job, on_result: Callable[[job.Result], None]
@@ -163,7 +168,7 @@
             return
         if self._is_too_large(self._reserved + len(data)):
             return
-        if not self._context.reserve(len(data)):
+        if not self._context.reserve(len(data), self._reserved):
             self._respond_unavailable('no memory for the body')
             return
         self._reserved += len(data)
--- a/tests/test_mesh_entry.py
+++ b/tests/test_mesh_entry.py
@@ -9,7 +9,7 @@
 from twisted.internet import testing
 
 from anvillug import clock, ids
-from anvillug.connection import http_server
+from anvillug.connection import http_server, memory_account
 from anvillug.platform import headers
 from anvillug.process import mesh_entry, metrics, peer_table
 from anvillug.request import dialect, job, job_wire
@@ -26,6 +26,7 @@
 _NEW = ids.VersionName('v2')
 _FORMER_PROCESS = ids.Incarnation(100)
 _NEW_PROCESS = ids.Incarnation(200)
+_MEMORY_BYTES = 1 << 20
 _WILLING = job.Result(job.ResultKind.WILLING)
 
 
@@ -49,6 +50,7 @@
             self.rollouts,
             metrics.Metrics(dict),
             lambda: test_beacon.announcement(host_id='h', service='none'),
+            memory_account.MemoryAccount(_MEMORY_BYTES, self.time),
             lambda position: None,
         )
         self.call = types.SimpleNamespace(
--- a/tests/test_peer_server.py
+++ b/tests/test_peer_server.py
@@ -7,18 +7,21 @@
 import pytest
 
 from anvillug import clock, ids
+from anvillug.connection import memory_account
 from anvillug.process import peer_server
 from anvillug.request import job, job_wire
 from anvillug.version import directives
 from tests import test_bad_input, test_mesh_host
 
 _TIME = clock.ManualClock(10_000)
+_LIMIT_BYTES = 1 << 20
 
 
 def _response(host: types.SimpleNamespace, path: bytes) -> bytes:
     """Send a job to a node with this host side and return what the node writes."""
     active = directives.ActiveDirectives(lambda records, position, previous: previous)
-    server = peer_server.PeerServer(host, active, _TIME, ids.Incarnation(200))
+    account = memory_account.MemoryAccount(_LIMIT_BYTES, _TIME)
+    server = peer_server.PeerServer(host, active, _TIME, ids.Incarnation(200), account)
     connection, transport, _ = test_bad_input.make_connection(server.request_received)
     body = job_wire.pack_job(test_mesh_host.job_at(_TIME), _TIME.now())
     head = b'POST %b HTTP/1.1\r\nHost: node\r\nContent-Length: %d\r\n\r\n' % (path, len(body))
--- a/tests/test_routed_call.py
+++ b/tests/test_routed_call.py
@@ -93,7 +93,7 @@
     def directives(self) -> directives.Directives:
         return self.current
 
-    def reserve(self, size: int) -> bool:
+    def reserve(self, size: int, reserved: int = 0) -> bool:
         return True
 
     def start(self, call, work, on_result):
