--- /dev/null
+++ b/tests/test_memory_account.py
@@ -0,0 +1,133 @@
+"""Account of the memory held for clients, and the limits of their connections."""
+
+from __future__ import annotations
+
+from hypothesis import given, strategies
+
+from anvillug import clock
+from anvillug.connection import client_guard, client_limits, header_lines, memory_account
+from tests import test_bad_input
+
+_LIMIT_BYTES = 1000
+_LARGE_BYTES = 10_000
+
+
+class _Client:
+    """Connection that records whether it was given up."""
+
+    def __init__(self, waiting: client_limits.Waiting = client_limits.Waiting.REQUEST) -> None:
+        self.wait = client_limits.Wait()
+        self.waiting = waiting
+        self.progress = 0
+        self.is_given_up = False
+        self.exceeded: client_limits.Waiting | None = None
+
+    def give_up(self) -> None:
+        self.is_given_up = True
+
+    def waits_for(self) -> tuple[client_limits.Waiting, int]:
+        return self.waiting, self.progress
+
+    def limit_exceeded(self, waiting: client_limits.Waiting) -> None:
+        self.exceeded = waiting
+
+
+class TestMemoryAccount:
+    """Guards against memory that grows with the clients, and against giving up the wrong ones."""
+
+    def test_gives_up_who_holds_most_for_longest(self):
+        time = clock.ManualClock()
+        account = memory_account.MemoryAccount(_LIMIT_BYTES, time)
+        old, large, small = _Client(), _Client(), _Client()
+        account.update(old, 300)
+        time.advance(1000)
+        account.update(large, 500)
+        account.update(small, 250)
+        assert [client.is_given_up for client in (old, large, small)] == [True, False, False]
+        assert account.used_bytes == 750
+
+    def test_reservation_is_refused_if_nobody_can_be_given_up(self):
+        account = memory_account.MemoryAccount(_LIMIT_BYTES, clock.ManualClock())
+        assert account.reserve(900)
+        assert not account.reserve(200)
+        account.reserve(-900)
+        assert account.reserve(200)
+
+    def test_one_large_message_is_accepted_in_calm(self):
+        account = memory_account.MemoryAccount(_LIMIT_BYTES, clock.ManualClock())
+        assert account.reserve_more(_LARGE_BYTES, 0)
+        assert account.reserve_more(_LARGE_BYTES, _LARGE_BYTES)
+        assert not account.reserve_more(_LARGE_BYTES, 0)
+
+    @given(
+        strategies.lists(strategies.tuples(strategies.integers(0, 3), strategies.integers(0, 900)))
+    )
+    def test_never_exceeds_the_limit(self, updates):
+        account = memory_account.MemoryAccount(_LIMIT_BYTES, clock.ManualClock())
+        clients = [_Client() for _ in range(4)]
+        for number, size in updates:
+            account.update(clients[number], size)
+            assert 0 <= account.used_bytes <= _LIMIT_BYTES
+
+
+class TestClientGuard:
+    """Guards against clients that keep connections without end, and against closing busy ones."""
+
+    def test_time_without_progress_is_limited(self):
+        time = clock.ManualClock(10_000)
+        guard = _guard(time, client_limits.ClientLimits(head_ms=3000))
+        slow = _Client(client_limits.Waiting.HEAD)
+        idle = _Client()
+        guard.check({slow, idle})
+        time.advance(3500)
+        guard.check({slow, idle})
+        assert (slow.exceeded, idle.exceeded) == (client_limits.Waiting.HEAD, None)
+
+    def test_longest_waiting_connection_makes_room(self):
+        time = clock.ManualClock(10_000)
+        guard = _guard(time, client_limits.ClientLimits(connections=2))
+        busy = _Client(client_limits.Waiting.RESPONSE)
+        idle = _Client()
+        assert guard.has_room({busy, idle})
+        assert (busy.is_given_up, idle.is_given_up) == (False, True)
+        assert not guard.has_room({busy, _Client(client_limits.Waiting.RESPONSE)})
+
+    def test_slow_head_is_told_that_it_has_not_run(self):
+        connection, transport, _ = test_bad_input.make_connection()
+        connection.dataReceived(b'GET /a HTTP/1.1\r\nHost')
+        assert connection.waits_for()[0] is client_limits.Waiting.HEAD
+        connection.limit_exceeded(client_limits.Waiting.HEAD)
+        assert transport.value().startswith(b'HTTP/1.1 408 ')
+
+
+class TestHeaderLines:
+    """Guards against heads that change when they are stored as bytes."""
+
+    @given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.from_regex(rb'[a-zA-Z-]{1,5}', fullmatch=True),
+                strategies.from_regex(rb'[a-z: ]{0,9}', fullmatch=True),
+            )
+        )
+    )
+    def test_keeps_headers_and_finds_the_first(self, headers):
+        lines = header_lines.HeaderLines(headers)
+        assert (list(lines), len(lines)) == (headers, len(headers))
+        first_by_name = {name.lower(): value for name, value in reversed(headers)}
+        assert all(lines.first(name) == value for name, value in first_by_name.items())
+        assert lines.first(b'none-such') is None
+
+    def test_requests_with_many_lines_are_complete(self):
+        connection, transport, received = test_bad_input.make_connection()
+        lines = b''.join(b'x%d:\r\n' % number for number in range(2000))
+        connection.dataReceived(b'GET /a HTTP/1.1\r\n%bHost: a\r\n\r\n' % lines)
+        assert received == [(b'/a', b'')]
+        assert transport.value().startswith(b'HTTP/1.1 200 ')
+
+
+def _guard(time: clock.ManualClock, limits: client_limits.ClientLimits) -> client_guard.ClientGuard:
+    account = memory_account.MemoryAccount(_LIMIT_BYTES, time)
+    guard = client_guard.ClientGuard('callers', account, time)
+    guard.limits = limits
+    return guard
