--- a/src/anvillug/json_table.py
+++ b/src/anvillug/json_table.py
@@ -105,9 +105,9 @@
         """Return a value that the caller checks; None if the object lacks the field."""
         return self._content_by_name.get(name)
 
-    def table(self, name: str) -> Table:
+    def table(self, name: str, default: Any = _REQUIRED) -> Table:
         """Return an object."""
-        content = self._read(name, _REQUIRED, {}, _no_problem)
+        content = self._read(name, default, {}, _no_problem)
         return Table(content, self._place, (*self._path, name), self._found)
 
     def tables(self, name: str) -> list[Table]:
--- a/src/anvillug/platform/settings.py
+++ b/src/anvillug/platform/settings.py
@@ -11,6 +11,7 @@
 from anvillug.version import rollout
 
 _MS_PER_SECOND = 1000.0
+_BYTES_PER_MB = 1024 * 1024
 # Where links are this wide, crossing zones costs too little to be weighed for each request.
 _WIDE_LINK_MBPS = 1000.0
 # What a request must gain before it leaves its zone: much more than two ways between zones, so that
@@ -42,6 +43,7 @@
 
 def _translate(content: json_table.Table) -> mesh_settings.MeshSettings:
     self_table = content.table('Self')
+    limits = self_table.table('Limits', {})
     network = content.table('Network')
     listen = network.table('Listen')
     # First and last port for traffic between nodes.
@@ -63,9 +65,11 @@
         metrics_port=metrics_port,
         store_address=platform.table('Platform').address('Address'),
         bounds=_translate_bounds(bounds),
-        crossing=_crossing(self_table),
+        crossing=_crossing(limits),
         room=None if _COMPETITION.isdisjoint(terms.texts('Contracts', [])) else room.Policy(),
         duty=duty_settings.read(platform, bounds),
+        memory_bytes=int(limits.number('MemoryMb', 0, lowest=0) * _BYTES_PER_MB),
+        max_descriptors=limits.integer('MaxFds', 0, lowest=0),
     )
 
 
@@ -93,11 +97,8 @@
     return bounds.number('RevokeMs', _REVOKE_MS, lowest=1)
 
 
-def _crossing(self_table: json_table.Table) -> zone_share.Crossing | None:
+def _crossing(limits: json_table.Table) -> zone_share.Crossing | None:
     """Return what leaving the zone costs a host with a narrow link; None for a wide one."""
-    if 'Limits' not in self_table:
-        return None
-    limits = self_table.table('Limits')
     link_mbps = limits.positive('LinkMbps') if 'LinkMbps' in limits else _WIDE_LINK_MBPS
     if link_mbps >= _WIDE_LINK_MBPS or limits.findings:
         return None
--- a/src/anvillug/process/mesh_settings.py
+++ b/src/anvillug/process/mesh_settings.py
@@ -69,6 +69,10 @@
     """Bounds of jobs that wait at the node; None to pass them to the backend server instead."""
     duty: duty_settings.DutySettings | None = None
     """Settings of the usage reports; None if the deployment has none."""
+    memory_bytes: int = 0
+    """Memory of the machine in bytes; 0 if it is not known."""
+    max_descriptors: int = 0
+    """Descriptors that the process may open; 0 if their number is not known."""
 
 
 def differences(first: MeshSettings, second: MeshSettings) -> list[str]:
