--- a/src/anvillug/process/order_feed.py
+++ b/src/anvillug/process/order_feed.py
@@ -22,7 +22,7 @@
 # has to be in force two seconds after it was made.
 _POLL_MS = 1200
 # The same where the age of the last read matters: a read is a word as of the time it was sent.
-_WORD_POLL_MS = 700
+_WORD_POLL_MS = 900
 # Part of the wait that varies at random: after a change, all followers begin to poll at once.
 _POLL_JITTER_SHARE = 0.25
 # Nodes that have started at the same time hear of each other within this time.
