--- a/src/anvillug/process/commands/explain.py
+++ b/src/anvillug/process/commands/explain.py
@@ -16,6 +16,7 @@
 
 _TIMEOUT_S = 5
 _STATUS_OK = 200
+_STATUS_BAD_REQUEST = 400
 _EXIT_UNREACHABLE = 1
 _EXIT_BAD_INPUT = 2
 _CONNECTION_ERRORS = (
@@ -59,9 +60,12 @@
         except _CONNECTION_ERRORS as problem:
             sys.stderr.write(f'{node}: {problem or type(problem).__name__}\n')
             return _EXIT_UNREACHABLE
-        if response.code != _STATUS_OK:
+        if response.code == _STATUS_BAD_REQUEST:
             sys.stderr.write(text)
             return _EXIT_BAD_INPUT
+        if response.code != _STATUS_OK:
+            sys.stderr.write(f'{node}: answers no questions, status {response.code}\n')
+            return _EXIT_UNREACHABLE
         answer = json_module.loads(text)
         sys.stdout.write(text if json else ''.join(f'{line}\n' for line in describe(answer)))
         return 0
@@ -77,13 +81,12 @@
         return
     yield _fields('route', answer['route'])
     for service in answer['services']:
-        hosts = service.pop('hosts')
-        yield _fields('service', service)
-        for host in hosts:
-            excluded = host.pop('excluded')
-            yield _fields('  excluded' if excluded else '  host', host) + (
-                f' reason="{excluded}"' if excluded else ''
-            )
+        yield _fields('service', {key: service[key] for key in service if key != 'hosts'})
+        for host in service['hosts']:
+            excluded = host['excluded']
+            fields = {key: host[key] for key in host if key != 'excluded'}
+            line = _fields('  excluded' if excluded else '  host', fields)
+            yield f'{line} reason="{excluded}"' if excluded else line
 
 
 def _fields(name: str, content: dict[str, Any]) -> str:
--- a/src/anvillug/process/explanation.py
+++ b/src/anvillug/process/explanation.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import random
+from collections.abc import Collection, Sequence
 from typing import Any
 from typing import Protocol as Interface
 
@@ -13,9 +14,14 @@
 from anvillug.request import job
 from anvillug.version import directives, rollouts, route_table
 
+# What is told of a service, with the draw that decides during a rollout which version gets a
+# request: the new version gets those with the lowest draws.
+_USUAL = 'would_go_to'
+_DRAWS_BY_NAME = {_USUAL: 0.999999, 'in_a_canary_to': 0.0}
 # Seed of the draws: the same question has the same answer while nothing changes.
 _SEED = 1
 _NOT_FOUND = 404
+_TOO_LARGE = 413
 _UNAVAILABLE = 503
 _PERCENT = 100
 
@@ -51,8 +57,13 @@
     def hosts(self, service: ids.ServiceName, now: clock.Milliseconds) -> list[peer_table.Peer]:
         """Return all hosts of a service, this node's among them, also those that don't serve."""
 
+    def eligible(
+        self, service: ids.ServiceName, now: clock.Milliseconds
+    ) -> Sequence[peer_table.Peer]:
+        """Return the hosts of a service that may get requests, before a rollout decides."""
+
     def preview(
-        self, work: job.Job, hosts: list[peer_table.Peer], rng: random.Random
+        self, work: job.Job, hosts: Sequence[peer_table.Peer], rng: random.Random
     ) -> peer_table.Peer | None:
         """Return the host that a job would be sent to, without a trace."""
 
@@ -93,7 +104,8 @@
 
         Returns:
             JSON object: `node`, `route`, `services` (one entry for each service of the route, with
-            its `hosts` in the order of preference) and `status` if no host would get the request.
+            its `hosts` in the order of preference, and a `status` if none would get the request);
+            `status` and `reason` if the request would be rejected before a host is selected.
         """
         current = self._active_directives.current
         node = {
@@ -107,6 +119,8 @@
         route = current.routes.match(question.host, question.path.partition(b'?')[0])
         if route is None:
             return {'node': node, 'status': _NOT_FOUND, 'reason': 'no route matches'}
+        if question.size > current.routes.limits.max_body_bytes:
+            return {'node': node, 'status': _TOO_LARGE, 'reason': 'body is too large'}
         services = [
             {'weight': part.weight, **self._explain_service(question, route, part.service)}
             for part in route.parts
@@ -120,12 +134,18 @@
     ) -> dict[str, Any]:
         now = self._clock.now()
         work = self._job(question, route, service, now)
-        rng = random.Random(_SEED)
         hosts = self._entry.hosts(service, now)
-        allowed = self._rollouts.allowed(service, hosts, rng.random())
-        reasons_by_id = {host.host_id: self._exclusion(host, allowed, now) for host in hosts}
-        usable = [host for host in hosts if not reasons_by_id[host.host_id]]
-        chosen = self._entry.preview(work, usable, rng)
+        allowed_by_draw = {
+            name: self._rollouts.allowed(service, self._entry.eligible(service, now), draw)
+            for name, draw in _DRAWS_BY_NAME.items()
+        }
+        allowed_ids = {host.host_id for some in allowed_by_draw.values() for host in some}
+        reasons_by_id = {host.host_id: self._exclusion(host, allowed_ids, now) for host in hosts}
+        destinations = {
+            name: self._entry.preview(work, allowed, random.Random(_SEED))
+            for name, allowed in allowed_by_draw.items()
+        }
+        chosen = destinations[_USUAL]
         share, share_reason = self._entry.zone_share(service)
         origin = host_choice.Origin(self._settings.zone, 0)
         ranked = sorted(
@@ -137,7 +157,7 @@
         )
         answer = {
             'service': service,
-            'would_go_to': None if chosen is None else chosen.host_id,
+            **{name: None if host is None else host.host_id for name, host in destinations.items()},
             'share_to_other_zones': round(share, 2),
             'share_reason': share_reason,
             'hosts': [
@@ -175,13 +195,18 @@
             objective=clock.Milliseconds(now + (route.target_latency_ms or route.timeout_ms)),
         )
 
-    def _exclusion(self, host: peer_table.Peer, allowed: object, now: clock.Milliseconds) -> str:
+    def _exclusion(
+        self,
+        host: peer_table.Peer,
+        allowed_ids: Collection[ids.HostId],
+        now: clock.Milliseconds,
+    ) -> str:
         """Return why a host gets no request, empty if it may get one."""
         if host.announcement.state is not upstream.UpstreamState.SERVING:
             return f'backend server is {host.announcement.state.value}'
         if host.announcement.zone in self._active_directives.current.zones_out:
             return 'zone is out'
-        if host not in allowed:
+        if host.host_id not in allowed_ids:
             return 'version gets no such request in the rollout'
         if host.avoid_until > now:
             return 'avoided after a failure'
@@ -226,6 +251,5 @@
 
 def log_question(question: Question) -> None:
     """Log that an operator has asked; keys are no part of a question."""
-    event_log.emit(
-        'explained', host=question.host.decode('latin-1'), path=question.path.decode('latin-1')
-    )
+    path = question.path.partition(b'?')[0]
+    event_log.emit('explained', host=question.host.decode('latin-1'), path=path.decode('latin-1'))
--- a/src/anvillug/process/inspection.py
+++ b/src/anvillug/process/inspection.py
@@ -12,6 +12,7 @@
 EXPLAIN_PATH = b'/explain'
 """Path of questions; the query has `host`, `path`, `method` and `size`."""
 
+_MAX_DIGITS = 12
 _STATUS_OK = 200
 _STATUS_BAD_REQUEST = 400
 _JSON = ((b'Content-Type', b'application/json'),)
@@ -51,7 +52,7 @@
         name: texts[-1] for name, texts in url_parse.parse_qs(query.decode('latin-1')).items()
     }
     size = fields.get('size', '0')
-    if not (size.isascii() and size.isdigit()):
+    if not (size.isascii() and size.isdigit() and len(size) <= _MAX_DIGITS):
         return findings.single('size', f'must be a whole number of bytes, got {size!r}')
     return explanation.Question(
         fields.get('host', '').encode(),
--- a/src/anvillug/process/mesh_entry.py
+++ b/src/anvillug/process/mesh_entry.py
@@ -142,8 +142,18 @@
         ]
         return [*others, self._local_peer(local, now)] if local.service == service else others
 
+    def eligible(
+        self, service: ids.ServiceName, now: clock.Milliseconds
+    ) -> Sequence[peer_table.Peer]:
+        """Return the hosts of a service that may get requests; see `explanation.EntrySide`."""
+        candidates = self._candidates(service, now)
+        zones_out = self._active_directives.current.zones_out
+        if not zones_out:
+            return candidates
+        return [peer for peer in candidates if peer.announcement.zone not in zones_out]
+
     def preview(
-        self, work: job.Job, hosts: list[peer_table.Peer], rng: random.Random
+        self, work: job.Job, hosts: Sequence[peer_table.Peer], rng: random.Random
     ) -> peer_table.Peer | None:
         """Return the host that a job would be sent to; see `explanation.EntrySide`."""
         now = self.clock.now()
@@ -393,18 +403,13 @@
     def _choose(
         self, call: routed_call.RoutedCall, work: job.Job, now: clock.Milliseconds
     ) -> peer_table.Peer | None:
-        candidates = self._candidates(work.service, now)
-        zones_out = self._active_directives.current.zones_out
-        if zones_out or call.attempted_hosts:
-            candidates = [
-                peer
-                for peer in candidates
-                if peer.announcement.zone not in zones_out
-                and peer.announcement.host_id not in call.attempted_hosts
-            ]
-        allowed = self._rollouts.allowed(work.service, candidates, call.version_draw)
+        in_service = self.eligible(work.service, now)
+        untried = in_service
+        if call.attempted_hosts:
+            untried = [peer for peer in in_service if peer.host_id not in call.attempted_hosts]
+        allowed = self._rollouts.allowed(work.service, untried, call.version_draw)
         if self._zone_choice is not None:
-            return self._zone_choice.choose(work, allowed, now)
+            return self._zone_choice.choose(work, allowed, in_service, now)
         return host_choice.choose(allowed, self._origin(work), now, self.rng)
 
     def _has_costly_body(self, work: job.Job, peer: peer_table.Peer) -> bool:
--- a/src/anvillug/process/zone_choice.py
+++ b/src/anvillug/process/zone_choice.py
@@ -8,14 +8,12 @@
 
 from __future__ import annotations
 
-import collections
 import dataclasses
-import math
 import random
 from collections.abc import Mapping, Sequence
 
 from anvillug import clock, event_log, ids
-from anvillug.process import host_choice, metrics, peer_table, zone_share
+from anvillug.process import host_choice, metrics, peer_table, zone_rooms, zone_share
 from anvillug.request import job
 
 _COMPARED_LOCAL_HOSTS = 5
@@ -24,6 +22,8 @@
 # nothing that its caller would notice by leaving the zone.
 _COMFORT_SHARE = 0.6
 _NORMAL_SLOWNESS = 100.0
+# Above this utilization, a response may have waited for a slot.
+_MAX_CALM_UTILIZATION = 0.75
 # Weight of the newest value in the usual work time and size of a route.
 _NEWEST_WEIGHT = 0.05
 # Usual work time of a route without any response, as a share of its latency objective.
@@ -38,19 +38,22 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _RouteUse:
-    """Usual work time and size of a route's requests, over those that ended here."""
+class _Use:
+    """Usual work time and size of requests, over those that ended here."""
 
     work_ms: float | None = None
-    response_kb: float = 0.0
+    size_kb: float = _HEADS_KB
 
-    def record(self, work_ms: float, response_kb: float) -> None:
+    def record(self, work_ms: float, size_kb: float) -> None:
         """Add one response."""
         if self.work_ms is None:
             self.work_ms = work_ms
-            self.response_kb = response_kb
+            self.size_kb = size_kb
         self.work_ms += (work_ms - self.work_ms) * _NEWEST_WEIGHT
-        self.response_kb += (response_kb - self.response_kb) * _NEWEST_WEIGHT
+        self.size_kb += (size_kb - self.size_kb) * _NEWEST_WEIGHT
+
+
+_UNKNOWN_USE = _Use()
 
 
 class ZoneChoice:
@@ -71,43 +74,54 @@
         rng: random.Random,
     ) -> None:
         self.shares_by_service: dict[ids.ServiceName, zone_share.ZoneShare] = {}
-        """Share of the work that leaves the zone, by service of the configuration."""
+        """Share of the work that leaves the zone, by service that callers here have used."""
         self._zone = zone
         self._crossing = crossing
         self._metrics = process_metrics
         self._rng = rng
-        # One entry for each route of the configuration that callers here have used.
-        self._uses_by_route: dict[ids.RouteName, _RouteUse] = collections.defaultdict(_RouteUse)
+        # One entry for each route and service of the configuration that callers here have used.
+        self._uses_by_route: dict[ids.RouteName, _Use] = {}
+        self._uses_by_service: dict[ids.ServiceName, _Use] = {}
         self._logged_by_service: dict[ids.ServiceName, float] = {}
 
     def record(self, work: job.Job, result: job.Result, took_ms: float) -> None:
         """Record the response to a job."""
-        if result.kind is not job.ResultKind.ANSWERED or result.load is None:
+        load = result.load
+        if result.kind is not job.ResultKind.ANSWERED or result.failed or load is None:
+            return
+        if load.running + load.waiting > load.slots * _MAX_CALM_UTILIZATION:
+            # The response has waited, which is no part of its work.
             return
-        work_ms = took_ms * _NORMAL_SLOWNESS / max(_NORMAL_SLOWNESS, result.load.slowness)
-        self._uses_by_route[work.route].record(work_ms, len(result.body) / _BYTES_PER_KB)
+        work_ms = took_ms * _NORMAL_SLOWNESS / max(_NORMAL_SLOWNESS, load.slowness)
+        size_kb = _HEADS_KB + (work.size + len(result.body)) / _BYTES_PER_KB
+        self._uses_by_route.setdefault(work.route, _Use()).record(work_ms, size_kb)
+        self._uses_by_service.setdefault(work.service, _Use()).record(work_ms, size_kb)
 
     def choose(
-        self, work: job.Job, peers: Sequence[peer_table.Peer], now: clock.Milliseconds
+        self,
+        work: job.Job,
+        peers: Sequence[peer_table.Peer],
+        all_peers: Sequence[peer_table.Peer],
+        now: clock.Milliseconds,
     ) -> peer_table.Peer | None:
         """Return the host for a job, None if there are no hosts.
 
         Args:
             work: The job.
-            peers: Hosts that may be selected.
+            peers: Hosts that may be selected for it.
+            all_peers: Hosts that may be selected for any request of its service.
             now: Monotonic time.
         """
         if not peers:
             return None
-        left_ms = _left_ms(work, now)
-        share = self._share_of(work, peers, left_ms, now)
+        share = self._stepped_share(work, all_peers, now)
         chosen = self.select(work, peers, share, now, self._rng)
         is_local = chosen.announcement.zone == self._zone
         self._metrics.count('zone_choices', _STAYED if is_local else _LEFT)
         return chosen
 
     def share_of(self, service: ids.ServiceName) -> zone_share.ZoneShare:
-        """Return the share of a service's work that leaves the zone at present."""
+        """Return the share of a service's work that leaves the zone, as it was decided last."""
         share = self.shares_by_service.get(service)
         return zone_share.ZoneShare(self._zone, self._crossing) if share is None else share
 
@@ -128,17 +142,17 @@
             now: Monotonic time.
             rng: Random number generator.
         """
-        left_ms = _left_ms(work, now)
+        if share.share and rng.random() < self._own_share(work, share):
+            leaving = _of_drawn_zone(share, peers, rng)
+            peers = leaving or peers
         sampled = host_choice.sample(peers, now, rng)
         local = [peer for peer in sampled if peer.announcement.zone == self._zone]
         remote = [peer for peer in sampled if peer.announcement.zone != self._zone]
-        if remote and rng.random() < share.share:
-            local, remote = [], _of_drawn_zone(share, remote, rng)
         origin = host_choice.Origin(self._zone, 0)
         best_local = _best(local[:_COMPARED_LOCAL_HOSTS], origin, now)
         compared = remote[: _COMPARED_REMOTE_HOSTS if local else _COMPARED_LOCAL_HOSTS]
         best_remote = _best(compared, origin, now)
-        return self._better(best_local, best_remote, work, left_ms, now)
+        return self._better(best_local, best_remote, work, now)
 
     def gauges(self) -> Mapping[str, float]:
         """Return the largest share of a service's work that leaves the zone."""
@@ -152,52 +166,43 @@
         local: peer_table.Peer | None,
         remote: peer_table.Peer | None,
         work: job.Job,
-        left_ms: float,
         now: clock.Milliseconds,
     ) -> peer_table.Peer:
         if local is None or remote is None:
             return local or remote
-        work_ms = self._work_ms(work, left_ms)
-        local_ms = work_ms * _slowness(local, now) / _NORMAL_SLOWNESS
+        left_ms = _left_ms(work, now)
+        usual_ms = self._uses_by_route.get(work.route, _UNKNOWN_USE).work_ms
+        work_ms = left_ms * _DEFAULT_WORK_SHARE if usual_ms is None else usual_ms
+        local_ms = work_ms * zone_rooms.slowness(local, now) / _NORMAL_SLOWNESS
         if local_ms <= left_ms * _COMFORT_SHARE:
             return local
-        remote_ms = work_ms * _slowness(remote, now) / _NORMAL_SLOWNESS
-        return (
-            remote if remote_ms + self._crossing.cost_ms(self._size_kb(work)) < local_ms else local
-        )
+        remote_ms = work_ms * zone_rooms.slowness(remote, now) / _NORMAL_SLOWNESS
+        return remote if remote_ms + self._cost_ms(work) < local_ms else local
 
-    def _work_ms(self, work: job.Job, left_ms: float) -> float:
-        usual = self._uses_by_route[work.route].work_ms
-        return left_ms * _DEFAULT_WORK_SHARE if usual is None else usual
+    def _own_share(self, work: job.Job, share: zone_share.ZoneShare) -> float:
+        """Return the probability with which a job leaves; large ones leave less often."""
+        usual_kb = self._uses_by_service.get(work.service, _UNKNOWN_USE).size_kb
+        usual_ms = self._crossing.cost_ms(usual_kb)
+        return share.share * min(1.0, usual_ms / max(usual_ms, self._cost_ms(work)))
 
-    def _size_kb(self, work: job.Job) -> float:
-        response_kb = self._uses_by_route[work.route].response_kb
-        return _HEADS_KB + work.size / _BYTES_PER_KB + response_kb
+    def _cost_ms(self, work: job.Job) -> float:
+        usual_kb = self._uses_by_route.get(work.route, _UNKNOWN_USE).size_kb
+        return self._crossing.cost_ms(max(usual_kb, _HEADS_KB + work.size / _BYTES_PER_KB))
 
-    def _share_of(
-        self,
-        work: job.Job,
-        peers: Sequence[peer_table.Peer],
-        left_ms: float,
-        now: clock.Milliseconds,
+    def _stepped_share(
+        self, work: job.Job, peers: Sequence[peer_table.Peer], now: clock.Milliseconds
     ) -> zone_share.ZoneShare:
-        share = self.share_of(work.service)
-        self.shares_by_service[work.service] = share
+        """Return the share of the job's service, after a step if one is due."""
+        share = self.shares_by_service.setdefault(work.service, self.share_of(work.service))
         if share.is_due(now):
-            rooms = self._rooms(peers, self._work_ms(work, left_ms), now)
-            share.step(rooms, self._size_kb(work), now)
+            use = self._uses_by_service.get(work.service, _UNKNOWN_USE)
+            left_ms = _left_ms(work, now)
+            work_ms = left_ms * _DEFAULT_WORK_SHARE if use.work_ms is None else use.work_ms
+            rooms = zone_rooms.by_zone(peers, work_ms, now)
+            share.step(rooms, use.size_kb, left_ms * _COMFORT_SHARE, now)
             self._log_if_changed(work.service, share, rooms)
         return share
 
-    def _rooms(
-        self, peers: Sequence[peer_table.Peer], work_ms: float, now: clock.Milliseconds
-    ) -> zone_share.Rooms:
-        by_zone: dict[ids.ZoneName, list[peer_table.Peer]] = collections.defaultdict(list)
-        for peer in peers:
-            if peer.avoid_until <= now and not peer.is_unresponsive(now):
-                by_zone[peer.announcement.zone].append(peer)
-        return {zone: _room(hosts, work_ms, now) for zone, hosts in by_zone.items()}
-
     def _log_if_changed(
         self, service: ids.ServiceName, share: zone_share.ZoneShare, rooms: zone_share.Rooms
     ) -> None:
@@ -221,13 +226,14 @@
 
 
 def _of_drawn_zone(
-    share: zone_share.ZoneShare, remote: Sequence[peer_table.Peer], rng: random.Random
+    share: zone_share.ZoneShare, peers: Sequence[peer_table.Peer], rng: random.Random
 ) -> Sequence[peer_table.Peer]:
+    """Return the hosts of a zone that work leaves for; none if it has none for this request."""
     weights = share.weights_by_zone
     if not weights:
-        return remote
+        return ()
     zone = rng.choices(tuple(weights), tuple(weights.values()))[0]
-    return [peer for peer in remote if peer.announcement.zone == zone] or remote
+    return [peer for peer in peers if peer.announcement.zone == zone]
 
 
 def _best(
@@ -236,28 +242,3 @@
     return min(
         peers, key=lambda peer: host_choice.expected_slowness(peer, origin, now), default=None
     )
-
-
-def _slowness(peer: peer_table.Peer, now: clock.Milliseconds) -> float:
-    """Return how slow work is expected to be at a host, whatever its zone."""
-    origin = host_choice.Origin(peer.announcement.zone, 0)
-    return host_choice.expected_slowness(peer, origin, now)
-
-
-def _room(
-    hosts: Sequence[peer_table.Peer], work_ms: float, now: clock.Milliseconds
-) -> zone_share.ZoneRoom:
-    """Return the room of the hosts of one zone; one without a known load counts as idle."""
-    loads = [peer.load for peer in hosts if peer.load is not None]
-    ages = [now - peer.load_reported_at for peer in hosts if peer.load is not None]
-    busy = sum(
-        max(peer.outstanding, peer.load.running + peer.load.waiting)
-        for peer in hosts
-        if peer.load is not None
-    )
-    return zone_share.ZoneRoom(
-        slots=sum(load.slots for load in loads),
-        busy=busy,
-        work_ms=work_ms,
-        age_ms=min(ages, default=math.inf),
-    )
--- a/src/anvillug/process/zone_share.py
+++ b/src/anvillug/process/zone_share.py
@@ -18,6 +18,8 @@
 MAX_STEP = 0.1
 """Largest change of a share in one step."""
 
+# While the load of other zones is old, a share rises by no more than this before it is newer.
+_BLIND_RISE = 0.25
 # Load that was reported longer ago than this says little about the room of a zone.
 _STALE_MS = 3000.0
 # A zone is regarded as full at this utilization; more work would wait behind all of its slots.
@@ -79,10 +81,15 @@
         waiting = utilization**exponent / (self.slots * (1 - min(utilization, _MAX_UTILIZATION)))
         return self.work_ms * (1 + min(waiting, 1 + utilization))
 
-    @property
-    def is_usable(self) -> bool:
-        """Whether work of another zone may be sent here."""
-        return self.utilization < _FULL_UTILIZATION and self.age_ms < _STALE_MS
+    def is_usable(self, *, receives_work: bool) -> bool:
+        """Return whether work of another zone may be sent here.
+
+        Args:
+            receives_work: Whether some is sent here already, so that a zone which is nearly full
+                because of that keeps it.
+        """
+        limit = 1.0 if receives_work else _FULL_UTILIZATION
+        return self.utilization < limit and self.age_ms < _STALE_MS
 
 
 Rooms = Mapping[ids.ZoneName, ZoneRoom]
@@ -113,12 +120,15 @@
         """Return whether the time of the next step has come."""
         return now - self._stepped_at >= STEP_MS
 
-    def step(self, rooms: Rooms, size_kb: float, now: clock.Milliseconds) -> bool:
+    def step(
+        self, rooms: Rooms, size_kb: float, comfort_ms: float, now: clock.Milliseconds
+    ) -> bool:
         """Move the share towards the one that serves callers best.
 
         Args:
             rooms: Room by zone, also of the own one.
             size_kb: Usual size of a request and its response in KiB.
+            comfort_ms: Time in which callers would not notice that a request ends sooner.
             now: Monotonic time.
 
         Returns:
@@ -127,30 +137,41 @@
         if not self.is_due(now):
             return False
         self._stepped_at = now
+        receivers = self.weights_by_zone if self.share else ()
         others = {
-            zone: room for zone, room in rooms.items() if zone != self.zone and room.is_usable
+            zone: room
+            for zone, room in rooms.items()
+            if zone != self.zone and room.is_usable(receives_work=zone in receivers)
         }
         self._weigh(others)
         own = rooms.get(self.zone)
-        if own is None or not own.slots:
+        if own is None:
             # Nobody can be served here; steps would only delay callers.
             self.share = float(bool(others))
             self.reason = 'no host in the zone'
             return True
-        target = self._target(own, others, size_kb)
-        change = max(-MAX_STEP, min(MAX_STEP, target - self.share))
+        if not own.slots:
+            # Its hosts have reported nothing yet, or are avoided for a moment.
+            self.reason = 'load of the own zone is unknown'
+            return True
+        target = self._target(own, others, size_kb, comfort_ms)
+        age_ms = max([room.age_ms for room in others.values()], default=0.0)
+        max_rise = min(MAX_STEP, _BLIND_RISE * STEP_MS / max(STEP_MS, age_ms))
+        change = max(-MAX_STEP, min(max_rise, target - self.share))
         self.share = min(1.0, max(0.0, self.share + change))
         return True
 
     # Private
 
     def _weigh(self, others: Rooms) -> None:
-        """Weigh other zones by their free slots."""
-        free_by_zone = {zone: room.slots - room.busy for zone, room in others.items()}
+        """Weigh other zones by what they can still do in a time."""
+        free_by_zone = {
+            zone: (room.slots - room.busy) / max(1.0, room.work_ms) for zone, room in others.items()
+        }
         total = sum(free_by_zone.values())
         self.weights_by_zone = {zone: free / total for zone, free in free_by_zone.items()}
 
-    def _target(self, own: ZoneRoom, others: Rooms, size_kb: float) -> float:
+    def _target(self, own: ZoneRoom, others: Rooms, size_kb: float, comfort_ms: float) -> float:
         if not others:
             # Work that crosses to be rejected has gained nothing.
             self.reason = 'other zones are full or unknown'
@@ -158,6 +179,9 @@
         cost_ms = self._crossing.cost_ms(size_kb)
         # The work that leaves now is counted in the other zones and no more in this one.
         demand = own.busy / (1 - self.share) if self.share < 1 else own.busy + self._sent(others)
+        if own.time_ms(demand - own.busy) <= comfort_ms:
+            self.reason = 'own zone meets the objectives'
+            return 0.0
         gain_ms = self._gain_ms(own, others, self.share, demand) - cost_ms
         if abs(gain_ms) < _DEAD_BAND_MS:
             return self.share
@@ -174,6 +198,12 @@
     def _gain_ms(self, own: ZoneRoom, others: Rooms, share: float, demand: float) -> float:
         """Return how much sooner a request ends in other zones if a share of the work leaves."""
         moved = (share - self.share) * demand
+        is_filled = any(
+            (others[zone].busy + moved * weight) / others[zone].slots >= _FULL_UTILIZATION
+            for zone, weight in self.weights_by_zone.items()
+        )
+        if moved > 0 and is_filled:
+            return -math.inf
         there_ms = sum(
             weight * others[zone].time_ms(moved * weight)
             for zone, weight in self.weights_by_zone.items()
--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -27,6 +27,13 @@
     def hosts(self, service, now) -> list[peer_table.Peer]:
         return self._hosts
 
+    def eligible(self, service, now) -> list[peer_table.Peer]:
+        return [
+            host
+            for host in self._hosts
+            if host.announcement.state is upstream.UpstreamState.SERVING
+        ]
+
     def preview(self, work, hosts, rng: random.Random) -> peer_table.Peer | None:
         return hosts[0] if hosts else None
 
--- a/tests/test_zone_choice.py
+++ b/tests/test_zone_choice.py
@@ -50,7 +50,7 @@
         """Select hosts and return how often each zone was selected."""
         work = self.job(**changes)
         return collections.Counter(
-            self.choice.choose(work, peers, now).announcement.zone for _ in range(times)
+            self.choice.choose(work, peers, peers, now).announcement.zone for _ in range(times)
         )
 
 
@@ -58,7 +58,7 @@
     """Guards against bytes between zones that no caller gains from."""
 
     def test_no_host_is_selected_without_hosts(self):
-        assert _Callers().choice.choose(_Callers().job(), [], _NOW) is None
+        assert _Callers().choice.choose(_Callers().job(), [], [], _NOW) is None
 
     def test_requests_stay_while_they_meet_their_objective(self):
         peers = _peers('z', 5, slowness=140) + _peers('y', 20, slowness=100)
@@ -93,6 +93,18 @@
         assert share > 0
         assert callers.choice.gauges() == {'zone_share_left': share}
 
+    def test_retry_says_nothing_about_the_room_of_the_zone(self):
+        callers = _Callers()
+        peers = _peers('z', 1) + _peers('y', 5)
+        assert callers.choice.choose(callers.job(), peers[1:], peers, _NOW) is not None
+        assert callers.choice.shares_by_service['s'].share == 0
+
+    def test_zone_whose_hosts_have_reported_no_load_is_not_left(self):
+        callers = _Callers()
+        unknown = [test_host_choice.make_peer(f'z{number}', load=None) for number in range(3)]
+        callers.zones(unknown + _peers('y', 20), times=1)
+        assert callers.choice.shares_by_service['s'].share == 0
+
     def test_nothing_leaves_when_the_other_zones_are_full_too(self):
         callers = _Callers()
         peers = _peers('z', 4, running=12) + _peers('y', 4, running=12)
--- a/tests/test_zone_share.py
+++ b/tests/test_zone_share.py
@@ -12,6 +12,8 @@
 _CROSSING = zone_share.Crossing(delay_ms=20.0, delay_ms_per_kb=1.0)
 _WORK_MS = 100.0
 _SIZE_KB = 5.0
+_MAX_SWING = 0.02
+_MAX_BLIND_SHARE = 0.26
 
 
 def _room(slots: int, busy: float, *, work_ms: float = _WORK_MS, age_ms: float = 0.0):
@@ -41,7 +43,7 @@
             }
             self._now += zone_share.STEP_MS
             for share in self.shares_by_zone.values():
-                share.step(rooms, _SIZE_KB, clock.Milliseconds(self._now))
+                share.step(rooms, _SIZE_KB, 0.0, clock.Milliseconds(self._now))
             history.append(self.shares())
         return history
 
@@ -101,6 +103,13 @@
             shares = [shares[zone] for shares in settled]
             assert max(shares) - min(shares) <= zone_share.MAX_STEP
 
+    def test_zone_filled_by_another_one_does_not_swing(self):
+        zones = _Zones({'a': 40, 'b': 20}, {'a': 60, 'b': 15})
+        zones.run(30)
+        shares = [shares['a'] for shares in zones.run(60)]
+        assert max(shares) <= min(shares) + _MAX_SWING
+        assert zones.busy('b') < 20
+
     def test_wave_that_moves_on_leaves_no_work_away_from_home(self):
         zones = _Zones({'a': 90, 'b': 90, 'c': 90}, {'a': 120, 'b': 30, 'c': 30})
         zones.run(30)
@@ -122,7 +131,7 @@
     def _share_after(self, rooms, steps: int = 30) -> zone_share.ZoneShare:
         share = zone_share.ZoneShare('a', _CROSSING)
         for step in range(steps):
-            share.step(rooms, _SIZE_KB, clock.Milliseconds(step * zone_share.STEP_MS))
+            share.step(rooms, _SIZE_KB, 0.0, clock.Milliseconds(step * zone_share.STEP_MS))
         return share
 
     def test_zone_whose_load_is_unknown_receives_nothing(self):
@@ -143,11 +152,25 @@
         rooms = {'a': _room(50, 10, work_ms=130.0), 'b': _room(100, 10)}
         small = zone_share.ZoneShare('a', zone_share.Crossing(5.0, 1.0))
         large = zone_share.ZoneShare('a', zone_share.Crossing(5.0, 1.0))
-        small.step(rooms, 1.0, clock.Milliseconds(0))
-        large.step(rooms, 100.0, clock.Milliseconds(0))
+        small.step(rooms, 1.0, 0.0, clock.Milliseconds(0))
+        large.step(rooms, 100.0, 0.0, clock.Milliseconds(0))
         assert small.share > 0
         assert large.share == 0
 
+    def test_share_rises_slowly_while_the_load_of_other_zones_is_old(self):
+        rooms = {'a': _room(10, 30), 'b': _room(100, 0, age_ms=2000.0)}
+        assert self._share_after(rooms, steps=20).share < _MAX_BLIND_SHARE
+
+    def test_zone_whose_hosts_are_avoided_keeps_its_share(self):
+        share = self._share_after({'a': _room(0, 0), 'b': _room(100, 0)})
+        assert share.share == 0
+
+    def test_slow_zone_that_meets_the_objectives_is_not_left(self):
+        rooms = {'a': _room(50, 10, work_ms=300.0), 'b': _room(100, 10)}
+        share = zone_share.ZoneShare('a', _CROSSING)
+        share.step(rooms, _SIZE_KB, 400.0, clock.Milliseconds(0))
+        assert share.share == 0
+
 
 class TestSteps:
     """Guards against shares that jump, and that are computed for each request."""
@@ -155,14 +178,14 @@
     def test_share_moves_by_a_bounded_step(self):
         share = zone_share.ZoneShare('a', _CROSSING)
         rooms = {'a': _room(10, 30), 'b': _room(100, 0)}
-        share.step(rooms, _SIZE_KB, clock.Milliseconds(0))
+        share.step(rooms, _SIZE_KB, 0.0, clock.Milliseconds(0))
         assert share.share == pytest.approx(zone_share.MAX_STEP)
 
     def test_no_step_is_taken_before_its_time(self):
         share = zone_share.ZoneShare('a', _CROSSING)
         rooms = {'a': _room(10, 30), 'b': _room(100, 0)}
-        assert share.step(rooms, _SIZE_KB, clock.Milliseconds(0))
-        assert not share.step(rooms, _SIZE_KB, clock.Milliseconds(zone_share.STEP_MS / 2))
+        assert share.step(rooms, _SIZE_KB, 0.0, clock.Milliseconds(0))
+        assert not share.step(rooms, _SIZE_KB, 0.0, clock.Milliseconds(zone_share.STEP_MS / 2))
 
     def test_time_rises_with_load_and_is_infinite_without_slots(self):
         times = [_room(20, busy).time_ms() for busy in range(0, 60, 3)]
