--- a/src/anvillug/json_table.py
+++ b/src/anvillug/json_table.py
@@ -14,6 +14,7 @@
 from anvillug import findings, network_address
 
 _REQUIRED: Any = object()
+_ABSENT: Any = object()
 # Larger integers can't be sent on to other nodes.
 _MAX_INTEGER = 2**63 - 1
 _DECODE_ERRORS = (ValueError, RecursionError)
@@ -30,7 +31,7 @@
     finds all errors; the caller checks `findings` before it uses the values.
 
     Args:
-        content: Decoded JSON value.
+        content: Decoded JSON value; `_ABSENT` if there is a finding for it already.
         place: Name of the document.
         path: Names of the fields that lead to the object.
         found: Findings of the whole document; the table adds its own.
@@ -42,10 +43,10 @@
         self._place = place
         self._path = path
         self._found = found
-        self._content_by_name: dict[str, Any] = {}
-        if isinstance(content, dict):
-            self._content_by_name = content
-        else:
+        self._content_by_name: dict[str, Any] = content if isinstance(content, dict) else {}
+        # The fields of what is no object are not missing besides.
+        self._has_fields = isinstance(content, dict)
+        if not self._has_fields and content is not _ABSENT:
             self._add(path, 'must be an object', content)
 
     @property
@@ -91,7 +92,7 @@
 
     def table(self, name: str) -> Table:
         """Return an object."""
-        content = self._read(name, _REQUIRED, {}, _no_problem)
+        content = self._read(name, _REQUIRED, _ABSENT, _no_problem)
         return Table(content, self._place, (*self._path, name), self._found)
 
     def tables(self, name: str) -> list[Table]:
@@ -107,7 +108,8 @@
     def _read(self, name: str, default: Any, placeholder: Any, check: _Check) -> Any:
         content = self._content_by_name.get(name, default)
         if content is _REQUIRED:
-            self._add((*self._path, name), 'required key is missing', None)
+            if self._has_fields:
+                self._add((*self._path, name), 'required key is missing', None)
             return placeholder
         if content is default:
             return default
@@ -135,7 +137,7 @@
         The object; it has a finding if the document is malformed.
     """
     found: list[findings.Finding] = []
-    content = {}
+    content = _ABSENT
     try:
         content = json.loads(document.decode())
     except _DECODE_ERRORS as error:
