--- a/src/anvillug/process/mesh_host.py
+++ b/src/anvillug/process/mesh_host.py
@@ -127,7 +127,7 @@
         Returns:
             Function that cancels the job; None if the job is rejected.
         """
-        reason = self._rejection_reason(work)
+        reason = self._rejection_reason(work) or self._cold_reason()
         if reason:
             return self._reject(reason, on_result)
         if self._switch.room is None:
@@ -138,10 +138,8 @@
 
     def handle_inquiry(self, work: job.Job) -> job.Result:
         """Return whether a job would be accepted, as far as can be determined without its body."""
-        reason = self._rejection_reason(work)
+        reason = self._rejection_reason(work) or self._cold_reason()
         wait_ms = 0.0
-        if not reason and self.upstream.cold_ms > 0 and not self._has_cold_token():
-            reason = 'cold'
         if not reason and self._switch.room is not None:
             outcome = self._switch.room.judge(work, self._usual_ms(work))
             reason, wait_ms = outcome.reason, outcome.wait_ms
@@ -153,6 +151,55 @@
         """Return the gauges of the room by name; empty without one."""
         return self._switch.gauges()
 
+    def pool(self) -> http_pool.Pool:
+        """Return the connections to the current instance of the backend server."""
+        heartbeat = self.upstream.heartbeat
+        start = ids.Incarnation(0) if heartbeat is None else heartbeat.started_at
+        if self._pool is None or start != self._pool_start:
+            if self._pool is not None:
+                self._pool.close()
+            host, _, port = self._settings.backend_address.rpartition(':')
+            self._pool = http_pool.Pool(
+                self._reactor,
+                host,
+                int(port),
+                max_connections=self._max_connections(),
+                max_waiting=_MAX_WAITING_REQUESTS,
+                connect_timeout_s=_CONNECT_TIMEOUT_S,
+            )
+            self._faults = fault_share.FaultShare()
+            self._switch.new_instance(is_first=self._pool_start == 0)
+            self._pool_start = start
+        return self._pool
+
+    def backend_lost(self, reason: str) -> None:
+        """Stop sending to the backend server until its next heartbeat."""
+        if self.upstream.state is not upstream.UpstreamState.ABSENT:
+            self.upstream.mark_lost(reason)
+            self._crashes.backend_lost()
+            if self._switch.room is not None:
+                self._switch.room.reject_all(reason)
+
+    def log_cut_runs(self) -> None:
+        """Log the runs that the end of the process cuts."""
+        now = self._clock.now()
+        for run in self._runs:
+            event_log.emit(
+                'run_cut',
+                request=run.work.attempt_id,
+                state=run.state.value,
+                took_ms=int(now - run.sent_at) if run.sent_at else 0,
+                left_ms=int(run.work.deadline - now),
+            )
+
+    def policy(self) -> Any:
+        """Return the operator's policy for the service, None if there is none."""
+        routes = self._active_directives.current.routes
+        heartbeat = self.upstream.heartbeat
+        if routes is None or heartbeat is None:
+            return None
+        return routes.services_by_name.get(heartbeat.service)
+
     # Private
 
     def _create_room(self, policy: room.Policy) -> host_room.HostRoom:
@@ -204,55 +251,6 @@
         run.begin(self.pool())
         return lambda: self._cancel(run, identity)
 
-    def pool(self) -> http_pool.Pool:
-        """Return the connections to the current instance of the backend server."""
-        heartbeat = self.upstream.heartbeat
-        start = ids.Incarnation(0) if heartbeat is None else heartbeat.started_at
-        if self._pool is None or start != self._pool_start:
-            if self._pool is not None:
-                self._pool.close()
-            host, _, port = self._settings.backend_address.rpartition(':')
-            self._pool = http_pool.Pool(
-                self._reactor,
-                host,
-                int(port),
-                max_connections=self._max_connections(),
-                max_waiting=_MAX_WAITING_REQUESTS,
-                connect_timeout_s=_CONNECT_TIMEOUT_S,
-            )
-            self._faults = fault_share.FaultShare()
-            self._switch.new_instance(is_first=self._pool_start == 0)
-            self._pool_start = start
-        return self._pool
-
-    def backend_lost(self, reason: str) -> None:
-        """Stop sending to the backend server until its next heartbeat."""
-        if self.upstream.state is not upstream.UpstreamState.ABSENT:
-            self.upstream.mark_lost(reason)
-            self._crashes.backend_lost()
-            if self._switch.room is not None:
-                self._switch.room.reject_all(reason)
-
-    def log_cut_runs(self) -> None:
-        """Log the runs that the end of the process cuts."""
-        now = self._clock.now()
-        for run in self._runs:
-            event_log.emit(
-                'run_cut',
-                request=run.work.attempt_id,
-                state=run.state.value,
-                took_ms=int(now - run.sent_at) if run.sent_at else 0,
-                left_ms=int(run.work.deadline - now),
-            )
-
-    def policy(self) -> Any:
-        """Return the operator's policy for the service, None if there is none."""
-        routes = self._active_directives.current.routes
-        heartbeat = self.upstream.heartbeat
-        if routes is None or heartbeat is None:
-            return None
-        return routes.services_by_name.get(heartbeat.service)
-
     def _usual_ms(self, work: job.Job) -> float:
         """Return the usual time of a run at the current slowness, 0 if the route had none."""
         load = self.upstream.load
@@ -319,8 +317,11 @@
     def _take_cold_token(self) -> bool:
         return self._cold_gate.take(self._cold_rate(), self._clock.now())
 
-    def _has_cold_token(self) -> bool:
-        return self._cold_gate.has_token(self._cold_rate(), self._clock.now())
+    def _cold_reason(self) -> str:
+        """Return why a cold host rejects a job, without using up its rate."""
+        is_cold = self.upstream.cold_ms > 0
+        has_token = not is_cold or self._cold_gate.has_token(self._cold_rate(), self._clock.now())
+        return '' if has_token else 'cold'
 
     def _cold_rate(self) -> float:
         policy = self.policy()
