--- a/tests/test_usage_counts.py
+++ b/tests/test_usage_counts.py
@@ -7,7 +7,7 @@
 import pytest
 from twisted.internet import task
 
-from anvillug import clock, ids
+from anvillug import clock, ids, json_table
 from anvillug.platform import cloud, duty_settings
 from anvillug.process import (
     duty_holder,
@@ -130,11 +130,11 @@
     _BOUNDS = {'LeaseMs': 3000, 'UsageWindowS': 5, 'UsageLateS': 10}
 
     def test_complete(self):
-        assert self._load(self._CLOUD, self._BOUNDS).ok == duty_fleet.SETTINGS
+        assert self._load(self._CLOUD, self._BOUNDS) == (duty_fleet.SETTINGS, ())
 
     @pytest.mark.parametrize('platform_cloud', [None, {'Duties': ['other']}])
     def test_without_the_duty(self, platform_cloud):
-        assert self._load(platform_cloud, {}).ok is None
+        assert self._load(platform_cloud, {}) == (None, ())
 
     @pytest.mark.parametrize(
         ('platform_cloud', 'bounds', 'place'),
@@ -147,7 +147,7 @@
         ],
     )
     def test_finding_names_its_place(self, platform_cloud, bounds, place):
-        found = self._load(platform_cloud, bounds).error
+        _, found = self._load(platform_cloud, bounds)
         assert f'node.json: {place}' in [finding.place for finding in found]
 
     def test_statuses(self):
@@ -158,4 +158,6 @@
 
     def _load(self, platform_cloud, bounds):
         document = {'Platform': {'Cloud': platform_cloud}, 'Terms': {'Bounds': bounds}}
-        return duty_settings.load(json.dumps(document).encode(), 'node.json')
+        table = json_table.decode(json.dumps(document).encode(), 'node.json')
+        loaded = duty_settings.read(table.table('Platform'), table.table('Terms').table('Bounds'))
+        return loaded, table.findings
