Responses: no status outside 100 to 599, no reset taken for an end, no head without end

Cause: a backend server's status 000 or 099 counted as interim and left the request to its timeout, 600 and 999 were forwarded. A reset during a long upload was taken for the end of a response without a length, since the error of the socket was read before the read that saw an ordinary end. Change: such a status, and over 256 KiB before the body, make the response malformed, so that the outcome is unknown (502), also between nodes.

--- a/src/anvillug/connection/half_close.py
+++ b/src/anvillug/connection/half_close.py
@@ -182,6 +182,11 @@
                 self._on_unread_end()
 
 
+def is_reset(transport: object) -> bool:
+    """Return whether a TCP connection was reset, also if its error was read; False for others."""
+    return isinstance(transport, tcp.Connection) and _tcp_state(transport.socket) == _TCP_CLOSE
+
+
 def _tcp_state(connection: socket.socket) -> int:
     """Return the state of a connection, also after its error was read or before its bytes are."""
     try:
--- a/src/anvillug/connection/http_client.py
+++ b/src/anvillug/connection/http_client.py
@@ -11,10 +11,13 @@
 from zope.interface import implementer
 
 from anvillug import event_log
-from anvillug.connection import arrival, carried_ids, http_head, write_batch
+from anvillug.connection import arrival, carried_ids, half_close, http_head, write_batch
 
 _MIN_FINAL_STATUS = 200
 _STATUS_CONTINUE = 100
+_STATUSES = range(100, 600)
+MAX_HEAD_BYTES = 256 * 1024
+"""Maximum size of what precedes the body of a response: its head and all interim responses."""
 
 
 class ClientFailure(enum.Enum):
@@ -62,7 +65,11 @@
         """Remove a closed connection."""
 
 
-@implementer(interfaces.IPushProducer)
+class _MalformedHeadError(Exception):
+    """A response head that the parser accepts although it is not valid."""
+
+
+@implementer(interfaces.IPushProducer, interfaces.IHalfCloseableProtocol)
 class ClientConnection(protocol.Protocol):
     """Client side of one HTTP/1.1 connection; carries one request at a time.
 
@@ -90,6 +97,7 @@
         self._headers: list[http_head.Header] = []
         self._framing = http_head.Framing.NONE
         self._head_received = False
+        self._head_bytes = 0
         self._response_complete = False
         self._request_complete = False
         self._chunked = False
@@ -129,6 +137,7 @@
         self._method = head.method
         self._chunked = head.framing is http_head.Framing.CHUNKED
         self._head_received = False
+        self._head_bytes = 0
         self._response_complete = False
         self._request_complete = False
         self._create_parser()
@@ -185,10 +194,13 @@
         write_batch.BATCH.begin()
         self._parsing = True
         try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as problem:
-            if isinstance(problem, httptools.HttpParserCallbackError):
-                event_log.error('response_handler_failed', problem.__context__ or problem)
+            self._feed(data)
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+            _MalformedHeadError,
+        ) as problem:
+            _log_problem(problem)
             if not self._response_complete:
                 self._fail_request(ClientFailure.MALFORMED)
             self._reusable = False
@@ -200,6 +212,17 @@
             self._parsing = False
             write_batch.BATCH.end()
 
+    def readConnectionLost(self) -> None:  # noqa: N802
+        """Close the connection, since the peer has closed its end; see Twisted.
+
+        A reset whose error was already read looks like a regular end as well.
+        """
+        self._was_reset = self._was_reset or half_close.is_reset(self.transport)
+        self.transport.connectionLost(failure.Failure(error.ConnectionDone()))
+
+    def writeConnectionLost(self) -> None:  # noqa: N802
+        """Do nothing: this end is not closed by itself; see Twisted."""
+
     def connectionLost(self, reason: failure.Failure | None = None) -> None:  # noqa: N802
         """Notify the handler of an unfinished response; see Twisted."""
         self._disconnected = True
@@ -236,6 +259,8 @@
         if self._response_complete:
             return
         self._status = self._parser.get_status_code()
+        if self._status not in _STATUSES:
+            raise _MalformedHeadError(f'status {self._status}')
         if self._status < _MIN_FINAL_STATUS or self._handler is None:
             return
         head = http_head.ResponseHead(self._status, self._headers, self._reason)
@@ -267,6 +292,7 @@
         if self._skips_response:
             self._skips_response = False
             self._head_received = False
+            self._head_bytes = 0
         elif self._status >= _MIN_FINAL_STATUS:
             self._complete_response()
 
@@ -287,6 +313,13 @@
 
     # Private
 
+    def _feed(self, data: bytes) -> None:
+        if not self._head_received:
+            self._head_bytes += len(data)
+        self._parser.feed_data(data)
+        if not self._head_received and self._head_bytes > MAX_HEAD_BYTES:
+            raise _MalformedHeadError(f'head exceeds {MAX_HEAD_BYTES} bytes')
+
     def _create_parser(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
 
@@ -325,3 +358,12 @@
         self._reusable = False
         if handler is not None:
             handler.response_failed(reason)
+
+
+def _log_problem(problem: Exception) -> None:
+    """Log a response that is malformed by its head, or a handler that has failed."""
+    cause = problem.__context__ or problem
+    if isinstance(cause, _MalformedHeadError):
+        event_log.warn('response_malformed', reason=cause)
+    elif isinstance(problem, httptools.HttpParserCallbackError):
+        event_log.error('response_handler_failed', cause)
--- a/src/anvillug/request/job_wire.py
+++ b/src/anvillug/request/job_wire.py
@@ -25,7 +25,7 @@
 """Path of the request for the directives in effect."""
 
 _MIN_STATUS = 100
-_MAX_STATUS = 999
+_MAX_STATUS = 599
 _CHECKS_BY_FIELD: dict[str, Callable[[Any, str], Any]] = {
     'attempt_id': wire_value.text,
     'service': wire_value.text,
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import contextlib
+import itertools
 import socket
 import struct
 import time
 
 import pytest
+from hypothesis import given, strategies
 from twisted.internet import error
 from twisted.internet import testing as twisted_testing
 from twisted.python import failure
@@ -15,6 +17,8 @@
 from anvillug.connection import http_client, http_head, http_pool, write_batch
 from tests import reactor_thread
 
+_UPLOAD_BYTES = 16 << 20
+
 
 class Recorder:
     """Response handler that records its events."""
@@ -233,12 +237,83 @@
             reactor_thread.eventually(lambda: len(recorder.events) > 1)
         assert recorder.events == [200, http_client.ClientFailure.LOST]
 
+    # The upload fills the buffers, so that the reset is met by a write or by a read.
+    @pytest.mark.parametrize('pause_s', [0, 0.001, 0.02])
+    def test_reset_during_an_upload_is_a_failure(self, running_reactor, pause_s):
+        with contextlib.closing(socket.create_server(('127.0.0.1', 0))) as listener:
+            port = listener.getsockname()[1]
+            real_pool = http_pool.Pool(running_reactor, '127.0.0.1', port)
+            recorder = Recorder()
 
-def _reset_and_send(server, connection):
-    """Reset a connection, and send on it before anything is read."""
+            def begin(connection):
+                headers = [(b'Host', b'x'), (b'Content-Length', b'%d' % _UPLOAD_BYTES)]
+                connection.request(http_head.RequestHead(b'POST', b'/', headers), recorder)
+                connection.send_body(bytes(_UPLOAD_BYTES - 1))
+
+            reactor_thread.call(real_pool.acquire, begin, _ignore)
+            server = listener.accept()[0]
+            assert server.recv(1000)
+            server.sendall(b'HTTP/1.1 200 OK\r\n\r\npart')
+            time.sleep(pause_s)
+            _reset(server)
+            reactor_thread.eventually(
+                lambda: recorder.events[-1:] in (['ended'], [http_client.ClientFailure.LOST])
+            )
+        assert 'ended' not in recorder.events
+
+
+def _reset(server):
+    """Reset a connection."""
     server.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
     server.close()
+
+
+def _reset_and_send(server, connection):
+    """Reset a connection, and send on it before anything is read."""
+    _reset(server)
     time.sleep(0.05)
     write_batch.BATCH.begin()
     connection.send_body(b'more')
     write_batch.BATCH.end()
+
+
+class TestHeads:
+    """Guards against heads that are none, and against heads without end (MIXED)."""
+
+    @pytest.mark.parametrize('status', [b'000', b'099', b'600', b'999'])
+    def test_status_outside_http_is_a_failure_at_once(self, pool, status):
+        head = b'HTTP/1.1 %b OK\r\nContent-Length: 0\r\n\r\n' % status
+        assert _events_after(pool, [head]) == [http_client.ClientFailure.MALFORMED]
+
+    @pytest.mark.parametrize('part', [b'a:\r\n', b'\r\nHTTP/1.1 102 Processing\r\n'])
+    def test_head_without_end_is_a_failure(self, pool, part):
+        parts = [b'HTTP/1.1 102 Processing\r\n', part * (http_client.MAX_HEAD_BYTES // len(part))]
+        assert _events_after(pool, parts) == [http_client.ClientFailure.MALFORMED]
+
+    @given(
+        status=strategies.sampled_from([b'000', b'099', b'600', b'999', b'200']),
+        cuts=strategies.lists(strategies.integers(0, 60)),
+        end=strategies.sampled_from([error.ConnectionDone(), error.ConnectionLost()]),
+    )
+    def test_splits_and_ends_do_not_make_a_response_complete(self, status, cuts, end):
+        data = b'HTTP/1.1 %b OK\r\n\r\npart of a body' % status
+        bounds = sorted({0, len(data), *(cut for cut in cuts if cut < len(data))})
+        connection = connect(http_pool.Pool(twisted_testing.MemoryReactorClock(), '127.0.0.1', 1))
+        recorder = send(connection, b'POST')
+        for start, stop in itertools.pairwise(bounds):
+            connection.dataReceived(data[start:stop])
+            if status != b'200' and recorder.events:
+                break
+        connection.connectionLost(failure.Failure(end))
+        is_complete = status == b'200' and isinstance(end, error.ConnectionDone)
+        assert ('ended' in recorder.events) is is_complete
+        assert (200 in recorder.events) is (status == b'200')
+
+
+def _events_after(pool, parts):
+    """Return the events of a request after these parts of its response."""
+    connection = connect(pool)
+    recorder = send(connection)
+    for part in parts:
+        connection.dataReceived(part)
+    return recorder.events
