Usage counts: send them with a length

Cause: the request that carries counts to the holder had no Content-Length, so the holder read an empty message and answered 400. Change: the header, and a test of the message that is sent. Result: test_usage_counts passes.

--- a/src/anvillug/process/usage_exchange.py
+++ b/src/anvillug/process/usage_exchange.py
@@ -161,7 +161,8 @@
 
     def _begin(self, address: str, counts: usage_counts.CountsByWindow) -> None:
         body = usage_wire.pack(self._state.process, counts)
-        head = http_head.RequestHead(b'POST', usage_wire.PATH, [(b'Host', b'node')])
+        headers = [(b'Host', b'node'), (b'Content-Length', b'%d' % len(body))]
+        head = http_head.RequestHead(b'POST', usage_wire.PATH, headers)
 
         def finish() -> None:
             self._message = None
--- a/tests/test_usage_counts.py
+++ b/tests/test_usage_counts.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import json
+from unittest import mock
 
 import pytest
 from twisted.internet import task
 
 from anvillug import clock, ids
+from anvillug.connection import http_client
 from anvillug.platform import cloud, duty_settings
 from anvillug.process import (
     duty_holder,
@@ -97,16 +99,7 @@
 
     def test_counts_are_collected_with_the_duty_only(self):
         time = clock.ManualClock(0, 35_000)
-        state = duty_state.DutyState(_FIRST, duty_fleet.SETTINGS)
-        exchange = usage_exchange.UsageExchange(
-            task.Clock(),
-            true_time.TrueTime(time),
-            duty_fleet.SETTINGS,
-            state,
-            peer_table.PeerTable(_FIRST[0], time),
-            lambda _: None,
-            time.wall,
-        )
+        exchange, state = self._exchange(_FIRST, time)
         exchange._count(_T, clock.Milliseconds(10), 1)  # noqa: SLF001 - without a complete job
         assert not exchange.receive(usage_wire.pack(_SECOND, {_W: {_T: 4}}))
         end = directives.Position(0, 0)
@@ -122,6 +115,37 @@
         exchange.holder_changed()
         assert (exchange.total(_W), exchange.announced()) == ({}, [35_000, 0])
 
+    def test_counts_are_sent_to_the_holder_until_it_has_taken_them(self):
+        time = clock.ManualClock(0, 35_000)
+        connection = mock.MagicMock()
+        pool = mock.MagicMock()
+        pool.acquire = lambda connected, _failed: connected(connection)
+        exchange, _ = self._exchange(_SECOND, time, pool)
+        exchange._peers.by_host_id[_FIRST[0]] = mock.MagicMock()  # noqa: SLF001 - instead of beacons
+        exchange.beacon_received(mock.MagicMock(host_id='h', incarnation=1), [35_000, 5])
+        exchange._count(_T, clock.Milliseconds(10), 1)  # noqa: SLF001 - without a complete job
+        for _ in range(2):
+            exchange.start()
+            head, message = connection.request.call_args.args
+            body = connection.send_body.call_args.args[0]
+            assert (b'Content-Length', b'%d' % len(body)) in head.headers
+            assert usage_wire.unpack(body) == (_SECOND, {_W: {_T: 1}})
+            message.response_failed(http_client.ClientFailure.LOST)
+        assert connection.request.call_count == 2
+
+    def _exchange(self, process, time, pool=None):
+        state = duty_state.DutyState(process, duty_fleet.SETTINGS)
+        exchange = usage_exchange.UsageExchange(
+            task.Clock(),
+            true_time.TrueTime(time),
+            duty_fleet.SETTINGS,
+            state,
+            peer_table.PeerTable(process[0], time),
+            lambda _: pool,
+            time.wall,
+        )
+        return exchange, state
+
 
 class TestPlatform:
     """Guards against settings that are half there, and statuses that are misread."""
