--- a/src/anvillug/platform/program.py
+++ b/src/anvillug/platform/program.py
@@ -4,10 +4,18 @@
 
 import gc
 import pathlib
+from typing import Any
 
 from anvillug import clock, event_log, findings, ids
 from anvillug.platform import documents, headers, settings
-from anvillug.process import lifetime, mesh_settings, plain_tcp, settings_watch
+from anvillug.process import (
+    duty_holder,
+    duty_settings,
+    lifetime,
+    mesh_settings,
+    plain_tcp,
+    settings_watch,
+)
 from anvillug.version import rollout
 
 _EXIT_BAD_INPUT = 2
@@ -64,7 +72,7 @@
     # Importing the reactor installs it.
     from twisted.internet import reactor  # noqa: PLC0415
 
-    from anvillug.platform import cloud, node_start, store  # noqa: PLC0415
+    from anvillug.platform import node_start, store  # noqa: PLC0415
     from anvillug.process import error_reports, mesh_node  # noqa: PLC0415
 
     # What was imported stays; later collections don't search it.
@@ -85,10 +93,17 @@
             documents.decode_directives,
             _StatusCodec(),
             log_lines,
-            lambda duty: cloud.Cloud(reactor, duty),
+            lambda duty: _reporter(reactor, duty),
         )
 
     start = node_start.NodeStart(reactor, path, build, valid, version)
     if not start.status:
         reactor.run(installSignalHandlers=False)
     return start.status
+
+
+def _reporter(reactor: Any, duty: duty_settings.DutySettings) -> duty_holder.Reporter:
+    """Return the sender of usage reports; its library is loaded only where there are any."""
+    from anvillug.platform import cloud  # noqa: PLC0415
+
+    return cloud.Cloud(reactor, duty)
