Callers that send ahead wait by the number of calls, not after a rejection

Cause: after any 503 of a node, for whatever reason, no requests overlapped on it for a second, which callers inside the limits meet whenever room is short. Change: requests overlap while less than 32 calls are in progress on the node.

--- a/src/anvillug/process/mesh_entry.py
+++ b/src/anvillug/process/mesh_entry.py
@@ -24,9 +24,9 @@
 from anvillug.version import directives, rollout_counts, rollouts
 
 _MAX_CONNECTIONS = 256
-# After a call was rejected, a request begins only once those ahead of it on its connection are
-# answered, so that callers that send ahead leave room for the others.
-_NO_OVERLAP_MS = 1000.0
+# While so many calls are in progress, a request begins only once those ahead of it on its
+# connection are answered, so that callers that send ahead leave room for the others.
+_MAX_OVERLAPPING_CALLS = 32
 _CONNECT_TIMEOUT_S = 0.25
 # A body of this size or more is sent to another zone only after an inquiry, which costs a round
 # trip, so that it isn't sent between zones only to be rejected.
@@ -88,7 +88,6 @@
         self._local_announcement = local_announcement
         self._metrics = process_metrics
         self._account = account
-        self._no_overlap_until = clock.Milliseconds(0)
         self._pools_by_address: dict[str, http_pool.Pool] = {}
         self._fetch = directive_fetch.DirectiveFetch(reactor, active_directives, on_too_large)
         bounds = settings.bounds
@@ -122,7 +121,7 @@
 
         See `http_server.MayOverlap`.
         """
-        if self.clock.now() < self._no_overlap_until:
+        if len(self.in_progress) >= _MAX_OVERLAPPING_CALLS:
             return False
         routes = self._active_directives.current.routes
         route = None if routes is None else routes.match(head.get(b'host') or b'', head.path)
@@ -343,10 +342,7 @@
     def call_ended(self, call: routed_call.RoutedCall, status: int, reason: str) -> None:
         """Record the result of a call; see `routed_call.CallContext`."""
         self.in_progress.discard(call)
-        now = self.clock.now()
-        held_ms = now - call.started_at
-        if status == routed_call.STATUS_UNAVAILABLE:
-            self._no_overlap_until = clock.Milliseconds(now + _NO_OVERLAP_MS)
+        held_ms = self.clock.now() - call.started_at
         self._metrics.count('calls', str(status))
         self._metrics.latency('call_latency', held_ms)
         if call.refusal is not None:
