--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -8,6 +8,8 @@
 import pathlib
 import re
 import signal
+import subprocess
+import sys
 import threading
 from http import client as http_client
 from typing import IO
@@ -264,6 +266,17 @@
         assert response.getheader('Anvillug-Server-Seal').startswith('seal.i-')
         assert 0 < int(executed.headers['anvillug-deadline-ms']) <= 3000
 
+    def test_explanation_names_the_hosts_and_sends_nothing(self, mesh):
+        address = f'{_IPS[0]}:{mesh.ports[6]}'
+        question = ('--host', 'a.example', '--path', '/get/1', '--json')
+        executed = mesh.executed_count()
+        command = (sys.executable, '-m', 'anvillug', 'explain', address, *question)
+        done = subprocess.run(command, capture_output=True, check=True, timeout=30)
+        service = json.loads(done.stdout)['services'][0]
+        assert {host['host'] for host in service['hosts']} == {'host-0', 'host-1'}
+        assert service['would_go_to'] in {'host-0', 'host-1'}
+        assert mesh.executed_count() == executed
+
     def test_changed_routes_take_effect(self, mesh):
         assert mesh.status('/none/') == 404
         mesh.order(b'config', _config(6, *_PATHS, _path('new', 'idempotent')))
