--- a/src/anvillug/process/node.py
+++ b/src/anvillug/process/node.py
@@ -10,7 +10,15 @@
 import xxhash
 
 from anvillug import clock, event_log, ids
-from anvillug.connection import control_client, control_server, http_listener, log_client
+from anvillug.connection import (
+    client_guard,
+    client_limits,
+    control_client,
+    control_server,
+    http_listener,
+    log_client,
+    memory_account,
+)
 from anvillug.process import (
     backend_watch,
     caller_close,
@@ -46,6 +54,7 @@
 _GC_THRESHOLDS = (20_000, 20, 20)
 # Time for the last member record to reach the peers and the log.
 _EXIT_DELAY_S = 0.1
+_CLIENT_CHECK_INTERVAL_S = 0.5
 # A configuration is requested from a peer if the log has not delivered it within this time.
 _PEER_REQUEST_DELAY_S = 0.12
 _SNAPSHOT_HOST_COUNT = 2
@@ -134,15 +143,20 @@
         self.host = self._build_host_side()
         self.entry = self._build_entry_side()
         self.backend = backend_watch.BackendWatch(reactor, time, self._backend_changed)
+        account = memory_account.MemoryAccount(memory_account.DEFAULT_LIMIT_BYTES, time)
+        caller_guard = client_guard.ClientGuard('callers', account, time)
+        caller_guard.limits = client_limits.ClientLimits(reader_ms=config.timeouts.silence_ms)
         self._caller_factory = http_listener.ServerFactory(
             self.entry.request_received,
             config.limits.max_header_bytes,
             self.entry.may_overlap,
+            guard=caller_guard,
         )
         self._peer_factory = http_listener.ServerFactory(
             self.host.request_received,
             config.limits.max_header_bytes + _MAX_ADDED_HEADER_BYTES,
             answers_half_closed=False,
+            guard=client_guard.ClientGuard('nodes', account, time),
         )
         self._caller_close = caller_close.CallerClose(
             time,
@@ -171,6 +185,7 @@
     def listen(self) -> None:
         """Start the tasks of a node that listens; see `life_cycle.Actions`."""
         config = self._settings
+        self._check_clients()
         self.config.start()
         self._membership_log.start()
         self.gossip_task.start()
@@ -354,6 +369,11 @@
         if self.config_number() < number:
             self.gossip_task.exchange_with(host_id)
 
+    def _check_clients(self) -> None:
+        # First, so that a failure does not end the task.
+        self._reactor.callLater(_CLIENT_CHECK_INTERVAL_S, self._check_clients)
+        self._caller_factory.check_clients()
+
     def _take_over(self) -> None:
         lifetime.PROCESS.take_over(
             self._reactor.callFromThread, event_log.emit, self._life_cycle.leave
