--- a/deploy/node.py
+++ b/deploy/node.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import gc
 import sys
 
 # Without `os`, which takes a millisecond to import, and without `..`, since folders that are linked
@@ -17,9 +16,11 @@
 
 def _main() -> None:
     early_signals.keep()
+    # Signals are kept from here on.
+    import gc  # noqa: PLC0415
+
     # Imports create no garbage worth a search; `program.run` enables the collector after them.
     gc.disable()
-    # Signals are kept from here on.
     from anvillug.platform import location  # noqa: PLC0415
     from anvillug.process import lifetime  # noqa: PLC0415
 
