--- a/tests/test_sound_word.py
+++ b/tests/test_sound_word.py
@@ -11,7 +11,7 @@
 from twisted.internet import task
 
 from anvillug import clock, ids
-from anvillug.connection import keyed_log
+from anvillug.connection import keyed_log, memory_account
 from anvillug.platform import headers
 from anvillug.process import order_feed, peer_server, peer_table, sound_word, word_task
 from anvillug.request import job, upstream_run
@@ -163,8 +163,9 @@
 
     def test_another_node_can_ask_for_the_word(self, node):
         node.read()
+        account = memory_account.MemoryAccount(1 << 20, node.time)
         server = peer_server.PeerServer(
-            types.SimpleNamespace(), node.active, node.time, ids.Incarnation(1), node.word
+            types.SimpleNamespace(), node.active, node.time, ids.Incarnation(1), account, node.word
         )
         connection, transport, _ = test_bad_input.make_connection(server.request_received)
         connection.dataReceived(b'GET %b HTTP/1.1\r\nHost: node\r\n\r\n' % sound_word.PATH)
