--- a/src/anvillug/process/beacon.py
+++ b/src/anvillug/process/beacon.py
@@ -187,7 +187,7 @@
         self._on_extra_state(announcement, extra_state)
 
     @property
-    def min_interval_ms(self) -> float:
+    def _min_interval_ms(self) -> float:
         """Shortest interval in milliseconds between beacons that keeps their rate in the limit."""
         return len(self._targets.near) * _MS_PER_SECOND / _MAX_BEACONS_PER_SECOND
 
@@ -198,14 +198,14 @@
         need = self._need()
         urgent = need is Need.AT_ONCE
         interval_ms = _ROLLOUT_INTERVAL_MS if urgent else _FULL_INTERVAL_MS
-        if now - self._near_sent_at >= max(interval_ms, self.min_interval_ms):
+        if now - self._near_sent_at >= max(interval_ms, self._min_interval_ms):
             is_due = now - self._other_zones_sent_at >= _OTHER_ZONES_INTERVAL_MS
             if is_due or need is not Need.NONE:
                 self.send_near()
             else:
                 self._send_near_by_zone()
             self._peers.expire_peers()
-        elif now - self._load_sent_at >= self.min_interval_ms:
+        elif now - self._load_sent_at >= self._min_interval_ms:
             self._send_load_if_due(now)
         if now - self._far_sent_at >= (_FAR_ROLLOUT_INTERVAL_MS if urgent else _FAR_INTERVAL_MS):
             self._repeat_far(now, need)
@@ -243,7 +243,7 @@
         self._near_sent_at = now
         self._load_sent_at = now
         announcement = self._next_announcement(
-            max(peer_table.NEAR_BEACON_INTERVAL_MS, self.min_interval_ms)
+            max(peer_table.NEAR_BEACON_INTERVAL_MS, self._min_interval_ms)
         )
         self._last_sent_load = announcement.load
         return announcement
