--- a/src/anvillug/connection/client_guard.py
+++ b/src/anvillug/connection/client_guard.py
@@ -9,6 +9,9 @@
 
 _CHECK_INTERVAL_MS = 500.0
 _CONNECTIONS = 'connections'
+# Given-up connections keep their descriptors until the next turn of the reactor, while one turn can
+# accept a hundred others. Up to this share of the limit is open beyond it meanwhile.
+_CLOSING_SHARE = 0.25
 
 
 class ClientGuard:
@@ -36,6 +39,7 @@
         self._clock = time
         self._count = count or _ignore
         self._checked_at = clock.Milliseconds(0)
+        self._closing: set[client_limits.Client] = set()
 
     def check(self, clients: set[client_limits.Client]) -> None:
         """Reject or close the clients that have exceeded a time limit; called again and again."""
@@ -48,23 +52,34 @@
             client.limit_exceeded(client.wait.waiting)
 
     def has_room(self, clients: set[client_limits.Client]) -> bool:
-        """Return whether a further client may connect; if need be, one that waits is given up."""
+        """Return whether a further client may connect; if need be, one that waits is given up.
+
+        Args:
+            clients: Clients whose connections have not been closed, also those given up before.
+        """
         if len(clients) < self.limits.connections:
             return True
         now = self._clock.now()
-        client = client_limits.longest_waiting(clients, now)
+        client = self._least_needed(clients, now)
         if client is None:
             event_log.warn('client_refused', listener=self._listener, limit=_CONNECTIONS)
             self._count(f'{self._listener} {_CONNECTIONS}')
             return False
         self._report(client, _CONNECTIONS, now)
-        # Its descriptor is closed in the next turn of the reactor.
-        clients.discard(client)
+        self._closing.add(client)
         client.give_up()
         return True
 
     # Private
 
+    def _least_needed(
+        self, clients: set[client_limits.Client], now: clock.Milliseconds
+    ) -> client_limits.Client | None:
+        self._closing &= clients
+        if len(self._closing) >= self.limits.connections * _CLOSING_SHARE:
+            return None
+        return client_limits.longest_waiting(clients - self._closing, now)
+
     def _report(self, client: client_limits.Client, limit: str, now: clock.Milliseconds) -> None:
         event_log.warn(
             'client_limit_exceeded',
--- a/tests/test_memory_account.py
+++ b/tests/test_memory_account.py
@@ -92,6 +92,18 @@
         assert (busy.is_given_up, idle.is_given_up) == (False, True)
         assert not guard.has_room({busy, _Client(client_limits.Waiting.RESPONSE)})
 
+    def test_descriptors_stay_bounded_while_connections_close(self):
+        guard = _guard(clock.ManualClock(10_000), client_limits.ClientLimits(connections=8))
+        clients = {_Client() for _ in range(8)}
+        # All of them arrive in one turn of the reactor, before a given-up connection is closed.
+        for _ in range(100):
+            if guard.has_room(clients):
+                clients.add(_Client())
+        assert len(clients) == 10
+        assert sum(client.is_given_up for client in clients) == 2
+        clients = {client for client in clients if not client.is_given_up}
+        assert guard.has_room(clients)
+
     def test_slow_head_is_told_that_it_has_not_run(self):
         connection, transport, _ = test_bad_input.make_connection()
         connection.dataReceived(b'GET /a HTTP/1.1\r\nHost')
--- a/tests/test_unruly_clients.py
+++ b/tests/test_unruly_clients.py
@@ -4,9 +4,11 @@
 
 import contextlib
 import json
+import os
 import pathlib
 import re
 import resource
+import signal
 import socket
 import time
 from collections.abc import Iterable, Iterator
@@ -37,6 +39,8 @@
 _SEND_TIMEOUT_S = 0.5
 _CHECKS = 20
 _CHECK_S = 0.1
+_BURSTS = 8
+_BURST_CHECKS = 5000
 _START = b'GET /get/x HTTP/1.1\r\nHost: a.example\r\n'
 _ATTRIBUTES = b'Anvillug-Attempt-Id: unruly\r\nAnvillug-Deadline-Ms: 3000\r\n'
 _BODY_WITHHELD = b'Content-Length: 10\r\n\r\n'
@@ -78,6 +82,7 @@
         self._ports = [
             int(address.rpartition(':')[2]) for address in processes.free_addresses(_PORT_COUNT)
         ]
+        self.caller_address = (_IP, self._ports[2])
         self._folder = folder
         self._listening = []
         self._heartbeats = None
@@ -105,7 +110,7 @@
         client = socket.socket()
         client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES)
         client.settimeout(_SEND_TIMEOUT_S)
-        client.connect((_IP, self._ports[2]))
+        client.connect(self.caller_address)
         return client
 
     def is_answered(self) -> bool:
@@ -201,6 +206,23 @@
     def test_descriptors_used_up(self, node):
         _check_survives(node, b'', 2 * _MAX_FDS)
 
+    def test_descriptors_used_up_in_bursts(self, node):
+        with contextlib.ExitStack() as stack:
+            for _ in range(_BURSTS):
+                # A suspended node accepts a whole queue in one turn of its reactor.
+                os.kill(node.process.pid, signal.SIGSTOP)
+                for _ in range(_CROWD):
+                    client = stack.enter_context(socket.socket())
+                    client.setblocking(False)
+                    client.connect_ex(node.caller_address)
+                os.kill(node.process.pid, signal.SIGCONT)
+                # The peak lasts for less than a turn.
+                for _ in range(_BURST_CHECKS):
+                    node.measure()
+            reactor_thread.eventually(node.is_answered)
+        assert node.process.running
+        assert node.peak_fds < _MAX_FDS
+
 
 def _short_lines() -> bytes:
     """Return as many odd header lines as a head within the limits can hold."""
