--- a/src/anvillug/event_log.py
+++ b/src/anvillug/event_log.py
@@ -1,7 +1,8 @@
-"""Event log: one line of key=value pairs per event, through Python's `logging`.
+"""Event log: one line of key=value pairs per event.
 
-Commands print their lines with `absl.logging`. A mesh node writes them itself, without absl: the
-import takes 35 ms of processor time at each start.
+Commands print their lines with `absl.logging`, through Python's `logging`. A mesh node writes them
+itself: the import of absl takes 35 ms of processor time at each start, and the records of `logging`
+took twice the time of the rest of a line.
 """
 
 from __future__ import annotations
@@ -9,13 +10,17 @@
 import json
 import logging
 import re
+import threading
 import traceback
 
 from anvillug import clock, log_writer
 
 _LOGGER = logging.getLogger('anvillug')
 _MS_PER_SECOND = 1000
-_EVENT_PATTERN = re.compile(r'event=(\S+)')
+_NAMES_BY_LEVEL = {
+    level: logging.getLevelName(level).lower()
+    for level in (logging.DEBUG, logging.INFO, logging.WARNING, logging.ERROR, logging.CRITICAL)
+}
 _PLAIN_VALUE_PATTERN = re.compile(r'[^\s="\\]+')
 
 
@@ -43,39 +48,51 @@
         The writer, which counts the dropped lines.
     """
     writer = log_writer.LineWriter(descriptor, time)
-    handler = _BoundedHandler(writer)
-    handler.setFormatter(_LineFormatter())
-    _LOGGER.handlers = [handler]
-    _LOGGER.propagate = False
-    _LOGGER.setLevel(logging.INFO)
+    _OUTPUT.set_writer(writer, time)
     return writer
 
 
-class _BoundedHandler(logging.Handler):
-    """Sends lines to a writer that does not block."""
+class _Output:
+    """Where lines go: to `logging`, until there is a writer that does not block."""
+
+    def __init__(self) -> None:
+        self._writer: log_writer.LineWriter | None = None
+        self._clock: clock.Clock | None = None
+        # Lines also come from other threads and from signal handlers.
+        self._lock = threading.RLock()
 
-    def __init__(self, writer: log_writer.LineWriter) -> None:
-        super().__init__()
+    def set_writer(self, writer: log_writer.LineWriter, time: clock.Clock) -> None:
+        """Write all lines to a writer from now on."""
         self._writer = writer
+        self._clock = time
 
-    def emit(self, record: logging.LogRecord) -> None:
+    def write(self, level: int, event: str, fields: dict[str, object]) -> None:
         """Write a line, unless its event exceeds its rate limit."""
-        line = self.format(record)
-        event = _EVENT_PATTERN.search(line)
-        suppressed = self._writer.admit(event.group(1) if event else '')
-        if suppressed is None:
+        if self._writer is None:
+            _LOGGER.log(level, '%s', format_line(event, fields), stacklevel=3)
             return
-        if suppressed:
-            line = f'{line} suppressed_before={suppressed}'
-        self._writer.write(line)
+        with self._lock:
+            suppressed = self._writer.admit(event)
+            if suppressed is None:
+                return
+            line = _prefixed(self._clock.wall(), level, format_line(event, fields))
+            if suppressed:
+                line = f'{line} suppressed_before={suppressed}'
+            self._writer.write(line)
+
+
+_OUTPUT = _Output()
 
 
 class _LineFormatter(logging.Formatter):
     """Prefixes each line with time and level as key=value pairs."""
 
     def format(self, record: logging.LogRecord) -> str:
-        level = record.levelname.lower()
-        return f'time_ms={record.created * _MS_PER_SECOND:.0f} level={level} {record.getMessage()}'
+        return _prefixed(record.created * _MS_PER_SECOND, record.levelno, record.getMessage())
+
+
+def _prefixed(wall_ms: float, level: int, line: str) -> str:
+    return f'time_ms={wall_ms:.0f} level={_NAMES_BY_LEVEL[level]} {line}'
 
 
 def emit(event: str, **fields: object) -> None:
@@ -86,12 +103,12 @@
         **fields: Values by key; written as JSON strings if they are empty or contain whitespace,
             quotes, equals signs or backslashes.
     """
-    _LOGGER.info('%s', format_line(event, fields))
+    _OUTPUT.write(logging.INFO, event, fields)
 
 
 def warn(event: str, **fields: object) -> None:
     """Log an event at level WARNING; see `emit`."""
-    _LOGGER.warning('%s', format_line(event, fields))
+    _OUTPUT.write(logging.WARNING, event, fields)
 
 
 def error(event: str, cause: BaseException) -> None:
@@ -102,7 +119,7 @@
         cause: The exception.
     """
     trace = ''.join(traceback.format_exception(cause))
-    _LOGGER.error('%s', format_line(event, {'error': repr(cause), 'trace': trace}))
+    _OUTPUT.write(logging.ERROR, event, {'error': repr(cause), 'trace': trace})
 
 
 def format_line(event: str, fields: dict[str, object]) -> str:
--- a/src/anvillug/platform/program.py
+++ b/src/anvillug/platform/program.py
@@ -69,7 +69,9 @@
     log_lines = event_log.set_up_bounded(lifetime.STANDARD_OUTPUT, time)
     version, valid = settings_watch.load_at_start(path, settings.load, time)
     plain_tcp.disable_tls()
-    # Importing the reactor installs it.
+    from anvillug.process import event_loop  # noqa: PLC0415
+
+    event_loop.install()
     from twisted.internet import reactor  # noqa: PLC0415
 
     from anvillug.platform import node_start, store  # noqa: PLC0415
--- a/src/anvillug/process/beacon.py
+++ b/src/anvillug/process/beacon.py
@@ -13,33 +13,31 @@
 
 import msgpack
 from twisted.internet import error as net_error
-from twisted.internet import protocol
+from twisted.internet import protocol, udp
 
 from anvillug import clock, event_log, ids, wire_value
-from anvillug.process import peer_table, upstream
+from anvillug.process import peer_table, upstream, wake_grid
 from anvillug.request import dialect
 from anvillug.version import directives
 
 # The slowness of a backend server changes several times a second, and the other nodes should
 # receive a change within a few tens of milliseconds.
-_TICK_MS = 25.0
-# Interval of full beacons; they are repeated because datagrams may be lost.
+_TICK_MS = wake_grid.INTERVAL_MS
+# Interval at which near nodes get a full beacon if they may lack a part of the state.
 _FULL_INTERVAL_MS = 500.0
-# Interval of full beacons to near nodes of other zones, unless calls of a rollout are counted.
-# Between them, load beacons show that the node is live.
-_OTHER_ZONES_INTERVAL_MS = 2000.0
-# Interval of full beacons while a rollout shifts all calls: the counts of calls that they carry
-# decide whether the rollout is rolled back.
+# The same while a rollout shifts all calls: the counts of calls that the beacons carry decide
+# whether the rollout is rolled back.
 _ROLLOUT_INTERVAL_MS = 150.0
-# Intervals of full beacons to far nodes; see `peer_table.BeaconTargets`. With the shorter intervals
+# Intervals of beacons to far nodes; see `peer_table.BeaconTargets`. With the shorter intervals
 # above, the traffic of beacons would grow with the square of the number of nodes in a deployment.
 _FAR_INTERVAL_MS = 2000.0
 _FAR_ROLLOUT_INTERVAL_MS = 1000.0
-# Bytes between zones are charged, so far nodes get full beacons only so often while the state stays
-# the same, and this many times in a row after a change, since datagrams may be lost. Between them,
-# short beacons show that the node is live.
+# A full beacon takes twice the processor time of a load beacon and several times its bytes, and
+# bytes between zones are charged. While the state stays the same, full beacons are sent only so
+# often. After a change they are sent this many times in a row, since datagrams may be lost.
+_NEAR_UNCHANGED_INTERVAL_MS = 2000.0
 _FAR_UNCHANGED_INTERVAL_MS = 8000.0
-_FAR_REPEATS = 3
+_REPEATS = 3
 # Relative change of the slowness, and absolute change of the share of faulty runs, above which the
 # load is sent at the next tick.
 _SLOWNESS_CHANGE_RATIO = 0.2
@@ -51,6 +49,8 @@
 MAX_BYTES = 2400
 """Maximum size of a datagram; it is fragmented above 1200 bytes."""
 _SEND_ERRORS = (OSError, ValueError, net_error.MessageLengthError)
+# Key of the additional state by which a node asks for the state of the receiver.
+_ASKS = '?'
 MALFORMED_ERRORS = (ValueError, TypeError, LookupError, msgpack.UnpackException)
 """Errors of decoding a beacon or a part of one."""
 
@@ -96,10 +96,13 @@
             pace.
         peers: Other nodes.
         extra_state: Returns the extra state to send.
+        lasting_state: Returns the part of the extra state that other nodes have to learn when it
+            changes: all but ages and times.
         on_extra_state: Called with the announcement and extra state of another node.
         need: Returns how soon the other nodes need the extra state.
         reply: Called with the host and the extra state of another node; returns state that it
             lacks, which is sent to it at once.
+        delay_s: Returns the delay of the next tick; see `wake_grid.WakeGrid`.
     """
 
     def __init__(  # noqa: WPS211 - callbacks keep the task independent of what it sends
@@ -109,35 +112,45 @@
         local_announcement: Callable[[], peer_table.Announcement],
         peers: peer_table.PeerTable,
         extra_state: Callable[[], ExtraState],
+        lasting_state: Callable[[], Any],
         on_extra_state: Callable[[peer_table.Announcement, ExtraState], None],
         need: Callable[[], Need],
         reply: Callable[[ids.HostId, ExtraState], ExtraState],
+        delay_s: Callable[[float], float] = wake_grid.unaligned,
     ) -> None:
         self._reactor = reactor
         self._clock = time
         self._local_announcement = local_announcement
         self._peers = peers
         self._extra_state = extra_state
+        self._lasting_state = lasting_state
         self._on_extra_state = on_extra_state
         self._need = need
         self._reply = reply
+        self._delay_s = delay_s
         self._sequence = 0
         self._malformed_count = 0
         self._last_sent_load: dialect.ReportedLoad | None = None
         self._load_sent_at = _NEVER
         self._near_sent_at = _NEVER
-        self._other_zones_sent_at = _NEVER
         self._far_sent_at = _NEVER
-        self._far_full_sent_at = _NEVER
-        self._far_state: Any = None
-        self._far_repeats_left = 0
+        self._near_repeats = _Repeats(_NEAR_UNCHANGED_INTERVAL_MS)
+        self._far_repeats = _Repeats(_FAR_UNCHANGED_INTERVAL_MS)
         # Updated for each full beacon, and reused for the load beacons between them.
         self._targets = peer_table.BeaconTargets([], [], [])
 
     def start(self) -> None:
         """Start sending; the port is open."""
+        if isinstance(self.transport, udp.Port):
+            # Each datagram would wake the process.
+            self.transport.stopReading()
         self._tick()
 
+    def receive_pending(self) -> None:
+        """Receive the beacons that have arrived; called at each tick and before they are needed."""
+        if isinstance(self.transport, udp.Port) and self.transport.connected:
+            self.transport.doRead()
+
     def send_now(self) -> None:
         """Send a full beacon to all nodes at once, after a change that they need to receive."""
         self.send_near()
@@ -147,7 +160,7 @@
         """Send a full beacon at once to the nodes that choose this one by its load."""
         self._update_targets()
         announcement = self._next_near_announcement()
-        self._other_zones_sent_at = self._near_sent_at
+        self._near_repeats.sent_at = self._near_sent_at
         self._send(encode(announcement, self._extra_state()), self._targets.near)
 
     def send_far(self) -> None:
@@ -155,7 +168,7 @@
         self._update_targets()
         now = self._clock.now()
         self._far_sent_at = now
-        self._far_full_sent_at = now
+        self._far_repeats.sent_at = now
         if self._targets.far:
             extra_state = self._extra_state()
             announcement = self._next_announcement(_FAR_INTERVAL_MS)
@@ -174,7 +187,10 @@
         if isinstance(message, LoadBeacon):
             host_id = self._peers.host_at(f'{addr[0]}:{addr[1]}')
             if host_id is not None:
-                self._peers.receive_load(peer_table.LoadNotice(host_id, *message))
+                notice = peer_table.LoadNotice(host_id, *message)
+                if self._peers.receive_load(notice):
+                    # Each may lack what the other has sent in the meantime.
+                    self._introduce(f'{addr[0]}:{addr[1]}', {_ASKS: 1})
             return
         announcement, extra_state = message
         was_known = self._peers.is_known_process(announcement)
@@ -182,7 +198,7 @@
         # Processes that are not accepted, such as this one, would be introduced again and again.
         if self._peers.is_known_process(announcement):
             reply = self._reply(announcement.host_id, extra_state)
-            if reply or not was_known:
+            if reply or not was_known or _ASKS in extra_state:
                 self._introduce(announcement.beacon_address, reply)
         self._on_extra_state(announcement, extra_state)
 
@@ -193,17 +209,18 @@
 
     def _tick(self) -> None:
         # First, so that a failure does not end the task.
-        self._reactor.callLater(clock.to_seconds(_TICK_MS), self._tick)
+        self._reactor.callLater(self._delay_s(_TICK_MS), self._tick)
+        self.receive_pending()
         now = self._clock.now()
         need = self._need()
         urgent = need is Need.AT_ONCE
         interval_ms = _ROLLOUT_INTERVAL_MS if urgent else _FULL_INTERVAL_MS
         if now - self._near_sent_at >= max(interval_ms, self._min_interval_ms):
-            is_due = now - self._other_zones_sent_at >= _OTHER_ZONES_INTERVAL_MS
-            if is_due or need is not Need.NONE:
+            if self._near_repeats.is_due(self._lasting(), now) or need is not Need.NONE:
                 self.send_near()
             else:
-                self._send_near_by_zone()
+                self._update_targets()
+                self._send(encode_load(self._next_near_announcement()), self._targets.near)
             self._peers.expire_peers()
         elif now - self._load_sent_at >= self._min_interval_ms:
             self._send_load_if_due(now)
@@ -212,31 +229,18 @@
 
     def _repeat_far(self, now: clock.Milliseconds, need: Need) -> None:
         """Send far nodes a full beacon if they may lack a part of the state, else a short one."""
-        state = _far_state(self._local_announcement(), self._extra_state())
-        if state != self._far_state:
-            self._far_state = state
-            self._far_repeats_left = _FAR_REPEATS
-        if (
-            need is Need.NONE
-            and not self._far_repeats_left
-            and now - self._far_full_sent_at < _FAR_UNCHANGED_INTERVAL_MS
-        ):
+        if self._far_repeats.is_due(self._lasting(), now) or need is not Need.NONE:
+            self.send_far()
+        else:
             self._update_targets()
             self._far_sent_at = now
             # The load tells far nodes how much room the zone has for work of theirs.
             self._send(encode_load(self._next_announcement()), self._targets.far)
-        else:
-            self._far_repeats_left = max(0, self._far_repeats_left - 1)
-            self.send_far()
 
-    def _send_near_by_zone(self) -> None:
-        """Send a full beacon to nodes of this zone, and the load to near ones of other zones."""
-        self._update_targets()
-        announcement = self._next_near_announcement()
-        other_zones = set(self._targets.other_zones)
-        same_zone = [address for address in self._targets.near if address not in other_zones]
-        self._send(encode(announcement, self._extra_state()), same_zone)
-        self._send(encode_load(announcement), self._targets.other_zones)
+    def _lasting(self) -> Any:
+        announcement = self._local_announcement()
+        lasting = dataclasses.replace(announcement, sequence=0, load=None, load_age_ms=0)
+        return lasting, self._lasting_state()
 
     def _next_near_announcement(self) -> peer_table.Announcement:
         now = self._clock.now()
@@ -294,19 +298,29 @@
                 event_log.warn('beacon_not_sent', peer=host, reason=error)
 
 
-def _far_state(announcement: peer_table.Announcement, extra_state: ExtraState) -> Any:
-    """Return what far nodes have to learn when it changes: all but the load and the times."""
-    lasting = dataclasses.replace(announcement, sequence=0, load=None, load_age_ms=0)
-    return lasting, _without_times(extra_state)
+class _Repeats:
+    """Tells when some receivers may lack a part of the state.
 
+    Args:
+        unchanged_interval_ms: Interval in milliseconds after which they may, without a change.
+    """
 
-def _without_times(content: Any) -> Any:
-    """Return a content without its floats, which are times that grow or shrink."""
-    if isinstance(content, dict):
-        return {name: _without_times(entry) for name, entry in content.items()}
-    if isinstance(content, (list, tuple)):
-        return [_without_times(entry) for entry in content]
-    return None if isinstance(content, float) else content
+    def __init__(self, unchanged_interval_ms: float) -> None:
+        self.sent_at = _NEVER
+        """When they were last sent the whole state."""
+        self._unchanged_interval_ms = unchanged_interval_ms
+        self._state: Any = None
+        self._left = 0
+
+    def is_due(self, state: Any, now: clock.Milliseconds) -> bool:
+        """Return whether to send the whole state now; called once for each beacon to them."""
+        if state != self._state:
+            self._state = state
+            self._left = _REPEATS
+        if self._left:
+            self._left -= 1
+            return True
+        return now - self.sent_at >= self._unchanged_interval_ms
 
 
 def _differs_enough(load: dialect.ReportedLoad | None, sent: dialect.ReportedLoad | None) -> bool:
--- a/src/anvillug/process/commands/node.py
+++ b/src/anvillug/process/commands/node.py
@@ -28,7 +28,10 @@
     time = clock.SystemClock()
     event_log.set_up_bounded(lifetime.STANDARD_ERROR, time)
     plain_tcp.disable_tls()
-    # Importing the reactor installs it, and the node imports most of the program.
+    from anvillug.process import event_loop  # noqa: PLC0415
+
+    event_loop.install()
+    # The node imports most of the program.
     from twisted.internet import reactor  # noqa: PLC0415
 
     from anvillug.process import error_reports, listeners  # noqa: PLC0415
--- a/src/anvillug/process/crash_watch.py
+++ b/src/anvillug/process/crash_watch.py
@@ -119,6 +119,13 @@
             for entry in self._quarantine.most_suspect(now, _MAX_SHARED_ENTRIES)
         ]
 
+    def lasting_state(self) -> list[Any]:
+        """Return what changes in `encode_entries` without the passage of time."""
+        return [
+            (fingerprint, crash_ids, quarantine_ms > 0)
+            for fingerprint, crash_ids, quarantine_ms, _ in self.encode_entries()
+        ]
+
     def merge_entries(self, packed: list[list[Any]]) -> None:
         """Merge the entries that another node has sent, in their wire form.
 
--- a/src/anvillug/process/mesh_entry.py
+++ b/src/anvillug/process/mesh_entry.py
@@ -78,6 +78,8 @@
         """Calls that have not ended."""
         self.closed = False
         """Whether the process is about to stop and rejects new requests."""
+        self.receive_loads: Callable[[], object] = _no_loads
+        """Called before a host is chosen; receives the loads that other nodes have sent."""
         self._settings = settings
         self._word = word
         self._active_directives = active_directives
@@ -193,6 +195,7 @@
         on_result: Callable[[job.Result], None],
     ) -> Callable[[], object] | None:
         """Select a host and send a job to it; see `routed_call.CallContext`."""
+        self.receive_loads()
         now = self.clock.now()
         if call.tries == 1:
             self._retries.earn(call.service, self._node_count(), now)
@@ -309,6 +312,7 @@
         ]
         if not waiting:
             return False
+        self.receive_loads()
         work = waiting[0].work
         other = self._choose(call, work, now)
         if other is None or other.is_unresponsive(now):
@@ -437,6 +441,10 @@
         return len(self._peers.by_host_id) + 1
 
 
+def _no_loads() -> None:
+    """Receive nothing."""
+
+
 _BYTES_PER_KB = 1024
 # A hedge is sent only to a host that is fast and has free slots, so that hedging stops when the
 # hosts are overloaded.
--- a/src/anvillug/process/mesh_node.py
+++ b/src/anvillug/process/mesh_node.py
@@ -43,12 +43,13 @@
     upstream,
     upstream_probe,
     usage_duty,
+    wake_grid,
     word_task,
 )
 from anvillug.request import dialect
 from anvillug.version import directives, rollouts, route_table
 
-_STEP_S = 0.1
+_STEP_MS = 100.0
 _TIME_MARGIN = 1.25
 # A head of short lines grows by a quarter when it is serialized with a space after each colon.
 _HEAD_MARGIN = 1.5
@@ -118,6 +119,8 @@
         self._topics = topics
         self._log_lines = log_lines
         self._rng = random.Random()
+        grid = wake_grid.WakeGrid(time, self._rng)
+        self._delay_s = grid.delay_s
         self._incarnation = ids.Incarnation(int(time.wall()))
         self.active_directives = directives.ActiveDirectives(decode)
         self.rollouts = rollouts.Rollouts(
@@ -179,10 +182,13 @@
             self._announcement,
             self.peers,
             self._beacon_extra_state,
+            self._lasting_state,
             self._beacon_received,
             self._beacon_need,
             self._leaves.receive,
+            grid.delay_s,
         )
+        self.entry.receive_loads = self._beacons.receive_pending
         self.active_directives.add_listener(self._directives_changed)
         self._probe = upstream_probe.UpstreamProbe(
             reactor,
@@ -190,6 +196,7 @@
             self.host,
             header_dialect,
             settings.bounds.probes_per_second,
+            grid.delay_s,
         )
         self._records = member_records.MemberRecords(
             reactor,
@@ -434,6 +441,15 @@
             **self._leaves.announced(),
         }
 
+    def _lasting_state(self) -> Any:
+        """Return what other nodes have to learn of `_beacon_extra_state` when it changes."""
+        return (
+            None if self._usage is None else self._usage.exchange.announced_token,
+            self.rollouts.lasting_state(),
+            self._crashes.lasting_state(),
+            self._leaves.announced(),
+        )
+
     def _beacon_need(self) -> beacon.Need:
         if self.rollouts.shifting:
             return beacon.Need.AT_ONCE
@@ -490,7 +506,7 @@
 
     def _step(self) -> None:
         # First, so that a failure does not end the task.
-        self._reactor.callLater(_STEP_S, self._step)
+        self._reactor.callLater(self._delay_s(_STEP_MS), self._step)
         self._caller_factory.check_clients()
         self.entry.count_overdue()
         self.rollouts.step()
--- a/src/anvillug/process/peer_table.py
+++ b/src/anvillug/process/peer_table.py
@@ -210,10 +210,7 @@
         if restarted:
             peer.former_incarnations.append(previous.incarnation)
         changed = _tracked_fields(announcement) != _tracked_fields(previous)
-        if peer.is_unresponsive(now):
-            event_log.emit(
-                'peer_regained', peer=previous.host_id, silent_ms=int(now - peer.last_received_at)
-            )
+        _check_regained(peer, now)
         peer.announcement = announcement
         peer.last_received_at = now
         peer.record_load(announcement.load, clock.Milliseconds(now - announcement.load_age_ms))
@@ -233,14 +230,20 @@
         """Return the host whose newest announcement names an address for beacons."""
         return self._host_ids_by_address.get(beacon_address)
 
-    def receive_load(self, notice: LoadNotice) -> None:
-        """Process a load notice; ignored unless its process has sent an announcement."""
+    def receive_load(self, notice: LoadNotice) -> bool:
+        """Process a load notice; ignored unless its process has sent an announcement.
+
+        Returns:
+            Whether the node had timed out.
+        """
         peer = self.by_host_id.get(notice.host_id)
         if peer is None or peer.announcement.incarnation != notice.incarnation:
-            return
+            return False
         now = self._clock.now()
+        was_lost = _check_regained(peer, now)
         peer.last_received_at = now
         peer.record_load(notice.load, clock.Milliseconds(now - notice.load_age_ms))
+        return was_lost
 
     def add_contact(self, host_id: ids.HostId, beacon_address: str) -> None:
         """Add the address of a node, unless the node has sent a beacon already."""
@@ -316,6 +319,15 @@
                 self._serving_by_service.clear()
 
 
+def _check_regained(peer: Peer, now: clock.Milliseconds) -> bool:
+    """Return whether a node that has sent a beacon had timed out, and log it."""
+    if not peer.is_unresponsive(now):
+        return False
+    silent_ms = int(now - peer.last_received_at)
+    event_log.emit('peer_regained', peer=peer.host_id, silent_ms=silent_ms)
+    return True
+
+
 def _seem_cut_off(peers: Sequence[Peer], now: clock.Milliseconds) -> bool:
     """Return whether beacons of all peers of a zone are overdue."""
     return len(peers) >= _MIN_CUT_PEERS and all(
--- a/src/anvillug/process/usage_exchange.py
+++ b/src/anvillug/process/usage_exchange.py
@@ -102,9 +102,13 @@
 
     def announced(self) -> list[int]:
         """Return the state for beacons: the time of day, and the token of a holder or 0."""
+        return [int(self._wall()), self.announced_token]
+
+    @property
+    def announced_token(self) -> int:
+        """Token of this node as the holder, 0 if it is not the holder."""
         record = self._state.record
-        token = record.token if self._state.is_holder and record is not None else 0
-        return [int(self._wall()), token]
+        return record.token if self._state.is_holder and record is not None else 0
 
     def beacon_received(self, announcement: peer_table.Announcement, content: Any) -> None:
         """Process the state in the beacon of another node.
--- a/src/anvillug/version/rollouts.py
+++ b/src/anvillug/version/rollouts.py
@@ -268,6 +268,19 @@
             for service, current in self.by_service.items()
         }
 
+    def lasting_state(self) -> dict[ids.ServiceName, Any]:
+        """Return what changes in `encode_report` without the passage of time or further calls."""
+        return {
+            service: (
+                current.order.position,
+                current.phase,
+                current.stored,
+                current.settled,
+                current.cancelled_shifts,
+            )
+            for service, current in self.by_service.items()
+        }
+
     def _next_reported(self) -> rollout.Rollout | None:
         """Return the rollout whose counts are sent next.
 
--- a/tests/test_damaged_messages.py
+++ b/tests/test_damaged_messages.py
@@ -70,6 +70,7 @@
             lambda: test_beacon.announcement(host_id='own'),
             self.table,
             dict,
+            dict,
             lambda _, extra_state: self.extra_states.append(extra_state),
             lambda: beacon.Need.NONE,
             lambda *_: {},
--- a/tests/test_periodic_tasks.py
+++ b/tests/test_periodic_tasks.py
@@ -50,6 +50,7 @@
             lambda: test_beacon.announcement(host_id='local', zone='z'),
             peer_table.PeerTable('local', time),
             dict,
+            dict,
             lambda *_: None,
             lambda: failing() or beacon.Need.NONE,
             lambda *_: {},
