--- a/src/anvillug/process/beacon.py
+++ b/src/anvillug/process/beacon.py
@@ -28,15 +28,17 @@
 # The same while a rollout shifts all calls: the counts of calls that the beacons carry decide
 # whether the rollout is rolled back.
 _ROLLOUT_INTERVAL_MS = 150.0
+# Interval at which the same is checked for near nodes of other zones, where bytes are charged.
+_OTHER_ZONES_INTERVAL_MS = 2000.0
 # Intervals of beacons to far nodes; see `peer_table.BeaconTargets`. With the shorter intervals
 # above, the traffic of beacons would grow with the square of the number of nodes in a deployment.
 _FAR_INTERVAL_MS = 2000.0
 _FAR_ROLLOUT_INTERVAL_MS = 1000.0
-# A full beacon takes twice the processor time of a load beacon and several times its bytes, and
-# bytes between zones are charged. While the state stays the same, full beacons are sent only so
-# often. After a change they are sent this many times in a row, since datagrams may be lost.
-_NEAR_UNCHANGED_INTERVAL_MS = 2000.0
-_FAR_UNCHANGED_INTERVAL_MS = 8000.0
+# A full beacon takes twice the processor time of a load beacon and several times its bytes. While
+# the state stays the same, full beacons are sent only so often. After a change they are sent this
+# many times in a row, since datagrams may be lost.
+_UNCHANGED_INTERVAL_MS = 2000.0
+_OTHER_ZONES_UNCHANGED_INTERVAL_MS = 8000.0
 _REPEATS = 3
 # Relative change of the slowness, and absolute change of the share of faulty runs, above which the
 # load is sent at the next tick.
@@ -134,8 +136,10 @@
         self._load_sent_at = _NEVER
         self._near_sent_at = _NEVER
         self._far_sent_at = _NEVER
-        self._near_repeats = _Repeats(_NEAR_UNCHANGED_INTERVAL_MS)
-        self._far_repeats = _Repeats(_FAR_UNCHANGED_INTERVAL_MS)
+        self._zone_repeats = _Repeats(_UNCHANGED_INTERVAL_MS)
+        self._other_zones_repeats = _Repeats(_OTHER_ZONES_UNCHANGED_INTERVAL_MS)
+        self._far_repeats = _Repeats(_OTHER_ZONES_UNCHANGED_INTERVAL_MS)
+        self._other_zones_checked_at = _NEVER
         # Updated for each full beacon, and reused for the load beacons between them.
         self._targets = peer_table.BeaconTargets([], [], [])
 
@@ -160,7 +164,9 @@
         """Send a full beacon at once to the nodes that choose this one by its load."""
         self._update_targets()
         announcement = self._next_near_announcement()
-        self._near_repeats.sent_at = self._near_sent_at
+        self._zone_repeats.sent_at = self._near_sent_at
+        self._other_zones_repeats.sent_at = self._near_sent_at
+        self._other_zones_checked_at = self._near_sent_at
         self._send(encode(announcement, self._extra_state()), self._targets.near)
 
     def send_far(self) -> None:
@@ -216,17 +222,38 @@
         urgent = need is Need.AT_ONCE
         interval_ms = _ROLLOUT_INTERVAL_MS if urgent else _FULL_INTERVAL_MS
         if now - self._near_sent_at >= max(interval_ms, self._min_interval_ms):
-            if self._near_repeats.is_due(self._lasting(), now) or need is not Need.NONE:
-                self.send_near()
+            if need is Need.NONE:
+                self._repeat_near(now)
             else:
-                self._update_targets()
-                self._send(encode_load(self._next_near_announcement()), self._targets.near)
+                self.send_near()
             self._peers.expire_peers()
         elif now - self._load_sent_at >= self._min_interval_ms:
             self._send_load_if_due(now)
         if now - self._far_sent_at >= (_FAR_ROLLOUT_INTERVAL_MS if urgent else _FAR_INTERVAL_MS):
             self._repeat_far(now, need)
 
+    def _repeat_near(self, now: clock.Milliseconds) -> None:
+        """Send full beacons to the near nodes that may lack a part of the state, else the load."""
+        self._update_targets()
+        state = self._lasting()
+        announcement = self._next_near_announcement()
+        near = self._targets.near
+        with_full: set[str] = set()
+        if self._zone_repeats.is_due(state, now):
+            self._zone_repeats.sent_at = now
+            with_full.update(near)
+            with_full.difference_update(self._targets.other_zones)
+        if now - self._other_zones_checked_at >= _OTHER_ZONES_INTERVAL_MS:
+            self._other_zones_checked_at = now
+            if self._other_zones_repeats.is_due(state, now):
+                self._other_zones_repeats.sent_at = now
+                with_full.update(self._targets.other_zones)
+        if with_full:
+            full = encode(announcement, self._extra_state())
+            self._send(full, [address for address in near if address in with_full])
+        load = encode_load(announcement)
+        self._send(load, [address for address in near if address not in with_full])
+
     def _repeat_far(self, now: clock.Milliseconds, need: Need) -> None:
         """Send far nodes a full beacon if they may lack a part of the state, else a short one."""
         if self._far_repeats.is_due(self._lasting(), now) or need is not Need.NONE:
