--- a/src/anvillug/platform/settings.py
+++ b/src/anvillug/platform/settings.py
@@ -85,6 +85,7 @@
             bounds.number('ExposureSlack', 50),
         ),
         cold_factor=bounds.number('ColdFactor', 1.5),
+        cold_slack=bounds.number('ColdSlack', 0, lowest=0),
         probes_per_second=bounds.number('ProbesPerS', 60),
         revoke_ms=_revoke_ms(bounds),
     )
--- a/src/anvillug/process/mesh_host.py
+++ b/src/anvillug/process/mesh_host.py
@@ -45,9 +45,9 @@
 # Work takes about twice as long on a cold backend server, and its reported slowness includes that.
 # The limit is raised accordingly, since the other hosts are mostly cold at the same time.
 _COLD_SLOWNESS_FACTOR = 2.0
-# The bounds allow a cold backend server more than the rate in its policy. This share of the excess
-# is used; the rest is reserved for bursts and for requests that arrive later than they were sent.
-_COLD_EXCESS_SHARE = 0.7
+# Share of what the bounds allow a cold backend server in a second; the rest is reserved for requests
+# that arrive later than they were sent.
+_COLD_SHARE = 0.9
 # Maximum number of saved tokens of a cold backend server, as a share of the tokens of one second.
 # It is small, so that the requests are spread over the second.
 _COLD_BURST_SHARE = 0.1
@@ -350,8 +350,9 @@
         policy = self.policy()
         if policy is None:
             return 1.0
-        excess = (self._settings.bounds.cold_factor - 1) * _COLD_EXCESS_SHARE
-        return policy.cold_per_second * (1 + max(0.0, excess))
+        bounds = self._settings.bounds
+        allowed = policy.cold_per_second * max(1.0, bounds.cold_factor) + bounds.cold_slack
+        return rate_gate.rate_within(allowed * _COLD_SHARE, _COLD_BURST_SHARE)
 
     def _max_connections(self) -> int:
         policy = self.policy()
--- a/src/anvillug/process/mesh_settings.py
+++ b/src/anvillug/process/mesh_settings.py
@@ -28,6 +28,8 @@
     """Maximum rate of a cold backend server, as a multiple of the rate in the service's policy."""
     probes_per_second: float
     """Maximum number of health checks per backend server and second."""
+    cold_slack: float = 0.0
+    """Requests that a cold backend server may get in a second in addition to that rate."""
     revoke_ms: float | None = None
     """Time in milliseconds after which no node runs requests with a withdrawn key, whether it
     reaches the log or not; None if nodes that don't reach it go on with the keys they know."""
--- a/src/anvillug/request/rate_gate.py
+++ b/src/anvillug/request/rate_gate.py
@@ -5,6 +5,7 @@
 from anvillug import clock
 
 _MS_PER_SECOND = 1000.0
+_MIN_SHARE = 0.5
 
 
 class RateGate:
@@ -40,3 +41,14 @@
         self._tokens = min(max(1.0, per_second * self._burst_share), self._tokens + earned)
         self._refilled_at = now
         return self._tokens >= 1
+
+
+def rate_within(count: float, burst_share: float) -> float:
+    """Return the rate per second at which no second has more requests than a count.
+
+    Args:
+        count: Maximum number of requests in any second; for less than two, the rate is half of it.
+        burst_share: Share of the gate's saved tokens.
+    """
+    # A gate that has saved its tokens lets them pass besides those of the second.
+    return max(count * _MIN_SHARE, min(count / (1 + burst_share), count - 1))
--- a/tests/test_mesh_host.py
+++ b/tests/test_mesh_host.py
@@ -5,6 +5,7 @@
 from unittest import mock
 
 import pytest
+from hypothesis import given, strategies
 from twisted.internet import error, testing
 from twisted.python import failure
 
@@ -19,7 +20,7 @@
     sound_word,
     upstream,
 )
-from anvillug.request import dialect, job, room
+from anvillug.request import dialect, job, rate_gate, room
 from anvillug.version import directives, rollout, route_table
 
 _SERVICE = ids.ServiceName('one')
@@ -34,6 +35,7 @@
     retry_slack=60,
     exposure=rollout.Exposure(0.1, 50),
     cold_factor=1.5,
+    cold_slack=_COLD_SLACK,
     probes_per_second=60,
 )
 _STEP_MS = 5
@@ -198,6 +200,26 @@
     def test_rate_reaches_the_rate_of_the_policy(self, host_side):
         assert host_side.accepted_in(5000) >= 5 * _COLD_PER_SECOND
 
+    def test_most_of_the_bound_is_used_when_all_hosts_are_cold(self, host_side):
+        bound = _COLD_PER_SECOND * _BOUNDS.cold_factor + _COLD_SLACK
+        assert host_side.accepted_in(5000) >= 0.75 * 5 * bound
+
+    @given(
+        strategies.floats(2, 500),
+        strategies.lists(strategies.floats(0, 400), min_size=1, max_size=200),
+    )
+    def test_no_second_has_more_than_the_count(self, count, pauses):
+        gate = rate_gate.RateGate(0.1)
+        rate = rate_gate.rate_within(count, 0.1)
+        now = clock.Milliseconds(10_000)
+        taken = []
+        for pause in pauses:
+            now = clock.Milliseconds(now + pause)
+            while gate.take(rate, now):
+                taken.append(now)
+        for start in taken:
+            assert sum(start <= moment < start + 1000 for moment in taken) <= count
+
     def test_slowness_of_a_cold_start_is_no_reason_to_reject(self, host_side):
         host_side.report_slowness(200)
         assert host_side.rejection_reason() != 'slow'
