--- a/src/anvillug/process/mesh_host.py
+++ b/src/anvillug/process/mesh_host.py
@@ -45,8 +45,8 @@
 # Work takes about twice as long on a cold backend server, and its reported slowness includes that.
 # The limit is raised accordingly, since the other hosts are mostly cold at the same time.
 _COLD_SLOWNESS_FACTOR = 2.0
-# Share of what the bounds allow a cold backend server in a second; the rest is reserved for requests
-# that arrive later than they were sent.
+# Share of what the bounds allow a cold backend server in a second; the rest is reserved for
+# requests that arrive later than they were sent.
 _COLD_SHARE = 0.9
 # Maximum number of saved tokens of a cold backend server, as a share of the tokens of one second.
 # It is small, so that the requests are spread over the second.
