--- a/src/anvillug/process/beacon.py
+++ b/src/anvillug/process/beacon.py
@@ -38,7 +38,7 @@
 # the state stays the same, full beacons are sent only so often. After a change they are sent this
 # many times in a row, since datagrams may be lost.
 _UNCHANGED_INTERVAL_MS = 2000.0
-_OTHER_ZONES_UNCHANGED_INTERVAL_MS = 8000.0
+_OTHER_ZONES_UNCHANGED_INTERVAL_MS = 30_000.0
 _REPEATS = 3
 # Relative change of the slowness, and absolute change of the share of faulty runs, above which the
 # load is sent at the next tick.
@@ -191,12 +191,7 @@
             )
             return
         if isinstance(message, LoadBeacon):
-            host_id = self._peers.host_at(f'{addr[0]}:{addr[1]}')
-            if host_id is not None:
-                notice = peer_table.LoadNotice(host_id, *message)
-                if self._peers.receive_load(notice):
-                    # Each may lack what the other has sent in the meantime.
-                    self._introduce(f'{addr[0]}:{addr[1]}', {_ASKS: 1})
+            self._receive_load(message, f'{addr[0]}:{addr[1]}')
             return
         announcement, extra_state = message
         was_known = self._peers.is_known_process(announcement)
@@ -208,6 +203,15 @@
                 self._introduce(announcement.beacon_address, reply)
         self._on_extra_state(announcement, extra_state)
 
+    def _receive_load(self, message: LoadBeacon, sender: str) -> None:
+        host_id = self._peers.host_at(sender)
+        is_current = host_id is not None and self._peers.receive_load(
+            peer_table.LoadNotice(host_id, *message)
+        )
+        if not is_current:
+            # Each may lack what the other has sent in full.
+            self._introduce(sender, {_ASKS: 1})
+
     @property
     def _min_interval_ms(self) -> float:
         """Shortest interval in milliseconds between beacons that keeps their rate in the limit."""
--- a/src/anvillug/process/peer_table.py
+++ b/src/anvillug/process/peer_table.py
@@ -234,16 +234,16 @@
         """Process a load notice; ignored unless its process has sent an announcement.
 
         Returns:
-            Whether the node had timed out.
+            Whether the process is known and had not timed out, so that its state is known too.
         """
         peer = self.by_host_id.get(notice.host_id)
         if peer is None or peer.announcement.incarnation != notice.incarnation:
             return False
         now = self._clock.now()
-        was_lost = _check_regained(peer, now)
+        is_current = not _check_regained(peer, now)
         peer.last_received_at = now
         peer.record_load(notice.load, clock.Milliseconds(now - notice.load_age_ms))
-        return was_lost
+        return is_current
 
     def add_contact(self, host_id: ids.HostId, beacon_address: str) -> None:
         """Add the address of a node, unless the node has sent a beacon already."""
