--- a/src/anvillug/process/mesh_host.py
+++ b/src/anvillug/process/mesh_host.py
@@ -51,6 +51,7 @@
 # Maximum number of saved tokens of a cold backend server, as a share of the tokens of one second.
 # It is small, so that the requests are spread over the second.
 _COLD_BURST_SHARE = 0.1
+_COLD = 'cold'
 _CONNECT_TIMEOUT_S = 0.4
 _MAX_WAITING_REQUESTS = 64
 
@@ -241,7 +242,7 @@
         ticket: occupancy.Ticket | None = None,
     ) -> Callable[[], object] | None:
         is_cold = self.upstream.cold_ms > 0
-        reason = 'cold' if is_cold and not self._take_cold_token() else ''
+        reason = _COLD if is_cold and not self._take_cold_token() else ''
         # Not computed for jobs that are rejected anyway, since the fingerprint hashes the body.
         identity = None
         if not reason:
@@ -278,6 +279,10 @@
 
     def _rejected(self, reason: str, wait_ms: float) -> job.Result:
         self._metrics.count('refusals', reason)
+        if reason == _COLD:
+            # Callers that come back sooner would take the few requests of a cold server from new
+            # ones, which can still be answered in time.
+            wait_ms = self.upstream.cold_ms
         result = job.Result(job.ResultKind.REFUSED, reason, retry_after_ms=wait_ms)
         return self._with_host_state(result)
 
@@ -344,7 +349,7 @@
         """Return why a cold host rejects a job, without using up its rate."""
         is_cold = self.upstream.cold_ms > 0
         has_token = not is_cold or self._cold_gate.has_token(self._cold_rate(), self._clock.now())
-        return '' if has_token else 'cold'
+        return '' if has_token else _COLD
 
     def _cold_rate(self) -> float:
         policy = self.policy()
--- a/tests/test_mesh_host.py
+++ b/tests/test_mesh_host.py
@@ -285,7 +285,11 @@
         host_side = HostSide(cold_ms=60_000)
         while host_side.rejection_reason() != 'cold':
             host_side.time.advance(1)
-        assert host_side.host.handle_inquiry(host_side.job()).reason == 'cold'
+        rejected = host_side.host.handle_inquiry(host_side.job())
+        assert rejected.reason == 'cold'
+        # After a restart of all, callers that come back while the hosts are cold would crowd out
+        # the new ones.
+        assert rejected.retry_after_ms > 50_000
 
 
 class TestSlow:
