--- a/specs/duty_holder.py
+++ b/specs/duty_holder.py
@@ -5,6 +5,10 @@
 sender has stopped waiting, and so after newer ones. Time is not modelled: a node may take over at
 any moment, as if every lease had ended, and may act at any moment, as if its own had not. That two
 nodes do not act by turns within a lease is left to the leases.
+
+A holder that stops may release the duty, after which nobody waits for its lease. So it must not act
+any more, and must know the outcome of its last report, or must have given it up for long enough.
+Its process never acts again; the next process of its host is a node like any other.
 """
 
 from __future__ import annotations
@@ -18,6 +22,8 @@
 MAX_STATES = 2_000_000
 NODES = (0, 1)
 _MAX_RECORDS = 4
+# A report is fixed by the holder, and again by the next one.
+_MAX_RECORDS_OF_HANDOVER = 5
 _MAX_REPORTS = 3
 _MAX_APPENDS = 2
 
@@ -30,6 +36,20 @@
     SENT_BEFORE_FIXED = 'sent-before-fixed'
     FIXED_AGAIN = 'fixed-again'
     KEPT_TOKEN = 'kept-token'
+    RELEASED_WHILE_REPORTING = 'released-while-reporting'
+    REPORTED_AFTER_RELEASE = 'reported-after-release'
+    FORGOTTEN_AT_RELEASE = 'forgotten-at-release'
+
+
+# Other mutations produce their counterexamples without a release, in fewer states.
+_WITH_RELEASE = frozenset(
+    (
+        Mutation.NONE,
+        Mutation.RELEASED_WHILE_REPORTING,
+        Mutation.REPORTED_AFTER_RELEASE,
+        Mutation.FORGOTTEN_AT_RELEASE,
+    )
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -42,6 +62,8 @@
     """Its token."""
     report: int = -1
     """Node whose counts the report of the window has; -1 if it is not fixed."""
+    is_released: bool = False
+    """Whether the holder has released the duty."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -74,6 +96,10 @@
     """Contents of the reports that the platform has accepted."""
     senders: frozenset[tuple[int, int]] = frozenset()
     """Tokens that were used, each with its sender."""
+    awaiting: frozenset[int] = frozenset()
+    """Nodes that await the outcome of a report."""
+    stopped: frozenset[int] = frozenset()
+    """Nodes that have tried to release the duty."""
 
 
 Step = tuple[str, State]
@@ -87,6 +113,7 @@
         yield f'read-{node}', dataclasses.replace(state, known=tuple(known))
         yield from _append_steps(state, node, mutation)
         yield from _send_steps(state, node, mutation)
+        yield from _release_steps(state, node, mutation)
     for end, record in state.appends:
         if len(state.log) == end or mutation is Mutation.UNCONDITIONAL_APPEND:
             yield 'append', _appended(state, end, record)
@@ -99,7 +126,7 @@
 def _append_steps(state: State, node: int, mutation: Mutation) -> Iterator[Step]:
     end = state.known[node]
     newest = state.log[end - 1] if end else None
-    if len(state.appends) >= _MAX_APPENDS or max(end, len(state.log)) >= _MAX_RECORDS:
+    if _is_full(state, end, mutation) or node in state.stopped:
         return
     if newest is None or newest.holder != node:
         # A token kept from the predecessor stands for one that does not depend on the place.
@@ -112,6 +139,13 @@
         yield f'fix-{node}', _with_append(state, end, record)
 
 
+def _is_full(state: State, end: int, mutation: Mutation) -> bool:
+    """Return whether the limits of the exploration allow no further append."""
+    is_handover = mutation in {Mutation.NONE, Mutation.FORGOTTEN_AT_RELEASE}
+    limit = _MAX_RECORDS_OF_HANDOVER if is_handover else _MAX_RECORDS
+    return len(state.appends) >= _MAX_APPENDS or max(end, len(state.log)) >= limit
+
+
 def _with_append(state: State, end: int, record: Record) -> State:
     return dataclasses.replace(state, appends=state.appends | {(end, record)})
 
@@ -126,23 +160,50 @@
 def _send_steps(state: State, node: int, mutation: Mutation) -> Iterator[Step]:
     end = state.known[node]
     newest = state.log[end - 1] if end else None
+    if node in state.awaiting:
+        # A response, or the end of the time for it.
+        yield f'await-end-{node}', dataclasses.replace(state, awaiting=state.awaiting - {node})
     if newest is None or newest.holder != node or len(state.reports) >= _MAX_REPORTS:
         return
+    may_act = node not in state.stopped or mutation is Mutation.REPORTED_AFTER_RELEASE
+    if node in state.awaiting or not may_act:
+        return
     content = newest.report
     if content < 0 and mutation is Mutation.SENT_BEFORE_FIXED:
         content = node
     if content >= 0:
         report = Report(node, newest.token, content)
+        awaiting = state.awaiting
+        if mutation in _WITH_RELEASE:
+            awaiting |= {node}
         yield (
             f'send-{node}',
             dataclasses.replace(
                 state,
                 reports=state.reports | {report},
                 senders=state.senders | {(newest.token, node)},
+                awaiting=awaiting,
             ),
         )
 
 
+def _release_steps(state: State, node: int, mutation: Mutation) -> Iterator[Step]:
+    end = state.known[node]
+    newest = state.log[end - 1] if end else None
+    if newest is None or newest.holder != node or newest.is_released:
+        return
+    if _is_full(state, end, mutation) or mutation not in _WITH_RELEASE:
+        return
+    if node in state.awaiting and mutation is not Mutation.RELEASED_WHILE_REPORTING:
+        return
+    # The step may follow a release whose response is lost.
+    record = dataclasses.replace(newest, is_released=True)
+    if mutation is Mutation.FORGOTTEN_AT_RELEASE:
+        record = dataclasses.replace(record, report=-1)
+    stopped = dataclasses.replace(state, stopped=state.stopped | {node})
+    yield f'release-{node}', _with_append(stopped, end, record)
+
+
 def _reported(state: State, report: Report) -> State:
     if report.token < state.highest:
         return state
@@ -169,7 +230,15 @@
     )
 
 
-INVARIANTS = (one_report, tokens_differ, tokens_increase)
+def release_is_last(state: State) -> bool:
+    """No node awaits the outcome of a report once its release is in the log.
+
+    The next holder may report from then on, without waiting for the lease.
+    """
+    return not any(record.is_released and record.holder in state.awaiting for record in state.log)
+
+
+INVARIANTS = (one_report, tokens_differ, tokens_increase, release_is_last)
 
 
 def protocol(mutation: Mutation = Mutation.NONE) -> minicheck.Protocol:
--- a/src/anvillug/process/duty_holder.py
+++ b/src/anvillug/process/duty_holder.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import enum
 from collections.abc import Callable
 from typing import Any
@@ -114,14 +115,30 @@
         self._backoff_s = _MIN_BACKOFF_S
         self._read_at = clock.Milliseconds(-1)
         self._was_silent = False
+        self._must_look = False
+        self._stops = False
+        self._pausing: defer.Deferred[None] = defer.succeed(None)
 
     def start(self) -> None:
-        """Start the task, which runs until the process ends."""
+        """Start the task, which runs until the process ends or `stop` has had its effect."""
         defer.ensureDeferred(self._run())
 
+    def look(self) -> None:
+        """Read the record soon, since the holder seems to have released the duty."""
+        self._must_look = True
+
+    def stop(self) -> None:
+        """Stop reporting, and release the duty as soon as no report is on its way.
+
+        A call in progress is not cancelled: its outcome tells whether the next holder has to
+        repeat the report. Nobody has to wait for the release; without it, the lease runs out.
+        """
+        self._stops = True
+        self._pausing.cancel()
+
     async def _run(self) -> None:
-        await task.deferLater(self._reactor, _START_DELAY_S)
-        while True:
+        await self._pause(_START_DELAY_S)
+        while not self._has_ended():
             was_holder = self.state.is_holder
             try:
                 is_done = await self._step()
@@ -135,7 +152,18 @@
                 is_done = False
             if self.state.is_holder != was_holder:
                 self._changed()
-            await task.deferLater(self._reactor, self._pause_s(is_done))
+            await self._pause(self._pause_s(is_done))
+
+    def _has_ended(self) -> bool:
+        """Return whether this process is stopping and is certain not to hold the duty."""
+        state = self.state
+        is_known = state.end is not None or state.record is None
+        return self._stops and is_known and not state.is_holder
+
+    async def _pause(self, pause_s: float) -> None:
+        self._pausing = task.deferLater(self._reactor, pause_s)
+        with contextlib.suppress(defer.CancelledError):
+            await self._pausing
 
     def _pause_s(self, is_done: bool) -> float:
         if is_done:
@@ -147,6 +175,9 @@
 
     async def _step(self) -> bool:
         """Do what is due; return whether nothing failed."""
+        if self._stops:
+            await self._release()
+            return True
         if not self.state.is_holder:
             await self._watch()
             return True
@@ -156,22 +187,35 @@
             return await self._perform()
         return True
 
+    async def _release(self) -> None:
+        if self.state.end is None:
+            await self._read()
+        record = self.state.record
+        if record is not None and self.state.may_release(self._clock.now()):
+            settled = self.state.settled(self._time_of_day.now())
+            await self._append(duty_record.release(record, settled))
+
     async def _watch(self) -> None:
-        """Take over if a report is overdue and its holder has been silent."""
+        """Take over if a report is overdue, or its holder is silent or has released the duty."""
         rank = self._fleet.rank()
         due_at = self.state.check_due_at(rank)
         now = self._time_of_day.now()
         is_silent = self._is_holder_silent()
         turned_silent = is_silent and not self._was_silent
         self._was_silent = is_silent
-        if rank >= _CANDIDATES or (now < due_at and not is_silent):
+        must_look = self._must_look or self._is_released()
+        if rank >= _CANDIDATES or (now < due_at and not is_silent and not must_look):
             return
-        if self.state.end is None or self._read_at < due_at <= now or turned_silent:
+        must_read = self._read_at < due_at <= now or turned_silent or self._must_look
+        if self.state.end is None or must_read:
             await self._read()
             self._read_at = now
+            self._must_look = False
             is_overdue = self._time_of_day.now() >= self.state.check_due_at(rank)
-            if not is_overdue and not self._is_holder_silent():
+            if not (is_overdue or self._is_holder_silent() or self._is_released()):
                 return
+        if self._stops:
+            return
         if self.state.may_take_over(self._situation()):
             await self._take_token()
 
@@ -179,6 +223,10 @@
         record = self.state.record
         return record is not None and self._fleet.is_silent(record.host_id)
 
+    def _is_released(self) -> bool:
+        record = self.state.record
+        return record is not None and record.is_released
+
     async def _perform(self) -> bool:
         """Fix the reports that are due, and send those that were not accepted."""
         situation = self._situation()
@@ -201,7 +249,7 @@
             record = self.state.record
             if record is None or window not in record.pending:
                 continue
-            if not self.state.may_act(self._clock.now()):
+            if self._stops or not self.state.may_act(self._clock.now()):
                 return True
             outcome = await self._reporter.report(
                 record, window, record.pending[window], self.state.call_timeout_ms
@@ -212,6 +260,7 @@
                 self.state.fenced()
                 return False
             if outcome is ReportOutcome.UNKNOWN:
+                self.state.call_failed(self._clock.now())
                 return False
             self.state.accepted.add(window)
             if outcome is ReportOutcome.ACCEPTED:
@@ -271,8 +320,9 @@
     def _changed(self) -> None:
         record = self.state.record
         if record is not None:
+            event = 'duty_released' if record.process == self.state.process else 'duty_lost'
             event_log.emit(
-                'duty_taken' if self.state.is_holder else 'duty_lost',
+                'duty_taken' if self.state.is_holder else event,
                 holder=record.host_id,
                 token=record.token,
                 since_ms=record.since_ms,
--- a/src/anvillug/process/duty_record.py
+++ b/src/anvillug/process/duty_record.py
@@ -41,6 +41,8 @@
     """First window whose report is not fixed; reports of earlier windows never change."""
     pending: Mapping[usage_counts.Window, usage_counts.TenantCounts]
     """Reports that are fixed, and that were not known to be accepted."""
+    is_released: bool = False
+    """Whether the holder has ended its acts, so that another node need not await its lease."""
 
     @property
     def process(self) -> usage_counts.Process:
@@ -71,9 +73,11 @@
             )
             for window, counts in fields['pending']
         }
+        # Nodes of older releases don't write it, and take no notice of it.
+        is_released = wire_value.boolean(fields.get('is_released', False), 'is_released')
     except (LookupError, TypeError) as error:
         raise ValueError(f'duty record: {error!r}') from error
-    return DutyRecord(host_id=host_id, pending=pending, **numbers)
+    return DutyRecord(host_id=host_id, pending=pending, is_released=is_released, **numbers)
 
 
 def token_at(end: directives.Position) -> Token:
@@ -153,4 +157,12 @@
     return dataclasses.replace(record, next_window=next_window, pending=pending)
 
 
+def release(record: DutyRecord, settled: frozenset[usage_counts.Window]) -> DutyRecord:
+    """Return the last record of a holder that hands the duty over; see `renew`.
+
+    Reports that are not settled stay fixed, and the next holder repeats them.
+    """
+    return dataclasses.replace(renew(record, {}, settled), is_released=True)
+
+
 _NUMBERS = ('incarnation', 'token', 'since_ms', 'era', 'next_window')
--- a/src/anvillug/process/duty_state.py
+++ b/src/anvillug/process/duty_state.py
@@ -4,6 +4,10 @@
 within another quarter. Another node takes over only if the record has not changed for two leases
 since that node read it. So a lease passes between the acts of two holders, whatever their clocks
 show, and a former holder that takes the duty back comes later than a lease.
+
+A holder that has released the duty never acts again, so that nobody waits for its lease. It has
+held the duty for a lease by then, so that its predecessor, if it is the next holder as well, comes
+later than that too.
 """
 
 from __future__ import annotations
@@ -66,13 +70,15 @@
         self._seen_at = clock.Milliseconds(0)
         self._acts_until = clock.Milliseconds(0)
         self._held_from = clock.Milliseconds(0)
+        self._releases_from = clock.Milliseconds(0)
         self._fenced_token = duty_record.Token(-1)
 
     @property
     def is_holder(self) -> bool:
         """Whether this process is the holder as far as it knows."""
         record = self.record
-        return record is not None and record.process == self.process
+        is_own = record is not None and record.process == self.process
+        return is_own and not record.is_released
 
     @property
     def call_timeout_ms(self) -> float:
@@ -127,6 +133,14 @@
             self._fenced_token = self.record.token
         self.must_read()
 
+    def call_failed(self, now: clock.Milliseconds) -> None:
+        """Put off a release, since a call to the platform may be carried out late."""
+        self._releases_from = clock.Milliseconds(now + self._settings.lease_ms)
+
+    def may_release(self, now: clock.Milliseconds) -> bool:
+        """Return whether this process, which has stopped to act, may append a release."""
+        return self.is_holder and self.end is not None and now >= self._releases_from
+
     def needs_token(self) -> bool:
         """Return whether the holder must take a new token before it acts."""
         record = self.record
@@ -154,7 +168,7 @@
             return True
         wait_ms = situation.rank * _ORDER_MS + situation.is_isolated * _ISOLATED_MS
         # Without any record nobody can hold the duty.
-        if self.end.offset:
+        if self.end.offset and not self._is_released(self.end):
             wait_ms += self._settings.lease_ms * _TAKE_OVER_LEASES
         return situation.now - self._seen_at > wait_ms
 
@@ -192,6 +206,12 @@
             return False
         return record.era == end.era and record.token > self._fenced_token
 
+    def _is_released(self, end: directives.Position) -> bool:
+        """Return whether the newest holder has certainly released the duty."""
+        record = self.record
+        # A restored log may have lost the records of a later holder.
+        return record is not None and record.is_released and record.era == end.era
+
     def _set(
         self,
         record: duty_record.DutyRecord | None,
@@ -203,6 +223,7 @@
         self.end = end
         if self.is_holder and not was_holder:
             self._held_from = now
+            self._releases_from = clock.Milliseconds(now + self._settings.lease_ms)
         pending = {} if record is None else record.pending
         self.accepted.intersection_update(pending)
 
--- a/src/anvillug/process/mesh_node.py
+++ b/src/anvillug/process/mesh_node.py
@@ -379,6 +379,7 @@
             self._beacons.send_now,
         )
         usage.attach(self.host, self._peer_server)
+        self._stop.may_end = usage.may_end
         return usage
 
     def _service_findings(self, heartbeat: upstream.Heartbeat) -> findings.Findings:
@@ -547,4 +548,6 @@
         """Report that the node is not ready, and end once its requests are completed."""
         if not self._stop.has_begun:
             self._stop.begin()
+            if self._usage is not None:
+                self._usage.stop()
             self._beacons.send_now()
--- a/src/anvillug/process/mesh_stop.py
+++ b/src/anvillug/process/mesh_stop.py
@@ -55,6 +55,8 @@
         """Close of the connections of callers."""
         self.peer_port: interfaces.IListeningPort | None = None
         """Listener of other nodes."""
+        self.may_end: Callable[[], bool] = lambda: True
+        """Returns whether a node with nothing in progress may end before its grace time."""
         self._reactor = reactor
         self._clock = time
         self._entry = entry
@@ -142,7 +144,7 @@
 
     def _is_done(self) -> bool:
         """Return whether nothing is in progress and no other node can send a job any more."""
-        return not (self._is_busy() or self._peers.open_count)
+        return not (self._is_busy() or self._peers.open_count) and self.may_end()
 
     def _rejects_jobs_for_ms(self) -> float:
         """Return for how long the jobs of other nodes have been rejected, 0 if they are not."""
--- a/src/anvillug/process/usage_counts.py
+++ b/src/anvillug/process/usage_counts.py
@@ -37,6 +37,11 @@
         self._max_windows = max_windows
         self._changed: set[tuple[Window, ids.TenantName]] = set()
 
+    @property
+    def has_changed(self) -> bool:
+        """Whether counts have changed since the last call of `take_changed`."""
+        return bool(self._changed)
+
     def add(self, window: Window, tenant: ids.TenantName, change: int = 1) -> None:
         """Count a request, or with -1 remove one that has not run."""
         if window not in self.by_window:
--- a/src/anvillug/process/usage_duty.py
+++ b/src/anvillug/process/usage_duty.py
@@ -22,6 +22,9 @@
 BEACON_TOPIC = 'u'
 """Key of the additional state in beacons."""
 
+# An idle node that stops waits no longer than this until the holder has its counts.
+_MAX_FLUSH_MS = 1000.0
+
 ReporterFactory = Callable[[duty_settings.DutySettings], duty_holder.Reporter]
 """Creates the client that sends reports."""
 
@@ -60,6 +63,8 @@
         send_beacons: Callable[[], None],
     ) -> None:
         self._send_beacons = send_beacons
+        self._clock = time
+        self._flushes_from: clock.Milliseconds | None = None
         time_of_day = true_time.TrueTime(time)
         self._state = duty_state.DutyState(process, settings)
         self.exchange = usage_exchange.UsageExchange(
@@ -80,6 +85,7 @@
             self._changed,
             lambda outcome: process_metrics.count('usage_reports', outcome),
         )
+        self.exchange.on_release = self._holder.look
 
     def attach(self, host: mesh_host.MeshHost, server: peer_server.PeerServer) -> None:
         """Count the requests of a host side, and take counts from other nodes."""
@@ -92,6 +98,18 @@
         self.exchange.start()
         self._holder.start()
 
+    def stop(self) -> None:
+        """Hand the duty over if this node holds it; requests are still counted."""
+        self._holder.stop()
+        self.exchange.stop()
+
+    def may_end(self) -> bool:
+        """Return whether an idle node may end: its counts are sent, or it has tried for long."""
+        now = self._clock.now()
+        if self._flushes_from is None:
+            self._flushes_from = now
+        return self.exchange.is_flushed or now - self._flushes_from >= _MAX_FLUSH_MS
+
     def gauges(self) -> Mapping[str, float]:
         """Return the values of the gauges by name."""
         record = self._state.record
--- a/src/anvillug/process/usage_exchange.py
+++ b/src/anvillug/process/usage_exchange.py
@@ -9,6 +9,8 @@
 from collections.abc import Callable
 from typing import Any
 
+from twisted.internet import interfaces
+
 from anvillug import clock, event_log, ids, wire_value
 from anvillug.connection import http_exchange, http_head, http_pool
 from anvillug.process import (
@@ -23,6 +25,8 @@
 
 # What a node has counted since the last message is lost if it is killed.
 _INTERVAL_S = 1.0
+# The same for a node that is stopping, whose process may be killed at the end of the grace time.
+_STOPPING_INTERVAL_S = 0.25
 # After this time a message is cancelled; its counts are sent again.
 _TIMEOUT_S = 0.6
 # Windows retained beside those whose reports may be due.
@@ -68,13 +72,28 @@
         self._holder: usage_counts.Process | None = None
         self._holder_token = 0
         self._message: remote_run.PeerRequest | None = None
+        self._interval_s = _INTERVAL_S
+        self._timer: interfaces.IDelayedCall | None = None
+        self.on_release: Callable[[], None] = lambda: None
+        """Called when the holder no longer announces the duty."""
+
+    @property
+    def is_flushed(self) -> bool:
+        """Whether the holder has all counts of this node."""
+        return self._message is None and not self._local.has_changed
 
     def start(self) -> None:
         """Send counts until the process ends."""
         # First, so that a failure does not end the task.
-        self._reactor.callLater(_INTERVAL_S, self.start)
+        self._timer = self._reactor.callLater(self._interval_s, self.start)
         self._send()
 
+    def stop(self) -> None:
+        """Send counts sooner from now on."""
+        self._interval_s = _STOPPING_INTERVAL_S
+        if self._timer is not None:
+            self._timer.reset(0)
+
     def run_sent(self, work: job.Job, sent_at: clock.Milliseconds) -> None:
         """Count a request that has been sent to the backend server.
 
@@ -97,8 +116,12 @@
         record = self._state.record
         if self._state.is_holder and record is not None:
             self._follow(self._state.process, record.token)
-        else:
-            self._collected.clear()
+            return
+        self._collected.clear()
+        if self._holder == self._state.process:
+            # The next holder gets all counts, those until it is known among them.
+            self._holder = None
+            self._local.mark_all_changed()
 
     def announced(self) -> list[int]:
         """Return the state for beacons: the time of day, and the token of a holder or 0."""
@@ -121,6 +144,8 @@
         self._time_of_day.record(announcement.host_id, time_of_day)
         if wire_value.natural(token, 'token') > self._holder_token:
             self._follow((announcement.host_id, announcement.incarnation), token)
+        elif not token and self._holder == (announcement.host_id, announcement.incarnation):
+            self.on_release()
 
     def request_received(self, exchange: http_exchange.ServerExchange) -> None:
         """Handle a message with counts; see `http_exchange.RequestStarted`."""
--- a/tests/duty_fleet.py
+++ b/tests/duty_fleet.py
@@ -4,7 +4,7 @@
 
 import collections
 
-from twisted.internet import task
+from twisted.internet import defer, task
 
 from anvillug import clock, ids
 from anvillug.connection import keyed_log
@@ -94,8 +94,11 @@
         self.loses_responses = False
         self.late_reports: list[tuple] = []
         self.delays_reports = False
+        self.response: defer.Deferred | None = None
 
     async def report(self, record, window, counts, timeout_ms):
+        if self.response is not None:
+            await self.response
         if self.is_down:
             return _OUTCOME.UNKNOWN
         if self.delays_reports:
@@ -104,6 +107,12 @@
         outcome = self.carry_out(record, window, counts)
         return _OUTCOME.UNKNOWN if self.loses_responses else outcome
 
+    def respond(self) -> None:
+        """Let the report that waits for its response go on, and later ones too."""
+        response = self.response
+        self.response = None
+        response.callback(None)
+
     def carry_out(self, record, window, counts):
         """Check the token of a report and accept it."""
         self.calls.append((record.host_id, record.token))
@@ -161,7 +170,7 @@
             fleet.platform,
             self,
             self._total,
-            lambda: None,
+            self._changed,
             lambda _: None,
         )
         self.holder.start()
@@ -184,6 +193,13 @@
         self.time.advance(duration_s * 1000)
         self.reactor.advance(duration_s)
 
+    def _changed(self) -> None:
+        # As its beacons do when a holder no longer announces the duty.
+        if not self.state.is_holder:
+            for other in self.fleet.living:
+                if other is not self and self.fleet.beacons_arrive:
+                    other.holder.look()
+
     def _total(self, window: int) -> dict:
         # Each node has received other counts, so that a second content of a report shows.
         return {TENANT: 1000 * (self.number + 1) + self.state.end.offset}
@@ -196,6 +212,7 @@
         self.time = clock.ManualClock(0)
         self.log = Log()
         self.platform = Platform()
+        self.beacons_arrive = True
         self.nodes = [Node(self, f'n{number}', number) for number in range(count)]
 
     @property
--- a/tests/test_specs.py
+++ b/tests/test_specs.py
@@ -59,6 +59,9 @@
             (duty_holder, DUTY.FIXED_AGAIN, 'one_report'),
             (duty_holder, DUTY.KEPT_TOKEN, 'tokens_differ'),
             (duty_holder, DUTY.KEPT_TOKEN, 'tokens_increase'),
+            (duty_holder, DUTY.RELEASED_WHILE_REPORTING, 'release_is_last'),
+            (duty_holder, DUTY.REPORTED_AFTER_RELEASE, 'release_is_last'),
+            (duty_holder, DUTY.FORGOTTEN_AT_RELEASE, 'one_report'),
         ],
     )
     def test_injected_fault_produces_a_counterexample(self, spec, mutation, invariant):
--- a/tests/test_usage_counts.py
+++ b/tests/test_usage_counts.py
@@ -13,6 +13,7 @@
 from anvillug.platform import cloud, duty_settings
 from anvillug.process import (
     duty_holder,
+    duty_record,
     duty_state,
     peer_table,
     true_time,
@@ -133,6 +134,42 @@
             message.response_failed(http_client.ClientFailure.LOST)
         assert connection.request.call_count == 2
 
+    def test_counts_of_a_former_holder_go_to_the_next_one(self):
+        time = clock.ManualClock(0, 35_000)
+        connection = mock.MagicMock()
+        pool = mock.MagicMock()
+        pool.acquire = lambda connected, _failed: connected(connection)
+        exchange, state = self._exchange(_FIRST, time, pool)
+        end = directives.Position(0, 0)
+        state.observe(None, end, time.now())
+        record = duty_fleet.record_of(_FIRST)
+        state.written(record, end, time.now(), time.now())
+        exchange.holder_changed()
+        exchange._count(_T, clock.Milliseconds(10), 1)  # noqa: SLF001 - without a complete job
+        exchange.start()
+        exchange.stop()
+        assert exchange.is_flushed
+        released = duty_record.release(record, frozenset())
+        state.written(released, directives.Position(0, 1), time.now(), time.now())
+        exchange.holder_changed()
+        exchange._reactor.advance(1)  # noqa: SLF001 - its timers
+        assert not exchange.is_flushed
+        exchange._peers.by_host_id['n'] = mock.MagicMock()  # noqa: SLF001 - instead of beacons
+        exchange.beacon_received(mock.MagicMock(host_id='n', incarnation=1), [35_000, 5])
+        exchange._reactor.advance(0.25)  # noqa: SLF001 - its timers
+        body = connection.send_body.call_args.args[0]
+        assert usage_wire.unpack(body) == (_FIRST, {_W: {_T: 1}})
+
+    def test_end_of_the_announcement_is_noticed(self):
+        exchange, _ = self._exchange(_SECOND, clock.ManualClock(0, 35_000))
+        exchange.on_release = mock.Mock()
+        holder = mock.MagicMock(host_id='n', incarnation=1)
+        exchange.beacon_received(holder, [35_000, 5])
+        exchange.beacon_received(mock.MagicMock(host_id='n', incarnation=2), [35_000, 0])
+        exchange.on_release.assert_not_called()
+        exchange.beacon_received(holder, [35_000, 0])
+        exchange.on_release.assert_called_once_with()
+
     def _exchange(self, process, time, pool=None):
         state = duty_state.DutyState(process, duty_fleet.SETTINGS)
         exchange = usage_exchange.UsageExchange(
--- a/tests/test_usage_path.py
+++ b/tests/test_usage_path.py
@@ -4,6 +4,7 @@
 
 import json
 import pathlib
+import signal
 import threading
 from http import server as http_server
 
@@ -72,6 +73,11 @@
     reactor_thread.call(mesh.close)
 
 
+def _expect_every_window(reports):
+    windows = {report['WindowSeq'] for _, _, report in reports}
+    assert windows == set(range(min(windows), max(windows) + 1))
+
+
 class TestUsageReports:
     """Guards against reports that stop, or go back to a lower token, when the holder is killed."""
 
@@ -83,5 +89,15 @@
         reactor_thread.eventually(lambda: reports[-1][0] != holder)
         reactor_thread.eventually(lambda: len(reports) > 6)
         assert reports[-1][1] > token
-        windows = {report['WindowSeq'] for _, _, report in reports}
-        assert windows == set(range(min(windows), max(windows) + 1))
+        _expect_every_window(reports)
+
+    def test_stopped_holder_hands_the_duty_over(self, mesh, platform):
+        _, reports = platform
+        reactor_thread.eventually(lambda: len(reports) > 2)
+        holder, token, _ = reports[-1]
+        number = int(holder.removeprefix('host-'))
+        mesh.nodes[number].send_signal(signal.SIGTERM)
+        reactor_thread.eventually(lambda: reports[-1][0] != holder)
+        assert mesh.log_count(number, 'event=duty_released') == 1
+        assert reports[-1][1] > token
+        _expect_every_window(reports)
