--- a/src/anvillug/process/host_room.py
+++ b/src/anvillug/process/host_room.py
@@ -165,6 +165,7 @@
 
     def _count_rejection(self, work: job.Job, reason: str) -> None:
         self._metrics.count('room_rejections', f'{reason}, priority {_label(work)}')
+        self._metrics.count_of_tenant('tenant_room_rejections', work.tenant, reason)
 
     def _schedule(self) -> None:
         if self._timer is not None and self._timer.active():
--- a/src/anvillug/process/mesh_entry.py
+++ b/src/anvillug/process/mesh_entry.py
@@ -351,6 +351,9 @@
         self._metrics.latency('call_latency', held_ms)
         if call.refusal is not None:
             self._metrics.count('access_rejections', call.refusal.value)
+        if call.is_rejected:
+            kind = str(status) if call.refusal is None else call.refusal.value
+            self._metrics.count_of_tenant('tenant_rejections', call.tenant, kind)
         event_log.emit(
             'call_over',
             request=call.attributes.attempt_id,
--- a/src/anvillug/process/mesh_node.py
+++ b/src/anvillug/process/mesh_node.py
@@ -490,6 +490,8 @@
         self._records.notice_era(current.position.era)
         if current.routes is not None:
             self._apply_limits(current.routes.limits)
+            table = current.routes.tenants
+            self._metrics.set_tenants(None if table is None else table.tenants_by_name)
         self._beacons.send_near()
 
     def _apply_limits(self, limits: route_table.CallerLimits) -> None:
--- a/src/anvillug/process/metrics.py
+++ b/src/anvillug/process/metrics.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import collections
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 
 from hdrh import histogram
 
+from anvillug import ids
 from anvillug.connection import http_exchange
 
 METRICS_PATH = b'/metrics'
@@ -17,11 +18,17 @@
 _MAX_LATENCY_US = 60_000_000
 _SIGNIFICANT_DIGITS = 2  # of recorded latencies
 _US_PER_MS = 1000
+# Label of counts of no tenant, and of tenants that the configuration no longer has.
+_NO_TENANT = ids.TenantName('')
 
 Gauges = Callable[[], Mapping[str, float]]
 """Returns the current values of gauges by name, without `anvillug_`."""
 
 
+TenantKey = tuple[str, ids.TenantName, str]
+"""Name of a counter, and its labels `tenant` and `kind`."""
+
+
 class Metrics:
     """Counters and latency histograms of one process.
 
@@ -32,6 +39,8 @@
     def __init__(self, gauges: Gauges) -> None:
         self._gauges = gauges
         self._counts_by_key: collections.Counter[tuple[str, str]] = collections.Counter()
+        self._counts_by_tenant_key: collections.Counter[TenantKey] = collections.Counter()
+        self._tenants: Collection[ids.TenantName] | None = None
         self._latencies_by_name: dict[str, histogram.HdrHistogram] = {}
 
     def count(self, name: str, label: str) -> None:
@@ -43,6 +52,31 @@
         """
         self._counts_by_key[name, label] += 1
 
+    def count_of_tenant(self, name: str, tenant: ids.TenantName, label: str) -> None:
+        """Count an event by tenant; nothing is counted where there are no tenants.
+
+        Args:
+            name: Name of the counter; see `count`.
+            tenant: The tenant, empty if it isn't known.
+            label: Value of the label `kind`, one of few.
+        """
+        if self._tenants is not None:
+            known = tenant if tenant in self._tenants else _NO_TENANT
+            self._counts_by_tenant_key[name, known, label] += 1
+
+    def set_tenants(self, tenants: Collection[ids.TenantName] | None) -> None:
+        """Take over the tenants of the configuration; None if it has none.
+
+        Counts of others are kept without their names, so that the labels are bounded by the
+        configuration and the sums don't decrease.
+        """
+        self._tenants = tenants
+        for key in tuple(self._counts_by_tenant_key):
+            name, tenant, label = key
+            if tenant and tenant not in (tenants or ()):
+                count = self._counts_by_tenant_key.pop(key)
+                self._counts_by_tenant_key[name, _NO_TENANT, label] += count
+
     def latency(self, name: str, latency_ms: float) -> None:
         """Record a latency.
 
@@ -63,6 +97,11 @@
             return
         from anvillug.process import metrics_page  # noqa: PLC0415 - few nodes are ever asked
 
-        text = metrics_page.render(self._counts_by_key, self._latencies_by_name, self._gauges())
+        text = metrics_page.render(
+            self._counts_by_key,
+            self._counts_by_tenant_key,
+            self._latencies_by_name,
+            self._gauges(),
+        )
         content_type = (b'Content-Type', metrics_page.CONTENT_TYPE.encode())
         exchange.respond(_STATUS_OK, text, (content_type,))
--- a/src/anvillug/process/metrics_page.py
+++ b/src/anvillug/process/metrics_page.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 
 from hdrh import histogram
 from prometheus_client import core, exposition, registry
@@ -31,6 +31,7 @@
 
 def render(
     counts_by_key: Mapping[tuple[str, str], int],
+    counts_by_tenant_key: Mapping[tuple[str, str, str], int],
     latencies_by_name: Mapping[str, histogram.HdrHistogram],
     gauges_by_name: Mapping[str, float],
 ) -> bytes:
@@ -38,26 +39,36 @@
 
     Args:
         counts_by_key: Counts by the name of the counter and its label `kind`.
+        counts_by_tenant_key: Counts by the name of the counter and its labels `tenant` and `kind`.
         latencies_by_name: Latencies in microseconds by the name of the histogram.
         gauges_by_name: Values of the gauges.
     """
     page = registry.CollectorRegistry(auto_describe=False)
-    page.register(_Collector(_families(counts_by_key, latencies_by_name, gauges_by_name)))
+    families = [
+        *_counters(counts_by_key, ['kind']),
+        *_counters(counts_by_tenant_key, ['tenant', 'kind']),
+        *_families(latencies_by_name, gauges_by_name),
+    ]
+    page.register(_Collector(families))
     return exposition.generate_latest(page)
 
 
+def _counters(
+    counts_by_key: Mapping[tuple[str, ...], int], label_names: Sequence[str]
+) -> Iterable[core.Metric]:
+    counters: dict[str, core.CounterMetricFamily] = {}
+    for (name, *labels), count in sorted(counts_by_key.items()):
+        if name not in counters:
+            counters[name] = core.CounterMetricFamily(f'anvillug_{name}', name, labels=label_names)
+        counters[name].add_metric(labels, count)
+    return counters.values()
+
+
 def _families(
-    counts_by_key: Mapping[tuple[str, str], int],
     latencies_by_name: Mapping[str, histogram.HdrHistogram],
     gauges_by_name: Mapping[str, float],
 ) -> list[core.Metric]:
-    counters: dict[str, core.CounterMetricFamily] = {}
-    for (name, label), count in sorted(counts_by_key.items()):
-        if name not in counters:
-            counters[name] = core.CounterMetricFamily(f'anvillug_{name}', name, labels=['kind'])
-        counters[name].add_metric([label], count)
-    families = list(counters.values())
-    families += [_summary(*entry) for entry in latencies_by_name.items()]
+    families = [_summary(*entry) for entry in latencies_by_name.items()]
     families += [
         core.GaugeMetricFamily(f'anvillug_{gauge}', gauge, value=number)
         for gauge, number in gauges_by_name.items()
--- a/src/anvillug/request/routed_call.py
+++ b/src/anvillug/request/routed_call.py
@@ -124,6 +124,8 @@
         """Tenant whose key the caller sent; empty if the route needs none."""
         self.refusal: access.Refusal | None = None
         """Why the caller may not use the route; None if it may."""
+        self.is_rejected = False
+        """Whether the response says that the request has not run, for want of access or room."""
         self._access = access.Access()
         self.attempted_hosts: set[ids.HostId] = set()
         """Hosts already selected; cleared when all hosts become eligible again after a pause."""
@@ -453,6 +455,7 @@
     def _respond(
         self, status: int, reason: str, headers: tuple[http_head.Header, ...] = ()
     ) -> None:
+        self.is_rejected = status in {STATUS_UNAUTHORIZED, STATUS_UNAVAILABLE}
         # A body that is too large or too late is not awaited.
         awaits_body = self._state is CallState.READING and status in _REJECTIONS
         try:
--- a/tests/test_mesh_entry.py
+++ b/tests/test_mesh_entry.py
@@ -4,6 +4,7 @@
 
 import re
 import types
+from unittest import mock
 
 import pytest
 from twisted.internet import testing
@@ -12,7 +13,7 @@
 from anvillug.connection import http_server, memory_account
 from anvillug.platform import headers
 from anvillug.process import mesh_entry, metrics, peer_table
-from anvillug.request import dialect, job, job_wire
+from anvillug.request import access, dialect, job, job_wire
 from anvillug.version import directives, rollout, rollout_call, rollout_counts, rollouts
 from tests import test_bad_input, test_beacon, test_mesh_host
 
@@ -141,6 +142,26 @@
         assert attempt.peer.avoid_until > entry_side.time.now()
 
 
+class TestRejections:
+    """Guards against rejections that no tenant's count shows, and against other calls in it."""
+
+    @pytest.mark.parametrize(
+        ('status', 'refusal', 'kinds'),
+        [
+            (401, access.Refusal.UNKNOWN_KEY, ['unknown key']),
+            (503, None, ['503']),
+            (503, access.Refusal.NO_RECENT_WORD, ['no recent word of the log']),
+            (200, None, []),
+        ],
+    )
+    def test_counted_by_tenant(self, entry_side, monkeypatch, status, refusal, kinds):
+        counted = mock.Mock()
+        monkeypatch.setattr(entry_side.entry._metrics, 'count_of_tenant', counted)  # noqa: SLF001
+        call = mock.MagicMock(started_at=0, tenant='t', refusal=refusal, is_rejected=bool(kinds))
+        entry_side.entry.call_ended(call, status, '')
+        assert counted.mock_calls == [mock.call('tenant_rejections', 't', kind) for kind in kinds]
+
+
 def _fail(*arguments: object) -> None:
     raise ZeroDivisionError
 
--- a/tests/test_mesh_host.py
+++ b/tests/test_mesh_host.py
@@ -123,6 +123,7 @@
                 1,
             )
         )
+        self.metrics = metrics.Metrics(dict)
         self.host = mesh_host.MeshHost(
             self.reactor,
             self.time,
@@ -130,7 +131,7 @@
             self.active_directives,
             headers.PlatformDialect(),
             settings(policy),
-            metrics.Metrics(dict),
+            self.metrics,
             crash_watch.CrashWatch(ids.HostId('h'), ids.Incarnation(1), self.time),
             self.word,
         )
@@ -310,6 +311,17 @@
         host_side.report_slowness(100)
         assert host_side.host.load.waiting == 1
 
+    def test_rejections_count_by_tenant(self, host_side, monkeypatch):
+        counted = mock.Mock()
+        monkeypatch.setattr(host_side.metrics, 'count_of_tenant', counted)
+        position = host_side.active_directives.current.position
+        host_side.word.read_succeeded(host_side.time.now(), position)
+        reasons = [host_side.rejection_reason(tenant='t') for _ in range(100)]
+        rejected = [reason for reason in reasons if reason]
+        assert rejected
+        name = 'tenant_room_rejections'
+        assert counted.mock_calls == [mock.call(name, 't', reason) for reason in rejected]
+
     def test_cancelled_run_makes_room_and_cancelled_wait_no_trace(self, host_side):
         results: list[job.Result] = []
         cancels = [
--- a/tests/test_routed_call.py
+++ b/tests/test_routed_call.py
@@ -157,7 +157,8 @@
         return self
 
 
-def _make_answered(status: int = 200, body: bytes = b'whole') -> job.Result:
+def make_answered(status: int = 200, body: bytes = b'whole') -> job.Result:
+    """Return the result of a job whose backend server responded."""
     head = http_head.ResponseHead(status, [(b'Anvillug-Server-Seal', b's')])
     return job.Result(job.ResultKind.ANSWERED, head=head, body=body)
 
@@ -173,7 +174,7 @@
     """Guards against responses that are altered or made up on the way to the caller."""
 
     def test_response_is_forwarded_unchanged(self):
-        routed = RoutedRequest().begin(_make_answered())
+        routed = RoutedRequest().begin(make_answered())
         assert routed.connection.status == 200
         assert routed.connection.sent.endswith(b'\r\n\r\nwhole')
         assert b'Anvillug-Server-Seal: s' in routed.connection.sent
@@ -202,7 +203,7 @@
 class TestFailedRecord:
     """Guards against a failure to count or log a call that costs its caller the answer."""
 
-    @pytest.mark.parametrize(('result', 'status'), [(_make_answered(), 200), (_UNKNOWN, 502)])
+    @pytest.mark.parametrize(('result', 'status'), [(make_answered(), 200), (_UNKNOWN, 502)])
     def test_caller_is_answered(self, result, status):
         routed = RoutedRequest(_ONCE)
         routed.context.call_ended = _fail
@@ -232,11 +233,11 @@
     def test_rejection_by_a_host_needs_no_retry_budget(self, kind):
         routed = RoutedRequest(kind)
         routed.context.budget = 0
-        assert routed.begin(_REFUSED, _REFUSED, _make_answered()).connection.status == 200
+        assert routed.begin(_REFUSED, _REFUSED, make_answered()).connection.status == 200
 
     @pytest.mark.parametrize('kind', [_ONCE, _REPEATABLE])
     def test_shed_request_is_retried_within_the_budget(self, kind):
-        assert RoutedRequest(kind).begin(_SHED, _make_answered()).connection.status == 200
+        assert RoutedRequest(kind).begin(_SHED, make_answered()).connection.status == 200
 
     # A change of weights in the middle of a call would move it to a service with more room.
     def test_retry_after_a_change_of_weights_stays_with_the_service(self):
@@ -260,10 +261,10 @@
         assert b'Retry-After' in routed.connection.sent
 
     def test_unknown_outcome_of_a_repeatable_request_is_retried(self):
-        assert RoutedRequest().begin(_UNKNOWN, _make_answered()).connection.status == 200
+        assert RoutedRequest().begin(_UNKNOWN, make_answered()).connection.status == 200
 
     def test_unknown_outcome_of_a_once_only_request_ends_the_call(self):
-        routed = RoutedRequest(_ONCE).begin(_UNKNOWN, _make_answered())
+        routed = RoutedRequest(_ONCE).begin(_UNKNOWN, make_answered())
         assert routed.connection.status == 502
         assert len(routed.context.jobs) == 1
 
@@ -273,16 +274,16 @@
         assert routed.begin(_UNKNOWN, _SHED).connection.status == 502
 
     def test_attempts_are_bounded(self):
-        routed = RoutedRequest().begin(_UNKNOWN, _UNKNOWN, _make_answered())
+        routed = RoutedRequest().begin(_UNKNOWN, _UNKNOWN, make_answered())
         assert routed.connection.status == 502
         assert len(routed.context.jobs) == 2
 
     def test_failure_response_is_forwarded_after_the_last_attempt(self):
-        routed = RoutedRequest().begin(_make_answered(500, b'first'), _UNKNOWN)
+        routed = RoutedRequest().begin(make_answered(500, b'first'), _UNKNOWN)
         assert routed.connection.status == 500
 
     def test_failure_of_a_once_only_request_is_forwarded_at_once(self):
-        routed = RoutedRequest(_ONCE).begin(_make_answered(500), _make_answered())
+        routed = RoutedRequest(_ONCE).begin(make_answered(500), make_answered())
         assert routed.connection.status == 500
         assert len(routed.context.jobs) == 1
 
@@ -306,7 +307,7 @@
         routed = RoutedRequest().begin()
         routed.context.advance(_TIMEOUT_MS + 1)
         sent = routed.connection.sent
-        routed.context.pending[0](_make_answered())
+        routed.context.pending[0](make_answered())
         assert routed.connection.sent == sent
 
     def test_without_a_host_the_call_is_rejected_early(self):
@@ -323,7 +324,7 @@
         routed.context.has_host = False
         routed.begin()
         routed.context.has_host = True
-        routed.context.results = [_make_answered()]
+        routed.context.results = [make_answered()]
         routed.context.advance(20)
         assert routed.connection.status == 200
 
@@ -340,7 +341,7 @@
     def test_first_response_wins_and_the_other_attempt_is_cancelled(self):
         routed = self._begin()
         assert len(routed.context.jobs) == 2
-        routed.context.pending[1](_make_answered())
+        routed.context.pending[1](make_answered())
         assert routed.connection.status == 200
         assert routed.context.cancelled == 1
 
@@ -348,14 +349,14 @@
         routed = self._begin()
         routed.context.pending[1](_UNKNOWN)
         assert not routed.connection.sent
-        routed.context.pending[0](_make_answered())
+        routed.context.pending[0](make_answered())
         assert routed.connection.status == 200
 
     def test_rejected_hedge_does_not_end_the_first_attempt(self):
         routed = self._begin()
         routed.context.pending[1](_REFUSED)
         assert len(routed.context.jobs) == 2
-        routed.context.pending[0](_make_answered())
+        routed.context.pending[0](make_answered())
         assert routed.connection.status == 200
 
     def test_last_hedge_does_not_end_the_first_attempt(self):
@@ -364,7 +365,7 @@
         routed.begin(*itertools.repeat(_REFUSED, 11))
         routed.context.advance(_TARGET_LATENCY_MS)
         assert not routed.connection.sent
-        routed.context.pending[0](_make_answered())
+        routed.context.pending[0](make_answered())
         assert routed.connection.status == 200
 
     def test_once_only_request_is_not_hedged(self):
--- a/tests/test_tenants.py
+++ b/tests/test_tenants.py
@@ -169,3 +169,22 @@
         assert not routed.context.jobs
         assert routed.connection.status == 503
         assert b'Retry-After' in routed.connection.sent
+
+    @pytest.mark.parametrize(
+        ('result', 'is_recent', 'is_rejected'),
+        [
+            (job.Result(job.ResultKind.REFUSED, 'no room in time'), True, True),
+            (test_routed_call.make_answered(503), True, False),
+            (job.Result(job.ResultKind.UNKNOWN, 'lost'), True, False),
+            (job.Result(job.ResultKind.REFUSED, 'not reached'), False, True),
+        ],
+    )
+    def test_only_own_rejections_count(self, routed, result, is_recent, is_rejected):
+        routed.context.word_is_recent = is_recent
+        routed.begin()
+        for number in range(200):
+            routed.context.advance(10)
+            if number < len(routed.context.pending):
+                routed.context.pending[number](result)
+        assert routed.connection.status
+        assert routed.call.is_rejected is is_rejected
