--- a/src/anvillug/process/commands/explain.py
+++ b/src/anvillug/process/commands/explain.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json as json_module
+import pathlib
 import sys
 from collections.abc import Iterable
 from typing import Any
@@ -35,6 +36,7 @@
     path: str,
     method: str = 'GET',
     size: int = 0,
+    key_file: str = '',
     json: bool = False,
 ) -> int:
     """Print where a request of a node's callers would go now, and why; nothing is sent.
@@ -45,17 +47,25 @@
         path: Path of the request.
         method: Method of the request.
         size: Size of its body in bytes.
+        key_file: File with the caller's key, which is not printed; an argument could be seen by
+            other users. Without it, no key is checked.
         json: Whether to print the answer as JSON.
 
     Returns:
         Exit code: 0, 1 if the node can't be reached, 2 if the question is malformed.
     """
+    headers = {}
+    if key_file:
+        key = _read_key(key_file)
+        if not key:
+            return _EXIT_BAD_INPUT
+        headers['Authorization'] = f'Bearer {key}'
 
     async def main(reactor: Any) -> int:
         query = url_parse.urlencode({'host': host, 'path': path, 'method': method, 'size': size})
         url = f'http://{node}/explain?{query}'
         try:
-            response = await treq.get(url, reactor=reactor, timeout=_TIMEOUT_S)
+            response = await treq.get(url, headers=headers, reactor=reactor, timeout=_TIMEOUT_S)
             text = await response.text()
         except _CONNECTION_ERRORS as problem:
             sys.stderr.write(f'{node}: {problem or type(problem).__name__}\n')
@@ -73,13 +83,31 @@
     return _reactor.run(main)
 
 
+def _read_key(path: str) -> str:
+    """Return the key in a file; print what is wrong and return an empty one if it is unusable."""
+    try:
+        key = pathlib.Path(path).read_bytes().strip().decode('ascii')
+    except OSError as problem:
+        sys.stderr.write(f'{path}: {problem.strerror}\n')
+        return ''
+    except UnicodeDecodeError:
+        key = ''
+    if not key or not key.isprintable() or ' ' in key:
+        sys.stderr.write(f'{path}: must contain one key of visible ASCII characters\n')
+        return ''
+    return key
+
+
 def describe(answer: dict[str, Any]) -> Iterable[str]:
     """Yield the lines of an answer for people; see `explanation.Explanation.explain`."""
     yield _fields('node', answer['node'])
-    if 'route' not in answer:
+    if 'route' in answer:
+        yield _fields('route', answer['route'])
+    if 'tenant' in answer:
+        yield _fields('tenant', answer['tenant'])
+    if 'status' in answer:
         yield f'rejected status={answer["status"]} reason="{answer["reason"]}"'
         return
-    yield _fields('route', answer['route'])
     for service in answer['services']:
         yield _fields('service', {key: service[key] for key in service if key != 'hosts'})
         for host in service['hosts']:
--- a/src/anvillug/process/explanation.py
+++ b/src/anvillug/process/explanation.py
@@ -11,7 +11,7 @@
 from anvillug import clock, event_log, findings, ids
 from anvillug.connection import http_head
 from anvillug.process import host_choice, mesh_settings, peer_table, upstream
-from anvillug.request import job
+from anvillug.request import access, job, retry_advice
 from anvillug.version import directives, rollouts, route_table
 
 # What is told of a service, with the draw that decides during a rollout which version gets a
@@ -24,6 +24,7 @@
 _TOO_LARGE = 413
 _UNAVAILABLE = 503
 _PERCENT = 100
+_UNAUTHORIZED = 401
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -38,6 +39,8 @@
     """Method."""
     size: int = 0
     """Size of the body in bytes."""
+    credentials: bytes = dataclasses.field(default=b'', repr=False)
+    """Value of the `Authorization` header, in no answer and no log line; empty if there is none."""
 
     def check(self) -> findings.Findings:
         """Return what is wrong with the question."""
@@ -70,6 +73,17 @@
     def zone_share(self, service: ids.ServiceName) -> tuple[float, str]:
         """Return the share of a service's work that leaves the zone, and why."""
 
+    def has_recent_word(self) -> bool:
+        """Return whether keys can be relied on."""
+
+    def own_rejection(self, work: job.Job) -> tuple[str, float]:
+        """Return why the host of this node would reject a job, without a trace.
+
+        Returns:
+            The reason, empty if the job would be accepted, and the milliseconds until there is
+            room for it, 0 if that isn't known.
+        """
+
 
 class Explanation:
     """Answers questions about requests of this node's callers.
@@ -105,7 +119,8 @@
         Returns:
             JSON object: `node`, `route`, `services` (one entry for each service of the route, with
             its `hosts` in the order of preference, and a `status` if none would get the request);
-            `status` and `reason` if the request would be rejected before a host is selected.
+            `tenant` if the question has credentials that the route asks for; `status` and `reason`
+            if the request would be rejected before a host is selected.
         """
         current = self._active_directives.current
         node = {
@@ -121,19 +136,46 @@
             return {'node': node, 'status': _NOT_FOUND, 'reason': 'no route matches'}
         if question.size > current.routes.limits.max_body_bytes:
             return {'node': node, 'status': _TOO_LARGE, 'reason': 'body is too large'}
-        services = [
-            {'weight': part.weight, **self._explain_service(question, route, part.service)}
+        answer = {'node': node, 'route': _describe_route(route)}
+        decision = access.Access()
+        if question.credentials:
+            decision = self._decide_access(question, route)
+        if decision.refusal is not None:
+            is_behind = decision.refusal is access.Refusal.NO_RECENT_WORD
+            status = _UNAVAILABLE if is_behind else _UNAUTHORIZED
+            return {**answer, 'status': status, 'reason': decision.refusal.value, 'services': []}
+        if decision.tenant:
+            answer['tenant'] = {'name': decision.tenant, 'priority': decision.priority}
+        answer['services'] = [
+            {
+                'weight': part.weight,
+                **self._explain_service(question, route, part.service, decision),
+            }
             for part in route.parts
         ]
-        return {'node': node, 'route': _describe_route(route), 'services': services}
+        return answer
 
     # Private
 
+    def _decide_access(self, question: Question, route: route_table.Route) -> access.Access:
+        head = http_head.RequestHead(
+            question.method, question.path, [(access.CREDENTIALS_HEADER, question.credentials)]
+        )
+        table = self._active_directives.current.routes.tenants
+        return access.decide(table, route, head, self._entry.has_recent_word)
+
     def _explain_service(
-        self, question: Question, route: route_table.Route, service: ids.ServiceName
+        self,
+        question: Question,
+        route: route_table.Route,
+        service: ids.ServiceName,
+        decision: access.Access,
     ) -> dict[str, Any]:
         now = self._clock.now()
         work = self._job(question, route, service, now)
+        work.tenant = decision.tenant or ids.TenantName('')
+        if decision.priority is not None:
+            work.priority = decision.priority
         hosts = self._entry.hosts(service, now)
         allowed_by_draw = {
             name: self._rollouts.allowed(service, self._entry.eligible(service, now), draw)
@@ -165,6 +207,7 @@
                     **_describe_host(host, now),
                     'expected_slowness': round(host_choice.expected_slowness(host, origin, now)),
                     'excluded': reasons_by_id[host.host_id],
+                    **self._own_rejection(host, work, now),
                 }
                 for host in ranked
             ],
@@ -173,6 +216,22 @@
             answer.update(status=_UNAVAILABLE, reason='no host can take the call')
         return answer
 
+    def _own_rejection(
+        self, host: peer_table.Peer, work: job.Job, now: clock.Milliseconds
+    ) -> dict[str, Any]:
+        """Return why the host of this node would reject a job; empty for other hosts."""
+        is_own = host.announcement.host_id == self._settings.host_id
+        if not is_own or host.announcement.state is not upstream.UpstreamState.SERVING:
+            return {}
+        reason, wait_ms = self._entry.own_rejection(work)
+        if not reason:
+            return {}
+        advice = retry_advice.RetryAdvice()
+        advice.add(wait_ms)
+        # Callers are told various times; this is one of them.
+        told_ms = advice.wait_ms(work.deadline - now, random.Random(_SEED))
+        return {'rejects': reason, 'retry_after_ms': round(told_ms)}
+
     def _job(
         self,
         question: Question,
--- a/src/anvillug/process/inspection.py
+++ b/src/anvillug/process/inspection.py
@@ -6,11 +6,14 @@
 from urllib import parse as url_parse
 
 from anvillug import findings
-from anvillug.connection import http_exchange
+from anvillug.connection import http_exchange, http_head
 from anvillug.process import explanation, metrics
+from anvillug.request import access
 
 EXPLAIN_PATH = b'/explain'
-"""Path of questions; the query has `host`, `path`, `method` and `size`."""
+"""Path of questions; the query has `host`, `path`, `method` and `size`.
+
+A key is sent in the same header as by callers, since targets are written to logs."""
 
 _MAX_DIGITS = 12
 _STATUS_OK = 200
@@ -37,7 +40,7 @@
         if exchange.head.path != EXPLAIN_PATH:
             self._metrics.serve(exchange)
             return
-        question = _read_question(exchange.head.target.partition(b'?')[2])
+        question = _read_question(exchange.head)
         problems = question if isinstance(question, tuple) else question.check()
         if problems:
             exchange.respond(_STATUS_BAD_REQUEST, f'{findings.report(problems)}\n'.encode())
@@ -47,7 +50,8 @@
         exchange.respond(_STATUS_OK, f'{answer}\n'.encode(), _JSON)
 
 
-def _read_question(query: bytes) -> explanation.Question | findings.Findings:
+def _read_question(head: http_head.RequestHead) -> explanation.Question | findings.Findings:
+    query = head.target.partition(b'?')[2]
     fields = {
         name: texts[-1] for name, texts in url_parse.parse_qs(query.decode('latin-1')).items()
     }
@@ -59,4 +63,5 @@
         fields.get('path', '').encode(),
         fields.get('method', 'GET').encode(),
         int(size),
+        head.get(access.CREDENTIALS_HEADER) or b'',
     )
--- a/src/anvillug/process/mesh_entry.py
+++ b/src/anvillug/process/mesh_entry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any
@@ -170,6 +171,11 @@
         share = self._zone_choice.share_of(service)
         return share.share, share.reason
 
+    def own_rejection(self, work: job.Job) -> tuple[str, float]:
+        """Return why the host of this node rejects a job; see `explanation.EntrySide`."""
+        instance = self._host.upstream.instance
+        return self._host.preview(dataclasses.replace(work, instance=instance))
+
     # For calls
 
     def directives(self) -> directives.Directives:
--- a/src/anvillug/process/mesh_host.py
+++ b/src/anvillug/process/mesh_host.py
@@ -149,15 +149,24 @@
 
     def handle_inquiry(self, work: job.Job) -> job.Result:
         """Return whether a job would be accepted, as far as can be determined without its body."""
-        reason = self._rejection_reason(work) or self._cold_reason()
-        wait_ms = 0.0
-        if not reason and self._switch.room is not None:
-            outcome = self._switch.room.judge(work, self._usual_ms(work))
-            reason, wait_ms = outcome.reason, outcome.wait_ms
+        reason, wait_ms = self.preview(work)
         if reason:
             return self._rejected(reason, wait_ms)
         return self._with_host_state(job.Result(job.ResultKind.WILLING))
 
+    def preview(self, work: job.Job) -> tuple[str, float]:
+        """Return why a job would be rejected now, without a trace.
+
+        Returns:
+            The reason, empty if the job would be accepted, and the expected time in milliseconds
+            until there is room for it, 0 if that isn't known.
+        """
+        reason = self._rejection_reason(work) or self._cold_reason()
+        if reason or self._switch.room is None:
+            return reason, 0.0
+        outcome = self._switch.room.judge(work, self._usual_ms(work))
+        return outcome.reason, outcome.wait_ms
+
     def room_gauges(self) -> dict[str, float]:
         """Return the gauges of the room by name; empty without one."""
         return self._switch.gauges()
