--- a/src/anvillug/process/mesh_entry.py
+++ b/src/anvillug/process/mesh_entry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any
@@ -170,6 +171,11 @@
         share = self._zone_choice.share_of(service)
         return share.share, share.reason
 
+    def own_rejection(self, work: job.Job) -> tuple[str, float]:
+        """Return why the host of this node rejects a job; see `explanation.EntrySide`."""
+        instance = self._host.upstream.instance
+        return self._host.preview(dataclasses.replace(work, instance=instance))
+
     # For calls
 
     def directives(self) -> directives.Directives:
@@ -351,6 +357,9 @@
         self._metrics.latency('call_latency', held_ms)
         if call.refusal is not None:
             self._metrics.count('access_rejections', call.refusal.value)
+        if call.is_rejected:
+            kind = str(status) if call.refusal is None else call.refusal.value
+            self._metrics.count_of_tenant('tenant_rejections', call.tenant, kind)
         event_log.emit(
             'call_over',
             request=call.attributes.attempt_id,
--- a/src/anvillug/process/mesh_node.py
+++ b/src/anvillug/process/mesh_node.py
@@ -379,6 +379,7 @@
             self._beacons.send_now,
         )
         usage.attach(self.host, self._peer_server)
+        self._stop.may_end = usage.may_end
         return usage
 
     def _service_findings(self, heartbeat: upstream.Heartbeat) -> findings.Findings:
@@ -489,6 +490,8 @@
         self._records.notice_era(current.position.era)
         if current.routes is not None:
             self._apply_limits(current.routes.limits)
+            table = current.routes.tenants
+            self._metrics.set_tenants(None if table is None else table.tenants_by_name)
         self._beacons.send_near()
 
     def _apply_limits(self, limits: route_table.CallerLimits) -> None:
@@ -547,4 +550,6 @@
         """Report that the node is not ready, and end once its requests are completed."""
         if not self._stop.has_begun:
             self._stop.begin()
+            if self._usage is not None:
+                self._usage.stop()
             self._beacons.send_now()
