--- a/src/anvillug/connection/http_pool.py
+++ b/src/anvillug/connection/http_pool.py
@@ -73,6 +73,7 @@
         max_connections: Max connections open at once.
         max_waiting: Max requests that wait for a connection.
         connect_timeout_s: Time limit for opening a connection in seconds.
+        max_idle: Max idle connections; of more, the one that has been idle longest is closed.
     """
 
     def __init__(
@@ -83,6 +84,7 @@
         max_connections: int = 64,
         max_waiting: int = 256,
         connect_timeout_s: float = 1,
+        max_idle: float = math.inf,
     ) -> None:
         self._reactor = reactor
         self._host = host
@@ -90,6 +92,7 @@
         self._max_connections = max_connections
         self._max_waiting = max_waiting
         self._connect_timeout_s = connect_timeout_s
+        self._max_idle = max_idle
         self._idle: list[http_client.ClientConnection] = []
         self._waiting: collections.deque[_Waiter] = collections.deque()
         self._open_connections: set[http_client.ClientConnection] = set()
@@ -183,6 +186,8 @@
         elif connection.is_idle:
             connection.idle_since_s = self._reactor.seconds()
             self._idle.append(connection)
+            if len(self._idle) > self._max_idle:
+                self._idle.pop(0).cancel()
 
     def offer(self, connection: http_client.ClientConnection, ready: ConnectionReady) -> None:
         """Offer a connection to a requester, and release it if it sends no request."""
@@ -223,6 +228,12 @@
         for connection in idle:
             connection.cancel()
 
+    def close_idle_longer_than(self, max_idle_s: float) -> None:
+        """Close the connections that have been idle for more than a time in seconds."""
+        min_idle_since_s = self._reactor.seconds() - max_idle_s
+        while self._idle and self._idle[0].idle_since_s < min_idle_since_s:
+            self._idle.pop(0).cancel()
+
     def close_idle_without_response_since(self, silent: http_client.ClientConnection) -> None:
         """Close the idle connections that may be as silent as one that received no response.
 
--- a/src/anvillug/connection/log_client.py
+++ b/src/anvillug/connection/log_client.py
@@ -13,7 +13,7 @@
 from twisted.web import client as web_client
 
 from anvillug import clock, ids
-from anvillug.connection import log_record, tcp_liveness
+from anvillug.connection import live_endpoints, log_record
 
 CONFIGURATION_STREAM = 'configuration'
 
@@ -50,7 +50,7 @@
     ) -> None:
         self._pool = web_client.HTTPConnectionPool(reactor)
         self._pool.maxPersistentPerHost = _MAX_CONNECTIONS
-        endpoint_factory = tcp_liveness.EndpointFactory(
+        endpoint_factory = live_endpoints.EndpointFactory(
             reactor, clock.to_seconds(_CONNECT_TIMEOUT_MS)
         )
         pooled_agent = web_client.Agent.usingEndpointFactory(
--- a/src/anvillug/connection/tcp_liveness.py
+++ b/src/anvillug/connection/tcp_liveness.py
@@ -8,12 +8,7 @@
 
 import socket
 
-from twisted.internet import defer, endpoints, interfaces
-from twisted.web import client as web_client
-from twisted.web import iweb
-from zope.interface import implementer
-
-from anvillug.connection import local_port
+from twisted.internet import interfaces
 
 # Keep-alive probes are sent on a connection that has received nothing for this long.
 _IDLE_S = 1
@@ -39,38 +34,3 @@
     handle = transport.getHandle()
     for option, setting in _TCP_OPTIONS:
         handle.setsockopt(socket.IPPROTO_TCP, option, setting)
-
-
-@implementer(iweb.IAgentEndpointFactory)
-class EndpointFactory:
-    """Endpoints of an HTTP agent whose connections detect silence.
-
-    Args:
-        reactor: Opens the connections.
-        connect_timeout_s: Time limit for opening a connection in seconds.
-    """
-
-    def __init__(self, reactor: interfaces.IReactorTCP, connect_timeout_s: float) -> None:
-        self._reactor = reactor
-        self._connect_timeout_s = connect_timeout_s
-
-    def endpointForURI(self, uri: web_client.URI) -> interfaces.IStreamClientEndpoint:  # noqa: N802
-        """Return the endpoint of a URI; see Twisted."""
-        return _Endpoint(
-            self._reactor, uri.host.decode(), uri.port, timeout=self._connect_timeout_s
-        )
-
-
-class _Endpoint(endpoints.TCP4ClientEndpoint):
-    def connect(
-        self,
-        protocolFactory: interfaces.IProtocolFactory,  # noqa: N803
-    ) -> defer.Deferred[interfaces.IProtocol]:
-        connected = super().connect(protocolFactory)
-        return connected.addCallback(_detect_silence_of)
-
-
-def _detect_silence_of(protocol: interfaces.IProtocol) -> interfaces.IProtocol:
-    detect_silence(protocol.transport)
-    local_port.allow_listeners(protocol.transport)
-    return protocol
--- a/src/anvillug/platform/cloud.py
+++ b/src/anvillug/platform/cloud.py
@@ -10,7 +10,7 @@
 from twisted.web import client as web_client
 
 from anvillug import clock, event_log
-from anvillug.connection import tcp_liveness
+from anvillug.connection import live_endpoints
 from anvillug.process import duty_holder, duty_record, duty_settings, usage_counts
 
 _HOLDER_HEADER = 'Anvillug-Duty-Holder'
@@ -33,7 +33,7 @@
         self, reactor: interfaces.IReactorTCP, settings: duty_settings.DutySettings
     ) -> None:
         self._pool = web_client.HTTPConnectionPool(reactor)
-        endpoint_factory = tcp_liveness.EndpointFactory(
+        endpoint_factory = live_endpoints.EndpointFactory(
             reactor, clock.to_seconds(settings.lease_ms / 4)
         )
         agent = web_client.Agent.usingEndpointFactory(reactor, endpoint_factory, pool=self._pool)
--- a/src/anvillug/platform/store.py
+++ b/src/anvillug/platform/store.py
@@ -3,19 +3,15 @@
 from __future__ import annotations
 
 import base64
-import io
 import json
 import struct
 from typing import Any
 from urllib import parse as url_parse
 
-from twisted.internet import defer, interfaces, protocol
-from twisted.python import failure
-from twisted.web import client as web_client
-from twisted.web import http
+from twisted.internet import defer, interfaces
 
 from anvillug import clock
-from anvillug.connection import keyed_log, tcp_liveness
+from anvillug.connection import http_call, http_head, http_pool, keyed_log
 from anvillug.version import directives
 
 # Keyed topics: the newest record of each key is never deleted.
@@ -25,7 +21,7 @@
 DUTY_TOPIC = 'keyed.duties'
 
 # Rises by one each time the store is restored from an older copy; older stores do not send it.
-_ERA_HEADER = 'Store-Era'
+_ERA_HEADER = b'store-era'
 # The only partition of these topics.
 _PARTITION = '0'
 
@@ -36,37 +32,22 @@
 _CONNECT_TIMEOUT_MS = 500
 # A configuration with some thousand routes takes one second over a link of 5 Mbit/s.
 _BODY_TIMEOUT_MS = 4000
-_MAX_CONNECTIONS = 2
+# Far above any configuration, and what a faulty store can make a node hold.
+_MAX_BODY_BYTES = 64 * 1024 * 1024
+# Each of the node's tasks may wait for the store at the same time, on a connection of its own.
+_MAX_IDLE_CONNECTIONS = 2
+_MAX_IDLE_S = 240
 _LENGTH = struct.Struct('>I')
 _BOUNDS = struct.Struct('>QQ')
 _STATUS_OK = 200
+# The last one is that of a header which is no number.
+_CALL_ERRORS = (http_call.FailedError, defer.CancelledError, defer.TimeoutError, ValueError)
 _ERRORS_BY_STATUS = {
     410: keyed_log.RecordsDeletedError,
     412: keyed_log.ConditionFailedError,
 }
 
 
-class _BodyReader(protocol.Protocol):
-    """Collects the body of a response; see Twisted."""
-
-    def __init__(self) -> None:
-        self.body: defer.Deferred[bytes] = defer.Deferred()
-        self._parts: list[bytes] = []
-
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Keep a part of the body; see Twisted."""
-        self._parts.append(data)
-
-    def connectionLost(self, reason: failure.Failure = protocol.connectionDone) -> None:  # noqa: N802
-        """Complete the body, unless its end is missing; see Twisted."""
-        if self.body.called:
-            return
-        if reason.check(web_client.ResponseDone, http.PotentialDataLoss):
-            self.body.callback(b''.join(self._parts))
-        else:
-            self.body.errback(reason)
-
-
 class Store:
     """Client with persistent connections; see `keyed_log.KeyedLog`.
 
@@ -77,14 +58,13 @@
 
     def __init__(self, reactor: interfaces.IReactorTCP, address: str) -> None:
         self._reactor = reactor
-        self._pool = web_client.HTTPConnectionPool(reactor)
-        self._pool.maxPersistentPerHost = _MAX_CONNECTIONS
-        endpoint_factory = tcp_liveness.EndpointFactory(
-            reactor, clock.to_seconds(_CONNECT_TIMEOUT_MS)
-        )
-        # Without treq, whose import takes 15 ms of processor time at each start of a node.
-        self._agent = web_client.Agent.usingEndpointFactory(
-            reactor, endpoint_factory, pool=self._pool
+        host, _, port = address.rpartition(':')
+        self._pool = http_pool.Pool(
+            reactor,
+            host.strip('[]'),
+            int(port),
+            connect_timeout_s=clock.to_seconds(_CONNECT_TIMEOUT_MS),
+            max_idle=_MAX_IDLE_CONNECTIONS,
         )
         self._address = address
 
@@ -133,27 +113,30 @@
         method: str,
         name: str,
         arguments: dict[str, str],
-        body: bytes | None = None,
+        body: bytes = b'',
         timeout_ms: float = _RESPONSE_TIMEOUT_MS,
     ) -> tuple[bytes, int]:
         """Return the body of the response and the era of the store."""
-        url = f'http://{self._address}/-/{name}?{url_parse.urlencode(arguments)}'
-        producer = None if body is None else web_client.FileBodyProducer(io.BytesIO(body))
+        target = f'/-/{name}?{url_parse.urlencode(arguments)}'
+        headers = [(b'Host', self._address.encode())]
+        if body:
+            headers.append((b'Content-Length', b'%d' % len(body)))
+        request = http_head.RequestHead(method.encode(), target.encode(), headers)
+        self._pool.close_idle_longer_than(_MAX_IDLE_S)
+        call = http_call.Call(self._reactor, self._pool, request, body, _MAX_BODY_BYTES)
+        call.begin()
         try:
-            request = self._agent.request(method.encode(), url.encode(), bodyProducer=producer)
-            response = await self._within(request, timeout_ms)
-            reader = _BodyReader()
-            response.deliverBody(reader)
-            content = await self._within(reader.body, _BODY_TIMEOUT_MS)
-            era = int(response.headers.getRawHeaders(_ERA_HEADER, ['0'])[0])
-        except Exception as error:
-            # Twisted has no common base class of request failures.
+            head = await self._within(call.head, timeout_ms)
+            content = await self._within(call.body, _BODY_TIMEOUT_MS)
+            era_header = head.get(_ERA_HEADER)
+            era = 0 if era_header is None else int(era_header)
+        except _CALL_ERRORS as error:
             # Whatever silenced this connection may have silenced the idle ones.
-            self._pool.closeCachedConnections()
+            self._pool.close_idle()
             raise keyed_log.LogUnavailableError(f'{name}: {error!r}') from error
-        if response.code != _STATUS_OK:
-            raise _ERRORS_BY_STATUS.get(response.code, keyed_log.LogUnavailableError)(
-                f'{name}: status {response.code}'
+        if head.status != _STATUS_OK:
+            raise _ERRORS_BY_STATUS.get(head.status, keyed_log.LogUnavailableError)(
+                f'{name}: status {head.status}'
             )
         return content, era
 
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -18,7 +18,7 @@
 
 from anvillug import clock
 from anvillug.bench import processes
-from anvillug.connection import http_pool, tcp_liveness
+from anvillug.connection import http_pool, live_endpoints
 from anvillug.process import listeners
 from tests import reactor_thread
 
@@ -361,7 +361,7 @@
         # FAULT: as above.
         def connect(server: tuple[str, int]) -> None:
             uri = web_client.URI.fromBytes('http://{}:{}/'.format(*server).encode())
-            endpoint = tcp_liveness.EndpointFactory(running_reactor, 1).endpointForURI(uri)
+            endpoint = live_endpoints.EndpointFactory(running_reactor, 1).endpointForURI(uri)
             connecting = protocol.Factory.forProtocol(protocol.Protocol)
             connection = reactor_thread.call(endpoint.connect, connecting)
             stack.callback(reactor_thread.call, connection.transport.abortConnection)
--- a/tests/test_mesh_imports.py
+++ b/tests/test_mesh_imports.py
@@ -15,7 +15,7 @@
 from anvillug.process import error_reports, mesh_node
 print(*sys.modules)
 """
-# Each takes 10 ms of processor time or more to import, of some 330 ms for all modules.
+# Each takes 10 ms of processor time or more to import, alone or with others of this list.
 _HEAVY = frozenset(
     (
         'absl',
@@ -27,6 +27,11 @@
         'pydantic',
         'pydantic_core',
         'treq',
+        'twisted.cred',
+        'twisted.internet.endpoints',
+        'twisted.plugin',
+        'twisted.web',
+        'zipfile',
     )
 )
 
