--- a/src/anvillug/process/true_time.py
+++ b/src/anvillug/process/true_time.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import statistics
-
-from anvillug import clock, ids
+from anvillug import clock, ids, median
 
 # A node that has sent no full beacon for this long is left out.
 _MAX_AGE_MS = 10_000.0
@@ -51,4 +49,4 @@
             if now - measured_at > _MAX_AGE_MS:
                 self._offsets_by_host.pop(host_id)
         offsets = [offset for offset, _ in self._offsets_by_host.values()]
-        return statistics.median([*offsets, self._clock.wall() - now])
+        return median.of([*offsets, self._clock.wall() - now])
--- a/src/anvillug/process/zone_rooms.py
+++ b/src/anvillug/process/zone_rooms.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 import collections
-import statistics
 from collections.abc import Sequence
 
-from anvillug import clock, ids
+from anvillug import clock, ids, median
 from anvillug.process import host_choice, peer_table, zone_share
 
 _NORMAL_SLOWNESS = 100.0
@@ -50,10 +49,10 @@
     scale = len(available) / len(known)
     busy = sum(max(host.outstanding, host.load.running + host.load.waiting) for host in known)
     # Requests are sent to the faster hosts, so that a slow minority says little about the zone.
-    typical_slowness = statistics.median(slowness(host, now) for host in known)
+    typical_slowness = median.of(slowness(host, now) for host in known)
     return zone_share.ZoneRoom(
         slots=round(scale * sum(host.load.slots for host in known)),
         busy=scale * busy,
         work_ms=work_ms * typical_slowness / _NORMAL_SLOWNESS,
-        age_ms=statistics.median(now - host.load_reported_at for host in known),
+        age_ms=median.of(now - host.load_reported_at for host in known),
     )
--- a/tests/test_mesh_imports.py
+++ b/tests/test_mesh_imports.py
@@ -26,6 +26,7 @@
         'prometheus_client',
         'pydantic',
         'pydantic_core',
+        'statistics',
         'treq',
         'twisted.cred',
         'twisted.internet.endpoints',
