--- a/src/anvillug/connection/client_limits.py
+++ b/src/anvillug/connection/client_limits.py
@@ -6,6 +6,7 @@
 import enum
 import math
 from collections.abc import Collection, Iterable
+from typing import NamedTuple
 from typing import Protocol as Interface
 
 from anvillug import clock
@@ -27,8 +28,7 @@
     """Anything else, such as a response."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ClientLimits:
+class ClientLimits(NamedTuple):
     """Limits of the clients of one listener."""
 
     head_ms: float = math.inf
--- a/src/anvillug/connection/http_pool.py
+++ b/src/anvillug/connection/http_pool.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
 import math
 from collections.abc import Callable
+from typing import NamedTuple
 
 from twisted.internet import interfaces, protocol
 
@@ -15,8 +15,7 @@
 ConnectFailed = Callable[[], None]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Waiter:
+class _Waiter(NamedTuple):
     """A request that waits for a connection."""
 
     ready: ConnectionReady
--- a/src/anvillug/connection/keyed_log.py
+++ b/src/anvillug/connection/keyed_log.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import dataclasses
+from typing import NamedTuple
 from typing import Protocol as Interface
 
 from anvillug.version import directives
@@ -20,8 +20,7 @@
     """The topic does not end at the offset that the append requires."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Batch:
+class Batch(NamedTuple):
     """Records of a topic, in the order of their offsets."""
 
     changes: tuple[tuple[str, directives.Record], ...]
--- a/src/anvillug/platform/documents.py
+++ b/src/anvillug/platform/documents.py
@@ -5,6 +5,7 @@
 import dataclasses
 import json
 import math
+from typing import NamedTuple
 
 from anvillug import event_log, findings, ids, json_table
 from anvillug.platform import tenant_documents
@@ -42,8 +43,7 @@
     routes: route_table.RouteTable
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Path:
+class _Path(NamedTuple):
     """Fields of a path of a virtual host, before they are checked against each other."""
 
     name: str
--- a/src/anvillug/process/crash_watch.py
+++ b/src/anvillug/process/crash_watch.py
@@ -6,9 +6,8 @@
 
 from __future__ import annotations
 
-import dataclasses
 import itertools
-from typing import Any
+from typing import Any, NamedTuple
 
 from anvillug import clock, event_log, ids, wire_value
 from anvillug.request import job, quarantine
@@ -22,8 +21,7 @@
 _MAX_SHARED_CRASH_IDS = 2
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class JobIdentity:
+class JobIdentity(NamedTuple):
     """Identification of a job to which a crash may be attributed."""
 
     fingerprint: ids.Fingerprint
--- a/src/anvillug/process/duty_state.py
+++ b/src/anvillug/process/duty_state.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-import dataclasses
+from typing import NamedTuple
 
 from anvillug import clock
 from anvillug.process import duty_record, duty_settings, usage_counts
@@ -31,8 +31,7 @@
 _ISOLATED_LEFT_MS = 1000.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Situation:
+class Situation(NamedTuple):
     """What a decision depends on besides the records."""
 
     now: clock.Milliseconds
--- a/src/anvillug/process/host_choice.py
+++ b/src/anvillug/process/host_choice.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 import math
 import random
 from collections.abc import Sequence
+from typing import NamedTuple
 
 from anvillug import clock, ids
 from anvillug.process import peer_table
@@ -35,8 +35,7 @@
 _COLD_FACTOR = 2.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Origin:
+class Origin(NamedTuple):
     """Where a job comes from, and the size that counts if it is sent to another zone."""
 
     zone: ids.ZoneName
--- a/src/anvillug/process/peer_table.py
+++ b/src/anvillug/process/peer_table.py
@@ -6,6 +6,7 @@
 import dataclasses
 import operator
 from collections.abc import Sequence
+from typing import NamedTuple
 
 from anvillug import clock, event_log, ids
 from anvillug.process import leave_record, upstream
@@ -73,8 +74,7 @@
     """Maximum time in milliseconds until the next beacon to this receiver."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LoadNotice:
+class LoadNotice(NamedTuple):
     """Load of a node, sent between two announcements."""
 
     host_id: ids.HostId
@@ -89,8 +89,7 @@
     """Age of that load in milliseconds."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class BeaconTargets:
+class BeaconTargets(NamedTuple):
     """Addresses that a node sends its beacons to."""
 
     near: list[str]
--- a/src/anvillug/process/zone_share.py
+++ b/src/anvillug/process/zone_share.py
@@ -7,9 +7,9 @@
 
 from __future__ import annotations
 
-import dataclasses
 import math
 from collections.abc import Mapping
+from typing import NamedTuple
 
 from anvillug import clock, ids
 
@@ -32,8 +32,7 @@
 _SEARCH_STEPS = 7
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Crossing:
+class Crossing(NamedTuple):
     """What operators accept for sending work to another zone."""
 
     delay_ms: float
@@ -46,8 +45,7 @@
         return self.delay_ms + self.delay_ms_per_kb * size_kb
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ZoneRoom:
+class ZoneRoom(NamedTuple):
     """Room of one service in one zone, as far as it is known."""
 
     slots: int
--- a/src/anvillug/request/access.py
+++ b/src/anvillug/request/access.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import dataclasses
 import enum
 from collections.abc import Callable
+from typing import NamedTuple
 
 from anvillug import ids
 from anvillug.connection import http_head
@@ -27,8 +27,7 @@
     """The key may have been withdrawn without this node's knowledge."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Access:
+class Access(NamedTuple):
     """Decision on one request."""
 
     tenant: ids.TenantName | None = None
--- a/src/anvillug/request/dialect.py
+++ b/src/anvillug/request/dialect.py
@@ -8,7 +8,7 @@
 import dataclasses
 import enum
 from collections.abc import Sequence
-from typing import Any
+from typing import Any, NamedTuple
 from typing import Protocol as Interface
 
 from anvillug import ids, wire_value
@@ -70,8 +70,7 @@
     )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class HealthReport:
+class HealthReport(NamedTuple):
     """Result of the health check of a backend server."""
 
     healthy: bool
@@ -84,8 +83,7 @@
     """Load; None if it is not reported."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class CallAttributes:
+class CallAttributes(NamedTuple):
     """Attempt id and time limit that a caller sets for its request."""
 
     attempt_id: str
--- a/src/anvillug/request/full_resets.py
+++ b/src/anvillug/request/full_resets.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-import dataclasses
+from typing import NamedTuple
 
 from anvillug import clock
 
@@ -26,8 +26,7 @@
 _WINDOW_MS = 30_000.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Reset:
+class _Reset(NamedTuple):
     at: clock.Milliseconds
     taken: int
     slots: int
--- a/src/anvillug/request/occupancy.py
+++ b/src/anvillug/request/occupancy.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import dataclasses
+from typing import NamedTuple
 
 from anvillug import clock
 from anvillug.request import dialect, job
@@ -39,8 +40,7 @@
     """Whether it had to wait."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Unobserved:
+class _Unobserved(NamedTuple):
     """Room that may still be taken, until the backend server reports otherwise."""
 
     since: clock.Milliseconds
--- a/src/anvillug/request/quarantine.py
+++ b/src/anvillug/request/quarantine.py
@@ -11,6 +11,7 @@
 import dataclasses
 import enum
 from collections.abc import Collection, Iterable
+from typing import NamedTuple
 
 import xxhash
 
@@ -45,8 +46,7 @@
 _FINISHED_CLEARS_MS = 600_000.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class QuarantineEntry:
+class QuarantineEntry(NamedTuple):
     """Entry of one fingerprint that nodes exchange."""
 
     fingerprint: ids.Fingerprint
@@ -59,8 +59,7 @@
     """Milliseconds until the fingerprint is clear again."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Periods:
+class Periods(NamedTuple):
     """Limits of a quarantine in time and memory."""
 
     suspect_ms: float = 60_000
--- a/src/anvillug/request/room.py
+++ b/src/anvillug/request/room.py
@@ -7,9 +7,9 @@
 
 from __future__ import annotations
 
-import dataclasses
 import enum
 import math
+from typing import NamedTuple
 
 from anvillug import clock
 from anvillug.request import dialect, full_resets, job, occupancy, waiting_line
@@ -23,8 +23,7 @@
 _RUN_WEIGHT = 0.1
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Policy:
+class Policy(NamedTuple):
     """Bounds of what waits at the node and of what is sent to the backend server."""
 
     max_waiting: int = 32
@@ -43,8 +42,7 @@
     REJECT = 'reject'
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Outcome:
+class Outcome(NamedTuple):
     """Verdict on a job."""
 
     verdict: Verdict
--- a/src/anvillug/version/rollout.py
+++ b/src/anvillug/version/rollout.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import enum
 import math
 from typing import NamedTuple
@@ -78,8 +77,7 @@
     """Write to the store that the rollout was reverted to the old version."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Status:
+class Status(NamedTuple):
     """State of a rollout as it is shown to the operator."""
 
     service: ids.ServiceName
@@ -99,8 +97,7 @@
     """Phase that it states; None if it is the status of another rollout."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Exposure:
+class Exposure(NamedTuple):
     """Bound on the calls that a bad version may receive during its rollout."""
 
     share: float
--- a/src/anvillug/version/route_table.py
+++ b/src/anvillug/version/route_table.py
@@ -5,6 +5,7 @@
 import dataclasses
 import enum
 from collections.abc import Iterable, Mapping
+from typing import NamedTuple
 
 from anvillug import ids
 from anvillug.version import tenants
@@ -23,8 +24,7 @@
     """Like `ONCE`, for large bodies."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RoutePart:
+class RoutePart(NamedTuple):
     """Share of a route's requests that goes to one service."""
 
     service: ids.ServiceName
@@ -87,8 +87,7 @@
         return current if stays else self.service_at(fraction)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ServicePolicy:
+class ServicePolicy(NamedTuple):
     """The operator's settings of one service."""
 
     name: ids.ServiceName
@@ -103,8 +102,7 @@
     """Requests per second that a backend server can handle while it is cold."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class CallerLimits:
+class CallerLimits(NamedTuple):
     """Limits on requests and their connections."""
 
     max_header_bytes: int
