--- a/src/anvillug/process/beacon.py
+++ b/src/anvillug/process/beacon.py
@@ -35,11 +35,12 @@
 _FAR_INTERVAL_MS = 2000.0
 _FAR_ROLLOUT_INTERVAL_MS = 1000.0
 # A full beacon takes twice the processor time of a load beacon and several times its bytes. While
-# the state stays the same, full beacons are sent only so often. After a change they are sent this
-# many times in a row, since datagrams may be lost.
+# the state stays the same, full beacons are sent only so often. After a change they are repeated
+# this many times, since datagrams may be lost; bytes between zones are charged.
 _UNCHANGED_INTERVAL_MS = 2000.0
-_OTHER_ZONES_UNCHANGED_INTERVAL_MS = 30_000.0
 _REPEATS = 3
+_OTHER_ZONES_UNCHANGED_INTERVAL_MS = 30_000.0
+_OTHER_ZONES_REPEATS = 1
 # Relative change of the slowness, and absolute change of the share of faulty runs, above which the
 # load is sent at the next tick.
 _SLOWNESS_CHANGE_RATIO = 0.2
@@ -136,9 +137,11 @@
         self._load_sent_at = _NEVER
         self._near_sent_at = _NEVER
         self._far_sent_at = _NEVER
-        self._zone_repeats = _Repeats(_UNCHANGED_INTERVAL_MS)
-        self._other_zones_repeats = _Repeats(_OTHER_ZONES_UNCHANGED_INTERVAL_MS)
-        self._far_repeats = _Repeats(_OTHER_ZONES_UNCHANGED_INTERVAL_MS)
+        self._zone_repeats = _Repeats(_UNCHANGED_INTERVAL_MS, _REPEATS)
+        self._other_zones_repeats = _Repeats(
+            _OTHER_ZONES_UNCHANGED_INTERVAL_MS, _OTHER_ZONES_REPEATS
+        )
+        self._far_repeats = _Repeats(_OTHER_ZONES_UNCHANGED_INTERVAL_MS, _OTHER_ZONES_REPEATS)
         self._other_zones_checked_at = _NEVER
         # Updated for each full beacon, and reused for the load beacons between them.
         self._targets = peer_table.BeaconTargets([], [], [])
@@ -334,12 +337,14 @@
 
     Args:
         unchanged_interval_ms: Interval in milliseconds after which they may, without a change.
+        repeats: Number of times that they may after a change.
     """
 
-    def __init__(self, unchanged_interval_ms: float) -> None:
+    def __init__(self, unchanged_interval_ms: float, repeats: int) -> None:
         self.sent_at = _NEVER
         """When they were last sent the whole state."""
         self._unchanged_interval_ms = unchanged_interval_ms
+        self._repeats = repeats
         self._state: Any = None
         self._left = 0
 
@@ -347,7 +352,7 @@
         """Return whether to send the whole state now; called once for each beacon to them."""
         if state != self._state:
             self._state = state
-            self._left = _REPEATS
+            self._left = self._repeats
         if self._left:
             self._left -= 1
             return True
