--- /dev/null
+++ b/tests/test_unruly_clients_node.py
@@ -0,0 +1,140 @@
+"""Unruly clients of real processes of the product's own node; see `unruly_crowd`."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import subprocess
+import sys
+
+import pytest
+
+from anvillug.bench import processes
+from tests import reactor_thread, unruly_crowd
+
+_SERVICE = 'drawbook'
+_MAX_HEADER_BYTES = 16384
+_LIMITS = {
+    'max_header_bytes': _MAX_HEADER_BYTES,
+    'client_memory_bytes': 16 << 20,
+    'caller_connections': 32,
+}
+_TIMEOUTS = {'silence_ms': 2000, 'head_ms': 1000, 'idle_ms': 2000}
+_RESPONSE_BYTES = 1 << 22
+_SMALL_BODY_BYTES = 1 << 16
+_START = b'POST /x HTTP/1.1\r\nHost: drawbook\r\n'
+_DEADLINE = b'Anvillug-Deadline-Ms: 3000\r\n'
+_BODY_WITHHELD = b'Content-Length: 10\r\n\r\n'
+_PATCH_TIMEOUT_S = 30
+# A shell lowers the limit before the node starts, which reads it once.
+_LOWERED = ('sh', '-c', f'ulimit -n {unruly_crowd.MAX_FDS}; exec "$0" "$@"', *processes.PROGRAM)
+
+
+class _Node(unruly_crowd.Target):
+    """A node on a small machine, its backend server and its log."""
+
+    def __init__(self, folder: pathlib.Path, group: list[processes.ChildProcess]) -> None:
+        log_address = processes.start(['standin', 'log'], group).wait_for_event()['address']
+        addresses = processes.free_addresses(4)
+        host, _, port = addresses[0].rpartition(':')
+        headers = {'Host': _SERVICE, 'Anvillug-Deadline-Ms': '4000'}
+        super().__init__((host, int(port)), ('/x', headers), lambda body: b'"/x"' in body)
+        kinds = ('caller', 'peer', 'control', 'operator')
+        path = folder / 'node.json'
+        path.write_text(
+            json.dumps(
+                {
+                    'host_id': 'host-1',
+                    'region': 'south',
+                    'zone': 'kochi-1',
+                    **{
+                        f'{kind}_address': address
+                        for kind, address in zip(kinds, addresses, strict=True)
+                    },
+                    'log_address': log_address,
+                    'limits': _LIMITS,
+                    'timeouts': _TIMEOUTS,
+                }
+            )
+        )
+        self.process = processes.ChildProcess(('node', str(path)), program=_LOWERED)
+        group.append(self.process)
+        self.process.wait_for_event('node_started')
+        _publish(folder, log_address)
+        options = ['--service', _SERVICE, '--announce-address', addresses[-1], '--no-start-cold']
+        processes.start(['standin', 'backend-server', *options], group)
+
+
+def _publish(folder: pathlib.Path, log_address: str) -> None:
+    path = folder / 'patch.json'
+    path.write_text(json.dumps({'services': {_SERVICE: {'version': 'v1'}}}))
+    subprocess.run(  # noqa: S603
+        [*processes.PROGRAM, 'patch', str(path), '--base', '0', '--log', log_address],
+        stdout=sys.stderr,
+        timeout=_PATCH_TIMEOUT_S,
+        check=True,
+    )
+
+
+@pytest.fixture
+def node(tmp_path):
+    """Return a node that answers."""
+    with processes.group() as group:
+        node = _Node(tmp_path, group)
+        reactor_thread.eventually(node.is_answered)
+        yield node
+
+
+class TestUnrulyClients:
+    """Guards against clients that end a product node, or keep it from answering others."""
+
+    def test_many_short_header_lines(self, node):
+        unruly_crowd.check_survives(node, _START + _short_lines() + _BODY_WITHHELD)
+
+    def test_heads_without_end(self, node):
+        line = b'a:\r\n'
+        unruly_crowd.check_survives(node, _START + line * (unruly_crowd.ENDLESS_BYTES // len(line)))
+
+    def test_empty_lines_without_end(self, node):
+        unruly_crowd.check_survives(node, b'\r\n' * (unruly_crowd.ENDLESS_BYTES // 2))
+
+    def test_slow_heads(self, node):
+        unruly_crowd.check_survives(node, _START, 2 * unruly_crowd.MAX_FDS)
+
+    def test_slow_uploads(self, node):
+        head = _START + _DEADLINE + b'Content-Length: %d\r\n\r\n' % _SMALL_BODY_BYTES
+        unruly_crowd.check_survives(node, head + bytes(_SMALL_BODY_BYTES - 1))
+
+    def test_slow_uploads_in_small_chunks(self, node):
+        chunk = b'1\r\na\r\n'
+        chunks = chunk * (unruly_crowd.ENDLESS_BYTES // len(chunk))
+        head = _START + _DEADLINE + b'Transfer-Encoding: chunked\r\n\r\n'
+        unruly_crowd.check_survives(node, head + chunks)
+
+    def test_slow_readers_of_long_responses(self, node):
+        # The next client sends once the response has begun, since few requests run at a time.
+        unruly_crowd.check_survives(node, _request(_RESPONSE_BYTES), read_bytes=1)
+
+    def test_requests_sent_ahead_without_end(self, node):
+        request = _request(_RESPONSE_BYTES // 16)
+        unruly_crowd.check_survives(
+            node, request * (unruly_crowd.ENDLESS_BYTES // len(request)), unruly_crowd.SIZE // 4
+        )
+
+    def test_descriptors_used_up(self, node):
+        unruly_crowd.check_survives(node, b'', 2 * unruly_crowd.MAX_FDS)
+
+    def test_descriptors_used_up_in_bursts(self, node):
+        unruly_crowd.check_survives_bursts(node)
+
+
+def _short_lines() -> bytes:
+    """Return as many odd header lines as a head within the limits can hold."""
+    size = _MAX_HEADER_BYTES - len(_START) - len(_BODY_WITHHELD)
+    lines = b''.join(b'%x:\r\n' % number for number in range(4096))
+    return lines[: lines.rindex(b'\n', 0, size) + 1]
+
+
+def _request(response_bytes: int) -> bytes:
+    target = b'/x?bytes=%d' % response_bytes
+    return b'GET %b HTTP/1.1\r\nHost: drawbook\r\n%b\r\n' % (target, _DEADLINE)
--- /dev/null
+++ b/tests/unruly_crowd.py
@@ -0,0 +1,140 @@
+"""Crowds of clients that send more than the limits of a node, or read less than they ask for."""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import pathlib
+import re
+import signal
+import socket
+import time
+from collections.abc import Callable, Iterable, Iterator
+from http import client as http_client
+from typing import Any
+
+from anvillug.bench import processes
+from tests import reactor_thread
+
+SIZE = 128
+"""Number of clients."""
+MEMORY_MB = 96
+"""Memory of the machine of the node. What the whole crowd can send within the limits of a request
+is more."""
+MAX_FDS = 192
+"""Descriptors that the node may open."""
+ENDLESS_BYTES = 1 << 18
+"""Bytes that one client sends if it never ends a head, or never pauses between requests."""
+_ANONYMOUS_MEMORY = re.compile(r'RssAnon:\s+(\d+) kB')
+_RECEIVE_BUFFER_BYTES = 4096
+_SEND_TIMEOUT_S = 0.5
+_CHECKS = 20
+_CHECK_S = 0.1
+_BURSTS = 8
+_BURST_CHECKS = 5000
+
+
+class Target:
+    """A node that a crowd connects to.
+
+    Args:
+        address: IP and port of the listener.
+        ordinary: Target and headers of an ordinary request.
+        is_whole: Returns whether the body of the response to it is complete.
+    """
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        ordinary: tuple[str, dict[str, str]],
+        is_whole: Callable[[bytes], bool],
+    ) -> None:
+        self.address = address
+        self.process: processes.ChildProcess | None = None
+        self.peak_mb = 0.0
+        self.peak_fds = 0
+        self._ordinary = ordinary
+        self._is_whole = is_whole
+
+    def connect(self) -> socket.socket:
+        """Open a connection of a client that hardly reads."""
+        client = socket.socket()
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES)
+        client.settimeout(_SEND_TIMEOUT_S)
+        client.connect(self.address)
+        return client
+
+    def is_answered(self) -> bool:
+        """Return whether the ordinary request of another client is answered."""
+        connection = http_client.HTTPConnection(*self.address, timeout=5)
+        target, headers = self._ordinary
+        try:
+            connection.request('GET', target, headers=headers)
+            response = connection.getresponse()
+            return response.status == 200 and self._is_whole(response.read())
+        except (OSError, http_client.HTTPException):
+            return False
+        finally:
+            connection.close()
+
+    def measure(self) -> None:
+        """Record the private memory and the open descriptors of the node."""
+        folder = pathlib.Path(f'/proc/{self.process.pid}')
+        memory = _ANONYMOUS_MEMORY.search((folder / 'status').read_text())
+        # A process that has ended has no memory.
+        memory_kb = 0 if memory is None else int(memory.group(1))
+        self.peak_mb = max(self.peak_mb, memory_kb / 1024)
+        self.peak_fds = max(self.peak_fds, len(list((folder / 'fd').iterdir())))
+
+
+def check_survives(
+    target: Target, sent: bytes, client_count: int = SIZE, read_bytes: int = 0
+) -> None:
+    """Let a crowd of clients send, and check the node while they stay connected.
+
+    Args:
+        target: The node.
+        sent: What each client sends, as far as the node reads it.
+        client_count: Number of clients.
+        read_bytes: What each client reads before the next one connects.
+    """
+    with contextlib.ExitStack() as stack:
+        for _ in _progress(target, range(client_count)):
+            with contextlib.suppress(OSError):
+                client = stack.enter_context(target.connect())
+                client.sendall(sent)
+                client.recv(read_bytes)
+        # Responses to what was sent may still be on their way to the node.
+        for _ in _progress(target, range(_CHECKS)):
+            time.sleep(_CHECK_S)
+        reactor_thread.eventually(target.is_answered)
+        target.measure()
+    assert target.process.running
+    assert target.peak_mb < MEMORY_MB
+    assert target.peak_fds < MAX_FDS
+
+
+def check_survives_bursts(target: Target) -> None:
+    """Let a crowd connect at once, again and again, and check the descriptors of the node."""
+    with contextlib.ExitStack() as stack:
+        for _ in range(_BURSTS):
+            # A suspended node accepts a whole queue in one turn of its reactor.
+            os.kill(target.process.pid, signal.SIGSTOP)
+            for _ in range(SIZE):
+                client = stack.enter_context(socket.socket())
+                client.setblocking(False)
+                client.connect_ex(target.address)
+            os.kill(target.process.pid, signal.SIGCONT)
+            # The peak lasts for less than a turn.
+            for _ in range(_BURST_CHECKS):
+                target.measure()
+        reactor_thread.eventually(target.is_answered)
+    assert target.process.running
+    assert target.peak_fds < MAX_FDS
+
+
+def _progress(target: Target, items: Iterable[Any]) -> Iterator[Any]:
+    """Yield items, and measure the node after each."""
+    for item in items:
+        yield item
+        target.measure()
