--- a/src/anvillug/connection/client_guard.py
+++ b/src/anvillug/connection/client_guard.py
@@ -35,7 +35,8 @@
         """Account of the memory that the process holds for clients."""
         self.limits = client_limits.UNLIMITED
         """Limits in effect; they also apply to open connections."""
-        self._listener = listener
+        self.listener = listener
+        """Name of the listener."""
         self._clock = time
         self._count = count or _ignore
         self._checked_at = clock.Milliseconds(0)
@@ -62,8 +63,8 @@
         now = self._clock.now()
         client = self._least_needed(clients, now)
         if client is None:
-            event_log.warn('client_refused', listener=self._listener, limit=_CONNECTIONS)
-            self._count(f'{self._listener} {_CONNECTIONS}')
+            event_log.warn('client_refused', listener=self.listener, limit=_CONNECTIONS)
+            self._count(f'{self.listener} {_CONNECTIONS}')
             return False
         self._report(client, _CONNECTIONS, now)
         self._closing.add(client)
@@ -83,11 +84,11 @@
     def _report(self, client: client_limits.Client, limit: str, now: clock.Milliseconds) -> None:
         event_log.warn(
             'client_limit_exceeded',
-            listener=self._listener,
+            listener=self.listener,
             limit=limit,
             waited_ms=int(now - client.wait.since),
         )
-        self._count(f'{self._listener} {limit}')
+        self._count(f'{self.listener} {limit}')
 
 
 def _ignore(name: str) -> None:
--- a/src/anvillug/connection/client_limits.py
+++ b/src/anvillug/connection/client_limits.py
@@ -10,8 +10,11 @@
 
 from anvillug import clock
 
-# Half of the descriptors are for other nodes, the store, the backend server and files.
-_DESCRIPTOR_SHARE = 0.5
+HALF = 0.5
+"""Share of descriptors; the rest is for other nodes, the store, the backend server and files."""
+SIXTH = 1 / 6
+"""Share where each connection may need three more: to a host, from a node, and to the backend
+server."""
 
 
 class Waiting(enum.Enum):
@@ -23,6 +26,8 @@
     """The next request."""
     READER = 'reader'
     """The client, which has not read its response."""
+    BODY = 'body'
+    """The rest of the body of a request that has begun."""
     RESPONSE = 'response'
     """Anything else, such as a response."""
 
@@ -53,13 +58,14 @@
 UNLIMITED = ClientLimits()
 
 
-def connections_for(descriptors: int) -> float:
+def connections_for(descriptors: int, share: float = HALF) -> float:
     """Return the maximum number of connections of callers.
 
     Args:
         descriptors: Descriptors that the process may open; 0 if their number is not known.
+        share: Share of them that the connections may have.
     """
-    return int(descriptors * _DESCRIPTOR_SHARE) or math.inf
+    return int(descriptors * share) or math.inf
 
 
 class Client(Interface):
@@ -108,7 +114,7 @@
 
 
 def longest_waiting(clients: Collection[Client], now: clock.Milliseconds) -> Client | None:
-    """Return the client without a request in progress that has waited longest, None without one."""
+    """Return the client that has waited longest, None if all await a response."""
     waited_ms_by_client = {
         client: client.wait.observe(client, now)
         for client in clients
--- a/src/anvillug/connection/http_listener.py
+++ b/src/anvillug/connection/http_listener.py
@@ -76,6 +76,7 @@
             self._may_overlap,
             answers_half_closed=self._answers_half_closed,
             account=None if self._guard is None else self._guard.account,
+            listener='' if self._guard is None else self._guard.listener,
         )
         if self._closes_after_responses:
             connection.close_after_responses()
--- a/src/anvillug/connection/http_server.py
+++ b/src/anvillug/connection/http_server.py
@@ -77,6 +77,7 @@
         answers_half_closed: Whether a client that closes its end may still await responses; see
             `half_close`. Otherwise it has left.
         account: Account of the memory that is held for the connection.
+        listener: Name of the listener, for the log and the metrics.
     """
 
     def __init__(
@@ -88,7 +89,10 @@
         *,
         answers_half_closed: bool = True,
         account: memory_account.MemoryAccount | None = None,
+        listener: str = '',
     ) -> None:
+        self.listener = listener
+        """Name of the listener."""
         self.wait = client_limits.Wait()
         """What the connection was seen to wait for; see `client_limits`."""
         self._account = account
@@ -113,6 +117,7 @@
         self._writes_paused = False
         self._is_new = True
         self._begun_count = 0
+        self._reads = 0
         self._reads_body = False
         self._asked_to_close = False
         # Whether the connection closes once all requests that have arrived are answered.
@@ -161,6 +166,7 @@
         if self._closing:
             return
         self._checks_without_bytes = 0
+        self._reads += 1
         write_batch.BATCH.begin()
         # Whether a body is complete, and which request is the last one, decides on the response.
         self._pending.holds_all = True
@@ -338,6 +344,8 @@
         unsent_bytes = write_batch.unsent_bytes(self.transport)
         if unsent_bytes:
             return client_limits.Waiting.READER, unsent_bytes
+        if self._awaits_body():
+            return client_limits.Waiting.BODY, self._reads
         if self._slots or self._closing:
             return client_limits.Waiting.RESPONSE, 0
         if self._parser.awaits_head_end:
@@ -383,6 +391,14 @@
 
     # Private
 
+    def _awaits_body(self) -> bool:
+        """Return whether only the client can make progress: it owes the rest of a body."""
+        slot = self._receiving
+        if slot is None or len(self._slots) != 1 or self._reading_paused_by is not None:
+            return False
+        exchange = slot.exchange
+        return self._pending.is_empty and exchange.expects_body and not exchange.head_sent
+
     def _watch_half_close(self) -> None:
         """Begin to find out whether a client that has closed its end has left."""
         if not self._answers_half_closed:
--- a/src/anvillug/connection/memory_account.py
+++ b/src/anvillug/connection/memory_account.py
@@ -23,6 +23,7 @@
 # Relief goes on until this share is left, so that the next report doesn't start it again.
 _RELIEVED_SHARE = 0.75
 _MIN_HELD_MS = 1.0
+_MEMORY = 'memory'
 
 
 def limit_for(memory_bytes: int) -> int:
@@ -37,6 +38,9 @@
 class Holder(Interface):
     """Connection that memory is held for."""
 
+    listener: str
+    """Name of its listener, for the log and the metrics."""
+
     def give_up(self) -> None:
         """Close the connection with a reset, and release what is held for it."""
 
@@ -140,15 +144,21 @@
                 return
             event_log.warn(
                 'client_given_up',
-                limit='memory',
+                listener=holder.listener,
+                limit=_MEMORY,
                 held_bytes=charge.size,
                 held_ms=int(now - charge.since),
                 used_bytes=self.used_bytes,
             )
-            self._on_limit('memory')
+            self._on_limit(f'{holder.listener} {_MEMORY}')
             self.update(holder, 0)
             holder.give_up()
 
 
+def create(time: clock.Clock) -> MemoryAccount:
+    """Return an account with the default limit."""
+    return MemoryAccount(DEFAULT_LIMIT_BYTES, time)
+
+
 def _ignore(limit: str) -> None:
     """Count nothing."""
--- a/src/anvillug/process/entry_side.py
+++ b/src/anvillug/process/entry_side.py
@@ -9,7 +9,7 @@
 from twisted.internet import interfaces
 
 from anvillug import clock, event_log, ids
-from anvillug.connection import http_exchange, http_head
+from anvillug.connection import http_exchange, http_head, memory_account
 from anvillug.process import (
     keyed_calls,
     load_sampler,
@@ -26,6 +26,9 @@
 _STATUS_BAD_REQUEST = 400
 _STATUS_NOT_FOUND = 404
 _SAMPLE_INTERVAL_S = 0.05
+# Past it, requests that are sent ahead begin one after the other on each connection. Each call may
+# need connections of its own, to its host and from it.
+_MAX_CALLS_FOR_OVERLAP = 32
 _MAX_VIEW_AGE_MS = 500
 _MIN_SILENCE_MS = 500.0
 _SILENCE_FACTOR = 4.0
@@ -69,6 +72,8 @@
         rng: Source of random numbers.
         timeouts: Timeouts of the settings.
         chooser: Algorithm that selects hosts; see the setting of this name.
+        account: Account of the memory that the process holds for clients; one of its own by
+            default.
     """
 
     def __init__(  # noqa: WPS211 - components with the lifetime of the process
@@ -84,9 +89,11 @@
         rng: random.Random,
         timeouts: settings.Timeouts,
         chooser: str = service_router.DEFAULT_CHOOSER,
+        account: memory_account.MemoryAccount | None = None,
     ) -> None:
         self.reactor = reactor
         self.clock = time
+        self.account = account or memory_account.create(time)
         self.counters = EntryCounters()
         self.in_progress: set[entry_call.EntryCall] = set()
         self._members = members
@@ -141,6 +148,8 @@
 
         See `http_server.MayOverlap`.
         """
+        if len(self.in_progress) >= _MAX_CALLS_FOR_OVERLAP:
+            return False
         now = self.clock.now()
         try:
             request = entry_request.parse(head, now)
--- a/src/anvillug/process/host_side.py
+++ b/src/anvillug/process/host_side.py
@@ -8,7 +8,7 @@
 from twisted.internet import interfaces
 
 from anvillug import clock, event_log, ids
-from anvillug.connection import http_exchange, http_head, http_pool
+from anvillug.connection import http_exchange, http_head, http_pool, memory_account
 from anvillug.process import backend_probe, backend_watch
 from anvillug.request import (
     admission,
@@ -59,6 +59,8 @@
         request_config: Requests a newer configuration from a host, given its number.
         crashed: Called with new quarantine entries, to send them to peers.
         resolve_keyed: Responds to an entry side that requests the outcome of a keyed call.
+        account: Account of the memory that the process holds for clients; one of its own by
+            default.
     """
 
     def __init__(  # noqa: WPS211 - components with the lifetime of the process
@@ -73,9 +75,11 @@
         request_config: Callable[[ids.HostId, ids.ConfigNumber], None],
         crashed: Callable[[list[quarantine.QuarantineEntry]], None],
         resolve_keyed: Callable[[http_exchange.ServerExchange], None],
+        account: memory_account.MemoryAccount | None = None,
     ) -> None:
         self.reactor = reactor
         self.clock = time
+        self.account = account or memory_account.create(time)
         self.kept_answer_bytes = kept_answer_bytes
         self.counters = HostCounters()
         self.concurrency = limit.ConcurrencyLimit(slots=1)
--- a/src/anvillug/process/node.py
+++ b/src/anvillug/process/node.py
@@ -5,6 +5,7 @@
 import dataclasses
 import gc
 import random
+import resource
 from typing import Any
 
 import xxhash
@@ -122,10 +123,12 @@
             self.gossip_task.propagate_verdicts,
             self._rng,
         )
+        connections = client_limits.connections_for(_max_descriptors(), client_limits.SIXTH)
         self._pools = peer_pools.PeerPools(
             reactor,
             self.members,
             clock.to_seconds(config.timeouts.connect_ms),
+            min(peer_pools.MAX_CONNECTIONS, connections),
         )
         self.keyed = keyed_calls.KeyedCalls(
             reactor,
@@ -140,12 +143,19 @@
             ),
             self._pools.get,
         )
+        self._account = memory_account.MemoryAccount(config.limits.client_memory_bytes, time)
         self.host = self._build_host_side()
         self.entry = self._build_entry_side()
         self.backend = backend_watch.BackendWatch(reactor, time, self._backend_changed)
-        account = memory_account.MemoryAccount(memory_account.DEFAULT_LIMIT_BYTES, time)
-        caller_guard = client_guard.ClientGuard('callers', account, time)
-        caller_guard.limits = client_limits.ClientLimits(reader_ms=config.timeouts.silence_ms)
+        caller_guard = client_guard.ClientGuard('callers', self._account, time)
+        caller_guard.limits = client_limits.ClientLimits(
+            head_ms=config.timeouts.head_ms,
+            idle_ms=config.timeouts.idle_ms,
+            reader_ms=config.timeouts.silence_ms,
+            connections=config.limits.caller_connections or connections,
+        )
+        peer_guard = client_guard.ClientGuard('nodes', self._account, time)
+        peer_guard.limits = client_limits.ClientLimits(head_ms=config.timeouts.head_ms)
         self._caller_factory = http_listener.ServerFactory(
             self.entry.request_received,
             config.limits.max_header_bytes,
@@ -156,7 +166,7 @@
             self.host.request_received,
             config.limits.max_header_bytes + _MAX_ADDED_HEADER_BYTES,
             answers_half_closed=False,
-            guard=client_guard.ClientGuard('nodes', account, time),
+            guard=peer_guard,
         )
         self._caller_close = caller_close.CallerClose(
             time,
@@ -309,6 +319,7 @@
             self._request_config,
             self.gossip_task.propagate_quarantine,
             self.keyed.resolve,
+            self._account,
         )
 
     def _build_gossip(self) -> gossip.Gossip:
@@ -341,6 +352,7 @@
             self._rng,
             self._settings.timeouts,
             self._settings.chooser,
+            self._account,
         )
 
     def _should_snapshot(self, state: config_state.ConfigState) -> bool:
@@ -373,6 +385,7 @@
         # First, so that a failure does not end the task.
         self._reactor.callLater(_CLIENT_CHECK_INTERVAL_S, self._check_clients)
         self._caller_factory.check_clients()
+        self._peer_factory.check_clients()
 
     def _take_over(self) -> None:
         lifetime.PROCESS.take_over(
@@ -460,3 +473,9 @@
         # Closes connections whose last response did not announce the close.
         self._caller_factory.close_when_idle()
         return self._caller_factory.busy_count + self._peer_factory.busy_count
+
+
+def _max_descriptors() -> int:
+    """Return how many descriptors the process may open, 0 without a limit."""
+    soft_limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    return 0 if soft_limit == resource.RLIM_INFINITY else soft_limit
--- a/src/anvillug/process/peer_pools.py
+++ b/src/anvillug/process/peer_pools.py
@@ -8,7 +8,8 @@
 from anvillug.connection import http_pool
 from anvillug.process import membership
 
-_MAX_CONNECTIONS = 64
+MAX_CONNECTIONS = 64
+"""Default of the maximum number of connections to one host."""
 
 
 class PeerPools:
@@ -18,6 +19,7 @@
         reactor: Twisted reactor.
         members: Members with their addresses.
         connect_timeout_s: Timeout of a connection attempt in seconds.
+        max_connections: Maximum number of connections to one host.
     """
 
     def __init__(
@@ -25,10 +27,12 @@
         reactor: interfaces.IReactorTCP,
         members: membership.MemberTable,
         connect_timeout_s: float,
+        max_connections: int = MAX_CONNECTIONS,
     ) -> None:
         self._reactor = reactor
         self._members = members
         self._connect_timeout_s = connect_timeout_s
+        self._max_connections = max_connections
         self._by_host_id: dict[ids.HostId, tuple[str, http_pool.Pool]] = {}
 
     def get(self, host_id: ids.HostId) -> http_pool.Pool | None:
@@ -47,7 +51,7 @@
             self._reactor,
             host,
             int(port),
-            max_connections=_MAX_CONNECTIONS,
+            max_connections=self._max_connections,
             connect_timeout_s=self._connect_timeout_s,
         )
         self._by_host_id[host_id] = (member.peer_address, pool)
--- a/src/anvillug/process/settings.py
+++ b/src/anvillug/process/settings.py
@@ -26,6 +26,10 @@
     """Total bytes of responses that the host side retains for calls whose connection broke."""
     call_table_entries: _PositiveInt = 32768
     """Maximum number of calls in the call table; 140 calls/s, retained for 120 s, need 16,800."""
+    client_memory_bytes: _PositiveInt = 64 * 1024 * 1024
+    """Bytes held for all clients together; past it, those that hold most for longest are closed."""
+    caller_connections: _PositiveInt | None = None
+    """Maximum number of connections of callers; by default a sixth of the process's descriptors."""
 
 
 class Timeouts(validation.Model):
@@ -37,6 +41,10 @@
     """Timeout for opening a connection."""
     sample_ms: _PositiveInt = 250
     """Timeout for the response to a request for a load sample."""
+    head_ms: _PositiveInt = 30_000
+    """Maximum time from the first byte of a request head to its end; then 408."""
+    idle_ms: _PositiveInt = 600_000
+    """Maximum time between requests on a connection of a caller; then it is closed."""
 
 
 class Settings(validation.Model):
@@ -73,7 +81,7 @@
     limits: Limits = Limits()
     """Limits on the memory that the node uses."""
     timeouts: Timeouts = Timeouts()
-    """Timeouts towards other nodes."""
+    """Timeouts towards other nodes and clients."""
 
     @pydantic.model_validator(mode='after')
     def _check_claim_lifetime(self) -> Settings:
--- a/src/anvillug/request/entry_call.py
+++ b/src/anvillug/request/entry_call.py
@@ -14,11 +14,19 @@
 from anvillug import clock, ids
 from anvillug.connection import http_exchange, http_head
 from anvillug.request import attempt as attempts
-from anvillug.request import call, call_table, entry_context, entry_request, response_copy
+from anvillug.request import (
+    buffered_body,
+    call,
+    call_table,
+    entry_context,
+    entry_request,
+    response_copy,
+)
 
 _MAX_RESOLUTIONS_WITHOUT_RESPONSE = 3
 _RESOLVE_BACKOFF_S = 0.2
 _BODY_TIMEOUT_S = 30.0
+_NO_MEMORY = 'no memory for the request body'
 _STATUS_TIMEOUT = 408
 _STATUS_REPLAYED = 409
 _STATUS_BAD_GATEWAY = 502
@@ -65,7 +73,7 @@
         self.state = EntryState.RECEIVING
         self._context = context
         self._exchange = exchange
-        self._body: list[bytes] = []
+        self._body = buffered_body.BufferedBody(context.account)
         self._body_complete = False
         self._body_progressed = False
         self._active: list[attempts.Attempt] = []
@@ -106,8 +114,9 @@
         self._body_progressed = True
         target = self._streaming_to
         if target is None:
-            self._body.append(data)
-            if not self.request.small_body:
+            if not self._body.add(data):
+                self.reject(_NO_MEMORY)
+            elif not self.request.small_body:
                 self._exchange.pause_request(paused=True)
         elif not target.done and target.connection is not None:
             target.connection.send_body(data)
@@ -194,7 +203,7 @@
         )
         connection.request(head, attempt)
         if self.request.small_body:
-            for data in self._body:
+            for data in self._body.parts:
                 connection.send_body(data)
             connection.end_request()
         self._start_timers()
@@ -212,9 +221,8 @@
         if connection is None or self.request.small_body or self._streaming_to is not None:
             return
         self._streaming_to = attempt
-        for data in self._body:
+        for data in self._body.take():
             connection.send_body(data)
-        self._body.clear()
         self._exchange.accept_body()
         if self._body_complete:
             connection.end_request()
@@ -458,6 +466,7 @@
         if self.state is EntryState.DONE:
             return
         self.state = EntryState.DONE
+        self._body.clear()
         self._cancel_timers()
         for attempt in tuple(self._active):
             self._cancel_attempt(attempt)
--- a/src/anvillug/request/entry_context.py
+++ b/src/anvillug/request/entry_context.py
@@ -8,6 +8,7 @@
 from twisted.internet import interfaces
 
 from anvillug import clock, ids
+from anvillug.connection import memory_account
 from anvillug.request import attempt as attempts
 from anvillug.request import call
 
@@ -22,6 +23,8 @@
     """Source of timers."""
     clock: clock.Clock
     """Source of monotonic time."""
+    account: memory_account.MemoryAccount
+    """Account of the memory that the process holds for clients."""
 
     def start_attempt(
         self,
--- a/src/anvillug/request/host_call.py
+++ b/src/anvillug/request/host_call.py
@@ -12,14 +12,29 @@
 from twisted.internet import interfaces
 
 from anvillug import clock, ids
-from anvillug.connection import http_client, http_exchange, http_head, http_pool
-from anvillug.request import call, call_table, host_request, limit, quarantine, response_copy
+from anvillug.connection import (
+    http_client,
+    http_exchange,
+    http_head,
+    http_pool,
+    memory_account,
+)
+from anvillug.request import (
+    buffered_body,
+    call,
+    call_table,
+    host_request,
+    limit,
+    quarantine,
+    response_copy,
+)
 
 _STATUS_OK = 200
 _STATUS_BAD_GATEWAY = 502
 _MIN_SERVER_ERROR_STATUS = 500
 _STATUS_UNAVAILABLE = 503
 _PROGRESS_TIMEOUT_S = 30.0
+_NO_MEMORY = 'no memory for the request body'
 _CALL_HEADER = call.CALL_HEADER.lower().encode()
 _OUTCOME_HEADER = call.OUTCOME_HEADER.lower().encode()
 
@@ -41,6 +56,8 @@
     """Timers."""
     clock: clock.Clock
     """Time."""
+    account: memory_account.MemoryAccount
+    """Account of the memory that the process holds for clients."""
     kept_answer_bytes: int
     """Largest response that is stored for a later request for the outcome."""
 
@@ -118,7 +135,7 @@
         self._context = context
         self._exchange = exchange
         self._connection: http_client.ClientConnection | None = None
-        self._body: list[bytes] = []
+        self._body = buffered_body.BufferedBody(context.account)
         self._hash = quarantine.RequestHash(
             request.properties.service,
             request.head.method.decode('latin-1'),
@@ -126,7 +143,7 @@
         )
         self._entry_disconnected = False
         self._status = 0
-        self._response_copy = response_copy.ResponseCopy(context.kept_answer_bytes)
+        self._response_copy = response_copy.ResponseCopy(context.kept_answer_bytes, context.account)
         self._shed = False
         self._progress_timer: interfaces.IDelayedCall | None = None
         self._made_progress = False
@@ -166,8 +183,12 @@
         """Forward or buffer a chunk of the request body."""
         self._made_progress = True
         self._hash.update(data)
-        self._body.append(data)
-        if self.state is HostCallState.RUNNING and self._connection is not None:
+        is_running = self.state is HostCallState.RUNNING and self._connection is not None
+        if is_running and not (self._body.parts or self._context.has_suspects):
+            self._connection.send_body(data)
+        elif not self._body.add(data):
+            self._reject_body()
+        elif is_running:
             self._forward_body()
         elif self.request.streams_body:
             self._exchange.pause_request(paused=True)
@@ -195,6 +216,7 @@
                 self._fail('cancelled')
         elif self.state is HostCallState.RECEIVING:
             self.state = HostCallState.DONE
+            self._body.clear()
 
     def response_writes_paused(self, paused: bool) -> None:
         """Propagate backpressure of the entry side to the backend server."""
@@ -287,6 +309,7 @@
         failed = self._status >= _MIN_SERVER_ERROR_STATUS
         result = limit.CallResult.FAILED if failed else limit.CallResult.OK
         self._context.finished(self, self._response_copy.response(), result)
+        self._response_copy.drop()
         self._exchange.finish()
 
     def response_failed(self, reason: http_client.ClientFailure) -> None:
@@ -332,13 +355,20 @@
                 self._fail(reason)
                 return
             held = 0 if self.body_complete else 1
-        ready = len(self._body) - held
-        for data in self._body[:ready]:
+        for data in self._body.take(len(self._body.parts) - held):
             self._connection.send_body(data)
-        del self._body[:ready]
         if self.body_complete:
             self._connection.end_request()
 
+    def _reject_body(self) -> None:
+        """End the call, since there is no memory for its body; its end has not been sent."""
+        if self.state is HostCallState.RUNNING:
+            self._fail(_NO_MEMORY)
+        elif self.state is HostCallState.RECEIVING:
+            self._respond_not_run(_NO_MEMORY)
+        else:
+            self._reject(_NO_MEMORY)
+
     def _connect_failed(self) -> None:
         if self.state is not HostCallState.DONE:
             self._context.backend_unreachable()
@@ -369,12 +399,14 @@
 
     def _respond_outcome(self, status: int, outcome: call.Outcome, reason: str) -> None:
         self.state = HostCallState.DONE
+        self._body.clear()
         headers = self._context.response_headers(self.request.properties.call_id, outcome)
         headers.append((b'Anvillug-Reason', reason.encode('latin-1', 'replace')))
         self._exchange.respond(status, b'', tuple(headers))
 
     def _fail(self, reason: str, *, crashed: bool = False) -> None:
         self._close()
+        self._response_copy.drop()
         if self._connection is not None:
             self._connection.cancel()
         self._context.failed(self, crashed=crashed)
@@ -385,6 +417,7 @@
 
     def _close(self) -> None:
         self.state = HostCallState.DONE
+        self._body.clear()
         if self._progress_timer is not None and self._progress_timer.active():
             self._progress_timer.cancel()
 
--- a/tests/test_entry_call.py
+++ b/tests/test_entry_call.py
@@ -6,7 +6,7 @@
 from twisted.internet import task
 
 from anvillug import clock, ids
-from anvillug.connection import http_head
+from anvillug.connection import http_head, memory_account
 from anvillug.request import attempt as attempts
 from anvillug.request import call, entry_call, entry_request
 
@@ -62,6 +62,7 @@
     def __init__(self, hosts):
         self.reactor = task.Clock()
         self.clock = clock.ManualClock()
+        self.account = memory_account.create(self.clock)
         self.hosts = list(hosts)
         self.started = []
         self.ended = []
--- a/tests/test_host_side.py
+++ b/tests/test_host_side.py
@@ -6,7 +6,7 @@
 from twisted.internet import testing as twisted_testing
 
 from anvillug import clock, ids
-from anvillug.connection import http_head
+from anvillug.connection import http_head, memory_account
 from anvillug.process import host_side
 from anvillug.request import call_table, host_call, host_request, quarantine
 
@@ -123,6 +123,7 @@
 
     def __init__(self):
         self.clock = clock.ManualClock()
+        self.account = memory_account.create(self.clock)
         self.ends = []
 
     def failed(self, host_call, *, crashed):
--- a/tests/test_memory_account.py
+++ b/tests/test_memory_account.py
@@ -6,6 +6,7 @@
 
 from anvillug import clock
 from anvillug.connection import client_guard, client_limits, header_lines, memory_account
+from anvillug.request import buffered_body, response_copy
 from tests import test_bad_input
 
 _LIMIT_BYTES = 1000
@@ -16,6 +17,7 @@
     """Connection that records whether it was given up."""
 
     def __init__(self, waiting: client_limits.Waiting = client_limits.Waiting.REQUEST) -> None:
+        self.listener = 'callers'
         self.wait = client_limits.Wait()
         self.waiting = waiting
         self.progress = 0
@@ -46,6 +48,12 @@
         assert [client.is_given_up for client in (old, large, small)] == [True, False, False]
         assert account.used_bytes == 750
 
+    def test_counts_who_is_given_up_by_listener(self):
+        limits = []
+        account = memory_account.MemoryAccount(_LIMIT_BYTES, clock.ManualClock(), limits.append)
+        account.update(_Client(), _LIMIT_BYTES + 1)
+        assert limits == ['callers memory']
+
     def test_reservation_is_refused_if_nobody_can_be_given_up(self):
         account = memory_account.MemoryAccount(_LIMIT_BYTES, clock.ManualClock())
         assert account.reserve(900)
@@ -111,6 +119,46 @@
         connection.limit_exceeded(client_limits.Waiting.HEAD)
         assert transport.value().startswith(b'HTTP/1.1 408 ')
 
+    def test_only_a_client_that_owes_a_body_waits_for_it(self):
+        connection, _, _ = test_bad_input.make_connection()
+        connection.dataReceived(b'POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\na')
+        waiting, progress = connection.waits_for()
+        assert waiting is client_limits.Waiting.BODY
+        slot = connection._receiving  # noqa: SLF001
+        connection.pause_reading(slot, paused=True)
+        assert connection.waits_for()[0] is client_limits.Waiting.RESPONSE
+        connection.pause_reading(slot, paused=False)
+        connection.dataReceived(b'b')
+        assert connection.waits_for() == (client_limits.Waiting.REQUEST, 1)
+        assert progress == 1
+
+
+class TestBodies:
+    """Guards against bodies and copies of responses that no account counts."""
+
+    def test_parts_are_counted_until_they_are_taken(self):
+        account = memory_account.MemoryAccount(_LIMIT_BYTES, clock.ManualClock())
+        account.reserve(_LIMIT_BYTES // 2)
+        body = buffered_body.BufferedBody(account)
+        # Small parts take far more than their bytes.
+        added = [body.add(b'a') for _ in range(_LIMIT_BYTES // 4)]
+        assert added.count(True) == len(body.parts)
+        assert 0 < len(body.parts) < len(added) // 10
+        assert account.used_bytes <= _LIMIT_BYTES
+        assert body.take(1) == [b'a']
+        body.clear()
+        assert (account.used_bytes, body.parts) == (_LIMIT_BYTES // 2, [])
+
+    def test_copies_are_kept_while_memory_is_ample(self):
+        account = memory_account.MemoryAccount(_LIMIT_BYTES, clock.ManualClock())
+        copy = response_copy.ResponseCopy(_LIMIT_BYTES, account)
+        copy.start(200, ())
+        copy.add(bytes(400))
+        assert copy.response().body == bytes(400)
+        account.reserve(400)
+        copy.add(b'a')
+        assert (copy.response(), account.used_bytes) == (None, 400)
+
 
 class TestHeaderLines:
     """Guards against heads that change when they are stored as bytes."""
