--- a/src/anvillug/connection/client_limits.py
+++ b/src/anvillug/connection/client_limits.py
@@ -56,6 +56,13 @@
 
 
 UNLIMITED = ClientLimits()
+PEER_HEAD_MS = 30_000.0
+"""Maximum time for a head of another node, which sends each in one piece."""
+_OPERATOR_HEAD_MS = 30_000.0
+# Local programs report about once per second, and metrics are read at least every few minutes.
+_OPERATOR_IDLE_MS = 300_000.0
+_OPERATOR_CONNECTIONS = 64
+_OPERATOR_SHARE = 1 / 16
 
 
 def connections_for(descriptors: int, share: float = HALF) -> float:
@@ -68,6 +75,20 @@
     return int(descriptors * share) or math.inf
 
 
+def for_operators(descriptors: int) -> ClientLimits:
+    """Return the limits of an address for operators and local programs.
+
+    Args:
+        descriptors: Descriptors that the process may open; 0 if their number is not known.
+    """
+    return ClientLimits(
+        head_ms=_OPERATOR_HEAD_MS,
+        idle_ms=_OPERATOR_IDLE_MS,
+        reader_ms=_OPERATOR_HEAD_MS,
+        connections=min(_OPERATOR_CONNECTIONS, connections_for(descriptors, _OPERATOR_SHARE)),
+    )
+
+
 class Client(Interface):
     """Connection of a client."""
 
--- a/src/anvillug/connection/control_server.py
+++ b/src/anvillug/connection/control_server.py
@@ -22,6 +22,9 @@
 # The caller's deadline includes opening its connection. A failure that is reported this long before
 # the deadline reaches the caller with its reason.
 _REPLY_MARGIN_MS = 100.0
+# Nodes that exchange messages do so about once per second.
+_HANDSHAKE_TIMEOUT_MS = 30_000
+_IDLE_TIMEOUT_MS = 300_000
 _MS_PER_SECOND = 1000.0
 
 Handler = Callable[[control_messages.Request], Any]
@@ -79,6 +82,8 @@
         options = (
             ('grpc.max_receive_message_length', control_messages.MAX_MESSAGE_BYTES),
             ('grpc.so_reuseport', 0),
+            ('grpc.server_handshake_timeout_ms', _HANDSHAKE_TIMEOUT_MS),
+            ('grpc.max_connection_idle_ms', _IDLE_TIMEOUT_MS),
         )
         self._server = grpc.server(
             futures.ThreadPoolExecutor(THREADS, 'control'),
--- a/src/anvillug/platform/node_start.py
+++ b/src/anvillug/platform/node_start.py
@@ -69,8 +69,8 @@
         self._node = self._build(current)
         self._requests = control.Control(self._node)
         # The readiness check is answered as not ready while other addresses are in use.
-        self._node.listen(current.ready_address, self._readiness, is_early=True)
-        self._node.listen(current.control_address, self._requests.control)
+        self._node.listen('readiness', current.ready_address, self._readiness, is_early=True)
+        self._node.listen('control', current.control_address, self._requests.control)
         self._starting = defer.ensureDeferred(self._node.start(self._watch.reload))
         self._starting.addErrback(self._failed)
 
--- a/src/anvillug/process/mesh_node.py
+++ b/src/anvillug/process/mesh_node.py
@@ -139,7 +139,9 @@
         self._caller_guard = client_guard.ClientGuard(
             'callers', self._account, time, self._count_limit
         )
-        self._peer_guard = client_guard.ClientGuard('nodes', self._account, time)
+        self._peer_guard = client_guard.ClientGuard('nodes', self._account, time, self._count_limit)
+        self._peer_guard.limits = client_limits.ClientLimits(head_ms=client_limits.PEER_HEAD_MS)
+        self._operator_factories: list[http_listener.ServerFactory] = []
         self._crashes = crash_watch.CrashWatch(settings.host_id, self._incarnation, time)
         self.host = mesh_host.MeshHost(
             reactor,
@@ -272,7 +274,7 @@
         caller_listener = add(settings.caller_address, self._caller_factory)
         peer_listener = add(settings.peer_address, self._peer_factory)
         metrics_address = f'{settings.ip}:{settings.metrics_port}'
-        add(metrics_address, http_listener.ServerFactory(self._inspection.serve))
+        self.listen('metrics', metrics_address, self._inspection.serve)
         self._listeners.add_datagrams(
             f'{settings.ip}:{settings.beacon_port}', self._beacons, beacon.MAX_BYTES
         )
@@ -303,10 +305,26 @@
         )
 
     def listen(
-        self, address: str, handler: http_exchange.RequestStarted, *, is_early: bool = False
+        self,
+        name: str,
+        address: str,
+        handler: http_exchange.RequestStarted,
+        *,
+        is_early: bool = False,
     ) -> None:
-        """Add an HTTP listener, which `start` opens; see `Listeners.add`."""
-        self._listeners.add(address, http_listener.ServerFactory(handler), is_early=is_early)
+        """Add an HTTP listener for operators or local programs, which `start` opens.
+
+        Args:
+            name: Name of the listener, for the log and the metrics.
+            address: See `Listeners.add`.
+            handler: Handles the requests.
+            is_early: See `Listeners.add`.
+        """
+        guard = client_guard.ClientGuard(name, self._account, self._clock, self._count_limit)
+        guard.limits = client_limits.for_operators(self._settings.max_descriptors)
+        factory = http_listener.ServerFactory(handler, guard=guard)
+        self._operator_factories.append(factory)
+        self._listeners.add(address, factory, is_early=is_early)
 
     def heartbeat(self, heartbeat: upstream.Heartbeat) -> defer.Deferred[findings.Findings]:
         """Process a heartbeat of the backend server.
@@ -507,7 +525,8 @@
     def _step(self) -> None:
         # First, so that a failure does not end the task.
         self._reactor.callLater(self._delay_s(_STEP_MS), self._step)
-        self._caller_factory.check_clients()
+        for factory in (self._caller_factory, self._peer_factory, *self._operator_factories):
+            factory.check_clients()
         self.entry.count_overdue()
         self.rollouts.step()
         self.entry.abort_lost_attempts()
--- a/src/anvillug/process/node.py
+++ b/src/anvillug/process/node.py
@@ -156,6 +156,9 @@
         )
         peer_guard = client_guard.ClientGuard('nodes', self._account, time)
         peer_guard.limits = client_limits.ClientLimits(head_ms=config.timeouts.head_ms)
+        operator_guard = client_guard.ClientGuard('operators', self._account, time)
+        operator_guard.limits = client_limits.for_operators(_max_descriptors())
+        self._operator_site = operator_api.OperatorApi(self).site(operator_guard)
         self._caller_factory = http_listener.ServerFactory(
             self.entry.request_received,
             config.limits.max_header_bytes,
@@ -184,7 +187,7 @@
         config = self._settings
         self._listeners.add(config.peer_address, self._peer_factory)
         caller_listener = self._listeners.add(config.caller_address, self._caller_factory)
-        self._listeners.add(config.operator_address, operator_api.OperatorApi(self).site())
+        self._listeners.add(config.operator_address, self._operator_site)
         self._listeners.add_opener(config.control_address, self._control.start)
         self._listeners.open(self._take_over)
         self._caller_close.port = caller_listener.port
@@ -386,6 +389,7 @@
         self._reactor.callLater(_CLIENT_CHECK_INTERVAL_S, self._check_clients)
         self._caller_factory.check_clients()
         self._peer_factory.check_clients()
+        self._operator_site.check_clients()
 
     def _take_over(self) -> None:
         lifetime.PROCESS.take_over(
--- a/src/anvillug/process/operator_api.py
+++ b/src/anvillug/process/operator_api.py
@@ -10,7 +10,7 @@
 import pydantic
 
 from anvillug import event_log, findings, ids, validation
-from anvillug.connection import web_site
+from anvillug.connection import client_guard, web_site
 from anvillug.process import backend_watch
 
 _STATUS_ACCEPTED = 202
@@ -70,9 +70,13 @@
     def __init__(self, node: NodeView) -> None:
         self._node = node
 
-    def site(self) -> web_site.Site:
-        """Return the protocol factory for the listener."""
-        return web_site.Site(self.app.resource())
+    def site(self, guard: client_guard.ClientGuard) -> web_site.Site:
+        """Return the protocol factory for the listener.
+
+        Args:
+            guard: Limits of its clients.
+        """
+        return web_site.Site(self.app.resource(), guard)
 
     @app.route('/state', methods=['GET'])
     def state(self, request: Any) -> bytes:
--- a/tests/test_half_close.py
+++ b/tests/test_half_close.py
@@ -9,11 +9,21 @@
 import time
 
 import pytest
-
-from anvillug.connection import http_exchange, http_head, http_listener
+from twisted.internet import error
+from twisted.python import failure
+
+from anvillug import clock
+from anvillug.connection import (
+    client_guard,
+    client_limits,
+    http_exchange,
+    http_head,
+    http_listener,
+    memory_account,
+)
 from anvillug.process import operator_api
 from anvillug.standin import link
-from tests import reactor_thread
+from tests import reactor_thread, test_bad_input
 
 _HEAD = b'GET /one HTTP/1.1\r\nHost: a\r\n'
 _GET = b''.join((_HEAD, b'\r\n'))
@@ -381,13 +391,17 @@
         return True
 
 
+def _guard(time_source: clock.Clock) -> client_guard.ClientGuard:
+    return client_guard.ClientGuard('operators', memory_account.create(time_source), time_source)
+
+
 class TestOperatorInterface:
     """Guards against operators' commands that close their end and get no answer."""
 
     # The unsent response was dropped at the end of the stream, as by `nc -N`.
     @pytest.mark.parametrize('path', [b'/health', b'/state'])
     def test_request_is_answered(self, running_reactor, path):
-        site = operator_api.OperatorApi(_View()).site()
+        site = operator_api.OperatorApi(_View()).site(_guard(clock.SystemClock()))
         port = reactor_thread.call(
             lambda: running_reactor.listenTCP(0, site, interface='127.0.0.1')
         )
@@ -401,3 +415,26 @@
             reactor_thread.call(port.stopListening)
         assert received.startswith(b'HTTP/1.1 200 ')
         assert received.endswith((b'}\n', b'}\n\r\n0\r\n\r\n'))
+
+    # Guards against connections that are kept without end by bytes that come now and then.
+    @pytest.mark.parametrize(
+        ('received', 'answered'),
+        [(b'GET /health HTTP/1.1\r\nHost', b'HTTP/1.1 408 '), (b'', b'')],
+    )
+    def test_time_of_clients_is_limited(self, received, answered):
+        now = clock.ManualClock(10_000)
+        guard = _guard(now)
+        guard.limits = client_limits.for_operators(descriptors=0)
+        site = operator_api.OperatorApi(_View()).site(guard)
+        channel = site.buildProtocol(None)
+        transport = test_bad_input.make_transport()
+        channel.makeConnection(transport)
+        channel.dataReceived(received)
+        site.check_clients()
+        now.advance(guard.limits.idle_ms + 1)
+        site.check_clients()
+        assert transport.disconnecting
+        assert transport.value().startswith(answered)
+        assert bool(transport.value()) is bool(answered)
+        channel.connectionLost(failure.Failure(error.ConnectionDone()))
+        assert not site.open_channels
--- a/tests/test_unruly_clients.py
+++ b/tests/test_unruly_clients.py
@@ -58,11 +58,11 @@
 
     def __init__(self, folder: pathlib.Path) -> None:
         self.backend = platform_backend.PlatformBackend(reactor, 'one', 'i-0')
-        self._ports = [
+        self.ports = [
             int(address.rpartition(':')[2]) for address in processes.free_addresses(_PORT_COUNT)
         ]
         super().__init__(
-            (_IP, self._ports[2]),
+            (_IP, self.ports[2]),
             ('/get/x', _ORDINARY_HEADERS),
             lambda body: body.startswith(b'i-0'),
         )
@@ -75,8 +75,8 @@
         store = platform_store.PlatformStore(reactor)
         store.topic('keyed.op').append(b'config', _config())
         port = reactor.listenTCP(0, store.site(), interface='127.0.0.1')
-        self._listening = [port, self.backend.listen(f'{_IP}:{self._ports[0]}')]
-        self._heartbeats = self.backend.start_heartbeats(f'{_IP}:{self._ports[4]}')
+        self._listening = [port, self.backend.listen(f'{_IP}:{self.ports[0]}')]
+        self._heartbeats = self.backend.start_heartbeats(f'{_IP}:{self.ports[4]}')
         path = self._folder / 'node.json'
         path.write_text(json.dumps(self._settings(port.getHost().port)))
         self.process = processes.ChildProcess(('mesh', str(path)))
@@ -90,7 +90,7 @@
             port.stopListening()
 
     def _settings(self, store_port: int) -> dict[str, object]:
-        backend, *listeners = [f'{_IP}:{port}' for port in self._ports[:5]]
+        backend, *listeners = [f'{_IP}:{port}' for port in self.ports[:5]]
         names = ('Inbound', 'Outbound', 'ReadyAddr', 'Control')
         return {
             'Self': {
@@ -106,7 +106,7 @@
             },
             'Network': {
                 'Listen': dict(zip(names, listeners, strict=True)),
-                'InternalPorts': self._ports[5:],
+                'InternalPorts': self.ports[5:],
             },
             'Platform': {'Platform': {'Address': f'127.0.0.1:{store_port}'}},
             'Terms': {'Bounds': {}},
@@ -165,6 +165,12 @@
     def test_descriptors_used_up(self, node):
         unruly_crowd.check_survives(node, b'', 2 * unruly_crowd.MAX_FDS)
 
+    # The readiness, control and metrics addresses.
+    @pytest.mark.parametrize('number', [3, 4, 6])
+    def test_descriptors_used_up_at_other_addresses(self, node, number):
+        node.crowd_address = (_IP, node.ports[number])
+        unruly_crowd.check_survives(node, _START, 2 * unruly_crowd.MAX_FDS)
+
     def test_descriptors_used_up_in_bursts(self, node):
         unruly_crowd.check_survives_bursts(node)
 
--- a/tests/test_unruly_clients_node.py
+++ b/tests/test_unruly_clients_node.py
@@ -39,6 +39,8 @@
         host, _, port = addresses[0].rpartition(':')
         headers = {'Host': _SERVICE, 'Anvillug-Deadline-Ms': '4000'}
         super().__init__((host, int(port)), ('/x', headers), lambda body: b'"/x"' in body)
+        host, _, port = addresses[-1].rpartition(':')
+        self.operator_address = (host, int(port))
         kinds = ('caller', 'peer', 'control', 'operator')
         path = folder / 'node.json'
         path.write_text(
@@ -108,7 +110,7 @@
     def test_slow_uploads_in_small_chunks(self, node):
         chunk = b'1\r\na\r\n'
         chunks = chunk * (unruly_crowd.ENDLESS_BYTES // len(chunk))
-        head = _START + _DEADLINE + b'Transfer-Encoding: chunked\r\n\r\n'
+        head = b'%b%bTransfer-Encoding: chunked\r\n\r\n' % (_START, _DEADLINE)
         unruly_crowd.check_survives(node, head + chunks)
 
     def test_slow_readers_of_long_responses(self, node):
@@ -124,6 +126,10 @@
     def test_descriptors_used_up(self, node):
         unruly_crowd.check_survives(node, b'', 2 * unruly_crowd.MAX_FDS)
 
+    def test_descriptors_used_up_at_the_operator_address(self, node):
+        node.crowd_address = node.operator_address
+        unruly_crowd.check_survives(node, _START, 2 * unruly_crowd.MAX_FDS)
+
     def test_descriptors_used_up_in_bursts(self, node):
         unruly_crowd.check_survives_bursts(node)
 
--- a/tests/unruly_crowd.py
+++ b/tests/unruly_crowd.py
@@ -50,6 +50,8 @@
         is_whole: Callable[[bytes], bool],
     ) -> None:
         self.address = address
+        self.crowd_address = address
+        """Address that the crowd connects to; ordinary requests go to the other one."""
         self.process: processes.ChildProcess | None = None
         self.peak_mb = 0.0
         self.peak_fds = 0
@@ -61,7 +63,7 @@
         client = socket.socket()
         client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES)
         client.settimeout(_SEND_TIMEOUT_S)
-        client.connect(self.address)
+        client.connect(self.crowd_address)
         return client
 
     def is_answered(self) -> bool:
