--- a/src/anvillug/connection/http_server.py
+++ b/src/anvillug/connection/http_server.py
@@ -444,7 +444,7 @@
         """
         if not (self._closes_after_responses and slot.is_first):
             return False
-        if self._is_newest(slot) and not self._disconnected:
+        if self._is_newest(slot) and not (self._disconnected or self._input_ended):
             if self._reads_in_turn >= _MAX_READS_IN_TURN:
                 return False
             self._read_ahead()
--- a/src/anvillug/connection/write_batch.py
+++ b/src/anvillug/connection/write_batch.py
@@ -13,12 +13,23 @@
 
 
 class WriteBatch:
-    """Collects writes during a reactor turn; used in the reactor thread only."""
+    """Collects writes during a reactor turn; used in the reactor thread only.
+
+    As a context manager, it collects what is written within the block.
+    """
 
     def __init__(self) -> None:
         self._depth = 0
         self._buffers: dict[Any, list[bytes]] = {}
 
+    def __enter__(self) -> None:
+        """Start collecting writes."""
+        self.begin()
+
+    def __exit__(self, *exc_info: object) -> None:
+        """End collecting, also after an exception."""
+        self.end()
+
     def begin(self) -> None:
         """Start collecting writes; calls may be nested."""
         self._depth += 1
--- a/src/anvillug/process/upstream_probe.py
+++ b/src/anvillug/process/upstream_probe.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from anvillug import clock
-from anvillug.connection import http_client, http_head
+from anvillug.connection import http_client, http_head, write_batch
 from anvillug.process import mesh_host, upstream, wake_grid
 from anvillug.request import dialect
 
@@ -129,8 +129,9 @@
             return
         self._connection = connection
         headers = [(b'Host', self._service.encode())]
-        connection.request(http_head.RequestHead(b'GET', self._path, headers), self)
-        connection.end_request()
+        with write_batch.BATCH:
+            connection.request(http_head.RequestHead(b'GET', self._path, headers), self)
+            connection.end_request()
 
     def unreachable(self) -> None:
         """End the health check without a connection."""
--- a/src/anvillug/request/remote_run.py
+++ b/src/anvillug/request/remote_run.py
@@ -13,7 +13,7 @@
 from twisted.internet import interfaces
 
 from anvillug import clock, ids
-from anvillug.connection import http_client, http_head, http_pool
+from anvillug.connection import http_client, http_head, http_pool, write_batch
 from anvillug.request import job, job_wire
 
 _STATUS_OK = 200
@@ -119,11 +119,12 @@
         if self._ended:
             return
         self._connection = connection
-        connection.request(self._head, self)
-        connection.send_body(self._body)
-        # Callbacks refer to this request, which may be collected much later.
-        self._body = b''
-        connection.end_request()
+        with write_batch.BATCH:
+            connection.request(self._head, self)
+            connection.send_body(self._body)
+            # Callbacks refer to this request, which may be collected much later.
+            self._body = b''
+            connection.end_request()
 
     def _fail(self, reason: str) -> None:
         if not self._ended:
--- a/src/anvillug/request/upstream_run.py
+++ b/src/anvillug/request/upstream_run.py
@@ -8,7 +8,7 @@
 from twisted.internet import interfaces
 
 from anvillug import clock, event_log
-from anvillug.connection import http_client, http_head, http_pool
+from anvillug.connection import http_client, http_head, http_pool, write_batch
 from anvillug.request import dialect, job
 
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
@@ -203,9 +203,10 @@
         connection.carried_ids.add(self.work.attempt_id, self.work.deadline, now)
         head = self.work.head
         headers = [*head.headers, *self._dialect.dispatch_headers(left_ms, self.work.instance)]
-        connection.request(http_head.RequestHead(head.method, head.target, headers), self)
-        connection.send_body(self.work.body)
-        connection.end_request()
+        with write_batch.BATCH:
+            connection.request(http_head.RequestHead(head.method, head.target, headers), self)
+            connection.send_body(self.work.body)
+            connection.end_request()
         if self.on_sent is not None:
             self.on_sent(self.work, now)
 
