--- a/src/anvillug/process/host_choice.py
+++ b/src/anvillug/process/host_choice.py
@@ -5,10 +5,11 @@
 import dataclasses
 import math
 import random
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 
 from anvillug import clock, ids
 from anvillug.process import peer_table
+from anvillug.request import dialect
 
 # Hosts sampled for one selection, so that the cost of a call does not grow with their number.
 _SAMPLED_HOSTS = 32
@@ -18,6 +19,7 @@
 # How many of them are taken from the caller's zone if it has that many; more if other zones have
 # too few.
 _COMPARED_LOCAL_HOSTS = 3
+_COMPARED_REMOTE_HOSTS = _COMPARED_HOSTS - _COMPARED_LOCAL_HOSTS
 # Mean slowness over all hosts. The older a reported load is, the more this is assumed instead.
 _MEAN_SLOWNESS = 160.0
 # Decay time of a reported load: noisy neighbours on the machines change about twice a second.
@@ -59,55 +61,84 @@
         now: Monotonic time.
         rng: Random number generator.
     """
-    candidates = sample(peers, now, rng)
-    local = [peer for peer in candidates if peer.announcement.zone == origin.zone]
-    remote = [peer for peer in candidates if peer.announcement.zone != origin.zone]
+    local: list[peer_table.Peer] = []
+    remote: list[peer_table.Peer] = []
+    for peer in sample(peers, now, rng):
+        (local if peer.announcement.zone == origin.zone else remote).append(peer)
+        if len(local) >= _COMPARED_LOCAL_HOSTS and len(remote) >= _COMPARED_REMOTE_HOSTS:
+            break
     compared = local[: max(_COMPARED_LOCAL_HOSTS, _COMPARED_HOSTS - len(remote))]
     compared += remote[: _COMPARED_HOSTS - len(compared)]
-    return min(compared, key=lambda peer: expected_slowness(peer, origin, now), default=None)
+    return min(compared, key=lambda host: expected_slowness(host, origin, now), default=None)
 
 
 def sample(
     peers: Sequence[peer_table.Peer], now: clock.Milliseconds, rng: random.Random
-) -> Sequence[peer_table.Peer]:
-    """Return a sample of the available hosts, in random order.
+) -> Iterator[peer_table.Peer]:
+    """Yield a sample of the available hosts, in random order.
 
     Without an available host in the sample, it consists of all that are, or else of others.
     """
-    # Sampling also shuffles, so that equal hosts are selected equally often.
-    sampled = rng.sample(peers, min(len(peers), _SAMPLED_HOSTS))
-    return _available(sampled, now) or _last_resorts(rng.sample(peers, len(peers)), now)
+    found = False
+    for peer in _drawn(peers, rng):
+        if _is_available(peer, now):
+            found = True
+            yield peer
+    if not found:
+        yield from _last_resorts(rng.sample(peers, len(peers)), now)
 
 
-def _available(
-    peers: Sequence[peer_table.Peer], now: clock.Milliseconds
-) -> Sequence[peer_table.Peer]:
-    return [peer for peer in peers if peer.avoid_until <= now and not peer.is_unresponsive(now)]
+def _drawn(peers: Sequence[peer_table.Peer], rng: random.Random) -> Iterator[peer_table.Peer]:
+    """Yield some hosts in random order, so that equal ones are selected equally often.
+
+    They are those of `rng.sample` for up to some 270 hosts; most selections need a part of them.
+    """
+    rest = list(peers)
+    for last in range(len(rest) - 1, max(-1, len(rest) - 1 - _SAMPLED_HOSTS), -1):
+        place = rng.randrange(last + 1)
+        yield rest[place]
+        rest[place] = rest[last]
+
+
+def _is_available(peer: peer_table.Peer, now: clock.Milliseconds) -> bool:
+    return peer.avoid_until <= now and not peer.is_unresponsive(now)
 
 
 def _last_resorts(
     peers: Sequence[peer_table.Peer], now: clock.Milliseconds
 ) -> Sequence[peer_table.Peer]:
     """Return available nodes, or else nodes that timed out, or else nodes to be avoided."""
-    return _available(peers, now) or [peer for peer in peers if peer.avoid_until <= now] or peers
+    available = [peer for peer in peers if _is_available(peer, now)]
+    return available or [peer for peer in peers if peer.avoid_until <= now] or peers
 
 
 def expected_slowness(peer: peer_table.Peer, origin: Origin, now: clock.Milliseconds) -> float:
     """Return how slow work is expected to be at a host; 100 is normal."""
-    load = peer.load
-    announcement = peer.announcement
-    if load is None:
-        slowness = _MEAN_SLOWNESS
-        utilization = 0.0
-    else:
-        weight = math.exp(-max(0.0, now - peer.load_reported_at) / _LOAD_DECAY_MS)
-        slowness = load.slowness * weight + _MEAN_SLOWNESS * (1 - weight)
-        slowness *= 1 + load.fault_share * _FAULT_FACTOR
-        utilization = max(load.running + load.waiting, peer.outstanding) / max(1, load.slots)
-    if utilization > _SLOWDOWN_UTILIZATION:
-        slowness *= 1 + (utilization - _SLOWDOWN_UTILIZATION) * _UTILIZATION_FACTOR
-    if announcement.cold:
-        slowness *= _COLD_FACTOR
-    if announcement.zone != origin.zone:
+    slowness = local_slowness(peer, now)
+    if peer.announcement.zone != origin.zone:
         slowness += _OTHER_ZONE_SLOWNESS + origin.body_kb * _OTHER_ZONE_SLOWNESS_PER_KB
     return slowness
+
+
+def local_slowness(peer: peer_table.Peer, now: clock.Milliseconds) -> float:
+    """Return how slow work is expected to be at a host, whatever its zone; 100 is normal."""
+    load = peer.load
+    slowness = _MEAN_SLOWNESS
+    if load is not None:
+        age_ms = now - peer.load_reported_at
+        if age_ms > 0:
+            weight = math.exp(-age_ms / _LOAD_DECAY_MS)
+            slowness = load.slowness * weight + _MEAN_SLOWNESS * (1 - weight)
+        else:
+            slowness = load.slowness
+        slowness *= 1 + load.fault_share * _FAULT_FACTOR
+        utilization = busy(peer, load) / (load.slots or 1)
+        if utilization > _SLOWDOWN_UTILIZATION:
+            slowness *= 1 + (utilization - _SLOWDOWN_UTILIZATION) * _UTILIZATION_FACTOR
+    return slowness * _COLD_FACTOR if peer.announcement.cold else slowness
+
+
+def busy(peer: peer_table.Peer, load: dialect.ReportedLoad) -> int:
+    """Return how many requests a host has: those that it reports, or more that were sent since."""
+    reported = load.running + load.waiting
+    return reported if reported > peer.outstanding else peer.outstanding
--- a/src/anvillug/process/mesh_entry.py
+++ b/src/anvillug/process/mesh_entry.py
@@ -80,6 +80,8 @@
         """Whether the process is about to stop and rejects new requests."""
         self.receive_loads: Callable[[], object] = _no_loads
         """Called before a host is chosen; receives the loads that other nodes have sent."""
+        self.serves: Callable[[ids.ServiceName], bool] = self._announces_service
+        """Returns whether the backend server of this node accepts jobs of a service."""
         self._settings = settings
         self._word = word
         self._active_directives = active_directives
@@ -424,10 +426,13 @@
         self, service: ids.ServiceName, now: clock.Milliseconds
     ) -> Sequence[peer_table.Peer]:
         others = self._peers.of_service(service)
-        local = self._local_announcement()
-        if local.service != service or local.state is not upstream.UpstreamState.SERVING:
+        if not self.serves(service):
             return others
-        return (*others, self._local_peer(local, now))
+        return (*others, self._local_peer(self._local_announcement(), now))
+
+    def _announces_service(self, service: ids.ServiceName) -> bool:
+        local = self._local_announcement()
+        return local.service == service and local.state is upstream.UpstreamState.SERVING
 
     def _local_peer(
         self, local: peer_table.Announcement, now: clock.Milliseconds
--- a/src/anvillug/process/mesh_host.py
+++ b/src/anvillug/process/mesh_host.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 from collections.abc import Callable
 from typing import Any
 
@@ -120,10 +119,12 @@
         load = self.upstream.load
         if load is None:
             return None
-        return dataclasses.replace(
-            load,
-            waiting=load.waiting + self._switch.waiting,
-            fault_share=self._faults.share(self._clock.now()),
+        return dialect.ReportedLoad(
+            load.running,
+            load.waiting + self._switch.waiting,
+            load.slots,
+            load.slowness,
+            self._faults.share(self._clock.now()),
         )
 
     def submit(
--- a/src/anvillug/process/mesh_node.py
+++ b/src/anvillug/process/mesh_node.py
@@ -189,6 +189,7 @@
             grid.delay_s,
         )
         self.entry.receive_loads = self._beacons.receive_pending
+        self.entry.serves = self._serves
         self.active_directives.add_listener(self._directives_changed)
         self._probe = upstream_probe.UpstreamProbe(
             reactor,
@@ -413,7 +414,6 @@
         backend = self.upstream
         heartbeat = backend.heartbeat
         settings = self._settings
-        state = upstream.UpstreamState.LEAVING if self._stop.has_begun else backend.state
         return peer_table.Announcement(
             host_id=settings.host_id,
             incarnation=self._incarnation,
@@ -421,10 +421,10 @@
             peer_address=settings.peer_address,
             beacon_address=f'{settings.ip}:{settings.beacon_port}',
             zone=settings.zone,
-            service=settings.service if heartbeat is None else heartbeat.service,
+            service=self._announced_service(),
             version=ids.VersionName('') if heartbeat is None else heartbeat.version,
             instance=backend.instance,
-            state=state,
+            state=self._announced_state(),
             cold=backend.cold_ms > 0,
             load=self.host.load,
             load_age_ms=backend.load_age_ms,
@@ -432,6 +432,18 @@
             reaches_log=self._feed.reaches_log,
         )
 
+    def _announced_service(self) -> ids.ServiceName:
+        heartbeat = self.upstream.heartbeat
+        return self._settings.service if heartbeat is None else heartbeat.service
+
+    def _announced_state(self) -> upstream.UpstreamState:
+        return upstream.UpstreamState.LEAVING if self._stop.has_begun else self.upstream.state
+
+    def _serves(self, service: ids.ServiceName) -> bool:
+        """Return whether an announcement made now offers a service; see `MeshEntry.serves`."""
+        is_serving = self._announced_state() is upstream.UpstreamState.SERVING
+        return is_serving and self._announced_service() == service
+
     def _beacon_extra_state(self) -> beacon.ExtraState:
         usage = self._usage
         return {
--- a/src/anvillug/process/zone_choice.py
+++ b/src/anvillug/process/zone_choice.py
@@ -145,14 +145,17 @@
         if share.share and rng.random() < self._own_share(work, share):
             leaving = _of_drawn_zone(share, peers, rng)
             peers = leaving or peers
-        sampled = host_choice.sample(peers, now, rng)
-        local = [peer for peer in sampled if peer.announcement.zone == self._zone]
-        remote = [peer for peer in sampled if peer.announcement.zone != self._zone]
-        origin = host_choice.Origin(self._zone, 0)
-        best_local = _best(local[:_COMPARED_LOCAL_HOSTS], origin, now)
+        local: list[peer_table.Peer] = []
+        remote: list[peer_table.Peer] = []
+        for peer in host_choice.sample(peers, now, rng):
+            (local if peer.announcement.zone == self._zone else remote).append(peer)
+            if len(local) >= _COMPARED_LOCAL_HOSTS and len(remote) >= _COMPARED_REMOTE_HOSTS:
+                break
         compared = remote[: _COMPARED_REMOTE_HOSTS if local else _COMPARED_LOCAL_HOSTS]
-        best_remote = _best(compared, origin, now)
-        return self._better(best_local, best_remote, work, now)
+        if not local:
+            return _best(compared, now)
+        best_local = _best(local[:_COMPARED_LOCAL_HOSTS], now)
+        return self._better(best_local, compared, work, now) if compared else best_local
 
     def gauges(self) -> Mapping[str, float]:
         """Return the largest share of a service's work that leaves the zone."""
@@ -163,20 +166,20 @@
 
     def _better(
         self,
-        local: peer_table.Peer | None,
-        remote: peer_table.Peer | None,
+        local: peer_table.Peer,
+        others: Sequence[peer_table.Peer],
         work: job.Job,
         now: clock.Milliseconds,
     ) -> peer_table.Peer:
-        if local is None or remote is None:
-            return local or remote
+        """Return the host of the zone, or the best of others if the job gains by it."""
         left_ms = _left_ms(work, now)
         usual_ms = self._uses_by_route.get(work.route, _UNKNOWN_USE).work_ms
         work_ms = left_ms * _DEFAULT_WORK_SHARE if usual_ms is None else usual_ms
-        local_ms = work_ms * zone_rooms.slowness(local, now) / _NORMAL_SLOWNESS
+        local_ms = work_ms * host_choice.local_slowness(local, now) / _NORMAL_SLOWNESS
         if local_ms <= left_ms * _COMFORT_SHARE:
             return local
-        remote_ms = work_ms * zone_rooms.slowness(remote, now) / _NORMAL_SLOWNESS
+        remote = _best(others, now)
+        remote_ms = work_ms * host_choice.local_slowness(remote, now) / _NORMAL_SLOWNESS
         return remote if remote_ms + self._cost_ms(work) < local_ms else local
 
     def _own_share(self, work: job.Job, share: zone_share.ZoneShare) -> float:
@@ -236,9 +239,5 @@
     return [peer for peer in peers if peer.announcement.zone == zone]
 
 
-def _best(
-    peers: Sequence[peer_table.Peer], origin: host_choice.Origin, now: clock.Milliseconds
-) -> peer_table.Peer | None:
-    return min(
-        peers, key=lambda peer: host_choice.expected_slowness(peer, origin, now), default=None
-    )
+def _best(peers: Sequence[peer_table.Peer], now: clock.Milliseconds) -> peer_table.Peer:
+    return min(peers, key=lambda peer: host_choice.local_slowness(peer, now))
--- a/src/anvillug/process/zone_rooms.py
+++ b/src/anvillug/process/zone_rooms.py
@@ -12,12 +12,6 @@
 _NORMAL_SLOWNESS = 100.0
 
 
-def slowness(peer: peer_table.Peer, now: clock.Milliseconds) -> float:
-    """Return how slow work is expected to be at a host, whatever its zone; 100 is normal."""
-    origin = host_choice.Origin(peer.announcement.zone, 0)
-    return host_choice.expected_slowness(peer, origin, now)
-
-
 def by_zone(
     hosts: Sequence[peer_table.Peer], work_ms: float, now: clock.Milliseconds
 ) -> zone_share.Rooms:
@@ -41,19 +35,31 @@
 
     Available hosts without a known load are assumed to be like the others.
     """
-    available = [
-        host for host in hosts if host.avoid_until <= now and not host.is_unresponsive(now)
-    ]
-    known = [host for host in available if host.load is not None]
+    available = 0
+    known = 0
+    slots = 0
+    busy = 0
+    slownesses = []
+    ages_ms = []
+    for host in hosts:
+        if host.avoid_until > now or host.is_unresponsive(now):
+            continue
+        available += 1
+        load = host.load
+        if load is not None:
+            known += 1
+            slots += load.slots
+            busy += host_choice.busy(host, load)
+            slownesses.append(host_choice.local_slowness(host, now))
+            ages_ms.append(now - host.load_reported_at)
     if not known:
         return zone_share.ZoneRoom(0, 0, work_ms, 0)
-    scale = len(available) / len(known)
-    busy = sum(max(host.outstanding, host.load.running + host.load.waiting) for host in known)
+    scale = available / known
     # Requests are sent to the faster hosts, so that a slow minority says little about the zone.
-    typical_slowness = statistics.median(slowness(host, now) for host in known)
+    typical_slowness = statistics.median(slownesses)
     return zone_share.ZoneRoom(
-        slots=round(scale * sum(host.load.slots for host in known)),
+        slots=round(scale * slots),
         busy=scale * busy,
         work_ms=work_ms * typical_slowness / _NORMAL_SLOWNESS,
-        age_ms=statistics.median(now - host.load_reported_at for host in known),
+        age_ms=statistics.median(ages_ms),
     )
--- a/src/anvillug/process/zone_share.py
+++ b/src/anvillug/process/zone_share.py
@@ -198,11 +198,10 @@
     def _gain_ms(self, own: ZoneRoom, others: Rooms, share: float, demand: float) -> float:
         """Return how much sooner a request ends in other zones if a share of the work leaves."""
         moved = (share - self.share) * demand
-        is_filled = any(
+        if moved > 0 and any(
             (others[zone].busy + moved * weight) / others[zone].slots >= _FULL_UTILIZATION
             for zone, weight in self.weights_by_zone.items()
-        )
-        if moved > 0 and is_filled:
+        ):
             return -math.inf
         there_ms = sum(
             weight * others[zone].time_ms(moved * weight)
