--- a/src/anvillug/process/mesh_entry.py
+++ b/src/anvillug/process/mesh_entry.py
@@ -307,26 +307,20 @@
     def has_faster_host(self, call: routed_call.RoutedCall) -> bool:
         """Return whether a much faster host is available; see `routed_call.CallContext`."""
         now = self.clock.now()
-        waiting = [
-            attempt
-            for attempt in self._pending_attempts
-            if attempt.work.attempt_id == call.attributes.attempt_id
-        ]
-        if not waiting:
+        attempt = self._pending_attempt(call.attributes.attempt_id)
+        if attempt is None:
             return False
         self.receive_loads()
-        work = waiting[0].work
+        work = attempt.work
+        origin = self._origin(work)
+        # First, since most hosts are not slow, and a choice costs more.
+        if not self._is_slow(attempt.peer, origin, now):
+            self._step_zone_share(call, work, now)
+            return False
         other = self._choose(call, work, now)
         if other is None or other.is_unresponsive(now):
             return False
-        peer = waiting[0].peer
-        if peer.announcement.host_id == self._settings.host_id:
-            peer = peer_table.Peer(self._local_announcement(), now)
-        origin = self._origin(work)
-        if host_choice.expected_slowness(other, origin, now) >= _MAX_HEDGE_SLOWNESS:
-            return False
-        current_slowness = host_choice.expected_slowness(peer, origin, now)
-        return peer.is_unresponsive(now) or current_slowness > mesh_host.SLOWNESS_LIMIT
+        return host_choice.expected_slowness(other, origin, now) < _MAX_HEDGE_SLOWNESS
 
     def abort_lost_attempts(self) -> None:
         """Abort the attempts whose process was replaced, since it can't respond to them any more.
@@ -402,14 +396,45 @@
         for address in self._pools_by_address.keys() - used:
             self._pools_by_address.pop(address).close()
 
-    def _choose(
+    def _pending_attempt(self, attempt_id: str) -> pending_attempt.PendingAttempt | None:
+        for attempt in self._pending_attempts:
+            if attempt.work.attempt_id == attempt_id:
+                return attempt
+        return None
+
+    def _is_slow(
+        self, peer: peer_table.Peer, origin: host_choice.Origin, now: clock.Milliseconds
+    ) -> bool:
+        """Return whether a host that has a job is slow or does not respond."""
+        if peer.announcement.host_id == self._settings.host_id:
+            peer = peer_table.Peer(self._local_announcement(), now)
+        current_slowness = host_choice.expected_slowness(peer, origin, now)
+        return current_slowness > mesh_host.SLOWNESS_LIMIT or peer.is_unresponsive(now)
+
+    def _step_zone_share(
         self, call: routed_call.RoutedCall, work: job.Job, now: clock.Milliseconds
-    ) -> peer_table.Peer | None:
+    ) -> None:
+        """Move the share of work that leaves the zone as a choice would."""
+        choice = self._zone_choice
+        if choice is not None and choice.share_of(work.service).is_due(now):
+            allowed, in_service = self._allowed(call, work, now)
+            if allowed:
+                choice.stepped_share(work, in_service, now)
+
+    def _allowed(
+        self, call: routed_call.RoutedCall, work: job.Job, now: clock.Milliseconds
+    ) -> tuple[Sequence[peer_table.Peer], Sequence[peer_table.Peer]]:
+        """Return the hosts that may be selected for a job, and those for any of its service."""
         in_service = self.eligible(work.service, now)
         untried = in_service
         if call.attempted_hosts:
             untried = [peer for peer in in_service if peer.host_id not in call.attempted_hosts]
-        allowed = self._rollouts.allowed(work.service, untried, call.version_draw)
+        return self._rollouts.allowed(work.service, untried, call.version_draw), in_service
+
+    def _choose(
+        self, call: routed_call.RoutedCall, work: job.Job, now: clock.Milliseconds
+    ) -> peer_table.Peer | None:
+        allowed, in_service = self._allowed(call, work, now)
         if self._zone_choice is not None:
             return self._zone_choice.choose(work, allowed, in_service, now)
         return host_choice.choose(allowed, self._origin(work), now, self.rng)
--- a/src/anvillug/process/zone_choice.py
+++ b/src/anvillug/process/zone_choice.py
@@ -114,12 +114,26 @@
         """
         if not peers:
             return None
-        share = self._stepped_share(work, all_peers, now)
+        share = self.stepped_share(work, all_peers, now)
         chosen = self.select(work, peers, share, now, self._rng)
         is_local = chosen.announcement.zone == self._zone
         self._metrics.count('zone_choices', _STAYED if is_local else _LEFT)
         return chosen
 
+    def stepped_share(
+        self, work: job.Job, peers: Sequence[peer_table.Peer], now: clock.Milliseconds
+    ) -> zone_share.ZoneShare:
+        """Return the share of the job's service, after a step if one is due."""
+        share = self.shares_by_service.setdefault(work.service, self.share_of(work.service))
+        if share.is_due(now):
+            use = self._uses_by_service.get(work.service, _UNKNOWN_USE)
+            left_ms = _left_ms(work, now)
+            work_ms = left_ms * _DEFAULT_WORK_SHARE if use.work_ms is None else use.work_ms
+            rooms = zone_rooms.by_zone(peers, work_ms, now)
+            share.step(rooms, use.size_kb, left_ms * _COMFORT_SHARE, now)
+            self._log_if_changed(work.service, share, rooms)
+        return share
+
     def share_of(self, service: ids.ServiceName) -> zone_share.ZoneShare:
         """Return the share of a service's work that leaves the zone, as it was decided last."""
         share = self.shares_by_service.get(service)
@@ -192,20 +206,6 @@
         usual_kb = self._uses_by_route.get(work.route, _UNKNOWN_USE).size_kb
         return self._crossing.cost_ms(max(usual_kb, _HEADS_KB + work.size / _BYTES_PER_KB))
 
-    def _stepped_share(
-        self, work: job.Job, peers: Sequence[peer_table.Peer], now: clock.Milliseconds
-    ) -> zone_share.ZoneShare:
-        """Return the share of the job's service, after a step if one is due."""
-        share = self.shares_by_service.setdefault(work.service, self.share_of(work.service))
-        if share.is_due(now):
-            use = self._uses_by_service.get(work.service, _UNKNOWN_USE)
-            left_ms = _left_ms(work, now)
-            work_ms = left_ms * _DEFAULT_WORK_SHARE if use.work_ms is None else use.work_ms
-            rooms = zone_rooms.by_zone(peers, work_ms, now)
-            share.step(rooms, use.size_kb, left_ms * _COMFORT_SHARE, now)
-            self._log_if_changed(work.service, share, rooms)
-        return share
-
     def _log_if_changed(
         self, service: ids.ServiceName, share: zone_share.ZoneShare, rooms: zone_share.Rooms
     ) -> None:
--- a/tests/test_host_choice.py
+++ b/tests/test_host_choice.py
@@ -5,6 +5,8 @@
 import collections
 import random
 
+import pytest
+
 from anvillug import clock, ids
 from anvillug.process import host_choice, peer_table, upstream
 from anvillug.request import dialect
@@ -121,3 +123,20 @@
     def test_all_compared_hosts_may_come_from_the_local_zone(self):
         slow = [make_peer(f's{number}', 700) for number in range(4)]
         assert _selections([*slow, make_peer('a')])['a'] == 400
+
+
+class TestSample:
+    """Guards against hosts that are selected more often for their place among the others."""
+
+    @pytest.mark.parametrize('count', [1, 7, 33, 80])
+    def test_order_is_random(self, count):
+        peers = [make_peer(f'h{number}') for number in range(count)]
+        sampled = random.Random(count).sample(peers, min(count, 32))
+        assert list(host_choice.sample(peers, _NOW, random.Random(count))) == sampled
+
+    def test_all_hosts_are_last_resorts(self):
+        peers = [make_peer(f'h{number}') for number in range(40)]
+        for peer in peers:
+            peer.avoid(_NOW)
+        sampled = list(host_choice.sample(peers, _NOW, random.Random(1)))
+        assert sorted(peer.host_id for peer in sampled) == sorted(peer.host_id for peer in peers)
