--- a/src/anvillug/connection/http_pool.py
+++ b/src/anvillug/connection/http_pool.py
@@ -246,8 +246,11 @@
 
     def _pop_idle(self, max_idle_s: float, waiter: _Waiter) -> http_client.ClientConnection | None:
         """Remove and return the suitable idle connection that was used last, if there is one."""
-        self._idle = [idle for idle in self._idle if idle.is_idle]
         min_idle_since_s = self._reactor.seconds() - max_idle_s
+        # Nearly always the last one is suitable.
+        if self._idle and _is_suitable(self._idle[-1], min_idle_since_s, waiter):
+            return self._idle.pop()
+        self._idle = [idle for idle in self._idle if idle.is_idle]
         for connection in reversed(self._idle):
             if connection.idle_since_s < min_idle_since_s:
                 # The others have been idle for even longer.
@@ -274,6 +277,13 @@
             waiter.failed()
 
 
+def _is_suitable(
+    connection: http_client.ClientConnection, min_idle_since_s: float, waiter: _Waiter
+) -> bool:
+    is_recent = connection.idle_since_s >= min_idle_since_s
+    return is_recent and connection.is_idle and waiter.accepts(connection)
+
+
 def _leave_in_pool(connection: http_client.ClientConnection) -> None:
     """Send no request, so that a connection opened in advance returns to the pool."""
 
--- a/src/anvillug/connection/http_server.py
+++ b/src/anvillug/connection/http_server.py
@@ -111,6 +111,7 @@
         self._sending_responses = False
         self._reading_paused_by: response_slot.ResponseSlot | None = None
         self._writes_paused = False
+        self._reads_paused = False
         self._is_new = True
         self._begun_count = 0
         self._reads_body = False
@@ -470,7 +471,7 @@
             return
         self._pending.add(step)
         if not (self._pending.is_empty or self._pending.holds_all):
-            self.transport.pauseProducing()
+            self._pause_reads()
 
     def _run_pending(self) -> None:
         self._pending.run()
@@ -480,13 +481,18 @@
         if self._disconnected or self._closing or self._input_ended:
             return
         if not self._pending.is_empty or self._reading_paused_by is not None:
-            self.transport.pauseProducing()
+            self._pause_reads()
             if isinstance(self.transport, tcp.Connection):
                 self._paused_watch.begin(self.transport)
-        else:
+        elif self._reads_paused:
+            self._reads_paused = False
             self._paused_watch.end()
             self.transport.resumeProducing()
 
+    def _pause_reads(self) -> None:
+        self._reads_paused = True
+        self.transport.pauseProducing()
+
     def _may_begin(self, head: http_head.RequestHead) -> bool:
         if not self._slots:
             return True
