--- a/src/anvillug/process/host_choice.py
+++ b/src/anvillug/process/host_choice.py
@@ -79,37 +79,27 @@
 
     Without an available host in the sample, it consists of all that are, or else of others.
     """
+    # Drawn one by one as by `rng.sample`, which does the same up to some 270 hosts, since most
+    # selections need a part of the sample. Random order selects equal hosts equally often.
+    rest = list(peers)
     found = False
-    for peer in _drawn(peers, rng):
-        if _is_available(peer, now):
+    for last in range(len(rest) - 1, max(-1, len(rest) - 1 - _SAMPLED_HOSTS), -1):
+        place = rng.randrange(last + 1)
+        peer = rest[place]
+        rest[place] = rest[last]
+        if peer.avoid_until <= now and not peer.is_unresponsive(now):
             found = True
             yield peer
     if not found:
         yield from _last_resorts(rng.sample(peers, len(peers)), now)
 
 
-def _drawn(peers: Sequence[peer_table.Peer], rng: random.Random) -> Iterator[peer_table.Peer]:
-    """Yield some hosts in random order, so that equal ones are selected equally often.
-
-    They are those of `rng.sample` for up to some 270 hosts; most selections need a part of them.
-    """
-    rest = list(peers)
-    for last in range(len(rest) - 1, max(-1, len(rest) - 1 - _SAMPLED_HOSTS), -1):
-        place = rng.randrange(last + 1)
-        yield rest[place]
-        rest[place] = rest[last]
-
-
-def _is_available(peer: peer_table.Peer, now: clock.Milliseconds) -> bool:
-    return peer.avoid_until <= now and not peer.is_unresponsive(now)
-
-
 def _last_resorts(
     peers: Sequence[peer_table.Peer], now: clock.Milliseconds
 ) -> Sequence[peer_table.Peer]:
     """Return available nodes, or else nodes that timed out, or else nodes to be avoided."""
-    available = [peer for peer in peers if _is_available(peer, now)]
-    return available or [peer for peer in peers if peer.avoid_until <= now] or peers
+    usable = [peer for peer in peers if peer.avoid_until <= now]
+    return [peer for peer in usable if not peer.is_unresponsive(now)] or usable or peers
 
 
 def expected_slowness(peer: peer_table.Peer, origin: Origin, now: clock.Milliseconds) -> float:
--- a/src/anvillug/request/job_wire.py
+++ b/src/anvillug/request/job_wire.py
@@ -52,6 +52,10 @@
 # Larger directives are read from the log: serving them to 20 nodes of a zone over a link of
 # 5 Mbit/s would take more than half a second.
 _MAX_DIRECTIVES_BYTES = 16 * 1024
+# Each packer allocates a buffer of 256 KiB. The shared one keeps its buffer, so that it must not
+# grow much.
+_PACKER = msgpack.Packer()
+_MAX_SHARED_BYTES = 64 * 1024
 
 
 class MalformedError(Exception):
@@ -66,7 +70,7 @@
         now: Monotonic time of the sender; the time left until the deadline is sent.
     """
     head = work.head
-    return msgpack.packb(
+    return _pack(
         [
             work.attempt_id,
             work.service,
@@ -83,6 +87,7 @@
             work.origin_zone,
             _time_left(work.objective, now),
         ],
+        work.size,
     )
 
 
@@ -120,7 +125,7 @@
     if result.retry_after_ms:
         # Left out without a value, since nodes of earlier releases reject a further field.
         fields.append(result.retry_after_ms)
-    return msgpack.packb(fields)
+    return _pack(fields, len(result.body))
 
 
 def unpack_result(data: bytes) -> job.Result:
@@ -183,6 +188,10 @@
     return records, position
 
 
+def _pack(fields: Sequence[Any], body_bytes: int) -> bytes:
+    return (_PACKER.pack if body_bytes < _MAX_SHARED_BYTES else msgpack.packb)(fields)
+
+
 def _time_left(objective: clock.Milliseconds, now: clock.Milliseconds) -> float | None:
     return None if math.isinf(objective) else objective - now
 
