--- a/src/anvillug/process/upstream_probe.py
+++ b/src/anvillug/process/upstream_probe.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from typing import Any
 
+from twisted.internet import interfaces
+
 from anvillug import clock
 from anvillug.connection import http_client, http_head, write_batch
 from anvillug.process import mesh_host, upstream, wake_grid
@@ -69,9 +71,10 @@
         serving = backend.state is upstream.UpstreamState.SERVING
         if due_ms <= 0 and serving and policy is not None and self._request is None:
             self._sent_at = now
-            self._request = _HealthRequest(self, policy.health_path, policy.name)
-            self._host.pool().acquire(self._request.connected, self._request.unreachable)
-            self._reactor.callLater(_TIMEOUT_S, self._request.expire)
+            request = _HealthRequest(self, policy.health_path, policy.name)
+            self._request = request
+            request.timer = self._reactor.callLater(_TIMEOUT_S, request.expire)
+            self._host.pool().acquire(request.connected, request.unreachable)
 
     def _due_ms(self, now: clock.Milliseconds) -> float:
         """Return the time until a health check is due; 0 or less if it is."""
@@ -117,6 +120,8 @@
     """One health check; see `http_client.ResponseHandler`."""
 
     def __init__(self, probe: UpstreamProbe, path: bytes, service: str) -> None:
+        self.timer: interfaces.IDelayedCall | None = None
+        """Calls `expire`; cancelled once the health check has ended."""
         self._probe = probe
         self._path = path
         self._service = service
@@ -174,4 +179,6 @@
     def _finish(self, *, unreachable: bool = False) -> None:
         if not self._done:
             self._done = True
+            if self.timer is not None and self.timer.active():
+                self.timer.cancel()
             self._probe.request_ended(unreachable=unreachable)
--- a/tests/test_upstream_probe.py
+++ b/tests/test_upstream_probe.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import types
+from collections.abc import Callable
 
 import pytest
 from twisted.internet import task
@@ -27,8 +28,11 @@
         self._setup = setup
         self.count = 0
 
-    def acquire(self, connected: object, _unreachable: object) -> None:
+    def acquire(self, connected: object, unreachable: Callable[[], None]) -> None:
         self.count += 1
+        if self._setup.is_full:
+            unreachable()
+            return
         self._setup.reactor.callLater(0.003, self._answer, connected.__self__)
 
     def _answer(self, request: upstream_probe._HealthRequest) -> None:
@@ -45,10 +49,14 @@
         self.time = clock.ManualClock(1000)
         self.state = test_upstream.serving(self.time)
         self.answers = True
+        self.is_full = False
         self.pool = _Pool(self)
         self.ages: list[float] = []
         host = types.SimpleNamespace(
-            upstream=self.state, policy=lambda: _POLICY, pool=lambda: self.pool
+            upstream=self.state,
+            policy=lambda: _POLICY,
+            pool=lambda: self.pool,
+            backend_lost=lambda reason: None,
         )
         upstream_probe.UpstreamProbe(
             self.reactor, self.time, host, headers.PlatformDialect(), 60
@@ -91,3 +99,11 @@
     def test_checks_without_a_load_keep_their_distance(self, setup):
         setup.answers = False
         assert setup.advance(1000) <= 20
+
+    def test_check_without_a_connection_ends_at_once(self, setup):
+        setup.is_full = True
+        assert setup.advance(1000) > 5
+
+    def test_ended_checks_leave_no_timer(self, setup):
+        setup.advance(1000)
+        assert len(setup.reactor.getDelayedCalls()) <= 3
