--- a/src/anvillug/connection/http_server.py
+++ b/src/anvillug/connection/http_server.py
@@ -115,6 +115,7 @@
         self._sending_responses = False
         self._reading_paused_by: response_slot.ResponseSlot | None = None
         self._writes_paused = False
+        self._reads_paused = False
         self._is_new = True
         self._begun_count = 0
         self._reads = 0
@@ -460,7 +461,7 @@
         """
         if not (self._closes_after_responses and slot.is_first):
             return False
-        if self._is_newest(slot) and not self._disconnected:
+        if self._is_newest(slot) and not (self._disconnected or self._input_ended):
             if self._reads_in_turn >= _MAX_READS_IN_TURN:
                 return False
             self._read_ahead()
@@ -486,7 +487,7 @@
             return
         self._pending.add(step)
         if not (self._pending.is_empty or self._pending.holds_all):
-            self.transport.pauseProducing()
+            self._pause_reads()
 
     def _run_pending(self) -> None:
         self._pending.run()
@@ -496,13 +497,18 @@
         if self._disconnected or self._closing or self._input_ended:
             return
         if not self._pending.is_empty or self._reading_paused_by is not None:
-            self.transport.pauseProducing()
+            self._pause_reads()
             if isinstance(self.transport, tcp.Connection):
                 self._paused_watch.begin(self.transport)
-        else:
+        elif self._reads_paused:
+            self._reads_paused = False
             self._paused_watch.end()
             self.transport.resumeProducing()
 
+    def _pause_reads(self) -> None:
+        self._reads_paused = True
+        self.transport.pauseProducing()
+
     def _may_begin(self, head: http_head.RequestHead) -> bool:
         if not self._slots:
             return True
