--- a/src/anvillug/process/mesh_node.py
+++ b/src/anvillug/process/mesh_node.py
@@ -199,7 +199,6 @@
             self.host,
             header_dialect,
             settings.bounds.probes_per_second,
-            grid.delay_s,
         )
         self._records = member_records.MemberRecords(
             reactor,
--- a/src/anvillug/process/upstream_probe.py
+++ b/src/anvillug/process/upstream_probe.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from typing import Any
 
 from twisted.internet import interfaces
 
 from anvillug import clock
 from anvillug.connection import http_client, http_head, write_batch
-from anvillug.process import mesh_host, upstream, wake_grid
+from anvillug.process import mesh_host, upstream
 from anvillug.request import dialect
 
 _MIN_INTERVAL_MS = 50.0
@@ -35,7 +34,6 @@
         host: Host side of the node; provides the connections.
         header_dialect: Reads the headers of the backend server.
         max_per_second: Maximum number of health checks per second.
-        delay_s: Returns the delay of the next check of the age; see `wake_grid.WakeGrid`.
     """
 
     def __init__(
@@ -45,13 +43,11 @@
         host: mesh_host.MeshHost,
         header_dialect: dialect.Dialect,
         max_per_second: float,
-        delay_s: Callable[[float], float] = wake_grid.unaligned,
     ) -> None:
         self._reactor = reactor
         self._clock = time
         self._host = host
         self._dialect = header_dialect
-        self._delay_s = delay_s
         self._interval_ms = max(_MIN_INTERVAL_MS, 2 * _MS_PER_SECOND / max(1.0, max_per_second))
         self._request: _HealthRequest | None = None
         self._reports_load = True
@@ -59,13 +55,13 @@
 
     def start(self) -> None:
         """Send health checks until the process ends."""
-        self._reactor.callLater(self._delay_s(self._interval_ms), self._tick)
+        self._reactor.callLater(clock.to_seconds(self._interval_ms), self._tick)
 
     def _tick(self) -> None:
         now = self._clock.now()
         due_ms = self._due_ms(now)
         # First, so that a failure does not end the task.
-        self._reactor.callLater(self._delay_s(self._pause_ms(due_ms)), self._tick)
+        self._reactor.callLater(clock.to_seconds(self._pause_ms(due_ms)), self._tick)
         backend = self._host.upstream
         policy = self._host.policy()
         serving = backend.state is upstream.UpstreamState.SERVING
