--- a/src/anvillug/process/zone_choice.py
+++ b/src/anvillug/process/zone_choice.py
@@ -190,7 +190,8 @@
         usual_ms = self._uses_by_route.get(work.route, _UNKNOWN_USE).work_ms
         work_ms = left_ms * _DEFAULT_WORK_SHARE if usual_ms is None else usual_ms
         local_ms = work_ms * host_choice.local_slowness(local, now) / _NORMAL_SLOWNESS
-        if local_ms <= left_ms * _COMFORT_SHARE:
+        # On a busy host a slow run also delays those behind it.
+        if local_ms <= left_ms * _COMFORT_SHARE and _is_calm(local):
             return local
         remote = _best(others, now)
         remote_ms = work_ms * host_choice.local_slowness(remote, now) / _NORMAL_SLOWNESS
@@ -224,6 +225,11 @@
         )
 
 
+def _is_calm(host: peer_table.Peer) -> bool:
+    load = host.load
+    return load is None or host_choice.busy(host, load) <= load.slots * _MAX_CALM_UTILIZATION
+
+
 def _left_ms(work: job.Job, now: clock.Milliseconds) -> float:
     return max(0.0, min(work.objective, work.deadline) - now)
 
--- a/tests/test_zone_choice.py
+++ b/tests/test_zone_choice.py
@@ -68,6 +68,13 @@
         peers = _peers('z', 3, slowness=700) + _peers('y', 20, slowness=100)
         assert set(_Callers().zones(peers)) == {'y'}
 
+    def test_requests_leave_the_slower_hosts_of_a_busy_zone(self):
+        # Slow runs hold the slots that the requests behind them wait for.
+        peers = _peers('z', 5, slowness=130, running=7) + _peers('y', 20, slowness=100)
+        assert set(_Callers().zones(peers, times=1)) == {'y'}
+        calm = _peers('z', 5, slowness=130, running=2) + _peers('y', 20, slowness=100)
+        assert set(_Callers().zones(calm)) == {'z'}
+
     def test_large_request_stays_if_crossing_takes_longer(self):
         peers = _peers('z', 3, slowness=300) + _peers('y', 20, slowness=100)
         assert set(_Callers().zones(peers, times=1)) == {'y'}
