Requests to nodes limit their time themselves

Cause: the word of the log and the counts of usage repeated the timer, its cancellation and the report 'no response' that the fetch of directives already had. Change: PeerRequest.limit_time does it for the three of them.

--- a/src/anvillug/process/directive_fetch.py
+++ b/src/anvillug/process/directive_fetch.py
@@ -35,7 +35,6 @@
         self._active_directives = active_directives
         self._on_too_large = on_too_large
         self._request: remote_run.PeerRequest | None = None
-        self._timer: interfaces.IDelayedCall | None = None
 
     def start(self, pool: http_pool.Pool) -> None:
         """Start a fetch, unless one is in progress.
@@ -47,11 +46,11 @@
             return
         head = http_head.RequestHead(b'GET', job_wire.DIRECTIVES_PATH, [(b'Host', b'node')])
         self._request = remote_run.PeerRequest(head, b'', self._response_received, self._failed)
-        self._timer = self._reactor.callLater(_TIMEOUT_S, self._timed_out)
+        self._request.limit_time(self._reactor, _TIMEOUT_S)
         self._request.begin(pool)
 
     def _response_received(self, body: bytes) -> None:
-        self._finish()
+        self._request = None
         try:
             records, position = job_wire.unpack_directives(body)
         except job_wire.MalformedError as error:
@@ -64,16 +63,5 @@
             event_log.emit('directives_from_peer', position=position)
 
     def _failed(self, reason: str, sent: bool) -> None:
-        self._finish()
-        event_log.warn('directives_not_fetched', reason=reason, sent=sent)
-
-    def _timed_out(self) -> None:
-        request = self._request
-        if request is not None:
-            request.cancel()
-            self._failed('no response', sent=True)
-
-    def _finish(self) -> None:
         self._request = None
-        if self._timer is not None and self._timer.active():
-            self._timer.cancel()
+        event_log.warn('directives_not_fetched', reason=reason, sent=sent)
--- a/src/anvillug/process/usage_exchange.py
+++ b/src/anvillug/process/usage_exchange.py
@@ -193,22 +193,16 @@
         headers = [(b'Host', b'node'), (b'Content-Length', b'%d' % len(body))]
         head = http_head.RequestHead(b'POST', usage_wire.PATH, headers)
 
-        def finish() -> None:
+        def sent(_response: bytes) -> None:
             self._message = None
-            if timer.active():
-                timer.cancel()
 
         def failed(reason: str, _sent: bool) -> None:
-            finish()
+            self._message = None
             self._local.mark_changed(counts)
             event_log.warn('usage_counts_not_sent', address=address, reason=reason)
 
-        def timed_out() -> None:
-            message.cancel()
-            failed('no response', True)
-
-        message = remote_run.PeerRequest(head, body, lambda _: finish(), failed)
-        timer = self._reactor.callLater(_TIMEOUT_S, timed_out)
+        message = remote_run.PeerRequest(head, body, sent, failed)
+        message.limit_time(self._reactor, _TIMEOUT_S)
         self._message = message
         message.begin(self._find_pool(address))
 
--- a/src/anvillug/process/word_task.py
+++ b/src/anvillug/process/word_task.py
@@ -6,8 +6,6 @@
 from collections.abc import Callable
 from typing import Any
 
-from twisted.internet import interfaces
-
 from anvillug import clock, event_log, ids
 from anvillug.connection import http_head, http_pool
 from anvillug.process import peer_table, sound_word
@@ -52,7 +50,6 @@
         self._pool = pool
         self._rng = rng
         self._request: remote_run.PeerRequest | None = None
-        self._timer: interfaces.IDelayedCall | None = None
         self._sent_at = clock.Milliseconds(0)
         self._pause_ms = 0.0
         self._was_useless = False
@@ -86,7 +83,7 @@
         head = http_head.RequestHead(b'GET', sound_word.PATH, [(b'Host', b'node')])
         self._sent_at = self._word.now()
         self._request = remote_run.PeerRequest(head, b'', self._answered, self._failed)
-        self._timer = self._reactor.callLater(clock.to_seconds(_TIMEOUT_MS), self._timed_out)
+        self._request.limit_time(self._reactor, clock.to_seconds(_TIMEOUT_MS))
         self._request.begin(self._pool(peer.announcement.peer_address))
 
     def _answered(self, body: bytes) -> None:
@@ -101,16 +98,8 @@
         event_log.warn('word_not_received', reason=reason, sent=sent)
         self._finish(is_useless=True)
 
-    def _timed_out(self) -> None:
-        request = self._request
-        if request is not None:
-            request.cancel()
-            self._failed('no response', sent=True)
-
     def _finish(self, *, is_useless: bool) -> None:
         self._request = None
-        if self._timer is not None and self._timer.active():
-            self._timer.cancel()
         self._was_useless = is_useless and not self._was_useless
         longer_ms = max(_STEP_MS, self._pause_ms * _PAUSE_FACTOR)
         self._pause_ms = min(_MAX_PAUSE_MS, longer_ms) if is_useless else 0.0
--- a/src/anvillug/request/remote_run.py
+++ b/src/anvillug/request/remote_run.py
@@ -48,9 +48,19 @@
         self._pool: http_pool.Pool | None = None
         self._connection: http_client.ClientConnection | None = None
         self._ended = False
+        self._timer: interfaces.IDelayedCall | None = None
         self.response: http_head.ResponseHead | None = None
         """Head of the response; None until it has arrived."""
 
+    def limit_time(self, reactor: interfaces.IReactorTime, timeout_s: float) -> None:
+        """Cancel the request after a time and report that there is no response.
+
+        Args:
+            reactor: Timers.
+            timeout_s: Time from now in seconds.
+        """
+        self._timer = reactor.callLater(timeout_s, self._timed_out)
+
     def begin(self, pool: http_pool.Pool, previous: PeerRequest | None = None) -> None:
         """Get a connection and send the request.
 
@@ -73,8 +83,7 @@
         """
         if self._ended:
             return
-        self._ended = True
-        self._body = b''
+        self._end()
         if self._connection is not None:
             self._connection.cancel()
             if self.response is None:
@@ -100,7 +109,7 @@
         if self.response.status != _STATUS_OK:
             self._fail(f'status {self.response.status}')
             return
-        self._ended = True
+        self._end()
         response = b''.join(self._chunks)
         self._chunks.clear()
         self._on_response(response)
@@ -128,10 +137,19 @@
 
     def _fail(self, reason: str) -> None:
         if not self._ended:
-            self._ended = True
-            self._body = b''
+            self._end()
             self._on_failure(reason, self._connection is not None)
 
+    def _timed_out(self) -> None:
+        self.cancel()
+        self._on_failure('no response', True)
+
+    def _end(self) -> None:
+        self._ended = True
+        self._body = b''
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+
 
 class RemoteRun:
     """One job that is sent to another node.
