Choice of a host: one split of the sample by zone

Cause: the choice that weighs zones repeated the loop by which the fixed preference takes hosts of the own zone and of others from a sample. Change: host_choice.sample_by_zone serves both; the draws are the same. Result: tests of both choices pass as before.

--- a/src/anvillug/process/host_choice.py
+++ b/src/anvillug/process/host_choice.py
@@ -60,15 +60,38 @@
         now: Monotonic time.
         rng: Random number generator.
     """
+    counts = (_COMPARED_LOCAL_HOSTS, _COMPARED_REMOTE_HOSTS)
+    local, remote = sample_by_zone(peers, origin.zone, counts, now, rng)
+    compared = local[: max(_COMPARED_LOCAL_HOSTS, _COMPARED_HOSTS - len(remote))]
+    compared += remote[: _COMPARED_HOSTS - len(compared)]
+    return min(compared, key=lambda host: expected_slowness(host, origin, now), default=None)
+
+
+def sample_by_zone(
+    peers: Sequence[peer_table.Peer],
+    zone: ids.ZoneName,
+    counts: tuple[int, int],
+    now: clock.Milliseconds,
+    rng: random.Random,
+) -> tuple[list[peer_table.Peer], list[peer_table.Peer]]:
+    """Return hosts of a zone and hosts of others from a sample of the available ones.
+
+    Args:
+        peers: Hosts that may be selected.
+        zone: The zone.
+        counts: How many of the zone and of others are enough, so that the sample ends; one of them
+            may be more, and both less if there are too few.
+        now: Monotonic time.
+        rng: Random number generator.
+    """
+    enough_local, enough_remote = counts
     local: list[peer_table.Peer] = []
     remote: list[peer_table.Peer] = []
     for peer in sample(peers, now, rng):
-        (local if peer.announcement.zone == origin.zone else remote).append(peer)
-        if len(local) >= _COMPARED_LOCAL_HOSTS and len(remote) >= _COMPARED_REMOTE_HOSTS:
+        (local if peer.announcement.zone == zone else remote).append(peer)
+        if len(local) >= enough_local and len(remote) >= enough_remote:
             break
-    compared = local[: max(_COMPARED_LOCAL_HOSTS, _COMPARED_HOSTS - len(remote))]
-    compared += remote[: _COMPARED_HOSTS - len(compared)]
-    return min(compared, key=lambda host: expected_slowness(host, origin, now), default=None)
+    return local, remote
 
 
 def sample(
--- a/src/anvillug/process/zone_choice.py
+++ b/src/anvillug/process/zone_choice.py
@@ -159,12 +159,8 @@
         if share.share and rng.random() < self._own_share(work, share):
             leaving = _of_drawn_zone(share, peers, rng)
             peers = leaving or peers
-        local: list[peer_table.Peer] = []
-        remote: list[peer_table.Peer] = []
-        for peer in host_choice.sample(peers, now, rng):
-            (local if peer.announcement.zone == self._zone else remote).append(peer)
-            if len(local) >= _COMPARED_LOCAL_HOSTS and len(remote) >= _COMPARED_REMOTE_HOSTS:
-                break
+        counts = (_COMPARED_LOCAL_HOSTS, _COMPARED_REMOTE_HOSTS)
+        local, remote = host_choice.sample_by_zone(peers, self._zone, counts, now, rng)
         compared = remote[: _COMPARED_REMOTE_HOSTS if local else _COMPARED_LOCAL_HOSTS]
         if not local:
             return _best(compared, now)
