Normal slowness: one constant

Cause: the zones' modules defined the slowness of a normal speed again, which two modules had. Change: dialect.NORMAL_SLOWNESS, beside the reported slowness.

--- a/src/anvillug/process/fault_share.py
+++ b/src/anvillug/process/fault_share.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from anvillug import clock, ids
+from anvillug.request import dialect
 
 # Counted runs lose half of their weight in this time, so that a host is used again within seconds.
 _HALF_LIFE_MS = 1000.0
@@ -22,8 +23,6 @@
 _RUN_WEIGHT = 0.003
 # Upper limit of the time with which a run enters the baseline, as a multiple of the baseline.
 _MAX_RUN_FACTOR = 2.0
-# Slowness that a backend server reports at its normal speed.
-_NORMAL_SLOWNESS = 100.0
 
 
 class FaultShare:
@@ -52,7 +51,7 @@
             now: Monotonic time.
         """
         baseline = self._baselines_by_route.setdefault(route, _Baseline())
-        scaled_ms = took_ms * _NORMAL_SLOWNESS / max(_NORMAL_SLOWNESS, slowness)
+        scaled_ms = took_ms * dialect.NORMAL_SLOWNESS / max(dialect.NORMAL_SLOWNESS, slowness)
         self._count(now, faulty=baseline.is_exceeded_by(scaled_ms))
         baseline.add(scaled_ms)
 
--- a/src/anvillug/process/mesh_host.py
+++ b/src/anvillug/process/mesh_host.py
@@ -30,7 +30,6 @@
 SLOWNESS_LIMIT = 180.0
 """Slowness above which a host rejects jobs, so that a faster host runs them; 100 is normal."""
 
-_NORMAL_SLOWNESS = 100.0
 # A load that was reported longer ago than this is stale.
 _MAX_LOAD_AGE_MS = 120.0
 # Requests that may wait in the backend server while all slots are busy, as a share of the slots.
@@ -279,8 +278,10 @@
         """Return the usual time of a run at the current slowness, 0 if the route had none."""
         load = self.upstream.load
         is_fresh = load is not None and self.upstream.load_age_ms < _MAX_LOAD_AGE_MS
-        slowness = max(_NORMAL_SLOWNESS, load.slowness) if is_fresh else _NORMAL_SLOWNESS
-        return self._faults.baseline_ms(work.route) * slowness / _NORMAL_SLOWNESS
+        slowness = (
+            max(dialect.NORMAL_SLOWNESS, load.slowness) if is_fresh else dialect.NORMAL_SLOWNESS
+        )
+        return self._faults.baseline_ms(work.route) * slowness / dialect.NORMAL_SLOWNESS
 
     def _reject(
         self, reason: str, on_result: upstream_run.ResultReady, wait_ms: float = 0.0
@@ -347,7 +348,7 @@
         """
         if not work.must_accept:
             return 'slow'
-        expected_ms = self._faults.baseline_ms(work.route) * slowness / _NORMAL_SLOWNESS
+        expected_ms = self._faults.baseline_ms(work.route) * slowness / dialect.NORMAL_SLOWNESS
         if expected_ms > work.deadline - self._clock.now():
             return 'too slow'
         return ''
--- a/src/anvillug/process/zone_choice.py
+++ b/src/anvillug/process/zone_choice.py
@@ -14,14 +14,13 @@
 
 from anvillug import clock, event_log, ids
 from anvillug.process import host_choice, metrics, peer_table, zone_rooms, zone_share
-from anvillug.request import job
+from anvillug.request import dialect, job
 
 _COMPARED_LOCAL_HOSTS = 5
 _COMPARED_REMOTE_HOSTS = 2
 # A request that is expected to take less than this share of the time left to its objective gains
 # nothing that its caller would notice by leaving the zone.
 _COMFORT_SHARE = 0.6
-_NORMAL_SLOWNESS = 100.0
 # Above this utilization, a response may have waited for a slot.
 _MAX_CALM_UTILIZATION = 0.75
 # Weight of the newest value in the usual work time and size of a route.
@@ -92,7 +91,7 @@
         if load.running + load.waiting > load.slots * _MAX_CALM_UTILIZATION:
             # The response has waited, which is no part of its work.
             return
-        work_ms = took_ms * _NORMAL_SLOWNESS / max(_NORMAL_SLOWNESS, load.slowness)
+        work_ms = took_ms * dialect.NORMAL_SLOWNESS / max(dialect.NORMAL_SLOWNESS, load.slowness)
         size_kb = _HEADS_KB + (work.size + len(result.body)) / _BYTES_PER_KB
         self._uses_by_route.setdefault(work.route, _Use()).record(work_ms, size_kb)
         self._uses_by_service.setdefault(work.service, _Use()).record(work_ms, size_kb)
@@ -185,12 +184,12 @@
         left_ms = _left_ms(work, now)
         usual_ms = self._uses_by_route.get(work.route, _UNKNOWN_USE).work_ms
         work_ms = left_ms * _DEFAULT_WORK_SHARE if usual_ms is None else usual_ms
-        local_ms = work_ms * host_choice.local_slowness(local, now) / _NORMAL_SLOWNESS
+        local_ms = work_ms * host_choice.local_slowness(local, now) / dialect.NORMAL_SLOWNESS
         # On a busy host a slow run also delays those behind it.
         if local_ms <= left_ms * _COMFORT_SHARE and _is_calm(local):
             return local
         remote = _best(others, now)
-        remote_ms = work_ms * host_choice.local_slowness(remote, now) / _NORMAL_SLOWNESS
+        remote_ms = work_ms * host_choice.local_slowness(remote, now) / dialect.NORMAL_SLOWNESS
         return remote if remote_ms + self._cost_ms(work) < local_ms else local
 
     def _own_share(self, work: job.Job, share: zone_share.ZoneShare) -> float:
--- a/src/anvillug/process/zone_rooms.py
+++ b/src/anvillug/process/zone_rooms.py
@@ -7,8 +7,7 @@
 
 from anvillug import clock, ids, median
 from anvillug.process import host_choice, peer_table, zone_share
-
-_NORMAL_SLOWNESS = 100.0
+from anvillug.request import dialect
 
 
 def by_zone(
@@ -59,6 +58,6 @@
     return zone_share.ZoneRoom(
         slots=round(scale * slots),
         busy=scale * busy,
-        work_ms=work_ms * typical_slowness / _NORMAL_SLOWNESS,
+        work_ms=work_ms * typical_slowness / dialect.NORMAL_SLOWNESS,
         age_ms=median.of(ages_ms),
     )
--- a/src/anvillug/request/dialect.py
+++ b/src/anvillug/request/dialect.py
@@ -31,6 +31,10 @@
     """The response belongs to another call."""
 
 
+NORMAL_SLOWNESS = 100.0
+"""Slowness that a backend server reports at its normal speed."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReportedLoad:
     """Load that a backend server reports with a response."""
