Beacons: the repeats know when they were checked and sent

Cause: the time of the last check and of the last whole beacon were kept beside the repeats, and each caller had to set them after asking; a near beacon built its announcement twice. Change: _Repeats keeps both times. The docstring of _introduce says whom it is for now; the constant of the common times stands with the others. Result: tests of beacons, damaged messages, periodic tasks and the path pass as before.

--- a/src/anvillug/process/beacon.py
+++ b/src/anvillug/process/beacon.py
@@ -137,12 +137,12 @@
         self._load_sent_at = _NEVER
         self._near_sent_at = _NEVER
         self._far_sent_at = _NEVER
-        self._zone_repeats = _Repeats(_UNCHANGED_INTERVAL_MS, _REPEATS)
+        # Beacons to the own zone and to far nodes are sent at the interval of their checks.
+        self._zone_repeats = _Repeats(0, _UNCHANGED_INTERVAL_MS, _REPEATS)
         self._other_zones_repeats = _Repeats(
-            _OTHER_ZONES_UNCHANGED_INTERVAL_MS, _OTHER_ZONES_REPEATS
+            _OTHER_ZONES_INTERVAL_MS, _OTHER_ZONES_UNCHANGED_INTERVAL_MS, _OTHER_ZONES_REPEATS
         )
-        self._far_repeats = _Repeats(_OTHER_ZONES_UNCHANGED_INTERVAL_MS, _OTHER_ZONES_REPEATS)
-        self._other_zones_checked_at = _NEVER
+        self._far_repeats = _Repeats(0, _OTHER_ZONES_UNCHANGED_INTERVAL_MS, _OTHER_ZONES_REPEATS)
         # Updated for each full beacon, and reused for the load beacons between them.
         self._targets = peer_table.BeaconTargets([], [], [])
 
@@ -167,9 +167,8 @@
         """Send a full beacon at once to the nodes that choose this one by its load."""
         self._update_targets()
         announcement = self._next_near_announcement()
-        self._zone_repeats.sent_at = self._near_sent_at
-        self._other_zones_repeats.sent_at = self._near_sent_at
-        self._other_zones_checked_at = self._near_sent_at
+        self._zone_repeats.sent(self._near_sent_at)
+        self._other_zones_repeats.sent(self._near_sent_at)
         self._send(encode(announcement, self._extra_state()), self._targets.near)
 
     def send_far(self) -> None:
@@ -177,7 +176,7 @@
         self._update_targets()
         now = self._clock.now()
         self._far_sent_at = now
-        self._far_repeats.sent_at = now
+        self._far_repeats.sent(now)
         if self._targets.far:
             extra_state = self._extra_state()
             announcement = self._next_announcement(_FAR_INTERVAL_MS)
@@ -242,19 +241,15 @@
     def _repeat_near(self, now: clock.Milliseconds) -> None:
         """Send full beacons to the near nodes that may lack a part of the state, else the load."""
         self._update_targets()
-        state = self._lasting()
         announcement = self._next_near_announcement()
+        state = self._lasting(announcement)
         near = self._targets.near
         with_full: set[str] = set()
         if self._zone_repeats.is_due(state, now):
-            self._zone_repeats.sent_at = now
             with_full.update(near)
             with_full.difference_update(self._targets.other_zones)
-        if now - self._other_zones_checked_at >= _OTHER_ZONES_INTERVAL_MS:
-            self._other_zones_checked_at = now
-            if self._other_zones_repeats.is_due(state, now):
-                self._other_zones_repeats.sent_at = now
-                with_full.update(self._targets.other_zones)
+        if self._other_zones_repeats.is_due(state, now):
+            with_full.update(self._targets.other_zones)
         if with_full:
             full = encode(announcement, self._extra_state())
             self._send(full, [address for address in near if address in with_full])
@@ -263,7 +258,8 @@
 
     def _repeat_far(self, now: clock.Milliseconds, need: Need) -> None:
         """Send far nodes a full beacon if they may lack a part of the state, else a short one."""
-        if self._far_repeats.is_due(self._lasting(), now) or need is not Need.NONE:
+        state = self._lasting(self._local_announcement())
+        if self._far_repeats.is_due(state, now) or need is not Need.NONE:
             self.send_far()
         else:
             self._update_targets()
@@ -271,9 +267,9 @@
             # The load tells far nodes how much room the zone has for work of theirs.
             self._send(encode_load(self._next_announcement()), self._targets.far)
 
-    def _lasting(self) -> Any:
-        announcement = self._local_announcement()
-        lasting = dataclasses.replace(announcement, sequence=0, load=None, load_age_ms=0)
+    def _lasting(self, announcement: peer_table.Announcement) -> Any:
+        """Return what other nodes have to learn when it changes."""
+        lasting = dataclasses.replace(announcement, sequence=0, load=None, load_age_ms=0, pace_ms=0)
         return lasting, self._lasting_state()
 
     def _next_near_announcement(self) -> peer_table.Announcement:
@@ -287,7 +283,7 @@
         return announcement
 
     def _introduce(self, address: str, reply: ExtraState) -> None:
-        """Send a full beacon to a process that has just been heard for the first time.
+        """Send a full beacon to one process, such as one that is heard for the first time.
 
         Args:
             address: Address for its beacons.
@@ -336,27 +332,39 @@
     """Tells when some receivers may lack a part of the state.
 
     Args:
+        interval_ms: Shortest interval of checks in milliseconds.
         unchanged_interval_ms: Interval in milliseconds after which they may, without a change.
         repeats: Number of times that they may after a change.
     """
 
-    def __init__(self, unchanged_interval_ms: float, repeats: int) -> None:
-        self.sent_at = _NEVER
-        """When they were last sent the whole state."""
+    def __init__(self, interval_ms: float, unchanged_interval_ms: float, repeats: int) -> None:
+        self._interval_ms = interval_ms
         self._unchanged_interval_ms = unchanged_interval_ms
         self._repeats = repeats
         self._state: Any = None
         self._left = 0
+        self._checked_at = _NEVER
+        self._sent_at = _NEVER
+
+    def sent(self, now: clock.Milliseconds) -> None:
+        """Record that they are sent the whole state."""
+        self._checked_at = now
+        self._sent_at = now
 
     def is_due(self, state: Any, now: clock.Milliseconds) -> bool:
-        """Return whether to send the whole state now; called once for each beacon to them."""
+        """Return whether they are to be sent the whole state now, which counts as sent then."""
+        if now - self._checked_at < self._interval_ms:
+            return False
+        self._checked_at = now
         if state != self._state:
             self._state = state
             self._left = self._repeats
         if self._left:
             self._left -= 1
-            return True
-        return now - self.sent_at >= self._unchanged_interval_ms
+        elif now - self._sent_at < self._unchanged_interval_ms:
+            return False
+        self._sent_at = now
+        return True
 
 
 def _differs_enough(load: dialect.ReportedLoad | None, sent: dialect.ReportedLoad | None) -> bool:
--- a/src/anvillug/process/wake_grid.py
+++ b/src/anvillug/process/wake_grid.py
@@ -12,6 +12,9 @@
 
 INTERVAL_MS = 25.0
 """Distance of the times in milliseconds."""
+# A timer may fire by this share of the distance early; its next time is not the one that it has
+# fired for.
+_EARLY_SHARE = 0.1
 
 
 class WakeGrid:
@@ -33,14 +36,10 @@
             min_ms: The delay in milliseconds; the result is at most an interval longer.
         """
         now = self._clock.now() - self._phase_ms
-        # A timer may fire slightly early; its next time is not the one that it has fired for.
         earliest = (now + min_ms) / INTERVAL_MS - _EARLY_SHARE
         return clock.to_seconds(math.ceil(earliest) * INTERVAL_MS - now)
 
 
-_EARLY_SHARE = 0.1
-
-
 def unaligned(min_ms: float) -> float:
     """Return a delay in seconds as it is; for tasks without a grid."""
     return clock.to_seconds(min_ms)
