Tests of unruly clients: what the crowds send is built in one place

Cause: the tests of the two nodes each built short lines and endless input. Change: unruly_crowd.short_lines and endless; crowds, bounds and the bytes sent are the same.

--- a/tests/test_unruly_clients.py
+++ b/tests/test_unruly_clients.py
@@ -15,7 +15,6 @@
 
 _IP = '127.0.0.13'
 _PORT_COUNT = 7
-_MAX_HEADER_BYTES = 16384
 _MAX_BODY_BYTES = 1 << 20
 _RESPONSE_BYTES = 1 << 22
 _START = b'GET /get/x HTTP/1.1\r\nHost: a.example\r\n'
@@ -43,7 +42,7 @@
         'Version': '00000005',
         'Services': [service],
         'Limits': {
-            'MaxHeaderBytes': _MAX_HEADER_BYTES,
+            'MaxHeaderBytes': unruly_crowd.MAX_HEADER_BYTES,
             'MaxBodyBytes': _MAX_BODY_BYTES,
             'HeaderTimeoutMs': 3000,
             'IdleTimeoutMs': 15000,
@@ -130,18 +129,17 @@
     """Guards against clients that end a node, or keep it from answering others."""
 
     def test_many_short_header_lines(self, node):
-        unruly_crowd.check_survives(node, _START + _short_lines() + _BODY_WITHHELD)
+        unruly_crowd.check_survives(node, unruly_crowd.short_lines(_START, _BODY_WITHHELD))
 
     def test_heads_without_end(self, node):
-        line = b'a:\r\n'
-        unruly_crowd.check_survives(node, _START + line * (unruly_crowd.ENDLESS_BYTES // len(line)))
+        unruly_crowd.check_survives(node, _START + unruly_crowd.endless(b'a:\r\n'))
 
     def test_heads_just_below_the_limit_without_end(self, node):
         # 65,536 bytes were the limit of a head, whatever the configuration said.
         unruly_crowd.check_survives(node, _START + b'a:\r\n' * 16_000)
 
     def test_empty_lines_without_end(self, node):
-        unruly_crowd.check_survives(node, b'\r\n' * (unruly_crowd.ENDLESS_BYTES // 2))
+        unruly_crowd.check_survives(node, unruly_crowd.endless(b'\r\n'))
 
     def test_slow_heads(self, node):
         unruly_crowd.check_survives(node, _START)
@@ -157,10 +155,8 @@
 
     def test_requests_sent_ahead_without_end(self, node):
         node.backend.faults.padding_bytes = _RESPONSE_BYTES // 16
-        request = _request()
-        unruly_crowd.check_survives(
-            node, request * (unruly_crowd.ENDLESS_BYTES // len(request)), unruly_crowd.SIZE // 4
-        )
+        requests = unruly_crowd.endless(_request())
+        unruly_crowd.check_survives(node, requests, unruly_crowd.SIZE // 4)
 
     def test_descriptors_used_up(self, node):
         unruly_crowd.check_survives(node, b'', 2 * unruly_crowd.MAX_FDS)
@@ -175,12 +171,5 @@
         unruly_crowd.check_survives_bursts(node)
 
 
-def _short_lines() -> bytes:
-    """Return as many odd header lines as a head within the limits can hold."""
-    size = _MAX_HEADER_BYTES - len(_START) - len(_BODY_WITHHELD)
-    lines = b''.join(b'%x:\r\n' % number for number in range(4096))
-    return lines[: lines.rindex(b'\n', 0, size) + 1]
-
-
 def _request() -> bytes:
     return b'%b%b\r\n' % (_START, _ATTRIBUTES)
--- a/tests/test_unruly_clients_node.py
+++ b/tests/test_unruly_clients_node.py
@@ -13,9 +13,8 @@
 from tests import reactor_thread, unruly_crowd
 
 _SERVICE = 'drawbook'
-_MAX_HEADER_BYTES = 16384
 _LIMITS = {
-    'max_header_bytes': _MAX_HEADER_BYTES,
+    'max_header_bytes': unruly_crowd.MAX_HEADER_BYTES,
     'client_memory_bytes': 16 << 20,
     'caller_connections': 32,
 }
@@ -91,14 +90,13 @@
     """Guards against clients that end a product node, or keep it from answering others."""
 
     def test_many_short_header_lines(self, node):
-        unruly_crowd.check_survives(node, _START + _short_lines() + _BODY_WITHHELD)
+        unruly_crowd.check_survives(node, unruly_crowd.short_lines(_START, _BODY_WITHHELD))
 
     def test_heads_without_end(self, node):
-        line = b'a:\r\n'
-        unruly_crowd.check_survives(node, _START + line * (unruly_crowd.ENDLESS_BYTES // len(line)))
+        unruly_crowd.check_survives(node, _START + unruly_crowd.endless(b'a:\r\n'))
 
     def test_empty_lines_without_end(self, node):
-        unruly_crowd.check_survives(node, b'\r\n' * (unruly_crowd.ENDLESS_BYTES // 2))
+        unruly_crowd.check_survives(node, unruly_crowd.endless(b'\r\n'))
 
     def test_slow_heads(self, node):
         unruly_crowd.check_survives(node, _START, 2 * unruly_crowd.MAX_FDS)
@@ -108,8 +106,7 @@
         unruly_crowd.check_survives(node, head + bytes(_SMALL_BODY_BYTES - 1))
 
     def test_slow_uploads_in_small_chunks(self, node):
-        chunk = b'1\r\na\r\n'
-        chunks = chunk * (unruly_crowd.ENDLESS_BYTES // len(chunk))
+        chunks = unruly_crowd.endless(b'1\r\na\r\n')
         head = b'%b%bTransfer-Encoding: chunked\r\n\r\n' % (_START, _DEADLINE)
         unruly_crowd.check_survives(node, head + chunks)
 
@@ -118,10 +115,8 @@
         unruly_crowd.check_survives(node, _request(_RESPONSE_BYTES), read_bytes=1)
 
     def test_requests_sent_ahead_without_end(self, node):
-        request = _request(_RESPONSE_BYTES // 16)
-        unruly_crowd.check_survives(
-            node, request * (unruly_crowd.ENDLESS_BYTES // len(request)), unruly_crowd.SIZE // 4
-        )
+        requests = unruly_crowd.endless(_request(_RESPONSE_BYTES // 16))
+        unruly_crowd.check_survives(node, requests, unruly_crowd.SIZE // 4)
 
     def test_descriptors_used_up(self, node):
         unruly_crowd.check_survives(node, b'', 2 * unruly_crowd.MAX_FDS)
@@ -134,13 +129,6 @@
         unruly_crowd.check_survives_bursts(node)
 
 
-def _short_lines() -> bytes:
-    """Return as many odd header lines as a head within the limits can hold."""
-    size = _MAX_HEADER_BYTES - len(_START) - len(_BODY_WITHHELD)
-    lines = b''.join(b'%x:\r\n' % number for number in range(4096))
-    return lines[: lines.rindex(b'\n', 0, size) + 1]
-
-
 def _request(response_bytes: int) -> bytes:
     target = b'/x?bytes=%d' % response_bytes
     return b'GET %b HTTP/1.1\r\nHost: drawbook\r\n%b\r\n' % (target, _DEADLINE)
--- a/tests/unruly_crowd.py
+++ b/tests/unruly_crowd.py
@@ -23,8 +23,9 @@
 is more."""
 MAX_FDS = 192
 """Descriptors that the node may open."""
-ENDLESS_BYTES = 1 << 18
-"""Bytes that one client sends if it never ends a head, or never pauses between requests."""
+MAX_HEADER_BYTES = 16384
+"""Limit of a head in the settings of the tests."""
+_ENDLESS_BYTES = 1 << 18
 _ANONYMOUS_MEMORY = re.compile(r'RssAnon:\s+(\d+) kB')
 _RECEIVE_BUFFER_BYTES = 4096
 _SEND_TIMEOUT_S = 0.5
@@ -89,6 +90,23 @@
         self.peak_fds = max(self.peak_fds, len(list((folder / 'fd').iterdir())))
 
 
+def endless(piece: bytes) -> bytes:
+    """Return what one client sends that never ends a head, or never pauses between requests."""
+    return piece * (_ENDLESS_BYTES // len(piece))
+
+
+def short_lines(start: bytes, end: bytes) -> bytes:
+    """Return a head within the limits with as many odd header lines as it can hold.
+
+    Args:
+        start: What precedes them.
+        end: What follows them.
+    """
+    size = MAX_HEADER_BYTES - len(start) - len(end)
+    lines = b''.join(b'%x:\r\n' % number for number in range(4096))
+    return start + lines[: lines.rindex(b'\n', 0, size) + 1] + end
+
+
 def check_survives(
     target: Target, sent: bytes, client_count: int = SIZE, read_bytes: int = 0
 ) -> None:
