--- a/tests/test_unruly_clients.py
+++ b/tests/test_unruly_clients.py
@@ -24,6 +24,8 @@
     'Anvillug-Attempt-Id': 'ordinary',
     'Anvillug-Deadline-Ms': '4000',
 }
+_LENGTH = b'Content-Length: %d\r\n\r\n' % _MAX_BODY_BYTES
+_CHUNKS = b'Transfer-Encoding: chunked\r\n\r\n%x\r\n' % _MAX_BODY_BYTES
 _BODY_WITHHELD = b'Content-Length: 10\r\n\r\n'
 
 
@@ -55,7 +57,7 @@
 class _Node(unruly_crowd.Target):
     """A node on a small machine, its backend server and its store."""
 
-    def __init__(self, folder: pathlib.Path) -> None:
+    def __init__(self, folder: pathlib.Path, max_fds: int) -> None:
         self.backend = platform_backend.PlatformBackend(reactor, 'one', 'i-0')
         self.ports = [
             int(address.rpartition(':')[2]) for address in processes.free_addresses(_PORT_COUNT)
@@ -65,6 +67,7 @@
             ('/get/x', _ORDINARY_HEADERS),
             lambda body: body.startswith(b'i-0'),
         )
+        self.max_fds = max_fds
         self._folder = folder
         self._listening = []
         self._heartbeats = None
@@ -79,7 +82,7 @@
         path = self._folder / 'node.json'
         path.write_text(json.dumps(self._settings(port.getHost().port)))
         self.process = processes.ChildProcess(('mesh', str(path)))
-        fds = (unruly_crowd.MAX_FDS, unruly_crowd.MAX_FDS)
+        fds = (self.max_fds, self.max_fds)
         resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE, fds)
 
     def close(self) -> None:
@@ -100,7 +103,7 @@
                 'Service': 'one',
                 'Limits': {
                     'MemoryMb': unruly_crowd.MEMORY_MB,
-                    'MaxFds': unruly_crowd.MAX_FDS,
+                    'MaxFds': self.max_fds,
                 },
             },
             'Network': {
@@ -113,9 +116,15 @@
 
 
 @pytest.fixture
-def node(running_reactor, tmp_path):
+def max_fds():
+    """Return how many descriptors the node may open."""
+    return unruly_crowd.MAX_FDS
+
+
+@pytest.fixture
+def node(running_reactor, tmp_path, max_fds):
     """Return a node that answers."""
-    node = _Node(tmp_path)
+    node = _Node(tmp_path, max_fds)
     reactor_thread.call(node.open)
     try:
         reactor_thread.eventually(node.is_answered)
@@ -145,8 +154,7 @@
         unruly_crowd.check_survives(node, _START)
 
     def test_slow_uploads(self, node):
-        head = _START + b'Content-Length: %d\r\n\r\n' % _MAX_BODY_BYTES
-        unruly_crowd.check_survives(node, head + bytes(_MAX_BODY_BYTES - 1))
+        unruly_crowd.check_survives(node, _START + _LENGTH + bytes(_MAX_BODY_BYTES - 1))
 
     def test_slow_readers_of_long_responses(self, node):
         node.backend.faults.padding_bytes = _RESPONSE_BYTES
@@ -171,5 +179,19 @@
         unruly_crowd.check_survives_bursts(node)
 
 
+class TestBrokenOffUploads:
+    """Guards against uploads that stay in memory after their clients have reset them."""
+
+    @pytest.fixture
+    def max_fds(self):
+        # Fewer connections than this hold too little to show the fault.
+        return 1024
+
+    @pytest.mark.parametrize('framing', [_LENGTH, _CHUNKS], ids=['length', 'chunks'])
+    def test_uploads_reset_midway_in_quick_succession(self, node, framing):
+        head = _START + _ATTRIBUTES + framing
+        unruly_crowd.check_survives_resets(node, head + bytes(_MAX_BODY_BYTES // 2))
+
+
 def _request() -> bytes:
     return b'%b%b\r\n' % (_START, _ATTRIBUTES)
--- a/tests/unruly_crowd.py
+++ b/tests/unruly_crowd.py
@@ -8,6 +8,8 @@
 import re
 import signal
 import socket
+import struct
+import threading
 import time
 from collections.abc import Callable, Iterable, Iterator
 from http import client as http_client
@@ -31,6 +33,9 @@
 _SEND_TIMEOUT_S = 0.5
 _CHECKS = 20
 _CHECK_S = 0.1
+_RESETTING_CLIENTS = 10
+_RESETS = 2000
+_RESET = struct.pack('ii', 1, 0)
 _BURSTS = 8
 _BURST_CHECKS = 5000
 
@@ -54,6 +59,8 @@
         self.crowd_address = address
         """Address that the crowd connects to; ordinary requests go to the other one."""
         self.process: processes.ChildProcess | None = None
+        self.max_fds = MAX_FDS
+        """Descriptors that the node may open."""
         self.peak_mb = 0.0
         self.peak_fds = 0
         self._ordinary = ordinary
@@ -129,9 +136,28 @@
             time.sleep(_CHECK_S)
         reactor_thread.eventually(target.is_answered)
         target.measure()
-    assert target.process.running
-    assert target.peak_mb < MEMORY_MB
-    assert target.peak_fds < MAX_FDS
+    _check_bounds(target)
+
+
+def check_survives_resets(target: Target, sent: bytes) -> None:
+    """Let clients send and reset again and again, each on a new connection without a pause.
+
+    Args:
+        target: The node.
+        sent: What each client sends before it resets its connection.
+    """
+    clients = [
+        threading.Thread(target=_send_and_reset, args=(target, sent))
+        for _ in range(_RESETTING_CLIENTS)
+    ]
+    for client in clients:
+        client.start()
+    while any(client.is_alive() for client in clients):
+        target.measure()
+        time.sleep(_CHECK_S / 10)
+    reactor_thread.eventually(target.is_answered)
+    target.measure()
+    _check_bounds(target)
 
 
 def check_survives_bursts(target: Target) -> None:
@@ -149,8 +175,14 @@
             for _ in range(_BURST_CHECKS):
                 target.measure()
         reactor_thread.eventually(target.is_answered)
-    assert target.process.running
-    assert target.peak_fds < MAX_FDS
+    assert target.process.running, target.process.status
+    assert target.peak_fds < target.max_fds, target.peak_fds
+
+
+def _check_bounds(target: Target) -> None:
+    assert target.process.running, target.process.status
+    assert target.peak_mb < MEMORY_MB, f'{target.peak_mb} MB'
+    assert target.peak_fds < target.max_fds, target.peak_fds
 
 
 def _progress(target: Target, items: Iterable[Any]) -> Iterator[Any]:
@@ -158,3 +190,12 @@
     for item in items:
         yield item
         target.measure()
+
+
+def _send_and_reset(target: Target, sent: bytes) -> None:
+    for _ in range(_RESETS):
+        with contextlib.suppress(OSError), socket.socket() as client:
+            client.settimeout(_SEND_TIMEOUT_S)
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+            client.connect(target.crowd_address)
+            client.sendall(sent)
