--- a/tests/unruly_crowd.py
+++ b/tests/unruly_crowd.py
@@ -152,7 +152,7 @@
     ]
     for client in clients:
         client.start()
-    while any(client.is_alive() for client in clients):
+    while any(map(threading.Thread.is_alive, clients)):
         target.measure()
         time.sleep(_CHECK_S / 10)
     reactor_thread.eventually(target.is_answered)
