--- a/src/anvillug/connection/half_close.py
+++ b/src/anvillug/connection/half_close.py
@@ -10,6 +10,7 @@
 import enum
 import socket
 from collections.abc import Callable
+from typing import Protocol as Interface
 
 from twisted.internet import interfaces, tcp
 
@@ -135,33 +136,34 @@
         )
 
 
+class Watched(Interface):
+    """Connection that is not read; see `PausedWatch`."""
+
+    def readConnectionLost(self) -> None:  # noqa: N802
+        """Note that the client has closed its end, and everything before it is read."""
+
+    def end_unread(self) -> None:
+        """Note that the client has closed its end; called again and again until all is read."""
+
+    def abort(self) -> None:
+        """Close the connection, which the client has reset."""
+
+
 class PausedWatch:
     """Notices the end of the stream, or a reset, of a connection that is not read.
 
     The reactor reports them only for connections that it reads.
-
-    Args:
-        on_end: Called once the client has closed its end and everything before it is read.
-        on_unread_end: Called if the client has closed its end, but not everything is read; again
-            and again until it is.
-        on_failed: Called if the connection was reset.
     """
 
-    def __init__(
-        self,
-        on_end: Callable[[], None],
-        on_unread_end: Callable[[], None],
-        on_failed: Callable[[], None],
-    ) -> None:
-        self._on_end = on_end
-        self._on_unread_end = on_unread_end
-        self._on_failed = on_failed
+    def __init__(self) -> None:
         self._next_check: interfaces.IDelayedCall | None = None
 
-    def begin(self, transport: tcp.Connection) -> None:
+    def begin(self, transport: tcp.Connection, watched: Watched) -> None:
         """Watch the connection until `end`, unless it is watched."""
         if self._next_check is None:
-            self._next_check = transport.reactor.callLater(_PAUSED_CHECK_S, self._check, transport)
+            self._next_check = transport.reactor.callLater(
+                _PAUSED_CHECK_S, self._check, transport, watched
+            )
 
     def end(self) -> None:
         """End the watch, since the connection is read or closed."""
@@ -169,17 +171,17 @@
             self._next_check.cancel()
             self._next_check = None
 
-    def _check(self, transport: tcp.Connection) -> None:
+    def _check(self, transport: tcp.Connection, watched: Watched) -> None:
         self._next_check = None
         state = _tcp_state(transport.socket)
         if state == _TCP_CLOSE:
-            self._on_failed()
+            watched.abort()
         elif state == _TCP_CLOSE_WAIT and _is_read(transport.socket):
-            self._on_end()
+            watched.readConnectionLost()
         else:
-            self.begin(transport)
+            self.begin(transport, watched)
             if state == _TCP_CLOSE_WAIT:
-                self._on_unread_end()
+                watched.end_unread()
 
 
 def is_reset(transport: object) -> bool:
--- a/src/anvillug/connection/http_exchange.py
+++ b/src/anvillug/connection/http_exchange.py
@@ -90,7 +90,7 @@
         self.goes_on = False
         """Whether a backend server may run the request and would not be stopped, so that a
         caller that may have left is answered all the same."""
-        self._connection = connection
+        self._connection: ExchangeConnection | None = connection
         self._chunked = False
         self._continue_sent = False
 
@@ -172,6 +172,14 @@
             self.ended = True
             self._connection.abort()
 
+    def detach(self) -> None:
+        """Let go of the handler and the connection, since the exchange has ended.
+
+        They refer to the exchange, and would be freed only by the collector.
+        """
+        self.handler = None
+        self._connection = None
+
     def pause_request(self, paused: bool) -> None:
         """Pause or resume reading the request body."""
         if not self.ended:
--- a/src/anvillug/connection/http_server.py
+++ b/src/anvillug/connection/http_server.py
@@ -106,7 +106,7 @@
         self._slots: collections.deque[response_slot.ResponseSlot] = collections.deque()
         # Slot of the request whose end has not been received; its response may be complete.
         self._receiving: response_slot.ResponseSlot | None = None
-        self._pending = step_queue.StepQueue(self.receiver_failed)
+        self._pending = step_queue.StepQueue()
         self._discards_body = False
         self._discarded_bytes = 0
         self._disconnected = False
@@ -134,9 +134,7 @@
         self._input_ended = False
         # Set once the client has closed its end.
         self._half_close: half_close.HalfClose | None = None
-        self._paused_watch = half_close.PausedWatch(
-            self.readConnectionLost, self._watch_half_close, self.abort
-        )
+        self._paused_watch = half_close.PausedWatch()
         # Reads for responses in this turn of the reactor.
         self._reads_in_turn = 0
 
@@ -200,7 +198,7 @@
         if self._parser.is_receiving and not self._discards_body:
             self.request_malformed(_STATUS_BAD_REQUEST, 'the request ends early')
         if self._slots and not self._discards_body:
-            self._watch_half_close()
+            self.end_unread()
         else:
             self._close()
 
@@ -221,6 +219,7 @@
         self._slots.clear()
         for slot in slots:
             slot.caller_disconnected()
+        self._release()
 
     # Parts of requests
 
@@ -362,6 +361,18 @@
         else:
             self._close()
 
+    # Calls from the watch of a connection that is not read
+
+    def end_unread(self) -> None:
+        """Begin to find out whether a client that has closed its end has left."""
+        if not self._answers_half_closed:
+            self.abort()
+        elif self._half_close is None:
+            self._half_close = half_close.HalfClose(
+                self.transport, self._number, self._probe, self.abort, self._end_unanswered
+            )
+            self._half_close.begin()
+
     # Calls from the factory
 
     def close_after_responses(self) -> None:
@@ -400,15 +411,12 @@
         exchange = slot.exchange
         return self._pending.is_empty and exchange.expects_body and not exchange.head_sent
 
-    def _watch_half_close(self) -> None:
-        """Begin to find out whether a client that has closed its end has left."""
-        if not self._answers_half_closed:
-            self.abort()
-        elif self._half_close is None:
-            self._half_close = half_close.HalfClose(
-                self.transport, self._number, self._probe, self.abort, self._end_unanswered
-            )
-            self._half_close.begin()
+    def _release(self) -> None:
+        """Let go of what refers to the lost connection; the collector may free it much later."""
+        self._parser.close()
+        self._half_close = None
+        self._receiving = None
+        self._reading_paused_by = None
 
     def _probe(self) -> bool:
         """Send an interim response; see `half_close.HalfClose`."""
@@ -490,7 +498,7 @@
             self._pause_reads()
 
     def _run_pending(self) -> None:
-        self._pending.run()
+        self._pending.run(self.receiver_failed)
         self._update_reading()
 
     def _update_reading(self) -> None:
@@ -499,7 +507,7 @@
         if not self._pending.is_empty or self._reading_paused_by is not None:
             self._pause_reads()
             if isinstance(self.transport, tcp.Connection):
-                self._paused_watch.begin(self.transport)
+                self._paused_watch.begin(self.transport, self)
         elif self._reads_paused:
             self._reads_paused = False
             self._paused_watch.end()
@@ -576,6 +584,7 @@
             self._receiving is slot and slot.exchange.expects_body and not self._malformed
         )
         self._slots.popleft()
+        slot.exchange.detach()
         if must_close and must_discard_body:
             # Closing now would reset the connection, and the client could lose the response.
             self._discards_body = True
--- a/src/anvillug/connection/request_parser.py
+++ b/src/anvillug/connection/request_parser.py
@@ -85,6 +85,19 @@
         """Whether a part of a head has been received, or more than one empty line before it."""
         return self._in_head and (self.is_receiving or self._head_bytes > _EMPTY_LINE_BYTES)
 
+    def close(self) -> None:
+        """Release what is held, since nothing more is parsed.
+
+        The parser, its callbacks and the receiver refer to each other, and would be freed only by
+        the collector.
+        """
+        self._is_malformed = True
+        self._headers = []
+        self._head_bytes = 0
+        self.is_receiving = False
+        self._parser = None
+        self._receiver = None
+
     # Callbacks of httptools
 
     def on_message_begin(self) -> None:
--- a/src/anvillug/connection/response_slot.py
+++ b/src/anvillug/connection/response_slot.py
@@ -97,6 +97,7 @@
             exchange.ended = True
             if exchange.handler is not None:
                 exchange.handler.request_aborted()
+        exchange.detach()
 
     # For the exchange
 
--- a/src/anvillug/connection/step_queue.py
+++ b/src/anvillug/connection/step_queue.py
@@ -21,17 +21,11 @@
 
 
 class StepQueue:
-    """Runs steps in the order in which they were received, each as soon as it may run.
+    """Runs steps in the order in which they were received, each as soon as it may run."""
 
-    Args:
-        on_failure: Called when a step that had to wait raises an exception; the caller of those
-            that run at once handles theirs.
-    """
-
-    def __init__(self, on_failure: Callable[[], None]) -> None:
+    def __init__(self) -> None:
         self.holds_all = False
         """Whether steps wait even if they may run."""
-        self._on_failure = on_failure
         self._steps: collections.deque[Step] = collections.deque()
         self._is_running = False
 
@@ -62,15 +56,20 @@
         else:
             step.run()
 
-    def run(self) -> None:
-        """Run the steps that may run now."""
+    def run(self, on_failure: Callable[[], None]) -> None:
+        """Run the steps that may run now.
+
+        Args:
+            on_failure: Called when a step that had to wait raises an exception; the caller of
+                those that run at once handles theirs.
+        """
         # A request that ends within a step calls this again; the outer loop continues then.
         if self._is_running:
             return
         self._is_running = True
         try:
             while self._steps and self._steps[0].may_run():
-                self._run_step(self._steps.popleft())
+                _run_step(self._steps.popleft(), on_failure)
         finally:
             self._is_running = False
 
@@ -78,9 +77,10 @@
         """Drop the steps that wait."""
         self._steps.clear()
 
-    def _run_step(self, step: Step) -> None:
-        try:
-            step.run()
-        except Exception as error:  # noqa: BLE001 - whatever a handler raises
-            event_log.error('request_handler_failed', error)
-            self._on_failure()
+
+def _run_step(step: Step, on_failure: Callable[[], None]) -> None:
+    try:
+        step.run()
+    except Exception as error:  # noqa: BLE001 - whatever a handler raises
+        event_log.error('request_handler_failed', error)
+        on_failure()
--- /dev/null
+++ b/tests/test_lost_connection.py
@@ -0,0 +1,103 @@
+"""Tests of what is left of a connection whose client has reset it."""
+
+from __future__ import annotations
+
+import gc
+import socket
+import struct
+import weakref
+
+import pytest
+
+from anvillug.connection import http_exchange, http_listener, http_server
+from tests import reactor_thread
+
+_HEAD = b'POST /one HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n'
+_BODY_BYTES = 1 << 20
+_RESET = struct.pack('ii', 1, 0)
+_STANDSTILL_S = 0.3
+
+
+class _Server:
+    """Server in the reactor thread that counts the bytes of bodies."""
+
+    def __init__(self, running_reactor) -> None:
+        self.connections: list[weakref.ref] = []
+        self.exchanges: list[weakref.ref] = []
+        self.received_bytes = 0
+        self.aborted = 0
+        factory = http_listener.ServerFactory(self._begin)
+        build = factory.buildProtocol
+        factory.buildProtocol = lambda address: self._keep(build(address))
+        self.port = reactor_thread.call(
+            lambda: running_reactor.listenTCP(0, factory, interface='127.0.0.1')
+        )
+        # What a client sends while the reactor stands still waits whole in the kernel.
+        self.port.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4 * _BODY_BYTES)
+
+    def connect(self) -> socket.socket:
+        connection = socket.create_connection(('127.0.0.1', self.port.getHost().port))
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+        connection.settimeout(reactor_thread.TIMEOUT_S)
+        return connection
+
+    def is_aborted(self) -> bool:
+        return self.aborted > 0
+
+    def _keep(self, connection: http_server.ServerConnection) -> http_server.ServerConnection:
+        self.connections.append(weakref.ref(connection))
+        return connection
+
+    def _begin(self, exchange: http_exchange.ServerExchange) -> None:
+        exchange.handler = _Handler(self, exchange)
+        self.exchanges.append(weakref.ref(exchange.handler))
+
+
+class _Handler:
+    def __init__(self, server: _Server, exchange: http_exchange.ServerExchange) -> None:
+        self._server = server
+        self._exchange = exchange
+
+    def body_received(self, data: bytes) -> None:
+        self._server.received_bytes += len(data)
+
+    def request_ended(self) -> None:
+        self._exchange.respond(200, b'whole')
+
+    def request_aborted(self) -> None:
+        self._server.aborted += 1
+
+    def response_writes_paused(self, paused: bool) -> None:
+        """Ignore backpressure."""
+
+
+@pytest.fixture
+def server(running_reactor):
+    """Return a server without a collector, which could hide what is left."""
+    server = _Server(running_reactor)
+    gc.collect()
+    gc.disable()
+    yield server
+    gc.enable()
+    reactor_thread.call(server.port.stopListening)
+
+
+class TestLostConnection:
+    """Guards against lost connections that hold memory, descriptors or the reactor."""
+
+    @pytest.mark.parametrize('body_bytes', [0, 100, _BODY_BYTES])
+    def test_connection_is_freed_without_the_collector(self, server, body_bytes):
+        with server.connect() as client:
+            client.sendall(_HEAD % (body_bytes + 1) + bytes(body_bytes))
+            reactor_thread.eventually(lambda: server.exchanges)
+        reactor_thread.eventually(server.is_aborted)
+        reactor_thread.eventually(lambda: server.connections[0]() is None)
+        assert server.exchanges[0]() is None
+
+    def test_answered_requests_are_freed_without_the_collector(self, server):
+        with server.connect() as client:
+            for _ in range(2):
+                client.sendall(_HEAD % 4 + b'body')
+                assert b'whole' in client.recv(4096)
+            reactor_thread.eventually(lambda: server.exchanges[0]() is None)
+        reactor_thread.eventually(lambda: server.connections[0]() is None)
