--- a/src/anvillug/connection/memory_account.py
+++ b/src/anvillug/connection/memory_account.py
@@ -16,11 +16,13 @@
 """Limit where the memory of the machine is not known."""
 # The rest is for the program, copies made while a message is encoded, and buffers of the system.
 _SHARE_OF_MACHINE = 0.25
-# One message of up to the default limit is accepted while the others hold less than this share.
+# One message of up to the default limit is accepted while the others hold less than this share,
+# which connections may always hold.
 _CALM_SHARE = 0.125
 # Overlapping requests of a connection begin only below this share.
 _AMPLE_SHARE = 0.5
-# Relief goes on until this share is left, so that the next report doesn't start it again.
+# Relief goes on until this share of what connections may hold is left, so that the next report
+# doesn't start it again.
 _RELIEVED_SHARE = 0.75
 _MIN_HELD_MS = 1.0
 _MEMORY = 'memory'
@@ -74,6 +76,7 @@
         self._clock = time
         self._on_limit = on_limit or _ignore
         self._charges_by_holder: dict[Holder, _Charge] = {}
+        self._charged_bytes = 0
 
     @property
     def is_ample(self) -> bool:
@@ -91,11 +94,13 @@
         elif size < charge.size:
             charge.since = self._clock.now()
         self.used_bytes += size - charge.size
+        self._charged_bytes += size - charge.size
         charge.size = size
         if not size:
             self._charges_by_holder.pop(holder)
         elif self.used_bytes > self.limit_bytes:
-            self._relieve()
+            # Connections can't make room for what bodies hold.
+            self._relieve(max(self.limit_bytes - self._reserved_bytes, self._calm_bytes))
 
     def reserve(self, size: int) -> bool:
         """Reserve memory; a negative size releases it.
@@ -104,10 +109,11 @@
             Whether there is memory for it, if need be after connections are given up.
         """
         if size > 0 and not self._fits(size):
-            self._relieve()
-            if not self._fits(size):
+            allowed_bytes = self.limit_bytes - self._reserved_bytes - size
+            if allowed_bytes < min(self._charged_bytes, self._calm_bytes):
                 self._on_limit('reservation')
                 return False
+            self._relieve(allowed_bytes)
         self.used_bytes += size
         return True
 
@@ -120,7 +126,7 @@
                 hardly anything else is held.
         """
         others = self.used_bytes - reserved
-        is_calm = others < self.limit_bytes * _CALM_SHARE
+        is_calm = others < self._calm_bytes
         if is_calm and reserved + size <= DEFAULT_LIMIT_BYTES:
             self.used_bytes += size
             return True
@@ -128,11 +134,25 @@
 
     # Private
 
+    @property
+    def _reserved_bytes(self) -> int:
+        return self.used_bytes - self._charged_bytes
+
+    @property
+    def _calm_bytes(self) -> float:
+        return self.limit_bytes * _CALM_SHARE
+
     def _fits(self, size: int) -> bool:
         return self.used_bytes + size <= self.limit_bytes
 
-    def _relieve(self) -> None:
-        """Give up the connections that hold most for longest without progress."""
+    def _relieve(self, allowed_bytes: float) -> None:
+        """Give up the connections that hold most for longest without progress.
+
+        Args:
+            allowed_bytes: What all connections together may hold.
+        """
+        if self._charged_bytes <= allowed_bytes:
+            return
         now = self._clock.now()
         by_cost = sorted(
             self._charges_by_holder.items(),
@@ -140,7 +160,7 @@
             reverse=True,
         )
         for holder, charge in by_cost:
-            if self.used_bytes <= self.limit_bytes * _RELIEVED_SHARE:
+            if self._charged_bytes <= allowed_bytes * _RELIEVED_SHARE:
                 return
             event_log.warn(
                 'client_given_up',
--- a/tests/test_memory_account.py
+++ b/tests/test_memory_account.py
@@ -67,6 +67,33 @@
         assert account.reserve_more(_LARGE_BYTES, _LARGE_BYTES)
         assert not account.reserve_more(_LARGE_BYTES, 0)
 
+    def test_bodies_cost_no_connection_that_holds_little(self):
+        # While bodies held all of the memory, each part of a head gave up its connection.
+        account = memory_account.MemoryAccount(_LIMIT_BYTES, clock.ManualClock())
+        clients = [_Client() for _ in range(3)]
+        for client in clients[:2]:
+            account.update(client, 20)
+        assert account.reserve(_LIMIT_BYTES - 120)
+        assert not account.reserve(100)
+        account.update(clients[2], 20)
+        assert not any(client.is_given_up for client in clients)
+
+    def test_a_large_message_costs_no_connection_that_holds_little(self):
+        account = memory_account.MemoryAccount(_LIMIT_BYTES, clock.ManualClock())
+        assert account.reserve_more(_LARGE_BYTES, 0)
+        client = _Client()
+        account.update(client, 20)
+        assert not client.is_given_up
+
+    def test_connections_have_a_bound_beside_bodies(self):
+        account = memory_account.MemoryAccount(_LIMIT_BYTES, clock.ManualClock())
+        assert account.reserve(_LIMIT_BYTES)
+        clients = [_Client() for _ in range(30)]
+        for client in clients:
+            account.update(client, 20)
+            assert account.used_bytes <= _LIMIT_BYTES * 1.125
+        assert any(client.is_given_up for client in clients)
+
     @given(
         strategies.lists(strategies.tuples(strategies.integers(0, 3), strategies.integers(0, 900)))
     )
