Tests: the log handler of a command ends with its test

Trace: a test that runs a command installs a handler that writes to the captured stream of that test. Once it is closed, each of the 578 events of the example prints a stack of 80 lines.

No test or time limit is changed.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import pathlib
 import threading
 
@@ -25,6 +26,22 @@
             item.add_marker(pytest.mark.xfail(reason='listed in KNOWN-RED.txt', strict=False))
 
 
+@pytest.fixture(autouse=True)
+def log_of_commands():
+    """Remove the log handler of a command that a test has run.
+
+    It writes to a stream that is closed with the test. Each event after that would print a
+    stack, which made tests with many events exceed their time limits.
+    """
+    logger = logging.getLogger('anvillug')
+    level = logger.level
+    yield
+    logger.setLevel(level)
+    for handler in tuple(logging.root.handlers):
+        if type(handler).__module__.startswith('absl.'):
+            logging.root.removeHandler(handler)
+
+
 def _needs_running_reactor(item) -> bool:
     return 'running_reactor' in getattr(item, 'fixturenames', ())
 
