--- a/tests/test_unruly_clients_node.py
+++ b/tests/test_unruly_clients_node.py
@@ -105,6 +105,10 @@
         head = _START + _DEADLINE + b'Content-Length: %d\r\n\r\n' % _SMALL_BODY_BYTES
         unruly_crowd.check_survives(node, head + bytes(_SMALL_BODY_BYTES - 1))
 
+    def test_uploads_reset_midway_in_quick_succession(self, node):
+        head = _START + _DEADLINE + b'Content-Length: %d\r\n\r\n' % (2 * _SMALL_BODY_BYTES)
+        unruly_crowd.check_survives_resets(node, head + bytes(_SMALL_BODY_BYTES))
+
     def test_slow_uploads_in_small_chunks(self, node):
         chunks = unruly_crowd.endless(b'1\r\na\r\n')
         head = b'%b%bTransfer-Encoding: chunked\r\n\r\n' % (_START, _DEADLINE)
