--- a/deploy/interpreter.c
+++ b/deploy/interpreter.c
@@ -2,9 +2,12 @@
 
    Until the program installs handlers, a signal has its default action and ends the process. A
    blocked signal waits; `anvillug.early_signals` unblocks it. `build_interpreter.py` defines
-   INTERPRETER, LIBRARY and NUMBERS, those of the signals. */
+   INTERPRETER, NUMBERS, those of the signals, and LIBRARY, unless it links the program with the
+   static library of an interpreter that has no shared one. */
 
+#ifdef LIBRARY
 #include <dlfcn.h>
+#endif
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -13,6 +16,26 @@
 
 typedef int (*MainFunction)(int, char **);
 
+#ifdef LIBRARY
+/* Loaded only once signals are blocked, since a library that the program is linked with is loaded
+   before `main`, which takes a millisecond. Extension modules need its symbols. */
+static MainFunction main_of_interpreter(void)
+{
+    void *library = dlopen(LIBRARY, RTLD_NOW | RTLD_GLOBAL);
+    MainFunction run = library ? (MainFunction)dlsym(library, "Py_BytesMain") : NULL;
+    if (run == NULL)
+        fprintf(stderr, "%s\n", dlerror());
+    return run;
+}
+#else
+int Py_BytesMain(int argument_count, char **arguments);
+
+static MainFunction main_of_interpreter(void)
+{
+    return Py_BytesMain;
+}
+#endif
+
 int main(int argument_count, char **arguments)
 {
     const size_t count = sizeof numbers / sizeof *numbers;
@@ -30,14 +53,9 @@
             end += sprintf(end, "%d ", numbers[index]);
     setenv("ANVILLUG_BLOCKED_AT_START", names, 1);
 
-    /* Loaded only now, since a library that the program is linked with is loaded before `main`,
-       which takes a millisecond. Extension modules need its symbols. */
-    void *library = dlopen(LIBRARY, RTLD_NOW | RTLD_GLOBAL);
-    MainFunction run = library ? (MainFunction)dlsym(library, "Py_BytesMain") : NULL;
-    if (run == NULL) {
-        fprintf(stderr, "%s\n", dlerror());
+    MainFunction run = main_of_interpreter();
+    if (run == NULL)
         return 127;
-    }
     /* The interpreter finds its modules by this path. */
     arguments[0] = INTERPRETER;
     return run(argument_count, arguments);
--- a/tests/test_deploy_interpreter.py
+++ b/tests/test_deploy_interpreter.py
@@ -6,6 +6,8 @@
 import pathlib
 import subprocess
 import sys
+import tempfile
+import time
 import tomllib
 
 import pytest
@@ -31,13 +33,48 @@
 _OTHER_MACHINE = b'\x7fELF of another machine'
 
 
-# Runs the build with an interpreter that has no shared library.
+# Keeps signals as late as a node does on a slow machine, and prints those that came before.
+_LATE_HANDLERS_PROBE = """
+import sys, time
+sys.path.insert(0, sys.argv[1])
+from anvillug import early_signals
+time.sleep(0.2)
+early_signals.keep()
+print(*sorted(early_signals.take()), flush=True)
+"""
+
+# Runs the build with an interpreter that has no shared library, and its static one in a folder.
 _STATIC_BUILD = """
 import runpy, sys, sysconfig
-sysconfig.get_config_vars()['INSTSONAME'] = 'libpython3.11.a'
-sys.argv = sys.argv[1:]
+_, library_folder, *sys.argv = sys.argv
+variables = sysconfig.get_config_vars()
+variables['INSTSONAME'] = variables['LIBRARY']
+variables['LIBPL'] = library_folder or variables['LIBPL']
 runpy.run_path(sys.argv[0], run_name='__main__')
 """
+# Tells whether an interpreter runs without a shared library, and has a static one.
+_STATIC_PROBE = """
+import pathlib, sysconfig
+name, *static = map(sysconfig.get_config_var, ('INSTSONAME', 'LIBPL', 'LIBRARY'))
+lines = pathlib.Path('/proc/self/maps').read_text().splitlines()
+is_shared = any(line.endswith(f'/{name}') for line in lines)
+print(not is_shared and pathlib.Path(*static).is_file())
+"""
+_MAPS_PROBE = 'print(open("/proc/self/maps").read())'
+_SYSTEM_PYTHON = '/usr/bin/python3'
+
+
+def _is_static(python: str) -> bool:
+    if not os.access(python, os.X_OK):
+        return False
+    command = [python, '-c', _STATIC_PROBE]
+    done = subprocess.run(command, capture_output=True, text=True, timeout=_TIMEOUT_S)
+    return done.stdout == 'True\n'
+
+
+_NEEDS_STATIC_PYTHON = pytest.mark.skipif(
+    not _is_static(_SYSTEM_PYTHON), reason=f'{_SYSTEM_PYTHON} has no static library'
+)
 
 
 @pytest.fixture
@@ -46,6 +83,12 @@
     return tmp_path / 'target' / 'python3'
 
 
+@pytest.fixture(params=[sys.executable, pytest.param(_SYSTEM_PYTHON, marks=_NEEDS_STATIC_PYTHON)])
+def python(request):
+    """Return the path of an interpreter to build with."""
+    return request.param
+
+
 @pytest.fixture
 def no_compiler(tmp_path):
     """Return a folder for PATH without a compiler."""
@@ -54,15 +97,37 @@
     return folder
 
 
-def _build(target: pathlib.Path, path: str | None = None) -> str:
+def _build(target: pathlib.Path, path: str | None = None, python: str = sys.executable) -> str:
     variables = {**os.environ, 'PATH': path or os.environ['PATH']}
-    command = [sys.executable, str(_DEPLOY / 'build_interpreter.py'), str(target)]
+    command = [python, str(_DEPLOY / 'build_interpreter.py'), str(target)]
     done = subprocess.run(
         command, env=variables, capture_output=True, text=True, check=True, timeout=_TIMEOUT_S
     )
     return done.stdout
 
 
+def _build_static(target: pathlib.Path, library_folder: object = '') -> str:
+    """Build as with an interpreter that has no shared library, and its static one in a folder."""
+    builder = _DEPLOY / 'build_interpreter.py'
+    command = [sys.executable, '-c', _STATIC_BUILD, *map(str, (library_folder, builder, target))]
+    done = subprocess.run(command, capture_output=True, text=True, check=True, timeout=_TIMEOUT_S)
+    return done.stdout
+
+
+def _blocks_signals(pid: int) -> bool:
+    """Return whether a process blocks the signals of a server."""
+    lines = pathlib.Path(f'/proc/{pid}/status').read_text().splitlines()
+    mask = int(next(line for line in lines if line.startswith('SigBlk:')).split()[1], 16)
+    return all(mask >> number - 1 & 1 for number in early_signals.NUMBERS)
+
+
+def _await_blocked_signals(process: subprocess.Popen) -> None:
+    end = time.monotonic() + _TIMEOUT_S
+    while not _blocks_signals(process.pid):
+        assert process.poll() is None, 'ended before it has blocked signals'
+        assert time.monotonic() < end
+
+
 def _output_of(program: object, *arguments: str) -> str:
     command = [str(program), '-S', '-c', *arguments]
     return subprocess.run(
@@ -73,25 +138,39 @@
 class TestInterpreter:
     """Guards against an interpreter that differs from `python3` in more than its signals."""
 
-    def test_runs_like_the_interpreter_that_built_it(self, target):
-        assert not _build(target)
+    def test_runs_like_the_interpreter_that_built_it(self, target, python):
+        assert not _build(target, python=python)
         arguments = (_PROBE, '-x', 'ö')
-        assert _output_of(target, *arguments) == _output_of(sys.executable, *arguments)
+        assert _output_of(target, *arguments) == _output_of(python, *arguments)
 
-    def test_signals_of_a_server_are_blocked(self, target):
-        _build(target)
+    def test_signals_of_a_server_are_blocked(self, target, python):
+        # FAULT: with Debian's interpreter, signals during its start ended the node.
+        _build(target, python=python)
         assert _output_of(target, _MASK_PROBE) == _BLOCKED_MASK
 
-    def test_handlers_unblock_them(self, target):
-        _build(target)
+    @pytest.mark.parametrize('number', early_signals.NUMBERS)
+    def test_signals_are_kept_from_the_mask_to_the_handlers(self, target, python, number):
+        # FAULT: with Debian's interpreter, signals during its start ended the node.
+        _build(target, python=python)
+        command = [target, '-S', '-c', _LATE_HANDLERS_PROBE, str(_DEPLOY.parent / 'src')]
+        with tempfile.TemporaryFile() as output:
+            with subprocess.Popen(command, stdout=output) as process:
+                _await_blocked_signals(process)
+                process.send_signal(number)
+                assert process.wait(_TIMEOUT_S) == 0
+            output.seek(0)
+            assert output.read() == b'%d\n' % number
+
+    def test_handlers_unblock_them(self, target, python):
+        _build(target, python=python)
         assert _output_of(target, _HANDLERS_PROBE, str(_DEPLOY.parent / 'src')) == '\n'
 
-    def test_extension_modules_find_their_symbols(self, target):
-        _build(target)
-        assert _output_of(target, 'import _json, _socket, select; print(_json)')
+    def test_extension_modules_find_their_symbols(self, target, python):
+        _build(target, python=python)
+        assert _output_of(target, 'import _json, _socket, select, zlib, pyexpat; print(_json)')
 
-    def test_exit_status(self, target):
-        _build(target)
+    def test_exit_status(self, target, python):
+        _build(target, python=python)
         assert subprocess.run([target, '-S', '-c', 'raise SystemExit(3)']).returncode == 3
 
 
@@ -106,10 +185,15 @@
         assert target.readlink() == pathlib.Path(sys.executable)
         assert _output_of(target, _MASK_PROBE) == '\n'
 
-    def test_without_a_shared_library_it_is_a_link(self, target):
+    def test_without_a_shared_library_it_has_the_static_one(self, target):
         # The shared library of Debian's interpreter is slower than the interpreter by a third.
-        builder = str(_DEPLOY / 'build_interpreter.py')
-        output = _output_of(sys.executable, _STATIC_BUILD, builder, str(target))
+        assert not _build_static(target)
+        assert not target.is_symlink()
+        assert _output_of(target, _MASK_PROBE) == _BLOCKED_MASK
+        assert 'libpython' not in _output_of(target, _MAPS_PROBE)
+
+    def test_without_any_library_it_is_a_link(self, target, tmp_path):
+        output = _build_static(target, tmp_path)
         assert 'does not run from a shared library' in output
         assert target.readlink() == pathlib.Path(sys.executable)
 
