--- a/src/anvillug/bench/soak_faults.py
+++ b/src/anvillug/bench/soak_faults.py
@@ -175,9 +175,9 @@
         if _NOISE in kinds:
             behavior.noise_share = _NOISE_SHARE
             behavior.noise_factor = _NOISE_FACTOR
+        # Not with the first start, which would hold up the reactor.
+        soak_launch.build_interpreter(soak_launch.ROOT)
         if _DEPLOYED in kinds and not kinds & soak_links.LISTENER_KINDS:
-            # Not with the first start, which would hold up the reactor.
-            soak_launch.build_interpreter(soak_launch.ROOT)
             shared.launch = soak_launch.as_deployed
         if kinds & _READER_KINDS:
             shared.new_output = functools.partial(soak_output.PipeOutput, shared.reactor)
--- a/src/anvillug/bench/soak_launch.py
+++ b/src/anvillug/bench/soak_launch.py
@@ -36,8 +36,16 @@
 
 
 def as_subcommand(path: pathlib.Path) -> Launch:
-    """Return how `anvillug mesh` is started with a settings file."""
-    return Launch((*processes.PROGRAM, 'mesh', str(path)), None)
+    """Return how `anvillug mesh` is started with a settings file.
+
+    In a checkout, the interpreter of the deploy file runs it: the usual one ends by signals that
+    come before the first line of the program. It is built first, once by each process.
+    """
+    build_interpreter(ROOT)
+    interpreter = ROOT / _INTERPRETER
+    python, *arguments = processes.PROGRAM
+    program = str(interpreter) if interpreter.is_file() else python
+    return Launch((program, *arguments, 'mesh', str(path)), None)
 
 
 def behind_links(launch: Launch, bound_addresses: Mapping[str, str]) -> Launch:
--- a/tests/test_soak_faults.py
+++ b/tests/test_soak_faults.py
@@ -8,12 +8,14 @@
 import random
 import signal
 import sys
+import time
 import types
 
 import pytest
 
 from anvillug import clock
 from anvillug.bench import (
+    processes,
     soak_faults,
     soak_host,
     soak_launch,
@@ -28,6 +30,25 @@
 print(*sorted(each.name for each in signal.pthread_sigmask(signal.SIG_BLOCK, ())))
 """
 
+_SLEEPING = 'sleeping'
+# Runs a module after a time, as a slow machine starts the interpreter.
+_SLOW_START = """
+import runpy, sys, time
+print('sleeping', flush=True)
+time.sleep(0.3)
+_, option, module, *arguments = sys.argv
+sys.argv = [module, *arguments]
+runpy.run_module(module, run_name='__main__', alter_sys=True)
+"""
+
+
+def _await(condition) -> None:
+    """Wait until a condition holds."""
+    end = time.monotonic() + clock.to_seconds(processes.START_TIMEOUT_MS)
+    while not condition():
+        assert time.monotonic() < end
+        time.sleep(processes.POLL_S)
+
 
 class TestChoice:
     """Guards against kinds that no seed chooses, and against seeds that change their meaning."""
@@ -69,6 +90,24 @@
         assert pathlib.Path(command[-1]).is_file()
 
 
+class TestSubcommandLaunch:
+    """Guards against ends by early signals that the users' platform doesn't cause."""
+
+    def test_signals_are_kept_before_the_first_line(self, tmp_path):
+        # FAULT: nodes of the soak ended by a signal during the start of the interpreter.
+        launch = soak_launch.as_subcommand(tmp_path / 'none.json')
+        python, *arguments = launch.command
+        slow = (python, '-c', _SLOW_START, *arguments)
+        with processes.group() as group:
+            child = processes.ChildProcess((), slow, launch.environment)
+            group.append(child)
+            _await(lambda: _SLEEPING in child.output())
+            child.send_signal(signal.SIGTERM)
+            _await(lambda: not child.running)
+            assert child.status == 0
+            assert 'signal=SIGTERM action=ended' in child.output()
+
+
 class TestPipeOutput:
     """Guards against faults of the output's reader that a node cannot notice."""
 
