--- a/src/anvillug/bench/processes.py
+++ b/src/anvillug/bench/processes.py
@@ -31,6 +31,8 @@
 _PORT_RNG = random.SystemRandom()
 # One lock file per port. A process holds the locks of its allocated ports until it ends.
 _PORT_LOCKS = pathlib.Path(tempfile.gettempdir()) / 'anvillug-ports'
+_PROC = pathlib.Path('/proc')
+_SIGNAL_MASK = re.compile(r'^Sig(?:Blk|Ign|Cgt):\s+(\w+)$', re.MULTILINE)
 _LOG_FIELD = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S+)')
 
 
@@ -148,6 +150,22 @@
         return self._process.wait()
 
 
+def runs_program(pid: int) -> bool:
+    """Return whether a child process runs its program.
+
+    Until its `execve` is complete, a signal ends it whatever the program does. It has the command
+    line of this process before that, and none in between.
+    """
+    own, line = ((_PROC / name / 'cmdline').read_bytes() for name in ('self', str(pid)))
+    return line not in {b'', own}
+
+
+def has_default_action(pid: int, number: signal.Signals) -> bool:
+    """Return whether a process neither blocks nor ignores nor handles a signal."""
+    masks = _SIGNAL_MASK.findall((_PROC / str(pid) / 'status').read_text())
+    return not any(int(mask, 16) >> (number - 1) & 1 for mask in masks)
+
+
 @contextlib.contextmanager
 def group() -> Iterator[list[ChildProcess]]:
     """Yield a list of processes; on exit, all processes in it are killed in reverse order."""
--- a/src/anvillug/bench/soak_fleet.py
+++ b/src/anvillug/bench/soak_fleet.py
@@ -22,6 +22,7 @@
 
 _PORTS_PER_HOST = 7
 _WATCH_S = 0.1
+_EXEC_S = 0.001
 _MAX_STANDSTILL_MS = 500
 # Nodes start in groups, because a start takes half a second of a processor.
 _GROUP_NODES = 12
@@ -182,13 +183,13 @@
 
     def terminate(self, host: soak_host.Host) -> None:
         """Stop a node as planned, and kill it after the grace time."""
-        if host.expected_end:
+        if host.expected_end or self._postpones(self.terminate, host):
             return
         host.expected_end = True
         host.terminated_at = self._time.now()
         node = host.node
         self.disturb(host, soak_records.Disturbance.PLANNED)
-        node.send_signal(signal.SIGTERM)
+        self._send(host, signal.SIGTERM)
         self.reactor.callLater(self.shared.grace_s, node.send_signal, signal.SIGKILL)
 
     def terminate_again(self, host: soak_host.Host) -> None:
@@ -198,8 +199,10 @@
 
     def hang_up(self, host: soak_host.Host) -> None:
         """Send SIGHUP to a node, whose settings file may have changed."""
+        if self._postpones(self.hang_up, host):
+            return
         self.disturb(host, soak_records.Disturbance.HANGUP)
-        host.node.send_signal(signal.SIGHUP)
+        self._send(host, signal.SIGHUP)
 
     def kill(self, host: soak_host.Host) -> None:
         """Kill a node."""
@@ -227,6 +230,35 @@
         if not self.stopped:
             action(*arguments)
 
+    def _postpones(self, send: Callable[[soak_host.Host], None], host: soak_host.Host) -> bool:
+        """Repeat a call soon if the node process does not run its program yet.
+
+        Until then no program can keep the signal.
+        """
+        node = host.node
+        if not node.running or processes.runs_program(node.pid):
+            return False
+        self.later(_EXEC_S, self._send_later, send, host, node)
+        return True
+
+    def _send_later(
+        self,
+        send: Callable[[soak_host.Host], None],
+        host: soak_host.Host,
+        node: processes.ChildProcess,
+    ) -> None:
+        if host.node is node:
+            send(host)
+
+    def _send(self, host: soak_host.Host, number: signal.Signals) -> None:
+        """Send a signal, and note how old the node process is and whether it would end by it."""
+        node = host.node
+        if node.running:
+            is_default = processes.has_default_action(node.pid, number)
+            action = ', by its default action' if is_default else ''
+            host.last_signal = f', {number.name} at {host.age_ms:.0f} ms{action}'
+        node.send_signal(number)
+
     def _resume(self, host: soak_host.Host, node: processes.ChildProcess) -> None:
         self.disturb(host)
         node.send_signal(signal.SIGCONT)
--- a/src/anvillug/bench/soak_host.py
+++ b/src/anvillug/bench/soak_host.py
@@ -88,6 +88,8 @@
         """Whether the end of the node process was caused from outside."""
         self.terminated_at: clock.Milliseconds | None = None
         """When the node process received its first SIGTERM."""
+        self.last_signal = ''
+        """What is known of the last signal that the node process received; empty without one."""
         self.restart_s = RESTART_S
         """Time from the next end of the node process to its start."""
         self.before_next_start: list[Callable[[], None]] = []
@@ -155,6 +157,7 @@
         self.write_settings()
         self.expected_end = False
         self.terminated_at = None
+        self.last_signal = ''
         self.restart_s = RESTART_S
         self.output = self._shared.new_output()
         launch = soak_launch.behind_links(
@@ -203,8 +206,9 @@
         After SIGTERM it must end with 0, unless it was killed or suspended.
         """
         status = self.node.status
+        age = f'{self.age_ms:.0f} ms old{self.last_signal}'
         if not self.expected_end:
-            return f'host-{self.number} ended by itself with {status}, {self.age_ms:.0f} ms old'
+            return f'host-{self.number} ended by itself with {status}, {age}'
         if self.terminated_at is None or not status:
             return ''
         was_excused = self._shared.records.was_disturbed(
@@ -215,7 +219,7 @@
         )
         if was_excused and status == -signal.SIGKILL:
             return ''
-        return f'host-{self.number} ended with {status} on SIGTERM, {self.age_ms:.0f} ms old'
+        return f'host-{self.number} ended with {status} on SIGTERM, {age}'
 
     def node_ended(self) -> None:
         """Keep the output of the node process that has ended."""
--- a/tests/test_soak_faults.py
+++ b/tests/test_soak_faults.py
@@ -12,11 +12,13 @@
 import types
 
 import pytest
+from twisted.internet import task
 
 from anvillug import clock
 from anvillug.bench import (
     processes,
     soak_faults,
+    soak_fleet,
     soak_host,
     soak_launch,
     soak_output,
@@ -138,6 +140,68 @@
         assert not output.text()
 
 
+class TestEarlySignals:
+    """Guards against ends that a soak counts as a node's faults, and no program could prevent."""
+
+    @pytest.fixture
+    def fleet(self, tmp_path):
+        """Return a fleet of one host on a clock, whose node has not been started."""
+        records = soak_records.Records()
+        return soak_fleet.Fleet(
+            task.Clock(), tmp_path, ('drawbook',), 1, (), records, random.Random(1)
+        )
+
+    @pytest.fixture
+    def forked(self):
+        """Yield a node whose process keeps the state that it has before its `execve`."""
+        pid = os.fork()
+        if not pid:
+            time.sleep(60)
+            os._exit(0)
+        sent = []
+        yield types.SimpleNamespace(pid=pid, running=True, sent=sent, send_signal=sent.append)
+        os.kill(pid, signal.SIGKILL)
+        os.waitpid(pid, 0)
+
+    @pytest.mark.parametrize('name', ['terminate', 'hang_up'])
+    def test_signal_before_the_program_is_postponed(self, fleet, forked, name):
+        host = fleet.hosts[0]
+        host.node = forked
+        getattr(fleet, name)(host)
+        fleet.reactor.advance(1)
+        assert not forked.sent
+        assert not host.expected_end
+        with processes.group() as group:
+            child = processes.ChildProcess((), (sys.executable, '-c', 'input()'), has_input=True)
+            group.append(child)
+            _await(lambda: processes.runs_program(child.pid))
+            forked.pid = child.pid
+            fleet.reactor.advance(1)
+        assert forked.sent == [signal.SIGTERM if name == 'terminate' else signal.SIGHUP]
+
+    def test_signal_of_a_former_process_is_not_sent_to_the_next(self, fleet, forked):
+        host = fleet.hosts[0]
+        host.node = forked
+        fleet.terminate(host)
+        host.node = types.SimpleNamespace(running=True)
+        fleet.reactor.advance(1)
+        assert not forked.sent
+
+    def test_end_names_the_last_signal(self, fleet):
+        host = fleet.hosts[0]
+        with processes.group() as group:
+            child = processes.ChildProcess((), (sys.executable, '-c', 'input()'), has_input=True)
+            group.append(child)
+            _await(lambda: processes.runs_program(child.pid))
+            host.node = child
+            fleet.hang_up(host)
+            _await(lambda: not child.running)
+            problem = host.end_problem()
+        assert 'host-0 ended by itself with -1,' in problem
+        assert ' ms old, SIGHUP at ' in problem
+        assert problem.endswith(' ms, by its default action')
+
+
 class TestEnd:
     """Guards against ends of node processes that are not counted as faults."""
 
