--- a/tests/test_soak_faults.py
+++ b/tests/test_soak_faults.py
@@ -8,13 +8,17 @@
 import random
 import signal
 import sys
+import time
 import types
 
 import pytest
+from twisted.internet import task
 
 from anvillug import clock
 from anvillug.bench import (
+    processes,
     soak_faults,
+    soak_fleet,
     soak_host,
     soak_launch,
     soak_output,
@@ -28,6 +32,25 @@
 print(*sorted(each.name for each in signal.pthread_sigmask(signal.SIG_BLOCK, ())))
 """
 
+_SLEEPING = 'sleeping'
+# Runs a module after a time, as a slow machine starts the interpreter.
+_SLOW_START = """
+import runpy, sys, time
+print('sleeping', flush=True)
+time.sleep(0.3)
+_, option, module, *arguments = sys.argv
+sys.argv = [module, *arguments]
+runpy.run_module(module, run_name='__main__', alter_sys=True)
+"""
+
+
+def _await(condition) -> None:
+    """Wait until a condition holds."""
+    end = time.monotonic() + clock.to_seconds(processes.START_TIMEOUT_MS)
+    while not condition():
+        assert time.monotonic() < end
+        time.sleep(processes.POLL_S)
+
 
 class TestChoice:
     """Guards against kinds that no seed chooses, and against seeds that change their meaning."""
@@ -69,6 +92,24 @@
         assert pathlib.Path(command[-1]).is_file()
 
 
+class TestSubcommandLaunch:
+    """Guards against ends by early signals that the users' platform doesn't cause."""
+
+    def test_signals_are_kept_before_the_first_line(self, tmp_path):
+        # FAULT: nodes of the soak ended by a signal during the start of the interpreter.
+        launch = soak_launch.as_subcommand(tmp_path / 'none.json')
+        python, *arguments = launch.command
+        slow = (python, '-c', _SLOW_START, *arguments)
+        with processes.group() as group:
+            child = processes.ChildProcess((), slow, launch.environment)
+            group.append(child)
+            _await(lambda: _SLEEPING in child.output())
+            child.send_signal(signal.SIGTERM)
+            _await(lambda: not child.running)
+            assert child.status == 0
+            assert 'signal=SIGTERM action=ended' in child.output()
+
+
 class TestPipeOutput:
     """Guards against faults of the output's reader that a node cannot notice."""
 
@@ -99,6 +140,68 @@
         assert not output.text()
 
 
+class TestEarlySignals:
+    """Guards against ends that a soak counts as a node's faults, and no program could prevent."""
+
+    @pytest.fixture
+    def fleet(self, tmp_path):
+        """Return a fleet of one host on a clock, whose node has not been started."""
+        records = soak_records.Records()
+        return soak_fleet.Fleet(
+            task.Clock(), tmp_path, ('drawbook',), 1, (), records, random.Random(1)
+        )
+
+    @pytest.fixture
+    def forked(self):
+        """Yield a node whose process keeps the state that it has before its `execve`."""
+        pid = os.fork()
+        if not pid:
+            time.sleep(60)
+            os._exit(0)
+        sent = []
+        yield types.SimpleNamespace(pid=pid, running=True, sent=sent, send_signal=sent.append)
+        os.kill(pid, signal.SIGKILL)
+        os.waitpid(pid, 0)
+
+    @pytest.mark.parametrize('name', ['terminate', 'hang_up'])
+    def test_signal_before_the_program_is_postponed(self, fleet, forked, name):
+        host = fleet.hosts[0]
+        host.node = forked
+        getattr(fleet, name)(host)
+        fleet.reactor.advance(1)
+        assert not forked.sent
+        assert not host.expected_end
+        with processes.group() as group:
+            child = processes.ChildProcess((), (sys.executable, '-c', 'input()'), has_input=True)
+            group.append(child)
+            _await(lambda: processes.runs_program(child.pid))
+            forked.pid = child.pid
+            fleet.reactor.advance(1)
+        assert forked.sent == [signal.SIGTERM if name == 'terminate' else signal.SIGHUP]
+
+    def test_signal_of_a_former_process_is_not_sent_to_the_next(self, fleet, forked):
+        host = fleet.hosts[0]
+        host.node = forked
+        fleet.terminate(host)
+        host.node = types.SimpleNamespace(running=True)
+        fleet.reactor.advance(1)
+        assert not forked.sent
+
+    def test_end_names_the_last_signal(self, fleet):
+        host = fleet.hosts[0]
+        with processes.group() as group:
+            child = processes.ChildProcess((), (sys.executable, '-c', 'input()'), has_input=True)
+            group.append(child)
+            _await(lambda: processes.runs_program(child.pid))
+            host.node = child
+            fleet.hang_up(host)
+            _await(lambda: not child.running)
+            problem = host.end_problem()
+        assert 'host-0 ended by itself with -1,' in problem
+        assert ' ms old, SIGHUP at ' in problem
+        assert problem.endswith(' ms, by its default action')
+
+
 class TestEnd:
     """Guards against ends of node processes that are not counted as faults."""
 
