--- a/src/anvillug/bench/processes.py
+++ b/src/anvillug/bench/processes.py
@@ -122,6 +122,17 @@
                 raise ProcessError(f'{event} {state}: {self.arguments}: {self.output()}')
             time.sleep(POLL_S)
 
+    def wait(self, timeout_ms: float) -> int:
+        """Wait for the end of the process and return its exit status.
+
+        Raises:
+            ProcessError: If it does not end in time.
+        """
+        try:
+            return self._process.wait(clock.to_seconds(timeout_ms))
+        except subprocess.TimeoutExpired as error:
+            raise ProcessError(f'not ended in time: {self.arguments}') from error
+
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal such as SIGSTOP if the process is running."""
         if self.running:
--- a/src/anvillug/bench/soak_fleet.py
+++ b/src/anvillug/bench/soak_fleet.py
@@ -18,7 +18,7 @@
 from anvillug.standin import platform_store
 
 MEMORY_LIMIT_MB = 300
-"""Memory of a node process; one that exceeds it is killed."""
+"""Memory of a node process by default."""
 
 _PORTS_PER_HOST = 7
 _WATCH_S = 0.1
@@ -100,6 +100,8 @@
         """Actions between the starts of the store and of the hosts."""
         self.after_stop: list[Callable[[], Any]] = []
         """Actions once all processes have ended."""
+        self.memory_limit_mb: float = MEMORY_LIMIT_MB
+        """Memory of a node process; one that exceeds it is killed."""
         self.changes = soak_config.Changes()
         """Changes of the usual configuration."""
         self._classes = classes
@@ -269,7 +271,7 @@
             memory_mb = usage.anonymous_mb(host.node.pid)
             fleet_mb += memory_mb
             self.records.peak_mb = max(self.records.peak_mb, memory_mb)
-            if memory_mb > MEMORY_LIMIT_MB:
+            if memory_mb > self.memory_limit_mb:
                 self._own_end(f'host-{host.number} has {memory_mb:.0f} MB')
                 host.expected_end = True
                 host.terminated_at = None
--- a/src/anvillug/bench/usage.py
+++ b/src/anvillug/bench/usage.py
@@ -53,3 +53,11 @@
         return 0
     found = _ANONYMOUS_MEMORY.search(status)
     return int(found.group(1)) / _KB_PER_MB if found else 0
+
+
+def open_descriptors(pid: int) -> int:
+    """Return the number of open descriptors of a process; 0 if it has ended."""
+    try:
+        return len(os.listdir(_PROC / str(pid) / 'fd'))
+    except OSError:
+        return 0
--- a/src/anvillug/process/command_line.py
+++ b/src/anvillug/process/command_line.py
@@ -29,7 +29,17 @@
 
 
 _STANDINS = ('backend_server', 'log', 'link')
-_BENCHES = ('demo', 'scenario', 'tables', 'capacity', 'footprint', 'soak', 'starts', 'stops')
+_BENCHES = (
+    'demo',
+    'scenario',
+    'tables',
+    'capacity',
+    'footprint',
+    'soak',
+    'starts',
+    'stops',
+    'crowd',
+)
 _COMMANDS_BY_NAME = {
     'node': _Command('node', 'Run a node beside a backend server.'),
     'mesh': _Command('mesh', "Run a node on the users' platform."),
--- a/src/anvillug/process/commands/bench.py
+++ b/src/anvillug/process/commands/bench.py
@@ -204,6 +204,46 @@
     return _reactor.run(functools.partial(bench_stops.run, plan))
 
 
+def crowd(  # noqa: WPS211 - each is a flag
+    *,
+    habit: str = 'resets-length',
+    clients: int = 10,
+    seconds: float = 15,
+    nodes: int = 4,
+    code: pathlib.Path | None = None,
+    memory_mb: float = 300,
+) -> int:
+    """Play a crowd of clients that do not behave at the first of some nodes.
+
+    Args:
+        habit: What the clients do; see `bench/unruly_clients.py`.
+        clients: Number of clients, at most 200.
+        seconds: Time in seconds for which they do it, at most 120.
+        nodes: Number of node processes, at least 2 and at most 12.
+        code: Checkout whose code the nodes run; this one by default.
+        memory_mb: Memory of a node process; one that exceeds it is killed.
+
+    Returns:
+        Exit code: 0 if no node ended by itself and all ordinary requests after the crowd were
+        answered, 1 otherwise, 2 for invalid arguments.
+    """
+    from anvillug.bench import crowds, unruly_callers, unruly_clients  # noqa: PLC0415
+
+    known = [each.value for each in unruly_clients.Habit]
+    is_bounded = (
+        1 <= clients <= unruly_callers.MAX_CLIENTS
+        and 0 < seconds <= crowds.MAX_S
+        and crowds.MIN_NODES <= nodes <= crowds.MAX_NODES
+        and memory_mb > 0
+    )
+    if habit not in known or not is_bounded:
+        sys.stderr.write(f'crowd: habits are {", ".join(known)}; for the limits, see --help\n')
+        return _EXIT_BAD_FILE
+    checkout = None if code is None else code.resolve()
+    plan = crowds.Plan(unruly_clients.Habit(habit), clients, seconds, nodes, checkout, memory_mb)
+    return _reactor.run(functools.partial(crowds.run, plan))
+
+
 def starts(
     *,
     trouble: str = 'port',
