--- a/src/anvillug/bench/soak_checks.py
+++ b/src/anvillug/bench/soak_checks.py
@@ -19,6 +19,8 @@
     soak_records.Disturbance.PLANNED,
     soak_records.Disturbance.START,
 }
+# A crowd makes answers late, which is no reason to cut a request that was passed on.
+_LATE = _OUT_OF_TOUCH | {soak_records.Disturbance.CROWD}
 
 
 def broken(records: soak_records.Records) -> list[str]:
@@ -195,6 +197,7 @@
             and not self._was_out_of_touch(
                 attempt,
                 attempt.sent_at + attempt.timeout_ms + _ANSWER_SLACK_MS,
+                _LATE,
             )
         )
 
@@ -245,7 +248,12 @@
         is_late = reason is soak_cuts.Reason.CALM_UNREAD and self._cuts.was_cut_late(attempt)
         return is_late or reason is soak_cuts.Reason.CALM_PASSED_ON
 
-    def _was_out_of_touch(self, attempt: soak_records.Attempt, end: float) -> bool:
+    def _was_out_of_touch(
+        self,
+        attempt: soak_records.Attempt,
+        end: float,
+        kinds: frozenset[soak_records.Disturbance] = _OUT_OF_TOUCH,
+    ) -> bool:
         """Return whether the node that took an attempt was not in touch until `end`."""
         begin = attempt.sent_at - soak_cuts.TOUCH_MS
-        return self._records.was_disturbed(attempt.node, begin, end, _OUT_OF_TOUCH)
+        return self._records.was_disturbed(attempt.node, begin, end, kinds)
--- a/src/anvillug/bench/soak_fleet.py
+++ b/src/anvillug/bench/soak_fleet.py
@@ -14,7 +14,15 @@
 from twisted.internet import task
 
 from anvillug import clock, event_log
-from anvillug.bench import processes, soak_classes, soak_config, soak_host, soak_records, usage
+from anvillug.bench import (
+    processes,
+    soak_classes,
+    soak_config,
+    soak_host,
+    soak_output,
+    soak_records,
+    usage,
+)
 from anvillug.standin import platform_store
 
 MEMORY_LIMIT_MB = 300
@@ -272,7 +280,7 @@
             fleet_mb += memory_mb
             self.records.peak_mb = max(self.records.peak_mb, memory_mb)
             if memory_mb > self.memory_limit_mb:
-                self._own_end(f'host-{host.number} has {memory_mb:.0f} MB')
+                self._own_end(host, f'host-{host.number} has {memory_mb:.0f} MB')
                 host.expected_end = True
                 host.terminated_at = None
                 host.node.send_signal(signal.SIGKILL)
@@ -282,7 +290,7 @@
         """Record the end of a node process, and start it again after a short delay."""
         problem = host.end_problem()
         if problem:
-            self._own_end(problem)
+            self._own_end(host, problem)
         host.node_ended()
         self.reactor.callLater(host.restart_s, self._restart, host)
 
@@ -292,7 +300,10 @@
                 self.disturb(host, soak_records.Disturbance.START)
             host.start_node()
 
-    def _own_end(self, reason: str) -> None:
+    def _own_end(self, host: soak_host.Host, reason: str) -> None:
         """Record an end that nothing from outside has caused; it excuses no lost request."""
         event_log.warn('node_ended', reason=reason)
         self.records.own_ends.append(reason)
+        self.records.last_lines += [
+            f'host-{host.number} {line}' for line in soak_output.last_warnings(host.output)
+        ]
--- a/src/anvillug/bench/soak_output.py
+++ b/src/anvillug/bench/soak_output.py
@@ -10,6 +10,8 @@
 from typing import Protocol as Interface
 
 _STARTED = re.compile(r'^time_ms=(\d+) .*event=node_started\b', re.MULTILINE)
+_WARNING = re.compile(r'\blevel=(?:warn|error)|\bevent=process_state\b')
+_LAST_WARNINGS = 3
 _MAX_READ_BYTES = 65_536
 # The smallest pipe, so that it is soon full once it is not read any more.
 _PIPE_BYTES = 4096
@@ -40,6 +42,12 @@
     return int(found.group(1)) if found else None
 
 
+def last_warnings(output: Output) -> list[str]:
+    """Return the last warnings and states of the process in its log."""
+    lines = [line for line in output.text().splitlines() if _WARNING.search(line)]
+    return lines[-_LAST_WARNINGS:]
+
+
 class FileOutput:
     """Output of one process, kept in a temporary file; see `Output`."""
 
--- a/src/anvillug/bench/soak_records.py
+++ b/src/anvillug/bench/soak_records.py
@@ -35,6 +35,8 @@
     """Trouble on the links to other nodes or to callers; it excuses what a kill excuses."""
     STORE = 'store'
     """Trouble of the store or on the link to it; it excuses only what orders demand in time."""
+    CROWD = 'crowd'
+    """Clients that do not behave; it excuses only what is demanded in time."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -174,6 +176,8 @@
         """Attempts that reached a backend server too long after its acknowledged leave."""
         self.own_ends: list[str] = []
         """Processes that ended by themselves or exceeded their memory, with the reason."""
+        self.last_lines: list[str] = []
+        """Last warnings and states in the logs of these processes, with the name of the node."""
         self.configs: list[clock.Milliseconds] = []
         """Times at which a configuration was written."""
         self.stalls = stalls.Stalls()
--- a/src/anvillug/bench/soak_report.py
+++ b/src/anvillug/bench/soak_report.py
@@ -67,6 +67,7 @@
         ),
         *_unanswered_lines(records, soak_checks.counts_by_habit(records, broken, unjudged)),
         *(f'broken: {line}' for line in broken_lines[:_MAX_SHOWN]),
+        *(f'log of {line}' for line in records.last_lines[:_MAX_SHOWN]),
         f'seed {seed}: {len(broken)} promises broken',
     ]
     sys.stdout.write('\n'.join([*lines, '']))
