--- a/src/anvillug/connection/http_server.py
+++ b/src/anvillug/connection/http_server.py
@@ -328,7 +328,7 @@
             return
         held_bytes = 0
         if not self._disconnected:
-            held_bytes = self._parser.head_bytes + write_batch.unsent_bytes(self.transport)
+            held_bytes = self._parser.part_bytes + write_batch.unsent_bytes(self.transport)
             held_bytes += self._pending.count * _STEP_BYTES
             held_bytes += sum(slot.held_bytes for slot in self._slots)
         self._is_charged = held_bytes > 0
@@ -349,6 +349,8 @@
         if unsent_bytes:
             return client_limits.Waiting.READER, unsent_bytes
         if self._awaits_body():
+            if self._parser.awaits_trailer_end:
+                return client_limits.Waiting.HEAD, self._begun_count
             return client_limits.Waiting.BODY, self._reads
         if self._slots or self._closing:
             return client_limits.Waiting.RESPONSE, 0
@@ -357,9 +359,10 @@
         return client_limits.Waiting.REQUEST, self._begun_count
 
     def limit_exceeded(self, waiting: client_limits.Waiting) -> None:
-        """Reject an incomplete head, or close the connection."""
+        """Reject an incomplete head or trailer, or close the connection."""
         if waiting is client_limits.Waiting.HEAD:
-            self.request_malformed(_STATUS_REQUEST_TIMEOUT, 'the head is not complete in time')
+            part = 'trailer' if self._parser.awaits_trailer_end else 'head'
+            self.request_malformed(_STATUS_REQUEST_TIMEOUT, f'the {part} is not complete in time')
         elif waiting is client_limits.Waiting.READER:
             self.give_up()
         else:
@@ -607,6 +610,10 @@
         if self._closing:
             return
         self._malformed = True
+        if self._discards_body:
+            # The request is answered.
+            self._close()
+            return
         event_log.warn('request_rejected', status=status, reason=message)
         body = f'{message}\n'.encode()
         if not self._slots:
--- a/src/anvillug/connection/request_parser.py
+++ b/src/anvillug/connection/request_parser.py
@@ -13,7 +13,13 @@
 _CONNECT = b'CONNECT'
 _STATUS_BAD_REQUEST = 400
 _EMPTY_LINE_BYTES = 2
+_FIELD_FRAMING_BYTES = 4
 _MAX_PAIRS = header_lines.MAX_PAIRS
+# Bytes are counted by pieces of this size, since the parser does not tell where in a piece a part
+# of a message ends.
+_PIECE_BYTES = 8 * 1024
+# Up to this size, what follows a chunk is taken for the header of the next or the last one.
+_CHUNK_HEADER_BYTES = 64
 _STATUS_HEAD_TOO_LARGE = 431
 
 
@@ -46,7 +52,7 @@
 
     Args:
         receiver: Receives what is parsed.
-        max_head_bytes: Maximum size of a request head in bytes.
+        max_head_bytes: Maximum size of a head, a trailer or a chunk header in bytes.
     """
 
     def __init__(self, receiver: RequestReceiver, max_head_bytes: int) -> None:
@@ -55,7 +61,9 @@
         self._parser = httptools.HttpRequestParser(self)
         self._target = b''
         self._headers: list[http_head.Header] | header_lines.HeaderLines = []
-        self._head_bytes = 0
+        # Bytes after the last complete part of a message: a head, a part of a body, or its end.
+        self._part_bytes = 0
+        self._trailer_bytes = 0
         self._in_head = True
         self._is_malformed = False
         self.is_receiving = False
@@ -63,27 +71,27 @@
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes."""
-        if self._is_malformed:
+        if len(data) <= _PIECE_BYTES:
+            self._feed_piece(data)
             return
-        if self._in_head:
-            self._head_bytes += len(data)
-        remaining = data
-        while remaining:
-            remaining = self._parse(remaining)
-        if self._in_head and self._head_bytes > self._max_head_bytes:
-            self._reject(_STATUS_HEAD_TOO_LARGE, self._too_large_message())
-        elif self._in_head and len(self._headers) > _MAX_PAIRS:
-            self._pack_headers()
+        view = memoryview(data)
+        for start in range(0, len(data), _PIECE_BYTES):
+            self._feed_piece(view[start : start + _PIECE_BYTES])
 
     @property
-    def head_bytes(self) -> int:
-        """Bytes of a head whose end has not been received."""
-        return self._head_bytes
+    def part_bytes(self) -> int:
+        """Bytes of a head, a trailer or a chunk header whose end has not been received."""
+        return self._part_bytes
 
     @property
     def awaits_head_end(self) -> bool:
         """Whether a part of a head has been received, or more than one empty line before it."""
-        return self._in_head and (self.is_receiving or self._head_bytes > _EMPTY_LINE_BYTES)
+        return self._in_head and (self.is_receiving or self._part_bytes > _EMPTY_LINE_BYTES)
+
+    @property
+    def awaits_trailer_end(self) -> bool:
+        """Whether a part of a trailer has been received, or of a chunk header with extensions."""
+        return not self._in_head and self._part_bytes > _CHUNK_HEADER_BYTES
 
     def close(self) -> None:
         """Release what is held, since nothing more is parsed.
@@ -93,7 +101,7 @@
         """
         self._is_malformed = True
         self._headers = []
-        self._head_bytes = 0
+        self._part_bytes = 0
         self.is_receiving = False
         self._parser = None
         self._receiver = None
@@ -113,9 +121,13 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Receive a header; see httptools."""
-        # Headers after the body are trailers, which are not forwarded.
         if self._in_head:
             self._headers.append((name, value))
+            return
+        # Fields after the body are a trailer, which is not forwarded.
+        self._trailer_bytes += len(name) + len(value) + _FIELD_FRAMING_BYTES
+        if self._trailer_bytes > self._max_head_bytes:
+            self._reject_too_large()
 
     def on_headers_complete(self) -> None:
         """Pass the head on, or reject it; see httptools."""
@@ -134,19 +146,21 @@
         )
         # The counted bytes may include the start of the body.
         limit = self._max_head_bytes
-        too_large = self._head_bytes > limit and len(http_head.serialize_request(head)) > limit
-        self._in_head = False
-        self._head_bytes = 0
+        too_large = self._part_bytes > limit and len(http_head.serialize_request(head)) > limit
         head_error = self._head_error(head)
         if too_large:
-            self._reject(_STATUS_HEAD_TOO_LARGE, self._too_large_message())
+            self._reject_too_large()
         elif head_error:
             self._reject(_STATUS_BAD_REQUEST, head_error)
-        elif not self._is_malformed:
+        self._in_head = False
+        self._part_bytes = 0
+        self._trailer_bytes = 0
+        if not self._is_malformed:
             self._receiver.head_received(head)
 
     def on_body(self, data: bytes) -> None:
         """Pass a part of the body on; see httptools."""
+        self._part_bytes = 0
         if not self._is_malformed:
             self._receiver.body_received(data)
 
@@ -155,13 +169,32 @@
         if self._offers_upgrade():
             return
         self._in_head = True
+        self._part_bytes = 0
         self.is_receiving = False
         if not self._is_malformed:
             self._receiver.request_received()
 
     # Private
 
-    def _parse(self, data: bytes) -> bytes:
+    def _feed_piece(self, data: bytes | memoryview) -> None:
+        if self._is_malformed:
+            return
+        self._part_bytes += len(data)
+        remaining = data
+        while remaining:
+            remaining = self._parse(remaining)
+        if self._is_malformed:
+            # It holds what it has not passed on.
+            self._parser = None
+        elif self._in_head:
+            if self._part_bytes > self._max_head_bytes:
+                self._reject_too_large()
+            elif len(self._headers) > _MAX_PAIRS:
+                self._pack_headers()
+        elif self._part_bytes > self._max_head_bytes + _CHUNK_HEADER_BYTES:
+            self._reject_too_large()
+
+    def _parse(self, data: bytes | memoryview) -> bytes:
         """Parse bytes and return those that have to be parsed again."""
         try:
             self._parser.feed_data(data)
@@ -171,7 +204,7 @@
             self._receiver.receiver_failed()
         except httptools.HttpParserUpgrade as upgrade:
             if not self._is_malformed:
-                return self._restart_without_upgrade() + data[upgrade.args[0] :]
+                return self._restart_without_upgrade() + bytes(data[upgrade.args[0] :])
         except httptools.HttpParserError as error:
             self._reject(_STATUS_BAD_REQUEST, f'malformed HTTP request: {error}')
         return b''
@@ -200,10 +233,12 @@
         if not self._is_malformed:
             self._is_malformed = True
             self._headers = []
+            self._part_bytes = 0
             self._receiver.request_malformed(status, message)
 
-    def _too_large_message(self) -> str:
-        return f'request head exceeds {self._max_head_bytes} bytes'
+    def _reject_too_large(self) -> None:
+        part = 'head' if self._in_head else 'trailer or chunk header'
+        self._reject(_STATUS_HEAD_TOO_LARGE, f'request {part} exceeds {self._max_head_bytes} bytes')
 
     def _head_error(self, head: http_head.RequestHead) -> str:
         """Return why a request head is rejected, or an empty string for a valid head."""
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -23,7 +23,7 @@
 _MAX_HEAD_BYTES = 65536
 
 
-class _Recorder:
+class Recorder:
     """Handler that collects the body and responds with it at the end of the request."""
 
     def __init__(self, exchange: http_exchange.ServerExchange, received: list) -> None:
@@ -71,7 +71,7 @@
 def make_connection(on_request=None, max_head_bytes: int = _MAX_HEAD_BYTES):
     """Return a server connection, its transport, and what its requests were."""
     received: list = []
-    started = on_request or (lambda exchange: _Recorder(exchange, received))
+    started = on_request or (lambda exchange: Recorder(exchange, received))
     connection = http_server.ServerConnection(started, max_head_bytes, set())
     transport = _Transport()
     connection.makeConnection(transport)
--- /dev/null
+++ b/tests/test_request_parser.py
@@ -0,0 +1,114 @@
+"""Tests of what the parser of requests holds, and of the work that it does for each read."""
+
+from __future__ import annotations
+
+import pytest
+
+from anvillug import clock
+from anvillug.connection import client_limits, http_server, memory_account
+from tests import test_bad_input
+
+_MAX_HEAD_BYTES = 512
+_START = b'POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n'
+_LAST_CHUNK = b'0\r\n'
+_PIECES = 100
+
+
+class _Connection:
+    """Connection whose requests are recorded, and the account of its memory."""
+
+    def __init__(self, on_request=None) -> None:
+        self.account = memory_account.MemoryAccount(1 << 20, clock.ManualClock())
+        self.received: list = []
+        self.server = http_server.ServerConnection(
+            on_request or (lambda exchange: test_bad_input.Recorder(exchange, self.received)),
+            _MAX_HEAD_BYTES,
+            set(),
+            account=self.account,
+        )
+        self.transport = test_bad_input.make_transport()
+        self.server.makeConnection(self.transport)
+
+
+@pytest.fixture
+def connection():
+    """Return a connection that has received a head and one chunk."""
+    connection = _Connection()
+    connection.server.dataReceived(_START)
+    return connection
+
+
+class TestTrailers:
+    """Guards against what follows the chunks of a body, or precedes the next one, without end."""
+
+    @pytest.mark.parametrize(
+        ('start', 'piece'),
+        [
+            (b'0\r\nX: ', b'a' * 16),
+            (b'0\r\n', b'a' * 16),
+            (b'0\r\n', b'a:\r\n' * 4),
+            (b'1;a=', b'a' * 16),
+            (b'', b'0' * 16),
+        ],
+        ids=['value', 'name', 'fields', 'extension', 'zeros'],
+    )
+    def test_stream_without_end_is_rejected(self, connection, start, piece):
+        connection.server.dataReceived(start)
+        for _ in range(_PIECES):
+            connection.server.dataReceived(piece)
+            assert connection.account.used_bytes < 2 * _MAX_HEAD_BYTES
+        assert connection.transport.value().startswith(b'HTTP/1.1 431 ')
+        assert connection.transport.disconnecting
+        # The request has not run.
+        assert connection.received == ['aborted']
+        assert connection.account.used_bytes == 0
+
+    # Guards against a limit that depends on the sizes of reads.
+    def test_whole_trailer_over_the_limit_is_rejected(self, connection):
+        trailer = b'X: %b\r\n' % (b'a' * _MAX_HEAD_BYTES)
+        connection.server.dataReceived(b'%b%b\r\n' % (_LAST_CHUNK, trailer))
+        assert connection.transport.value().startswith(b'HTTP/1.1 431 ')
+
+    @pytest.mark.parametrize('size', [1, 7, 1 << 12])
+    def test_trailer_within_the_limit_is_ignored(self, connection, size):
+        trailer = b'X: %b\r\n' % (b'a' * (_MAX_HEAD_BYTES - 7))
+        data = b'%b%b\r\n' % (_LAST_CHUNK, trailer)
+        for start in range(0, len(data), size):
+            connection.server.dataReceived(data[start : start + size])
+        assert connection.received == [(b'/x', b'a')]
+        assert connection.account.used_bytes == 0
+
+    # Guards against a second response, which the client would take for that of another request.
+    def test_no_response_follows_that_of_an_answered_request(self):
+        exchanges = []
+        connection = _Connection(exchanges.append)
+        connection.server.dataReceived(_START)
+        exchanges[0].respond(503)
+        connection.server.dataReceived(b'%bX: ' % _LAST_CHUNK)
+        connection.server.dataReceived(b'a' * 2 * _MAX_HEAD_BYTES)
+        assert connection.transport.value().count(b'HTTP/1.1 ') == 1
+        assert connection.transport.disconnecting
+
+    def test_trailer_has_the_time_limit_of_a_head(self, connection):
+        assert connection.server.waits_for()[0] is client_limits.Waiting.BODY
+        connection.server.dataReceived(b'%bX: ' % _LAST_CHUNK)
+        connection.server.dataReceived(b'a' * 100)
+        assert connection.server.waits_for()[0] is client_limits.Waiting.HEAD
+        connection.server.limit_exceeded(client_limits.Waiting.HEAD)
+        assert connection.transport.value().startswith(b'HTTP/1.1 408 ')
+        assert connection.received == ['aborted']
+
+    # Guards against a limit on clients that pause after a chunk header.
+    def test_chunk_header_has_no_time_limit(self, connection):
+        connection.server.dataReceived(b'10\r\n')
+        assert connection.server.waits_for()[0] is client_limits.Waiting.BODY
+
+
+class TestHeadsBehindABody:
+    """Guards against heads that are not counted since they begin within a read."""
+
+    def test_large_head_in_one_read(self, connection):
+        head = b'GET / HTTP/1.1\r\nX: %b' % (b'a' * (1 << 15))
+        connection.server.dataReceived(b'%b\r\n%b' % (_LAST_CHUNK, head))
+        assert b'HTTP/1.1 431 ' in connection.transport.value()
+        assert connection.transport.disconnecting
--- a/tests/test_unruly_clients.py
+++ b/tests/test_unruly_clients.py
@@ -193,5 +193,29 @@
         unruly_crowd.check_survives_resets(node, head + bytes(_MAX_BODY_BYTES // 2))
 
 
+class TestStreamsBehindABody:
+    """Guards against what a client sends after a body, or between its chunks, without end."""
+
+    @pytest.mark.parametrize('stream', unruly_crowd.BEHIND_CHUNKS, ids=str)
+    def test_stream_without_end(self, node, stream):
+        start = _START + _ATTRIBUTES + unruly_crowd.BEHIND_CHUNKS[stream][0]
+        unruly_crowd.check_survives_streams(
+            node,
+            start,
+            unruly_crowd.BEHIND_CHUNKS[stream][1],
+            unruly_crowd.STREAMS,
+            unruly_crowd.STREAM_PIECES,
+        )
+
+    # The readiness, control, metrics and nodes' addresses.
+    @pytest.mark.parametrize('number', [1, 3, 4, 6])
+    def test_trailer_without_end_at_other_addresses(self, node, number):
+        node.crowd_address = (_IP, node.ports[number])
+        start, piece = unruly_crowd.BEHIND_CHUNKS['trailer-value']
+        unruly_crowd.check_survives_streams(
+            node, _START + start, piece, unruly_crowd.STREAMS, unruly_crowd.STREAM_PIECES
+        )
+
+
 def _request() -> bytes:
     return b'%b%b\r\n' % (_START, _ATTRIBUTES)
--- a/tests/test_unruly_clients_node.py
+++ b/tests/test_unruly_clients_node.py
@@ -129,6 +129,28 @@
         unruly_crowd.check_survives_bursts(node)
 
 
+class TestStreamsBehindABody:
+    """Guards against what a client sends after a body, or between its chunks, without end."""
+
+    @pytest.mark.parametrize('stream', unruly_crowd.BEHIND_CHUNKS, ids=str)
+    def test_stream_without_end(self, node, stream):
+        start = _START + _DEADLINE + unruly_crowd.BEHIND_CHUNKS[stream][0]
+        unruly_crowd.check_survives_streams(
+            node,
+            start,
+            unruly_crowd.BEHIND_CHUNKS[stream][1],
+            unruly_crowd.STREAMS,
+            unruly_crowd.STREAM_PIECES,
+        )
+
+    def test_trailer_without_end_at_the_operator_address(self, node):
+        node.crowd_address = node.operator_address
+        start, piece = unruly_crowd.BEHIND_CHUNKS['trailer-value']
+        unruly_crowd.check_survives_streams(
+            node, _START + start, piece, unruly_crowd.STREAMS, unruly_crowd.STREAM_PIECES
+        )
+
+
 def _request(response_bytes: int) -> bytes:
     target = b'/x?bytes=%d' % response_bytes
     return b'GET %b HTTP/1.1\r\nHost: drawbook\r\n%b\r\n' % (target, _DEADLINE)
--- a/tests/unruly_crowd.py
+++ b/tests/unruly_crowd.py
@@ -28,6 +28,23 @@
 MAX_HEADER_BYTES = 16384
 """Limit of a head in the settings of the tests."""
 _ENDLESS_BYTES = 1 << 18
+STREAMS = 4
+"""Number of clients that send without end; a single one has ended nodes."""
+STREAM_PIECES = 1024
+_CHUNKED = b'Transfer-Encoding: chunked\r\n\r\n'
+_BODY = b'%b1\r\na\r\n0\r\n' % _CHUNKED
+_PIECE = b'a' * (1 << 16)
+BEHIND_CHUNKS = {
+    'trailer-value': (b'%bX: ' % _BODY, _PIECE),
+    'trailer-name': (_BODY, _PIECE),
+    'trailers': (_BODY, b'a:\r\n' * (1 << 14)),
+    'chunk-extension': (b'%b1;a=' % _CHUNKED, _PIECE),
+    'chunk-zeros': (_CHUNKED, b'0' * len(_PIECE)),
+    'empty-lines-behind-a-body': (b'%b\r\n' % _BODY, b'\r\n' * (1 << 15)),
+    'target-behind-a-body': (b'%b\r\nGET /' % _BODY, _PIECE),
+    'header-behind-a-body': (b'%b\r\nGET / HTTP/1.1\r\nX: ' % _BODY, _PIECE),
+}
+"""What clients send as the framing of a body and after it: headers and start, and what follows."""
 _ANONYMOUS_MEMORY = re.compile(r'RssAnon:\s+(\d+) kB')
 _RECEIVE_BUFFER_BYTES = 4096
 _SEND_TIMEOUT_S = 0.5
@@ -36,6 +53,8 @@
 _RESETTING_CLIENTS = 10
 _RESETS = 2000
 _RESET = struct.pack('ii', 1, 0)
+_STREAM_CHECKS = 100
+_STREAM_TIMEOUT_S = reactor_thread.TIMEOUT_S
 _BURSTS = 8
 _BURST_CHECKS = 5000
 
@@ -160,6 +179,37 @@
     _check_bounds(target)
 
 
+def check_survives_streams(
+    target: Target,
+    start: bytes,
+    piece: bytes,
+    client_count: int,
+    piece_count: int,
+    *,
+    asks_early: bool = False,
+) -> None:
+    """Let clients send at the same time, and check the node while they send or stay connected.
+
+    Args:
+        target: The node.
+        start: What each client sends first.
+        piece: What it sends again and again after that, as fast as the node reads it.
+        client_count: Number of clients.
+        piece_count: How often a client sends the piece unless its connection ends before.
+        asks_early: Whether the ordinary request is sent once all clients have begun, rather than
+            once they have ended or some time has passed.
+    """
+    stream = _Stream(start, piece, piece_count)
+    with stream.clients(target, client_count):
+        for _ in _progress(target, range(_STREAM_CHECKS)):
+            if client_count == (stream.begun_count if asks_early else stream.ended_count):
+                break
+            time.sleep(_CHECK_S)
+        reactor_thread.eventually(target.is_answered)
+        target.measure()
+    _check_bounds(target)
+
+
 def check_survives_bursts(target: Target) -> None:
     """Let a crowd connect at once, again and again, and check the descriptors of the node."""
     with contextlib.ExitStack() as stack:
@@ -192,6 +242,49 @@
         target.measure()
 
 
+class _Stream:
+    """What each of several clients sends, and how many of them have begun and ended."""
+
+    def __init__(self, start: bytes, piece: bytes, piece_count: int) -> None:
+        self.begun_count = 0
+        self.ended_count = 0
+        self._start = start
+        self._piece = piece
+        self._piece_count = piece_count
+        self._is_over = threading.Event()
+
+    @contextlib.contextmanager
+    def clients(self, target: Target, count: int) -> Iterator[None]:
+        """Let clients send, and keep their connections open until the context ends."""
+        clients = [threading.Thread(target=self._run, args=(target,)) for _ in range(count)]
+        for client in clients:
+            client.start()
+        try:
+            yield
+        finally:
+            self._is_over.set()
+            for client in clients:
+                client.join()
+
+    def _run(self, target: Target) -> None:
+        with contextlib.suppress(OSError), socket.socket() as client:
+            client.settimeout(_STREAM_TIMEOUT_S)
+            client.connect(target.crowd_address)
+            try:
+                self._send(client)
+            finally:
+                self.ended_count += 1
+            self._is_over.wait()
+
+    def _send(self, client: socket.socket) -> None:
+        client.sendall(self._start)
+        self.begun_count += 1
+        for _ in range(self._piece_count):
+            if self._is_over.is_set():
+                return
+            client.sendall(self._piece)
+
+
 def _send_and_reset(target: Target, sent: bytes) -> None:
     for _ in range(_RESETS):
         with contextlib.suppress(OSError), socket.socket() as client:
