--- a/src/anvillug/connection/header_lines.py
+++ b/src/anvillug/connection/header_lines.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Iterable, Iterator
 
 Header = tuple[bytes, bytes]
@@ -43,6 +44,13 @@
         value_start = start + len(name) + 2
         return bytes(self._text[value_start : self._text.index(b'\n', value_start)])
 
+    def remove(self, name: bytes) -> None:
+        """Remove all headers of a name."""
+        line = rb'(?<=\n)%b:[^\n]*\n' % re.escape(name)
+        text, count = re.subn(line, b'', self._text, flags=re.IGNORECASE)
+        self._text = bytearray(text)
+        self._count -= count
+
     def __len__(self) -> int:
         return self._count
 
--- a/src/anvillug/connection/request_parser.py
+++ b/src/anvillug/connection/request_parser.py
@@ -11,6 +11,9 @@
 
 _HTTP11 = '1.1'
 _CONNECT = b'CONNECT'
+_UPGRADE = b'upgrade'
+_FRAMING_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
+_CONNECTION_HEADERS = frozenset((b'connection', b'proxy-connection'))
 _STATUS_BAD_REQUEST = 400
 _EMPTY_LINE_BYTES = 2
 _FIELD_FRAMING_BYTES = 4
@@ -65,6 +68,9 @@
         self._part_bytes = 0
         self._trailer_bytes = 0
         self._in_head = True
+        # Headers with an offer to switch the protocol and a body, which the library takes for that
+        # protocol.
+        self._offering_headers: list[http_head.Header] | header_lines.HeaderLines | None = None
         self._is_malformed = False
         self.is_receiving = False
         """Whether a part of a request has been received and its end has not."""
@@ -101,6 +107,7 @@
         """
         self._is_malformed = True
         self._headers = []
+        self._offering_headers = None
         self._part_bytes = 0
         self.is_receiving = False
         self._parser = None
@@ -131,12 +138,18 @@
 
     def on_headers_complete(self) -> None:
         """Pass the head on, or reject it; see httptools."""
-        if self._offers_upgrade():
-            return
-        # HTTP/1.0 clients receive one response per connection, as the close may end its body.
-        is_http11 = self._parser.get_http_version() == _HTTP11
         if len(self._headers) > _MAX_PAIRS:
             self._pack_headers()
+        if self._offering_headers is not None:
+            self._headers = self._offering_headers
+            self._offering_headers = None
+        elif self._offers_upgrade():
+            self._drop_offer()
+            if self._has_framing():
+                self._offering_headers = self._headers
+                return
+        # HTTP/1.0 clients receive one response per connection, as the close may end its body.
+        is_http11 = self._parser.get_http_version() == _HTTP11
         head = http_head.RequestHead(
             self._parser.get_method(),
             self._target,
@@ -166,7 +179,7 @@
 
     def on_message_complete(self) -> None:
         """Pass the end of the request on; see httptools."""
-        if self._offers_upgrade():
+        if self._offering_headers is not None:
             return
         self._in_head = True
         self._part_bytes = 0
@@ -194,8 +207,8 @@
         elif self._part_bytes > self._max_head_bytes + _CHUNK_HEADER_BYTES:
             self._reject_too_large()
 
-    def _parse(self, data: bytes | memoryview) -> bytes:
-        """Parse bytes and return those that have to be parsed again."""
+    def _parse(self, data: bytes | memoryview) -> bytes | memoryview:
+        """Parse bytes up to an offer to switch the protocol, and return what follows it."""
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserCallbackError as error:
@@ -203,8 +216,10 @@
             self._is_malformed = True
             self._receiver.receiver_failed()
         except httptools.HttpParserUpgrade as upgrade:
+            if self._offering_headers is not None:
+                self._resume_body()
             if not self._is_malformed:
-                return self._restart_without_upgrade() + bytes(data[upgrade.args[0] :])
+                return memoryview(data)[upgrade.args[0] :]
         except httptools.HttpParserError as error:
             self._reject(_STATUS_BAD_REQUEST, f'malformed HTTP request: {error}')
         return b''
@@ -213,17 +228,27 @@
         """Return whether the client offers to switch to another protocol after this head."""
         return self._parser.should_upgrade() and self._parser.get_method() != _CONNECT
 
-    def _restart_without_upgrade(self) -> bytes:
-        """Replace the parser, which takes what follows a head with an offer for another protocol.
-
-        Returns:
-            The head without the offer, which a server may ignore (RFC 9110, section 7.8).
-        """
-        headers = [header for header in self._headers if header[0].lower() != b'upgrade']
-        head = http_head.RequestHead(self._parser.get_method(), self._target, headers)
+    def _drop_offer(self) -> None:
+        """Remove the offer, which a server may ignore (RFC 9110, section 7.8)."""
+        if isinstance(self._headers, header_lines.HeaderLines):
+            self._headers.remove(_UPGRADE)
+        else:
+            self._headers = [header for header in self._headers if header[0].lower() != _UPGRADE]
+
+    def _has_framing(self) -> bool:
+        """Return whether a body may follow the head."""
+        if isinstance(self._headers, header_lines.HeaderLines):
+            return any(self._headers.first(name) is not None for name in _FRAMING_HEADERS)
+        return any(header[0].lower() in _FRAMING_HEADERS for header in self._headers)
+
+    def _resume_body(self) -> None:
+        """Let the library parse the body behind a head with an offer as one of HTTP/1."""
         version = self._parser.get_http_version().encode()
+        kept_names = _FRAMING_HEADERS | _CONNECTION_HEADERS
+        kept = [header for header in self._headers if header[0].lower() in kept_names]
+        head = http_head.RequestHead(self._parser.get_method(), self._target, kept)
         self._parser = httptools.HttpRequestParser(self)
-        return http_head.serialize_request(head, version)
+        self._parse(http_head.serialize_request(head, version))
 
     def _pack_headers(self) -> None:
         if isinstance(self._headers, list):
--- a/tests/test_request_parser.py
+++ b/tests/test_request_parser.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import httptools
 import pytest
 
 from anvillug import clock
-from anvillug.connection import client_limits, http_server, memory_account
+from anvillug.connection import client_limits, http_server, memory_account, request_parser
 from tests import test_bad_input
 
 _MAX_HEAD_BYTES = 512
@@ -112,3 +113,64 @@
         connection.server.dataReceived(b'%b\r\n%b' % (_LAST_CHUNK, head))
         assert b'HTTP/1.1 431 ' in connection.transport.value()
         assert connection.transport.disconnecting
+
+
+class _Receiver:
+    """Counts requests, and joins their bodies."""
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.body = b''
+
+    def head_received(self, head) -> None:
+        """Expect a head without the offer."""
+        assert head.get(b'upgrade') is None
+
+    def body_received(self, data: bytes) -> None:
+        """Add a part of a body."""
+        self.body += data
+
+    def request_received(self) -> None:
+        """Count a request."""
+        self.count += 1
+
+
+class TestOffersOfAnotherProtocol:
+    """Guards against work and copies that grow with the square of what one read holds."""
+
+    @pytest.mark.parametrize(
+        ('framing', 'body'),
+        [
+            (b'', b''),
+            (b'Content-Length: 0\r\n', b''),
+            (b'Content-Length: 2\r\n', b'ab'),
+            (b'Transfer-Encoding: chunked\r\n', b'1\r\na\r\n1\r\nb\r\n0\r\nX: y\r\n\r\n'),
+        ],
+        ids=['none', 'empty', 'length', 'chunks'],
+    )
+    @pytest.mark.parametrize('lines', [0, 100])
+    def test_offers_sent_ahead(self, monkeypatch, framing, body, lines):
+        copied_bytes = []
+        parsed_bytes = []
+
+        class _Parser(httptools.HttpRequestParser):
+            def feed_data(self, data):
+                if isinstance(data, bytes):
+                    copied_bytes.append(len(data))
+                try:
+                    super().feed_data(data)
+                except httptools.HttpParserUpgrade as upgrade:
+                    parsed_bytes.append(upgrade.args[0])
+                    raise
+                parsed_bytes.append(len(data))
+
+        monkeypatch.setattr(httptools, 'HttpRequestParser', _Parser)
+        offer = b'Connection: Upgrade\r\nUpgrade: x\r\n%b' % (b'a:\r\n' * lines)
+        request = b'POST /x HTTP/1.1\r\n%b%b\r\n%b' % (offer, framing, body)
+        receiver = _Receiver()
+        data = request * _PIECES
+        request_parser.RequestParser(receiver, 1 << 14).feed(data)
+        assert receiver.count == _PIECES
+        assert receiver.body == (b'ab' if body else b'') * _PIECES
+        assert sum(copied_bytes) <= 2 * len(data)
+        assert sum(parsed_bytes) <= 2 * len(data)
