--- a/src/anvillug/connection/http_server.py
+++ b/src/anvillug/connection/http_server.py
@@ -55,6 +55,8 @@
 # twenty times their size until they begin; bodies are read in larger parts.
 _READ_BYTES = 8 * 1024
 _BODY_READ_BYTES = 64 * 1024
+# A body of which one read holds more parts than this is read like requests, since parts take time.
+_MAX_PARTS_IN_READ = 256
 # Estimated memory of one step that waits.
 _STEP_BYTES = 1024
 _numbers = itertools.count(1)
@@ -179,6 +181,8 @@
             self._run_pending()
         finally:
             write_batch.BATCH.end()
+        if self._parser.part_count > _MAX_PARTS_IN_READ:
+            self._set_read_size(reads_body=False)
         if self._is_charged or self._parser.is_receiving or self._pending.count:
             self.held_changed()
 
@@ -540,8 +544,7 @@
         self._begun_count += 1
         has_framing = head.framing is not http_head.Framing.NONE
         if has_framing is not self._reads_body:
-            self._reads_body = has_framing
-            self.transport.bufferSize = _BODY_READ_BYTES if has_framing else _READ_BYTES
+            self._set_read_size(reads_body=has_framing)
         place = http_exchange.Place(self._number, len(self._slots))
         slot = response_slot.ResponseSlot(self, head, place)
         self._slots.append(slot)
@@ -550,6 +553,10 @@
             slot.become_first(writes_paused=False)
         self._on_request(slot.exchange)
 
+    def _set_read_size(self, *, reads_body: bool) -> None:
+        self._reads_body = reads_body
+        self.transport.bufferSize = _BODY_READ_BYTES if reads_body else _READ_BYTES
+
     def _forward_body(self, data: bytes) -> None:
         exchange = self._receiving.exchange
         if exchange.ended:
--- a/src/anvillug/connection/request_parser.py
+++ b/src/anvillug/connection/request_parser.py
@@ -61,7 +61,6 @@
     def __init__(self, receiver: RequestReceiver, max_head_bytes: int) -> None:
         self._receiver = receiver
         self._max_head_bytes = max_head_bytes
-        self._parser = httptools.HttpRequestParser(self)
         self._target = b''
         self._headers: list[http_head.Header] | header_lines.HeaderLines = []
         # Bytes after the last complete part of a message: a head, a part of a body, or its end.
@@ -71,18 +70,32 @@
         # Headers with an offer to switch the protocol and a body, which the library takes for that
         # protocol.
         self._offering_headers: list[http_head.Header] | header_lines.HeaderLines | None = None
+        # Parts of the body in the bytes that are being parsed. A call of Python code for each chunk
+        # would take most of the time of a body in small chunks.
+        self._body_parts: list[bytes] = []
+        self.on_body = self._body_parts.append
+        """Receives a part of the body; see httptools."""
+        self.part_count = 0
+        """Number of parts of bodies, such as chunks, in the bytes parsed last."""
         self._is_malformed = False
+        self._parser = httptools.HttpRequestParser(self)
         self.is_receiving = False
         """Whether a part of a request has been received and its end has not."""
 
     def feed(self, data: bytes) -> None:
-        """Parse received bytes."""
+        """Parse received bytes; all parts of a body among them are passed on as one."""
+        self.part_count = 0
         if len(data) <= _PIECE_BYTES:
             self._feed_piece(data)
-            return
-        view = memoryview(data)
-        for start in range(0, len(data), _PIECE_BYTES):
-            self._feed_piece(view[start : start + _PIECE_BYTES])
+        else:
+            view = memoryview(data)
+            for start in range(0, len(data), _PIECE_BYTES):
+                self._feed_piece(view[start : start + _PIECE_BYTES])
+        if self._body_parts:
+            try:
+                self._pass_body()
+            except Exception as error:  # noqa: BLE001 - whatever a handler raises
+                self._receiver_failed(error)
 
     @property
     def part_bytes(self) -> int:
@@ -108,6 +121,7 @@
         self._is_malformed = True
         self._headers = []
         self._offering_headers = None
+        self._body_parts.clear()
         self._part_bytes = 0
         self.is_receiving = False
         self._parser = None
@@ -171,16 +185,12 @@
         if not self._is_malformed:
             self._receiver.head_received(head)
 
-    def on_body(self, data: bytes) -> None:
-        """Pass a part of the body on; see httptools."""
-        self._part_bytes = 0
-        if not self._is_malformed:
-            self._receiver.body_received(data)
-
     def on_message_complete(self) -> None:
         """Pass the end of the request on; see httptools."""
         if self._offering_headers is not None:
             return
+        if self._body_parts:
+            self._pass_body()
         self._in_head = True
         self._part_bytes = 0
         self.is_receiving = False
@@ -193,9 +203,12 @@
         if self._is_malformed:
             return
         self._part_bytes += len(data)
+        known_count = len(self._body_parts)
         remaining = data
         while remaining:
             remaining = self._parse(remaining)
+        if len(self._body_parts) > known_count:
+            self._part_bytes = 0
         if self._is_malformed:
             # It holds what it has not passed on.
             self._parser = None
@@ -212,9 +225,7 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserCallbackError as error:
-            event_log.error('request_handler_failed', error.__context__ or error)
-            self._is_malformed = True
-            self._receiver.receiver_failed()
+            self._receiver_failed(error.__context__ or error)
         except httptools.HttpParserUpgrade as upgrade:
             if self._offering_headers is not None:
                 self._resume_body()
@@ -228,6 +239,18 @@
         """Return whether the client offers to switch to another protocol after this head."""
         return self._parser.should_upgrade() and self._parser.get_method() != _CONNECT
 
+    def _pass_body(self) -> None:
+        data = b''.join(self._body_parts)
+        self.part_count += len(self._body_parts)
+        self._body_parts.clear()
+        if not self._is_malformed:
+            self._receiver.body_received(data)
+
+    def _receiver_failed(self, error: BaseException) -> None:
+        event_log.error('request_handler_failed', error)
+        self._is_malformed = True
+        self._receiver.receiver_failed()
+
     def _drop_offer(self) -> None:
         """Remove the offer, which a server may ignore (RFC 9110, section 7.8)."""
         if isinstance(self._headers, header_lines.HeaderLines):
--- a/tests/test_request_parser.py
+++ b/tests/test_request_parser.py
@@ -12,6 +12,7 @@
 _MAX_HEAD_BYTES = 512
 _START = b'POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n'
 _LAST_CHUNK = b'0\r\n'
+_CHUNK = b'1\r\na\r\n'
 _PIECES = 100
 
 
@@ -105,6 +106,34 @@
         assert connection.server.waits_for()[0] is client_limits.Waiting.BODY
 
 
+class TestChunksOfOneByte:
+    """Guards against bodies that take most of a node's time, since each chunk has a cost."""
+
+    def test_chunks_of_one_read_are_one_part(self, connection):
+        parts = []
+        connection.server._receiving.exchange.handler.body_received = parts.append  # noqa: SLF001
+        connection.server.dataReceived(_CHUNK * 10_000)
+        connection.server.dataReceived(_CHUNK * 2)
+        assert parts == [b'a' * 10_000, b'aa']
+
+    def test_bodies_of_one_read_stay_apart(self, connection):
+        connection.server.dataReceived(b'%b0\r\n\r\n%b%b0\r\n\r\n' % (_CHUNK, _START, _CHUNK * 2))
+        assert connection.received == [(b'/x', b'aa'), (b'/x', b'aaa')]
+
+    def test_small_chunks_are_read_in_small_parts(self, connection):
+        connection.server.dataReceived(b'1000\r\n%b\r\n' % bytes(1 << 12))
+        size = connection.transport.bufferSize
+        connection.server.dataReceived(_CHUNK * 1000)
+        assert connection.transport.bufferSize * 8 <= size
+
+    # Guards against an exception that ends the read, since parts are passed on after parsing.
+    def test_handler_that_fails_is_answered(self, connection):
+        connection.server._receiving.exchange.handler.body_received = _fail  # noqa: SLF001
+        connection.server.dataReceived(_CHUNK)
+        assert connection.transport.value().startswith(b'HTTP/1.1 500 ')
+        assert connection.transport.disconnecting
+
+
 class TestHeadsBehindABody:
     """Guards against heads that are not counted since they begin within a read."""
 
@@ -115,6 +144,10 @@
         assert connection.transport.disconnecting
 
 
+def _fail(data: bytes) -> None:
+    raise ZeroDivisionError
+
+
 class _Receiver:
     """Counts requests, and joins their bodies."""
 
--- a/tests/test_unruly_clients.py
+++ b/tests/test_unruly_clients.py
@@ -217,5 +217,21 @@
         )
 
 
+class TestChunksOfOneByte:
+    """Guards against bodies whose chunks take all of the time of a node."""
+
+    @pytest.fixture
+    def max_fds(self):
+        # Half of them are for clients, all of which send at the same time.
+        return 1024
+
+    @pytest.mark.parametrize('chunk', [b'1\r\na\r\n', b'2\r\nab\r\n'], ids=['one', 'two'])
+    def test_bodies_in_small_chunks(self, node, chunk):
+        start = b'%b%bTransfer-Encoding: chunked\r\n\r\n' % (_START, _ATTRIBUTES)
+        unruly_crowd.check_survives_streams(
+            node, start, chunk * 9000, unruly_crowd.SIZE, 100, asks_early=True
+        )
+
+
 def _request() -> bytes:
     return b'%b%b\r\n' % (_START, _ATTRIBUTES)
--- a/tests/test_unruly_clients_node.py
+++ b/tests/test_unruly_clients_node.py
@@ -151,6 +151,17 @@
         )
 
 
+class TestChunksOfOneByte:
+    """Guards against bodies whose chunks take all of the time of a node."""
+
+    @pytest.mark.parametrize('chunk', [b'1\r\na\r\n', b'2\r\nab\r\n'], ids=['one', 'two'])
+    def test_bodies_in_small_chunks(self, node, chunk):
+        start = b'%b%bTransfer-Encoding: chunked\r\n\r\n' % (_START, _DEADLINE)
+        unruly_crowd.check_survives_streams(
+            node, start, chunk * 9000, unruly_crowd.SIZE, 100, asks_early=True
+        )
+
+
 def _request(response_bytes: int) -> bytes:
     target = b'/x?bytes=%d' % response_bytes
     return b'GET %b HTTP/1.1\r\nHost: drawbook\r\n%b\r\n' % (target, _DEADLINE)
