--- a/src/anvillug/process/peer_server.py
+++ b/src/anvillug/process/peer_server.py
@@ -7,7 +7,7 @@
 from anvillug import clock, event_log, ids
 from anvillug.connection import http_exchange, http_head, memory_account
 from anvillug.process import mesh_host, sound_word, usage_wire
-from anvillug.request import job, job_wire
+from anvillug.request import buffered_body, job, job_wire
 from anvillug.version import directives
 
 _JOB_PATHS = (job_wire.RUN_PATH, job_wire.INQUIRY_PATH)
@@ -90,11 +90,12 @@
         """Buffer a chunk of the job, or reject it if there is no memory for it."""
         if self._is_rejected:
             return
-        if not self._server.account.reserve_more(len(data), self._reserved):
+        size = len(data) + buffered_body.PART_BYTES
+        if not self._server.account.reserve_more(size, self._reserved):
             self._is_rejected = True
             self._release()
             return
-        self._reserved += len(data)
+        self._reserved += size
         self._body.append(data)
 
     def request_ended(self) -> None:
--- a/src/anvillug/request/buffered_body.py
+++ b/src/anvillug/request/buffered_body.py
@@ -4,8 +4,8 @@
 
 from anvillug.connection import memory_account
 
-# Estimated memory of one part beside its bytes; a caller may send chunks of one byte.
-_PART_BYTES = 64
+PART_BYTES = 64
+"""Estimated memory of one part beside its bytes; a caller may send chunks of one byte."""
 
 
 class BufferedBody:
@@ -27,7 +27,7 @@
         Returns:
             Whether there was memory for it; if not, it is not added.
         """
-        size = len(data) + _PART_BYTES
+        size = len(data) + PART_BYTES
         if not self._account.reserve_more(size, self._reserved):
             return False
         self._reserved += size
@@ -38,7 +38,7 @@
         """Remove the first parts, all without a count, and return them."""
         taken = self.parts[:count]
         del self.parts[:count]
-        size = sum(len(data) + _PART_BYTES for data in taken)
+        size = sum(len(data) + PART_BYTES for data in taken)
         self._account.reserve(-size)
         self._reserved -= size
         return taken
--- a/src/anvillug/request/routed_call.py
+++ b/src/anvillug/request/routed_call.py
@@ -17,7 +17,7 @@
 
 from anvillug import clock, ids
 from anvillug.connection import http_exchange, http_head
-from anvillug.request import access, dialect, job, rejection, retry_advice
+from anvillug.request import access, buffered_body, dialect, job, rejection, retry_advice
 from anvillug.version import directives, route_table
 
 STATUS_BAD_GATEWAY = 502
@@ -146,6 +146,7 @@
         self._context = context
         self._exchange = exchange
         self._body: list[bytes] = []
+        self._body_bytes = 0
         self._reserved = 0
         self._max_body_bytes = 0
         self._state = CallState.READING
@@ -177,12 +178,14 @@
         """Buffer a chunk of the body."""
         if self._state is not CallState.READING:
             return
-        if self._is_too_large(self._reserved + len(data)):
+        if self._is_too_large(self._body_bytes + len(data)):
             return
-        if not self._context.reserve(len(data), self._reserved):
+        size = len(data) + buffered_body.PART_BYTES
+        if not self._context.reserve(size, self._reserved):
             self._respond_unavailable('no memory for the body')
             return
-        self._reserved += len(data)
+        self._body_bytes += len(data)
+        self._reserved += size
         self._body.append(data)
 
     def request_ended(self) -> None:
--- a/tests/test_peer_server.py
+++ b/tests/test_peer_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 import types
 
 import pytest
@@ -39,3 +40,23 @@
         head, _, body = response.partition(b'\r\n\r\n')
         assert b'Anvillug-Incarnation: 200' in head
         assert job_wire.unpack_result(body).kind is kind
+
+
+class TestMemory:
+    """Guards against jobs that take more memory than the account counts."""
+
+    def test_parts_of_a_job_are_counted_with_their_memory(self):
+        account = memory_account.MemoryAccount(_LIMIT_BYTES, _TIME)
+        active = directives.ActiveDirectives(lambda records, position, previous: previous)
+        host = types.SimpleNamespace()
+        server = peer_server.PeerServer(host, active, _TIME, ids.Incarnation(200), account)
+        connection, _, _ = test_bad_input.make_connection(server.request_received)
+        connection.dataReceived(
+            b'POST %b HTTP/1.1\r\nHost: node\r\nContent-Length: 1000\r\n\r\n' % job_wire.RUN_PATH
+        )
+        parts = [b'%2d' % number for number in range(100)]
+        for part in parts:
+            connection.dataReceived(part)
+        assert account.used_bytes >= sum(map(sys.getsizeof, parts))
+        connection.connectionLost()
+        assert account.used_bytes == 0
--- a/tests/test_routed_call.py
+++ b/tests/test_routed_call.py
@@ -4,6 +4,7 @@
 
 import itertools
 import random
+import sys
 
 import pytest
 from twisted.internet import task
@@ -90,6 +91,7 @@
         self.budget = 10
         self.results: list[job.Result] = []
         self.word_is_recent = True
+        self.reserved = 0
 
     def has_recent_word(self) -> bool:
         return self.word_is_recent
@@ -98,6 +100,8 @@
         return self.current
 
     def reserve(self, size: int, reserved: int = 0) -> bool:
+        assert size < 0 or reserved == self.reserved
+        self.reserved += size
         return True
 
     def start(self, call, work, on_result):
@@ -198,6 +202,19 @@
         routed.call.body_received(b'x' * 600)
         routed.call.body_received(b'x' * 600)
         assert routed.connection.status == 413
+        assert routed.context.reserved == 0
+
+    # Guards against small parts that take twenty times the memory that is counted.
+    def test_parts_of_a_body_are_counted_with_their_memory(self):
+        routed = RoutedRequest(extra_headers=((b'Transfer-Encoding', b'chunked'),))
+        routed.call.receive()
+        parts = [b'%2d' % number for number in range(100)]
+        for part in parts:
+            routed.call.body_received(part)
+        assert routed.context.reserved >= sum(map(sys.getsizeof, parts))
+        assert routed.connection.status == 0
+        routed.call.request_aborted()
+        assert routed.context.reserved == 0
 
 
 class TestFailedRecord:
