--- a/src/anvillug/connection/http_server.py
+++ b/src/anvillug/connection/http_server.py
@@ -55,6 +55,8 @@
 # twenty times their size until they begin; bodies are read in larger parts.
 _READ_BYTES = 8 * 1024
 _BODY_READ_BYTES = 64 * 1024
+# A body of which one read holds more parts than this is read like requests, since parts take time.
+_MAX_PARTS_IN_READ = 256
 # Estimated memory of one step that waits.
 _STEP_BYTES = 1024
 _numbers = itertools.count(1)
@@ -179,6 +181,8 @@
             self._run_pending()
         finally:
             write_batch.BATCH.end()
+        if self._parser.part_count > _MAX_PARTS_IN_READ:
+            self._set_read_size(reads_body=False)
         if self._is_charged or self._parser.is_receiving or self._pending.count:
             self.held_changed()
 
@@ -328,7 +332,7 @@
             return
         held_bytes = 0
         if not self._disconnected:
-            held_bytes = self._parser.head_bytes + write_batch.unsent_bytes(self.transport)
+            held_bytes = self._parser.part_bytes + write_batch.unsent_bytes(self.transport)
             held_bytes += self._pending.count * _STEP_BYTES
             held_bytes += sum(slot.held_bytes for slot in self._slots)
         self._is_charged = held_bytes > 0
@@ -349,6 +353,8 @@
         if unsent_bytes:
             return client_limits.Waiting.READER, unsent_bytes
         if self._awaits_body():
+            if self._parser.awaits_trailer_end:
+                return client_limits.Waiting.HEAD, self._begun_count
             return client_limits.Waiting.BODY, self._reads
         if self._slots or self._closing:
             return client_limits.Waiting.RESPONSE, 0
@@ -357,9 +363,10 @@
         return client_limits.Waiting.REQUEST, self._begun_count
 
     def limit_exceeded(self, waiting: client_limits.Waiting) -> None:
-        """Reject an incomplete head, or close the connection."""
+        """Reject an incomplete head or trailer, or close the connection."""
         if waiting is client_limits.Waiting.HEAD:
-            self.request_malformed(_STATUS_REQUEST_TIMEOUT, 'the head is not complete in time')
+            part = 'trailer' if self._parser.awaits_trailer_end else 'head'
+            self.request_malformed(_STATUS_REQUEST_TIMEOUT, f'the {part} is not complete in time')
         elif waiting is client_limits.Waiting.READER:
             self.give_up()
         else:
@@ -537,8 +544,7 @@
         self._begun_count += 1
         has_framing = head.framing is not http_head.Framing.NONE
         if has_framing is not self._reads_body:
-            self._reads_body = has_framing
-            self.transport.bufferSize = _BODY_READ_BYTES if has_framing else _READ_BYTES
+            self._set_read_size(reads_body=has_framing)
         place = http_exchange.Place(self._number, len(self._slots))
         slot = response_slot.ResponseSlot(self, head, place)
         self._slots.append(slot)
@@ -547,6 +553,10 @@
             slot.become_first(writes_paused=False)
         self._on_request(slot.exchange)
 
+    def _set_read_size(self, *, reads_body: bool) -> None:
+        self._reads_body = reads_body
+        self.transport.bufferSize = _BODY_READ_BYTES if reads_body else _READ_BYTES
+
     def _forward_body(self, data: bytes) -> None:
         exchange = self._receiving.exchange
         if exchange.ended:
@@ -607,6 +617,10 @@
         if self._closing:
             return
         self._malformed = True
+        if self._discards_body:
+            # The request is answered.
+            self._close()
+            return
         event_log.warn('request_rejected', status=status, reason=message)
         body = f'{message}\n'.encode()
         if not self._slots:
