--- a/src/anvillug/clock.py
+++ b/src/anvillug/clock.py
@@ -77,6 +77,11 @@
         self._wall += duration_ms
 
 
+def to_milliseconds(duration_s: float) -> float:
+    """Convert seconds to milliseconds."""
+    return duration_s * _MS_PER_SECOND
+
+
 def to_seconds(duration_ms: float) -> float:
     """Convert milliseconds to seconds, for libraries that expect seconds."""
     return duration_ms / _MS_PER_SECOND
--- a/src/anvillug/connection/half_close.py
+++ b/src/anvillug/connection/half_close.py
@@ -189,6 +189,14 @@
     return isinstance(transport, tcp.Connection) and _tcp_state(transport.socket) == _TCP_CLOSE
 
 
+def is_closed_by_peer(transport: object) -> bool:
+    """Return whether the peer of a TCP connection has closed its end; False for others."""
+    return isinstance(transport, tcp.Connection) and _tcp_state(transport.socket) in {
+        _TCP_CLOSE,
+        _TCP_CLOSE_WAIT,
+    }
+
+
 def _tcp_state(connection: socket.socket) -> int:
     """Return the state of a connection, also after its error was read or before its bytes are."""
     try:
--- a/src/anvillug/connection/http_listener.py
+++ b/src/anvillug/connection/http_listener.py
@@ -7,6 +7,7 @@
 import itertools
 import socket
 import struct
+from collections.abc import Collection
 
 from twisted.internet import error, interfaces, protocol, tcp
 from twisted.python import failure
@@ -87,6 +88,11 @@
         """Number of connections whose clients may await something or send a request."""
         return sum(not connection.is_over for connection in self._open_connections)
 
+    @property
+    def connections(self) -> Collection[http_server.ServerConnection]:
+        """Open connections."""
+        return self._open_connections
+
     @property
     def busy_count(self) -> int:
         """Number of connections with a request in progress or unsent bytes."""
--- a/src/anvillug/connection/http_pool.py
+++ b/src/anvillug/connection/http_pool.py
@@ -112,6 +112,15 @@
         """Number of open connections that carry no request."""
         return len(self._idle)
 
+    def states(self) -> dict[str, int]:
+        """Return the number of connections by state."""
+        idle = len(self._idle)
+        return {
+            'busy': len(self._open_connections) - idle,
+            'idle': idle,
+            'connecting': self._connecting,
+        }
+
     def acquire(
         self,
         ready: ConnectionReady,
--- a/src/anvillug/connection/http_server.py
+++ b/src/anvillug/connection/http_server.py
@@ -334,6 +334,26 @@
         self._is_charged = held_bytes > 0
         self._account.update(self, held_bytes)
 
+    def held_by_kind(self) -> dict[str, int]:
+        """Return what `held_changed` reports, by kind; see `memory_account.Holder`."""
+        if self._disconnected:
+            return {}
+        return {
+            memory_account.HEADS: self._parser.head_bytes,
+            memory_account.AHEAD: self._pending.count * _STEP_BYTES,
+            memory_account.RESPONSES: sum(slot.held_bytes for slot in self._slots),
+            memory_account.UNREAD: write_batch.unsent_bytes(self.transport),
+        }
+
+    def marks(self) -> tuple[str, ...]:
+        """Return what else is known of the connection; see `connection_states.Observed`."""
+        states = (
+            ('closing', self._closing),
+            ('paused', self._reads_paused),
+            ('half_closed', self._input_ended),
+        )
+        return tuple(name for name, applies in states if applies)
+
     # Calls from the account and the limits
 
     def give_up(self) -> None:
--- a/src/anvillug/connection/memory_account.py
+++ b/src/anvillug/connection/memory_account.py
@@ -14,6 +14,18 @@
 
 DEFAULT_LIMIT_BYTES = 64 * 1024 * 1024
 """Limit where the memory of the machine is not known."""
+HEADS = 'heads'
+"""Kind of heads whose end has not been received."""
+AHEAD = 'ahead'
+"""Kind of parts of requests that were sent ahead, and wait for their turn."""
+RESPONSES = 'responses'
+"""Kind of responses that wait for their turn."""
+UNREAD = 'unread'
+"""Kind of responses that the client has not read."""
+KINDS = (HEADS, AHEAD, RESPONSES, UNREAD)
+"""Kinds that connections report."""
+RESERVED = 'reserved'
+"""Kind of bodies, jobs and copies of responses, which are reserved; see `held_by_kind`."""
 # The rest is for the program, copies made while a message is encoded, and buffers of the system.
 _SHARE_OF_MACHINE = 0.25
 # One message of up to the default limit is accepted while the others hold less than this share.
@@ -44,6 +56,9 @@
     def give_up(self) -> None:
         """Close the connection with a reset, and release what is held for it."""
 
+    def held_by_kind(self) -> dict[str, int]:
+        """Return what is held for the connection, by kind."""
+
 
 @dataclasses.dataclass(slots=True)
 class _Charge:
@@ -80,6 +95,20 @@
         """Whether there is memory for work that can wait."""
         return self.used_bytes < self.limit_bytes * _AMPLE_SHARE
 
+    def held_by_kind(self) -> dict[str, int]:
+        """Return what is held, by kinds of the connections, and `reserved` for the rest.
+
+        The kinds are found out only now, since connections report far more often. They may differ
+        by what has changed since the last report.
+        """
+        held = dict.fromkeys(KINDS, 0)
+        for holder in self._charges_by_holder:
+            for kind, size in holder.held_by_kind().items():
+                held[kind] += size
+        charged_bytes = sum(charge.size for charge in self._charges_by_holder.values())
+        held[RESERVED] = self.used_bytes - charged_bytes
+        return held
+
     def update(self, holder: Holder, size: int) -> None:
         """Set what is held for a connection, and relieve the account if it exceeds the limit."""
         charge = self._charges_by_holder.get(holder)
--- a/src/anvillug/connection/web_site.py
+++ b/src/anvillug/connection/web_site.py
@@ -62,6 +62,10 @@
             return client_limits.Waiting.HEAD, self._served_count
         return client_limits.Waiting.REQUEST, self._served_count
 
+    def marks(self) -> tuple[str, ...]:
+        """Return nothing else; see `connection_states.Observed`."""
+        return ()
+
     def limit_exceeded(self, waiting: client_limits.Waiting) -> None:
         """Reject an incomplete request, or close the connection."""
         if waiting is client_limits.Waiting.READER:
--- a/src/anvillug/event_log.py
+++ b/src/anvillug/event_log.py
@@ -61,6 +61,11 @@
         # Lines also come from other threads and from signal handlers.
         self._lock = threading.RLock()
 
+    @property
+    def waiting_bytes(self) -> int:
+        """Size of the lines that wait for a slow reader."""
+        return 0 if self._writer is None else self._writer.waiting_bytes
+
     def set_writer(self, writer: log_writer.LineWriter, time: clock.Clock) -> None:
         """Write all lines to a writer from now on."""
         self._writer = writer
@@ -95,6 +100,11 @@
     return f'time_ms={wall_ms:.0f} level={_NAMES_BY_LEVEL[level]} {line}'
 
 
+def waiting_bytes() -> int:
+    """Return the size of the lines that wait for a slow reader; see `set_up_bounded`."""
+    return _OUTPUT.waiting_bytes
+
+
 def emit(event: str, **fields: object) -> None:
     """Log an event at level INFO.
 
--- a/src/anvillug/log_writer.py
+++ b/src/anvillug/log_writer.py
@@ -44,6 +44,11 @@
         """Number of lines dropped because the buffer was full or the output failed."""
         self._reported_dropped = 0
 
+    @property
+    def waiting_bytes(self) -> int:
+        """Size of the lines that wait for a slow reader."""
+        return self._buffered_bytes
+
     def admit(self, event: str) -> int | None:
         """Apply the rate limit to a line of an event.
 
--- a/src/anvillug/platform/store.py
+++ b/src/anvillug/platform/store.py
@@ -68,6 +68,11 @@
         )
         self._address = address
 
+    @property
+    def pools(self) -> tuple[http_pool.Pool, ...]:
+        """Connections to the store; see `keyed_log.KeyedLog`."""
+        return (self._pool,)
+
     async def newest(self, topic: str) -> keyed_log.Batch:
         """Return the newest record of each key; see `keyed_log.KeyedLog`."""
         changes: list[tuple[str, directives.Record]] = []
--- a/src/anvillug/process/host_side.py
+++ b/src/anvillug/process/host_side.py
@@ -105,6 +105,11 @@
         """Calls that are queued or running."""
         return len(self._calls_by_id)
 
+    @property
+    def pools(self) -> tuple[http_pool.Pool, ...]:
+        """Connections to the backend server, if there is one."""
+        return () if self._pool is None else (self._pool,)
+
     def dump(self) -> dict[str, object]:
         """Return the state of the host side for operators."""
         now = self.clock.now()
--- a/src/anvillug/process/listeners.py
+++ b/src/anvillug/process/listeners.py
@@ -188,6 +188,11 @@
         reserved = Listener(address, socket.SOCK_STREAM, lambda _: None, listens=False)
         self._openers.append((self._add(reserved), opener))
 
+    @property
+    def open_count(self) -> int:
+        """Number of addresses that are open."""
+        return sum(listener.port is not None for listener in self._listeners)
+
     def open(self, take_over: Callable[[], None]) -> None:
         """Listen on all addresses before the reactor runs.
 
--- a/src/anvillug/process/mesh_entry.py
+++ b/src/anvillug/process/mesh_entry.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 import random
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from typing import Any
 
 from anvillug import clock, event_log, ids
@@ -397,6 +397,16 @@
             self._pools_by_address[address] = pool
         return pool
 
+    @property
+    def pools(self) -> Collection[http_pool.Pool]:
+        """Connections to other nodes."""
+        return self._pools_by_address.values()
+
+    @property
+    def reserved_bytes(self) -> int:
+        """Memory that is reserved for the bodies of calls in progress."""
+        return sum(call.reserved_bytes for call in self.in_progress)
+
     # Private
 
     def _close_unused_pools(self) -> None:
--- a/src/anvillug/process/mesh_host.py
+++ b/src/anvillug/process/mesh_host.py
@@ -172,6 +172,11 @@
         """Return the gauges of the room by name; empty without one."""
         return self._switch.gauges()
 
+    @property
+    def pools(self) -> tuple[http_pool.Pool, ...]:
+        """Connections to the current instance of the backend server, if there were any."""
+        return () if self._pool is None else (self._pool,)
+
     def pool(self) -> http_pool.Pool:
         """Return the connections to the current instance of the backend server."""
         heartbeat = self.upstream.heartbeat
--- a/src/anvillug/process/mesh_node.py
+++ b/src/anvillug/process/mesh_node.py
@@ -38,6 +38,7 @@
     order_feed,
     peer_server,
     peer_table,
+    process_watch,
     rollout_writer,
     sound_word,
     upstream,
@@ -141,7 +142,7 @@
         )
         self._peer_guard = client_guard.ClientGuard('nodes', self._account, time, self._count_limit)
         self._peer_guard.limits = client_limits.ClientLimits(head_ms=client_limits.PEER_HEAD_MS)
-        self._operator_factories: list[http_listener.ServerFactory] = []
+        self._operator_factories: dict[str, http_listener.ServerFactory] = {}
         self._crashes = crash_watch.CrashWatch(settings.host_id, self._incarnation, time)
         self.host = mesh_host.MeshHost(
             reactor,
@@ -247,6 +248,24 @@
             lambda: self._settings.bounds.grace_ms,
         )
         self._listeners = listeners.Listeners(reactor, time)
+        self._watch = process_watch.ProcessWatch(
+            reactor,
+            time,
+            process_watch.Sources(
+                self._account,
+                self._connections_by_listener,
+                lambda: {
+                    'nodes': self.entry.pools,
+                    'backend': self.host.pools,
+                    'store': self._log.pools,
+                },
+                lambda: self._listeners.open_count,
+                lambda: self.entry.reserved_bytes,
+            ),
+            settings.memory_bytes,
+            settings.max_descriptors,
+            grid.delay_s,
+        )
         self._usage = self._create_usage_duty(create_reporter)
         self._has_started = False
 
@@ -295,6 +314,7 @@
         gc.collect()
         gc.freeze()
         gc.set_threshold(*_GC_THRESHOLDS)
+        self._watch.start()
         event_log.emit(
             'node_started',
             host=settings.host_id,
@@ -323,7 +343,7 @@
         guard = client_guard.ClientGuard(name, self._account, self._clock, self._count_limit)
         guard.limits = client_limits.for_operators(self._settings.max_descriptors)
         factory = http_listener.ServerFactory(handler, guard=guard)
-        self._operator_factories.append(factory)
+        self._operator_factories[name] = factory
         self._listeners.add(address, factory, is_early=is_early)
 
     def heartbeat(self, heartbeat: upstream.Heartbeat) -> defer.Deferred[findings.Findings]:
@@ -425,6 +445,7 @@
             'client_memory_bytes': self._account.used_bytes,
             'uptime_ms': lifetime.PROCESS.age_ms,
             **self.entry.gauges(),
+            **self._watch.gauges(),
             **({} if self._usage is None else self._usage.gauges()),
         }
 
@@ -533,13 +554,25 @@
             connections=client_limits.connections_for(self._settings.max_descriptors),
         )
 
+    def _factories_by_listener(self) -> dict[str, http_listener.ServerFactory]:
+        return {
+            'callers': self._caller_factory,
+            'nodes': self._peer_factory,
+            **self._operator_factories,
+        }
+
+    def _connections_by_listener(self) -> process_watch.ConnectionsByListener:
+        return {
+            name: factory.connections for name, factory in self._factories_by_listener().items()
+        }
+
     def _count_limit(self, limit: str) -> None:
         self._metrics.count('client_limits', limit)
 
     def _step(self) -> None:
         # First, so that a failure does not end the task.
         self._reactor.callLater(self._delay_s(_STEP_MS), self._step)
-        for factory in (self._caller_factory, self._peer_factory, *self._operator_factories):
+        for factory in self._factories_by_listener().values():
             factory.check_clients()
         self.entry.count_overdue()
         self.rollouts.step()
@@ -574,6 +607,7 @@
             reaches_log=self._feed.reaches_log,
             follows=self._duty.is_follower(),
             **{name: int(number) for name, number in self._gauges().items()},
+            **self._watch.states(),
         )
 
     def _begin_stop(self) -> None:
--- a/src/anvillug/process/node.py
+++ b/src/anvillug/process/node.py
@@ -39,6 +39,7 @@
     move_judge,
     operator_api,
     peer_pools,
+    process_watch,
     settings,
 )
 from anvillug.request import call_table, quarantine
@@ -177,6 +178,23 @@
             lambda: bool(self.entry.in_progress or self._caller_factory.busy_count),
         )
         self._listeners = listeners.Listeners(reactor, time, _ADDRESS_TIMEOUT_MS)
+        self._watch = process_watch.ProcessWatch(
+            reactor,
+            time,
+            process_watch.Sources(
+                self._account,
+                lambda: {
+                    'callers': self._caller_factory.connections,
+                    'nodes': self._peer_factory.connections,
+                    'operators': self._operator_site.open_channels,
+                },
+                lambda: {'nodes': self._pools.pools, 'backend': self.host.pools},
+                lambda: self._listeners.open_count,
+                int,
+            ),
+            config.limits.process_memory_bytes or 0,
+            _max_descriptors(),
+        )
 
     def start(self) -> None:
         """Open the listeners and stop gracefully on SIGTERM and SIGINT.
@@ -207,6 +225,7 @@
         gc.collect()
         gc.freeze()
         gc.set_threshold(*_GC_THRESHOLDS)
+        self._watch.start()
         event_log.emit(
             'node_started',
             host=config.host_id,
@@ -245,6 +264,7 @@
             'state': self._life_cycle.state.value,
             'config': self.config.dump(),
             'backend_server': None if backend is None else dataclasses.asdict(backend),
+            'process': {**self._watch.gauges(), **self._watch.states()},
             'host': self.host.dump(),
             'entry': self.entry.dump(),
             'gossip': self.gossip_task.dump(),
--- a/src/anvillug/process/peer_pools.py
+++ b/src/anvillug/process/peer_pools.py
@@ -35,6 +35,11 @@
         self._max_connections = max_connections
         self._by_host_id: dict[ids.HostId, tuple[str, http_pool.Pool]] = {}
 
+    @property
+    def pools(self) -> list[http_pool.Pool]:
+        """Connections to other nodes."""
+        return [pool for _, pool in self._by_host_id.values()]
+
     def get(self, host_id: ids.HostId) -> http_pool.Pool | None:
         """Return the pool of a host, None if the host is not a member."""
         member = self._members.get(host_id)
--- a/src/anvillug/process/settings.py
+++ b/src/anvillug/process/settings.py
@@ -30,6 +30,8 @@
     """Bytes held for all clients together; past it, those that hold most for longest are closed."""
     caller_connections: _PositiveInt | None = None
     """Maximum number of connections of callers; by default a sixth of the process's descriptors."""
+    process_memory_bytes: _PositiveInt | None = None
+    """Private memory that ends the process; its state is logged from a half of it on."""
 
 
 class Timeouts(validation.Model):
--- a/src/anvillug/request/routed_call.py
+++ b/src/anvillug/request/routed_call.py
@@ -160,6 +160,11 @@
 
     # From the caller
 
+    @property
+    def reserved_bytes(self) -> int:
+        """Memory that is reserved for the body."""
+        return self._reserved
+
     def receive(self) -> None:
         """Look the route up and read the body; a host is selected once the body is complete."""
         self._exchange.handler = self
--- a/tests/test_memory_account.py
+++ b/tests/test_memory_account.py
@@ -2,10 +2,17 @@
 
 from __future__ import annotations
 
+import pytest
 from hypothesis import given, strategies
 
 from anvillug import clock
-from anvillug.connection import client_guard, client_limits, header_lines, memory_account
+from anvillug.connection import (
+    client_guard,
+    client_limits,
+    header_lines,
+    http_server,
+    memory_account,
+)
 from anvillug.request import buffered_body, response_copy
 from tests import test_bad_input
 
@@ -78,6 +85,36 @@
             assert 0 <= account.used_bytes <= _LIMIT_BYTES
 
 
+class TestKinds:
+    """Guards against an operator who can't tell what the memory of a process is held for."""
+
+    @pytest.mark.parametrize(
+        ('sent', 'kind'),
+        [
+            (b'GET /a HTTP/1.1\r\nHost: a', memory_account.HEADS),
+            (b'GET /a HTTP/1.1\r\nHost: a\r\n\r\n' * 9, memory_account.AHEAD),
+        ],
+        ids=['head', 'ahead'],
+    )
+    def test_kinds_of_a_connection_add_up_to_its_charge(self, sent, kind):
+        account = memory_account.MemoryAccount(1 << 20, clock.ManualClock())
+        # No request is answered.
+        connection = http_server.ServerConnection(_ignore, 1 << 16, set(), account=account)
+        transport = test_bad_input.make_connection()[1]
+        transport.unregisterProducer()
+        connection.makeConnection(transport)
+        account.reserve(100)
+        connection.dataReceived(sent)
+        charged = account.used_bytes - 100
+        others = dict.fromkeys(memory_account.KINDS, 0)
+        expected = others | {kind: charged, memory_account.RESERVED: 100}
+        assert charged > 0
+        assert account.held_by_kind() == expected
+        connection.connectionLost()
+        assert account.used_bytes == 100
+        assert sum(account.held_by_kind().values()) == 100
+
+
 class TestClientGuard:
     """Guards against clients that keep connections without end, and against closing busy ones."""
 
@@ -186,6 +223,10 @@
         assert transport.value().startswith(b'HTTP/1.1 200 ')
 
 
+def _ignore(exchange: object) -> None:
+    """Leave a request without an answer."""
+
+
 def _guard(time: clock.ManualClock, limits: client_limits.ClientLimits) -> client_guard.ClientGuard:
     account = memory_account.MemoryAccount(_LIMIT_BYTES, time)
     guard = client_guard.ClientGuard('callers', account, time)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -72,7 +72,7 @@
 
     def test_every_row_has_a_description(self):
         rows = settings.reference_table().splitlines()[2:]
-        assert len(rows) == 23
+        assert len(rows) == 24
         assert all(row.split('|')[3].strip() for row in rows)
 
 
--- a/tests/test_unruly_clients.py
+++ b/tests/test_unruly_clients.py
@@ -5,6 +5,8 @@
 import json
 import pathlib
 import resource
+import signal
+import time
 
 import pytest
 from twisted.internet import reactor
@@ -27,6 +29,9 @@
 _LENGTH = b'Content-Length: %d\r\n\r\n' % _MAX_BODY_BYTES
 _CHUNKS = b'Transfer-Encoding: chunked\r\n\r\n%x\r\n' % _MAX_BODY_BYTES
 _BODY_WITHHELD = b'Content-Length: 10\r\n\r\n'
+_STOPPED_S = 2
+_MEMORY_FIELDS = ('limit', 'start', 'other')
+_CLIENT_KINDS = ('heads', 'ahead', 'responses', 'unread', 'bodies', 'jobs')
 
 
 def _config() -> bytes:
@@ -193,5 +198,45 @@
         unruly_crowd.check_survives_resets(node, head + bytes(_MAX_BODY_BYTES // 2))
 
 
+class TestProcessState:
+    """Guards against a process that is ended at a limit, and no line tells what it held."""
+
+    def test_line_tells_the_memory_by_kind(self, node):
+        # The log of a process that was ended for its memory had no reason.
+        unruly_crowd.check_survives(node, _START + _LENGTH + bytes(_MAX_BODY_BYTES - 1))
+        line = unruly_crowd.state_line(node, 'memory')
+        memory = {name: int(line[f'process_memory_{name}_bytes']) for name in _MEMORY_FIELDS}
+        memory['process'] = int(line['process_memory_bytes'])
+        assert memory['limit'] == unruly_crowd.MEMORY_MB << 20
+        assert memory['limit'] // 2 <= memory['process'] < memory['limit']
+        assert 0 < memory['start'] < memory['process']
+        assert int(line['client_memory_bodies_bytes']) > 0
+        kinds = sum(int(line[f'client_memory_{kind}_bytes']) for kind in _CLIENT_KINDS)
+        logged = int(line['log_memory_bytes'])
+        assert memory['other'] == memory['process'] - memory['start'] - kinds - logged
+
+    def test_line_tells_the_descriptors_by_kind_and_state(self, node):
+        # Nothing told what the descriptors of a process were open for.
+        unruly_crowd.check_survives(node, _START)
+        line = unruly_crowd.state_line(node, 'descriptors')
+        used = int(line['process_descriptors'])
+        assert int(line['process_descriptors_limit']) == node.max_fds
+        assert node.max_fds // 2 <= used <= node.max_fds
+        assert int(line['connections_callers']) > used // 2
+        # All callers owe the rest of a head.
+        assert line['callers'].startswith('head:')
+        assert int(line['process_descriptors_other']) < used // 4
+
+    def test_line_tells_that_the_process_stood_still(self, node):
+        # A log without lines for a time looked the same, whether the process was at work or not.
+        node.process.send_signal(signal.SIGSTOP)
+        time.sleep(_STOPPED_S)
+        node.process.send_signal(signal.SIGCONT)
+        line = node.process.wait_for_event('process_state')
+        assert line['reason'].strip('"') in {'late', 'long turn'}
+        assert int(line['looked_ms']) > _STOPPED_S * 1000
+        assert int(line['processor_ms']) < _STOPPED_S * 1000
+
+
 def _request() -> bytes:
     return b'%b%b\r\n' % (_START, _ATTRIBUTES)
--- a/tests/test_unruly_clients_node.py
+++ b/tests/test_unruly_clients_node.py
@@ -6,6 +6,8 @@
 import pathlib
 import subprocess
 import sys
+from http import client as http_client
+from typing import Any
 
 import pytest
 
@@ -17,6 +19,7 @@
     'max_header_bytes': unruly_crowd.MAX_HEADER_BYTES,
     'client_memory_bytes': 16 << 20,
     'caller_connections': 32,
+    'process_memory_bytes': unruly_crowd.MEMORY_MB << 20,
 }
 _TIMEOUTS = {'silence_ms': 2000, 'head_ms': 1000, 'idle_ms': 2000}
 _RESPONSE_BYTES = 1 << 22
@@ -129,6 +132,32 @@
         unruly_crowd.check_survives_bursts(node)
 
 
+class TestProcessState:
+    """Guards against a process that is ended at a limit, and no line tells what it held."""
+
+    def test_line_and_state_dump_tell_what_the_descriptors_are(self, node):
+        # Nothing told what the descriptors of a process were open for.
+        unruly_crowd.check_survives(node, _request(_RESPONSE_BYTES), read_bytes=1)
+        line = unruly_crowd.state_line(node, 'descriptors')
+        for kind in ('callers', 'nodes', 'to_nodes', 'to_backend'):
+            assert int(line[f'connections_{kind}']) > 0
+        assert int(line['process_descriptors_limit']) == unruly_crowd.MAX_FDS
+        assert int(line['process_descriptors']) >= unruly_crowd.MAX_FDS // 2
+        state = _state(node)['process']
+        assert 0 < state['process_memory_start_bytes'] < state['process_memory_bytes']
+        # The request for the state itself.
+        assert 'response:1' in state['operators'].split(',')
+
+
+def _state(node: _Node) -> dict[str, Any]:
+    connection = http_client.HTTPConnection(*node.operator_address, timeout=5)
+    try:
+        connection.request('GET', '/state')
+        return json.loads(connection.getresponse().read())
+    finally:
+        connection.close()
+
+
 def _request(response_bytes: int) -> bytes:
     target = b'/x?bytes=%d' % response_bytes
     return b'GET %b HTTP/1.1\r\nHost: drawbook\r\n%b\r\n' % (target, _DEADLINE)
--- a/tests/unruly_crowd.py
+++ b/tests/unruly_crowd.py
@@ -29,6 +29,7 @@
 """Limit of a head in the settings of the tests."""
 _ENDLESS_BYTES = 1 << 18
 _ANONYMOUS_MEMORY = re.compile(r'RssAnon:\s+(\d+) kB')
+_FIELD = re.compile(r'(\w+)=("[^"]*"|\S+)')
 _RECEIVE_BUFFER_BYTES = 4096
 _SEND_TIMEOUT_S = 0.5
 _CHECKS = 20
@@ -179,6 +180,16 @@
     assert target.peak_fds < target.max_fds, target.peak_fds
 
 
+def state_line(target: Target, reason: str) -> dict[str, str]:
+    """Return the fields of the last line of its state that the node has logged for a reason."""
+    lines = [
+        dict(_FIELD.findall(line))
+        for line in target.process.output().splitlines()
+        if ' event=process_state ' in line
+    ]
+    return [line for line in lines if reason in line['reason'].split(',')][-1]
+
+
 def _check_bounds(target: Target) -> None:
     assert target.process.running, target.process.status
     assert target.peak_mb < MEMORY_MB, f'{target.peak_mb} MB'
