--- a/src/anvillug/connection/http_client.py
+++ b/src/anvillug/connection/http_client.py
@@ -18,6 +18,8 @@
 _STATUSES = range(100, 600)
 MAX_HEAD_BYTES = 256 * 1024
 """Maximum size of what precedes the body of a response: its head and all interim responses."""
+MAX_FRAMING_BYTES = 256 * 1024
+"""Maximum size of what follows the head without a byte of the body, such as a trailer."""
 
 
 class ClientFailure(enum.Enum):
@@ -65,8 +67,8 @@
         """Remove a closed connection."""
 
 
-class _MalformedHeadError(Exception):
-    """A response head that the parser accepts although it is not valid."""
+class _MalformedResponseError(Exception):
+    """A response that the parser accepts although it is not valid."""
 
 
 @implementer(interfaces.IPushProducer, interfaces.IHalfCloseableProtocol)
@@ -98,6 +100,7 @@
         self._framing = http_head.Framing.NONE
         self._head_received = False
         self._head_bytes = 0
+        self._framing_bytes = 0
         self._response_complete = False
         self._request_complete = False
         self._chunked = False
@@ -138,6 +141,7 @@
         self._chunked = head.framing is http_head.Framing.CHUNKED
         self._head_received = False
         self._head_bytes = 0
+        self._framing_bytes = 0
         self._response_complete = False
         self._request_complete = False
         self._create_parser()
@@ -198,7 +202,7 @@
         except (
             httptools.HttpParserError,
             httptools.HttpParserUpgrade,
-            _MalformedHeadError,
+            _MalformedResponseError,
         ) as problem:
             _log_problem(problem)
             if not self._response_complete:
@@ -252,7 +256,9 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Receive a header; see httptools."""
-        self._headers.append((name, value))
+        # Headers after the body are trailers, which are not forwarded.
+        if not self._head_received:
+            self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Forward the head to the handler; see httptools."""
@@ -260,7 +266,7 @@
             return
         self._status = self._parser.get_status_code()
         if self._status not in _STATUSES:
-            raise _MalformedHeadError(f'status {self._status}')
+            raise _MalformedResponseError(f'status {self._status}')
         if self._status < _MIN_FINAL_STATUS or self._handler is None:
             return
         head = http_head.ResponseHead(self._status, self._headers, self._reason)
@@ -275,6 +281,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Forward a part of the body to the handler; see httptools."""
+        self._framing_bytes = 0
         if self._skips_response:
             return
         if self._response_complete:
@@ -293,6 +300,7 @@
             self._skips_response = False
             self._head_received = False
             self._head_bytes = 0
+            self._framing_bytes = 0
         elif self._status >= _MIN_FINAL_STATUS:
             self._complete_response()
 
@@ -314,11 +322,15 @@
     # Private
 
     def _feed(self, data: bytes) -> None:
-        if not self._head_received:
+        if self._head_received:
+            self._framing_bytes += len(data)
+        else:
             self._head_bytes += len(data)
         self._parser.feed_data(data)
+        if self._framing_bytes > MAX_FRAMING_BYTES and not self._response_complete:
+            raise _MalformedResponseError(f'framing exceeds {MAX_FRAMING_BYTES} bytes')
         if not self._head_received and self._head_bytes > MAX_HEAD_BYTES:
-            raise _MalformedHeadError(f'head exceeds {MAX_HEAD_BYTES} bytes')
+            raise _MalformedResponseError(f'head exceeds {MAX_HEAD_BYTES} bytes')
 
     def _create_parser(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
@@ -361,9 +373,9 @@
 
 
 def _log_problem(problem: Exception) -> None:
-    """Log a response that is malformed by its head, or a handler that has failed."""
+    """Log a response that only the parser accepts, or a handler that has failed."""
     cause = problem.__context__ or problem
-    if isinstance(cause, _MalformedHeadError):
+    if isinstance(cause, _MalformedResponseError):
         event_log.warn('response_malformed', reason=cause)
     elif isinstance(problem, httptools.HttpParserCallbackError):
         event_log.error('response_handler_failed', cause)
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -18,6 +18,7 @@
 from tests import reactor_thread
 
 _UPLOAD_BYTES = 16 << 20
+_CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
 
 
 class Recorder:
@@ -26,13 +27,15 @@
     def __init__(self):
         self.events = []
         self.body = b''
+        self.headers = []
 
     def response_continue(self):
         """Record status 100."""
         self.events.append('continue')
 
     def response_head(self, head):
-        """Record the status."""
+        """Record the status and the headers, which must not change any more."""
+        self.headers = head.headers
         self.events.append(head.status)
 
     def response_body(self, data):
@@ -290,6 +293,26 @@
         parts = [b'HTTP/1.1 102 Processing\r\n', part * (http_client.MAX_HEAD_BYTES // len(part))]
         assert _events_after(pool, parts) == [http_client.ClientFailure.MALFORMED]
 
+    # Trailers were collected as headers of the response until the process ran out of memory.
+    @pytest.mark.parametrize(
+        ('start', 'part'),
+        [(b'0\r\n', b'a:\r\n'), (b'0\r\na:', b'a'), (b'1;', b'a'), (b'', b'0')],
+        ids=['trailers', 'trailer', 'extension', 'size'],
+    )
+    def test_framing_without_end_is_a_failure(self, pool, start, part):
+        limit = http_client.MAX_FRAMING_BYTES
+        parts = [b'%b%b' % (_CHUNKED, start), part * (limit // len(part)), part]
+        assert _events_after(pool, parts) == [200, http_client.ClientFailure.MALFORMED]
+
+    def test_framing_of_a_long_body_in_small_chunks_is_no_failure(self, pool):
+        limit = http_client.MAX_FRAMING_BYTES
+        parts = [_CHUNKED, b'1\r\na\r\n' * limit, b'1\r\na\r\n' * limit, b'0\r\n\r\n']
+        assert _events_after(pool, parts) == [200, 'ended']
+
+    def test_trailer_is_no_header(self, pool):
+        recorder = _receive(pool, [_CHUNKED, b'0\r\nExtra: 1\r\n\r\n'])
+        assert recorder.headers == [(b'Transfer-Encoding', b'chunked')]
+
     @given(
         status=strategies.sampled_from([b'000', b'099', b'600', b'999', b'200']),
         cuts=strategies.lists(strategies.integers(0, 60)),
@@ -312,8 +335,13 @@
 
 def _events_after(pool, parts):
     """Return the events of a request after these parts of its response."""
+    return _receive(pool, parts).events
+
+
+def _receive(pool, parts):
+    """Return the recorder of a request after these parts of its response."""
     connection = connect(pool)
     recorder = send(connection)
     for part in parts:
         connection.dataReceived(part)
-    return recorder.events
+    return recorder
