--- a/src/anvillug/connection/http_client.py
+++ b/src/anvillug/connection/http_client.py
@@ -11,7 +11,14 @@
 from zope.interface import implementer
 
 from anvillug import event_log
-from anvillug.connection import arrival, carried_ids, half_close, http_head, write_batch
+from anvillug.connection import (
+    arrival,
+    carried_ids,
+    half_close,
+    header_lines,
+    http_head,
+    write_batch,
+)
 
 _MIN_FINAL_STATUS = 200
 _STATUS_CONTINUE = 100
@@ -96,7 +103,7 @@
         self._method = b''
         self._status = 0
         self._reason = b''
-        self._headers: list[http_head.Header] = []
+        self._headers: list[http_head.Header] | header_lines.HeaderLines = []
         self._framing = http_head.Framing.NONE
         self._head_received = False
         self._head_bytes = 0
@@ -269,6 +276,7 @@
             raise _MalformedResponseError(f'status {self._status}')
         if self._status < _MIN_FINAL_STATUS or self._handler is None:
             return
+        self._pack_headers()
         head = http_head.ResponseHead(self._status, self._headers, self._reason)
         self._framing = head.framing(self._method)
         self._reusable = (
@@ -329,8 +337,14 @@
         self._parser.feed_data(data)
         if self._framing_bytes > MAX_FRAMING_BYTES and not self._response_complete:
             raise _MalformedResponseError(f'framing exceeds {MAX_FRAMING_BYTES} bytes')
-        if not self._head_received and self._head_bytes > MAX_HEAD_BYTES:
-            raise _MalformedResponseError(f'head exceeds {MAX_HEAD_BYTES} bytes')
+        if not self._head_received:
+            if self._head_bytes > MAX_HEAD_BYTES:
+                raise _MalformedResponseError(f'head exceeds {MAX_HEAD_BYTES} bytes')
+            self._pack_headers()
+
+    def _pack_headers(self) -> None:
+        if isinstance(self._headers, list) and len(self._headers) > header_lines.MAX_PAIRS:
+            self._headers = header_lines.HeaderLines(self._headers)
 
     def _create_parser(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
--- a/src/anvillug/connection/http_head.py
+++ b/src/anvillug/connection/http_head.py
@@ -131,7 +131,7 @@
     """
 
     status: int
-    headers: list[Header]
+    headers: list[Header] | header_lines.HeaderLines
     reason: bytes = b''
     _by_name: dict[bytes, bytes] | None = dataclasses.field(
         default=None,
@@ -143,6 +143,8 @@
     def get(self, name: bytes) -> bytes | None:
         """Return the first value of a header, None if it is absent; the name is in lower case."""
         if self._by_name is None:
+            if isinstance(self.headers, header_lines.HeaderLines):
+                return self.headers.first(name)
             self._by_name = _index_by_name(self.headers)
         return self._by_name.get(name)
 
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -14,7 +14,7 @@
 from twisted.internet import testing as twisted_testing
 from twisted.python import failure
 
-from anvillug.connection import http_client, http_head, http_pool, write_batch
+from anvillug.connection import header_lines, http_client, http_head, http_pool, write_batch
 from tests import reactor_thread
 
 _UPLOAD_BYTES = 16 << 20
@@ -309,6 +309,17 @@
         parts = [_CHUNKED, b'1\r\na\r\n' * limit, b'1\r\na\r\n' * limit, b'0\r\n\r\n']
         assert _events_after(pool, parts) == [200, 'ended']
 
+    # A head of 256 KiB took some 10 MB for each connection, as one object for each value.
+    def test_many_header_lines_are_received_in_order(self, pool):
+        lines = [(b'a%d' % number, b'%d' % number) for number in range(2000)]
+        lines.append((b'Content-Length', b'0'))
+        head = b''.join(b'%b: %b\r\n' % line for line in lines)
+        parts = [b'HTTP/1.1 200 OK\r\n', head[:9999], head[9999:], b'\r\n']
+        recorder = _receive(pool, parts)
+        assert isinstance(recorder.headers, header_lines.HeaderLines)
+        assert list(recorder.headers) == lines
+        assert recorder.events == [200, 'ended']
+
     def test_trailer_is_no_header(self, pool):
         recorder = _receive(pool, [_CHUNKED, b'0\r\nExtra: 1\r\n\r\n'])
         assert recorder.headers == [(b'Transfer-Encoding', b'chunked')]
--- a/tests/test_unruly_backends.py
+++ b/tests/test_unruly_backends.py
@@ -1,4 +1,4 @@
-"""Real node processes whose backend server sends responses without end."""
+"""Real node processes whose backend server sends responses that have no end, or are very large."""
 
 from __future__ import annotations
 
@@ -17,7 +17,9 @@
     b'Anvillug-Attempt-Id: unruly\r\nAnvillug-Deadline-Ms: 3000\r\n\r\n'
     % unruly_backend.UNRULY_PATH
 )
+_HEAD_BYTES = 1 << 17
 _INTERIM = b'HTTP/1.1 102 Processing\r\n'
+_ODD_LINES = b''.join(b'%x:\r\n' % number for number in range(_HEAD_BYTES // 8))
 
 
 class _Node(test_unruly_clients._Node):  # noqa: SLF001 - differs by its backend server only
@@ -58,10 +60,16 @@
     def test_framing_without_end(self, node, start, part):
         _check_survives(node, start, part)
 
+    def test_heads_without_end(self, node):
+        _check_survives(node, b'', b'a:\r\n')
+
     def test_interim_responses_without_end(self, node):
         node.backend.status_line = _INTERIM
         _check_survives(node, b'', b'\r\n%b' % _INTERIM)
 
+    def test_many_short_header_lines(self, node):
+        _check_survives(node, _ODD_LINES)
+
 
 def _check_survives(node, start, part=b''):
     node.backend.start = start
