--- a/src/anvillug/connection/http_client.py
+++ b/src/anvillug/connection/http_client.py
@@ -104,6 +104,8 @@
         self._status = 0
         self._reason = b''
         self._headers: list[http_head.Header] | header_lines.HeaderLines = []
+        # Parts of the body that the current read holds.
+        self._parts: list[bytes] = []
         self._framing = http_head.Framing.NONE
         self._head_received = False
         self._head_bytes = 0
@@ -171,6 +173,7 @@
         """Cancel the request and close the connection, without notifying the handler."""
         self._handler = None
         self._reusable = False
+        self._parts = []
         if not self._disconnected:
             write_batch.BATCH.discard(self.transport)
             self.transport.abortConnection()
@@ -295,8 +298,8 @@
         if self._response_complete:
             # A body that must not exist, as after HEAD; more of it may follow.
             self._reusable = False
-        elif self._handler is not None:
-            self._handler.response_body(data)
+        else:
+            self._parts.append(data)
 
     def on_message_complete(self) -> None:
         """End the response; see httptools."""
@@ -310,6 +313,7 @@
             self._head_bytes = 0
             self._framing_bytes = 0
         elif self._status >= _MIN_FINAL_STATUS:
+            self._forward_body()
             self._complete_response()
 
     # Write backpressure
@@ -335,6 +339,11 @@
         else:
             self._head_bytes += len(data)
         self._parser.feed_data(data)
+        if self._parts:
+            try:
+                self._forward_body()
+            except Exception as problem:
+                raise httptools.HttpParserCallbackError('response handler') from problem
         if self._framing_bytes > MAX_FRAMING_BYTES and not self._response_complete:
             raise _MalformedResponseError(f'framing exceeds {MAX_FRAMING_BYTES} bytes')
         if not self._head_received:
@@ -342,6 +351,13 @@
                 raise _MalformedResponseError(f'head exceeds {MAX_HEAD_BYTES} bytes')
             self._pack_headers()
 
+    def _forward_body(self) -> None:
+        """Forward the parts of a read at once: a handler is slow for chunks of one byte."""
+        parts = self._parts
+        if parts and self._handler is not None:
+            self._parts = []
+            self._handler.response_body(parts[0] if len(parts) == 1 else b''.join(parts))
+
     def _pack_headers(self) -> None:
         if isinstance(self._headers, list) and len(self._headers) > header_lines.MAX_PAIRS:
             self._headers = header_lines.HeaderLines(self._headers)
@@ -382,6 +398,7 @@
         handler = self._handler
         self._handler = None
         self._reusable = False
+        self._parts = []
         if handler is not None:
             handler.response_failed(reason)
 
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -176,6 +176,20 @@
         assert recorder.events == [200, 'ended']
 
 
+class TestSmallChunks:
+    """Guards against responses in small chunks that keep the reactor busy."""
+
+    def test_parts_of_a_read_are_forwarded_at_once(self, pool):
+        reads = [b'%b%b' % (_CHUNKED, b'1\r\na\r\n' * 100), b'1\r\nb\r\n' * 100, b'0\r\n\r\n']
+        parts = []
+        assert _receive(pool, reads, parts.append).events == [200, 'ended']
+        assert parts == [b'a' * 100, b'b' * 100]
+
+    def test_handler_that_fails_ends_the_request(self, pool):
+        recorder = _receive(pool, [b'%b1\r\na\r\n' % _CHUNKED], int)
+        assert recorder.events == [200, http_client.ClientFailure.MALFORMED]
+
+
 class TestPool:
     """Guards against requests that wait forever for a connection."""
 
@@ -349,10 +363,11 @@
     return _receive(pool, parts).events
 
 
-def _receive(pool, parts):
+def _receive(pool, parts, on_body=None):
     """Return the recorder of a request after these parts of its response."""
     connection = connect(pool)
     recorder = send(connection)
+    recorder.response_body = on_body or recorder.response_body
     for part in parts:
         connection.dataReceived(part)
     return recorder
