--- a/src/anvillug/process/mesh_entry.py
+++ b/src/anvillug/process/mesh_entry.py
@@ -220,7 +220,9 @@
             attempt.cancel_run = self._host.submit(work, attempt.result)
         else:
             pool = self.pool(peer.announcement.peer_address)
-            run = remote_run.RemoteRun(self.reactor, pool, work, self.clock, attempt.result)
+            run = remote_run.RemoteRun(
+                self.reactor, pool, work, self.clock, attempt.result, self._account
+            )
             attempt.cancel_run = run.cancel
             # An inquiry guards against a node that has failed: a job that must not be repeated
             # would be lost, whether it has run or not, and others would cost time and retry budget.
--- a/src/anvillug/process/mesh_host.py
+++ b/src/anvillug/process/mesh_host.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from anvillug import clock, event_log, ids
-from anvillug.connection import http_pool
+from anvillug.connection import http_pool, memory_account
 from anvillug.process import (
     crash_watch,
     fault_share,
@@ -70,6 +70,8 @@
         process_metrics: Metrics of the process.
         crashes: Detects requests that crash backend servers.
         word: Newest word of the log; None if the newest known keys count, however old they are.
+        account: Account of the memory that the process holds for clients; one of its own by
+            default.
     """
 
     def __init__(  # noqa: WPS211 - components with the lifetime of the process
@@ -83,7 +85,9 @@
         process_metrics: metrics.Metrics,
         crashes: crash_watch.CrashWatch,
         word: sound_word.SoundWord | None = None,
+        account: memory_account.MemoryAccount | None = None,
     ) -> None:
+        self._account = account or memory_account.create(time)
         self._metrics = process_metrics
         self._crashes = crashes
         self._word = word
@@ -268,6 +272,7 @@
             work,
             lambda result: self._done(run, identity, result, on_result),
             self._key_rejection_reason,
+            self._account,
         )
         run.on_sent = self.on_run_sent
         self._runs[run] = ticket
--- a/src/anvillug/process/mesh_node.py
+++ b/src/anvillug/process/mesh_node.py
@@ -153,6 +153,7 @@
             self._metrics,
             self._crashes,
             self._word,
+            self._account,
         )
         self.entry = mesh_entry.MeshEntry(
             reactor,
--- a/src/anvillug/request/job_wire.py
+++ b/src/anvillug/request/job_wire.py
@@ -11,8 +11,8 @@
 import msgpack
 
 from anvillug import clock, ids, wire_value
-from anvillug.connection import http_head
-from anvillug.request import dialect, job
+from anvillug.connection import http_client, http_head
+from anvillug.request import buffered_response, dialect, job
 from anvillug.version import directives
 
 RUN_PATH = b'/-/run'
@@ -23,6 +23,8 @@
 """Header of the response to an inquiry that names the process that responded."""
 DIRECTIVES_PATH = b'/-/directives'
 """Path of the request for the directives in effect."""
+MAX_RESULT_BYTES = buffered_response.MAX_BYTES + 2 * http_client.MAX_HEAD_BYTES
+"""Largest result; the fields beside the response are small."""
 
 _MIN_STATUS = 100
 _MAX_STATUS = 599
--- a/src/anvillug/request/remote_run.py
+++ b/src/anvillug/request/remote_run.py
@@ -13,13 +13,15 @@
 from twisted.internet import interfaces
 
 from anvillug import clock, ids
-from anvillug.connection import http_client, http_head, http_pool, write_batch
-from anvillug.request import job, job_wire
+from anvillug.connection import http_client, http_head, http_pool, memory_account, write_batch
+from anvillug.request import buffered_response, job, job_wire
 
 _STATUS_OK = 200
 # An inquiry takes one round trip, 3 ms between zones; a node that needs longer than this is
 # unreachable or overloaded.
 _INQUIRY_TIMEOUT_MS = 80.0
+_MAX_RESPONSE_BYTES = 1024 * 1024
+"""Largest response to a request other than a job."""
 
 
 class PeerRequest:
@@ -31,6 +33,7 @@
         on_response: Called with the body of the response.
         on_failure: Called with the reason why there is no response, and whether a connection was
             available, so that the request was sent.
+        response: Holds the body of the response; small ones only by default.
     """
 
     def __init__(
@@ -39,12 +42,13 @@
         body: bytes,
         on_response: Callable[[bytes], None],
         on_failure: Callable[[str, bool], None],
+        response: buffered_response.BufferedResponse | None = None,
     ) -> None:
         self._head = head
         self._body = body
         self._on_response = on_response
         self._on_failure = on_failure
-        self._chunks: list[bytes] = []
+        self._response_body = response or buffered_response.BufferedResponse(_MAX_RESPONSE_BYTES)
         self._pool: http_pool.Pool | None = None
         self._connection: http_client.ClientConnection | None = None
         self._ended = False
@@ -100,7 +104,10 @@
 
     def response_body(self, data: bytes) -> None:
         """Buffer a chunk of the response."""
-        self._chunks.append(data)
+        reason = self._response_body.add(data)
+        if reason:
+            self._connection.cancel()
+            self._fail(reason)
 
     def response_ended(self) -> None:
         """Report the response."""
@@ -109,9 +116,8 @@
         if self.response.status != _STATUS_OK:
             self._fail(f'status {self.response.status}')
             return
+        response = self._response_body.take()
         self._end()
-        response = b''.join(self._chunks)
-        self._chunks.clear()
         self._on_response(response)
 
     def response_failed(self, reason: http_client.ClientFailure) -> None:
@@ -147,6 +153,7 @@
     def _end(self) -> None:
         self._ended = True
         self._body = b''
+        self._response_body.clear()
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
 
@@ -160,6 +167,7 @@
         work: The job.
         time: Clock.
         on_result: Called once with the result, unless the run is cancelled.
+        account: Account of memory; None if only the size of the result is limited.
     """
 
     def __init__(
@@ -169,12 +177,14 @@
         work: job.Job,
         time: clock.Clock,
         on_result: Callable[[job.Result], None],
+        account: memory_account.MemoryAccount | None = None,
     ) -> None:
         self._reactor = reactor
         self._pool = pool
         self._work = work
         self._clock = time
         self._on_result = on_result
+        self._account = account
         self._request: PeerRequest | None = None
         self._inquiry_timer: interfaces.IDelayedCall | None = None
 
@@ -257,5 +267,6 @@
         headers = [(b'Host', b'node'), (b'Content-Length', b'%d' % len(job_bytes))]
         head = http_head.RequestHead(b'POST', path, headers)
         inquiry = self._request
-        self._request = PeerRequest(head, job_bytes, answered, failed)
+        response = buffered_response.BufferedResponse(job_wire.MAX_RESULT_BYTES, self._account)
+        self._request = PeerRequest(head, job_bytes, answered, failed, response)
         self._request.begin(self._pool, inquiry)
--- a/src/anvillug/request/upstream_run.py
+++ b/src/anvillug/request/upstream_run.py
@@ -8,11 +8,8 @@
 from twisted.internet import interfaces
 
 from anvillug import clock, event_log
-from anvillug.connection import http_client, http_head, http_pool, write_batch
-from anvillug.request import dialect, job
-
-MAX_RESPONSE_BYTES = 16 * 1024 * 1024
-"""Largest response that is buffered; limits the memory of the process."""
+from anvillug.connection import http_client, http_head, http_pool, memory_account, write_batch
+from anvillug.request import buffered_response, dialect, job
 
 # The backend server itself stops at the deadline and responds; the run ends this much later if
 # there is no response.
@@ -50,6 +47,7 @@
         on_done: Called once with the result, unless the run is cancelled.
         late_rejection: Returns why the job must not be sent any more, empty if it may; called when
             it has a connection, which may be long after the host accepted it.
+        account: Account of memory; None if only the size of the response is limited.
     """
 
     def __init__(
@@ -60,6 +58,7 @@
         work: job.Job,
         on_done: ResultReady,
         late_rejection: Callable[[job.Job], str] = _accept,
+        account: memory_account.MemoryAccount | None = None,
     ) -> None:
         self.work = work
         """The job."""
@@ -87,8 +86,7 @@
         self._connection: http_client.ClientConnection | None = None
         self._head: http_head.ResponseHead | None = None
         self._not_run_reason = ''
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = buffered_response.BufferedResponse(buffered_response.MAX_BYTES, account)
         self._deadline_timer: interfaces.IDelayedCall | None = None
 
     def begin(self, pool: http_pool.Pool) -> None:
@@ -133,12 +131,10 @@
             self._not_run_reason = kind.value
 
     def response_body(self, data: bytes) -> None:
-        """Buffer a chunk of the response."""
-        self._body_bytes += len(data)
-        if self._body_bytes > MAX_RESPONSE_BYTES:
-            self._abort(f'answer exceeds {MAX_RESPONSE_BYTES} bytes')
-        else:
-            self._body.append(data)
+        """Buffer a chunk of the response; the body of a rejection is not used."""
+        reason = '' if self._not_run_reason else self._body.add(data)
+        if reason:
+            self._abort(reason)
 
     def response_ended(self) -> None:
         """Report the result, since the response is complete."""
@@ -150,8 +146,7 @@
             return
         headers = http_head.end_to_end_headers(head.headers, _FRAMING_HEADERS)
         forwarded_head = http_head.ResponseHead(head.status, headers, head.reason)
-        body = b''.join(self._body)
-        self._body.clear()
+        body = self._body.take()
         self._finish(
             job.Result(job.ResultKind.ANSWERED, head=forwarded_head, body=body, load=self.load)
         )
@@ -234,6 +229,7 @@
 
     def _close(self) -> None:
         self.state = RunState.DONE
+        self._body.clear()
         if self._deadline_timer is not None and self._deadline_timer.active():
             self._deadline_timer.cancel()
 
--- a/tests/test_remote_run.py
+++ b/tests/test_remote_run.py
@@ -7,7 +7,7 @@
 
 from anvillug import clock, ids
 from anvillug.connection import http_client, http_head
-from anvillug.request import job, job_wire, remote_run
+from anvillug.request import buffered_response, job, job_wire, remote_run
 from anvillug.version import directives
 
 _BODY = b'x' * 60_000
@@ -153,6 +153,28 @@
         assert remote_job.connections[1] is remote_job.connections[0]
 
 
+class TestLongResults:
+    """Guards against results without end, which were held until the process had no memory left."""
+
+    def test_job_with_a_result_without_end_may_have_run(self, remote_job):
+        remote_job.run.begin()
+        connection = remote_job.connections[0]
+        connection.handler.response_head(http_head.ResponseHead(200, []))
+        connection.handler.response_body(bytes(job_wire.MAX_RESULT_BYTES))
+        assert not remote_job.results
+        connection.handler.response_body(b'a')
+        assert [result.kind for result in remote_job.results] == [job.ResultKind.UNKNOWN]
+        assert 'exceeds' in remote_job.results[0].reason
+
+    def test_largest_response_of_a_backend_server_is_passed_on(self, remote_job):
+        remote_job.run.begin()
+        head = http_head.ResponseHead(200, [(b'a', bytes(http_client.MAX_HEAD_BYTES))])
+        body = bytes(buffered_response.MAX_BYTES)
+        result = job.Result(job.ResultKind.ANSWERED, head=head, body=body)
+        remote_job.connections[0].respond(result)
+        assert len(remote_job.results[0].body) == len(body)
+
+
 class TestSilentConnections:
     """Guards against jobs lost on one silent connection of a node after the other."""
 
--- a/tests/test_unruly_backends.py
+++ b/tests/test_unruly_backends.py
@@ -18,6 +18,7 @@
     % unruly_backend.UNRULY_PATH
 )
 _HEAD_BYTES = 1 << 17
+_WITHHELD_BYTES = 15 << 20
 _INTERIM = b'HTTP/1.1 102 Processing\r\n'
 _ODD_LINES = b''.join(b'%x:\r\n' % number for number in range(_HEAD_BYTES // 8))
 
@@ -70,6 +71,21 @@
     def test_many_short_header_lines(self, node):
         _check_survives(node, _ODD_LINES)
 
+    @pytest.mark.parametrize(
+        'start',
+        [unruly_backend.UNTIL_CLOSE, b'Content-Length: 99999999999\r\n\r\n'],
+        ids=['close', 'length'],
+    )
+    def test_bodies_without_end(self, node, start):
+        _check_survives(node, start, b'a')
+
+    @pytest.mark.parametrize('part', [b'1\r\na\r\n', b'2\r\nab\r\n'], ids=['1', '2'])
+    def test_small_chunks_without_end(self, node, part):
+        _check_survives(node, unruly_backend.CHUNKED, part)
+
+    def test_large_bodies_that_are_never_complete(self, node):
+        _check_survives(node, unruly_backend.UNTIL_CLOSE + bytes(_WITHHELD_BYTES))
+
 
 def _check_survives(node, start, part=b''):
     node.backend.start = start
