--- a/src/anvillug/process/peer_server.py
+++ b/src/anvillug/process/peer_server.py
@@ -12,6 +12,10 @@
 
 _JOB_PATHS = (job_wire.RUN_PATH, job_wire.INQUIRY_PATH)
 _NO_MEMORY = 'no memory for the job'
+_TOO_LARGE = 'job is too large'
+# A job holds a body, which may exceed a limit that its sender does not know yet, and a head.
+_BODY_FACTOR = 2
+_MAX_HEAD_BYTES = 1024 * 1024
 _STATUS_OK = 200
 _STATUS_BAD_REQUEST = 400
 _STATUS_NOT_FOUND = 404
@@ -54,6 +58,14 @@
         # request them at the same time.
         self._packed: tuple[directives.Directives | None, bytes] = (None, b'')
 
+    @property
+    def max_job_bytes(self) -> int:
+        """Size that no job of a node exceeds."""
+        routes = self._active_directives.current.routes
+        if routes is None:
+            return memory_account.DEFAULT_LIMIT_BYTES
+        return _BODY_FACTOR * routes.limits.max_body_bytes + _MAX_HEAD_BYTES
+
     def request_received(self, exchange: http_exchange.ServerExchange) -> None:
         """Handle a request; see `http_exchange.RequestStarted`."""
         path = exchange.head.path
@@ -81,35 +93,38 @@
     def __init__(self, server: PeerServer, exchange: http_exchange.ServerExchange) -> None:
         self._server = server
         self._exchange = exchange
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._reserved = 0
-        self._is_rejected = False
+        self._rejection = ''
         self._cancel: Callable[[], object] | None = None
 
     def body_received(self, data: bytes) -> None:
-        """Buffer a chunk of the job, or reject it if there is no memory for it."""
-        if self._is_rejected:
+        """Buffer a chunk of the job, or reject it if it is too large or there is no memory."""
+        if self._rejection:
             return
-        if not self._server.account.reserve_more(len(data), self._reserved):
-            self._is_rejected = True
+        if self._reserved + len(data) > self._server.max_job_bytes:
+            self._rejection = _TOO_LARGE
+        elif not self._server.account.reserve_more(len(data), self._reserved):
+            self._rejection = _NO_MEMORY
+        if self._rejection:
             self._release()
             return
         self._reserved += len(data)
-        self._body.append(data)
+        self._body += data
 
     def request_ended(self) -> None:
         """Run the job or respond to the inquiry, since the request is complete."""
-        if self._is_rejected:
-            self._respond(job.Result(job.ResultKind.REFUSED, _NO_MEMORY))
+        if self._rejection:
+            self._respond(job.Result(job.ResultKind.REFUSED, self._rejection))
             return
         try:
-            work = job_wire.unpack_job(b''.join(self._body), self._server.clock.now())
+            work = job_wire.unpack_job(self._body, self._server.clock.now())
         except job_wire.MalformedError as error:
             event_log.warn('job_malformed', reason=error)
             self._release()
             self._exchange.respond(_STATUS_BAD_REQUEST, f'{error}\n'.encode())
             return
-        self._body.clear()
+        self._body = bytearray()
         if self._exchange.head.path == job_wire.INQUIRY_PATH:
             self._respond(self._server.host.handle_inquiry(work), self._server.inquiry_headers)
             return
@@ -125,7 +140,7 @@
         """Ignore backpressure: the whole result is in memory already."""
 
     def _release(self) -> None:
-        self._body.clear()
+        self._body = bytearray()
         self._server.account.reserve(-self._reserved)
         self._reserved = 0
 
--- a/src/anvillug/process/sound_word.py
+++ b/src/anvillug/process/sound_word.py
@@ -11,7 +11,7 @@
 
 import msgpack
 
-from anvillug import clock, wire_value
+from anvillug import clock, wire_message, wire_value
 from anvillug.version import directives
 
 PATH = b'/-/word'
@@ -105,7 +105,7 @@
         Raises:
             ValueError, TypeError, LookupError, msgpack.UnpackException: If it is malformed.
         """
-        packed_position, packed_age = msgpack.unpackb(data)
+        packed_position, packed_age = wire_message.unpack(data)
         position = directives.unpack_position(packed_position)
         if packed_age is None:
             return False
--- a/src/anvillug/process/usage_wire.py
+++ b/src/anvillug/process/usage_wire.py
@@ -6,7 +6,7 @@
 
 import msgpack
 
-from anvillug import ids, wire_value
+from anvillug import ids, wire_message, wire_value
 from anvillug.process import usage_counts
 
 PATH = b'/-/usage'
@@ -29,7 +29,7 @@
         MalformedError: If the message is malformed.
     """
     try:
-        host_id, incarnation, rows = msgpack.unpackb(content)
+        host_id, incarnation, rows = wire_message.unpack(content)
         process = (
             ids.HostId(wire_value.text(host_id, 'host')),
             ids.Incarnation(wire_value.integer(incarnation, 'incarnation')),
--- a/src/anvillug/request/job_wire.py
+++ b/src/anvillug/request/job_wire.py
@@ -10,7 +10,7 @@
 
 import msgpack
 
-from anvillug import clock, ids, wire_value
+from anvillug import clock, ids, wire_message, wire_value
 from anvillug.connection import http_client, http_head
 from anvillug.request import buffered_response, dialect, job
 from anvillug.version import directives
@@ -104,7 +104,7 @@
         MalformedError: If the data can't be decoded.
     """
     try:
-        work = job.Job(*msgpack.unpackb(data))
+        work = job.Job(*wire_value.sequence(wire_message.unpack(data), 'job'))
         for name, check in _CHECKS_BY_FIELD.items():
             check(getattr(work, name), name)
         work.head = _request_head(work.head)
@@ -137,7 +137,7 @@
         MalformedError: If the data can't be decoded.
     """
     try:
-        fields = msgpack.unpackb(data)
+        fields = wire_message.unpack(data)
         kind, reason, *rest = fields[:_RESULT_FIELDS]
         packed_head, body, load, position = rest
         return job.Result(
@@ -174,11 +174,13 @@
         MalformedError: If the data can't be decoded.
     """
     try:
-        packed_position, packed = msgpack.unpackb(data)
+        packed_position, packed = wire_message.unpack(data)
         position = directives.unpack_position(packed_position)
         if packed is None:
             return None, position
-        content = msgpack.unpackb(zlib.decompress(packed))
+        if len(packed) > _MAX_DIRECTIVES_BYTES:
+            raise ValueError(f'records exceed {_MAX_DIRECTIVES_BYTES} bytes')
+        content = wire_message.unpack(zlib.decompress(packed))
         records = {
             wire_value.text(key, 'key'): directives.Record(
                 directives.unpack_position(record_position), wire_value.data(value, key)
--- a/src/anvillug/wire_value.py
+++ b/src/anvillug/wire_value.py
@@ -78,5 +78,12 @@
     return content
 
 
+def sequence(content: Any, name: str) -> list[Any]:
+    """Return a list; raises ValueError for another type."""
+    if not isinstance(content, list):
+        raise _wrong_type(content, name, 'a list')
+    return content
+
+
 def _wrong_type(content: object, name: str, expected: str) -> ValueError:
     return ValueError(f'{name} must be {expected}, got {type(content).__name__}')
