--- a/src/anvillug/connection/http_client.py
+++ b/src/anvillug/connection/http_client.py
@@ -11,13 +11,22 @@
 from zope.interface import implementer
 
 from anvillug import event_log
-from anvillug.connection import arrival, carried_ids, half_close, http_head, write_batch
+from anvillug.connection import (
+    arrival,
+    carried_ids,
+    half_close,
+    header_lines,
+    http_head,
+    write_batch,
+)
 
 _MIN_FINAL_STATUS = 200
 _STATUS_CONTINUE = 100
 _STATUSES = range(100, 600)
 MAX_HEAD_BYTES = 256 * 1024
 """Maximum size of what precedes the body of a response: its head and all interim responses."""
+MAX_FRAMING_BYTES = 256 * 1024
+"""Maximum size of what follows the head without a byte of the body, such as a trailer."""
 
 
 class ClientFailure(enum.Enum):
@@ -65,8 +74,8 @@
         """Remove a closed connection."""
 
 
-class _MalformedHeadError(Exception):
-    """A response head that the parser accepts although it is not valid."""
+class _MalformedResponseError(Exception):
+    """A response that the parser accepts although it is not valid."""
 
 
 @implementer(interfaces.IPushProducer, interfaces.IHalfCloseableProtocol)
@@ -94,10 +103,13 @@
         self._method = b''
         self._status = 0
         self._reason = b''
-        self._headers: list[http_head.Header] = []
+        self._headers: list[http_head.Header] | header_lines.HeaderLines = []
+        # Parts of the body that the current read holds.
+        self._parts: list[bytes] = []
         self._framing = http_head.Framing.NONE
         self._head_received = False
         self._head_bytes = 0
+        self._framing_bytes = 0
         self._response_complete = False
         self._request_complete = False
         self._chunked = False
@@ -138,6 +150,7 @@
         self._chunked = head.framing is http_head.Framing.CHUNKED
         self._head_received = False
         self._head_bytes = 0
+        self._framing_bytes = 0
         self._response_complete = False
         self._request_complete = False
         self._create_parser()
@@ -160,6 +173,7 @@
         """Cancel the request and close the connection, without notifying the handler."""
         self._handler = None
         self._reusable = False
+        self._parts = []
         if not self._disconnected:
             write_batch.BATCH.discard(self.transport)
             self.transport.abortConnection()
@@ -198,7 +212,7 @@
         except (
             httptools.HttpParserError,
             httptools.HttpParserUpgrade,
-            _MalformedHeadError,
+            _MalformedResponseError,
         ) as problem:
             _log_problem(problem)
             if not self._response_complete:
@@ -252,7 +266,9 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Receive a header; see httptools."""
-        self._headers.append((name, value))
+        # Headers after the body are trailers, which are not forwarded.
+        if not self._head_received:
+            self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Forward the head to the handler; see httptools."""
@@ -260,9 +276,10 @@
             return
         self._status = self._parser.get_status_code()
         if self._status not in _STATUSES:
-            raise _MalformedHeadError(f'status {self._status}')
+            raise _MalformedResponseError(f'status {self._status}')
         if self._status < _MIN_FINAL_STATUS or self._handler is None:
             return
+        self._pack_headers()
         head = http_head.ResponseHead(self._status, self._headers, self._reason)
         self._framing = head.framing(self._method)
         self._reusable = (
@@ -275,13 +292,14 @@
 
     def on_body(self, data: bytes) -> None:
         """Forward a part of the body to the handler; see httptools."""
+        self._framing_bytes = 0
         if self._skips_response:
             return
         if self._response_complete:
             # A body that must not exist, as after HEAD; more of it may follow.
             self._reusable = False
-        elif self._handler is not None:
-            self._handler.response_body(data)
+        else:
+            self._parts.append(data)
 
     def on_message_complete(self) -> None:
         """End the response; see httptools."""
@@ -293,7 +311,9 @@
             self._skips_response = False
             self._head_received = False
             self._head_bytes = 0
+            self._framing_bytes = 0
         elif self._status >= _MIN_FINAL_STATUS:
+            self._forward_body()
             self._complete_response()
 
     # Write backpressure
@@ -314,11 +334,33 @@
     # Private
 
     def _feed(self, data: bytes) -> None:
-        if not self._head_received:
+        if self._head_received:
+            self._framing_bytes += len(data)
+        else:
             self._head_bytes += len(data)
         self._parser.feed_data(data)
-        if not self._head_received and self._head_bytes > MAX_HEAD_BYTES:
-            raise _MalformedHeadError(f'head exceeds {MAX_HEAD_BYTES} bytes')
+        if self._parts:
+            try:
+                self._forward_body()
+            except Exception as problem:
+                raise httptools.HttpParserCallbackError('response handler') from problem
+        if self._framing_bytes > MAX_FRAMING_BYTES and not self._response_complete:
+            raise _MalformedResponseError(f'framing exceeds {MAX_FRAMING_BYTES} bytes')
+        if not self._head_received:
+            if self._head_bytes > MAX_HEAD_BYTES:
+                raise _MalformedResponseError(f'head exceeds {MAX_HEAD_BYTES} bytes')
+            self._pack_headers()
+
+    def _forward_body(self) -> None:
+        """Forward the parts of a read at once: a handler is slow for chunks of one byte."""
+        parts = self._parts
+        if parts and self._handler is not None:
+            self._parts = []
+            self._handler.response_body(parts[0] if len(parts) == 1 else b''.join(parts))
+
+    def _pack_headers(self) -> None:
+        if isinstance(self._headers, list) and len(self._headers) > header_lines.MAX_PAIRS:
+            self._headers = header_lines.HeaderLines(self._headers)
 
     def _create_parser(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
@@ -356,14 +398,15 @@
         handler = self._handler
         self._handler = None
         self._reusable = False
+        self._parts = []
         if handler is not None:
             handler.response_failed(reason)
 
 
 def _log_problem(problem: Exception) -> None:
-    """Log a response that is malformed by its head, or a handler that has failed."""
+    """Log a response that only the parser accepts, or a handler that has failed."""
     cause = problem.__context__ or problem
-    if isinstance(cause, _MalformedHeadError):
+    if isinstance(cause, _MalformedResponseError):
         event_log.warn('response_malformed', reason=cause)
     elif isinstance(problem, httptools.HttpParserCallbackError):
         event_log.error('response_handler_failed', cause)
--- a/src/anvillug/connection/http_server.py
+++ b/src/anvillug/connection/http_server.py
@@ -343,7 +343,7 @@
         if self._disconnected:
             return {}
         return {
-            memory_account.HEADS: self._parser.head_bytes,
+            memory_account.HEADS: self._parser.part_bytes,
             memory_account.AHEAD: self._pending.count * _STEP_BYTES,
             memory_account.RESPONSES: sum(slot.held_bytes for slot in self._slots),
             memory_account.UNREAD: write_batch.unsent_bytes(self.transport),
--- a/src/anvillug/process/mesh_node.py
+++ b/src/anvillug/process/mesh_node.py
@@ -154,6 +154,7 @@
             self._metrics,
             self._crashes,
             self._word,
+            self._account,
         )
         self.entry = mesh_entry.MeshEntry(
             reactor,
