--- a/tests/test_unruly_clients.py
+++ b/tests/test_unruly_clients.py
@@ -233,5 +233,14 @@
         )
 
 
+class TestRequestsOfManyLines:
+    """Guards against requests sent ahead whose many lines or offers take memory or time."""
+
+    @pytest.mark.parametrize('offer', [b'Upgrade', b'X-Upgrade'], ids=['offer', 'plain'])
+    def test_requests_sent_ahead(self, node, offer):
+        request = unruly_crowd.offer(_START + _ATTRIBUTES).replace(b'Upgrade:', b'%b:' % offer)
+        unruly_crowd.check_survives_streams(node, b'', request, 10, 200, reads=True)
+
+
 def _request() -> bytes:
     return b'%b%b\r\n' % (_START, _ATTRIBUTES)
--- a/tests/test_unruly_clients_node.py
+++ b/tests/test_unruly_clients_node.py
@@ -162,6 +162,15 @@
         )
 
 
+class TestRequestsOfManyLines:
+    """Guards against requests sent ahead whose many lines or offers take memory or time."""
+
+    @pytest.mark.parametrize('offer', [b'Upgrade', b'X-Upgrade'], ids=['offer', 'plain'])
+    def test_requests_sent_ahead(self, node, offer):
+        request = unruly_crowd.offer(_START + _DEADLINE).replace(b'Upgrade:', b'%b:' % offer)
+        unruly_crowd.check_survives_streams(node, b'', request, 10, 200, reads=True)
+
+
 def _request(response_bytes: int) -> bytes:
     target = b'/x?bytes=%d' % response_bytes
     return b'GET %b HTTP/1.1\r\nHost: drawbook\r\n%b\r\n' % (target, _DEADLINE)
--- a/tests/unruly_crowd.py
+++ b/tests/unruly_crowd.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import contextlib
 import os
 import pathlib
@@ -47,6 +48,7 @@
 """What clients send as the framing of a body and after it: headers and start, and what follows."""
 _ANONYMOUS_MEMORY = re.compile(r'RssAnon:\s+(\d+) kB')
 _RECEIVE_BUFFER_BYTES = 4096
+_RECEIVE_BYTES = 1 << 16
 _SEND_TIMEOUT_S = 0.5
 _CHECKS = 20
 _CHECK_S = 0.1
@@ -133,6 +135,16 @@
     return start + lines[: lines.rindex(b'\n', 0, size) + 1] + end
 
 
+def offer(start: bytes) -> bytes:
+    """Return a request within the limits with many short lines and an offer to switch protocol.
+
+    Args:
+        start: Request line and first headers.
+    """
+    lines = b''.join(b'%x:\r\n' % number for number in range(2000))
+    return b'%bConnection: Upgrade\r\nUpgrade: x\r\n%b\r\n' % (start, lines)
+
+
 def check_survives(
     target: Target, sent: bytes, client_count: int = SIZE, read_bytes: int = 0
 ) -> None:
@@ -187,6 +199,7 @@
     piece_count: int,
     *,
     asks_early: bool = False,
+    reads: bool = False,
 ) -> None:
     """Let clients send at the same time, and check the node while they send or stay connected.
 
@@ -198,8 +211,9 @@
         piece_count: How often a client sends the piece unless its connection ends before.
         asks_early: Whether the ordinary request is sent once all clients have begun, rather than
             once they have ended or some time has passed.
+        reads: Whether the clients read what they are sent.
     """
-    stream = _Stream(start, piece, piece_count)
+    stream = _Stream(start, piece, piece_count, reads=reads)
     with stream.clients(target, client_count):
         for _ in _progress(target, range(_STREAM_CHECKS)):
             if client_count == (stream.begun_count if asks_early else stream.ended_count):
@@ -245,12 +259,13 @@
 class _Stream:
     """What each of several clients sends, and how many of them have begun and ended."""
 
-    def __init__(self, start: bytes, piece: bytes, piece_count: int) -> None:
+    def __init__(self, start: bytes, piece: bytes, piece_count: int, *, reads: bool) -> None:
         self.begun_count = 0
         self.ended_count = 0
         self._start = start
         self._piece = piece
         self._piece_count = piece_count
+        self._reads = reads
         self._is_over = threading.Event()
 
     @contextlib.contextmanager
@@ -270,11 +285,14 @@
         with contextlib.suppress(OSError), socket.socket() as client:
             client.settimeout(_STREAM_TIMEOUT_S)
             client.connect(target.crowd_address)
+            if self._reads:
+                threading.Thread(target=_read, args=(client,)).start()
             try:
                 self._send(client)
             finally:
                 self.ended_count += 1
             self._is_over.wait()
+            client.shutdown(socket.SHUT_RDWR)
 
     def _send(self, client: socket.socket) -> None:
         client.sendall(self._start)
@@ -285,6 +303,11 @@
             client.sendall(self._piece)
 
 
+def _read(client: socket.socket) -> None:
+    with contextlib.suppress(OSError):
+        collections.deque(iter(lambda: client.recv(_RECEIVE_BYTES), b''), maxlen=0)
+
+
 def _send_and_reset(target: Target, sent: bytes) -> None:
     for _ in range(_RESETS):
         with contextlib.suppress(OSError), socket.socket() as client:
