--- a/src/anvillug/process/usage_duty.py
+++ b/src/anvillug/process/usage_duty.py
@@ -91,6 +91,7 @@
         """Count the requests of a host side, and take counts from other nodes."""
         host.on_run_sent = self.exchange.run_sent
         host.on_run_not_begun = self.exchange.run_not_begun
+        self.exchange.account = server.account
         server.usage_received = self.exchange.request_received
 
     def start(self) -> None:
--- a/src/anvillug/process/usage_exchange.py
+++ b/src/anvillug/process/usage_exchange.py
@@ -12,7 +12,7 @@
 from twisted.internet import interfaces
 
 from anvillug import clock, event_log, ids, wire_value
-from anvillug.connection import http_exchange, http_head, http_pool
+from anvillug.connection import http_exchange, http_head, http_pool, memory_account
 from anvillug.process import (
     duty_settings,
     duty_state,
@@ -21,7 +21,7 @@
     usage_counts,
     usage_wire,
 )
-from anvillug.request import job, remote_run
+from anvillug.request import buffered_body, job, remote_run
 
 # What a node has counted since the last message is lost if it is killed.
 _INTERVAL_S = 1.0
@@ -34,6 +34,7 @@
 _STATUS_OK = 200
 _STATUS_BAD_REQUEST = 400
 _STATUS_NOT_FOUND = 404
+_STATUS_UNAVAILABLE = 503
 
 
 class UsageExchange:
@@ -76,6 +77,8 @@
         self._timer: interfaces.IDelayedCall | None = None
         self.on_release: Callable[[], None] = lambda: None
         """Called when the holder no longer announces the duty."""
+        self.account = memory_account.MemoryAccount(memory_account.DEFAULT_LIMIT_BYTES, time_of_day)
+        """Account of the memory that is held for other nodes; one of its own by default."""
 
     @property
     def is_flushed(self) -> bool:
@@ -213,16 +216,22 @@
     def __init__(self, collector: UsageExchange, exchange: http_exchange.ServerExchange) -> None:
         self._collector = collector
         self._exchange = exchange
-        self._body: list[bytes] = []
+        self._body = buffered_body.BufferedBody(collector.account)
+        self._is_rejected = False
 
     def body_received(self, data: bytes) -> None:
-        """Buffer a chunk of the message."""
-        self._body.append(data)
+        """Buffer a chunk of the message, or reject it if there is no memory for it."""
+        if not self._is_rejected and not self._body.add(data):
+            self._is_rejected = True
+            self._body.clear()
 
     def request_ended(self) -> None:
-        """Add the counts, since the message is complete."""
+        """Add the counts, since the message is complete; the sender repeats a rejected one."""
+        if self._is_rejected:
+            self._exchange.respond(_STATUS_UNAVAILABLE)
+            return
         try:
-            is_collected = self._collector.receive(b''.join(self._body))
+            is_collected = self._collector.receive(b''.join(self._body.take()))
         except usage_wire.MalformedError as error:
             event_log.warn('usage_counts_malformed', reason=error)
             self._exchange.respond(_STATUS_BAD_REQUEST)
@@ -230,7 +239,8 @@
         self._exchange.respond(_STATUS_OK if is_collected else _STATUS_NOT_FOUND)
 
     def request_aborted(self) -> None:
-        """Ignore a message that is incomplete; its sender repeats it."""
+        """Drop a message that is incomplete; its sender repeats it."""
+        self._body.clear()
 
     def response_writes_paused(self, paused: bool) -> None:
         """Ignore backpressure: the response has no body."""
--- a/tests/test_usage_counts.py
+++ b/tests/test_usage_counts.py
@@ -9,7 +9,7 @@
 from twisted.internet import task
 
 from anvillug import clock, ids, json_table
-from anvillug.connection import http_client
+from anvillug.connection import http_client, memory_account
 from anvillug.platform import cloud, duty_settings
 from anvillug.process import (
     duty_holder,
@@ -26,6 +26,7 @@
 
 _T = duty_fleet.TENANT
 _W = usage_counts.Window(7)
+_LIMIT_BYTES = 1 << 20
 _FIRST = (ids.HostId('h'), ids.Incarnation(1))
 _SECOND = (ids.HostId('h'), ids.Incarnation(2))
 
@@ -170,6 +171,30 @@
         exchange.beacon_received(holder, [35_000, 0])
         exchange.on_release.assert_called_once_with()
 
+    # Such a message was held outside the account, without a limit.
+    def test_message_without_end_is_held_within_the_account(self):
+        exchange, _ = self._exchange(_SECOND, clock.ManualClock(0, 35_000))
+        exchange.account = memory_account.MemoryAccount(_LIMIT_BYTES, clock.ManualClock())
+        message = mock.Mock()
+        # So that a large message isn't accepted in calm.
+        assert exchange.account.reserve(_LIMIT_BYTES // 2)
+        exchange.request_received(message)
+        for _ in range(64):
+            message.handler.body_received(bytes(_LIMIT_BYTES // 16))
+            assert exchange.account.used_bytes <= _LIMIT_BYTES
+        message.handler.request_ended()
+        message.respond.assert_called_once_with(503)
+        assert exchange.account.used_bytes == _LIMIT_BYTES // 2
+
+    def test_incomplete_message_is_released(self):
+        exchange, _ = self._exchange(_SECOND, clock.ManualClock(0, 35_000))
+        message = mock.Mock()
+        exchange.request_received(message)
+        message.handler.body_received(b'part')
+        assert exchange.account.used_bytes
+        message.handler.request_aborted()
+        assert not exchange.account.used_bytes
+
     def _exchange(self, process, time, pool=None):
         state = duty_state.DutyState(process, duty_fleet.SETTINGS)
         exchange = usage_exchange.UsageExchange(
