--- a/src/anvillug/connection/half_close.py
+++ b/src/anvillug/connection/half_close.py
@@ -94,6 +94,8 @@
 
     def _check(self) -> None:
         """Take the next step of the watch."""
+        # A check that has run still refers to the watch, and would be freed only by the collector.
+        self._next_check = None
         silent_s = self._transport.reactor.seconds() - self._sent_at_s
         if _tcp_state(self._transport.socket) == _TCP_CLOSE:
             self._decide(Verdict.LEFT, self._on_left)
--- a/tests/test_lost_connection.py
+++ b/tests/test_lost_connection.py
@@ -27,6 +27,7 @@
         self.exchanges: list[weakref.ref] = []
         self.received_bytes = 0
         self.aborted = 0
+        self.answers = True
         factory = http_listener.ServerFactory(self._begin)
         build = factory.buildProtocol
         factory.buildProtocol = lambda address: self._keep(build(address))
@@ -36,8 +37,12 @@
         # What a client sends while the reactor stands still waits whole in the kernel.
         self.port.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4 * _BODY_BYTES)
 
+    @property
+    def address(self) -> tuple[str, int]:
+        return '127.0.0.1', self.port.getHost().port
+
     def connect(self) -> socket.socket:
-        connection = socket.create_connection(('127.0.0.1', self.port.getHost().port))
+        connection = socket.create_connection(self.address)
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
         connection.settimeout(reactor_thread.TIMEOUT_S)
         return connection
@@ -63,7 +68,8 @@
         self._server.received_bytes += len(data)
 
     def request_ended(self) -> None:
-        self._exchange.respond(200, b'whole')
+        if self._server.answers:
+            self._exchange.respond(200, b'whole')
 
     def request_aborted(self) -> None:
         self._server.aborted += 1
@@ -104,6 +110,19 @@
             reactor_thread.eventually(lambda: server.exchanges[0]() is None)
         reactor_thread.eventually(lambda: server.connections[0]() is None)
 
+    @pytest.mark.parametrize('version', [b'1.0', b'1.1'])
+    def test_connection_of_a_caller_who_has_left_is_freed_without_the_collector(
+        self, server, version
+    ):
+        # The watch of a half-closed connection referred to its last check, and so to itself.
+        server.answers = False
+        with socket.create_connection(server.address) as client:
+            client.sendall(b'GET /one HTTP/%b\r\nHost: a\r\n\r\n' % version)
+            reactor_thread.eventually(lambda: server.exchanges)
+        reactor_thread.eventually(server.is_aborted)
+        reactor_thread.eventually(lambda: server.connections[0]() is None)
+        assert server.exchanges[0]() is None
+
     def test_unread_bytes_of_a_reset_connection_are_not_parsed(self, server, running_reactor):
         # Clients that reset uploads faster than these were read held descriptors by the hundred.
         with server.connect() as client:
