--- a/src/anvillug/connection/http_client.py
+++ b/src/anvillug/connection/http_client.py
@@ -231,6 +231,8 @@
         if is_regular and self._head_received and self._framing is http_head.Framing.UNTIL_CLOSE:
             self._complete_response()
         self._fail_request(ClientFailure.LOST)
+        # The parser refers to the connection, which would be freed only by the collector.
+        self._parser = None
         self._pool.connection_lost(self)
 
     def reset_noticed(self) -> None:
--- a/tests/test_lost_connection.py
+++ b/tests/test_lost_connection.py
@@ -10,8 +10,15 @@
 
 import pytest
 
-from anvillug.connection import http_exchange, http_listener, http_server
-from tests import reactor_thread
+from anvillug.connection import (
+    http_client,
+    http_exchange,
+    http_head,
+    http_listener,
+    http_pool,
+    http_server,
+)
+from tests import reactor_thread, test_http_client
 
 _HEAD = b'POST /one HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n'
 _BODY_BYTES = 1 << 20
@@ -79,13 +86,19 @@
 
 
 @pytest.fixture
-def server(running_reactor):
-    """Return a server without a collector, which could hide what is left."""
-    server = _Server(running_reactor)
+def collector_disabled():
+    """Disable the collector, which could hide what is left."""
     gc.collect()
     gc.disable()
-    yield server
+    yield
     gc.enable()
+
+
+@pytest.fixture
+def server(running_reactor, collector_disabled):
+    """Return a server without a collector."""
+    server = _Server(running_reactor)
+    yield server
     reactor_thread.call(server.port.stopListening)
 
 
@@ -132,3 +145,71 @@
             client.sendall(bytes(_BODY_BYTES))
         reactor_thread.eventually(server.is_aborted)
         assert server.received_bytes < _BODY_BYTES / 2
+
+
+class _Peer:
+    """Peer of one client connection, which awaits the response to a request."""
+
+    def __init__(self, running_reactor) -> None:
+        self.requests: list[weakref.ref] = []
+        self.connections: list[weakref.ref] = []
+        with socket.create_server(('127.0.0.1', 0)) as port:
+            pool = http_pool.Pool(running_reactor, *port.getsockname())
+            reactor_thread.call(pool.acquire, self._send, _ignore)
+            self.end, _ = port.accept()
+        self.end.settimeout(reactor_thread.TIMEOUT_S)
+        assert self.end.recv(4096)
+
+    def cancel(self) -> None:
+        """Cancel the request; runs in the reactor's thread."""
+        self.connections[0]().cancel()
+
+    def is_freed(self) -> bool:
+        return not any(reference() for reference in (*self.connections, *self.requests))
+
+    def _send(self, connection: http_client.ClientConnection) -> None:
+        self.connections.append(weakref.ref(connection))
+        self.requests.append(weakref.ref(test_http_client.send(connection)))
+
+
+def _ignore() -> None:
+    """Do nothing."""
+
+
+@pytest.fixture
+def peer(running_reactor, collector_disabled):
+    """Return the peer of a client connection, without a collector."""
+    peer = _Peer(running_reactor)
+    with peer.end:
+        yield peer
+
+
+@pytest.mark.parametrize(
+    'received',
+    [
+        b'',
+        b'HTTP/1.1 200 OK\r\nConte',
+        b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbo',
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbo',
+    ],
+)
+class TestLostClientConnection:
+    """Guards against connections to others that hold memory after they were lost."""
+
+    def test_connection_lost_within_a_response_is_freed_without_the_collector(self, peer, received):
+        peer.end.sendall(received)
+        peer.end.close()
+        reactor_thread.eventually(peer.is_freed)
+
+    def test_connection_reset_within_a_response_is_freed_without_the_collector(
+        self, peer, received
+    ):
+        peer.end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+        peer.end.sendall(received)
+        peer.end.close()
+        reactor_thread.eventually(peer.is_freed)
+
+    def test_cancelled_connection_is_freed_without_the_collector(self, peer, received):
+        peer.end.sendall(received)
+        reactor_thread.call(peer.cancel)
+        reactor_thread.eventually(peer.is_freed)
