--- a/src/anvillug/connection/http_pool.py
+++ b/src/anvillug/connection/http_pool.py
@@ -40,6 +40,9 @@
     def buildProtocol(self, addr: object) -> http_client.ClientConnection:  # noqa: N802
         connection = _PooledConnection(self._pool)
         connection.ready = self._ready
+        # The transport refers to the factory for as long as the connection is open.
+        self._ready = _leave_in_pool
+        self._failed = _ignore_failure
         return connection
 
     def clientConnectionFailed(self, connector: object, reason: object) -> None:  # noqa: N802
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,6 +4,7 @@
 
 import logging
 import pathlib
+import gc
 import threading
 
 import pytest
@@ -46,6 +47,15 @@
     return 'running_reactor' in getattr(item, 'fixturenames', ())
 
 
+@pytest.fixture
+def collector_disabled():
+    """Disable the collector, which could hide what is left."""
+    gc.collect()
+    gc.disable()
+    yield
+    gc.enable()
+
+
 @pytest.fixture(scope='session')
 def running_reactor():
     """Run the reactor in a thread for the whole session; it can be started only once."""
--- a/tests/test_http_pool.py
+++ b/tests/test_http_pool.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+import weakref
+
 import pytest
 from twisted.internet import error
 from twisted.internet import testing as twisted_testing
 from twisted.python import failure
 
 from anvillug.connection import carried_ids, http_pool
-from tests import test_http_client
+from tests import test_bad_input, test_http_client
 
 
 @pytest.fixture
@@ -17,6 +19,33 @@
     return http_pool.Pool(twisted_testing.MemoryReactorClock(), '127.0.0.1', 1)
 
 
+class _Requester:
+    """Sends a request on the connection that it gets."""
+
+    def send(self, connection):
+        """Send the request."""
+        test_http_client.send(connection)
+
+    def fail(self):
+        """Ignore the failure."""
+
+
+class TestFirstRequest:
+    """Guards against open connections that hold what has requested them."""
+
+    def test_requester_of_an_idle_connection_is_freed_without_the_collector(
+        self, pool, collector_disabled
+    ):
+        requester = _Requester()
+        reference = weakref.ref(requester)
+        pool.acquire(requester.send, requester.fail)
+        del requester
+        connection = pool._reactor.tcpClients[0][2].buildProtocol(None)  # noqa: SLF001
+        connection.makeConnection(test_bad_input.make_transport())
+        connection.dataReceived(b'HTTP/1.1 204 No Content\r\n\r\n')
+        assert (reference(), pool.idle_count) == (None, 1)
+
+
 class TestSilence:
     """Guards against requests on connections that may be silent, and against closing sound ones."""
 
--- a/tests/test_lost_connection.py
+++ b/tests/test_lost_connection.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import gc
 import socket
 import struct
 import time
@@ -13,7 +12,6 @@
 from anvillug.connection import (
     http_client,
     http_exchange,
-    http_head,
     http_listener,
     http_pool,
     http_server,
@@ -85,15 +83,6 @@
         """Ignore backpressure."""
 
 
-@pytest.fixture
-def collector_disabled():
-    """Disable the collector, which could hide what is left."""
-    gc.collect()
-    gc.disable()
-    yield
-    gc.enable()
-
-
 @pytest.fixture
 def server(running_reactor, collector_disabled):
     """Return a server without a collector."""
