--- a/src/anvillug/process/mesh_entry.py
+++ b/src/anvillug/process/mesh_entry.py
@@ -217,11 +217,11 @@
             self, peer, work, call.route.target_latency_ms, on_result
         )
         if peer.announcement.host_id == self._settings.host_id:
-            attempt.cancel_run = self._host.submit(work, attempt.result)
+            attempt.run_started(self._host.submit(work, attempt.result))
         else:
             pool = self.pool(peer.announcement.peer_address)
             run = remote_run.RemoteRun(self.reactor, pool, work, self.clock, attempt.result)
-            attempt.cancel_run = run.cancel
+            attempt.run_started(run.cancel)
             # An inquiry guards against a node that has failed: a job that must not be repeated
             # would be lost, whether it has run or not, and others would cost time and retry budget.
             if not work.repeatable or peer.is_overdue(now) or self._has_costly_body(work, peer):
--- a/src/anvillug/process/pending_attempt.py
+++ b/src/anvillug/process/pending_attempt.py
@@ -62,8 +62,7 @@
         """Version of the backend server that the job was sent to."""
         self.counted_as: rollout_counts.Outcome | None = None
         """Outcome under which a rollout counted the attempt, None if it was not counted."""
-        self.cancel_run: Callable[[], object] | None = None
-        """Cancels the run at the host."""
+        self._cancel_run: Callable[[], object] | None = None
         self._objective_ms = objective_ms
         # None while an inquiry has no response, since the job has not been sent.
         self._receiver: ids.Incarnation | None = peer.announcement.incarnation
@@ -78,6 +77,15 @@
         """Whether the process that received the job has been replaced by a newer one."""
         return self._receiver in self.peer.former_incarnations
 
+    def run_started(self, cancel_run: Callable[[], object] | None) -> None:
+        """Set the function that cancels the run at the host; None if the host rejected the job.
+
+        The run refers to the attempt, and both would be freed only by the collector if an attempt
+        that has ended kept it.
+        """
+        if not self._ended:
+            self._cancel_run = cancel_run
+
     def inquire_first(self, run: remote_run.RemoteRun) -> None:
         """Send an inquiry before the job, whose response tells which process receives the job.
 
@@ -131,19 +139,21 @@
     def cancel(self) -> None:
         """Cancel the attempt; no result is reported."""
         if not self._ended:
+            cancel_run = self._cancel_run
             self._finish()
             self._owner.attempt_cancelled(self)
-            if self.cancel_run is not None:
-                self.cancel_run()
+            if cancel_run is not None:
+                cancel_run()
             self.work.release_body()
 
     def abort(self, reason: str) -> None:
         """Cancel the run and report that its outcome is unknown."""
-        if self.cancel_run is not None:
-            self.cancel_run()
+        if self._cancel_run is not None:
+            self._cancel_run()
         self.result(job.Result(job.ResultKind.UNKNOWN, reason, node_failed=True))
 
     def _finish(self) -> None:
         self._ended = True
+        self._cancel_run = None
         self._owner.pending_changed(self, ended=True)
         self.peer.outstanding -= 1
--- a/src/anvillug/request/remote_run.py
+++ b/src/anvillug/request/remote_run.py
@@ -202,8 +202,11 @@
     def cancel(self) -> None:
         """Cancel the run; the result is not reported."""
         self._stop_inquiry_timer()
-        if self._request is not None:
-            self._request.cancel()
+        request = self._request
+        # It refers to this run, and both would be freed only by the collector.
+        self._request = None
+        if request is not None:
+            request.cancel()
 
     # Private
 
@@ -214,6 +217,7 @@
     def _stop_inquiry_timer(self) -> None:
         if self._inquiry_timer is not None and self._inquiry_timer.active():
             self._inquiry_timer.cancel()
+        self._inquiry_timer = None
 
     def _inquiry_ended(
         self, on_willing: Callable[[ids.Incarnation | None], None], result: job.Result
@@ -224,6 +228,7 @@
             # The inquiry has shown that its connection works; an idle one may be silent.
             self.begin()
         else:
+            self._request = None
             self._on_result(result)
 
     def _send_job(
--- a/tests/test_mesh_entry.py
+++ b/tests/test_mesh_entry.py
@@ -4,13 +4,14 @@
 
 import re
 import types
+import weakref
 from unittest import mock
 
 import pytest
 from twisted.internet import testing
 
 from anvillug import clock, ids
-from anvillug.connection import http_server, memory_account
+from anvillug.connection import http_head, http_server, memory_account
 from anvillug.platform import headers
 from anvillug.process import mesh_entry, metrics, peer_table
 from anvillug.request import access, dialect, job, job_wire
@@ -28,6 +29,7 @@
 _FORMER_PROCESS = ids.Incarnation(100)
 _NEW_PROCESS = ids.Incarnation(200)
 _MEMORY_BYTES = 1 << 20
+_ANSWERED = job.Result(job.ResultKind.ANSWERED, head=http_head.ResponseHead(200, []))
 _WILLING = job.Result(job.ResultKind.WILLING)
 
 
@@ -142,6 +144,44 @@
         assert attempt.peer.avoid_until > entry_side.time.now()
 
 
+class TestEndedAttempt:
+    """Guards against attempts that hold their requests after they have ended."""
+
+    @pytest.fixture
+    def attempt(self, entry_side, collector_disabled):
+        """Return a reference to the attempt that the entry side has begun."""
+        return weakref.ref(next(iter(entry_side.entry._pending_attempts)))  # noqa: SLF001
+
+    def test_answered_attempt_is_freed_without_the_collector(self, entry_side, attempt):
+        entry_side.respond(_ANSWERED, _NEW_PROCESS)
+        entry_side.cancel = None
+        assert attempt() is None
+        assert entry_side.outcomes == [(job.ResultKind.ANSWERED, '')]
+
+    def test_cancelled_attempt_is_freed_without_the_collector(self, entry_side, attempt):
+        entry_side.cancel()
+        entry_side.cancel = None
+        entry_side.reactor.tcpClients.clear()
+        assert attempt() is None
+
+    @pytest.mark.parametrize('is_answered', [False, True])
+    def test_attempt_with_an_inquiry_is_freed_without_the_collector(
+        self, entry_side, collector_disabled, is_answered
+    ):
+        entry_side.cancel()
+        entry_side.receive_beacon('b')
+        entry_side.send_job(repeatable=False)
+        attempt = weakref.ref(next(iter(entry_side.entry._pending_attempts)))  # noqa: SLF001
+        if is_answered:
+            entry_side.respond(job.Result(job.ResultKind.REFUSED, 'full'), _NEW_PROCESS)
+        else:
+            entry_side.reactor.advance(1)
+        entry_side.cancel = None
+        entry_side.reactor.tcpClients.clear()
+        assert attempt() is None
+        assert len(entry_side.results) == 1
+
+
 class TestRejections:
     """Guards against rejections that no tenant's count shows, and against other calls in it."""
 
