--- a/src/anvillug/process/peer_server.py
+++ b/src/anvillug/process/peer_server.py
@@ -118,8 +118,10 @@
     def request_aborted(self) -> None:
         """Cancel the job, since its sender has cancelled it or disconnected."""
         self._release()
-        if self._cancel is not None:
-            self._cancel()
+        cancel = self._cancel
+        self._cancel = None
+        if cancel is not None:
+            cancel()
 
     def response_writes_paused(self, paused: bool) -> None:
         """Ignore backpressure: the whole result is in memory already."""
@@ -131,4 +133,6 @@
 
     def _respond(self, result: job.Result, headers: tuple[http_head.Header, ...] = ()) -> None:
         self._release()
+        # It refers to the run, which refers to this object.
+        self._cancel = None
         self._exchange.respond(_STATUS_OK, job_wire.pack_result(result), headers)
--- a/src/anvillug/request/upstream_run.py
+++ b/src/anvillug/request/upstream_run.py
@@ -39,6 +39,10 @@
     return ''
 
 
+def _ignore(result: job.Result) -> None:
+    """Do nothing: the run has ended."""
+
+
 class UpstreamRun:
     """The run of one job on the backend server.
 
@@ -229,13 +233,17 @@
     def _finish(self, result: job.Result) -> None:
         if self.state is RunState.DONE:
             return
+        on_done = self._on_done
         self._close()
-        self._on_done(result)
+        on_done(result)
 
     def _close(self) -> None:
         self.state = RunState.DONE
         if self._deadline_timer is not None and self._deadline_timer.active():
             self._deadline_timer.cancel()
+        # Both refer to the run, which would be freed only by the collector.
+        self._deadline_timer = None
+        self._on_done = _ignore
 
 
 _FRAMING_HEADERS = frozenset((b'content-length',))
--- a/tests/test_peer_server.py
+++ b/tests/test_peer_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import types
+import weakref
 
 import pytest
 
@@ -29,6 +30,23 @@
     return transport.value()
 
 
+class TestEndedJob:
+    """Guards against jobs of other nodes that are held after their response."""
+
+    def test_exchange_is_freed_without_the_collector(self, collector_disabled):
+        waiting = []
+
+        def submit(work, on_result):
+            waiting.append(on_result)
+            # As in a waiting room: what cancels a job also reports its result.
+            return lambda: on_result
+
+        _response(types.SimpleNamespace(submit=submit), job_wire.RUN_PATH)
+        exchange = weakref.ref(waiting[0].__self__)
+        waiting.pop()(job.Result(job.ResultKind.REFUSED, 'full'))
+        assert exchange() is None
+
+
 class TestInquiry:
     """Guards against senders that give up a job since they don't know which process runs it."""
 
