--- a/src/anvillug/request/routed_call.py
+++ b/src/anvillug/request/routed_call.py
@@ -484,6 +484,10 @@
         for timer in (self._deadline_timer, self._host_retry_timer, self._hedge_timer):
             if timer is not None and timer.active():
                 timer.cancel()
+        # One that has run refers to the call, which would be freed only by the collector.
+        self._deadline_timer = None
+        self._host_retry_timer = None
+        self._hedge_timer = None
         self._pending_attempts.clear()
         try:
             for cancel in tuple(self._cancels_by_attempt.values()):
--- a/tests/test_routed_call.py
+++ b/tests/test_routed_call.py
@@ -4,6 +4,7 @@
 
 import itertools
 import random
+import weakref
 
 import pytest
 from twisted.internet import task
@@ -170,6 +171,19 @@
 _REPEATABLE = route_table.RouteKind.REPEATABLE
 
 
+class TestEndedCall:
+    """Guards against calls that are held after their response."""
+
+    def test_call_that_timed_out_is_freed_without_the_collector(self, collector_disabled):
+        routed = RoutedRequest().begin()
+        reference = weakref.ref(routed.call)
+        del routed.call
+        routed.context.advance(_TIMEOUT_MS)
+        routed.context.pending.clear()
+        routed.exchange.detach()
+        assert (routed.connection.status, reference()) == (504, None)
+
+
 class TestResponses:
     """Guards against responses that are altered or made up on the way to the caller."""
 
