--- a/tests/test_lost_connection.py
+++ b/tests/test_lost_connection.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import gc
 import socket
 import struct
 import time
@@ -10,8 +9,14 @@
 
 import pytest
 
-from anvillug.connection import http_exchange, http_listener, http_server
-from tests import reactor_thread
+from anvillug.connection import (
+    http_client,
+    http_exchange,
+    http_listener,
+    http_pool,
+    http_server,
+)
+from tests import reactor_thread, test_http_client
 
 _HEAD = b'POST /one HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n'
 _BODY_BYTES = 1 << 20
@@ -27,6 +32,7 @@
         self.exchanges: list[weakref.ref] = []
         self.received_bytes = 0
         self.aborted = 0
+        self.answers = True
         factory = http_listener.ServerFactory(self._begin)
         build = factory.buildProtocol
         factory.buildProtocol = lambda address: self._keep(build(address))
@@ -36,8 +42,12 @@
         # What a client sends while the reactor stands still waits whole in the kernel.
         self.port.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4 * _BODY_BYTES)
 
+    @property
+    def address(self) -> tuple[str, int]:
+        return '127.0.0.1', self.port.getHost().port
+
     def connect(self) -> socket.socket:
-        connection = socket.create_connection(('127.0.0.1', self.port.getHost().port))
+        connection = socket.create_connection(self.address)
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
         connection.settimeout(reactor_thread.TIMEOUT_S)
         return connection
@@ -63,7 +73,8 @@
         self._server.received_bytes += len(data)
 
     def request_ended(self) -> None:
-        self._exchange.respond(200, b'whole')
+        if self._server.answers:
+            self._exchange.respond(200, b'whole')
 
     def request_aborted(self) -> None:
         self._server.aborted += 1
@@ -73,13 +84,10 @@
 
 
 @pytest.fixture
-def server(running_reactor):
-    """Return a server without a collector, which could hide what is left."""
+def server(running_reactor, collector_disabled):
+    """Return a server without a collector."""
     server = _Server(running_reactor)
-    gc.collect()
-    gc.disable()
     yield server
-    gc.enable()
     reactor_thread.call(server.port.stopListening)
 
 
@@ -104,6 +112,19 @@
             reactor_thread.eventually(lambda: server.exchanges[0]() is None)
         reactor_thread.eventually(lambda: server.connections[0]() is None)
 
+    @pytest.mark.parametrize('version', [b'1.0', b'1.1'])
+    def test_connection_of_a_caller_who_has_left_is_freed_without_the_collector(
+        self, server, version
+    ):
+        # The watch of a half-closed connection referred to its last check, and so to itself.
+        server.answers = False
+        with socket.create_connection(server.address) as client:
+            client.sendall(b'GET /one HTTP/%b\r\nHost: a\r\n\r\n' % version)
+            reactor_thread.eventually(lambda: server.exchanges)
+        reactor_thread.eventually(server.is_aborted)
+        reactor_thread.eventually(lambda: server.connections[0]() is None)
+        assert server.exchanges[0]() is None
+
     def test_unread_bytes_of_a_reset_connection_are_not_parsed(self, server, running_reactor):
         # Clients that reset uploads faster than these were read held descriptors by the hundred.
         with server.connect() as client:
@@ -113,3 +134,71 @@
             client.sendall(bytes(_BODY_BYTES))
         reactor_thread.eventually(server.is_aborted)
         assert server.received_bytes < _BODY_BYTES / 2
+
+
+class _Peer:
+    """Peer of one client connection, which awaits the response to a request."""
+
+    def __init__(self, running_reactor) -> None:
+        self.requests: list[weakref.ref] = []
+        self.connections: list[weakref.ref] = []
+        with socket.create_server(('127.0.0.1', 0)) as port:
+            pool = http_pool.Pool(running_reactor, *port.getsockname())
+            reactor_thread.call(pool.acquire, self._send, _ignore)
+            self.end, _ = port.accept()
+        self.end.settimeout(reactor_thread.TIMEOUT_S)
+        assert self.end.recv(4096)
+
+    def cancel(self) -> None:
+        """Cancel the request; runs in the reactor's thread."""
+        self.connections[0]().cancel()
+
+    def is_freed(self) -> bool:
+        return not any(reference() for reference in (*self.connections, *self.requests))
+
+    def _send(self, connection: http_client.ClientConnection) -> None:
+        self.connections.append(weakref.ref(connection))
+        self.requests.append(weakref.ref(test_http_client.send(connection)))
+
+
+def _ignore() -> None:
+    """Do nothing."""
+
+
+@pytest.fixture
+def peer(running_reactor, collector_disabled):
+    """Return the peer of a client connection, without a collector."""
+    peer = _Peer(running_reactor)
+    with peer.end:
+        yield peer
+
+
+@pytest.mark.parametrize(
+    'received',
+    [
+        b'',
+        b'HTTP/1.1 200 OK\r\nConte',
+        b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbo',
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbo',
+    ],
+)
+class TestLostClientConnection:
+    """Guards against connections to others that hold memory after they were lost."""
+
+    def test_connection_lost_within_a_response_is_freed_without_the_collector(self, peer, received):
+        peer.end.sendall(received)
+        peer.end.close()
+        reactor_thread.eventually(peer.is_freed)
+
+    def test_connection_reset_within_a_response_is_freed_without_the_collector(
+        self, peer, received
+    ):
+        peer.end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+        peer.end.sendall(received)
+        peer.end.close()
+        reactor_thread.eventually(peer.is_freed)
+
+    def test_cancelled_connection_is_freed_without_the_collector(self, peer, received):
+        peer.end.sendall(received)
+        reactor_thread.call(peer.cancel)
+        reactor_thread.eventually(peer.is_freed)
