--- a/src/anvillug/connection/http_pool.py
+++ b/src/anvillug/connection/http_pool.py
@@ -5,7 +5,7 @@
 import collections
 import math
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from twisted.internet import interfaces, protocol
 
@@ -45,6 +45,10 @@
         self._failed = _ignore_failure
         return connection
 
+    def clientConnectionLost(self, connector: Any, reason: object) -> None:  # noqa: N802
+        # The transport refers to its connector, and may hold an upload that was not sent.
+        connector.transport = None
+
     def clientConnectionFailed(self, connector: object, reason: object) -> None:  # noqa: N802
         self._pool.connect_failed()
         self._failed()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
+import gc
 import logging
 import pathlib
-import gc
 import threading
 
 import pytest
--- a/tests/test_http_pool.py
+++ b/tests/test_http_pool.py
@@ -33,9 +33,7 @@
 class TestFirstRequest:
     """Guards against open connections that hold what has requested them."""
 
-    def test_requester_of_an_idle_connection_is_freed_without_the_collector(
-        self, pool, collector_disabled
-    ):
+    def test_requester_of_an_idle_connection_is_freed(self, pool, collector_disabled):
         requester = _Requester()
         reference = weakref.ref(requester)
         pool.acquire(requester.send, requester.fail)
--- a/tests/test_lost_connection.py
+++ b/tests/test_lost_connection.py
@@ -22,6 +22,7 @@
 _BODY_BYTES = 1 << 20
 _RESET = struct.pack('ii', 1, 0)
 _STANDSTILL_S = 0.3
+_UNREAD_BYTES = 32 << 20
 
 
 class _Server:
@@ -113,9 +114,7 @@
         reactor_thread.eventually(lambda: server.connections[0]() is None)
 
     @pytest.mark.parametrize('version', [b'1.0', b'1.1'])
-    def test_connection_of_a_caller_who_has_left_is_freed_without_the_collector(
-        self, server, version
-    ):
+    def test_connection_of_a_caller_who_has_left_is_freed(self, server, version):
         # The watch of a half-closed connection referred to its last check, and so to itself.
         server.answers = False
         with socket.create_connection(server.address) as client:
@@ -141,20 +140,27 @@
 
     def __init__(self, running_reactor) -> None:
         self.requests: list[weakref.ref] = []
+        self.transports: list[weakref.ref] = []
         self.connections: list[weakref.ref] = []
         with socket.create_server(('127.0.0.1', 0)) as port:
             pool = http_pool.Pool(running_reactor, *port.getsockname())
             reactor_thread.call(pool.acquire, self._send, _ignore)
-            self.end, _ = port.accept()
+            self.end = port.accept()[0]
         self.end.settimeout(reactor_thread.TIMEOUT_S)
         assert self.end.recv(4096)
 
+    def send_unread(self) -> None:
+        """Send more than the peer reads; runs in the reactor's thread."""
+        self.transports.append(weakref.ref(self.connections[0]().transport))
+        self.connections[0]().send_body(bytes(_UNREAD_BYTES))
+
     def cancel(self) -> None:
         """Cancel the request; runs in the reactor's thread."""
         self.connections[0]().cancel()
 
     def is_freed(self) -> bool:
-        return not any(reference() for reference in (*self.connections, *self.requests))
+        references = (*self.connections, *self.requests, *self.transports)
+        return not any(reference() for reference in references)
 
     def _send(self, connection: http_client.ClientConnection) -> None:
         self.connections.append(weakref.ref(connection))
@@ -173,6 +179,21 @@
         yield peer
 
 
+class TestUnsentBytes:
+    """Guards against transports to others that hold an upload after they were lost."""
+
+    def test_cancelled_upload_is_freed(self, peer):
+        reactor_thread.call(peer.send_unread)
+        reactor_thread.call(peer.cancel)
+        reactor_thread.eventually(peer.is_freed)
+
+    def test_reset_upload_is_freed(self, peer):
+        reactor_thread.call(peer.send_unread)
+        peer.end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+        peer.end.close()
+        reactor_thread.eventually(peer.is_freed)
+
+
 @pytest.mark.parametrize(
     'received',
     [
@@ -185,20 +206,18 @@
 class TestLostClientConnection:
     """Guards against connections to others that hold memory after they were lost."""
 
-    def test_connection_lost_within_a_response_is_freed_without_the_collector(self, peer, received):
+    def test_connection_lost_within_a_response_is_freed(self, peer, received):
         peer.end.sendall(received)
         peer.end.close()
         reactor_thread.eventually(peer.is_freed)
 
-    def test_connection_reset_within_a_response_is_freed_without_the_collector(
-        self, peer, received
-    ):
+    def test_connection_reset_within_a_response_is_freed(self, peer, received):
         peer.end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
         peer.end.sendall(received)
         peer.end.close()
         reactor_thread.eventually(peer.is_freed)
 
-    def test_cancelled_connection_is_freed_without_the_collector(self, peer, received):
+    def test_cancelled_connection_is_freed(self, peer, received):
         peer.end.sendall(received)
         reactor_thread.call(peer.cancel)
         reactor_thread.eventually(peer.is_freed)
--- a/tests/test_mesh_entry.py
+++ b/tests/test_mesh_entry.py
@@ -152,22 +152,20 @@
         """Return a reference to the attempt that the entry side has begun."""
         return weakref.ref(next(iter(entry_side.entry._pending_attempts)))  # noqa: SLF001
 
-    def test_answered_attempt_is_freed_without_the_collector(self, entry_side, attempt):
+    def test_answered_attempt_is_freed(self, entry_side, attempt):
         entry_side.respond(_ANSWERED, _NEW_PROCESS)
         entry_side.cancel = None
         assert attempt() is None
         assert entry_side.outcomes == [(job.ResultKind.ANSWERED, '')]
 
-    def test_cancelled_attempt_is_freed_without_the_collector(self, entry_side, attempt):
+    def test_cancelled_attempt_is_freed(self, entry_side, attempt):
         entry_side.cancel()
         entry_side.cancel = None
         entry_side.reactor.tcpClients.clear()
         assert attempt() is None
 
     @pytest.mark.parametrize('is_answered', [False, True])
-    def test_attempt_with_an_inquiry_is_freed_without_the_collector(
-        self, entry_side, collector_disabled, is_answered
-    ):
+    def test_attempt_with_an_inquiry_is_freed(self, entry_side, collector_disabled, is_answered):
         entry_side.cancel()
         entry_side.receive_beacon('b')
         entry_side.send_job(repeatable=False)
--- a/tests/test_peer_server.py
+++ b/tests/test_peer_server.py
@@ -33,7 +33,7 @@
 class TestEndedJob:
     """Guards against jobs of other nodes that are held after their response."""
 
-    def test_exchange_is_freed_without_the_collector(self, collector_disabled):
+    def test_exchange_is_freed(self, collector_disabled):
         waiting = []
 
         def submit(work, on_result):
--- a/tests/test_routed_call.py
+++ b/tests/test_routed_call.py
@@ -174,7 +174,7 @@
 class TestEndedCall:
     """Guards against calls that are held after their response."""
 
-    def test_call_that_timed_out_is_freed_without_the_collector(self, collector_disabled):
+    def test_call_that_timed_out_is_freed(self, collector_disabled):
         routed = RoutedRequest().begin()
         reference = weakref.ref(routed.call)
         del routed.call
--- a/tests/test_upstream_run.py
+++ b/tests/test_upstream_run.py
@@ -59,18 +59,18 @@
 class TestEndedRun:
     """Guards against runs that hold their jobs after they have ended."""
 
-    def test_answered_run_is_freed_without_the_collector(self, run):
+    def test_answered_run_is_freed(self, run):
         run.connection.dataReceived(b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok')
         assert (len(run.results), run.reference()) == (1, None)
 
-    def test_lost_run_is_freed_without_the_collector(self, run):
+    def test_lost_run_is_freed(self, run):
         run.connection.connectionLost(failure.Failure(error.ConnectionLost()))
         assert (len(run.results), run.reference()) == (1, None)
 
-    def test_run_that_timed_out_is_freed_without_the_collector(self, run):
+    def test_run_that_timed_out_is_freed(self, run):
         run.reactor.advance(_LONG_S)
         assert (len(run.results), run.reference()) == (1, None)
 
-    def test_cancelled_run_is_freed_without_the_collector(self, run):
+    def test_cancelled_run_is_freed(self, run):
         run.reference().cancel()
         assert (run.results, run.reference()) == ([], None)
