--- a/src/anvillug/request/entry_call.py
+++ b/src/anvillug/request/entry_call.py
@@ -461,6 +461,7 @@
         _cancel_all(self._timers)
         if self._deadline_timer is not None and self._deadline_timer.active():
             self._deadline_timer.cancel()
+        self._deadline_timer = None
 
     def _end(self, status: int, outcome: call.Outcome) -> None:
         if self.state is EntryState.DONE:
@@ -470,6 +471,10 @@
         self._cancel_timers()
         for attempt in tuple(self._active):
             self._cancel_attempt(attempt)
+        # They refer to the call, which would be freed only by the collector.
+        self._winner = None
+        self._streaming_to = None
+        self._resolver = None
         self._context.call_ended(self, status, outcome)
 
 
--- a/tests/test_entry_call.py
+++ b/tests/test_entry_call.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import weakref
+
 import pytest
 from twisted.internet import task
 
@@ -35,6 +37,12 @@
         """Record the response."""
         self.response = (status, dict(headers)[b'Anvillug-Outcome'])
 
+    def send_head(self, head):
+        """Do nothing."""
+
+    def finish(self):
+        """Do nothing."""
+
     def abort(self):
         """Record the abort."""
         self.aborted = True
@@ -131,6 +139,48 @@
     return active_call, exchange
 
 
+def _is_freed(reference, context, exchange):
+    """Return whether a call is freed once the test and its exchange let go of it."""
+    exchange.handler = None
+    context.started.clear()
+    return reference() is None
+
+
+class TestEndedCall:
+    """Guards against calls that are held after their response."""
+
+    @pytest.fixture
+    def context(self, collector_disabled):
+        """Return an entry side with one host, without a collector."""
+        return FakeContext(['a'])
+
+    def test_answered_call_is_freed(self, context):
+        active_call, exchange = start(context)
+        active_call.attempt_responded(context.started[0], http_head.ResponseHead(200, []))
+        active_call.attempt_ended(context.started[0])
+        reference = weakref.ref(active_call)
+        del active_call
+        assert _is_freed(reference, context, exchange)
+
+    def test_streamed_call_is_freed(self, context):
+        head = http_head.RequestHead(b'PUT', b'/', [(b'Transfer-Encoding', b'chunked')])
+        active_call, exchange = receive(context, head=head)
+        context.started[0].connection = FakeConnection()
+        active_call.attempt_continue(context.started[0])
+        active_call.request_aborted()
+        reference = weakref.ref(active_call)
+        del active_call
+        assert _is_freed(reference, context, exchange)
+
+    def test_call_that_timed_out_is_freed(self, context):
+        active_call, exchange = start(context, deadline=clock.Milliseconds(1000))
+        reference = weakref.ref(active_call)
+        del active_call
+        context.reactor.advance(1)
+        assert exchange.response[0] == 504
+        assert _is_freed(reference, context, exchange)
+
+
 class TestNotRun:
     """Guards against reporting "not run" for a call that may have run."""
 
