--- a/tests/test_entry_call.py
+++ b/tests/test_entry_call.py
@@ -156,20 +156,22 @@
 
     def test_answered_call_is_freed(self, context):
         active_call, exchange = start(context)
-        active_call.attempt_responded(context.started[0], http_head.ResponseHead(200, []))
-        active_call.attempt_ended(context.started[0])
+        attempt = context.started.pop()
+        active_call.attempt_responded(attempt, http_head.ResponseHead(200, []))
+        active_call.attempt_ended(attempt)
         reference = weakref.ref(active_call)
-        del active_call
+        del active_call, attempt
         assert _is_freed(reference, context, exchange)
 
     def test_streamed_call_is_freed(self, context):
         head = http_head.RequestHead(b'PUT', b'/', [(b'Transfer-Encoding', b'chunked')])
         active_call, exchange = receive(context, head=head)
-        context.started[0].connection = FakeConnection()
-        active_call.attempt_continue(context.started[0])
+        attempt = context.started.pop()
+        attempt.connection = FakeConnection()
+        active_call.attempt_continue(attempt)
         active_call.request_aborted()
         reference = weakref.ref(active_call)
-        del active_call
+        del active_call, attempt
         assert _is_freed(reference, context, exchange)
 
     def test_call_that_timed_out_is_freed(self, context):
