--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -74,7 +74,9 @@
     def test_action_of_a_signal(self, action):
         name = 'signal.SIG_IGN' if action is signal.SIG_IGN else action
         change = f'signal.signal(signal.SIGTERM, {name})' if action else 'pass'
-        code = f"import signal; {change}; print('event=ready', flush=True); {_SLEEPING}"
+        # The process that runs the tests may ignore it, as below nohup.
+        default = 'signal.signal(signal.SIGHUP, signal.SIG_DFL)'
+        code = f"import signal; {default}; {change}; print('event=ready', flush=True); {_SLEEPING}"
         with processes.group() as group:
             child = processes.ChildProcess((), (sys.executable, '-c', code))
             group.append(child)
--- a/tests/test_soak_faults.py
+++ b/tests/test_soak_faults.py
@@ -32,6 +32,13 @@
 print(*sorted(each.name for each in signal.pthread_sigmask(signal.SIG_BLOCK, ())))
 """
 
+# The process that runs the tests may ignore SIGHUP, as below nohup.
+_DEFAULT_ACTION = """
+import signal
+signal.signal(signal.SIGHUP, signal.SIG_DFL)
+print('event=ready', flush=True)
+input()
+"""
 _SLEEPING = 'sleeping'
 # Runs a module after a time, as a slow machine starts the interpreter.
 _SLOW_START = """
@@ -190,9 +197,10 @@
     def test_end_names_the_last_signal(self, fleet):
         host = fleet.hosts[0]
         with processes.group() as group:
-            child = processes.ChildProcess((), (sys.executable, '-c', 'input()'), has_input=True)
+            command = (sys.executable, '-c', _DEFAULT_ACTION)
+            child = processes.ChildProcess((), command, has_input=True)
             group.append(child)
-            _await(lambda: processes.runs_program(child.pid))
+            child.wait_for_event('ready')
             host.node = child
             fleet.hang_up(host)
             _await(lambda: not child.running)
