--- a/review/7/scene.py
+++ b/review/7/scene.py
@@ -58,6 +58,7 @@
         late = upstream.beat_body()
         arrival = stage.spawn(_arrive_late(upstream, late))
     await asyncio.sleep(_SHUTDOWN_AFTER_S)
+    upstream.state = 'draining'
     status = await upstream.deregister()
     acked_at = time.monotonic()
     if status != 200:
--- a/review/kit-2/stage.py
+++ b/review/kit-2/stage.py
@@ -207,8 +207,6 @@
         self.beats = True
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
-        self.on_run = None
-        """Called with the attempt id; a coroutine that replaces the usual work."""
         self.cold_bound = float('inf')
         """Requests in one second at which it crashes while it is cold."""
         self.crashes = 0
@@ -226,7 +224,7 @@
         )
 
     def stop(self) -> None:
-        """End at once: all connections are reset."""
+        """End at once, with all connections."""
         self.beats = False
         if self.server is not None:
             self.server.close()
@@ -329,11 +327,8 @@
                     await self._crash()
                     return
                 try:
-                    if self.on_run is not None:
-                        await self.on_run(attempt)
-                    else:
-                        rounds = 1 + max(0, self.running - self.slots) / self.slots
-                        await asyncio.sleep(self.work_s * rounds)
+                    rounds = 1 + max(0, self.running - self.slots) / self.slots
+                    await asyncio.sleep(self.work_s * rounds)
                 finally:
                     self.running = max(0, self.running - 1)
                     self._running_ids.discard(attempt)
@@ -343,8 +338,13 @@
                     'Anvillug-Server-Seal': f'seal.{attempt}',
                     'Anvillug-Server-Load': load,
                 }
+                if self.state != 'ready':
+                    # As in the answers of an upstream that is leaving.
+                    head['Connection'] = 'close'
                 writer.write(answer(200, content, head))
                 await writer.drain()
+                if self.state != 'ready':
+                    break
         self.writers.discard(writer)
         writer.close()
 
@@ -450,6 +450,10 @@
     async def is_ready(self) -> bool:
         return await call(f'{self.ip}:{self.ports["ready"]}', 'GET', '/-/readiness') == 200
 
+    def memory_peak_kb(self) -> int:
+        """Return the peak of the process's memory in KB; mapped files don't count."""
+        return self.status_kb('VmHWM') - self.status_kb('RssFile')
+
     def status_kb(self, field: str) -> int:
         """Return a field of the process's status in KB, 0 if it has ended."""
         try:
@@ -483,6 +487,8 @@
         self.nodes: dict[str, Node] = {}
         self.zones = ['kochi-a', 'kochi-b', 'kochi-c']
         self.tasks: list[asyncio.Task] = []
+        # Starts of processes aren't cancelled: one half done would leave a process behind.
+        self.starting: list[asyncio.Task] = []
         self.contracts = ['base', 'drain', 'config', 'cost', 'retry', 'recover', 'health',
                           'places', 'rollout', 'platform']
 
@@ -625,7 +631,7 @@
         while True:
             for node in self.nodes.values():
                 ended = node.process is not None and node.process.returncode is not None
-                peak_kb = 0 if ended or node.process is None else node.status_kb('VmHWM')
+                peak_kb = 0 if ended or node.process is None else node.memory_peak_kb()
                 node.peak_kb = max(node.peak_kb, peak_kb)
                 if peak_kb > node.memory_mb * 1024:
                     self.record(
@@ -639,7 +645,7 @@
                     node.process = None
                     node.own_ends += 1
                     self.record(f'{node.name}: ended by itself, {node.own_ends} times so far')
-                    self.spawn(self._start_again(node))
+                    self.starting.append(asyncio.create_task(self._start_again(node)))
             await asyncio.sleep(0.02)
 
     async def _start_again(self, node: Node) -> None:
@@ -649,7 +655,7 @@
     async def end(self) -> None:
         for task in self.tasks:
             task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await asyncio.gather(*self.tasks, *self.starting, return_exceptions=True)
         for node in self.nodes.values():
             await node.kill()
             node.upstream.stop()
