--- a/review/7/scene.py
+++ b/review/7/scene.py
@@ -1,6 +1,6 @@
 """An upstream starts again under its id, leaves, and is sent requests after its leave was acked.
 
-Seven upstreams of one service and a machine with clients. One upstream crashes and is back under
+Eight upstreams of one service and a machine with clients. One upstream crashes and is back under
 the id that it had. Its first liveness report comes late; before that it deregisters and exits after
 its grace, as upstreams do that never report `draining`.
 """
@@ -37,6 +37,7 @@
     # The upstream is the one of the clients' zone, which nodes prefer.
     places = [('kochi-a', 'drawbook')]
     places += [(zone, 'drawbook') for zone in ('kochi-b', 'kochi-c') * 3]
+    places += [('kochi-b', 'drawbook')]
     places += [('kochi-a', 'fieldvault')]
     nodes = await stage.start(places)
     node, entry = nodes[0], nodes[-1]
